--- /dev/null
+++ b/packages/base/clock.h
@@ -0,0 +1,40 @@
+/*
+ * The clock as an interface, so that decisions and leases can be tested with
+ * a clock that jumps.  Arithmetic is done in microseconds (int64_t).
+ */
+#ifndef BASE_CLOCK_H
+#define BASE_CLOCK_H
+
+#include <stdint.h>
+#include <time.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Ck_USEC_PER_MSEC INT64_C(1000)
+#define Ck_USEC_PER_SEC INT64_C(1000000)
+
+struct ck_clock;
+
+struct ck_ops {
+    /* Time since an arbitrary start; counts suspended time as well. */
+    void (*boot)(const struct ck_clock *clock, struct timespec *now);
+    /* Calendar time, for people and for the platform only. */
+    void (*wall)(const struct ck_clock *clock, struct timespec *now);
+};
+
+struct ck_clock {
+    const struct ck_ops *ops;
+    void *context;
+};
+
+const struct ck_clock *Ck_System(void);
+int64_t Ck_Now(const struct ck_clock *clock);
+int64_t Ck_Wall(const struct ck_clock *clock);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/base/random.h
@@ -0,0 +1,26 @@
+/*
+ * Seeded pseudo-random numbers for decisions, so that a run can be repeated.
+ * Keys and incarnations come from arc4random of libbsd, never from here.
+ */
+#ifndef BASE_RANDOM_H
+#define BASE_RANDOM_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct rn_random {
+    unsigned short state[3]; /* erand48 state */
+};
+
+void Rn_Seed(struct rn_random *random, uint64_t seed);
+uint32_t Rn_Below(struct rn_random *random, uint32_t bound);
+double Rn_Unit(struct rn_random *random);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/config/config.h
@@ -0,0 +1,121 @@
+/*
+ * The configuration in force, as typed values.  It is put together from the
+ * sections that teams publish on the platform's log; see state.h for how
+ * sections are accepted.  A configuration is immutable once built.
+ */
+#ifndef CONFIG_CONFIG_H
+#define CONFIG_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/hash.h"
+#include "base/status.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Cf_NAME_MAX 48
+#define Cf_PATH_MAX 128
+
+enum cf_kind {
+    CF_ENGINE, /* a model engine behind the completions API */
+    CF_PLAIN,  /* a plain service behind a path prefix */
+};
+
+enum cf_role {
+    CF_VIEWER,  /* may read its team's section */
+    CF_EDITOR,  /* may also publish its team's section */
+    CF_OPERATOR /* may read and publish every section */
+};
+
+struct cf_data_centre {
+    char name[Cf_NAME_MAX];
+    char region[Cf_NAME_MAX];
+};
+
+struct cf_team {
+    char name[Cf_NAME_MAX];
+    char key_digest[Hash_DIGEST_HEX];
+    enum cf_role role;
+};
+
+struct cf_customer {
+    char name[Cf_NAME_MAX];
+    char team[Cf_NAME_MAX];
+    char key_digest[Hash_DIGEST_HEX]; /* digest of the bearer key */
+    double weight;                    /* share of a contended queue */
+    double requests_per_sec; /* over all daemons together; 0: no limit */
+    int max_in_flight;       /* over all daemons together; 0: no limit */
+    size_t body_max;         /* bytes */
+};
+
+/* The intended version of a service, and by when. */
+struct cf_move {
+    char from[Cf_NAME_MAX]; /* empty: no move, "to" carries everything */
+    char to[Cf_NAME_MAX];
+    double first_share;   /* share of traffic of the first step, e.g. 0.02 */
+    int64_t deadline_sec; /* calendar time; 0: none */
+    bool withdrawn;       /* the operator has taken the move back */
+};
+
+struct cf_service {
+    char name[Cf_NAME_MAX];
+    char team[Cf_NAME_MAX];
+    enum cf_kind kind;
+    char prefix[Cf_PATH_MAX]; /* plain: path prefix, e.g. "/box-office/" */
+    bool idempotent;          /* plain: every call may be repeated */
+    bool fenced;              /* endpoints refuse an old fencing number */
+    int64_t first_token_usec; /* target for 95 in 100 */
+    int64_t token_usec;       /* target between tokens for 95 in 100 */
+    int64_t deadline_usec;    /* when the caller names none */
+    int slots;                /* requests an endpoint runs at once */
+    int replicas_min;
+    int replicas_max;
+    double headroom;        /* share of capacity kept free */
+    bool survive_dc_loss;   /* plan for losing the largest data centre */
+    double reclaimable_max; /* highest share on reclaimable hosts */
+    struct cf_move move;
+};
+
+struct cf_config {
+    uint64_t offset; /* log offset that this configuration reflects */
+    struct cf_data_centre *data_centres;
+    size_t data_centre_count;
+    struct cf_team *teams;
+    size_t team_count;
+    struct cf_customer *customers;
+    size_t customer_count;
+    struct cf_service *services;
+    size_t service_count;
+};
+
+/*
+ * Builds a configuration from section documents (JSON text, one object per
+ * section: "platform" with data_centres and teams, "team/NAME" with customers
+ * and services).  Unknown fields are skipped.
+ */
+struct cf_section {
+    const char *name;
+    const char *json;
+};
+
+enum st_status Cf_Build(const struct cf_section *sections, size_t count,
+                        uint64_t offset, struct cf_config **out);
+void Cf_Destroy(struct cf_config *config);
+const struct cf_customer *Cf_CustomerByKey(const struct cf_config *config,
+                                           const char *key_digest);
+const struct cf_service *Cf_ServiceByName(const struct cf_config *config,
+                                          const char *name);
+const struct cf_service *Cf_ServiceByPath(const struct cf_config *config,
+                                          const char *path);
+const struct cf_team *Cf_TeamByKey(const struct cf_config *config,
+                                   const char *key_digest);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/web/loop.h
@@ -0,0 +1,56 @@
+/*
+ * The one loop of a process, on the libwebsockets service loop: timers and
+ * watched descriptors.  Everything runs on the thread that calls Lp_Run().
+ */
+#ifndef WEB_LOOP_H
+#define WEB_LOOP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/status.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct lp_loop;
+struct lp_timer;
+struct lp_watch;
+
+typedef void (*lp_timer_fn)(void *arg);
+typedef void (*lp_ready_fn)(void *arg);
+
+struct lp_watch_ops {
+    lp_ready_fn readable;
+    lp_ready_fn writable;
+    lp_ready_fn closed; /* the descriptor is gone; do not use the watch */
+};
+
+enum st_status Lp_Create(struct lp_loop **out);
+void Lp_Destroy(struct lp_loop *loop);
+void Lp_Run(struct lp_loop *loop);
+void Lp_Stop(struct lp_loop *loop);
+
+struct lp_timer *Lp_TimerCreate(struct lp_loop *loop, lp_timer_fn fn,
+                                void *arg);
+void Lp_TimerSet(struct lp_timer *timer, int64_t delay_usec);
+void Lp_TimerCancel(struct lp_timer *timer);
+void Lp_TimerDestroy(struct lp_timer *timer);
+
+struct lp_watch *Lp_WatchCreate(struct lp_loop *loop, int fd,
+                                const struct lp_watch_ops *ops, void *arg);
+void Lp_WatchWritable(struct lp_watch *watch);
+void Lp_WatchDestroy(struct lp_watch *watch);
+
+/* For the other modules of this package. */
+struct lws_context;
+struct lws_vhost;
+struct lws_context *Lp_Context(struct lp_loop *loop);
+struct lws_vhost *Lp_ClientVhost(struct lp_loop *loop);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
