--- /dev/null
+++ b/packages/platform/hostlist.c
@@ -0,0 +1,143 @@
+#include "platform/hostlist.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct http_list {
+    struct hl_list base;
+    struct lp_loop *loop;
+    struct jc_target target;
+};
+
+struct fetch {
+    void (*done)(void *arg, enum st_status status, const struct hl_host *hosts,
+                 size_t count);
+    void *arg;
+};
+
+static void
+copy_text(const json_t *object, const char *key, char *out, size_t size)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+    strlcpy(out, text != NULL ? text : "", size);
+}
+
+static int
+read_int(const json_t *object, const char *key)
+{
+    return (int)json_integer_value(json_object_get(object, key));
+}
+
+static bool
+text_is(const json_t *object, const char *key, const char *expected)
+{
+    const char *text = json_string_value(json_object_get(object, key));
+    return text != NULL && strcmp(text, expected) == 0;
+}
+
+static void
+parse_host(const json_t *item, struct hl_host *host)
+{
+    copy_text(item, "id", host->id, sizeof(host->id));
+    copy_text(item, "address", host->address, sizeof(host->address));
+    copy_text(item, "data_centre", host->data_centre,
+              sizeof(host->data_centre));
+    copy_text(item, "region", host->region, sizeof(host->region));
+    copy_text(item, "service", host->service, sizeof(host->service));
+    copy_text(item, "version", host->version, sizeof(host->version));
+    copy_text(item, "class", host->host_class, sizeof(host->host_class));
+    host->port = read_int(item, "port");
+    host->peer_port = read_int(item, "peer_port");
+    host->admin_port = read_int(item, "admin_port");
+    host->slots = read_int(item, "slots");
+    host->price = json_number_value(json_object_get(item, "price"));
+    host->reclaimable = json_is_true(json_object_get(item, "reclaimable"));
+    host->role = text_is(item, "role", "entry") ? HL_ENTRY : HL_ENDPOINT;
+    host->state = text_is(item, "state", "leaving") ? HL_LEAVING : HL_LIVE;
+}
+
+static void
+fetch_done(void *arg, const struct jc_answer *answer)
+{
+    struct fetch *fetch = arg;
+    const json_t *items = json_object_get(answer->body, "hosts");
+    struct hl_host *hosts = NULL;
+    size_t count = 0;
+    enum st_status status = answer->status;
+    if (status == ST_OK && (answer->code != 200 || !json_is_array(items))) {
+        status =
+            St_Fail(ST_UNAVAILABLE, "the host list answered %d without hosts",
+                    answer->code);
+    }
+    if (status == ST_OK) {
+        hosts = calloc(json_array_size(items) + 1, sizeof(*hosts));
+        if (hosts == NULL) {
+            status = St_Fail(ST_NO_MEMORY, "no memory for the host list");
+        }
+    }
+    if (status == ST_OK) {
+        size_t i;
+        const json_t *item;
+        json_array_foreach (items, i, item) {
+            parse_host(item, &hosts[count]);
+            /* A host without an id or an address is of no use. */
+            if (hosts[count].id[0] != '\0' &&
+                hosts[count].address[0] != '\0') {
+                count++;
+            }
+        }
+    }
+    fetch->done(fetch->arg, status, hosts, count);
+    free(hosts);
+    free(fetch);
+}
+
+static enum st_status
+http_fetch(struct hl_list *list, int64_t timeout_usec,
+           void (*done)(void *arg, enum st_status status,
+                        const struct hl_host *hosts, size_t count),
+           void *arg)
+{
+    struct http_list *http = (struct http_list *)list;
+    struct fetch *fetch = calloc(1, sizeof(*fetch));
+    if (fetch == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory to ask for the host list");
+    }
+    fetch->done = done;
+    fetch->arg = arg;
+    enum st_status status =
+        Jc_Start(http->loop, &http->target, "GET", "/hosts/v1", NULL,
+                 timeout_usec, fetch_done, fetch, NULL);
+    if (status != ST_OK) {
+        free(fetch);
+    }
+    return status;
+}
+
+static void
+http_destroy(struct hl_list *list)
+{
+    free(list);
+}
+
+static const struct hl_ops http_ops = {
+    .fetch = http_fetch,
+    .destroy = http_destroy,
+};
+
+/* The host list over HTTP, as docs/INTERFACES.md section 3. */
+enum st_status
+Hl_HttpCreate(struct lp_loop *loop, const struct jc_target *target,
+              struct hl_list **out)
+{
+    struct http_list *http = calloc(1, sizeof(*http));
+    if (http == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the host list");
+    }
+    http->base.ops = &http_ops;
+    http->loop = loop;
+    http->target = *target;
+    *out = &http->base;
+    return ST_OK;
+}
--- /dev/null
+++ b/packages/platform/hostlist.h
@@ -0,0 +1,68 @@
+/*
+ * The platform's lagging list of live and leaving hosts.
+ */
+#ifndef PLATFORM_HOSTLIST_H
+#define PLATFORM_HOSTLIST_H
+
+#include "platform/jsoncall.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Hl_NAME_MAX 48
+
+enum hl_role {
+    HL_ENTRY,    /* a host of this system */
+    HL_ENDPOINT, /* a host that runs a model engine or a plain service */
+};
+
+enum hl_state {
+    HL_LIVE,
+    HL_LEAVING,
+};
+
+struct hl_host {
+    char id[Hl_NAME_MAX];
+    char address[Hl_NAME_MAX];
+    int port;
+    int peer_port;
+    int admin_port;
+    char data_centre[Hl_NAME_MAX];
+    char region[Hl_NAME_MAX];
+    enum hl_role role;
+    enum hl_state state;
+    char service[Hl_NAME_MAX];
+    char version[Hl_NAME_MAX];
+    char host_class[Hl_NAME_MAX];
+    double price; /* per hour */
+    bool reclaimable;
+    int slots;
+};
+
+struct hl_list;
+
+/* Behind a table, so that another platform's list is one file. */
+struct hl_ops {
+    /* Asks for the list; "done" gets ST_OK and the hosts, or a failure. */
+    enum st_status (*fetch)(struct hl_list *list, int64_t timeout_usec,
+                            void (*done)(void *arg, enum st_status status,
+                                         const struct hl_host *hosts,
+                                         size_t count),
+                            void *arg);
+    void (*destroy)(struct hl_list *list);
+};
+
+struct hl_list {
+    const struct hl_ops *ops;
+};
+
+enum st_status Hl_HttpCreate(struct lp_loop *loop,
+                             const struct jc_target *target,
+                             struct hl_list **out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
