Configuration: typed values from section documents

Sections are read by tables of fields with bounds and a remedy each, one part per section, so that a change of one section parses that section alone; the parts are then sorted and checked against each other. Lists may be keyed by name, so that a merge patch touches one entry; an array with names is brought into that form. A configuration is counted by references, because requests in flight go on under the one they began with.

--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -19,6 +19,12 @@
 
 #define Cf_NAME_MAX 48
 #define Cf_PATH_MAX 128
+#define Cf_SECTION_MAX 64          /* name of a section, with its NUL */
+#define Cf_SECTION_BYTES_MAX 60000 /* so that it fits one log record */
+#define Cf_PLATFORM "platform"     /* the section of all teams */
+#define Cf_TEAM_PREFIX "team/"     /* team/NAME: the section of one team */
+/* Author of the first platform section, before any team has a key. */
+#define Cf_BOOTSTRAP "bootstrap"
 
 enum cf_kind {
     CF_ENGINE, /* a model engine behind the completions API */
@@ -80,6 +86,10 @@
     struct cf_move move;
 };
 
+/*
+ * Customers and teams stand in the order of their key digests, services and
+ * data centres in the order of their names.
+ */
 struct cf_config {
     uint64_t offset; /* log offset that this configuration reflects */
     struct cf_data_centre *data_centres;
@@ -90,12 +100,15 @@
     size_t customer_count;
     struct cf_service *services;
     size_t service_count;
+    int references;
 };
 
 /*
- * Builds a configuration from section documents (JSON text, one object per
- * section: "platform" with data_centres and teams, "team/NAME" with customers
- * and services).  Unknown fields are skipped.
+ * A section as a JSON document: "platform" holds "data_centres" and "teams",
+ * "team/NAME" holds "customers" and "services".  Each of these lists is an
+ * object from name to fields (so that a merge patch can touch one entry), or
+ * an array of objects with a "name".  Fields are named as in the structs
+ * above; "team" and "offset" are not written; unknown fields are skipped.
  */
 struct cf_section {
     const char *name;
@@ -104,7 +117,9 @@
 
 enum st_status Cf_Build(const struct cf_section *sections, size_t count,
                         uint64_t offset, struct cf_config **out);
+struct cf_config *Cf_Ref(struct cf_config *config);
 void Cf_Destroy(struct cf_config *config);
+
 const struct cf_customer *Cf_CustomerByKey(const struct cf_config *config,
                                            const char *key_digest);
 const struct cf_service *Cf_ServiceByName(const struct cf_config *config,
@@ -113,6 +128,12 @@
                                           const char *path);
 const struct cf_team *Cf_TeamByKey(const struct cf_config *config,
                                    const char *key_digest);
+const struct cf_team *Cf_TeamByName(const struct cf_config *config,
+                                    const char *name);
+bool Cf_MayPublish(const struct cf_config *config, const char *team,
+                   const char *section);
+bool Cf_MayRead(const struct cf_config *config, const char *team,
+                const char *section);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/packages/config/field.h
@@ -0,0 +1,42 @@
+/*
+ * Reads the fields of a JSON object into a struct by a table, with bounds
+ * and a remedy for each field.  For the modules of this package only.
+ */
+#ifndef CONFIG_FIELD_H
+#define CONFIG_FIELD_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "base/status.h"
+
+enum fd_type {
+    FD_NAME,   /* char[Cf_NAME_MAX] */
+    FD_DIGEST, /* char[Hash_DIGEST_HEX] */
+    FD_PATH,   /* char[Cf_PATH_MAX] */
+    FD_DOUBLE,
+    FD_INT,
+    FD_INT64,
+    FD_SIZE,
+    FD_BOOL,
+    FD_KIND, /* enum cf_kind */
+    FD_ROLE, /* enum cf_role */
+};
+
+struct fd_field {
+    const char *name;
+    size_t offset;
+    double least; /* numbers: lowest and highest value taken */
+    double most;
+    double preset;      /* numbers: the value when the field is absent */
+    const char *remedy; /* what to write */
+    enum fd_type type;
+    bool required;
+};
+
+enum st_status Fd_Read(const char *where, const json_t *object,
+                       const struct fd_field *fields, size_t count, void *out);
+bool Fd_IsName(const char *text);
+
+#endif
