--- a/standins/serve.c
+++ b/standins/serve.c
@@ -372,6 +372,10 @@
 add_fault(struct sv_program *program, struct hs_request *request)
 {
     json_t *spec = Sv_BodyJson(request);
+    const char *target = program->options.default_target;
+    if (target != NULL && json_object_get(spec, "target") == NULL) {
+        json_object_set_new(spec, "target", json_string(target));
+    }
     if (Fl_Add(program->faults, spec) == ST_OK) {
         Sv_Reply(program, request, 200, json_object());
     }
--- a/standins/serve.h
+++ b/standins/serve.h
@@ -25,6 +25,7 @@
     int port;
     void (*request)(void *arg, struct hs_request *request);
     void *arg;
+    const char *default_target; /* of faults that name none; may be NULL */
 };
 
 /* An answer with its fault; "body" is a reference that is handed over. */
