Records, writer and follower of a log stream

Every record carries its writer and the writer's sequence. A writer has one append on its way and repeats it unchanged until an answer or the record read back settles it; readers drop repeats by a table that is the same for every reader. The follower never goes back and reports expired ranges.

Appending again under a new sequence was ruled out: a late copy of the first try would then count twice.

--- a/packages/platform/test/fake_log.h
+++ b/packages/platform/test/fake_log.h
@@ -36,7 +36,8 @@
     std::deque<Fault> faults;               /* for the next appends */
     double lost_rate = 0;                   /* random faults, see Roll() */
     double refused_rate = 0;
-    double short_rate = 0;
+    double short_rate = 0;   /* reads that show an older tail */
+    double overlap_rate = 0; /* reads that repeat earlier records */
     bool outage = false;
     int appends = 0;
     struct rn_random random;
@@ -179,6 +180,10 @@
                 answer.next -=
                     Rn_Below(&self->random, (uint32_t)(s.records.size() + 1));
             }
+            if (from > s.oldest &&
+                Rn_Unit(&self->random) < self->overlap_rate) {
+                from--;
+            }
             for (uint64_t o = from; o < answer.next && copy.size() < max;
                  o++) {
                 copy.push_back(s.records[o - s.oldest]);
--- /dev/null
+++ b/packages/state/budget.c
@@ -0,0 +1,89 @@
+#include "state/budget.h"
+
+#include <stdlib.h>
+
+#define Bg_DEFAULT_PER_SEC 2.0
+#define Bg_DEFAULT_BURST 10.0
+
+struct bucket {
+    double per_sec;
+    double burst;
+    double tokens;
+};
+
+struct bg_budget {
+    const struct ck_clock *clock;
+    int64_t filled;
+    struct bucket buckets[BG_PURPOSES];
+};
+
+/* Makes a budget of 2 appends a second and purpose; NULL without memory. */
+struct bg_budget *
+Bg_Create(const struct ck_clock *clock)
+{
+    struct bg_budget *budget = calloc(1, sizeof(*budget));
+    if (budget == NULL) {
+        return NULL;
+    }
+    budget->clock = clock;
+    budget->filled = Ck_Now(clock);
+    for (int i = 0; i < BG_PURPOSES; i++) {
+        Bg_Set(budget, (enum bg_purpose)i, Bg_DEFAULT_PER_SEC,
+               Bg_DEFAULT_BURST);
+    }
+    return budget;
+}
+
+/* Frees a budget; no writer may use it any longer. */
+void
+Bg_Destroy(struct bg_budget *budget)
+{
+    free(budget);
+}
+
+/* Sets the rate and the burst of a purpose; its bucket starts full. */
+void
+Bg_Set(struct bg_budget *budget, enum bg_purpose purpose, double per_sec,
+       double burst)
+{
+    struct bucket *bucket = &budget->buckets[purpose];
+    bucket->per_sec = per_sec;
+    bucket->burst = burst;
+    bucket->tokens = burst;
+}
+
+static void
+fill(struct bg_budget *budget)
+{
+    int64_t now = Ck_Now(budget->clock);
+    double seconds = (double)(now - budget->filled) / Ck_USEC_PER_SEC;
+    budget->filled = now;
+    if (seconds <= 0) {
+        return;
+    }
+    for (int i = 0; i < BG_PURPOSES; i++) {
+        struct bucket *bucket = &budget->buckets[i];
+        bucket->tokens += seconds * bucket->per_sec;
+        if (bucket->tokens > bucket->burst) {
+            bucket->tokens = bucket->burst;
+        }
+    }
+}
+
+/* Takes the token for one append; false when it must wait. */
+bool
+Bg_Take(struct bg_budget *budget, enum bg_purpose purpose)
+{
+    fill(budget);
+    if (budget->buckets[purpose].tokens >= 1) {
+        budget->buckets[purpose].tokens -= 1;
+        return true;
+    }
+    for (int i = BG_PURPOSES - 1; i > (int)purpose; i--) {
+        if (budget->buckets[i].tokens >= 1) {
+            budget->buckets[i].tokens -= 1;
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/packages/state/follower.h
@@ -0,0 +1,58 @@
+/*
+ * Follows one stream of the log and hands its records over in order, each
+ * offset exactly once.  It never goes back, whatever tail the log shows.
+ */
+#ifndef STATE_FOLLOWER_H
+#define STATE_FOLLOWER_H
+
+#include <stdbool.h>
+
+#include "base/clock.h"
+#include "platform/plog.h"
+#include "state/record.h"
+#include "state/seen.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct fo_ops {
+    /* A record.  It must not destroy the follower. */
+    void (*record)(void *arg, const struct rc_record *record);
+    /* A read came to the end of the stream as the log shows it.  May be
+     * NULL. */
+    void (*tail)(void *arg);
+    /*
+     * The records up to "oldest" are gone.  Nothing is read until
+     * Fo_Restart().
+     */
+    void (*expired)(void *arg, uint64_t oldest);
+};
+
+struct fo_options {
+    struct pl_log *log;
+    const char *stream;
+    uint64_t from;
+    int64_t poll_usec; /* between reads at the tail; 0: 500 ms */
+    const struct ck_clock *clock;
+    struct se_table *seen; /* drops repeats; NULL: they are handed over */
+    const struct fo_ops *ops;
+    void *arg;
+};
+
+struct fo_follower;
+
+enum st_status Fo_Create(const struct fo_options *options,
+                         struct fo_follower **out);
+void Fo_Destroy(struct fo_follower *follower);
+void Fo_Kick(struct fo_follower *follower);
+void Fo_Restart(struct fo_follower *follower, uint64_t from);
+void Fo_Tick(struct fo_follower *follower);
+uint64_t Fo_Next(const struct fo_follower *follower);
+bool Fo_AtTail(const struct fo_follower *follower, int64_t *asked);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
