--- /dev/null
+++ b/test/process.h
@@ -0,0 +1,80 @@
+// Child processes for tests: started with a path, told ready by a line
+// "ready name=N ..." on standard output, ended by their id.
+#ifndef TEST_PROCESS_H
+#define TEST_PROCESS_H
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "test/http.h"
+
+namespace cg {
+
+// Waits until the condition holds; false when it does not within the limit.
+bool Eventually(const std::function<bool()> &condition,
+                Millis limit = Millis(20000));
+
+// A port that nobody listened on a moment ago.
+int FreePort();
+
+// The path of a program of this build, e.g. "standins/standin_engine".
+std::string Program(const std::string &name);
+
+struct ProcessOptions {
+    std::string program; // path
+    std::vector<std::string> args;
+    std::map<std::string, std::string> env; // besides the test's own
+    Millis ready_limit{20000};
+};
+
+class Process {
+  public:
+    // Starts the program and waits for its "ready" line; throws without one.
+    // Call it on a thread that outlives the child: the kernel ends the child
+    // with the thread that started it.
+    explicit Process(const ProcessOptions &options);
+    // Kills the child if it still runs.
+    ~Process();
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    // A number of the "ready" line, 0 when it was not there.
+    int Ready(const std::string &name) const;
+    pid_t
+    pid() const
+    {
+        return pid_;
+    }
+    bool Running();
+    void Kill(); // and wait
+    void Term();
+    void Stop(); // SIGSTOP; returns once the child is stopped
+    void Cont();
+    // Exit status, -N for signal N; throws when it still runs at the limit.
+    int WaitExit(Millis limit = Millis(20000));
+    std::string Stderr() const;
+    // Processor time so far, and resident memory, as the kernel says.
+    double CpuSeconds() const;
+    long RssKilobytes() const;
+
+  private:
+    void Launch(const ProcessOptions &options);
+    void ReadReady(Millis limit);
+    bool Reap(bool wait);
+
+    pid_t pid_ = -1;
+    int out_ = -1;
+    bool exited_ = false;
+    int status_ = 0;
+    std::string program_;
+    std::string error_path_;
+    std::map<std::string, int> ready_;
+};
+
+} // namespace cg
+
+#endif
