web: find every query argument

A reader that asked the log for two records got three: libwebsockets joins the arguments of a query with commas when they are copied in one go, so that Hs_Query() saw "from=1,max=2" as one argument and never found "max". The server now copies argument by argument. The new test failed with the old copy ("none" for "20") and passes now; the log's contract test, which showed the fault first, passes as well.

--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -182,6 +182,34 @@
     request->server->ops->request(request->server->arg, request);
 }
 
+/*
+ * Copies the query argument by argument: copied in one go, the library puts
+ * commas between them, and every argument but the first is lost.
+ */
+static void
+copy_query(struct hs_request *request)
+{
+    size_t used = 0;
+    for (int i = 0;; i++) {
+        size_t skip = i > 0 ? 1 : 0; /* room for the separator */
+        if (used + skip + 1 >= sizeof(request->query)) {
+            return;
+        }
+        int len =
+            lws_hdr_copy_fragment(request->wsi, request->query + used + skip,
+                                  (int)(sizeof(request->query) - used - skip),
+                                  WSI_TOKEN_HTTP_URI_ARGS, i);
+        if (len < 0) {
+            request->query[used] = '\0';
+            return;
+        }
+        if (skip > 0) {
+            request->query[used] = '&';
+        }
+        used += skip + (size_t)len;
+    }
+}
+
 static int
 on_headers(struct hs_server *server, struct lws *wsi, const char *path)
 {
@@ -203,8 +231,7 @@
         refuse(request, 414, "shorten the path to 1023 bytes");
         return 0;
     }
-    lws_hdr_copy(wsi, request->query, sizeof(request->query),
-                 WSI_TOKEN_HTTP_URI_ARGS);
+    copy_query(request);
     bool has_body = method == LWSHUMETH_POST || method == LWSHUMETH_PUT ||
                     method == LWSHUMETH_PATCH;
     int code = body_length(wsi, has_body, &request->body_expected);
--- a/packages/web/test/web_test.cc
+++ b/packages/web/test/web_test.cc
@@ -46,6 +46,11 @@
         }
         Hs_StreamEnd(request);
     }
+    else if (path == "/query") {
+        char value[32] = "none";
+        Hs_Query(request, "max", value, sizeof(value));
+        Hs_Reply(request, 200, "text/plain", nullptr, 0, value, strlen(value));
+    }
     else if (path == "/abort") {
         Hs_Abort(request);
     }
@@ -157,6 +162,24 @@
     EXPECT_EQ(2, f.requests);
 }
 
+/*
+ * A reader of the log gets more records than it asked for.  The library
+ * joins query arguments with commas, and all but the first are lost.
+ */
+TEST_F(Web, EveryQueryArgumentIsFound)
+{
+    Start("GET", "/query?from=1&max=20&last=3", "");
+    Lp_Run(f.loop);
+    EXPECT_EQ("20", f.answer);
+}
+
+TEST_F(Web, AMissingQueryArgumentIsNotFound)
+{
+    Start("GET", "/query?from=1", "");
+    Lp_Run(f.loop);
+    EXPECT_EQ("none", f.answer);
+}
+
 TEST_F(Web, StreamsWhole)
 {
     Start("POST", "/stream", "go");
