Questionnaire: answers about callers, services, data centres and risks

Format of libconfig; tables of questions give each answer its bounds and remedy, and every problem of a file is listed at once as FILE:LINE: ANSWER is VALUE: REMEDY. A misspelt question is a problem too, because its preset would stay in force without a word.

--- a/packages/config/field.c
+++ b/packages/config/field.c
@@ -21,15 +21,17 @@
     return len > 0 && len < Cf_NAME_MAX && strspn(text, Fd_NAME_BYTES) == len;
 }
 
-static bool
-is_digest(const char *text)
+/* 32 lower-case hex digits, as Hash_Digest() prints them. */
+bool
+Fd_IsDigest(const char *text)
 {
     return strlen(text) == Hash_DIGEST_HEX - 1 &&
            strspn(text, "0123456789abcdef") == Hash_DIGEST_HEX - 1;
 }
 
-static bool
-is_prefix(const char *text)
+/* A path that begins and ends with a slash, not below /v1/. */
+bool
+Fd_IsPrefix(const char *text)
 {
     size_t len = strlen(text);
     return len > 0 && len < Cf_PATH_MAX && text[0] == '/' &&
@@ -60,11 +62,11 @@
     bool good;
     if (field->type == FD_DIGEST) {
         size = Hash_DIGEST_HEX;
-        good = is_digest(text);
+        good = Fd_IsDigest(text);
     }
     else if (field->type == FD_PATH) {
         size = Cf_PATH_MAX;
-        good = is_prefix(text);
+        good = Fd_IsPrefix(text);
     }
     else {
         good = Fd_IsName(text);
--- /dev/null
+++ b/packages/config/questions.h
@@ -0,0 +1,44 @@
+/*
+ * The questions as tables, and the checks that one answer alone cannot make.
+ * For the modules of the questionnaire only.
+ */
+#ifndef CONFIG_QUESTIONS_H
+#define CONFIG_QUESTIONS_H
+
+#include "config/question.h"
+
+/* A group of questions. */
+struct qn_questions {
+    const struct qu_question *questions;
+    size_t count;
+};
+
+/* A list of groups: how large an entry is and what is asked in it. */
+struct qn_list_kind {
+    const char *name;
+    size_t entry_size;
+    const struct qn_questions *questions;
+    /* What one question alone cannot see.  May be NULL. */
+    void (*check)(const struct qu_group *group, void *entry);
+};
+
+extern const struct qn_questions qn_top_questions;
+extern const struct qn_questions qn_platform_questions;
+extern const struct qn_questions qn_data_centre_questions;
+extern const struct qn_questions qn_team_questions;
+extern const struct qn_questions qn_caller_questions;
+extern const struct qn_questions qn_service_questions;
+extern const struct qn_questions qn_move_questions;
+extern const struct qn_questions qn_risk_questions;
+
+void Qn_CheckTeam(const struct qu_group *group, const struct qn_team *team);
+void Qn_CheckMove(const struct qu_group *group, const struct qn_move *move);
+void Qn_CheckService(const struct qu_group *group,
+                     const struct qn_service *service);
+void Qn_CheckPlatform(const struct qu_group *group,
+                      const struct qn_answers *answers);
+void Qn_CheckRisks(const struct qu_group *group,
+                   const struct qn_answers *answers);
+void Qn_CheckAll(const struct qu_group *top, const struct qn_answers *answers);
+
+#endif
