Choose endpoints by prefix and predicted first token

Cause: load reports lag by a second, so routers that follow them herd, and routers that ignore them miss slow endpoints and prompt caches. Ruled out: least in flight and round robin (blind to caches), best report (herds), affinity by cache events (late, with gaps); see docs/design/choice.md. Change: an endpoint table with rendezvous affinity bounded by load, two choices by predicted first token, ejection of outliers with a panic rule, an adaptive limit, version shares with a cap in flight, and the baselines behind the same table of functions. Seen failing with the guard off: leaving is final, own starts since the report, ejection, panic rule (both halves), cap in flight, warm version, limit, load bound of affinity.

--- /dev/null
+++ b/packages/policy/choose_internal.h
@@ -0,0 +1,82 @@
+/*
+ * The endpoint table as the files of choose_*.c share it.
+ */
+#ifndef POLICY_CHOOSE_INTERNAL_H
+#define POLICY_CHOOSE_INTERNAL_H
+
+#include <bsd/sys/queue.h>
+
+#include "policy/choose.h"
+
+#define CH_DISTRUSTED_MAX 32
+#define CH_NET_BUCKETS 16
+#define CH_NET_USEC                                                           \
+    INT64_C(250000) /* width of a bucket of starts less ends                  \
+                     */
+#define CH_WINDOW_USEC INT64_C(10000000) /* success rates are of 1 to 2 */
+
+struct ch_window {
+    int64_t begun;
+    int good;
+    int failed;
+    int last_good;
+    int last_failed;
+};
+
+struct ch_endpoint {
+    TAILQ_ENTRY(ch_endpoint) entry;
+    struct ch_info info;
+    struct ch_table *table;
+    enum ch_state state;
+    int64_t leaves_at;
+    bool near;
+    bool removed;
+    bool reported;
+    struct ch_sample sample;
+    uint64_t id_hash;
+    int in_flight;
+    double limit; /* adaptive, on in_flight */
+    int64_t limit_cut_at;
+    int net[CH_NET_BUCKETS]; /* own starts less own ends, by time */
+    int64_t net_bucket;      /* number of the newest bucket */
+    double slowness;         /* observed over predicted first token */
+    int64_t slowness_at;
+    int slowness_count;
+    struct ch_window window;
+    int consecutive;
+    int ejections;
+    int64_t ejected_until;
+    int64_t returned_at;
+};
+
+TAILQ_HEAD(ch_list, ch_endpoint);
+
+struct ch_table {
+    char data_centre[Ch_NAME_MAX];
+    const struct ch_ops *ops;
+    struct ch_settings settings;
+    struct ch_list endpoints;
+    struct ch_list removed;
+    size_t count;
+    struct ch_candidate *candidates; /* scratch of Ch_Choose(), count long */
+    size_t candidates_size;
+    struct ch_share shares[Ch_VERSIONS_MAX];
+    size_t share_count;
+    char distrusted[CH_DISTRUSTED_MAX][Ch_NAME_MAX];
+    size_t distrusted_count;
+    double others_per_slot; /* load of other routers, mean */
+    double token_rate;      /* per running request, mean */
+    uint64_t turn;          /* of round robin */
+    double service;         /* mean time of a request at an endpoint */
+    struct ch_window rate;  /* all ends, for the drain rate */
+};
+
+double ch_load(const struct ch_endpoint *endpoint, int64_t now);
+double ch_reported_slowness(const struct ch_endpoint *endpoint);
+void ch_refresh_means(struct ch_table *table);
+double ch_slowness(const struct ch_endpoint *endpoint, int64_t now);
+void ch_window_roll(struct ch_window *window, int64_t now);
+void ch_judge(struct ch_endpoint *endpoint, enum ch_outcome outcome,
+              int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/policy/test/choose_test.cc
@@ -0,0 +1,366 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstring>
+#include <map>
+#include <string>
+
+#include "model.h"
+#include "policy/choose.h"
+
+namespace {
+
+const int64_t kSec = 1000000;
+
+struct Table {
+    struct ch_table *table;
+    struct rn_random random;
+    int64_t now = 100 * kSec;
+
+    explicit Table(const struct ch_ops *ops = Ch_Predictive())
+    {
+        struct ch_settings settings;
+        Ch_Defaults(&settings);
+        table = Ch_Create("a", ops, &settings);
+        Rn_Seed(&random, 7);
+    }
+
+    ~Table()
+    {
+        Ch_Destroy(table);
+    }
+
+    void
+    put(const std::string &id, const char *version = "v1",
+        const char *centre = "a", double price = 1, int slots = 4)
+    {
+        struct ch_info info = {};
+        snprintf(info.id, sizeof(info.id), "%s", id.c_str());
+        snprintf(info.version, sizeof(info.version), "%s", version);
+        snprintf(info.data_centre, sizeof(info.data_centre), "%s", centre);
+        info.slots = slots;
+        info.price = price;
+        ASSERT_EQ(ST_OK, Ch_Put(table, &info));
+    }
+
+    enum st_status
+    choose(struct ch_flight *flight, uint64_t prefix = 0)
+    {
+        struct ch_request request = {};
+        request.prefix = prefix;
+        request.prompt_tokens = 100;
+        return Ch_Choose(table, &request, now, &random, flight);
+    }
+
+    /* One whole request; returns the endpoint that ran it. */
+    std::string
+    run(enum ch_outcome outcome = CH_GOOD, uint64_t prefix = 0)
+    {
+        struct ch_flight flight;
+        if (choose(&flight, prefix) != ST_OK) {
+            return "";
+        }
+        std::string id = Ch_Info(flight.endpoint)->id;
+        Ch_Start(table, &flight, now);
+        now += 10000;
+        if (outcome == CH_GOOD) {
+            Ch_FirstToken(table, &flight, now);
+        }
+        Ch_End(table, &flight, outcome, now);
+        return id;
+    }
+};
+
+/*
+ * A caller's request dies with a reclaimed host.  The notice came first, then
+ * the platform's lagging list said "live" once more, and the router believed
+ * the later message.
+ */
+TEST(Choose, LeavingIsFinalAgainstALaggingList)
+{
+    Table t;
+    t.put("a1");
+    t.put("a2");
+    Ch_SetState(t.table, "a1", CH_LEAVING, 5 * kSec, t.now);
+    Ch_SetState(t.table, "a1", CH_LIVE, 0, t.now);
+    for (int i = 0; i < 100; i++) {
+        EXPECT_EQ("a2", t.run());
+    }
+    EXPECT_EQ(5 * kSec, Ch_TimeLeft(Ch_Find(t.table, "a1"), t.now - kSec));
+    Ch_SetState(t.table, "a2", CH_LEAVING, kSec, t.now);
+    struct ch_flight flight;
+    EXPECT_EQ(ST_UNAVAILABLE, t.choose(&flight));
+}
+
+/*
+ * First tokens get late in waves.  Every router sends to the one endpoint
+ * whose last report was low until the next report arrives a second later.
+ */
+TEST(Choose, OwnStartsSinceTheReportPreventAHerd)
+{
+    Table t(Ch_NoAffinity());
+    for (int i = 0; i < 2; i++) {
+        t.put("e" + std::to_string(i), "v1", "a", 1, 32);
+        struct ch_sample sample = {i * 16, 0, 0, t.now};
+        Ch_Report(t.table, ("e" + std::to_string(i)).c_str(), &sample);
+    }
+    struct ch_flight flights[24];
+    for (auto &flight : flights) {
+        ASSERT_EQ(ST_OK, t.choose(&flight));
+        Ch_Start(t.table, &flight, t.now);
+    }
+    EXPECT_LE(Ch_InFlight(Ch_Find(t.table, "e0")), 22);
+    EXPECT_GE(Ch_InFlight(Ch_Find(t.table, "e0")), 16);
+    for (auto &flight : flights) {
+        Ch_End(t.table, &flight, CH_CANCELLED, t.now);
+    }
+}
+
+TEST(Choose, PrefixStaysAtOneEndpointUntilItIsLoaded)
+{
+    Table t;
+    for (int i = 0; i < 6; i++) {
+        t.put("e" + std::to_string(i), "v1", "a", 1, 32);
+    }
+    std::string home = t.run(CH_GOOD, 42);
+    for (int i = 0; i < 20; i++) {
+        EXPECT_EQ(home, t.run(CH_GOOD, 42));
+    }
+    struct ch_flight flights[30];
+    std::map<std::string, int> used;
+    for (auto &flight : flights) {
+        ASSERT_EQ(ST_OK, t.choose(&flight, 42));
+        used[Ch_Info(flight.endpoint)->id]++;
+        Ch_Start(t.table, &flight, t.now);
+    }
+    EXPECT_GE(used.size(), 2u);
+    EXPECT_LE(used[home], 16);
+    for (auto &flight : flights) {
+        Ch_End(t.table, &flight, CH_GOOD, t.now);
+    }
+}
+
+TEST(Choose, TiesGoNearThenCheap)
+{
+    Table t(Ch_NoAffinity());
+    t.put("far", "v1", "b", 1);
+    t.put("near", "v1", "a", 9);
+    EXPECT_EQ("near", t.run());
+    Table u(Ch_NoAffinity());
+    u.put("dear", "v1", "a", 9);
+    u.put("cheap", "v1", "a", 1);
+    EXPECT_EQ("cheap", u.run());
+}
+
+/*
+ * One in six answers is an error for minutes.  An endpoint's process fails
+ * every request at once, which makes it look idle, so it gets even more.
+ */
+TEST(Choose, FailingEndpointIsEjectedForLongerEachTime)
+{
+    Table t;
+    for (int i = 0; i < 6; i++) {
+        t.put("e" + std::to_string(i));
+    }
+    int failures = 0;
+    int64_t stop = t.now + 120 * kSec;
+    while (t.now < stop) {
+        struct ch_flight flight;
+        ASSERT_EQ(ST_OK, t.choose(&flight));
+        bool bad = strcmp(Ch_Info(flight.endpoint)->id, "e0") == 0;
+        failures += bad;
+        Ch_Start(t.table, &flight, t.now);
+        t.now += 50000;
+        Ch_End(t.table, &flight, bad ? CH_FAILED : CH_GOOD, t.now);
+    }
+    EXPECT_GE(failures, 5);
+    EXPECT_LE(failures, 12);
+}
+
+/*
+ * The whole service is refused although its endpoints run.  A fault of the
+ * router's own network made all of them fail, and each was ejected in turn.
+ */
+TEST(Choose, PanicRuleKeepsHalfInUse)
+{
+    Table t;
+    for (int i = 0; i < 6; i++) {
+        t.put("e" + std::to_string(i));
+    }
+    int out = 0;
+    for (int i = 0; i < 200; i++) {
+        ASSERT_NE("", t.run(CH_FAILED));
+    }
+    for (auto *e = Ch_First(t.table); e != nullptr; e = Ch_Next(e)) {
+        out += Ch_Ejected(e, t.now);
+    }
+    EXPECT_EQ(3, out);
+    for (int i = 0; i < 6; i++) {
+        Ch_SetState(t.table, ("e" + std::to_string(i)).c_str(), CH_SUSPECT, 0,
+                    t.now);
+    }
+    EXPECT_NE("", t.run());
+}
+
+TEST(Choose, LimitShrinksUnderOverloadAndGrowsBack)
+{
+    Table t;
+    t.put("e0", "v1", "a", 1, 10);
+    for (int i = 0; i < 30; i++) {
+        t.run(CH_OVERLOADED);
+        t.now += kSec;
+    }
+    auto *endpoint = Ch_Find(t.table, "e0");
+    EXPECT_EQ(1, Ch_Limit(endpoint));
+    for (int i = 0; i < 400; i++) {
+        struct ch_flight flights[20];
+        int n = 0;
+        while (n < 20 && t.choose(&flights[n]) == ST_OK) {
+            Ch_Start(t.table, &flights[n++], t.now);
+        }
+        t.now += 10000;
+        for (int k = 0; k < n; k++) {
+            Ch_FirstToken(t.table, &flights[k], t.now);
+            Ch_End(t.table, &flights[k], CH_GOOD, t.now);
+        }
+    }
+    EXPECT_GE(Ch_Limit(endpoint), 10);
+    EXPECT_LE(Ch_Limit(endpoint), 20);
+}
+
+/*
+ * A hanging new version collects most of the requests in flight.  Its share
+ * of new requests is small, but none of them ends, and at small traffic a
+ * share by count says little.
+ */
+TEST(Choose, SmallShareIsCappedInFlightAndByCount)
+{
+    Table t;
+    for (int i = 0; i < 4; i++) {
+        t.put("old" + std::to_string(i), "v1");
+        t.put("new" + std::to_string(i), "v2");
+    }
+    struct ch_share shares[2] = {{"v1", 0.95, 0}, {"v2", 0.05, 2}};
+    Ch_SetShares(t.table, shares, 2);
+    int fresh = 0;
+    for (int i = 0; i < 2000; i++) {
+        fresh += t.run().substr(0, 3) == "new";
+    }
+    EXPECT_GE(fresh, 60);
+    EXPECT_LE(fresh, 140);
+    struct ch_flight hung[2];
+    int held = 0;
+    for (int i = 0; i < 2000; i++) {
+        struct ch_flight flight;
+        ASSERT_EQ(ST_OK, t.choose(&flight));
+        Ch_Start(t.table, &flight, t.now);
+        if (strncmp(Ch_Info(flight.endpoint)->id, "new", 3) == 0) {
+            ASSERT_LT(held, 2);
+            hung[held++] = flight;
+            continue;
+        }
+        Ch_End(t.table, &flight, CH_GOOD, t.now);
+    }
+    for (int i = 0; i < held; i++) {
+        Ch_End(t.table, &hung[i], CH_GOOD, t.now);
+    }
+}
+
+/*
+ * Callers go on failing after a version was found bad.  The old version had
+ * no share left, so the router kept to the only one listed with a share.
+ */
+TEST(Choose, DistrustedVersionGetsNothingAndTheWarmOneCarries)
+{
+    Table t;
+    t.put("old", "v1");
+    t.put("new", "v2");
+    struct ch_share shares[2] = {{"v1", 0, 0}, {"v2", 1, 0}};
+    Ch_SetShares(t.table, shares, 2);
+    EXPECT_EQ("new", t.run());
+    Ch_Distrust(t.table, "v2");
+    for (int i = 0; i < 100; i++) {
+        EXPECT_EQ("old", t.run());
+    }
+    /* Never the other way: the small share is no fallback for the old. */
+    struct ch_share back[2] = {{"v1", 0.95, 0}, {"v3", 0.05, 0}};
+    Table u;
+    u.put("new", "v3");
+    Ch_SetShares(u.table, back, 2);
+    int fresh = 0;
+    for (int i = 0; i < 1000; i++) {
+        fresh += u.run() == "new";
+    }
+    EXPECT_LE(fresh, 80);
+}
+
+/*
+ * The daemon crashes on an answer's end: the endpoint was taken off the list
+ * while a request was in flight to it.
+ */
+TEST(Choose, RemovedEndpointLivesUntilItsLastFlightEnds)
+{
+    Table t;
+    t.put("e0");
+    struct ch_flight flight;
+    ASSERT_EQ(ST_OK, t.choose(&flight));
+    Ch_Start(t.table, &flight, t.now);
+    EXPECT_EQ(ST_OK, Ch_Remove(t.table, "e0"));
+    EXPECT_EQ(ST_NOT_FOUND, Ch_Remove(t.table, "e0"));
+    Ch_FirstToken(t.table, &flight, t.now);
+    Ch_End(t.table, &flight, CH_FAILED, t.now);
+    EXPECT_EQ(ST_UNAVAILABLE, t.choose(&flight));
+}
+
+TEST(Choose, RefusesWhatCannotBeInTimeAndSkipsTriedOnes)
+{
+    Table t;
+    t.put("e0");
+    t.put("e1");
+    const char *tried[] = {"e0", "e1"};
+    struct ch_request request = {};
+    struct ch_flight flight;
+    request.tried_count = 1;
+    request.tried = tried;
+    for (int i = 0; i < 20; i++) {
+        ASSERT_EQ(ST_OK,
+                  Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+        EXPECT_STREQ("e1", Ch_Info(flight.endpoint)->id);
+    }
+    request.tried_count = 2;
+    EXPECT_EQ(ST_UNAVAILABLE,
+              Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+    request.tried_count = 0;
+    request.prompt_tokens = 100000;
+    request.budget = kSec;
+    EXPECT_EQ(ST_TIMEOUT,
+              Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+}
+
+struct model_result
+measure(const struct ch_ops *ops, uint64_t seed)
+{
+    struct model_plan plan = {seed, 7,   18, 8,    8000, 60, 1000,
+                              40,   400, 24, kSec, 2,    4,  ops};
+    struct model_result result;
+    Model_Run(&plan, &result);
+    return result;
+}
+
+TEST(Choose, TailAndCacheAreBetterThanEachBaseline)
+{
+    const struct ch_ops *baselines[] = {Ch_LeastInFlight(), Ch_RoundRobin(),
+                                        Ch_Random()};
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        struct model_result own = measure(Ch_Predictive(), seed);
+        for (const auto *ops : baselines) {
+            struct model_result other = measure(ops, seed);
+            EXPECT_LT(own.p95, other.p95) << ops->name;
+            EXPECT_LT(own.p99, other.p99) << ops->name;
+            EXPECT_GT(own.hit_share, other.hit_share) << ops->name;
+            EXPECT_LT(own.recomputed, other.recomputed) << ops->name;
+        }
+    }
+}
+
+} // namespace
