--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -240,6 +240,18 @@
     }
 }
 
+/*
+ * Stops or resumes reading: "readable" is called for as long as there is
+ * something to read, so an owner that cannot take more has to pause.
+ */
+void
+Lp_WatchPause(struct lp_watch *watch, bool pause)
+{
+    if (watch->wsi != NULL) {
+        lws_rx_flow_control(watch->wsi, pause ? 0 : 1);
+    }
+}
+
 /* Stops watching and closes the descriptor. */
 void
 Lp_WatchDestroy(struct lp_watch *watch)
--- a/packages/web/loop.h
+++ b/packages/web/loop.h
@@ -40,6 +40,7 @@
 
 struct lp_watch *Lp_WatchCreate(struct lp_loop *loop, int fd,
                                 const struct lp_watch_ops *ops, void *arg);
+void Lp_WatchPause(struct lp_watch *watch, bool pause);
 void Lp_WatchWritable(struct lp_watch *watch);
 void Lp_WatchDestroy(struct lp_watch *watch);
 
--- a/standins/serve.c
+++ b/standins/serve.c
@@ -20,6 +20,8 @@
     struct hs_server *server;
     struct fl_table *faults;
     struct sv_options options;
+    const char *also_name; /* a second number of the "ready" line */
+    int also_number;
 };
 
 /* An answer that is given late, slowly or only in part. */
@@ -131,6 +133,14 @@
     return Hs_Port(program->server);
 }
 
+/* Adds "name=number" to the "ready" line; the name must stay valid. */
+void
+Sv_ReadyAlso(struct sv_program *program, const char *name, int number)
+{
+    program->also_name = name;
+    program->also_number = number;
+}
+
 /* Says "ready" on standard output and serves until a signal to end. */
 void
 Sv_Run(struct sv_program *program)
@@ -138,7 +148,11 @@
     signalled_loop = program->loop;
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
-    printf("ready port=%d\n", Sv_Port(program));
+    printf("ready port=%d", Sv_Port(program));
+    if (program->also_name != NULL) {
+        printf(" %s=%d", program->also_name, program->also_number);
+    }
+    printf("\n");
     fflush(stdout);
     Lp_Run(program->loop);
 }
--- a/standins/serve.h
+++ b/standins/serve.h
@@ -41,6 +41,7 @@
 struct lp_loop *Sv_Loop(const struct sv_program *program);
 struct fl_table *Sv_Faults(const struct sv_program *program);
 int Sv_Port(const struct sv_program *program);
+void Sv_ReadyAlso(struct sv_program *program, const char *name, int number);
 void Sv_Run(struct sv_program *program);
 void Sv_Destroy(struct sv_program *program);
 
