cgload: open-loop load that compares every answer

Latency under load and the promises about charges need a generator that does not slow down with the answers and that knows what they must be. It does, from answer.h; charges are repeated at another port under their key, and two different answers are reported.

--- a/test/process.cc
+++ b/test/process.cc
@@ -106,10 +106,30 @@
     return std::string(CG_BIN_DIR) + "/" + name;
 }
 
+RunResult
+Run(const std::string &program, const std::vector<std::string> &args,
+    const std::map<std::string, std::string> &env)
+{
+    ProcessOptions options;
+    options.program = program;
+    options.args = args;
+    options.env = env;
+    options.wait_ready = false;
+    Process process(options);
+    RunResult result;
+    result.out = process.ReadOut();
+    result.status = process.WaitExit();
+    result.error = process.Stderr();
+    return result;
+}
+
 Process::Process(const ProcessOptions &options)
     : program_(options.program), error_path_(ErrorPath(options.program))
 {
     Launch(options);
+    if (!options.wait_ready) {
+        return;
+    }
     try {
         ReadReady(options.ready_limit);
     } catch (...) {
@@ -249,6 +269,18 @@
     return status_;
 }
 
+std::string
+Process::ReadOut()
+{
+    std::string text;
+    char buffer[4096];
+    ssize_t got;
+    while ((got = read(out_, buffer, sizeof(buffer))) > 0) {
+        text.append(buffer, (size_t)got);
+    }
+    return text;
+}
+
 std::string
 Process::Stderr() const
 {
--- a/test/process.h
+++ b/test/process.h
@@ -24,16 +24,28 @@
 // The path of a program of this build, e.g. "standins/standin_engine".
 std::string Program(const std::string &name);
 
+struct RunResult {
+    int status = -1; // exit status, -N for signal N
+    std::string out;
+    std::string error;
+};
+
+// Runs a program to its end, e.g. cornelctl.
+RunResult Run(const std::string &program, const std::vector<std::string> &args,
+              const std::map<std::string, std::string> &env = {});
+
 struct ProcessOptions {
     std::string program; // path
     std::vector<std::string> args;
     std::map<std::string, std::string> env; // besides the test's own
+    bool wait_ready = true;
     Millis ready_limit{20000};
 };
 
 class Process {
   public:
     // Starts the program and waits for its "ready" line; throws without one.
+    // Without "wait_ready" it does not wait.
     // Call it on a thread that outlives the child: the kernel ends the child
     // with the thread that started it.
     explicit Process(const ProcessOptions &options);
@@ -56,6 +68,8 @@
     void Cont();
     // Exit status, -N for signal N; throws when it still runs at the limit.
     int WaitExit(Millis limit = Millis(20000));
+    // Everything on standard output after the "ready" line, to its end.
+    std::string ReadOut();
     std::string Stderr() const;
     // Processor time so far, and resident memory, as the kernel says.
     double CpuSeconds() const;
--- /dev/null
+++ b/tools/load_stats.c
@@ -0,0 +1,151 @@
+#include "tools/load_stats.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+static const char *const class_names[] = {"urgent", "patient", "charge"};
+
+static const char *const outcome_names[] = {
+    "answered", "wrong",  "cut",       "not_run",
+    "unknown",  "failed", "no_answer", "unfinished",
+};
+
+static const char *const latency_names[] = {"whole", "first", "between"};
+
+/* The name of a class in the report; the charge class is no header value. */
+const char *
+Ld_ClassName(enum ld_class index)
+{
+    return class_names[index];
+}
+
+/* Starts with nothing counted. */
+void
+Ld_StatsInit(struct ld_stats *stats)
+{
+    memset(stats, 0, sizeof(*stats));
+    stats->codes = json_object();
+    stats->errors = json_object();
+}
+
+/* Frees the samples. */
+void
+Ld_StatsFree(struct ld_stats *stats)
+{
+    for (int i = 0; i < LD_CLASSES; i++) {
+        for (int k = 0; k < LD_LATENCIES; k++) {
+            free(stats->classes[i].latencies[k].usec);
+        }
+    }
+    json_decref(stats->codes);
+    json_decref(stats->errors);
+}
+
+/* Adds one duration. */
+void
+Ld_Sample(struct ld_samples *samples, int64_t usec)
+{
+    if (samples->count == samples->size) {
+        samples->size = samples->size == 0 ? 1024 : samples->size * 2;
+        samples->usec =
+            realloc(samples->usec, samples->size * sizeof(int64_t));
+        if (samples->usec == NULL) {
+            abort();
+        }
+    }
+    samples->usec[samples->count++] = usec;
+}
+
+/* Counts one more under a name. */
+void
+Ld_Count(json_t *counts, const char *name)
+{
+    json_int_t old = json_integer_value(json_object_get(counts, name));
+    json_object_set_new(counts, name, json_integer(old + 1));
+}
+
+static int
+compare(const void *a, const void *b)
+{
+    int64_t x = *(const int64_t *)a;
+    int64_t y = *(const int64_t *)b;
+    return (x > y) - (x < y);
+}
+
+static json_t *
+msec(int64_t usec)
+{
+    return json_real((double)usec / Ck_USEC_PER_MSEC);
+}
+
+static json_t *
+quantile(const struct ld_samples *samples, double share)
+{
+    size_t at = (size_t)(share * (double)(samples->count - 1) + 0.5);
+    return msec(samples->usec[at]);
+}
+
+static json_t *
+quantiles(struct ld_samples *samples)
+{
+    json_t *out = json_pack("{s:I}", "count", (json_int_t)samples->count);
+    if (samples->count == 0) {
+        return out;
+    }
+    qsort(samples->usec, samples->count, sizeof(int64_t), compare);
+    json_object_set_new(out, "p50", quantile(samples, 0.50));
+    json_object_set_new(out, "p90", quantile(samples, 0.90));
+    json_object_set_new(out, "p95", quantile(samples, 0.95));
+    json_object_set_new(out, "p99", quantile(samples, 0.99));
+    json_object_set_new(out, "max", quantile(samples, 1));
+    return out;
+}
+
+static json_t *
+class_report(struct ld_class_stats *stats)
+{
+    json_t *outcomes = json_object();
+    for (int i = 0; i < LD_OUTCOMES; i++) {
+        json_object_set_new(outcomes, outcome_names[i],
+                            json_integer(stats->outcomes[i]));
+    }
+    json_t *latencies = json_object();
+    for (int i = 0; i < LD_LATENCIES; i++) {
+        json_object_set_new(latencies, latency_names[i],
+                            quantiles(&stats->latencies[i]));
+    }
+    return json_pack("{s:I, s:o, s:o}", "sent", (json_int_t)stats->sent,
+                     "outcomes", outcomes, "latency_ms", latencies);
+}
+
+static json_t *
+repeats_report(const struct ld_repeats *repeats)
+{
+    return json_pack("{s:I, s:I, s:I, s:I}", "sent", (json_int_t)repeats->sent,
+                     "same", (json_int_t)repeats->same, "differ",
+                     (json_int_t)repeats->differ, "refused",
+                     (json_int_t)repeats->refused);
+}
+
+/* The report; sorts the samples. */
+json_t *
+Ld_Report(struct ld_stats *stats)
+{
+    json_t *classes = json_object();
+    for (int i = 0; i < LD_CLASSES; i++) {
+        json_object_set_new(classes, class_names[i],
+                            class_report(&stats->classes[i]));
+    }
+    double seconds = (double)stats->loaded_usec / Ck_USEC_PER_SEC;
+    double per_sec = seconds > 0 ? (double)stats->tokens / seconds : 0;
+    return json_pack("{s:f, s:o, s:o, s:O, s:O, s:I, s:f, s:I, s:I, s:o}",
+                     "seconds", seconds, "classes", classes, "repeats",
+                     repeats_report(&stats->repeats), "codes", stats->codes,
+                     "errors", stats->errors, "tokens",
+                     (json_int_t)stats->tokens, "tokens_per_s", per_sec,
+                     "bytes_compared", (json_int_t)stats->bytes_compared,
+                     "most_open", (json_int_t)stats->most_open, "most_late_ms",
+                     msec(stats->most_late_usec));
+}
