--- a/packages/state/follower.c
+++ b/packages/state/follower.c
@@ -27,6 +27,7 @@
     int64_t tail_asked; /* when the last read that saw the tail was sent */
     bool at_tail;
     bool kicked;
+    bool handing; /* records are being handed over */
     bool stopped;
 };
 
@@ -101,7 +102,9 @@
           int64_t asked)
 {
     int64_t now = Ck_Now(follower->clock);
+    follower->handing = true;
     bool whole = hand_over_all(follower, result);
+    follower->handing = false;
     if (!whole) {
         follower->read_at = now + Fo_RETRY_USEC;
         return;
@@ -181,7 +184,7 @@
 void
 Fo_Tick(struct fo_follower *follower)
 {
-    if (follower->flight != NULL || follower->stopped) {
+    if (follower->flight != NULL || follower->handing || follower->stopped) {
         return;
     }
     if (follower->kicked || Ck_Now(follower->clock) >= follower->read_at) {
--- /dev/null
+++ b/packages/state/snapshot.c
@@ -0,0 +1,556 @@
+#include "state/snapshot.h"
+
+#include <bsd/sys/queue.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/follower.h"
+#include "state/seen.h"
+
+#define Sn_SNAPSHOT_USEC (600 * Ck_USEC_PER_SEC)
+#define Sn_SNAPSHOT_RECORDS 20000
+#define Sn_PART_BYTES ((size_t)40 << 10)
+#define Sn_PARTS_MAX 4096
+
+/* A record read before the state it applies to was known. */
+struct sn_kept {
+    TAILQ_ENTRY(sn_kept) link;
+    struct rc_record record;
+};
+
+/* A snapshot of which not all parts have been read. */
+struct sn_set {
+    TAILQ_ENTRY(sn_set) link;
+    struct rc_writer writer;
+    int64_t id;
+    uint64_t covers;
+    size_t parts;
+    size_t have;
+    json_t **bodies;
+};
+
+struct sn_replica {
+    const struct ck_clock *clock;
+    struct wr_writer *writer;
+    const struct sn_ops *ops;
+    void *arg;
+    struct fo_follower *follower;
+    struct se_table *seen;
+    int64_t snapshot_usec;
+    uint64_t snapshot_records;
+    TAILQ_HEAD(sn_kept_list, sn_kept) kept;
+    TAILQ_HEAD(sn_set_list, sn_set) sets;
+    uint64_t begin;  /* where reading began when the state is not known */
+    bool valid;      /* the state is that at the follower's position */
+    bool reached;    /* and the end of the stream was seen since */
+    bool tail_empty; /* the end was seen without a usable snapshot */
+    bool writing;
+    size_t unwritten;     /* parts of our snapshot still to be written */
+    uint64_t last_covers; /* of the newest whole snapshot read */
+    uint64_t applied;     /* records since then, snapshots not counted */
+    int64_t last_at;      /* when it was read, or reading began */
+};
+
+static void
+set_free(struct sn_replica *replica, struct sn_set *set)
+{
+    TAILQ_REMOVE(&replica->sets, set, link);
+    for (size_t i = 0; i < set->parts; i++) {
+        json_decref(set->bodies[i]);
+    }
+    free((void *)set->bodies);
+    free(set);
+}
+
+static void
+forget_sets(struct sn_replica *replica)
+{
+    struct sn_set *set;
+    struct sn_set *next;
+    TAILQ_FOREACH_SAFE (set, &replica->sets, link, next) {
+        set_free(replica, set);
+    }
+}
+
+static void
+forget_kept(struct sn_replica *replica)
+{
+    struct sn_kept *kept;
+    struct sn_kept *next;
+    TAILQ_FOREACH_SAFE (kept, &replica->kept, link, next) {
+        Rc_Clear(&kept->record);
+        free(kept);
+    }
+    TAILQ_INIT(&replica->kept);
+}
+
+static struct sn_set *
+find_set(struct sn_replica *replica, const struct rc_record *record)
+{
+    struct sn_set *set;
+    TAILQ_FOREACH (set, &replica->sets, link) {
+        if (Rc_CompareWriters(&set->writer, &record->writer) == 0 &&
+            set->id == Rc_Number(record->body, "id")) {
+            return set;
+        }
+    }
+    return NULL;
+}
+
+static struct sn_set *
+add_set(struct sn_replica *replica, const struct rc_record *record)
+{
+    int64_t parts = Rc_Number(record->body, "parts");
+    if (parts < 1 || parts > Sn_PARTS_MAX) {
+        return NULL;
+    }
+    struct sn_set *set = calloc(1, sizeof(*set));
+    if (set == NULL) {
+        return NULL;
+    }
+    set->bodies = (json_t **)calloc((size_t)parts, sizeof(json_t *));
+    if (set->bodies == NULL) {
+        free(set);
+        return NULL;
+    }
+    set->writer = record->writer;
+    set->id = Rc_Number(record->body, "id");
+    set->covers = (uint64_t)Rc_Number(record->body, "covers");
+    set->parts = (size_t)parts;
+    TAILQ_INSERT_TAIL(&replica->sets, set, link);
+    return set;
+}
+
+/* Notes one part.  Returns its set when that is whole now. */
+static struct sn_set *
+take_part(struct sn_replica *replica, const struct rc_record *record)
+{
+    struct sn_set *set = find_set(replica, record);
+    if (set == NULL) {
+        set = add_set(replica, record);
+    }
+    int64_t part = Rc_Number(record->body, "part");
+    if (set == NULL || part < 0 || (size_t)part >= set->parts ||
+        set->bodies[part] != NULL) {
+        return NULL;
+    }
+    set->bodies[part] = json_incref(record->body);
+    set->have++;
+    return set->have == set->parts ? set : NULL;
+}
+
+static void
+load_entries(struct sn_replica *replica, const json_t *body)
+{
+    size_t i;
+    json_t *entry;
+    json_array_foreach (json_object_get(body, "seen"), i, entry) {
+        Se_Load(replica->seen, entry);
+    }
+    json_array_foreach (json_object_get(body, "e"), i, entry) {
+        replica->ops->load(replica->arg, entry);
+    }
+}
+
+static void
+apply(struct sn_replica *replica, const struct rc_record *record)
+{
+    if (Se_Accept(replica->seen, record) && !Rc_Is(record, Sn_KIND)) {
+        replica->applied++;
+        replica->ops->apply(replica->arg, record);
+    }
+}
+
+static void
+replay(struct sn_replica *replica, uint64_t after)
+{
+    struct sn_kept *kept;
+    TAILQ_FOREACH (kept, &replica->kept, link) {
+        if (kept->record.offset > after) {
+            apply(replica, &kept->record);
+        }
+    }
+    forget_kept(replica);
+}
+
+static void
+begin_valid(struct sn_replica *replica)
+{
+    replica->valid = true;
+    replica->tail_empty = false;
+}
+
+static void
+load_set(struct sn_replica *replica, const struct sn_set *set)
+{
+    replica->ops->reset(replica->arg);
+    Se_Reset(replica->seen);
+    for (size_t i = 0; i < set->parts; i++) {
+        load_entries(replica, set->bodies[i]);
+    }
+    begin_valid(replica);
+    replay(replica, set->covers);
+}
+
+static void
+keep(struct sn_replica *replica, const struct rc_record *record)
+{
+    struct sn_kept *kept = calloc(1, sizeof(*kept));
+    if (kept == NULL) {
+        abort(); /* a state without this record would judge unlike others */
+    }
+    kept->record = *record;
+    json_incref(kept->record.body);
+    TAILQ_INSERT_TAIL(&replica->kept, kept, link);
+}
+
+static void
+note_whole(struct sn_replica *replica, uint64_t covers)
+{
+    if (covers > replica->last_covers) {
+        replica->last_covers = covers;
+        replica->applied = 0;
+        replica->last_at = Ck_Now(replica->clock);
+    }
+}
+
+/* A replica that knows its state only notes that a snapshot was completed;
+ * the parts of one are written in order. */
+static void
+note_part(struct sn_replica *replica, const struct rc_record *record)
+{
+    if (Rc_Number(record->body, "part") + 1 ==
+        Rc_Number(record->body, "parts")) {
+        note_whole(replica, (uint64_t)Rc_Number(record->body, "covers"));
+    }
+}
+
+static void
+load_part(struct sn_replica *replica, const struct rc_record *record)
+{
+    struct sn_set *set = take_part(replica, record);
+    if (set == NULL) {
+        return;
+    }
+    note_whole(replica, set->covers);
+    /*
+     * A snapshot that ends below the first record read leaves a gap of
+     * records that nobody can read any longer: it cannot be used.
+     */
+    if (set->covers + 1 >= replica->begin) {
+        load_set(replica, set);
+        forget_sets(replica);
+    }
+    else {
+        set_free(replica, set);
+    }
+}
+
+static void
+on_record(void *arg, const struct rc_record *record)
+{
+    struct sn_replica *replica = arg;
+    if (!replica->valid && replica->begin == Pl_FIRST_OFFSET) {
+        begin_valid(replica);
+    }
+    if (replica->valid) {
+        apply(replica, record);
+    }
+    else {
+        keep(replica, record);
+    }
+    if (Rc_Is(record, Sn_KIND)) {
+        if (replica->valid) {
+            note_part(replica, record);
+        }
+        else {
+            load_part(replica, record);
+        }
+    }
+    if (replica->writer != NULL) {
+        Wr_Observe(replica->writer, record);
+    }
+}
+
+static void
+on_tail(void *arg)
+{
+    struct sn_replica *replica = arg;
+    if (!replica->valid && replica->begin == Pl_FIRST_OFFSET) {
+        begin_valid(replica);
+    }
+    replica->reached = replica->valid;
+    replica->tail_empty = !replica->valid;
+}
+
+/* The state is not known any longer; begin again at the oldest record. */
+static void
+on_expired(void *arg, uint64_t oldest)
+{
+    struct sn_replica *replica = arg;
+    replica->valid = false;
+    replica->reached = false;
+    replica->begin = oldest;
+    forget_kept(replica);
+    forget_sets(replica);
+    Fo_Restart(replica->follower, oldest);
+}
+
+static const struct fo_ops follower_ops = {
+    .record = on_record,
+    .tail = on_tail,
+    .expired = on_expired,
+};
+
+/* Makes a replica that reads its stream from the first offset on. */
+enum st_status
+Sn_Create(const struct sn_options *options, struct sn_replica **out)
+{
+    struct sn_replica *replica = calloc(1, sizeof(*replica));
+    if (replica == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for a replica");
+    }
+    replica->clock = options->clock;
+    replica->writer = options->writer;
+    replica->ops = options->ops;
+    replica->arg = options->arg;
+    replica->snapshot_usec =
+        options->snapshot_usec > 0 ? options->snapshot_usec : Sn_SNAPSHOT_USEC;
+    replica->snapshot_records = options->snapshot_records > 0
+                                    ? options->snapshot_records
+                                    : Sn_SNAPSHOT_RECORDS;
+    replica->begin = Pl_FIRST_OFFSET;
+    replica->last_at = Ck_Now(options->clock);
+    TAILQ_INIT(&replica->kept);
+    TAILQ_INIT(&replica->sets);
+    replica->seen = Se_Create(Se_WRITERS);
+    struct fo_options follow = {
+        .log = options->log,
+        .stream = options->stream,
+        .from = Pl_FIRST_OFFSET,
+        .poll_usec = options->poll_usec,
+        .clock = options->clock,
+        .ops = &follower_ops,
+        .arg = replica,
+    };
+    enum st_status status = Fo_Create(&follow, &replica->follower);
+    if (status != ST_OK || replica->seen == NULL) {
+        Sn_Destroy(replica);
+        return status != ST_OK ? status : St_Fail(ST_NO_MEMORY, "no memory");
+    }
+    *out = replica;
+    return ST_OK;
+}
+
+/* Stops following.  The writer must be destroyed before. */
+void
+Sn_Destroy(struct sn_replica *replica)
+{
+    if (replica == NULL) {
+        return;
+    }
+    forget_kept(replica);
+    forget_sets(replica);
+    Fo_Destroy(replica->follower);
+    Se_Destroy(replica->seen);
+    free(replica);
+}
+
+static void
+part_written(void *arg, enum wr_result result, uint64_t sequence)
+{
+    struct sn_replica *replica = arg;
+    replica->unwritten--;
+}
+
+struct part_pair {
+    json_t *seen;
+    json_t *entries;
+};
+
+static void
+put_part(struct sn_replica *replica, const struct part_pair *pair,
+         uint64_t covers, size_t part, size_t parts)
+{
+    json_t *body = json_pack(
+        "{s:I, s:I, s:I, s:I, s:o, s:o}", "id", (json_int_t)covers, "part",
+        (json_int_t)part, "parts", (json_int_t)parts, "covers",
+        (json_int_t)covers, "seen", pair->seen, "e", pair->entries);
+    replica->unwritten++;
+    if (Wr_Put(replica->writer, BG_EVIDENCE, Sn_KIND, body, 0, part_written,
+               replica) != ST_OK) {
+        replica->unwritten--;
+    }
+}
+
+/* Moves entries from "from" (from *at on) until a part is full. */
+static json_t *
+cut_part(const json_t *from, size_t *at, size_t *bytes)
+{
+    json_t *part = json_array();
+    while (*at < json_array_size(from) && *bytes < Sn_PART_BYTES) {
+        json_t *entry = json_array_get(from, *at);
+        *bytes += json_dumpb(entry, NULL, 0, JSON_COMPACT) + 1;
+        json_array_append(part, entry);
+        (*at)++;
+    }
+    return part;
+}
+
+static bool
+all_cut(const json_t *seen, size_t seen_at, const json_t *entries,
+        size_t entry_at)
+{
+    return seen_at >= json_array_size(seen) &&
+           entry_at >= json_array_size(entries);
+}
+
+/* Returns the number of parts; the caller takes over their lists. */
+static size_t
+cut_parts(const json_t *seen, const json_t *entries, struct part_pair *parts)
+{
+    size_t seen_at = 0;
+    size_t entry_at = 0;
+    size_t count = 0;
+    do {
+        size_t bytes = 0;
+        parts[count].seen = cut_part(seen, &seen_at, &bytes);
+        parts[count].entries = cut_part(entries, &entry_at, &bytes);
+        count++;
+    } while (count < Sn_PARTS_MAX &&
+             !all_cut(seen, seen_at, entries, entry_at));
+    return count;
+}
+
+/*
+ * Writes a snapshot of the present state through the replica's writer.
+ * ST_UNAVAILABLE while the state is not known or the last one is still being
+ * written.
+ */
+enum st_status
+Sn_Write(struct sn_replica *replica)
+{
+    if (!replica->reached || replica->unwritten > 0) {
+        return St_Fail(ST_UNAVAILABLE, "no snapshot now; try again later");
+    }
+    struct part_pair *parts = calloc(Sn_PARTS_MAX, sizeof(*parts));
+    if (parts == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for a snapshot");
+    }
+    uint64_t covers = Sn_Next(replica) - 1;
+    json_t *seen = Se_Save(replica->seen);
+    json_t *entries = replica->ops->save(replica->arg);
+    size_t count = cut_parts(seen, entries, parts);
+    /* A snapshot that was cut short would lose the rest of the state. */
+    bool whole = count < Sn_PARTS_MAX;
+    for (size_t i = 0; i < count; i++) {
+        if (whole) {
+            put_part(replica, &parts[i], covers, i, count);
+        }
+        else {
+            json_decref(parts[i].seen);
+            json_decref(parts[i].entries);
+        }
+    }
+    json_decref(seen);
+    json_decref(entries);
+    free(parts);
+    replica->last_at = Ck_Now(replica->clock);
+    return whole ? ST_OK
+                 : St_Fail(ST_OVERLOAD, "the state is too large for a "
+                                        "snapshot; lower its bounds");
+}
+
+static bool
+snapshot_due(const struct sn_replica *replica)
+{
+    if (!replica->writing || !replica->reached || replica->unwritten > 0 ||
+        Sn_Next(replica) == Pl_FIRST_OFFSET) {
+        return false;
+    }
+    return replica->applied >= replica->snapshot_records ||
+           Ck_Now(replica->clock) - replica->last_at >= replica->snapshot_usec;
+}
+
+/* Reads and writes what is due.  The writer has a tick of its own. */
+void
+Sn_Tick(struct sn_replica *replica)
+{
+    Fo_Tick(replica->follower);
+    if (snapshot_due(replica)) {
+        Sn_Write(replica);
+    }
+}
+
+/* Reads now. */
+void
+Sn_Kick(struct sn_replica *replica)
+{
+    Fo_Kick(replica->follower);
+}
+
+/* Whether this replica writes snapshots; one of them should. */
+void
+Sn_SetWriting(struct sn_replica *replica, bool writing)
+{
+    replica->writing = writing;
+}
+
+/*
+ * Takes over a peer's state made by Sn_Export().  Only a replica that does
+ * not know its state takes it: for any other it could only be older.
+ */
+enum st_status
+Sn_Import(struct sn_replica *replica, const json_t *state)
+{
+    uint64_t covers = (uint64_t)Rc_Number(state, "covers");
+    if (replica->valid || covers + 1 < replica->begin) {
+        return St_Fail(ST_CONFLICT,
+                       "the state of a peer ends at offset %llu, "
+                       "which is too old; ask another one",
+                       (unsigned long long)covers);
+    }
+    replica->ops->reset(replica->arg);
+    Se_Reset(replica->seen);
+    load_entries(replica, state);
+    begin_valid(replica);
+    replay(replica, covers);
+    Fo_Restart(replica->follower, covers + 1);
+    return ST_OK;
+}
+
+/* What the replica knows about its state. */
+enum sn_phase
+Sn_Phase(const struct sn_replica *replica)
+{
+    if (replica->reached) {
+        return SN_READY;
+    }
+    return replica->tail_empty ? SN_HOLE : SN_LOADING;
+}
+
+/* The offset that will be applied next. */
+uint64_t
+Sn_Next(const struct sn_replica *replica)
+{
+    return Fo_Next(replica->follower);
+}
+
+/* As Fo_AtTail(), for a known state. */
+bool
+Sn_AtTail(const struct sn_replica *replica, int64_t *asked)
+{
+    return Fo_AtTail(replica->follower, asked) && replica->reached;
+}
+
+/* The state for a peer's Sn_Import(); NULL while it is not known. */
+json_t *
+Sn_Export(const struct sn_replica *replica)
+{
+    if (!replica->valid) {
+        return NULL;
+    }
+    return json_pack(
+        "{s:I, s:o, s:o}", "covers", (json_int_t)(Sn_Next(replica) - 1),
+        "seen", Se_Save(replica->seen), "e", replica->ops->save(replica->arg));
+}
