Administration API: keys, roles and verdicts read back from the log

A change is checked, appended to the config stream with an id, and answered with the verdict that was read back. A lost answer is settled by reading; when nothing can be read in time the answer is 'unknown', and the same change may be sent again with its id, to any daemon, without a second effect. Operators who race at two daemons get one 200 and one 409 that says what to do. A base that this daemon has not read yet is left to the log. The bootstrap key opens nothing once there is a team.

Sc_Pass() now takes the reader's word for the records it drops (the follower drops repeats and foreign records without a call); Sc_Apply() still refuses a hole, and its test is unchanged in that.

--- a/packages/config/sections.c
+++ b/packages/config/sections.c
@@ -176,16 +176,14 @@
 }
 
 /*
- * Passes over an offset that holds no record for the sections, such as a
- * snapshot or a repeated append.  Fails as Sc_Apply() does.
+ * Says that every record up to this offset was read and that those not given
+ * to Sc_Apply() are none for the sections: snapshots, and records that the
+ * reader drops.  The caller vouches that none was missed.
  */
-enum st_status
+void
 Sc_Pass(struct sc_state *state, uint64_t offset)
 {
-    bool seen;
-    enum st_status status = check_next(state, offset, &seen);
-    if (status == ST_OK && !seen) {
+    if (offset > state->offset) {
         state->offset = offset;
     }
-    return status;
 }
--- a/packages/config/sections.h
+++ b/packages/config/sections.h
@@ -53,7 +53,7 @@
 void Sc_Destroy(struct sc_state *state);
 enum st_status Sc_Apply(struct sc_state *state, uint64_t offset,
                         const char *json);
-enum st_status Sc_Pass(struct sc_state *state, uint64_t offset);
+void Sc_Pass(struct sc_state *state, uint64_t offset);
 enum st_status Sc_Restore(struct sc_state *state, const char *snapshot);
 
 char *Sc_Snapshot(const struct sc_state *state);
--- /dev/null
+++ b/packages/gate/admin.h
@@ -0,0 +1,75 @@
+/*
+ * The administration API on a port of its own (docs/INTERFACES.md, section
+ * 8).  A team's key is its bearer token; a change is checked, appended to the
+ * config stream, and answered with the verdict that was read back from the
+ * log.  What the API needs of the daemon is a table of function pointers.
+ */
+#ifndef GATE_ADMIN_H
+#define GATE_ADMIN_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "config/sections.h"
+#include "web/loop.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct ad_admin;
+
+/*
+ * The end of an append: ST_OK, the record stands in the log; ST_UNAVAILABLE
+ * or ST_OVERLOAD, it does not and never will; anything else, not known.
+ */
+typedef void (*ad_appended_fn)(void *ticket, enum st_status status);
+
+struct ad_ops {
+    /* The sections as read from the log; their life is the daemon's. */
+    const struct sc_state *(*sections)(void *arg);
+    /*
+     * Appends a record with this body (borrowed) to the config stream.  ST_OK:
+     * "appended" is called once, later, and not after Ad_Stop().  Anything
+     * else: nothing was written.
+     */
+    enum st_status (*append)(void *arg, const char *kind, json_t *body,
+                             ad_appended_fn appended, void *ticket);
+    /* The status document, a new reference. */
+    json_t *(*status)(void *arg);
+    /* All metrics as text, to be freed. */
+    char *(*metrics)(void *arg);
+    /* Whether callers are served; if not, "why" says the reason. */
+    bool (*ready)(void *arg, const char **why);
+};
+
+struct ad_options {
+    const char *address; /* IP number to listen on */
+    int port;            /* 0 picks a free one; see Ad_Port() */
+    const char *tls_cert_file;
+    const char *tls_key_file;
+    /* Digest of the key that may publish the first platform section; NULL or
+     * empty: none. */
+    const char *bootstrap_digest;
+    int64_t verdict_usec; /* wait for a verdict; 0: 8 s */
+    const struct ad_ops *ops;
+    void *arg;
+};
+
+enum st_status Ad_Create(struct lp_loop *loop,
+                         const struct ad_options *options,
+                         struct ad_admin **out);
+void Ad_Stop(struct ad_admin *admin);
+void Ad_Destroy(struct ad_admin *admin);
+int Ad_Port(const struct ad_admin *admin);
+size_t Ad_OpenRequests(const struct ad_admin *admin);
+void Ad_Advanced(struct ad_admin *admin);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/gate/admin_publish.c
@@ -0,0 +1,291 @@
+/*
+ * Changes of sections: checked here, decided by the log.  The answer is the
+ * verdict read back from the log, found by the id that the record carries.
+ */
+#include <bsd/stdlib.h>
+#include <bsd/string.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "config/sections.h"
+#include "gate/admin_internal.h"
+
+#define Ad_ID_BYTES 16
+/* A record is wrapped into an envelope before it is appended. */
+#define Ad_ENVELOPE_BYTES 512
+
+struct ad_publish {
+    TAILQ_ENTRY(ad_publish) link;
+    struct ad_admin *admin;
+    struct hs_request *request; /* NULL once answered or gone */
+    struct lp_timer *timer;
+    bool appending; /* the append has not ended */
+    char id[Sc_ID_MAX];
+    char section[Cf_SECTION_MAX];
+};
+
+static void
+publish_destroy(struct ad_publish *publish)
+{
+    if (publish->request != NULL) {
+        Hs_SetUser(publish->request, NULL);
+    }
+    TAILQ_REMOVE(&publish->admin->publishes, publish, link);
+    Lp_TimerDestroy(publish->timer);
+    free(publish);
+}
+
+/* Frees the publish unless the end of its append will still be told. */
+static void
+publish_settle(struct ad_publish *publish)
+{
+    if (publish->request == NULL && !publish->appending) {
+        publish_destroy(publish);
+    }
+}
+
+/* Takes the request out, to be answered now. */
+static struct hs_request *
+take_request(struct ad_publish *publish)
+{
+    struct hs_request *request = publish->request;
+    publish->request = NULL;
+    Hs_SetUser(request, NULL);
+    Lp_TimerCancel(publish->timer);
+    return request;
+}
+
+/* The caller went away before its answer. */
+void
+Ad_PublishGone(struct ad_publish *publish)
+{
+    publish->request = NULL;
+    publish_settle(publish);
+}
+
+/* Forgets the publish; its request is left to the server. */
+void
+Ad_PublishDrop(struct ad_publish *publish)
+{
+    publish_destroy(publish);
+}
+
+static void
+answer_verdict(struct hs_request *request, const char *section,
+               const struct sc_verdict *verdict)
+{
+    if (strcmp(verdict->section, section) != 0) {
+        Ad_Refuse(request, St_Fail(ST_INVALID,
+                                   "the id was used for section %s: give "
+                                   "each change an id of its own",
+                                   verdict->section));
+        return;
+    }
+    if (verdict->status != ST_OK) {
+        Ad_Refuse(request, St_Fail(verdict->status, "%s", verdict->reason));
+        return;
+    }
+    Ad_Reply(request, 200,
+             json_pack("{s:s, s:I}", "section", section, "offset",
+                       (json_int_t)verdict->offset));
+}
+
+/*
+ * Guards against a false answer where that of the log was lost: the append
+ * may have taken effect, so neither "done" nor "not done" may be said.  The
+ * id makes a repetition harmless, whichever it was.
+ */
+static void
+on_deadline(void *arg)
+{
+    struct ad_publish *publish = arg;
+    struct hs_request *request = take_request(publish);
+    Ad_Refuse(request,
+              St_Fail(ST_UNKNOWN,
+                      "the verdict on the change %s could not be read from "
+                      "the log in time: publish the same change again with "
+                      "the same id, it takes effect once at most",
+                      publish->id));
+    publish_settle(publish);
+}
+
+static void
+on_appended(void *ticket, enum st_status status)
+{
+    struct ad_publish *publish = ticket;
+    publish->appending = false;
+    bool not_written = status == ST_UNAVAILABLE || status == ST_OVERLOAD;
+    if (not_written && publish->request != NULL) {
+        struct hs_request *request = take_request(publish);
+        Ad_Refuse(request,
+                  St_Fail(status, "the log did not take the change, nothing "
+                                  "was written: publish again later"));
+    }
+    publish_settle(publish);
+}
+
+static void
+make_id(char out[Sc_ID_MAX])
+{
+    unsigned char bytes[Ad_ID_BYTES];
+    arc4random_buf(bytes, sizeof(bytes));
+    for (size_t i = 0; i < sizeof(bytes); i++) {
+        snprintf(out + 2 * i, 3, "%02x", bytes[i]);
+    }
+}
+
+/* The body of the record for a request, or NULL with the failure kept. */
+static json_t *
+make_record(struct hs_request *request, const char *team, const char *section,
+            bool patch)
+{
+    size_t len;
+    const char *text = Hs_Body(request, &len);
+    json_t *asked = json_loadb(text != NULL ? text : "", len,
+                               JSON_REJECT_DUPLICATES, NULL);
+    json_t *base = json_object_get(asked, "base");
+    json_t *body = json_object_get(asked, "body");
+    const char *id = json_string_value(json_object_get(asked, "id"));
+    json_t *record = NULL;
+    if (!json_is_integer(base) || !json_is_object(body) ||
+        (id != NULL && (id[0] == '\0' || strlen(id) >= Sc_ID_MAX))) {
+        St_Fail(ST_INVALID, "write {\"base\": OFFSET, \"body\": {...}}, and "
+                            "an \"id\" of at most 39 bytes if you wish; the "
+                            "base is the offset that GET tells");
+    }
+    else {
+        char made[Sc_ID_MAX];
+        make_id(made);
+        record = json_pack("{s:s, s:s, s:O, s:s, s:s, s:O}", "kind",
+                           patch ? "patch" : "section", "section", section,
+                           "base", base, "author", team, "id",
+                           id != NULL ? id : made, "body", body);
+    }
+    json_decref(asked);
+    return record;
+}
+
+/*
+ * What can be told before the log is asked.  A base beyond what was read here
+ * is no conflict: this daemon lags, and the log decides.
+ */
+static enum st_status
+check_record(const struct sc_state *state, const json_t *record,
+             const char *section)
+{
+    char *text = json_dumps(record, JSON_COMPACT);
+    if (text == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the change");
+    }
+    enum st_status status = ST_OK;
+    if (strlen(text) > Sc_RECORD_MAX - Ad_ENVELOPE_BYTES) {
+        status = St_Fail(ST_INVALID,
+                         "the change has %zu bytes and a record of the log "
+                         "takes %d: split it, or send a merge patch",
+                         strlen(text), Sc_RECORD_MAX - Ad_ENVELOPE_BYTES);
+    }
+    else {
+        status = Sc_Check(state, text);
+    }
+    free(text);
+    json_int_t base = json_integer_value(json_object_get(record, "base"));
+    bool ahead = base > 0 && (uint64_t)base > Sc_Offset(state) &&
+                 (uint64_t)base > Sc_SectionOffset(state, section);
+    return status == ST_CONFLICT && ahead ? ST_OK : status;
+}
+
+static enum st_status
+start(struct ad_admin *admin, struct hs_request *request, json_t *record)
+{
+    struct ad_publish *publish = calloc(1, sizeof(*publish));
+    if (publish == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the change");
+    }
+    publish->admin = admin;
+    publish->request = request;
+    strlcpy(publish->id, json_string_value(json_object_get(record, "id")),
+            sizeof(publish->id));
+    strlcpy(publish->section,
+            json_string_value(json_object_get(record, "section")),
+            sizeof(publish->section));
+    publish->timer = Lp_TimerCreate(admin->loop, on_deadline, publish);
+    TAILQ_INSERT_TAIL(&admin->publishes, publish, link);
+    Hs_SetUser(request, publish);
+    const char *kind = json_string_value(json_object_get(record, "kind"));
+    enum st_status status =
+        publish->timer == NULL
+            ? St_Fail(ST_NO_MEMORY, "no memory for the change")
+            : admin->ops->append(admin->arg, kind, record, on_appended,
+                                 publish);
+    if (status != ST_OK) {
+        publish_destroy(publish);
+        return status;
+    }
+    publish->appending = true;
+    Lp_TimerSet(publish->timer, admin->verdict_usec);
+    return ST_OK;
+}
+
+static enum st_status
+publish(struct ad_admin *admin, struct hs_request *request, const char *team,
+        const char *section, bool patch)
+{
+    const struct sc_state *state = admin->ops->sections(admin->arg);
+    if (!Cf_MayPublish(Sc_Config(state), team, section)) {
+        return St_Fail(ST_DENIED,
+                       "team %s may not publish section %.63s: ask that "
+                       "team, or an operator, to publish the change",
+                       team, section);
+    }
+    json_t *record = make_record(request, team, section, patch);
+    if (record == NULL) {
+        return ST_INVALID;
+    }
+    const char *id = json_string_value(json_object_get(record, "id"));
+    const struct sc_verdict *verdict = Sc_VerdictOf(state, id);
+    enum st_status status = ST_OK;
+    if (verdict != NULL) {
+        answer_verdict(request, section, verdict);
+    }
+    else {
+        status = check_record(state, record, section);
+        if (status == ST_OK) {
+            status = start(admin, request, record);
+        }
+    }
+    json_decref(record);
+    return status;
+}
+
+/* Serves a PUT or PATCH of a section by the key of this team. */
+void
+Ad_Publish(struct ad_admin *admin, struct hs_request *request,
+           const char *team, const char *section, bool patch)
+{
+    enum st_status status = publish(admin, request, team, section, patch);
+    if (status != ST_OK) {
+        Ad_Refuse(request, status);
+    }
+}
+
+/*
+ * To be called after records were applied to the sections: answers the
+ * changes whose verdict is now known.
+ */
+void
+Ad_Advanced(struct ad_admin *admin)
+{
+    const struct sc_state *state = admin->ops->sections(admin->arg);
+    struct ad_publish *publish;
+    struct ad_publish *next;
+    TAILQ_FOREACH_SAFE (publish, &admin->publishes, link, next) {
+        const struct sc_verdict *verdict = Sc_VerdictOf(state, publish->id);
+        if (publish->request == NULL || verdict == NULL) {
+            continue;
+        }
+        struct hs_request *request = take_request(publish);
+        answer_verdict(request, publish->section, verdict);
+        publish_settle(publish);
+    }
+}
