--- /dev/null
+++ b/apps/cornelgated/main.c
@@ -0,0 +1,27 @@
+/*
+ * The daemon of an entry host: reads its settings, serves until it is told
+ * to stop, drains, and exits.
+ */
+#include <err.h>
+#include <stdlib.h>
+
+#include "gate/daemon.h"
+#include "settings.h"
+
+int
+main(int argc, char **argv)
+{
+    struct settings settings;
+    if (Set_Read(argc, argv, &settings) != ST_OK) {
+        errx(EXIT_FAILURE, "%s", St_Message());
+    }
+    Ev_Open("cornelgated", settings.log_level);
+    struct dm_daemon *daemon = NULL;
+    if (Dm_Create(&settings.options, &daemon) != ST_OK) {
+        errx(EXIT_FAILURE, "%s", St_Message());
+    }
+    int cut = Dm_Run(daemon);
+    Dm_Destroy(daemon);
+    Ev_Close();
+    return cut == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/apps/cornelgated/settings.h
@@ -0,0 +1,15 @@
+/* Flags and environment variables of the daemon. */
+#ifndef CORNELGATED_SETTINGS_H
+#define CORNELGATED_SETTINGS_H
+
+#include "base/event.h"
+#include "gate/gate.h"
+
+struct settings {
+    struct gt_options options;
+    enum ev_level log_level;
+};
+
+enum st_status Set_Read(int argc, char **argv, struct settings *settings);
+
+#endif
--- /dev/null
+++ b/packages/gate/claims_wire.c
@@ -0,0 +1,154 @@
+#include "gate/claims_wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const ask_names[] = {
+    [CW_CLAIM] = "claim",
+    [CW_RESULT] = "result",
+    [CW_RELEASE] = "release",
+};
+
+static const char *const verdict_names[] = {
+    [KP_WON] = "won",         [KP_DONE] = "done",
+    [KP_REUSED] = "reused",   [KP_IN_PROGRESS] = "in_progress",
+    [KP_UNKNOWN] = "unknown", [KP_NOT_RUN] = "not_run",
+};
+
+#define Cw_VERDICTS (sizeof(verdict_names) / sizeof(verdict_names[0]))
+#define Cw_KINDS (sizeof(ask_names) / sizeof(ask_names[0]))
+
+static char *
+dump_ask(enum cw_kind kind, json_t *body)
+{
+    json_t *root =
+        json_pack("{s:s,s:o}", "ask", ask_names[kind], "body", body);
+    char *text = root != NULL ? json_dumps(root, JSON_COMPACT) : NULL;
+    json_decref(root);
+    return text;
+}
+
+/* Asks for a claim; the caller frees the text, NULL without memory. */
+char *
+Cw_ClaimAsk(const struct cl_claim *claim)
+{
+    return dump_ask(CW_CLAIM, Cl_ClaimBody(claim));
+}
+
+/* Asks for a result to be recorded. */
+char *
+Cw_ResultAsk(const struct cl_key *key, const struct cl_attempt *attempt,
+             const struct cl_answer *answer)
+{
+    return dump_ask(CW_RESULT, Cl_ResultBody(key, attempt, answer));
+}
+
+/* Asks for a claim to be given back. */
+char *
+Cw_ReleaseAsk(const struct cl_key *key, const struct cl_attempt *attempt)
+{
+    return dump_ask(CW_RELEASE, Cl_ReleaseBody(key, attempt));
+}
+
+static int
+index_of(const char *const *names, size_t count, const char *name)
+{
+    for (size_t i = 0; name != NULL && i < count; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Reads a question; Cw_FreeAsk() frees it. */
+enum st_status
+Cw_ReadAsk(const char *payload, size_t len, struct cw_ask *out)
+{
+    memset(out, 0, sizeof(*out));
+    json_t *root = json_loadb(payload, len, 0, NULL);
+    const json_t *body = json_object_get(root, "body");
+    int kind = index_of(ask_names, Cw_KINDS,
+                        json_string_value(json_object_get(root, "ask")));
+    enum st_status status = ST_OK;
+    if (kind < 0 || !json_is_object(body)) {
+        status = St_Fail(ST_INVALID, "a daemon asked about a claim in a form "
+                                     "unknown here; run one version");
+    }
+    else if (kind == CW_CLAIM) {
+        Cl_ReadClaim(body, &out->claim);
+    }
+    else {
+        Cl_ReadKey(body, &out->key);
+        Cl_ReadAttempt(body, &out->attempt);
+    }
+    if (status == ST_OK && kind == CW_RESULT &&
+        !Cl_ReadAnswer(body, &out->answer, &out->bytes)) {
+        status = St_Fail(ST_INVALID, "a daemon sent a result without answer");
+    }
+    out->kind = kind < 0 ? CW_CLAIM : (enum cw_kind)kind;
+    json_decref(root);
+    return status;
+}
+
+/* Frees what Cw_ReadAsk() allocated. */
+void
+Cw_FreeAsk(struct cw_ask *ask)
+{
+    free(ask->bytes);
+    ask->bytes = NULL;
+}
+
+/* The answer to a claim. */
+char *
+Cw_Answer(const struct kp_answer *answer, const struct cl_key *key,
+          const struct cl_attempt *attempt)
+{
+    json_t *root =
+        json_pack("{s:s,s:s}", "verdict", verdict_names[answer->verdict],
+                  "reason", answer->reason != NULL ? answer->reason : "");
+    if (answer->verdict == KP_DONE) {
+        json_object_set_new(root, "kept",
+                            Cl_ResultBody(key, attempt, answer->answer));
+    }
+    char *text = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    return text;
+}
+
+/* Reads the answer to a claim; Cw_FreeAnswer() frees it. */
+enum st_status
+Cw_ReadAnswer(const char *payload, size_t len, struct cw_answer *out)
+{
+    memset(out, 0, sizeof(*out));
+    out->root = json_loadb(payload, len, 0, NULL);
+    int verdict =
+        index_of(verdict_names, Cw_VERDICTS,
+                 json_string_value(json_object_get(out->root, "verdict")));
+    if (verdict < 0) {
+        return St_Fail(ST_INVALID, "a daemon answered a claim in a form "
+                                   "unknown here; run one version");
+    }
+    out->answer.verdict = (enum kp_verdict)verdict;
+    out->answer.reason =
+        json_string_value(json_object_get(out->root, "reason"));
+    if (verdict != KP_DONE) {
+        return ST_OK;
+    }
+    if (!Cl_ReadAnswer(json_object_get(out->root, "kept"), &out->kept,
+                       &out->bytes)) {
+        return St_Fail(ST_INVALID, "a daemon sent no kept answer");
+    }
+    out->answer.answer = &out->kept;
+    return ST_OK;
+}
+
+/* Frees what Cw_ReadAnswer() allocated. */
+void
+Cw_FreeAnswer(struct cw_answer *answer)
+{
+    free(answer->bytes);
+    json_decref(answer->root);
+    answer->bytes = NULL;
+    answer->root = NULL;
+}
--- /dev/null
+++ b/packages/gate/claims_wire.h
@@ -0,0 +1,48 @@
+/*
+ * What daemons say to each other about claims, as JSON: the bodies are those
+ * of the log's records.
+ */
+#ifndef GATE_CLAIMS_WIRE_H
+#define GATE_CLAIMS_WIRE_H
+
+#include <jansson.h>
+
+#include "state/keeper.h"
+
+enum cw_kind {
+    CW_CLAIM,
+    CW_RESULT,
+    CW_RELEASE,
+};
+
+struct cw_ask {
+    enum cw_kind kind;
+    struct cl_claim claim;     /* CW_CLAIM */
+    struct cl_key key;         /* the others */
+    struct cl_attempt attempt; /* the others */
+    struct cl_answer answer;   /* CW_RESULT */
+    void *bytes;               /* body of the answer; freed by Cw_Free() */
+};
+
+/* An answer as it is read from the wire. */
+struct cw_answer {
+    struct kp_answer answer;
+    struct cl_answer kept;
+    void *bytes;
+    json_t *root; /* holds the texts */
+};
+
+char *Cw_ClaimAsk(const struct cl_claim *claim);
+char *Cw_ResultAsk(const struct cl_key *key, const struct cl_attempt *attempt,
+                   const struct cl_answer *answer);
+char *Cw_ReleaseAsk(const struct cl_key *key,
+                    const struct cl_attempt *attempt);
+enum st_status Cw_ReadAsk(const char *payload, size_t len, struct cw_ask *out);
+void Cw_FreeAsk(struct cw_ask *ask);
+char *Cw_Answer(const struct kp_answer *answer, const struct cl_key *key,
+                const struct cl_attempt *attempt);
+enum st_status Cw_ReadAnswer(const char *payload, size_t len,
+                             struct cw_answer *out);
+void Cw_FreeAnswer(struct cw_answer *answer);
+
+#endif
--- /dev/null
+++ b/packages/gate/confstream.h
@@ -0,0 +1,49 @@
+/*
+ * The "config" stream of the platform's log on this daemon: follows it, puts
+ * accepted configurations in force, and publishes changes.
+ */
+#ifndef GATE_CONFSTREAM_H
+#define GATE_CONFSTREAM_H
+
+#include "config/sections.h"
+#include "gate/gate.h"
+#include "platform/plog.h"
+#include "state/budget.h"
+#include "state/writer.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct cs_stream;
+
+struct cs_options {
+    struct gt_gate *gate;
+    struct pl_log *log;
+    struct bg_budget *budget;
+    struct rc_writer self;
+    /* The highest offset applied has changed. */
+    void (*applied)(void *arg, uint64_t offset);
+    void *arg;
+};
+
+enum st_status Cs_Create(const struct cs_options *options,
+                         struct cs_stream **out);
+void Cs_Destroy(struct cs_stream *stream);
+void Cs_Tick(struct cs_stream *stream);
+void Cs_Kick(struct cs_stream *stream);
+void Cs_SetWriting(struct cs_stream *stream, bool writing);
+enum st_status Cs_Import(struct cs_stream *stream, const char *state,
+                         size_t len);
+
+const struct sc_state *Cs_State(const struct cs_stream *stream);
+struct wr_writer *Cs_Writer(struct cs_stream *stream);
+bool Cs_Ready(const struct cs_stream *stream);
+bool Cs_Reading(const struct cs_stream *stream);
+char *Cs_Export(const struct cs_stream *stream);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/gate/endpoints.c
@@ -0,0 +1,292 @@
+#include "gate/endpoints.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/events.h"
+
+/* An endpoint missing from this many lists in a row is forgotten. */
+#define Ep_MISSING_LISTS 3
+
+struct known {
+    TAILQ_ENTRY(known) link;
+    char id[Hl_NAME_MAX];
+    char version[Hl_NAME_MAX];
+    bool leaving;
+    bool listed;
+    int missing;
+};
+
+TAILQ_HEAD(known_list, known);
+
+struct service {
+    TAILQ_ENTRY(service) link;
+    char name[Cf_NAME_MAX];
+    struct ch_table *table;
+    struct known_list endpoints;
+    bool shares_set;
+};
+
+TAILQ_HEAD(service_list, service);
+
+struct ep_pool {
+    struct gt_gate *gate;
+    ep_leaving_fn leaving;
+    struct service_list services;
+};
+
+/* Creates an empty pool; "leaving" gets the gate as its argument. */
+enum st_status
+Ep_Create(struct gt_gate *gate, ep_leaving_fn leaving, struct ep_pool **out)
+{
+    struct ep_pool *pool = calloc(1, sizeof(*pool));
+    if (pool == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the endpoints");
+    }
+    pool->gate = gate;
+    pool->leaving = leaving;
+    TAILQ_INIT(&pool->services);
+    *out = pool;
+    return ST_OK;
+}
+
+static void
+service_destroy(struct service *service)
+{
+    struct known *known;
+    while ((known = TAILQ_FIRST(&service->endpoints)) != NULL) {
+        TAILQ_REMOVE(&service->endpoints, known, link);
+        free(known);
+    }
+    Ch_Destroy(service->table);
+    free(service);
+}
+
+/* Frees the pool; NULL is allowed. */
+void
+Ep_Destroy(struct ep_pool *pool)
+{
+    if (pool == NULL) {
+        return;
+    }
+    struct service *service;
+    while ((service = TAILQ_FIRST(&pool->services)) != NULL) {
+        TAILQ_REMOVE(&pool->services, service, link);
+        service_destroy(service);
+    }
+    free(pool);
+}
+
+static struct service *
+find_service(const struct ep_pool *pool, const char *name)
+{
+    struct service *service;
+    TAILQ_FOREACH (service, &pool->services, link) {
+        if (strcmp(service->name, name) == 0) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+static struct service *
+add_service(struct ep_pool *pool, const char *name)
+{
+    struct service *service = find_service(pool, name);
+    if (service != NULL) {
+        return service;
+    }
+    service = calloc(1, sizeof(*service));
+    if (service == NULL) {
+        return NULL;
+    }
+    struct ch_settings settings;
+    Ch_Defaults(&settings);
+    strlcpy(service->name, name, sizeof(service->name));
+    TAILQ_INIT(&service->endpoints);
+    service->table = Ch_Create(pool->gate->options->data_centre,
+                               Ch_Predictive(), &settings);
+    if (service->table == NULL) {
+        free(service);
+        return NULL;
+    }
+    TAILQ_INSERT_TAIL(&pool->services, service, link);
+    return service;
+}
+
+/*
+ * Makes a table for each service of a configuration.  Without a move in
+ * flight the intended version carries everything.
+ */
+void
+Ep_Configure(struct ep_pool *pool, const struct cf_config *config)
+{
+    for (size_t i = 0; i < config->service_count; i++) {
+        const struct cf_service *wanted = &config->services[i];
+        struct service *service = add_service(pool, wanted->name);
+        if (service == NULL || service->shares_set ||
+            wanted->move.to[0] == '\0' || wanted->move.from[0] != '\0') {
+            continue;
+        }
+        struct ch_share share = {.share = 1};
+        strlcpy(share.version, wanted->move.to, sizeof(share.version));
+        Ch_SetShares(service->table, &share, 1);
+    }
+}
+
+static struct known *
+find_known(struct service *service, const char *id)
+{
+    struct known *known;
+    TAILQ_FOREACH (known, &service->endpoints, link) {
+        if (strcmp(known->id, id) == 0) {
+            return known;
+        }
+    }
+    return NULL;
+}
+
+static void
+mark_leaving(struct ep_pool *pool, struct service *service,
+             struct known *known, int64_t left_usec)
+{
+    int64_t now = Ck_Now(pool->gate->clock);
+    Ch_SetState(service->table, known->id, CH_LEAVING, left_usec, now);
+    if (known->leaving) {
+        return;
+    }
+    known->leaving = true;
+    Ev_Log(&GT_ENDPOINT_LEAVING, "service=%s endpoint=%s left_ms=%lld",
+           service->name, known->id,
+           (long long)(left_usec / Ck_USEC_PER_MSEC));
+    pool->leaving(pool->gate, service->name, known->id, left_usec);
+}
+
+static void
+put_endpoint(struct ep_pool *pool, const struct hl_host *host)
+{
+    struct service *service = add_service(pool, host->service);
+    if (service == NULL) {
+        return;
+    }
+    struct known *known = find_known(service, host->id);
+    if (known == NULL) {
+        known = calloc(1, sizeof(*known));
+        if (known == NULL) {
+            return;
+        }
+        strlcpy(known->id, host->id, sizeof(known->id));
+        TAILQ_INSERT_TAIL(&service->endpoints, known, link);
+    }
+    known->listed = true;
+    known->missing = 0;
+    struct ch_info info = {
+        .port = host->port,
+        .price = host->price,
+        .slots = host->slots,
+        .reclaimable = host->reclaimable,
+    };
+    strlcpy(info.id, host->id, sizeof(info.id));
+    strlcpy(info.address, host->address, sizeof(info.address));
+    strlcpy(info.data_centre, host->data_centre, sizeof(info.data_centre));
+    strlcpy(info.version, host->version, sizeof(info.version));
+    strlcpy(info.host_class, host->host_class, sizeof(info.host_class));
+    Ch_Put(service->table, &info);
+    /*
+     * A list that lags may still say "live" after a notice has come: an
+     * endpoint once known to leave stays leaving.
+     */
+    if (host->state == HL_LEAVING && !known->leaving) {
+        mark_leaving(pool, service, known, 0);
+    }
+}
+
+static void
+forget_missing(struct service *service)
+{
+    struct known *known;
+    struct known *next;
+    TAILQ_FOREACH_SAFE (known, &service->endpoints, link, next) {
+        if (known->listed) {
+            known->listed = false;
+            continue;
+        }
+        known->missing++;
+        if (known->missing >= Ep_MISSING_LISTS) {
+            Ch_Remove(service->table, known->id);
+            TAILQ_REMOVE(&service->endpoints, known, link);
+            free(known);
+        }
+    }
+}
+
+/* Takes a host list in: new endpoints, changed ones, missing ones. */
+void
+Ep_Sync(struct ep_pool *pool, const struct hl_host *hosts, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (hosts[i].role == HL_ENDPOINT && hosts[i].service[0] != '\0') {
+            put_endpoint(pool, &hosts[i]);
+        }
+    }
+    struct service *service;
+    TAILQ_FOREACH (service, &pool->services, link) {
+        forget_missing(service);
+    }
+}
+
+/* A reclaim notice or a report says that a host leaves in left_usec. */
+void
+Ep_Leaving(struct ep_pool *pool, const char *host, int64_t left_usec)
+{
+    struct service *service;
+    TAILQ_FOREACH (service, &pool->services, link) {
+        struct known *known = find_known(service, host);
+        if (known != NULL) {
+            mark_leaving(pool, service, known, left_usec);
+        }
+    }
+}
+
+/* Takes a load report in. */
+void
+Ep_Report(struct ep_pool *pool, const char *service, const char *endpoint,
+          const struct ch_sample *sample)
+{
+    struct service *found = find_service(pool, service);
+    if (found != NULL) {
+        Ch_Report(found->table, endpoint, sample);
+    }
+}
+
+/* A version gets no new work from now on. */
+void
+Ep_Distrust(struct ep_pool *pool, const char *service, const char *version)
+{
+    struct service *found = find_service(pool, service);
+    if (found != NULL) {
+        Ch_Distrust(found->table, version);
+    }
+}
+
+/* Shares of the versions of a service while a move is in flight. */
+void
+Ep_SetShares(struct ep_pool *pool, const char *service,
+             const struct ch_share *shares, size_t count)
+{
+    struct service *found = find_service(pool, service);
+    if (found != NULL) {
+        found->shares_set = true;
+        Ch_SetShares(found->table, shares, count);
+    }
+}
+
+/* The table of a service, or NULL when none of its endpoints is known. */
+struct ch_table *
+Ep_Table(const struct ep_pool *pool, const char *service)
+{
+    struct service *found = find_service(pool, service);
+    return found != NULL ? found->table : NULL;
+}
--- /dev/null
+++ b/packages/gate/gate.c
@@ -0,0 +1,41 @@
+#include "gate/gate.h"
+
+#include <stdio.h>
+
+#include "base/event.h"
+#include "gate/endpoints.h"
+#include "gate/events.h"
+
+#define Gt_LABEL_MAX 160
+
+/*
+ * Puts a configuration in force and takes a reference of its own; requests
+ * keep the one they began with.  One that is not newer than the one in force
+ * is passed over: a daemon never goes back.
+ */
+void
+Gt_SetConfig(struct gt_gate *gate, struct cf_config *config)
+{
+    if (gate->config != NULL && config->offset <= gate->config->offset) {
+        return;
+    }
+    if (gate->config != NULL) {
+        Cf_Destroy(gate->config);
+    }
+    gate->config = Cf_Ref(config);
+    Ep_Configure(gate->endpoints, config);
+    Ev_Log(&GT_CONFIG_IN_FORCE, "offset=%llu",
+           (unsigned long long)config->offset);
+}
+
+/* Adds one to a counter with at most one label. */
+void
+Gt_Count(struct gt_gate *gate, const char *name, const char *label,
+         const char *value)
+{
+    char labels[Gt_LABEL_MAX] = "";
+    if (label != NULL) {
+        snprintf(labels, sizeof(labels), "%s=\"%s\"", label, value);
+    }
+    Mt_Add(Mt_Get(gate->metrics, MT_COUNTER, name, labels), 1);
+}
--- /dev/null
+++ b/packages/gate/gate.h
@@ -0,0 +1,73 @@
+/*
+ * What the parts of one daemon share.  Everything runs on the one loop.
+ */
+#ifndef GATE_GATE_H
+#define GATE_GATE_H
+
+#include <bsd/sys/queue.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+#include "base/random.h"
+#include "config/config.h"
+#include "platform/jsoncall.h"
+#include "web/loop.h"
+#include "web/server.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Gt_NAME_MAX 48
+
+struct ep_pool;
+struct gc_claims;
+struct rq_request;
+
+/* What flags and environment variables say. */
+struct gt_options {
+    const char *node_id;
+    const char *address;
+    int port;
+    int admin_port;
+    int peer_port;
+    const char *data_centre;
+    const char *region;
+    const char *cluster_key;
+    const char *tls_cert_file;
+    const char *tls_key_file;
+    struct jc_target log;
+    struct jc_target hosts;
+    struct jc_target cloud;
+    struct jc_target weights;
+    int64_t drain_usec; /* longest planned stop */
+};
+
+TAILQ_HEAD(rq_list, rq_request);
+
+struct gt_gate {
+    const struct gt_options *options;
+    struct lp_loop *loop;
+    const struct ck_clock *clock;
+    struct rn_random random;
+    struct mt_registry *metrics;
+    char incarnation[Gt_NAME_MAX]; /* new at each start */
+    struct cf_config *config;      /* NULL before the first */
+    struct ep_pool *endpoints;
+    struct gc_claims *claims;
+    struct rq_list requests;
+    uint64_t next_request;
+    bool draining;
+};
+
+void Gt_SetConfig(struct gt_gate *gate, struct cf_config *config);
+void Gt_Count(struct gt_gate *gate, const char *name, const char *label,
+              const char *value);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/gate/loadwatch.c
@@ -0,0 +1,230 @@
+#include "gate/loadwatch.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate/endpoints.h"
+
+#define Lw_ROUND (200 * Ck_USEC_PER_MSEC)
+#define Lw_PERIOD (1 * Ck_USEC_PER_SEC)
+#define Lw_TIMEOUT (1 * Ck_USEC_PER_SEC)
+#define Lw_SILENT_AFTER 3
+/* Rounds after which a poll of a vanished endpoint is forgotten. */
+#define Lw_FORGET_ROUNDS 10
+
+struct poll {
+    TAILQ_ENTRY(poll) link;
+    struct lw_watch *watch;
+    char service[Cf_NAME_MAX];
+    char endpoint[Ch_NAME_MAX];
+    struct jc_call *call;
+    int64_t due;
+    int failures;
+    int unseen;
+};
+
+TAILQ_HEAD(poll_list, poll);
+
+struct lw_watch {
+    struct gt_gate *gate;
+    const struct lw_ops *ops;
+    void *arg;
+    struct lp_timer *timer;
+    struct poll_list polls;
+};
+
+static struct poll *
+find_poll(struct lw_watch *watch, const char *service, const char *endpoint)
+{
+    struct poll *poll;
+    TAILQ_FOREACH (poll, &watch->polls, link) {
+        if (strcmp(poll->endpoint, endpoint) == 0 &&
+            strcmp(poll->service, service) == 0) {
+            return poll;
+        }
+    }
+    return NULL;
+}
+
+static struct poll *
+add_poll(struct lw_watch *watch, const char *service, const char *endpoint)
+{
+    struct poll *poll = calloc(1, sizeof(*poll));
+    if (poll == NULL) {
+        return NULL;
+    }
+    poll->watch = watch;
+    strlcpy(poll->service, service, sizeof(poll->service));
+    strlcpy(poll->endpoint, endpoint, sizeof(poll->endpoint));
+    /* Spread over the period, so that samples do not come in bursts. */
+    poll->due = Ck_Now(watch->gate->clock) +
+                Rn_Below(&watch->gate->random, (uint32_t)Lw_PERIOD);
+    TAILQ_INSERT_TAIL(&watch->polls, poll, link);
+    return poll;
+}
+
+static void
+poll_free(struct poll *poll)
+{
+    TAILQ_REMOVE(&poll->watch->polls, poll, link);
+    if (poll->call != NULL) {
+        Jc_Cancel(poll->call);
+    }
+    free(poll);
+}
+
+static void
+take_failure(struct poll *poll)
+{
+    struct lw_watch *watch = poll->watch;
+    poll->failures++;
+    if (poll->failures == Lw_SILENT_AFTER) {
+        watch->ops->silent(watch->arg, poll->service, poll->endpoint);
+    }
+}
+
+static int
+number(const json_t *body, const char *key)
+{
+    return (int)json_integer_value(json_object_get(body, key));
+}
+
+static void
+poll_done(void *arg, const struct jc_answer *answer)
+{
+    struct poll *poll = arg;
+    struct lw_watch *watch = poll->watch;
+    const json_t *body = answer->body;
+    poll->call = NULL;
+    if (answer->status != ST_OK || answer->code != 200 ||
+        !json_is_integer(json_object_get(body, "running"))) {
+        take_failure(poll);
+        return;
+    }
+    poll->failures = 0;
+    const char *state = json_string_value(json_object_get(body, "state"));
+    const char *version = json_string_value(json_object_get(body, "version"));
+    struct lw_report report = {
+        .service = poll->service,
+        .endpoint = poll->endpoint,
+        .sample =
+            {
+                .running = number(body, "running"),
+                .waiting = number(body, "waiting"),
+                .tokens_per_s =
+                    json_number_value(json_object_get(body, "tokens_per_s")),
+                .taken = Ck_Now(watch->gate->clock) -
+                         number(body, "age_ms") * Ck_USEC_PER_MSEC,
+            },
+        .leaving = state != NULL && strcmp(state, "leaving") == 0,
+        .left_usec = number(body, "left_ms") * Ck_USEC_PER_MSEC,
+    };
+    strlcpy(report.version, version != NULL ? version : "",
+            sizeof(report.version));
+    watch->ops->report(watch->arg, &report);
+}
+
+static void
+poll_ask(struct poll *poll, const struct ch_info *info)
+{
+    struct lw_watch *watch = poll->watch;
+    struct jc_target target = {.port = info->port};
+    strlcpy(target.address, info->address, sizeof(target.address));
+    poll->due += Lw_PERIOD;
+    if (Jc_Start(watch->gate->loop, &target, "GET", "/v1/load", NULL,
+                 Lw_TIMEOUT, poll_done, poll, &poll->call) != ST_OK) {
+        poll->call = NULL;
+    }
+}
+
+static void
+visit(struct lw_watch *watch, const char *service, const struct ch_info *info)
+{
+    if (!watch->ops->mine(watch->arg, info)) {
+        return;
+    }
+    struct poll *poll = find_poll(watch, service, info->id);
+    if (poll == NULL) {
+        poll = add_poll(watch, service, info->id);
+    }
+    if (poll == NULL) {
+        return;
+    }
+    poll->unseen = 0;
+    if (poll->call == NULL && Ck_Now(watch->gate->clock) >= poll->due) {
+        poll_ask(poll, info);
+    }
+}
+
+static void
+forget_unseen(struct lw_watch *watch)
+{
+    struct poll *poll;
+    struct poll *next;
+    TAILQ_FOREACH_SAFE (poll, &watch->polls, link, next) {
+        poll->unseen++;
+        if (poll->unseen > Lw_FORGET_ROUNDS) {
+            poll_free(poll);
+        }
+    }
+}
+
+static void
+round_due(void *arg)
+{
+    struct lw_watch *watch = arg;
+    const struct cf_config *config = watch->gate->config;
+    forget_unseen(watch);
+    for (size_t i = 0; config != NULL && i < config->service_count; i++) {
+        const struct cf_service *service = &config->services[i];
+        struct ch_table *table =
+            Ep_Table(watch->gate->endpoints, service->name);
+        if (service->kind != CF_ENGINE || table == NULL) {
+            continue;
+        }
+        struct ch_endpoint *endpoint = Ch_First(table);
+        for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
+            visit(watch, service->name, Ch_Info(endpoint));
+        }
+    }
+    Lp_TimerSet(watch->timer, Lw_ROUND);
+}
+
+/* Starts to watch. */
+enum st_status
+Lw_Create(struct gt_gate *gate, const struct lw_ops *ops, void *arg,
+          struct lw_watch **out)
+{
+    struct lw_watch *watch = calloc(1, sizeof(*watch));
+    if (watch == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory to watch the load");
+    }
+    watch->gate = gate;
+    watch->ops = ops;
+    watch->arg = arg;
+    TAILQ_INIT(&watch->polls);
+    watch->timer = Lp_TimerCreate(gate->loop, round_due, watch);
+    if (watch->timer == NULL) {
+        free(watch);
+        return St_Fail(ST_NO_MEMORY, "no timer");
+    }
+    Lp_TimerSet(watch->timer, 0);
+    *out = watch;
+    return ST_OK;
+}
+
+/* Stops watching; call it before the loop is destroyed. */
+void
+Lw_Destroy(struct lw_watch *watch)
+{
+    if (watch == NULL) {
+        return;
+    }
+    struct poll *poll;
+    while ((poll = TAILQ_FIRST(&watch->polls)) != NULL) {
+        poll_free(poll);
+    }
+    Lp_TimerDestroy(watch->timer);
+    free(watch);
+}
--- /dev/null
+++ b/packages/gate/relay_engine.c
@@ -0,0 +1,556 @@
+/*
+ * Relays a completion to a model engine and makes its stream whole.
+ *
+ * The engine always streams to us, each token with its number.  When the
+ * stream breaks, or its engine is about to be reclaimed, the request goes on
+ * at another engine from the tokens already given; the numbers make sure that
+ * the caller sees neither a gap nor a repeat.
+ */
+#include <bsd/string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/endpoints.h"
+#include "gate/events.h"
+#include "gate/request.h"
+#include "platform/sse.h"
+#include "web/client.h"
+
+#define Rl_ATTEMPTS 6
+#define Rl_ATTEMPT_MAX (Rq_ID_MAX + 16)
+#define Rl_EVENT_MAX ((size_t)64 << 10)
+#define Rl_TEXT_MAX ((size_t)4 << 20)
+#define Rl_PENDING_MAX ((size_t)256 << 10)
+#define Rl_RETRY_SOON_SEC 1
+#define Rl_BYTES_PER_TOKEN 4
+#define Rl_EXPECTED_TOKENS 256
+#define Rl_URGENT_PRIORITY 10
+#define Rl_PATIENT_PRIORITY 1
+#define Rl_LABELS_MAX 200
+
+struct rl_engine {
+    struct rq_request *request;
+    struct hc_call *call;
+    struct ss_parser *parser;
+    struct ch_flight flight;
+    struct ch_table *table;
+    char attempt[Rl_ATTEMPT_MAX];
+    int attempts;
+    int code;
+    bool paused;
+    bool streaming; /* the caller's stream has begun */
+    bool done;      /* the engine said the answer is whole */
+    bool broken;    /* this attempt sent what cannot be used */
+    int tokens;     /* given to the caller, or kept for it */
+    int sent_on;    /* tokens known when this attempt began */
+    int expected;   /* tokens of the whole answer, by the engine's count */
+    char *text;
+    size_t text_len;
+    size_t text_size;
+    struct en_usage usage;
+    int recomputed;
+    int64_t last_token;
+    struct mt_metric *first_token_time;
+    struct mt_metric *token_time;
+};
+
+static void attempt(struct rl_engine *relay);
+
+static void
+end_flight(struct rl_engine *relay, enum ch_outcome outcome)
+{
+    if (relay->flight.endpoint != NULL) {
+        Ch_End(relay->table, &relay->flight, outcome,
+               Ck_Now(relay->request->gate->clock));
+        relay->flight.endpoint = NULL;
+    }
+}
+
+/* Closes the connection to the engine, which then stops computing. */
+static void
+drop_call(struct rl_engine *relay)
+{
+    if (relay->call != NULL) {
+        Hc_Cancel(relay->call);
+        relay->call = NULL;
+    }
+}
+
+static bool
+keep_text(struct rl_engine *relay, const char *text)
+{
+    size_t len = strlen(text);
+    if (relay->text_len + len > Rl_TEXT_MAX) {
+        return false;
+    }
+    if (relay->text_len + len > relay->text_size) {
+        size_t size = (relay->text_len + len) * 2;
+        char *grown = realloc(relay->text, size);
+        if (grown == NULL) {
+            return false;
+        }
+        relay->text = grown;
+        relay->text_size = size;
+    }
+    memcpy(relay->text + relay->text_len, text, len);
+    relay->text_len += len;
+    return true;
+}
+
+static void
+begin_stream(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    struct web_header headers[] = {
+        {"cornelgate-request-id", request->id},
+        {"cornelgate-outcome", An_OutcomeName(AN_RAN)},
+        {"cache-control", "no-cache"},
+    };
+    Hs_StreamBegin(request->http, 200, "text/event-stream", headers, 3);
+    relay->streaming = true;
+}
+
+static void
+send_event(struct rl_engine *relay, const char *data)
+{
+    struct rq_request *request = relay->request;
+    char head[] = "data: ";
+    size_t len = strlen(data);
+    char *line = malloc(sizeof(head) + len + 2);
+    if (line == NULL) {
+        abort();
+    }
+    memcpy(line, head, sizeof(head) - 1);
+    memcpy(line + sizeof(head) - 1, data, len);
+    memcpy(line + sizeof(head) - 1 + len, "\n\n", 2);
+    Hs_StreamWrite(request->http, line, sizeof(head) - 1 + len + 2);
+    free(line);
+    if (Hs_Pending(request->http) > Rl_PENDING_MAX && relay->call != NULL &&
+        !relay->paused) {
+        /* A caller that reads slowly holds its engine back, not our memory. */
+        Hc_Pause(relay->call, true);
+        relay->paused = true;
+    }
+}
+
+static void
+observe_token(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    int64_t now = Ck_Now(request->gate->clock);
+    if (relay->tokens == 0) {
+        Mt_Observe(relay->first_token_time, now - request->arrived);
+    }
+    else {
+        Mt_Observe(relay->token_time, now - relay->last_token);
+    }
+    relay->last_token = now;
+    if (relay->flight.endpoint != NULL && !relay->flight.first_token) {
+        Ch_FirstToken(relay->table, &relay->flight, now);
+    }
+}
+
+static void
+take_token(struct rl_engine *relay, struct en_event *event)
+{
+    struct rq_request *request = relay->request;
+    if (event->index < relay->tokens) {
+        Gt_Count(request->gate, "cg_repeated_tokens_total", NULL, NULL);
+        return;
+    }
+    if (event->index > relay->tokens || !keep_text(relay, event->text)) {
+        relay->broken = true;
+        return;
+    }
+    observe_token(relay);
+    relay->tokens++;
+    if (request->http == NULL || !request->prompt.stream) {
+        return;
+    }
+    if (!relay->streaming) {
+        begin_stream(relay);
+    }
+    char *line = En_CallerEvent(event, request->id, request->prompt.model);
+    if (line != NULL) {
+        send_event(relay, line);
+    }
+    free(line);
+}
+
+static void
+take_usage(struct rl_engine *relay, const struct en_event *event)
+{
+    relay->expected = relay->sent_on + event->usage.completion_tokens;
+    relay->recomputed += event->usage.recomputed_tokens;
+    relay->usage = event->usage;
+    relay->usage.completion_tokens = relay->expected;
+    relay->usage.recomputed_tokens = relay->recomputed;
+}
+
+/*
+ * The end mark alone does not make an answer whole: tokens may have been
+ * dropped as another request's.  The engine's own count must agree.
+ */
+static void
+take_end(struct rl_engine *relay)
+{
+    if (relay->expected == relay->tokens) {
+        relay->done = true;
+    }
+    else {
+        relay->broken = true;
+    }
+}
+
+static void
+take_event(void *arg, const char *data, size_t len)
+{
+    struct rl_engine *relay = arg;
+    struct rq_request *request = relay->request;
+    struct en_event event;
+    if (relay->done || relay->broken) {
+        return;
+    }
+    if (En_ReadEvent(data, len, &event) != ST_OK) {
+        relay->broken = true;
+        return;
+    }
+    if (event.kind == EN_DONE) {
+        take_end(relay);
+        return;
+    }
+    if (strcmp(event.id, relay->attempt) != 0) {
+        /* Another request's token, or a late one of an earlier attempt. */
+        Ev_Log(&GT_CROSSED, "request=%s service=%s", request->id,
+               request->service->name);
+        Gt_Count(request->gate, "cg_crossed_answers_total", NULL, NULL);
+    }
+    else if (event.kind == EN_TOKEN) {
+        take_token(relay, &event);
+    }
+    else if (event.kind == EN_USAGE) {
+        take_usage(relay, &event);
+    }
+    else {
+        relay->broken = true;
+    }
+    En_EventFree(&event);
+}
+
+static void
+take_headers(void *arg, struct hc_call *call, int code)
+{
+    struct rl_engine *relay = arg;
+    relay->code = code;
+}
+
+static void
+count_tokens(struct rl_engine *relay)
+{
+    struct gt_gate *gate = relay->request->gate;
+    Mt_Add(Mt_Get(gate->metrics, MT_COUNTER, "cg_tokens_total", ""),
+           relay->tokens);
+    Mt_Add(Mt_Get(gate->metrics, MT_COUNTER, "cg_tokens_recomputed_total", ""),
+           relay->recomputed);
+}
+
+static void
+answer_caller(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    if (request->http == NULL) {
+        return;
+    }
+    Hs_SetUser(request->http, NULL);
+    if (request->prompt.stream) {
+        if (!relay->streaming) {
+            begin_stream(relay);
+        }
+        send_event(relay, "[DONE]");
+        Hs_StreamEnd(request->http);
+        request->http = NULL;
+        return;
+    }
+    struct web_header headers[] = {
+        {"cornelgate-request-id", request->id},
+        {"cornelgate-outcome", An_OutcomeName(AN_RAN)},
+    };
+    char *body = En_CallerAnswer(&request->prompt, request->id, relay->text,
+                                 relay->text_len, &relay->usage);
+    Hs_Reply(request->http, 200, "application/json", headers, 2, body,
+             body != NULL ? strlen(body) : 0);
+    free(body);
+    request->http = NULL;
+}
+
+static void
+finish(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    end_flight(relay, CH_GOOD);
+    count_tokens(relay);
+    answer_caller(relay);
+    Rq_Finish(request, AN_RAN);
+}
+
+/*
+ * Gives the request up.  A stream already begun cannot be refused any more;
+ * it ends with an error event and without the end mark, so that the caller
+ * cannot take it for a whole answer.
+ */
+static void
+give_up(struct rl_engine *relay, enum an_kind kind, const char *message)
+{
+    struct rq_request *request = relay->request;
+    drop_call(relay);
+    end_flight(relay, CH_FAILED);
+    count_tokens(relay);
+    if (relay->streaming && request->http != NULL) {
+        char *body = An_ErrorBody(AN_UNKNOWN, message);
+        send_event(relay, body);
+        free(body);
+        Hs_SetUser(request->http, NULL);
+        Hs_StreamEnd(request->http);
+        request->http = NULL;
+        Rq_Finish(request, AN_OUTCOME_UNKNOWN);
+        return;
+    }
+    Rq_Refuse(request, kind, Rl_RETRY_SOON_SEC, "%s", message);
+}
+
+static void
+next_attempt(struct rl_engine *relay)
+{
+    struct gt_gate *gate = relay->request->gate;
+    if (relay->attempts >= Rl_ATTEMPTS) {
+        give_up(relay, AN_UNKNOWN,
+                "several engines failed this request; it may be repeated");
+        return;
+    }
+    Gt_Count(gate, "cg_retries_total", NULL, NULL);
+    if (relay->tokens > 0) {
+        Ev_Log(&GT_STREAM_MOVED, "request=%s tokens=%d", relay->request->id,
+               relay->tokens);
+        Gt_Count(gate, "cg_streams_moved_total", "how", "resume");
+    }
+    attempt(relay);
+}
+
+static enum ch_outcome
+failure_kind(int code)
+{
+    return code == 429 || code == 503 ? CH_OVERLOADED : CH_FAILED;
+}
+
+static void
+call_done(void *arg, struct hc_call *call, const struct hc_result *result)
+{
+    struct rl_engine *relay = arg;
+    relay->call = NULL;
+    if (relay->done) {
+        finish(relay);
+        return;
+    }
+    if (result->code >= 400 && result->code < 500 && result->code != 429) {
+        end_flight(relay, CH_GOOD);
+        Rq_Refuse(relay->request, AN_INVALID, 0,
+                  "the engine refused the request with %d; check its fields",
+                  result->code);
+        return;
+    }
+    end_flight(relay, failure_kind(result->code));
+    next_attempt(relay);
+}
+
+static void
+take_data(void *arg, struct hc_call *call, const void *data, size_t len)
+{
+    struct rl_engine *relay = arg;
+    if (relay->code != 200) {
+        return;
+    }
+    if (Ss_Feed(relay->parser, data, len, take_event, relay) != ST_OK) {
+        relay->broken = true;
+    }
+    if (relay->done) {
+        drop_call(relay);
+        finish(relay);
+    }
+    else if (relay->broken) {
+        drop_call(relay);
+        end_flight(relay, CH_FAILED);
+        next_attempt(relay);
+    }
+}
+
+static const struct hc_ops call_ops = {
+    .headers = take_headers,
+    .data = take_data,
+    .done = call_done,
+};
+
+static enum st_status
+send_call(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    const struct ch_info *info = Ch_Info(relay->flight.endpoint);
+    struct en_resume resume = {
+        .text = relay->text,
+        .text_len = relay->text_len,
+        .tokens = relay->tokens,
+    };
+    char *body = En_BuildRequest(
+        &request->prompt,
+        request->patient ? Rl_PATIENT_PRIORITY : Rl_URGENT_PRIORITY, &resume);
+    if (body == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for a request body");
+    }
+    struct web_header header = {"x-request-id", relay->attempt};
+    struct hc_request call = {
+        .address = info->address,
+        .port = info->port,
+        .method = "POST",
+        .path =
+            request->prompt.chat ? "/v1/chat/completions" : "/v1/completions",
+        .type = "application/json",
+        .headers = &header,
+        .header_count = 1,
+        .body = body,
+        .body_len = strlen(body),
+    };
+    enum st_status status =
+        Hc_Start(request->gate->loop, &call, &call_ops, relay, &relay->call);
+    free(body);
+    return status;
+}
+
+static void
+attempt(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    struct gt_gate *gate = request->gate;
+    int64_t now = Ck_Now(gate->clock);
+    size_t prompt_bytes = request->prompt.text_len + relay->text_len;
+    struct ch_request ask = {
+        .prefix = request->prompt.prefix_hash,
+        .prompt_tokens = (int)(prompt_bytes / Rl_BYTES_PER_TOKEN),
+        .expected_tokens = request->prompt.max_tokens > 0
+                               ? request->prompt.max_tokens
+                               : Rl_EXPECTED_TOKENS,
+        .budget = request->deadline - now,
+    };
+    relay->table = Ep_Table(gate->endpoints, request->service->name);
+    if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
+        give_up(relay, relay->attempts == 0 ? AN_UNAVAILABLE : AN_UNKNOWN,
+                "no engine of this service is free; come back later");
+        return;
+    }
+    Ss_Destroy(relay->parser);
+    relay->parser = Ss_Create(Rl_EVENT_MAX);
+    relay->attempts++;
+    relay->broken = false;
+    relay->paused = false;
+    relay->code = 0;
+    relay->sent_on = relay->tokens;
+    relay->expected = -1;
+    snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d", request->id,
+             relay->attempts);
+    if (relay->parser == NULL || send_call(relay) != ST_OK) {
+        give_up(relay, AN_OVERLOADED,
+                "this host is out of memory; come back later");
+    }
+}
+
+static void
+find_metrics(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    char labels[Rl_LABELS_MAX];
+    snprintf(labels, sizeof(labels), "customer=\"%s\",class=\"%s\"",
+             request->customer->name, request->patient ? "patient" : "urgent");
+    relay->first_token_time = Mt_Get(request->gate->metrics, MT_HISTOGRAM,
+                                     "cg_first_token_seconds", labels);
+    relay->token_time = Mt_Get(request->gate->metrics, MT_HISTOGRAM,
+                               "cg_between_tokens_seconds", labels);
+}
+
+/* Sends the request to an engine; ends it sooner or later. */
+void
+Rl_EngineStart(struct rq_request *request)
+{
+    struct rl_engine *relay = calloc(1, sizeof(*relay));
+    if (relay == NULL) {
+        Rq_Refuse(request, AN_OVERLOADED, Rl_RETRY_SOON_SEC,
+                  "this host is out of memory; come back later");
+        return;
+    }
+    relay->request = request;
+    request->engine = relay;
+    find_metrics(relay);
+    attempt(relay);
+}
+
+/* Nobody waits any more: closing the connection stops the engine's work. */
+void
+Rl_EngineCallerGone(struct rq_request *request)
+{
+    drop_call(request->engine);
+    end_flight(request->engine, CH_CANCELLED);
+    count_tokens(request->engine);
+    Rq_Finish(request, AN_OUTCOME_UNKNOWN);
+}
+
+/* The caller's time is up. */
+void
+Rl_EngineDeadline(struct rq_request *request)
+{
+    give_up(request->engine, AN_UNKNOWN,
+            "the answer was not whole when the deadline passed; allow more "
+            "time");
+}
+
+/* The caller has read what was sent; the engine may go on. */
+void
+Rl_EngineDrained(struct rq_request *request)
+{
+    struct rl_engine *relay = request->engine;
+    if (relay != NULL && relay->paused && relay->call != NULL) {
+        relay->paused = false;
+        Hc_Pause(relay->call, false);
+    }
+}
+
+/* Frees the relay; its call is given up. */
+void
+Rl_EngineFree(struct rl_engine *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    drop_call(relay);
+    Ss_Destroy(relay->parser);
+    free(relay->text);
+    free(relay);
+}
+
+/* An endpoint is leaving: streams on it that would not end in time move. */
+void
+Rl_EndpointLeaving(void *arg, const char *service, const char *endpoint,
+                   int64_t left_usec)
+{
+    struct gt_gate *gate = arg;
+    struct rq_request *request;
+    struct rq_request *next;
+    TAILQ_FOREACH_SAFE (request, &gate->requests, link, next) {
+        struct rl_engine *relay = request->engine;
+        if (relay == NULL || relay->flight.endpoint == NULL ||
+            strcmp(Ch_Info(relay->flight.endpoint)->id, endpoint) != 0) {
+            continue;
+        }
+        drop_call(relay);
+        end_flight(relay, CH_CANCELLED);
+        next_attempt(relay);
+    }
+}
--- /dev/null
+++ b/packages/gate/relay_plain.c
@@ -0,0 +1,309 @@
+/*
+ * Relays a request to an endpoint of a plain service.
+ *
+ * A call that must not run twice is sent once.  It is sent again only while
+ * no byte of it can have left; when its answer is lost the caller is told
+ * that the outcome is unknown.
+ */
+#include <bsd/string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/endpoints.h"
+#include "gate/events.h"
+#include "gate/request.h"
+#include "web/client.h"
+
+#define Rl_ATTEMPTS 4
+#define Rl_ATTEMPT_MAX (Rq_ID_MAX + 16)
+#define Rl_TYPE_MAX 128
+#define Rl_URL_MAX 4096
+#define Rl_ANSWER_MAX ((size_t)4 << 20)
+#define Rl_RETRY_SOON_SEC 1
+/* How long an answer is still waited for when the caller no longer does. */
+#define Rl_LINGER (60 * Ck_USEC_PER_SEC)
+
+struct rl_plain {
+    struct hc_call *call;
+    struct ch_flight flight;
+    struct ch_table *table;
+    char attempt[Rl_ATTEMPT_MAX];
+    int attempts;
+    char type[Rl_TYPE_MAX];
+    bool matched; /* the answer carries this attempt's id */
+    bool lingering;
+};
+
+static void
+end_flight(struct rq_request *request, enum ch_outcome outcome)
+{
+    struct rl_plain *relay = request->plain;
+    if (relay->flight.endpoint != NULL) {
+        Ch_End(relay->table, &relay->flight, outcome,
+               Ck_Now(request->gate->clock));
+        relay->flight.endpoint = NULL;
+    }
+}
+
+static void
+take_headers(void *arg, struct hc_call *call, int code)
+{
+    struct rq_request *request = arg;
+    struct rl_plain *relay = request->plain;
+    const char *type = Hc_Header(call, "content-type");
+    strlcpy(relay->type, type != NULL ? type : "application/octet-stream",
+            sizeof(relay->type));
+    const char *id = Hc_Header(call, "x-request-id");
+    relay->matched = id != NULL && strcmp(id, relay->attempt) == 0;
+    Ch_FirstToken(relay->table, &relay->flight, Ck_Now(request->gate->clock));
+}
+
+/* Keeps the answer, so that a repeat under the same key gets it too. */
+static void
+record_result(struct rq_request *request, int code, const char *body,
+              size_t len)
+{
+    struct cl_answer answer = {
+        .code = code,
+        .body = body,
+        .len = len,
+    };
+    strlcpy(answer.type, request->plain->type, sizeof(answer.type));
+    Hash_Digest(body != NULL ? body : "", len, answer.digest);
+    Gc_Result(request->gate->claims, &request->key, &answer);
+    request->claimed = false;
+}
+
+static void
+answer_caller(struct rq_request *request, struct hc_call *call, int code)
+{
+    size_t len;
+    const char *body = Hc_Body(call, &len);
+    if (request->claimed) {
+        record_result(request, code, body, len);
+    }
+    if (request->http != NULL) {
+        struct web_header headers[] = {
+            {"cornelgate-request-id", request->id},
+            {"cornelgate-outcome", An_OutcomeName(AN_RAN)},
+        };
+        Hs_SetUser(request->http, NULL);
+        Hs_Reply(request->http, code, request->plain->type, headers, 2, body,
+                 len);
+        request->http = NULL;
+    }
+    Rq_Finish(request, AN_RAN);
+}
+
+/* The endpoint may have run a call that must not run twice. */
+static void
+outcome_unknown(struct rq_request *request)
+{
+    Ev_Log(&GT_OUTCOME_UNKNOWN, "request=%s service=%s", request->id,
+           request->service->name);
+    if (request->claimed) {
+        Gc_Unknown(request->gate->claims, &request->key);
+        request->claimed = false;
+    }
+    Rq_Refuse(request, AN_UNKNOWN, 0,
+              "the endpoint may have run this request and its answer is "
+              "lost; it will not be run again; ask the service about "
+              "request %s",
+              request->id);
+}
+
+static void attempt(struct rq_request *request);
+
+static void
+call_done(void *arg, struct hc_call *call, const struct hc_result *result)
+{
+    struct rq_request *request = arg;
+    struct rl_plain *relay = request->plain;
+    relay->call = NULL;
+    bool complete = result->stage == HC_COMPLETE;
+    if (complete && relay->matched && result->code < 500) {
+        end_flight(request, CH_GOOD);
+        answer_caller(request, call, result->code);
+        return;
+    }
+    end_flight(request, CH_FAILED);
+    if (complete && !relay->matched) {
+        /*
+         * The endpoint mixed up two answers.  This one belongs to somebody
+         * else and must not reach the caller.
+         */
+        Ev_Log(&GT_CROSSED, "request=%s service=%s", request->id,
+               request->service->name);
+        Gt_Count(request->gate, "cg_crossed_answers_total", NULL, NULL);
+    }
+    bool left = result->stage != HC_CONNECTING;
+    bool again = !left || request->repeatable;
+    if (again && request->http != NULL && relay->attempts < Rl_ATTEMPTS) {
+        Gt_Count(request->gate, "cg_retries_total", NULL, NULL);
+        attempt(request);
+        return;
+    }
+    if (complete && relay->matched) {
+        answer_caller(request, call, result->code);
+        return;
+    }
+    if (left && !request->repeatable) {
+        outcome_unknown(request);
+        return;
+    }
+    Rq_Refuse(request, left ? AN_UNKNOWN : AN_UNAVAILABLE, Rl_RETRY_SOON_SEC,
+              "no endpoint of %s gave an answer; come back later",
+              request->service->name);
+}
+
+static const struct hc_ops call_ops = {
+    .headers = take_headers,
+    .done = call_done,
+};
+
+static enum st_status
+send_call(struct rq_request *request)
+{
+    struct rl_plain *relay = request->plain;
+    const struct ch_info *info = Ch_Info(relay->flight.endpoint);
+    const char *key = Hs_Header(request->http, "idempotency-key");
+    const char *type = Hs_Header(request->http, "content-type");
+    struct web_header headers[] = {
+        {"x-request-id", relay->attempt},
+        {"idempotency-key", key != NULL ? key : ""},
+    };
+    char url[Rl_URL_MAX];
+    size_t body_len;
+    const char *body = Hs_Body(request->http, &body_len);
+    if (!Hs_Target(request->http, url, sizeof(url))) {
+        return St_Fail(ST_INVALID, "the path and query are too long");
+    }
+    struct hc_request call = {
+        .address = info->address,
+        .port = info->port,
+        .method = Hs_Method(request->http),
+        .path = url,
+        .type = body_len > 0 ? (type != NULL ? type : "text/plain") : NULL,
+        .headers = headers,
+        .header_count = key != NULL ? 2 : 1,
+        .body = body,
+        .body_len = body_len,
+        .collect_max = Rl_ANSWER_MAX,
+    };
+    return Hc_Start(request->gate->loop, &call, &call_ops, request,
+                    &relay->call);
+}
+
+static void
+attempt(struct rq_request *request)
+{
+    struct gt_gate *gate = request->gate;
+    struct rl_plain *relay = request->plain;
+    int64_t now = Ck_Now(gate->clock);
+    struct ch_request ask = {
+        .budget = request->deadline - now,
+        .tried = request->tried,
+        .tried_count = request->tried_count,
+    };
+    relay->table = Ep_Table(gate->endpoints, request->service->name);
+    if (relay->table == NULL ||
+        Ch_Choose(relay->table, &ask, now, &gate->random, &relay->flight) !=
+            ST_OK) {
+        relay->flight.endpoint = NULL;
+        Rq_Refuse(request, AN_UNAVAILABLE, Rl_RETRY_SOON_SEC,
+                  "no endpoint of %s is free; come back later",
+                  request->service->name);
+        return;
+    }
+    relay->attempts++;
+    relay->matched = false;
+    snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d", request->id,
+             relay->attempts);
+    if (send_call(request) != ST_OK) {
+        end_flight(request, CH_CANCELLED);
+        Rq_Refuse(request, AN_INVALID, 0, "%s", St_Message());
+    }
+}
+
+/* Sends the request to an endpoint; ends it sooner or later. */
+void
+Rl_PlainStart(struct rq_request *request)
+{
+    request->plain = calloc(1, sizeof(*request->plain));
+    if (request->plain == NULL) {
+        Rq_Refuse(request, AN_OVERLOADED, Rl_RETRY_SOON_SEC,
+                  "this host is out of memory; come back later");
+        return;
+    }
+    attempt(request);
+}
+
+/*
+ * Nobody waits any more.  What may not run twice is waited for a while
+ * longer, so that its result is kept for a repeat under the same key.
+ */
+void
+Rl_PlainCallerGone(struct rq_request *request)
+{
+    struct rl_plain *relay = request->plain;
+    bool left = relay->call != NULL && Hc_Stage(relay->call) != HC_CONNECTING;
+    if (left && request->claimed) {
+        relay->lingering = true;
+        Lp_TimerSet(request->timer, Rl_LINGER);
+        return;
+    }
+    end_flight(request, CH_CANCELLED);
+    if (!left && request->claimed) {
+        Gc_Release(request->gate->claims, &request->key);
+        request->claimed = false;
+    }
+    Rq_Finish(request, left ? AN_OUTCOME_UNKNOWN : AN_NOT_RUN);
+}
+
+/* The caller's time is up: it gets its final answer at once. */
+void
+Rl_PlainDeadline(struct rq_request *request)
+{
+    struct rl_plain *relay = request->plain;
+    bool left = relay->call != NULL && Hc_Stage(relay->call) != HC_CONNECTING;
+    if (!left) {
+        end_flight(request, CH_FAILED);
+        Rq_Refuse(request, AN_DEADLINE, Rl_RETRY_SOON_SEC,
+                  "no endpoint could be reached in time; come back later");
+        return;
+    }
+    if (request->repeatable) {
+        end_flight(request, CH_FAILED);
+        Rq_Refuse(request, AN_UNKNOWN, Rl_RETRY_SOON_SEC,
+                  "the endpoint has not answered in time; this request may "
+                  "be repeated");
+        return;
+    }
+    if (!request->claimed || relay->lingering) {
+        end_flight(request, CH_FAILED);
+        outcome_unknown(request);
+        return;
+    }
+    An_Refuse(request->http, request->id, AN_UNKNOWN, Rl_RETRY_SOON_SEC,
+              "the endpoint has not answered in time; ask again with the "
+              "same key to learn the outcome");
+    Hs_SetUser(request->http, NULL);
+    request->http = NULL;
+    relay->lingering = true;
+    Lp_TimerSet(request->timer, Rl_LINGER);
+}
+
+/* Frees the relay; its call is given up. */
+void
+Rl_PlainFree(struct rl_plain *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    if (relay->call != NULL) {
+        Hc_Cancel(relay->call);
+    }
+    free(relay);
+}
--- /dev/null
+++ b/packages/gate/request.c
@@ -0,0 +1,514 @@
+#include "gate/request.h"
+
+#include <bsd/stdlib.h>
+#include <bsd/string.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/event.h"
+#include "gate/events.h"
+
+#define Rq_KEY_MAX 255
+#define Rq_DEADLINE_MAX_MS 3600000
+#define Rq_DEFAULT_DEADLINE (60 * Ck_USEC_PER_SEC)
+#define Rq_LABELS_MAX 200
+#define Rq_RETRY_SOON_SEC 1
+
+static void
+make_id(struct rq_request *request)
+{
+    struct gt_gate *gate = request->gate;
+    snprintf(request->id, sizeof(request->id), "%s-%s-%llu",
+             gate->options->node_id, gate->incarnation,
+             (unsigned long long)++gate->next_request);
+}
+
+static void
+forget_tried(struct rq_request *request)
+{
+    for (size_t i = 0; i < request->tried_count; i++) {
+        free((char *)request->tried[i]);
+    }
+    request->tried_count = 0;
+}
+
+static void
+request_free(struct rq_request *request)
+{
+    TAILQ_REMOVE(&request->gate->requests, request, link);
+    if (request->http != NULL) {
+        Hs_SetUser(request->http, NULL);
+    }
+    if (request->claim != NULL) {
+        Gc_Cancel(request->claim);
+    }
+    Rl_EngineFree(request->engine);
+    Rl_PlainFree(request->plain);
+    En_PromptFree(&request->prompt);
+    Lp_TimerDestroy(request->timer);
+    forget_tried(request);
+    if (request->config != NULL) {
+        Cf_Destroy(request->config);
+    }
+    free(request);
+}
+
+/*
+ * Gives the key back when it was claimed but nothing has been sent: the
+ * caller may then repeat the request under the same key.
+ */
+static void
+release_claim(struct rq_request *request)
+{
+    if (request->claimed) {
+        Gc_Release(request->gate->claims, &request->key);
+        request->claimed = false;
+    }
+}
+
+static void
+observe(struct rq_request *request, const char *outcome)
+{
+    struct gt_gate *gate = request->gate;
+    char labels[Rq_LABELS_MAX];
+    snprintf(labels, sizeof(labels), "customer=\"%s\",class=\"%s\"",
+             request->customer != NULL ? request->customer->name : "",
+             request->patient ? "patient" : "urgent");
+    Mt_Observe(
+        Mt_Get(gate->metrics, MT_HISTOGRAM, "cg_request_seconds", labels),
+        Ck_Now(gate->clock) - request->arrived);
+    Gt_Count(gate, "cg_requests_total", "outcome", outcome);
+}
+
+/*
+ * Ends a request with a refusal and frees it.  A kind whose outcome is
+ * "not-run" must only be used while nothing has been sent to an endpoint, or
+ * when it is known that the endpoint ran nothing.
+ */
+void
+Rq_Refuse(struct rq_request *request, enum an_kind kind, int retry_after_sec,
+          const char *fmt, ...)
+{
+    char message[An_MESSAGE_MAX];
+    va_list args;
+    va_start(args, fmt);
+    vsnprintf(message, sizeof(message), fmt, args);
+    va_end(args);
+    if (An_Outcome(kind) == AN_NOT_RUN) {
+        release_claim(request);
+    }
+    observe(request, An_TypeName(kind));
+    if (request->http != NULL) {
+        Hs_SetUser(request->http, NULL);
+        An_Refuse(request->http, request->id, kind, retry_after_sec, "%s",
+                  message);
+        request->http = NULL;
+    }
+    request_free(request);
+}
+
+/* Ends a request whose answer has been given, or whose caller has gone. */
+void
+Rq_Finish(struct rq_request *request, enum an_outcome outcome)
+{
+    observe(request, An_OutcomeName(outcome));
+    request_free(request);
+}
+
+static void
+remember_tried(struct rq_request *request, const char *endpoint)
+{
+    if (request->tried_count < Rq_TRIED_MAX) {
+        request->tried[request->tried_count] = strdup(endpoint);
+        request->tried_count++;
+    }
+}
+
+/*
+ * Chooses an endpoint for the next attempt and starts the flight on it.  An
+ * endpoint that failed this request is taken again only when no other is
+ * left: with few replicas a second try beats a refusal.
+ */
+enum st_status
+Rq_Choose(struct rq_request *request, struct ch_table *table,
+          struct ch_request *ask, struct ch_flight *flight)
+{
+    struct gt_gate *gate = request->gate;
+    int64_t now = Ck_Now(gate->clock);
+    enum st_status status = ST_NOT_FOUND;
+    ask->tried = request->tried;
+    ask->tried_count = request->tried_count;
+    if (table != NULL) {
+        status = Ch_Choose(table, ask, now, &gate->random, flight);
+    }
+    if (status != ST_OK && table != NULL && request->tried_count > 0) {
+        forget_tried(request);
+        ask->tried_count = 0;
+        status = Ch_Choose(table, ask, now, &gate->random, flight);
+    }
+    if (status != ST_OK) {
+        flight->endpoint = NULL;
+        return St_Fail(ST_UNAVAILABLE, "no endpoint can take the request");
+    }
+    Ch_Start(table, flight, now);
+    remember_tried(request, Ch_Info(flight->endpoint)->id);
+    return ST_OK;
+}
+
+/* True when no request is under way. */
+bool
+Rq_Idle(const struct gt_gate *gate)
+{
+    return TAILQ_EMPTY(&gate->requests);
+}
+
+static void
+deadline_passed(void *arg)
+{
+    struct rq_request *request = arg;
+    switch (request->phase) {
+    case RQ_ARRIVED:
+    case RQ_QUEUED:
+    case RQ_CLAIMING:
+        Rq_Refuse(request, AN_DEADLINE, Rq_RETRY_SOON_SEC,
+                  "the deadline passed before an endpoint was free; allow "
+                  "more time or come back later");
+        return;
+    case RQ_RUNNING:
+        break;
+    }
+    if (request->engine != NULL) {
+        Rl_EngineDeadline(request);
+    }
+    else {
+        Rl_PlainDeadline(request);
+    }
+}
+
+static enum st_status
+read_deadline(struct rq_request *request)
+{
+    const char *text = Hs_Header(request->http, "cornelgate-deadline-ms");
+    int64_t limit = request->service->deadline_usec;
+    if (limit <= 0) {
+        limit = Rq_DEFAULT_DEADLINE;
+    }
+    if (text != NULL) {
+        const char *problem = NULL;
+        limit =
+            strtonum(text, 1, Rq_DEADLINE_MAX_MS, &problem) * Ck_USEC_PER_MSEC;
+        if (problem != NULL) {
+            return St_Fail(ST_INVALID,
+                           "cornelgate-deadline-ms is %s; give 1 to %d",
+                           problem, Rq_DEADLINE_MAX_MS);
+        }
+    }
+    request->deadline = request->arrived + limit;
+    Lp_TimerSet(request->timer, limit);
+    return ST_OK;
+}
+
+static enum st_status
+read_class(struct rq_request *request)
+{
+    const char *text = Hs_Header(request->http, "cornelgate-class");
+    if (text == NULL || strcmp(text, "urgent") == 0) {
+        return ST_OK;
+    }
+    if (strcmp(text, "patient") == 0) {
+        request->patient = true;
+        return ST_OK;
+    }
+    return St_Fail(ST_INVALID, "cornelgate-class must be urgent or patient");
+}
+
+/*
+ * The digest binds the key to the whole request, so that the same key with
+ * another body or path is found out.
+ */
+static void
+digest_body(struct rq_request *request)
+{
+    size_t len;
+    const char *body = Hs_Body(request->http, &len);
+    char path_digest[Hash_DIGEST_HEX];
+    char parts[2 * Hash_DIGEST_HEX];
+    const char *path = Hs_Path(request->http);
+    Hash_Digest(path, strlen(path), path_digest);
+    Hash_Digest(body, len, request->key.body_digest);
+    int n = snprintf(parts, sizeof(parts), "%s%s", path_digest,
+                     request->key.body_digest);
+    Hash_Digest(parts, (size_t)n, request->key.body_digest);
+}
+
+static enum st_status
+read_key(struct rq_request *request)
+{
+    const char *key = Hs_Header(request->http, "idempotency-key");
+    if (key == NULL) {
+        return ST_OK;
+    }
+    size_t len = strlen(key);
+    if (len == 0 || len > Rq_KEY_MAX) {
+        return St_Fail(ST_INVALID, "idempotency-key must have 1 to %d bytes",
+                       Rq_KEY_MAX);
+    }
+    request->keyed = true;
+    strlcpy(request->key.key.customer, request->customer->name,
+            sizeof(request->key.key.customer));
+    Hash_Digest(key, len, request->key.key.digest);
+    digest_body(request);
+    return ST_OK;
+}
+
+static bool
+is_completion(const char *path)
+{
+    return strcmp(path, "/v1/completions") == 0 ||
+           strcmp(path, "/v1/chat/completions") == 0;
+}
+
+static bool
+is_safe_method(const char *method)
+{
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+}
+
+/* Finds the service; on failure the request has been refused. */
+static bool
+route(struct rq_request *request)
+{
+    const struct cf_config *config = request->config;
+    const char *path = Hs_Path(request->http);
+    const char *method = Hs_Method(request->http);
+    if (!is_completion(path)) {
+        request->service = Cf_ServiceByPath(config, path);
+        if (request->service == NULL) {
+            Rq_Refuse(request, AN_NOT_FOUND, 0,
+                      "no service has this path; see the configuration");
+            return false;
+        }
+        request->repeatable =
+            request->service->idempotent || is_safe_method(method);
+        return true;
+    }
+    size_t len;
+    const char *body = Hs_Body(request->http, &len);
+    if (strcmp(method, "POST") != 0 ||
+        En_ReadPrompt(path, body, len, &request->prompt) != ST_OK) {
+        Rq_Refuse(request, AN_INVALID, 0, "%s",
+                  strcmp(method, "POST") != 0 ? "use POST" : St_Message());
+        return false;
+    }
+    request->repeatable = true;
+    request->service = Cf_ServiceByName(config, request->prompt.model);
+    if (request->service == NULL || request->service->kind != CF_ENGINE) {
+        Rq_Refuse(request, AN_NOT_FOUND, 0,
+                  "no model service has this name; see the configuration");
+        return false;
+    }
+    return true;
+}
+
+/* Finds the customer; on failure the request has been refused. */
+static bool
+authenticate(struct rq_request *request)
+{
+    const char *text = Hs_Header(request->http, "authorization");
+    const char scheme[] = "bearer ";
+    if (text != NULL && strncasecmp(text, scheme, sizeof(scheme) - 1) == 0) {
+        const char *key = text + sizeof(scheme) - 1;
+        char digest[Hash_DIGEST_HEX];
+        Hash_Digest(key, strlen(key), digest);
+        request->customer = Cf_CustomerByKey(request->config, digest);
+    }
+    if (request->customer == NULL) {
+        Rq_Refuse(request, AN_UNAUTHENTICATED, 0,
+                  "send the header authorization: Bearer KEY with a "
+                  "customer's key");
+        return false;
+    }
+    return true;
+}
+
+static void
+start_relay(struct rq_request *request)
+{
+    request->phase = RQ_RUNNING;
+    if (request->service->kind == CF_ENGINE) {
+        Rl_EngineStart(request);
+    }
+    else {
+        Rl_PlainStart(request);
+    }
+}
+
+static void
+answer_kept(struct rq_request *request, const struct cl_answer *kept)
+{
+    struct web_header headers[] = {
+        {"cornelgate-request-id", request->id},
+        {"cornelgate-outcome", An_OutcomeName(AN_RAN)},
+        {"cornelgate-repeated", "1"},
+        {"cornelgate-body-digest", kept->digest},
+    };
+    Hs_SetUser(request->http, NULL);
+    /* A body too large to keep is named by its digest only. */
+    Hs_Reply(request->http, kept->code, kept->type, headers,
+             kept->truncated ? 4 : 3, kept->body, kept->len);
+    request->http = NULL;
+    Rq_Finish(request, AN_RAN);
+}
+
+static void
+refuse_unknown(struct rq_request *request)
+{
+    Rq_Refuse(request, AN_UNKNOWN, 0,
+              "it cannot be known whether the first request with this key "
+              "took effect, and it will not be run again; ask the service");
+}
+
+static void
+claim_done(void *arg, const struct kp_answer *answer)
+{
+    struct rq_request *request = arg;
+    request->claim = NULL;
+    switch (answer->verdict) {
+    case KP_WON:
+        request->claimed = true;
+        start_relay(request);
+        return;
+    case KP_DONE:
+        if (answer->answer->code == Gc_UNKNOWN_CODE) {
+            refuse_unknown(request);
+            return;
+        }
+        answer_kept(request, answer->answer);
+        return;
+    case KP_REUSED:
+        Rq_Refuse(request, AN_KEY_REUSED, 0,
+                  "this idempotency key belongs to another request; use a "
+                  "new key for a new intent");
+        return;
+    case KP_IN_PROGRESS:
+        Rq_Refuse(request, AN_IN_PROGRESS, Rq_RETRY_SOON_SEC,
+                  "the first request with this key is still running; ask "
+                  "again with the same key");
+        return;
+    case KP_UNKNOWN:
+        refuse_unknown(request);
+        return;
+    case KP_NOT_RUN:
+        Ev_Log(&GT_CLAIM_FAILED, "request=%s reason=\"%s\"", request->id,
+               answer->reason);
+        Rq_Refuse(request, AN_UNAVAILABLE, Rq_RETRY_SOON_SEC,
+                  "the idempotency key could not be secured (%s); come back "
+                  "with the same key",
+                  answer->reason);
+        return;
+    }
+}
+
+static void
+start_claim(struct rq_request *request)
+{
+    request->phase = RQ_CLAIMING;
+    if (Gc_Claim(request->gate->claims, &request->key, request->deadline,
+                 claim_done, request, &request->claim) != ST_OK) {
+        Rq_Refuse(request, AN_UNAVAILABLE, Rq_RETRY_SOON_SEC, "%s",
+                  St_Message());
+    }
+}
+
+static void
+admit(struct rq_request *request)
+{
+    if (!request->repeatable && request->keyed) {
+        start_claim(request);
+        return;
+    }
+    start_relay(request);
+}
+
+static struct rq_request *
+request_create(struct gt_gate *gate, struct hs_request *http)
+{
+    struct rq_request *request = calloc(1, sizeof(*request));
+    if (request == NULL) {
+        return NULL;
+    }
+    request->gate = gate;
+    request->http = http;
+    request->arrived = Ck_Now(gate->clock);
+    if (gate->config != NULL) {
+        request->config = Cf_Ref(gate->config);
+    }
+    request->timer = Lp_TimerCreate(gate->loop, deadline_passed, request);
+    TAILQ_INSERT_TAIL(&gate->requests, request, link);
+    Hs_SetUser(http, request);
+    make_id(request);
+    return request;
+}
+
+/* Takes a complete request of a caller; it is answered now or later. */
+void
+Rq_Accept(struct gt_gate *gate, struct hs_request *http)
+{
+    struct rq_request *request = request_create(gate, http);
+    if (request == NULL) {
+        An_Refuse(http, "", AN_OVERLOADED, Rq_RETRY_SOON_SEC,
+                  "this host is out of memory; come back later");
+        return;
+    }
+    if (gate->draining) {
+        Rq_Refuse(request, AN_DRAINING, Rq_RETRY_SOON_SEC,
+                  "this host is stopping; connect again to reach another");
+        return;
+    }
+    if (gate->config == NULL) {
+        Rq_Refuse(request, AN_UNAVAILABLE, Rq_RETRY_SOON_SEC,
+                  "this host has no configuration yet; come back later");
+        return;
+    }
+    if (!authenticate(request) || !route(request)) {
+        return;
+    }
+    if (read_deadline(request) != ST_OK || read_class(request) != ST_OK ||
+        read_key(request) != ST_OK) {
+        Rq_Refuse(request, AN_INVALID, 0, "%s", St_Message());
+        return;
+    }
+    admit(request);
+}
+
+/* The caller closed its connection before the answer ended. */
+void
+Rq_CallerGone(struct gt_gate *gate, struct hs_request *http)
+{
+    struct rq_request *request = Hs_User(http);
+    if (request == NULL) {
+        return;
+    }
+    request->http = NULL;
+    switch (request->phase) {
+    case RQ_ARRIVED:
+    case RQ_QUEUED:
+    case RQ_CLAIMING:
+        release_claim(request);
+        Gt_Count(gate, "cg_callers_gone_total", NULL, NULL);
+        Rq_Finish(request, AN_NOT_RUN);
+        return;
+    case RQ_RUNNING:
+        Gt_Count(gate, "cg_callers_gone_total", NULL, NULL);
+        break;
+    }
+    if (request->engine != NULL) {
+        Rl_EngineCallerGone(request);
+    }
+    else {
+        Rl_PlainCallerGone(request);
+    }
+}
--- /dev/null
+++ b/packages/gate/request.h
@@ -0,0 +1,85 @@
+/*
+ * One caller's request from its arrival to its one answer.
+ *
+ *   Rq_Accept -> authenticate, route -> limits and queue -> claim (when it
+ *   must not run twice) -> relay -> Rq_Finish
+ */
+#ifndef GATE_REQUEST_H
+#define GATE_REQUEST_H
+
+#include "gate/answer.h"
+#include "gate/claims.h"
+#include "gate/gate.h"
+#include "platform/engine.h"
+#include "policy/choose.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Rq_ID_MAX 80
+#define Rq_TRIED_MAX 8
+
+struct rl_engine;
+struct rl_plain;
+
+enum rq_phase {
+    RQ_ARRIVED,
+    RQ_QUEUED,
+    RQ_CLAIMING,
+    RQ_RUNNING, /* an endpoint has or may have it */
+};
+
+struct rq_request {
+    TAILQ_ENTRY(rq_request) link;
+    struct gt_gate *gate;
+    struct hs_request *http; /* NULL once the caller has gone or is answered */
+    struct cf_config *config;
+    const struct cf_customer *customer;
+    const struct cf_service *service;
+    char id[Rq_ID_MAX];
+    enum rq_phase phase;
+    int64_t arrived;
+    int64_t deadline;
+    bool patient;
+    bool repeatable; /* running it twice does no harm */
+    bool keyed;
+    struct gc_key key;
+    struct gc_wait *claim;
+    bool claimed; /* the claim was won and not given back */
+    struct lp_timer *timer;
+    const char *tried[Rq_TRIED_MAX]; /* endpoints, owned copies */
+    size_t tried_count;
+    struct en_prompt prompt; /* of an engine request */
+    struct rl_engine *engine;
+    struct rl_plain *plain;
+};
+
+void Rq_Accept(struct gt_gate *gate, struct hs_request *http);
+void Rq_CallerGone(struct gt_gate *gate, struct hs_request *http);
+void Rq_Refuse(struct rq_request *request, enum an_kind kind,
+               int retry_after_sec, const char *fmt, ...)
+    __attribute__((format(printf, 4, 5)));
+void Rq_Finish(struct rq_request *request, enum an_outcome outcome);
+enum st_status Rq_Choose(struct rq_request *request, struct ch_table *table,
+                         struct ch_request *ask, struct ch_flight *flight);
+bool Rq_Idle(const struct gt_gate *gate);
+
+/* The relays; each ends the request by Rq_Refuse() or Rq_Finish(). */
+void Rl_EngineStart(struct rq_request *request);
+void Rl_EngineCallerGone(struct rq_request *request);
+void Rl_EngineDeadline(struct rq_request *request);
+void Rl_EngineDrained(struct rq_request *request);
+void Rl_EngineFree(struct rl_engine *relay);
+void Rl_EndpointLeaving(void *arg, const char *service, const char *endpoint,
+                        int64_t left_usec);
+void Rl_PlainStart(struct rq_request *request);
+void Rl_PlainCallerGone(struct rq_request *request);
+void Rl_PlainDeadline(struct rq_request *request);
+void Rl_PlainFree(struct rl_plain *relay);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/platform/hostlist.c
+++ b/packages/platform/hostlist.c
@@ -57,6 +57,28 @@
     host->state = text_is(item, "state", "leaving") ? HL_LEAVING : HL_LIVE;
 }
 
+/* Parses the hosts; the caller frees them.  NULL without memory. */
+static struct hl_host *
+parse_hosts(const json_t *items, size_t *count)
+{
+    struct hl_host *hosts = calloc(json_array_size(items) + 1, sizeof(*hosts));
+    *count = 0;
+    if (hosts == NULL) {
+        return NULL;
+    }
+    size_t i;
+    const json_t *item;
+    json_array_foreach (items, i, item) {
+        struct hl_host *host = &hosts[*count];
+        parse_host(item, host);
+        /* A host without an id or an address is of no use. */
+        if (host->id[0] != '\0' && host->address[0] != '\0') {
+            (*count)++;
+        }
+    }
+    return hosts;
+}
+
 static void
 fetch_done(void *arg, const struct jc_answer *answer)
 {
@@ -65,29 +87,20 @@
     struct hl_host *hosts = NULL;
     size_t count = 0;
     enum st_status status = answer->status;
-    if (status == ST_OK && (answer->code != 200 || !json_is_array(items))) {
+    if (status != ST_OK) {
+        St_Fail(status, "the host list did not answer; see its address");
+    }
+    else if (answer->code != 200 || !json_is_array(items)) {
         status =
             St_Fail(ST_UNAVAILABLE, "the host list answered %d without hosts",
                     answer->code);
     }
-    if (status == ST_OK) {
-        hosts = calloc(json_array_size(items) + 1, sizeof(*hosts));
+    else {
+        hosts = parse_hosts(items, &count);
         if (hosts == NULL) {
             status = St_Fail(ST_NO_MEMORY, "no memory for the host list");
         }
     }
-    if (status == ST_OK) {
-        size_t i;
-        const json_t *item;
-        json_array_foreach (items, i, item) {
-            parse_host(item, &hosts[count]);
-            /* A host without an id or an address is of no use. */
-            if (hosts[count].id[0] != '\0' &&
-                hosts[count].address[0] != '\0') {
-                count++;
-            }
-        }
-    }
     fetch->done(fetch->arg, status, hosts, count);
     free(hosts);
     free(fetch);
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -1,10 +1,15 @@
 #include "web/server.h"
 
+#include <arpa/inet.h>
 #include <bsd/string.h>
+#include <bsd/sys/queue.h>
+#include <ctype.h>
 #include <libwebsockets.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "web/internal.h"
 
@@ -18,10 +23,18 @@
 #define Hs_KEEPALIVE_SECS 60
 #define Hs_RECEIVE_SECS 20
 #define Hs_STALL_SECS 30
+#define Hs_BACKLOG 1024
+#define Hs_ACCEPTS_AT_ONCE 64
 
 struct hs_server {
+    TAILQ_ENTRY(hs_server) link;
     struct lp_loop *loop;
     struct lws_vhost *vhost;
+    struct lp_watch *listener;
+    int listen_fd;
+    int port;
+    struct in_addr address;
+    bool closing; /* every answer ends its connection */
     struct lws_protocols protocols[2];
     const struct hs_ops *ops;
     void *arg;
@@ -30,6 +43,11 @@
     size_t open;
 };
 
+TAILQ_HEAD(hs_servers, hs_server);
+
+/* Every server of this process; see server_of(). */
+static struct hs_servers servers = TAILQ_HEAD_INITIALIZER(servers);
+
 struct hs_request {
     struct hs_server *server;
     struct lws *wsi;
@@ -358,6 +376,33 @@
     request_free(request);
 }
 
+/*
+ * The server a connection came in by, told by its local address.  The
+ * library picks a virtual host of its own by the Host header once it has
+ * read it, and with two servers in one process that may be the other one: an
+ * operator's request would be answered as a caller's.
+ */
+static struct hs_server *
+server_of(struct lws *wsi)
+{
+    struct sockaddr_in at;
+    socklen_t len = sizeof(at);
+    if (getsockname(lws_get_socket_fd(wsi), (struct sockaddr *)&at, &len) !=
+        0) {
+        return NULL;
+    }
+    struct hs_server *server;
+    TAILQ_FOREACH (server, &servers, link) {
+        if (server->port == ntohs(at.sin_port) &&
+            (server->address.s_addr == at.sin_addr.s_addr ||
+             server->address.s_addr == htonl(INADDR_ANY)) &&
+            Lp_Context(server->loop) == lws_get_context(wsi)) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
 static int
 server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
                 void *in, size_t len)
@@ -365,9 +410,10 @@
     struct hs_request *request =
         wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
     if (reason == LWS_CALLBACK_HTTP) {
-        struct hs_server *server = lws_vhost_user(lws_get_vhost(wsi));
+        struct hs_server *server = server_of(wsi);
         /* A second request before the first one's answer: not supported. */
-        return request == NULL ? on_headers(server, wsi, in) : -1;
+        return request == NULL && server != NULL ? on_headers(server, wsi, in)
+                                                 : -1;
     }
     if (request == NULL) {
         if (reason == LWS_CALLBACK_HTTP_WRITEABLE) {
@@ -391,6 +437,93 @@
     }
 }
 
+static void
+accept_some(void *arg)
+{
+    struct hs_server *server = arg;
+    for (int i = 0; i < Hs_ACCEPTS_AT_ONCE; i++) {
+        int fd = accept4(server->listen_fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        /* On failure the library has closed the descriptor. */
+        lws_adopt_socket_vhost(server->vhost, fd);
+    }
+}
+
+static void
+listener_closed(void *arg)
+{
+    struct hs_server *server = arg;
+    server->listener = NULL;
+}
+
+static const struct lp_watch_ops listener_ops = {
+    .readable = accept_some,
+    .closed = listener_closed,
+};
+
+/*
+ * Listens on a socket of our own: the library cannot close its listener
+ * without its connections, and a planned stop needs just that.
+ */
+static enum st_status
+start_listener(struct hs_server *server, const struct hs_options *options)
+{
+    struct sockaddr_in at = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)options->port),
+    };
+    socklen_t at_len = sizeof(at);
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return St_Fail(ST_UNAVAILABLE, "no socket; allow more descriptors");
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (inet_pton(AF_INET, options->address, &at.sin_addr) != 1 ||
+        bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+        listen(fd, Hs_BACKLOG) != 0 ||
+        getsockname(fd, (struct sockaddr *)&at, &at_len) != 0) {
+        close(fd);
+        return St_Fail(ST_INVALID,
+                       "cannot listen on %s port %d; choose a free port and "
+                       "an address of this host",
+                       options->address, options->port);
+    }
+    server->listen_fd = fd;
+    server->port = ntohs(at.sin_port);
+    server->address = at.sin_addr;
+    server->listener = Lp_WatchCreate(server->loop, fd, &listener_ops, server);
+    if (server->listener == NULL) {
+        close(fd);
+        return St_Fail(ST_NO_MEMORY, "no memory to listen");
+    }
+    return ST_OK;
+}
+
+static enum st_status
+start_vhost(struct hs_server *server, const struct hs_options *options)
+{
+    char name[32];
+    snprintf(name, sizeof(name), "server-%p", (void *)server);
+    struct lws_context_creation_info info = {0};
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+    info.vhost_name = name;
+    info.protocols = server->protocols;
+    info.keepalive_timeout = Hs_KEEPALIVE_SECS;
+    info.timeout_secs = Hs_RECEIVE_SECS;
+    info.ssl_cert_filepath = options->tls_cert_file;
+    info.ssl_private_key_filepath = options->tls_key_file;
+    info.alpn = "http/1.1";
+    server->vhost = lws_create_vhost(Lp_Context(server->loop), &info);
+    if (server->vhost == NULL) {
+        return St_Fail(ST_INVALID, "cannot serve; check the TLS files");
+    }
+    return ST_OK;
+}
+
 /*
  * Starts to listen.  Fails with ST_INVALID when the address or the TLS files
  * cannot be used.
@@ -410,28 +543,18 @@
     server->body_max = options->body_max;
     server->protocols[0].name = "http";
     server->protocols[0].callback = server_callback;
-    char name[32];
-    snprintf(name, sizeof(name), "server-%p", (void *)server);
-    struct lws_context_creation_info info = {0};
-    info.port = options->port;
-    info.iface = options->address;
-    info.vhost_name = name;
-    info.protocols = server->protocols;
-    info.user = server;
-    info.keepalive_timeout = Hs_KEEPALIVE_SECS;
-    info.timeout_secs = Hs_RECEIVE_SECS;
-    info.ssl_cert_filepath = options->tls_cert_file;
-    info.ssl_private_key_filepath = options->tls_key_file;
-    info.alpn = "http/1.1";
-    server->vhost = lws_create_vhost(Lp_Context(loop), &info);
-    if (server->vhost == NULL ||
-        lws_get_vhost_listen_port(server->vhost) <= 0) {
+    enum st_status status = start_vhost(server, options);
+    if (status == ST_OK) {
+        status = start_listener(server, options);
+    }
+    if (status != ST_OK) {
+        if (server->vhost != NULL) {
+            lws_vhost_destroy(server->vhost);
+        }
         free(server);
-        return St_Fail(ST_INVALID,
-                       "cannot listen on %s port %d; choose a free port and "
-                       "an address of this host",
-                       options->address, options->port);
+        return status;
     }
+    TAILQ_INSERT_TAIL(&servers, server, link);
     *out = server;
     return ST_OK;
 }
@@ -440,7 +563,28 @@
 int
 Hs_Port(const struct hs_server *server)
 {
-    return lws_get_vhost_listen_port(server->vhost);
+    return server->port;
+}
+
+/* From now on every answer asks the caller to connect anew, elsewhere. */
+void
+Hs_CloseConnections(struct hs_server *server)
+{
+    server->closing = true;
+}
+
+/*
+ * Refuses new connections.  Those that have connected already are taken
+ * first, so that they are answered rather than reset.
+ */
+void
+Hs_StopListening(struct hs_server *server)
+{
+    if (server->listener != NULL) {
+        accept_some(server);
+        Lp_WatchDestroy(server->listener);
+        server->listener = NULL;
+    }
 }
 
 /* Requests that were taken and whose answer has not been written out. */
@@ -454,7 +598,10 @@
 void
 Hs_Destroy(struct hs_server *server)
 {
-    free(server);
+    if (server != NULL) {
+        TAILQ_REMOVE(&servers, server, link);
+        free(server);
+    }
 }
 
 /* The method in upper case. */
@@ -471,6 +618,46 @@
     return request->path;
 }
 
+/* Percent-encodes what may not stand in a path or query as it is. */
+static size_t
+encode(const char *text, const char *keep, char *out, size_t size)
+{
+    static const char hex[] = "0123456789ABCDEF";
+    size_t n = 0;
+    for (; *text != '\0' && n + 4 < size; text++) {
+        unsigned char c = (unsigned char)*text;
+        if (isalnum(c) || strchr(keep, c) != NULL) {
+            out[n++] = (char)c;
+            continue;
+        }
+        out[n++] = '%';
+        out[n++] = hex[c >> 4];
+        out[n++] = hex[c & 15];
+    }
+    out[n] = '\0';
+    return *text == '\0' ? n : size;
+}
+
+/*
+ * The path and query as they are sent on to an endpoint.  The library has
+ * decoded both; a "&" that was encoded within a query value cannot be told
+ * from a separator any more.  False when it does not fit.
+ */
+bool
+Hs_Target(const struct hs_request *request, char *out, size_t size)
+{
+    size_t n = encode(request->path, "/-._~!$'()*+,;:@=&", out, size);
+    if (n >= size || request->query[0] == '\0') {
+        return n < size;
+    }
+    if (n + 2 >= size) {
+        return false;
+    }
+    out[n++] = '?';
+    return encode(request->query, "/?-._~!$'()*,;:@=&", out + n, size - n) <
+           size - n;
+}
+
 /* A kept header by its lower-case name, or NULL. */
 const char *
 Hs_Header(const struct hs_request *request, const char *name)
@@ -594,6 +781,7 @@
     else {
         fits = fits && add(request, "transfer-encoding", "chunked", &at, end);
     }
+    request->close_after = request->close_after || request->server->closing;
     if (request->close_after) {
         fits = fits && add(request, "connection", "close", &at, end);
     }
--- a/packages/web/server.h
+++ b/packages/web/server.h
@@ -47,11 +47,14 @@
                          const struct hs_options *options,
                          struct hs_server **out);
 int Hs_Port(const struct hs_server *server);
+void Hs_CloseConnections(struct hs_server *server);
+void Hs_StopListening(struct hs_server *server);
 size_t Hs_OpenRequests(const struct hs_server *server);
 void Hs_Destroy(struct hs_server *server);
 
 const char *Hs_Method(const struct hs_request *request);
 const char *Hs_Path(const struct hs_request *request);
+bool Hs_Target(const struct hs_request *request, char *out, size_t size);
 const char *Hs_Header(const struct hs_request *request, const char *name);
 bool Hs_Query(const struct hs_request *request, const char *name, char *out,
               size_t size);
--- a/packages/web/test/web_test.cc
+++ b/packages/web/test/web_test.cc
@@ -252,4 +252,40 @@
     EXPECT_EQ(1200, f.body_total);
 }
 
+struct Named {
+    const char *name;
+};
+
+void
+on_named(void *arg, struct hs_request *request)
+{
+    const char *name = static_cast<Named *>(arg)->name;
+    Hs_Reply(request, 200, "text/plain", nullptr, 0, name, strlen(name));
+}
+
+const struct hs_ops kNamedOps = {on_named, on_gone, nullptr};
+
+/*
+ * An operator's request for readiness is refused as a caller's without a
+ * key. Two servers listen in one process; once the library has read the Host
+ * header it binds the connection to whichever came first.
+ */
+TEST_F(Web, TwoServersInOneProcessKeepApart)
+{
+    Named names[2] = {{"one"}, {"two"}};
+    struct hs_server *servers[2];
+    for (int i = 0; i < 2; i++) {
+        struct hs_options options = {};
+        options.address = "127.0.0.1";
+        options.ops = &kNamedOps;
+        options.arg = &names[i];
+        ASSERT_EQ(ST_OK, Hs_Create(f.loop, &options, &servers[i]));
+    }
+    Start("GET", "/", "", Hs_Port(servers[1]));
+    Lp_Run(f.loop);
+    EXPECT_EQ("two", f.answer);
+    Hs_Destroy(servers[0]);
+    Hs_Destroy(servers[1]);
+}
+
 } // namespace
--- /dev/null
+++ b/test/streams_test.cc
@@ -0,0 +1,152 @@
+// Streams survive what happens to their engines, byte for byte.
+#include <gtest/gtest.h>
+
+#include "test/scene.h"
+
+namespace {
+
+using cg::Completion;
+using cg::HttpResult;
+
+class Streams : public ::testing::Test {
+  protected:
+    void
+    Start(int engines, const std::vector<std::string> &args)
+    {
+        for (int i = 0; i < engines; i++) {
+            scene.AddEngine(args);
+        }
+        scene.PublishDefaults();
+        scene.cluster.AddMany(1);
+        ASSERT_TRUE(scene.cluster.WaitReady());
+    }
+
+    // The engine that runs a request now, or -1.
+    int
+    Busy()
+    {
+        for (size_t i = 0; i < scene.engines.size(); i++) {
+            if (scene.engines[i]->process().Running() &&
+                scene.engines[i]->Get("/v1/load").json()["running"].Int() >
+                    0) {
+                return (int)i;
+            }
+        }
+        return -1;
+    }
+
+    static void
+    ExpectWhole(const HttpResult &result, const std::string &prompt,
+                int tokens)
+    {
+        Completion answer = cg::ReadCompletion(result);
+        EXPECT_EQ(200, result.code) << result.body;
+        EXPECT_TRUE(answer.done) << result.body;
+        EXPECT_EQ(cg::ExpectedAnswer(prompt, tokens), answer.text);
+        for (size_t i = 0; i < answer.indexes.size(); i++) {
+            ASSERT_EQ((int)i, answer.indexes[i]);
+        }
+    }
+
+    cg::Scene scene;
+};
+
+TEST_F(Streams, WholeAndStreamedAnswersAreTheEnginesOwn)
+{
+    Start(2, {"--token-us", "200"});
+    for (int i = 0; i < 20; i++) {
+        std::string prompt = "question " + std::to_string(i);
+        ExpectWhole(cg::Http(scene.Complete(0, prompt, 30, i % 2 == 0)),
+                    prompt, 30);
+    }
+}
+
+/*
+ * A parent reads an answer on the phone when the engine's host dies without
+ * notice. The stream must go on at another engine from the very next token.
+ */
+TEST_F(Streams, AnEngineKilledInMidStream)
+{
+    Start(3, {"--token-us", "5000"});
+    for (bool stream : {true, false}) {
+        std::string prompt = stream ? "tell me a lot" : "and more";
+        auto answer = cg::HttpAsync(scene.Complete(0, prompt, 200, stream));
+        int busy = -1;
+        ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+        scene.engines[(size_t)busy]->process().Kill();
+        ExpectWhole(answer.get(), prompt, 200);
+    }
+}
+
+/*
+ * The cloud announces that a host will be taken. Streams on it go on
+ * elsewhere before it is gone, and it gets no new work.
+ */
+TEST_F(Streams, AReclaimNoticeInMidStream)
+{
+    Start(3, {"--token-us", "10000"});
+    auto answer = cg::HttpAsync(scene.Complete(0, "long story", 300, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    std::string host = "engine-" + std::to_string(busy);
+    scene.engines[(size_t)busy]->Leave(1500);
+    scene.platform.Notice(host, 1500);
+    ExpectWhole(answer.get(), "long story", 300);
+    EXPECT_TRUE(cg::Eventually(
+        [&] { return !scene.engines[(size_t)busy]->process().Running(); }));
+    ExpectWhole(cg::Http(scene.Complete(0, "after", 10, true)), "after", 10);
+}
+
+/*
+ * An engine sends another request's tokens into a stream. They carry another
+ * id and must not reach the caller, who still gets the whole answer.
+ */
+TEST_F(Streams, CrossedTokensAreDropped)
+{
+    Start(2, {"--token-us", "500"});
+    for (auto &engine : scene.engines) {
+        engine->Fault("{\"mode\":\"crossed\",\"count\":1}");
+    }
+    auto other = cg::HttpAsync(scene.Complete(0, "mine", 100, true));
+    ExpectWhole(cg::Http(scene.Complete(0, "yours", 60, true)), "yours", 60);
+    ExpectWhole(other.get(), "mine", 100);
+    EXPECT_GT(scene.Metric(0, "cg_crossed_answers_total"), 0);
+}
+
+TEST_F(Streams, ATruncatedStreamIsGoneOnWith)
+{
+    Start(3, {"--token-us", "500"});
+    for (auto &engine : scene.engines) {
+        engine->Fault("{\"mode\":\"truncate\",\"tokens\":7,\"count\":1}");
+    }
+    ExpectWhole(cg::Http(scene.Complete(0, "cut me", 50, true)), "cut me", 50);
+}
+
+/*
+ * Every engine fails. The caller gets a final answer at once, and a stream
+ * that had begun does not end as if it were whole.
+ */
+TEST_F(Streams, AStreamThatCannotGoOnIsNotCalledWhole)
+{
+    Start(2, {"--token-us", "5000"});
+    auto answer = cg::HttpAsync(scene.Complete(0, "doomed", 400, true));
+    ASSERT_TRUE(cg::Eventually([&] { return Busy() >= 0; }));
+    for (auto &engine : scene.engines) {
+        engine->process().Kill();
+    }
+    Completion completion = cg::ReadCompletion(answer.get());
+    EXPECT_FALSE(completion.done);
+    EXPECT_EQ("unknown", completion.error);
+}
+
+TEST_F(Streams, WithoutAnyEngineTheRefusalIsTrue)
+{
+    Start(1, {});
+    scene.engines[0]->process().Kill();
+    HttpResult result = cg::Http(scene.Complete(0, "nobody", 5, false));
+    EXPECT_GE(result.code, 500);
+    EXPECT_NE("ran", result.Header("cornelgate-outcome"));
+    EXPECT_NE("", result.Header("retry-after"));
+}
+
+} // namespace
