--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -45,9 +45,9 @@
     start.args = {
         "--node-id",     options.id,
         "--address",     "127.0.0.1",
-        "--port",        "0",
-        "--admin-port",  "0",
-        "--peer-port",   "0",
+        "--port",        std::to_string(options.port),
+        "--admin-port",  std::to_string(options.admin_port),
+        "--peer-port",   std::to_string(options.peer_port),
         "--data-centre", options.data_centre,
         "--region",      options.region,
         "--log",         OrElse(options.log, platform),
@@ -57,6 +57,7 @@
     };
     start.args.insert(start.args.end(), options.args.begin(),
                       options.args.end());
+    start.env = options.env;
     start.env["CORNELGATE_CLUSTER_KEY"] = key_;
     return std::make_unique<Process>(start);
 }
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -21,9 +21,15 @@
     std::string hosts;
     std::string cloud;
     std::string weights;
-    // Shown in the host list instead of the real one; 0: the real one.
+    // Ports to use; 0: any free one.
+    int port = 0;
+    int admin_port = 0;
+    int peer_port = 0;
+    // Shown in the host list instead of the real one, e.g. of a fault proxy
+    // before a "peer_port" from FreePort(); 0: the real one.
     int listed_peer_port = 0;
     std::vector<std::string> args; // further flags
+    std::map<std::string, std::string> env;
 };
 
 // An endpoint as the host list shows it.
@@ -51,7 +57,7 @@
     // Starts "count" daemons, spread over the data centres in turn.
     void AddMany(size_t count,
                  const std::vector<std::string> &data_centres = {"dc-1"});
-    // Starts a daemon that has ended again, on new ports, under its id.
+    // Starts a daemon that has ended again under its id.
     void Restart(size_t i);
 
     size_t
--- a/test/contract_platform_test.cc
+++ b/test/contract_platform_test.cc
@@ -43,6 +43,54 @@
     EXPECT_EQ(0U, hosts.Get("/hosts/v1").json()["hosts"].Size());
 }
 
+struct ReadPath {
+    const char *target;
+    const char *path;
+};
+
+const ReadPath kReadPaths[] = {
+    {"hosts", "/hosts/v1"},
+    {"cloud", "/cloud/v1/offers"},
+    {"cloud", "/cloud/v1/hosts"},
+    {"notices", "/cloud/v1/notices?from=1"},
+    {"weights", "/weights/v1/loads/1"},
+};
+
+const FaultCase kReadFaults[] = {
+    {"outage", R"({"mode":"refuse"})", 503, true, true, false},
+    {"reset", R"({"mode":"reset_before"})", 0, false, false, false},
+    {"lost answer", R"({"mode":"lost_answer"})", 0, false, false, false},
+    {"late answer", R"({"mode":"delay","delay_ms":10})", 200, true, true,
+     false},
+    {"garbage", R"({"mode":"garbage"})", 200, true, false, false},
+    {"cut answer", R"({"mode":"truncate"})", 200, false, false, false},
+    {"slow answer", R"({"mode":"slow_bytes","delay_ms":1})", 200, true, true,
+     false},
+};
+
+/*
+ * A half or spoilt list is taken for the whole one, and every host that it
+ * lacks for gone.  The table holds for whatever is read from the platform.
+ */
+TEST(ContractPlatform, FaultsOfEveryRead)
+{
+    cg::Platform platform({"--load-ms", "0"});
+    platform.Post("/weights/v1/loads", Json().Set("host", "h-1"));
+    for (const ReadPath &read : kReadPaths) {
+        for (const FaultCase &item : kReadFaults) {
+            SCOPED_TRACE(std::string(read.path) + " " + Describe(item));
+            platform.Clear();
+            Json fault = Json::Parse(item.fault);
+            platform.Fault(fault.Set("target", read.target).Set("count", 1));
+            HttpResult result = platform.Get(read.path);
+            EXPECT_EQ(item.code, result.code);
+            EXPECT_EQ(item.complete, result.complete);
+            EXPECT_EQ(item.json, !result.json().IsNull());
+            EXPECT_EQ(200, platform.Get(read.path).code);
+        }
+    }
+}
+
 class ContractCloud : public ::testing::Test {
   protected:
     Json
--- a/test/process.cc
+++ b/test/process.cc
@@ -135,6 +135,7 @@
     } catch (...) {
         Kill();
         close(out_);
+        unlink(error_path_.c_str());
         throw;
     }
 }
