web: keep a server's name and address as long as the library does

libwebsockets stores the pointers to a vhost's name and interface. The name lay on the stack of Hs_Create(), so every later request compared its host with whatever lay there; the address sanitizer reported it in the log's contract test. Both are now held by the server.

--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -8,6 +8,7 @@
 
 #include "web/internal.h"
 
+#define Hs_NAME_MAX 64
 #define Hs_HEADER_BLOCK 4096
 #define Hs_VALUE_MAX 1024
 #define Hs_PATH_MAX 1024
@@ -28,6 +29,8 @@
     const char *const *headers;
     size_t body_max;
     size_t open;
+    char name[Hs_NAME_MAX];
+    char address[Hs_NAME_MAX];
 };
 
 struct hs_request {
@@ -410,12 +413,13 @@
     server->body_max = options->body_max;
     server->protocols[0].name = "http";
     server->protocols[0].callback = server_callback;
-    char name[32];
-    snprintf(name, sizeof(name), "server-%p", (void *)server);
+    /* The library keeps these two pointers as long as the vhost lives. */
+    snprintf(server->name, sizeof(server->name), "server-%p", (void *)server);
+    strlcpy(server->address, options->address, sizeof(server->address));
     struct lws_context_creation_info info = {0};
     info.port = options->port;
-    info.iface = options->address;
-    info.vhost_name = name;
+    info.iface = server->address;
+    info.vhost_name = server->name;
     info.protocols = server->protocols;
     info.user = server;
     info.keepalive_timeout = Hs_KEEPALIVE_SECS;
