--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -13,6 +13,7 @@
 
 #include "web/internal.h"
 
+#define Hs_NAME_MAX 64
 #define Hs_HEADER_BLOCK 4096
 #define Hs_VALUE_MAX 1024
 #define Hs_PATH_MAX 1024
@@ -41,6 +42,7 @@
     const char *const *headers;
     size_t body_max;
     size_t open;
+    char name[Hs_NAME_MAX];
 };
 
 TAILQ_HEAD(hs_servers, hs_server);
@@ -506,11 +508,11 @@
 static enum st_status
 start_vhost(struct hs_server *server, const struct hs_options *options)
 {
-    char name[32];
-    snprintf(name, sizeof(name), "server-%p", (void *)server);
     struct lws_context_creation_info info = {0};
+    /* The library keeps this pointer as long as the vhost lives. */
+    snprintf(server->name, sizeof(server->name), "server-%p", (void *)server);
     info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
-    info.vhost_name = name;
+    info.vhost_name = server->name;
     info.protocols = server->protocols;
     info.keepalive_timeout = Hs_KEEPALIVE_SECS;
     info.timeout_secs = Hs_RECEIVE_SECS;
