Name the lists of the limits and the queue for cppcheck

Cause: cppcheck reads a list head without a tag as a syntax error and an RB_GENERATE without a semicolon as an unknown macro.

--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -33,7 +33,7 @@
     uint64_t rank;
     bool heard;
     int64_t heard_at;
-    TAILQ_HEAD(, peer_demand) demands;
+    TAILQ_HEAD(demand_list, peer_demand) demands;
 };
 
 /* The least value computed of late; a raise counts only when it has held. */
@@ -64,9 +64,9 @@
 struct am_limits {
     char self[Am_NAME_MAX];
     uint64_t rank;
-    TAILQ_HEAD(, peer) peers;
+    TAILQ_HEAD(peer_list, peer) peers;
     size_t peer_count;
-    TAILQ_HEAD(, customer) customers;
+    TAILQ_HEAD(customer_list, customer) customers;
     struct am_part *parts; /* scratch, peer_count + 1 long */
     size_t parts_size;
 };
--- a/packages/policy/queue.c
+++ b/packages/policy/queue.c
@@ -31,7 +31,7 @@
 
 struct qu_queue {
     struct qu_settings settings;
-    LIST_HEAD(, qu_flow) flows;
+    LIST_HEAD(flow_list, qu_flow) flows;
     double virtual_now;
     int length;
     size_t bytes;
@@ -47,8 +47,8 @@
     return (a->order > b->order) - (a->order < b->order);
 }
 
-RB_GENERATE_INTERNAL(qu_tree, qu_item, entry, compare,
-                     __attribute__((unused)) static)
+RB_PROTOTYPE(qu_tree, qu_item, entry, compare);
+RB_GENERATE(qu_tree, qu_item, entry, compare);
 
 /* Bounds that fit a daemon of 32 MB. */
 void
