Streams through a reclaim: finish, move or resume

Cause: an endpoint with a reclaim notice takes its streams with it, and two endpoints sending for one stream can mix their texts.

--- a/tools/policy_bench.c
+++ b/tools/policy_bench.c
@@ -3,11 +3,13 @@
  * docs/design are its output.  "policy_bench choice" runs one part, without
  * an argument it runs all.
  */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "model.h"
 #include "policy/choose.h"
+#include "policy/stream.h"
 
 #define SEEDS 10
 
@@ -64,6 +66,119 @@
     printf("\n");
 }
 
+#define STREAMS 20000
+
+struct stream_result {
+    double finished;
+    double moved;
+    double resumed;
+    double cut; /* by the reclaim, then resumed from the text so far */
+    double recomputed;
+    double gap; /* ms, of those that had one */
+};
+
+enum way { BY_DECISION, LEAVE_ALL, RESUME_ALL, MOVE_ALL, WAYS };
+
+static const char *const way_names[WAYS] = {"decided", "left where they are",
+                                            "all resumed", "all moved"};
+
+static void
+run_stream(enum way way, const struct sm_target *target,
+           struct sm_stream stream, int tokens_left, struct rn_random *random,
+           struct stream_result *sum)
+{
+    struct sm_settings settings;
+    struct sm_decision decision;
+    int64_t now = 0;
+    int64_t gone = stream.left;
+    int expected = stream.tokens_expected;
+    int first = tokens_left;
+    Sm_Defaults(&settings);
+    for (;;) {
+        stream.left = gone - now;
+        Sm_Decide(&settings, &stream, target, random, &decision);
+        if (way == LEAVE_ALL) {
+            decision = (struct sm_decision){.act_after = gone};
+        }
+        else if (way == RESUME_ALL) {
+            decision.plan = SM_RESUME;
+            decision.act_after = 0;
+        }
+        else if (way == MOVE_ALL) {
+            decision.plan = SM_MOVE;
+            decision.act_after = 0;
+        }
+        int64_t until = now + decision.act_after;
+        until = until < gone ? until : gone;
+        int done = (int)((until - now) / stream.token_usec) + 1;
+        done = done < tokens_left ? done : tokens_left;
+        stream.tokens_given += done;
+        tokens_left -= done;
+        now = until;
+        if (tokens_left == 0) {
+            sum->finished++;
+            return;
+        }
+        int already = first - tokens_left;
+        stream.tokens_expected = expected > already ? expected - already : 50;
+        if (now >= gone || decision.plan != SM_FINISH) {
+            break;
+        }
+    }
+    int context = stream.prompt_tokens + stream.tokens_given;
+    int64_t move = target->move_usec + target->move_per_token * context;
+    bool can_move = decision.plan == SM_MOVE && now + move <= gone;
+    if (can_move) {
+        sum->moved++;
+        sum->gap += (double)move;
+        return;
+    }
+    sum->cut += now >= gone || decision.plan == SM_MOVE;
+    sum->resumed++;
+    sum->recomputed += context;
+    sum->gap += (double)(target->prefill_per_token * context);
+}
+
+static void
+bench_streams(void)
+{
+    const struct sm_target target = {true, true, 0, 0, 50000, 20, 100};
+    const int64_t notices[] = {2000000, 5000000, 30000000};
+    printf("%d streams, of 500 to 8,000 prompt tokens and 400 tokens of "
+           "answer in the mean,\nby the time left; per 100 streams\n\n"
+           "| left, s | way | finished | moved | resumed | cut | tokens "
+           "recomputed a stream | gap, ms |\n"
+           "| --- | --- | --- | --- | --- | --- | --- | --- |\n",
+           STREAMS);
+    for (size_t n = 0; n < sizeof(notices) / sizeof(notices[0]); n++) {
+        for (int way = 0; way < WAYS; way++) {
+            struct stream_result sum = {0};
+            struct rn_random random;
+            Rn_Seed(&random, 1);
+            for (int i = 0; i < STREAMS; i++) {
+                struct sm_stream stream = {notices[n], 0, 0, 400, 33000};
+                double skew = Rn_Unit(&random);
+                stream.prompt_tokens = 500 + (int)(skew * skew * 7500);
+                double unit = Rn_Unit(&random);
+                int left = 1 + (int)(-400 * log(1 - unit));
+                uint64_t seed = (uint64_t)i;
+                struct rn_random own;
+                Rn_Seed(&own, seed);
+                run_stream((enum way)way, &target, stream, left, &own, &sum);
+            }
+            double gaps = sum.moved + sum.resumed;
+            printf("| %lld | %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f "
+                   "|\n",
+                   (long long)(notices[n] / 1000000), way_names[way],
+                   sum.finished * 100 / STREAMS, sum.moved * 100 / STREAMS,
+                   sum.resumed * 100 / STREAMS, sum.cut * 100 / STREAMS,
+                   sum.recomputed / STREAMS,
+                   gaps > 0 ? sum.gap / gaps / 1e3 : 0);
+        }
+    }
+    printf("\n");
+}
+
 struct part {
     const char *name;
     void (*run)(void);
@@ -71,6 +186,7 @@
 
 static const struct part parts[] = {
     {"choice", bench_choice},
+    {"streams", bench_streams},
 };
 
 int
