--- /dev/null
+++ b/packages/member/fact.c
@@ -0,0 +1,427 @@
+/* Taking facts in, publishing them and handing them out for spreading. */
+#include "member/fact.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/fact_internal.h"
+
+#define Fc_FACTS_MAX 16384
+#define Fc_SPREAD 6
+#define Fc_FORGET_MIN_USEC (60 * Ck_USEC_PER_SEC)
+#define Fc_SETTLED_USEC (2 * Ck_USEC_PER_SEC)
+
+RB_GENERATE(fc_tree, fc_entry, node, fc_compare);
+
+int
+fc_compare(const struct fc_entry *a, const struct fc_entry *b)
+{
+    if (a->name_hash != b->name_hash) {
+        return a->name_hash < b->name_hash ? -1 : 1;
+    }
+    int order = strcmp(a->owner, b->owner);
+    return order != 0 ? order : strcmp(a->key, b->key);
+}
+
+/* Creates an empty table of facts. */
+enum st_status
+Fc_Create(const struct fc_options *options, struct fc_table **out)
+{
+    struct fc_table *facts = calloc(1, sizeof(*facts));
+    if (facts == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the fact table");
+    }
+    strlcpy(facts->node, options->node, sizeof(facts->node));
+    facts->clock = options->clock;
+    facts->changed = options->changed;
+    facts->arg = options->arg;
+    facts->facts_max =
+        options->facts_max != 0 ? options->facts_max : Fc_FACTS_MAX;
+    RB_INIT(&facts->entries);
+    SLIST_INIT(&facts->watches);
+    for (int scope = 0; scope < Fc_SCOPES; scope++) {
+        TAILQ_INIT(&facts->queues[scope]);
+        TAILQ_INIT(&facts->sent[scope]);
+        facts->spread[scope] = Fc_SPREAD;
+    }
+    *out = facts;
+    return ST_OK;
+}
+
+static void
+unqueue(struct fc_table *facts, struct fc_entry *entry)
+{
+    Fc_TakeBegin(facts);
+    if (entry->left > 0) {
+        TAILQ_REMOVE(&facts->queues[entry->scope], entry, queued);
+        entry->left = 0;
+    }
+}
+
+static void
+drop(struct fc_table *facts, struct fc_entry *entry)
+{
+    unqueue(facts, entry);
+    RB_REMOVE(fc_tree, &facts->entries, entry);
+    facts->count--;
+    free(entry->value);
+    free(entry);
+}
+
+void
+Fc_Destroy(struct fc_table *facts)
+{
+    if (facts == NULL) {
+        return;
+    }
+    Fc_TakeBegin(facts);
+    struct fc_entry *entry;
+    while ((entry = RB_MIN(fc_tree, &facts->entries)) != NULL) {
+        drop(facts, entry);
+    }
+    struct fc_watch *watch;
+    while ((watch = SLIST_FIRST(&facts->watches)) != NULL) {
+        SLIST_REMOVE_HEAD(&facts->watches, link);
+        free(watch);
+    }
+    free(facts);
+}
+
+/*
+ * Calls "changed" for facts whose key begins with the prefix, this node's
+ * own included, from now on.
+ */
+enum st_status
+Fc_Watch(struct fc_table *facts, const char *key_prefix, fc_changed_fn changed,
+         void *arg)
+{
+    struct fc_watch *watch = calloc(1, sizeof(*watch));
+    if (watch == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory to watch facts");
+    }
+    strlcpy(watch->prefix, key_prefix, sizeof(watch->prefix));
+    watch->changed = changed;
+    watch->arg = arg;
+    SLIST_INSERT_HEAD(&facts->watches, watch, link);
+    return ST_OK;
+}
+
+static void
+tell(struct fc_table *facts, const struct fc_entry *entry)
+{
+    struct fc_fact fact;
+    fc_view(facts, entry, &fact);
+    if (facts->changed != NULL) {
+        facts->changed(facts->arg, &fact);
+    }
+    struct fc_watch *watch;
+    SLIST_FOREACH (watch, &facts->watches, link) {
+        if (strncmp(fact.key, watch->prefix, strlen(watch->prefix)) == 0) {
+            watch->changed(watch->arg, &fact);
+        }
+    }
+}
+
+static void
+enqueue(struct fc_table *facts, struct fc_entry *entry, int left)
+{
+    unqueue(facts, entry);
+    entry->left = left;
+    if (left > 0) {
+        TAILQ_INSERT_HEAD(&facts->queues[entry->scope], entry, queued);
+    }
+}
+
+static struct fc_entry *
+add_entry(struct fc_table *facts, const char *owner, const char *key)
+{
+    if (facts->count >= facts->facts_max) {
+        return NULL;
+    }
+    struct fc_entry *entry = calloc(1, sizeof(*entry));
+    if (entry == NULL) {
+        return NULL;
+    }
+    strlcpy(entry->owner, owner, sizeof(entry->owner));
+    strlcpy(entry->key, key, sizeof(entry->key));
+    entry->name_hash = fc_name_hash(owner, key);
+    entry->expired = true;
+    RB_INSERT(fc_tree, &facts->entries, entry);
+    facts->count++;
+    return entry;
+}
+
+/* Puts a version and its value in place of the former. */
+static bool
+replace(struct fc_table *facts, struct fc_entry *entry,
+        const struct fc_fact *fact)
+{
+    void *value = malloc(fact->len + 1);
+    if (value == NULL) {
+        return false;
+    }
+    if (fact->len > 0) {
+        memcpy(value, fact->value, fact->len);
+    }
+    unqueue(facts, entry);
+    free(entry->value);
+    entry->value = value;
+    entry->len = fact->len;
+    entry->version = fact->version;
+    entry->scope = fact->scope;
+    entry->expired = false;
+    entry->taken_usec = Ck_Now(facts->clock);
+    entry->expires_usec =
+        fact->ttl_usec != 0 ? entry->taken_usec + fact->ttl_usec : 0;
+    int64_t kept = fact->ttl_usec > Fc_FORGET_MIN_USEC ? fact->ttl_usec
+                                                       : Fc_FORGET_MIN_USEC;
+    entry->forget_usec = entry->expires_usec + kept;
+    enqueue(facts, entry, facts->spread[entry->scope]);
+    return true;
+}
+
+/* Of equal versions the greater value wins, on every node alike. */
+static int
+compare_values(const struct fc_entry *entry, const struct fc_fact *fact)
+{
+    if (fact->len != entry->len) {
+        return fact->len > entry->len ? 1 : -1;
+    }
+    return fact->len == 0 ? 0 : memcmp(fact->value, entry->value, fact->len);
+}
+
+static bool
+is_news(const struct fc_entry *entry, const struct fc_fact *fact)
+{
+    if (fact->version != entry->version) {
+        return fact->version > entry->version;
+    }
+    return !entry->expired && compare_values(entry, fact) > 0;
+}
+
+static enum st_status
+check_post(const struct fc_post *post)
+{
+    if (post->key[0] == '\0' || strlen(post->key) >= Fc_KEY_MAX) {
+        return St_Fail(ST_INVALID, "a fact's key has 1 to %d bytes",
+                       Fc_KEY_MAX - 1);
+    }
+    if (post->len > Fc_VALUE_MAX) {
+        return St_Fail(ST_INVALID,
+                       "fact %s has a value of %zu bytes; at most %d fit",
+                       post->key, post->len, Fc_VALUE_MAX);
+    }
+    if (post->owned && post->ttl_usec == 0) {
+        return St_Fail(ST_INVALID,
+                       "fact %s of one node needs a time to live, since the "
+                       "node may go for good",
+                       post->key);
+    }
+    return ST_OK;
+}
+
+/*
+ * Publishes a fact.  ST_INVALID for a key or value out of bounds,
+ * ST_CONFLICT when a version as late is known, ST_OVERLOAD when the table is
+ * full.
+ */
+enum st_status
+Fc_Publish(struct fc_table *facts, const struct fc_post *post)
+{
+    enum st_status status = check_post(post);
+    if (status != ST_OK) {
+        return status;
+    }
+    const char *owner = post->owned ? facts->node : "";
+    struct fc_entry *entry = fc_find(facts, owner, post->key);
+    uint64_t known = entry != NULL ? entry->version : 0;
+    struct fc_fact fact = {
+        .owner = owner,
+        .key = post->key,
+        .version = post->version != 0 ? post->version : known + 1,
+        .scope = post->scope,
+        .ttl_usec = post->ttl_usec,
+        .value = post->value,
+        .len = post->len,
+    };
+    if (entry != NULL && fact.version == known && !entry->expired &&
+        compare_values(entry, &fact) == 0) {
+        return ST_OK;
+    }
+    if (entry != NULL && !is_news(entry, &fact)) {
+        return St_Fail(ST_CONFLICT,
+                       "fact %s is known at version %llu; publish a later one",
+                       post->key, (unsigned long long)known);
+    }
+    if (entry == NULL) {
+        entry = add_entry(facts, owner, post->key);
+    }
+    if (entry == NULL) {
+        return St_Fail(ST_OVERLOAD,
+                       "the table holds %zu facts already; publish fewer keys",
+                       facts->count);
+    }
+    if (!replace(facts, entry, &fact)) {
+        drop(facts, entry);
+        return St_Fail(ST_NO_MEMORY, "no memory for fact %s", post->key);
+    }
+    entry->published = true;
+    tell(facts, entry);
+    return ST_OK;
+}
+
+/*
+ * A peer that still spreads an old version is told the new one; while a new
+ * version is on its way that happens anyhow.
+ */
+static void
+heard_older(struct fc_table *facts, struct fc_entry *entry)
+{
+    int64_t age = Ck_Now(facts->clock) - entry->taken_usec;
+    if (entry->left == 0 && !entry->expired && age > Fc_SETTLED_USEC) {
+        enqueue(facts, entry, 1);
+    }
+}
+
+/* A copy heard counts as a copy sent: what all know is not repeated. */
+static void
+heard_again(struct fc_table *facts, struct fc_entry *entry)
+{
+    if (entry->left == 1) {
+        unqueue(facts, entry);
+    }
+    else if (entry->left > 1) {
+        entry->left--;
+    }
+}
+
+/*
+ * A fact of this very node with a version it never gave comes from its
+ * former life.  What it publishes now must override that.
+ */
+static bool
+outbid(struct fc_table *facts, struct fc_entry *entry,
+       const struct fc_fact *fact)
+{
+    bool own = strcmp(entry->owner, facts->node) == 0;
+    if (!own || !entry->published || entry->expired) {
+        return false;
+    }
+    entry->version = fact->version + 1;
+    enqueue(facts, entry, facts->spread[entry->scope]);
+    return true;
+}
+
+static bool
+is_valid(const struct fc_fact *fact)
+{
+    return fact->key[0] != '\0' && strlen(fact->key) < Fc_KEY_MAX &&
+           strlen(fact->owner) < Mb_ID_MAX && fact->len <= Fc_VALUE_MAX &&
+           fact->ttl_usec >= 0 && fact->scope <= FC_DATA_CENTRE;
+}
+
+/* Merges a fact heard from a peer; true when it was news. */
+bool
+Fc_Apply(struct fc_table *facts, const struct fc_fact *fact)
+{
+    if (!is_valid(fact)) {
+        return false;
+    }
+    struct fc_entry *entry = fc_find(facts, fact->owner, fact->key);
+    if (entry == NULL) {
+        entry = add_entry(facts, fact->owner, fact->key);
+        if (entry == NULL) {
+            return false;
+        }
+    }
+    else if (!is_news(entry, fact)) {
+        if (fact->version < entry->version) {
+            heard_older(facts, entry);
+        }
+        else {
+            heard_again(facts, entry);
+        }
+        return false;
+    }
+    if (outbid(facts, entry, fact)) {
+        return false;
+    }
+    if (!replace(facts, entry, fact)) {
+        drop(facts, entry);
+        return false;
+    }
+    tell(facts, entry);
+    return true;
+}
+
+/*
+ * Ends facts whose time is over.  The version is kept a while longer: a copy
+ * that a slow peer still holds must not bring the fact back.
+ */
+void
+Fc_Expire(struct fc_table *facts)
+{
+    int64_t now = Ck_Now(facts->clock);
+    struct fc_entry *entry;
+    struct fc_entry *next;
+    RB_FOREACH_SAFE (entry, fc_tree, &facts->entries, next) {
+        if (entry->expires_usec == 0 || now < entry->expires_usec) {
+            continue;
+        }
+        if (!entry->expired) {
+            entry->expired = true;
+            unqueue(facts, entry);
+            free(entry->value);
+            entry->value = NULL;
+            entry->len = 0;
+        }
+        if (now >= entry->forget_usec) {
+            drop(facts, entry);
+        }
+    }
+}
+
+/* Sets how often a node sends on a new fact of a scope. */
+void
+Fc_SetSpread(struct fc_table *facts, enum fc_scope scope, int count)
+{
+    facts->spread[scope] = count > 0 ? count : 1;
+}
+
+/* Begins a datagram: every queued fact may be taken once. */
+void
+Fc_TakeBegin(struct fc_table *facts)
+{
+    for (int scope = 0; scope < Fc_SCOPES; scope++) {
+        TAILQ_CONCAT(&facts->queues[scope], &facts->sent[scope], queued);
+    }
+}
+
+/*
+ * Takes the next fact for a datagram with "room" bytes left; false when none
+ * fits.  "narrowest" is the narrowest scope that the receiver shares.  Wider
+ * scopes go first: their facts are few, and it is them that nobody may miss.
+ */
+bool
+Fc_Take(struct fc_table *facts, enum fc_scope narrowest, size_t room,
+        fc_size_fn size, struct fc_fact *out)
+{
+    for (int scope = FC_CLUSTER; scope <= (int)narrowest; scope++) {
+        struct fc_entry *entry = TAILQ_FIRST(&facts->queues[scope]);
+        if (entry == NULL) {
+            continue;
+        }
+        fc_view(facts, entry, out);
+        if (size(out) > room) {
+            continue;
+        }
+        TAILQ_REMOVE(&facts->queues[scope], entry, queued);
+        entry->left--;
+        if (entry->left > 0) {
+            TAILQ_INSERT_TAIL(&facts->sent[scope], entry, queued);
+        }
+        return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/packages/member/table.c
@@ -0,0 +1,566 @@
+/* What the table holds and how what is heard of a member is merged into it. */
+#include "member/table.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "member/table_internal.h"
+
+#define Mb_PERIOD_USEC Ck_USEC_PER_SEC
+#define Mb_TIMEOUT_USEC (300 * Ck_USEC_PER_MSEC)
+#define Mb_GROUP_MIN 8
+#define Mb_SUSPICION_PERIODS 4 /* times the decimal logarithm of the group */
+#define Mb_SUSPICION_ALONE 5   /* times longer with a single accuser */
+#define Mb_ISOLATED_PERIODS 3
+#define Mb_ISOLATED_MIN 3 /* others in the group before silence means us */
+#define Mb_SPREAD_EXTRA 2 /* transmissions beyond the binary logarithm */
+
+RB_GENERATE(mb_tree, mb_entry, node, mb_compare);
+
+int
+mb_compare(const struct mb_entry *a, const struct mb_entry *b)
+{
+    return strcmp(a->record.id, b->record.id);
+}
+
+struct mb_entry *
+mb_find(const struct mb_table *table, const char *id)
+{
+    struct mb_entry wanted;
+    strlcpy(wanted.record.id, id, sizeof(wanted.record.id));
+    return RB_FIND(mb_tree, (struct mb_tree *)&table->members, &wanted);
+}
+
+static struct mb_place *
+find_place(struct mb_table *table, const struct mb_record *record)
+{
+    struct mb_place *place;
+    TAILQ_FOREACH (place, &table->places, link) {
+        if (strcmp(place->name, record->data_centre) == 0) {
+            return place;
+        }
+    }
+    if (table->place_count >= Mb_DATA_CENTRES_MAX) {
+        return NULL;
+    }
+    place = calloc(1, sizeof(*place));
+    if (place == NULL) {
+        return NULL;
+    }
+    strlcpy(place->name, record->data_centre, sizeof(place->name));
+    strlcpy(place->region, record->region, sizeof(place->region));
+    TAILQ_INSERT_TAIL(&table->places, place, link);
+    table->place_count++;
+    return place;
+}
+
+static int
+spread_count(const struct mb_table *table)
+{
+    int count = Mb_SPREAD_EXTRA;
+    for (size_t n = table->member_count; n > 0; n >>= 1) {
+        count++;
+    }
+    return count;
+}
+
+/* Queues what is known of a member for piggyback, ahead of older changes. */
+void
+mb_enqueue(struct mb_table *table, struct mb_entry *entry)
+{
+    if (entry->left > 0) {
+        TAILQ_REMOVE(&table->queue, entry, queued);
+    }
+    entry->left = spread_count(table);
+    TAILQ_INSERT_HEAD(&table->queue, entry, queued);
+}
+
+static bool
+is_living(enum mb_state state)
+{
+    return state != MB_DEAD;
+}
+
+/* Sets the state and tells the owner of the table. */
+void
+mb_set_state(struct mb_table *table, struct mb_entry *entry,
+             enum mb_state state)
+{
+    enum mb_state before = entry->record.state;
+    entry->record.state = state;
+    entry->since_usec = Ck_Now(table->clock);
+    entry->deadline_usec = 0;
+    entry->accuser_count = 0;
+    entry->record.by[0] = '\0';
+    entry->local = false;
+    entry->wait_usec = 0;
+    entry->next_usec = 0;
+    if (state == MB_LEAVING) {
+        entry->departed = true;
+    }
+    else if (state == MB_ALIVE) {
+        entry->departed = false;
+    }
+    if (is_living(before) && !is_living(state)) {
+        entry->place->living--;
+    }
+    else if (!is_living(before) && is_living(state)) {
+        entry->place->living++;
+    }
+    table->generation++;
+    if (entry != table->self && before != state &&
+        table->ops->changed != NULL) {
+        table->ops->changed(table->arg, &entry->record, before);
+    }
+}
+
+/* True when this node may judge whether the member is alive. */
+bool
+mb_in_group(const struct mb_table *table, const struct mb_entry *entry)
+{
+    const struct mb_place *own = table->self->place;
+    if (entry->place == own) {
+        return true;
+    }
+    return own->living < table->group_min &&
+           strcmp(entry->place->region, own->region) == 0;
+}
+
+static size_t
+group_size(const struct mb_table *table)
+{
+    size_t size = 0;
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, (struct mb_tree *)&table->members) {
+        if (entry->record.state != MB_DEAD && mb_in_group(table, entry)) {
+            size++;
+        }
+    }
+    return size;
+}
+
+/*
+ * True when this node, not the others, is likely cut off: none of at least
+ * three group members was heard for three periods.  Without this guard a
+ * node whose switch failed would declare its whole group dead and, on its
+ * return, spread that; every member would flap once.
+ */
+bool
+mb_isolated(const struct mb_table *table, int64_t now)
+{
+    int64_t silent = now - table->last_heard_usec;
+    return silent > Mb_ISOLATED_PERIODS * table->period_usec &&
+           group_size(table) > Mb_ISOLATED_MIN;
+}
+
+static int64_t
+suspicion_usec(const struct mb_table *table, const struct mb_entry *entry)
+{
+    /* log10 in thousandths is near enough: 301 for each binary digit. */
+    int64_t thousandths = 0;
+    size_t size = group_size(table);
+    for (size_t n = size; n > 1; n >>= 1) {
+        thousandths += 301;
+    }
+    if (thousandths < 1000) {
+        thousandths = 1000;
+    }
+    int64_t least =
+        Mb_SUSPICION_PERIODS * table->period_usec * thousandths / 1000;
+    /* Without the two concerned and the first accuser few may be left. */
+    size_t wanted = size < 2 + Mb_ACCUSERS_MAX ? 1 : Mb_ACCUSERS_MAX;
+    if (entry->accuser_count >= wanted) {
+        return least;
+    }
+    return least * Mb_SUSPICION_ALONE / (int64_t)(entry->accuser_count + 1);
+}
+
+/*
+ * Counts an accuser; true for a new one.  A member that many find silent is
+ * given up soon, one that a single node finds silent gets five times as long
+ * to refute: the fault may lie with the accuser or on the path between.
+ */
+static bool
+add_accuser(struct mb_table *table, struct mb_entry *entry, const char *id)
+{
+    uint64_t hash = Hash_String(id, 0);
+    for (size_t i = 0; i < entry->accuser_count; i++) {
+        if (entry->accusers[i] == hash) {
+            return false;
+        }
+    }
+    if (entry->accuser_count == Mb_ACCUSERS_MAX) {
+        return false;
+    }
+    entry->accusers[entry->accuser_count++] = hash;
+    strlcpy(entry->record.by, id, sizeof(entry->record.by));
+    if (mb_in_group(table, entry)) {
+        entry->deadline_usec =
+            entry->since_usec + suspicion_usec(table, entry);
+    }
+    mb_enqueue(table, entry);
+    return true;
+}
+
+/*
+ * Suspects a member that answered neither a probe nor the indirect ones.
+ * While this node is cut off the suspicion stays its own and ends in no
+ * verdict; see mb_isolated().
+ */
+void
+mb_accuse(struct mb_table *table, struct mb_entry *entry)
+{
+    if (entry->record.state == MB_DEAD) {
+        return;
+    }
+    bool isolated = mb_isolated(table, Ck_Now(table->clock));
+    if (entry->record.state != MB_SUSPECT) {
+        mb_set_state(table, entry, MB_SUSPECT);
+        entry->local = isolated;
+    }
+    if (!entry->local) {
+        add_accuser(table, entry, table->self->record.id);
+    }
+}
+
+/*
+ * Hearing that this node is suspected, dead or known by a later incarnation
+ * (its host was replaced and the calendar of the new one is behind) it takes
+ * the next incarnation, which overrides all that was said before.
+ */
+static void
+refute(struct mb_table *table, const struct mb_record *record)
+{
+    struct mb_entry *self = table->self;
+    bool newer = record->incarnation > self->record.incarnation;
+    bool same = record->incarnation == self->record.incarnation;
+    bool wrong =
+        record->state == MB_SUSPECT || record->state == MB_DEAD ||
+        (record->state == MB_LEAVING && self->record.state == MB_ALIVE);
+    if (newer || (same && wrong)) {
+        self->record.incarnation = record->incarnation + 1;
+        table->generation++;
+        mb_enqueue(table, self);
+    }
+}
+
+static struct mb_entry *
+add_entry(struct mb_table *table, const struct mb_record *record)
+{
+    if (table->member_count >= Mb_MEMBERS_MAX) {
+        return NULL;
+    }
+    struct mb_entry *entry = calloc(1, sizeof(*entry));
+    if (entry == NULL) {
+        return NULL;
+    }
+    entry->record = *record;
+    entry->record.state = MB_DEAD;
+    entry->place = find_place(table, record);
+    if (entry->place == NULL) {
+        free(entry);
+        return NULL;
+    }
+    RB_INSERT(mb_tree, &table->members, entry);
+    table->member_count++;
+    table->generation++;
+    return entry;
+}
+
+static void
+take_places(struct mb_table *table, struct mb_entry *entry,
+            const struct mb_record *record)
+{
+    struct mb_place *place = find_place(table, record);
+    if (place == NULL) {
+        return;
+    }
+    if (is_living(entry->record.state)) {
+        entry->place->living--;
+        place->living++;
+    }
+    entry->place = place;
+    enum mb_state state = entry->record.state;
+    entry->record = *record;
+    entry->record.state = state;
+}
+
+/*
+ * A later incarnation wins; within one incarnation the later of alive,
+ * leaving, suspect, dead wins.  A short record of a life not yet known is
+ * left alone: the new life may have a new address, which only a full one
+ * tells.
+ */
+static bool
+is_news(const struct mb_entry *entry, const struct mb_record *record)
+{
+    if (record->incarnation < entry->record.incarnation) {
+        return false;
+    }
+    if (record->incarnation > entry->record.incarnation) {
+        return record->full || record->state == MB_DEAD;
+    }
+    return record->state > entry->record.state || entry->local;
+}
+
+static void
+take_news(struct mb_table *table, struct mb_entry *entry,
+          const struct mb_record *record)
+{
+    if (record->full) {
+        take_places(table, entry, record);
+    }
+    entry->record.incarnation = record->incarnation;
+    mb_set_state(table, entry, record->state);
+    if (record->state == MB_SUSPECT) {
+        add_accuser(table, entry, record->by);
+    }
+    mb_enqueue(table, entry);
+}
+
+/* Merges what a peer says of a member. */
+void
+Mb_Apply(struct mb_table *table, const struct mb_record *record)
+{
+    if (strcmp(record->id, table->self->record.id) == 0) {
+        refute(table, record);
+        return;
+    }
+    struct mb_entry *entry = mb_find(table, record->id);
+    if (entry == NULL) {
+        if (!record->full || record->state == MB_DEAD) {
+            return;
+        }
+        entry = add_entry(table, record);
+        if (entry != NULL) {
+            take_news(table, entry, record);
+        }
+        return;
+    }
+    if (is_news(entry, record)) {
+        take_news(table, entry, record);
+    }
+    else if (record->incarnation == entry->record.incarnation &&
+             record->state == MB_SUSPECT &&
+             entry->record.state == MB_SUSPECT) {
+        add_accuser(table, entry, record->by);
+    }
+}
+
+/* Drops a member; its facts and its tombstone go with it. */
+void
+mb_forget(struct mb_table *table, struct mb_entry *entry)
+{
+    if (is_living(entry->record.state)) {
+        mb_set_state(table, entry, MB_DEAD);
+    }
+    if (entry->left > 0) {
+        TAILQ_REMOVE(&table->queue, entry, queued);
+    }
+    for (size_t i = 0; i < table->order_len; i++) {
+        if (table->order[i] == entry) {
+            table->order[i] = NULL;
+        }
+    }
+    RB_REMOVE(mb_tree, &table->members, entry);
+    table->member_count--;
+    table->generation++;
+    free(entry);
+}
+
+static enum st_status
+check_options(const struct mb_options *options)
+{
+    const struct mb_record *self = &options->self;
+    if (self->id[0] == '\0' || self->data_centre[0] == '\0' ||
+        self->region[0] == '\0' || self->address[0] == '\0') {
+        return St_Fail(ST_INVALID, "a member needs an id, an address, a data "
+                                   "centre and a region; set all four");
+    }
+    return ST_OK;
+}
+
+/* Creates a table that knows only the node itself. */
+enum st_status
+Mb_Create(const struct mb_options *options, struct mb_table **out)
+{
+    enum st_status status = check_options(options);
+    if (status != ST_OK) {
+        return status;
+    }
+    struct mb_table *table = calloc(1, sizeof(*table));
+    if (table == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the member table");
+    }
+    table->clock = options->clock;
+    table->random = options->random;
+    table->ops = options->ops;
+    table->arg = options->arg;
+    table->period_usec =
+        options->period_usec != 0 ? options->period_usec : Mb_PERIOD_USEC;
+    table->timeout_usec =
+        options->timeout_usec != 0 ? options->timeout_usec : Mb_TIMEOUT_USEC;
+    table->group_min =
+        options->group_min != 0 ? options->group_min : Mb_GROUP_MIN;
+    RB_INIT(&table->members);
+    TAILQ_INIT(&table->queue);
+    TAILQ_INIT(&table->places);
+    table->last_tick_usec = Ck_Now(table->clock);
+    table->last_heard_usec = table->last_tick_usec;
+    table->next_probe_usec =
+        table->last_tick_usec +
+        Rn_Below(table->random, (uint32_t)table->period_usec);
+    table->sequence = Rn_Below(table->random, UINT32_MAX);
+    table->self = add_entry(table, &options->self);
+    if (table->self == NULL) {
+        Mb_Destroy(table);
+        return St_Fail(ST_NO_MEMORY, "no memory for the member table");
+    }
+    table->self->record.full = true;
+    mb_set_state(table, table->self, MB_ALIVE);
+    mb_enqueue(table, table->self);
+    *out = table;
+    return ST_OK;
+}
+
+void
+Mb_Destroy(struct mb_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    struct mb_entry *entry;
+    while ((entry = RB_MIN(mb_tree, &table->members)) != NULL) {
+        RB_REMOVE(mb_tree, &table->members, entry);
+        free(entry);
+    }
+    struct mb_place *place;
+    while ((place = TAILQ_FIRST(&table->places)) != NULL) {
+        TAILQ_REMOVE(&table->places, place, link);
+        free(place);
+    }
+    free(table->order);
+    free(table);
+}
+
+/* Replaces the addresses asked when members are missing. */
+void
+Mb_SetSeeds(struct mb_table *table, const struct mb_endpoint *seeds,
+            size_t count)
+{
+    table->seed_count = count < Mb_SEEDS_MAX ? count : Mb_SEEDS_MAX;
+    if (table->seed_count > 0) {
+        memcpy(table->seeds, seeds, table->seed_count * sizeof(*seeds));
+    }
+}
+
+/* Takes back what was suspected since then, while this node was cut off. */
+static void
+acquit(struct mb_table *table, int64_t since_usec)
+{
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, &table->members) {
+        if (entry->record.state == MB_SUSPECT &&
+            entry->since_usec >= since_usec && mb_in_group(table, entry)) {
+            mb_set_state(table, entry,
+                         entry->departed ? MB_LEAVING : MB_ALIVE);
+        }
+    }
+}
+
+static void
+heard(struct mb_table *table, const struct mb_entry *sender)
+{
+    int64_t now = Ck_Now(table->clock);
+    if (sender == NULL || !mb_in_group(table, sender)) {
+        return;
+    }
+    if (mb_isolated(table, now)) {
+        acquit(table, table->last_heard_usec);
+    }
+    table->last_heard_usec = now;
+}
+
+static bool
+speaks_of(const struct mb_message *message, const char *id)
+{
+    for (size_t i = 0; i < message->update_count; i++) {
+        if (strcmp(message->updates[i].id, id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+answer_ping(struct mb_table *table, const struct mb_endpoint *from,
+            const struct mb_message *ping)
+{
+    struct mb_message ack =
+        mb_message_new(table, MB_ACK, ping->sequence, ping->from);
+    const struct mb_entry *sender = mb_find(table, ping->from);
+    bool doubted = sender != NULL && (sender->record.state == MB_SUSPECT ||
+                                      sender->record.state == MB_DEAD);
+    if (doubted ||
+        (sender != NULL && sender->record.incarnation > ping->incarnation)) {
+        mb_message_add(&ack, &sender->record);
+    }
+    if (ping->subject[0] == '\0' || sender == NULL ||
+        speaks_of(ping, table->self->record.id)) {
+        mb_message_add(&ack, &table->self->record);
+    }
+    mb_message_fill(table, &ack);
+    enum mb_distance distance =
+        sender != NULL ? Mb_Distance(table, &sender->record) : MB_FAR;
+    table->ops->send(table->arg, from, distance, &ack);
+}
+
+/*
+ * Takes a message that came from the given address.  A ping meant for
+ * another node is dropped: a host that took over an address must not keep
+ * its former user alive.
+ */
+void
+Mb_Receive(struct mb_table *table, const struct mb_endpoint *from,
+           const struct mb_message *message)
+{
+    const char *own = table->self->record.id;
+    if (strcmp(message->from, own) == 0) {
+        return;
+    }
+    for (size_t i = 0; i < message->update_count; i++) {
+        Mb_Apply(table, &message->updates[i]);
+    }
+    heard(table, mb_find(table, message->from));
+    switch (message->type) {
+    case MB_PING:
+        if (message->subject[0] == '\0' ||
+            strcmp(message->subject, own) == 0) {
+            answer_ping(table, from, message);
+        }
+        break;
+    case MB_ACK:
+        mb_acknowledged(table, message);
+        break;
+    case MB_PING_REQ:
+        mb_relay_probe(table, message);
+        break;
+    case MB_GOSSIP:
+        break;
+    }
+}
+
+/* Takes the verdict of a bridge on whether a data centre is within reach. */
+void
+Mb_SetReach(struct mb_table *table, const char *data_centre, bool reachable)
+{
+    struct mb_place *place;
+    TAILQ_FOREACH (place, &table->places, link) {
+        if (strcmp(place->name, data_centre) == 0 &&
+            place != table->self->place) {
+            mb_set_reach(table, place, reachable);
+        }
+    }
+}
--- /dev/null
+++ b/packages/member/table_internal.h
@@ -0,0 +1,141 @@
+/* Shared by the parts of the membership table only. */
+#ifndef MEMBER_TABLE_INTERNAL_H
+#define MEMBER_TABLE_INTERNAL_H
+
+#include <bsd/sys/queue.h>
+#include <bsd/sys/tree.h>
+
+#include "member/table.h"
+
+#define Mb_SEEDS_MAX 512
+#define Mb_PROBES_MAX 64
+#define Mb_DATA_CENTRES_MAX 64
+#define Mb_MEMBERS_MAX 4096
+#define Mb_BRIDGES 2
+#define Mb_ACCUSERS_MAX 3
+
+struct mb_place {
+    TAILQ_ENTRY(mb_place) link;
+    char name[Mb_NAME_MAX];
+    char region[Mb_NAME_MAX];
+    size_t living; /* members that are not dead */
+    bool bridged;  /* this node is a bridge to it */
+    bool out_of_reach;
+    int64_t since_usec; /* of being out of reach */
+    int failures;       /* bridge probes lost in a row */
+    int64_t wait_usec;  /* between bridge probes */
+    int64_t next_usec;
+};
+
+struct mb_entry {
+    struct mb_record record;
+    RB_ENTRY(mb_entry) node;
+    TAILQ_ENTRY(mb_entry) queued;
+    struct mb_place *place;
+    int left;              /* transmissions left; queued while above 0 */
+    bool local;            /* suspected by this node alone, not spread */
+    bool departed;         /* announced that it leaves */
+    int64_t since_usec;    /* of the present state */
+    int64_t deadline_usec; /* end of suspicion; 0: none */
+    uint64_t accusers[Mb_ACCUSERS_MAX]; /* hashes of who suspects it */
+    size_t accuser_count;
+    int64_t wait_usec; /* between probes of a dead member */
+    int64_t next_usec;
+};
+
+enum mb_purpose {
+    MB_FOR_GROUP,  /* the regular probe of a group member */
+    MB_FOR_BRIDGE, /* is a data centre within reach? */
+    MB_FOR_RETURN, /* a dead member or a seed; no verdict follows */
+    MB_FOR_OTHER,  /* on behalf of another member */
+};
+
+struct mb_probe {
+    bool used;
+    enum mb_purpose purpose;
+    uint32_t sequence;
+    char target[Mb_ID_MAX];
+    bool indirect; /* indirect probes were asked for */
+    int64_t indirect_usec;
+    int64_t deadline_usec;
+    char asker[Mb_ID_MAX]; /* MB_FOR_OTHER */
+    uint32_t asker_sequence;
+};
+
+RB_HEAD(mb_tree, mb_entry);
+TAILQ_HEAD(mb_queue, mb_entry);
+TAILQ_HEAD(mb_places, mb_place);
+
+struct mb_table {
+    const struct ck_clock *clock;
+    struct rn_random *random;
+    const struct mb_ops *ops;
+    void *arg;
+    int64_t period_usec;
+    int64_t timeout_usec;
+    size_t group_min;
+
+    struct mb_entry *self;
+    struct mb_tree members;
+    size_t member_count;
+    struct mb_queue queue;
+    struct mb_places places;
+    size_t place_count;
+    uint64_t generation;
+    uint64_t bridges_generation;
+
+    struct mb_endpoint seeds[Mb_SEEDS_MAX];
+    size_t seed_count;
+    int64_t next_seed_usec;
+
+    struct mb_probe probes[Mb_PROBES_MAX];
+    uint32_t sequence;
+    struct mb_entry **order; /* shuffled probe order of one round */
+    size_t order_len;
+    size_t order_next;
+    int64_t next_probe_usec;
+    int64_t next_scan_usec;
+    int64_t last_tick_usec;
+    int64_t last_heard_usec; /* a group member was heard */
+    int health; /* 0: well; probes of this node fail often when higher */
+};
+
+RB_PROTOTYPE(mb_tree, mb_entry, node, mb_compare);
+
+int mb_compare(const struct mb_entry *a, const struct mb_entry *b);
+
+/* table.c */
+struct mb_entry *mb_find(const struct mb_table *table, const char *id);
+void mb_set_state(struct mb_table *table, struct mb_entry *entry,
+                  enum mb_state state);
+void mb_enqueue(struct mb_table *table, struct mb_entry *entry);
+void mb_forget(struct mb_table *table, struct mb_entry *entry);
+bool mb_in_group(const struct mb_table *table, const struct mb_entry *entry);
+bool mb_isolated(const struct mb_table *table, int64_t now);
+void mb_accuse(struct mb_table *table, struct mb_entry *entry);
+
+/* table_send.c */
+struct mb_message mb_message_new(struct mb_table *table, enum mb_type type,
+                                 uint32_t sequence, const char *subject);
+bool mb_message_add(struct mb_message *message,
+                    const struct mb_record *record);
+void mb_message_fill(struct mb_table *table, struct mb_message *message);
+void mb_send_to(struct mb_table *table, const struct mb_entry *entry,
+                const struct mb_message *message);
+void mb_ping(struct mb_table *table, const struct mb_entry *entry,
+             uint32_t sequence, bool introduce);
+typedef bool (*mb_accept_fn)(const struct mb_table *table,
+                             const struct mb_entry *entry, const void *arg);
+struct mb_entry *mb_pick(struct mb_table *table, mb_accept_fn accept,
+                         const void *arg);
+
+/* table_probe.c */
+struct mb_probe *mb_probe_new(struct mb_table *table, enum mb_purpose purpose,
+                              const char *target, int64_t deadline_usec);
+void mb_acknowledged(struct mb_table *table, const struct mb_message *message);
+void mb_relay_probe(struct mb_table *table, const struct mb_message *message);
+void mb_update_bridges(struct mb_table *table);
+void mb_set_reach(struct mb_table *table, struct mb_place *place,
+                  bool reachable);
+
+#endif
--- /dev/null
+++ b/packages/member/table_probe.c
@@ -0,0 +1,524 @@
+/* Probing: the regular probe of the group, bridges, and those out of sight. */
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "member/table.h"
+#include "member/table_internal.h"
+
+#define Mb_HELPERS 3
+#define Mb_HEALTH_MAX 4
+#define Mb_PAUSE_USEC (500 * Ck_USEC_PER_MSEC)
+#define Mb_REACH_FAILURES 5
+#define Mb_REACH_WAIT_MAX_USEC (30 * Ck_USEC_PER_SEC)
+#define Mb_RETURN_WAIT_USEC (5 * Ck_USEC_PER_SEC)
+#define Mb_RETURN_WAIT_MAX_USEC (60 * Ck_USEC_PER_SEC)
+#define Mb_SEED_WAIT_USEC (30 * Ck_USEC_PER_SEC)
+#define Mb_HOUR_USEC (3600 * Ck_USEC_PER_SEC)
+#define Mb_FORGET_DEAD_USEC (4 * Mb_HOUR_USEC)
+#define Mb_FORGET_LEFT_USEC (600 * Ck_USEC_PER_SEC)
+#define Mb_FORGET_UNREACHED_USEC (24 * Mb_HOUR_USEC)
+
+/* Starts a probe; NULL when too many are open, and then it is left out. */
+struct mb_probe *
+mb_probe_new(struct mb_table *table, enum mb_purpose purpose,
+             const char *target, int64_t deadline_usec)
+{
+    for (size_t i = 0; i < Mb_PROBES_MAX; i++) {
+        struct mb_probe *probe = &table->probes[i];
+        if (probe->used) {
+            continue;
+        }
+        memset(probe, 0, sizeof(*probe));
+        probe->used = true;
+        probe->purpose = purpose;
+        probe->sequence = ++table->sequence;
+        probe->deadline_usec = deadline_usec;
+        strlcpy(probe->target, target, sizeof(probe->target));
+        return probe;
+    }
+    return NULL;
+}
+
+static struct mb_probe *
+find_probe(struct mb_table *table, const struct mb_message *ack)
+{
+    for (size_t i = 0; i < Mb_PROBES_MAX; i++) {
+        struct mb_probe *probe = &table->probes[i];
+        if (probe->used && probe->sequence == ack->sequence) {
+            return probe;
+        }
+    }
+    return NULL;
+}
+
+/* Notes whether a data centre is within reach and tells the owner. */
+void
+mb_set_reach(struct mb_table *table, struct mb_place *place, bool reachable)
+{
+    place->failures = 0;
+    if (place->out_of_reach == !reachable) {
+        return;
+    }
+    place->out_of_reach = !reachable;
+    place->since_usec = Ck_Now(table->clock);
+    place->wait_usec = table->period_usec;
+    table->generation++;
+    if (table->ops->reach != NULL) {
+        table->ops->reach(table->arg, place->name, reachable);
+    }
+}
+
+static void
+relay_ack(struct mb_table *table, const struct mb_probe *probe)
+{
+    const struct mb_entry *asker = mb_find(table, probe->asker);
+    if (asker == NULL) {
+        return;
+    }
+    struct mb_message ack =
+        mb_message_new(table, MB_ACK, probe->asker_sequence, "");
+    mb_message_fill(table, &ack);
+    mb_send_to(table, asker, &ack);
+}
+
+/* Ends the probe that an acknowledgement answers. */
+void
+mb_acknowledged(struct mb_table *table, const struct mb_message *message)
+{
+    struct mb_probe *probe = find_probe(table, message);
+    if (probe == NULL) {
+        return;
+    }
+    struct mb_entry *target = mb_find(table, probe->target);
+    switch (probe->purpose) {
+    case MB_FOR_GROUP:
+        if (table->health > 0) {
+            table->health--;
+        }
+        break;
+    case MB_FOR_BRIDGE:
+        if (target != NULL) {
+            mb_set_reach(table, target->place, true);
+        }
+        break;
+    case MB_FOR_OTHER:
+        relay_ack(table, probe);
+        break;
+    case MB_FOR_RETURN:
+        break;
+    }
+    probe->used = false;
+}
+
+/* Probes a member on behalf of another one that got no answer from it. */
+void
+mb_relay_probe(struct mb_table *table, const struct mb_message *message)
+{
+    const struct mb_entry *target = mb_find(table, message->subject);
+    if (target == NULL || target == table->self) {
+        return;
+    }
+    int64_t deadline = Ck_Now(table->clock) + table->period_usec;
+    struct mb_probe *probe =
+        mb_probe_new(table, MB_FOR_OTHER, message->subject, deadline);
+    if (probe == NULL) {
+        return;
+    }
+    strlcpy(probe->asker, message->from, sizeof(probe->asker));
+    probe->asker_sequence = message->sequence;
+    mb_ping(table, target, probe->sequence, false);
+}
+
+static bool
+is_helper(const struct mb_table *table, const struct mb_entry *entry,
+          const void *arg)
+{
+    const char *target = arg;
+    return entry->record.state == MB_ALIVE && mb_in_group(table, entry) &&
+           strcmp(entry->record.id, target) != 0;
+}
+
+static void
+ask_helpers(struct mb_table *table, struct mb_probe *probe)
+{
+    probe->indirect = true;
+    for (int i = 0; i < Mb_HELPERS; i++) {
+        const struct mb_entry *helper =
+            mb_pick(table, is_helper, probe->target);
+        if (helper == NULL) {
+            break;
+        }
+        struct mb_message request =
+            mb_message_new(table, MB_PING_REQ, probe->sequence, probe->target);
+        mb_message_fill(table, &request);
+        mb_send_to(table, helper, &request);
+    }
+}
+
+static void
+bridge_failed(struct mb_table *table, struct mb_place *place)
+{
+    place->failures++;
+    if (place->out_of_reach) {
+        place->wait_usec *= 2;
+        if (place->wait_usec > Mb_REACH_WAIT_MAX_USEC) {
+            place->wait_usec = Mb_REACH_WAIT_MAX_USEC;
+        }
+    }
+    else if (place->failures >= Mb_REACH_FAILURES) {
+        mb_set_reach(table, place, false);
+    }
+}
+
+static void
+probe_failed(struct mb_table *table, struct mb_probe *probe)
+{
+    struct mb_entry *target = mb_find(table, probe->target);
+    probe->used = false;
+    if (target == NULL) {
+        return;
+    }
+    if (probe->purpose == MB_FOR_GROUP) {
+        if (table->health < Mb_HEALTH_MAX) {
+            table->health++;
+        }
+        mb_accuse(table, target);
+    }
+    else if (probe->purpose == MB_FOR_BRIDGE) {
+        bridge_failed(table, target->place);
+    }
+}
+
+static void
+check_probes(struct mb_table *table, int64_t now)
+{
+    for (size_t i = 0; i < Mb_PROBES_MAX; i++) {
+        struct mb_probe *probe = &table->probes[i];
+        if (!probe->used) {
+            continue;
+        }
+        if (now >= probe->deadline_usec) {
+            probe_failed(table, probe);
+        }
+        else if (probe->purpose == MB_FOR_GROUP && !probe->indirect &&
+                 now >= probe->indirect_usec) {
+            ask_helpers(table, probe);
+        }
+    }
+}
+
+static void
+check_suspicions(struct mb_table *table, int64_t now)
+{
+    if (mb_isolated(table, now)) {
+        return;
+    }
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, &table->members) {
+        if (entry->deadline_usec != 0 && now >= entry->deadline_usec) {
+            mb_set_state(table, entry, MB_DEAD);
+            mb_enqueue(table, entry);
+        }
+    }
+}
+
+/*
+ * Asks each suspect itself, every period until its time ends.  The rumour by
+ * which it refutes may miss this very node; its own answer cannot.
+ */
+static void
+ask_suspects(struct mb_table *table)
+{
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, &table->members) {
+        if (entry->deadline_usec != 0) {
+            mb_ping(table, entry, ++table->sequence, false);
+        }
+    }
+}
+
+static bool
+is_probed(const struct mb_table *table, const struct mb_entry *entry)
+{
+    return entry != table->self && entry->record.state != MB_DEAD &&
+           mb_in_group(table, entry);
+}
+
+/* Lists the group in random order: each is probed once a round. */
+static void
+new_round(struct mb_table *table)
+{
+    struct mb_entry **order = realloc(
+        table->order, (table->member_count + 1) * sizeof(struct mb_entry *));
+    if (order == NULL) {
+        table->order_next = 0;
+        return;
+    }
+    size_t len = 0;
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, &table->members) {
+        if (!is_probed(table, entry)) {
+            continue;
+        }
+        size_t at = Rn_Below(table->random, (uint32_t)len + 1);
+        order[len] = order[at];
+        order[at] = entry;
+        len++;
+    }
+    table->order = order;
+    table->order_len = len;
+    table->order_next = 0;
+}
+
+static struct mb_entry *
+next_in_round(struct mb_table *table)
+{
+    while (table->order_next < table->order_len) {
+        struct mb_entry *entry = table->order[table->order_next++];
+        if (entry != NULL && is_probed(table, entry)) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * Probes the next member.  A node whose own probes fail often waits longer
+ * before it doubts others, since the fault may be its own.
+ */
+static void
+probe_next(struct mb_table *table, int64_t now)
+{
+    int64_t scale = 1 + table->health;
+    table->next_probe_usec = now + table->period_usec * scale;
+    struct mb_entry *entry = next_in_round(table);
+    if (entry == NULL) {
+        new_round(table);
+        entry = next_in_round(table);
+    }
+    if (entry == NULL) {
+        return;
+    }
+    struct mb_probe *probe =
+        mb_probe_new(table, MB_FOR_GROUP, entry->record.id,
+                     now + table->period_usec * scale);
+    if (probe != NULL) {
+        probe->indirect_usec = now + table->timeout_usec * scale;
+        mb_ping(table, entry, probe->sequence, false);
+    }
+}
+
+/* Renews which data centres this node is a bridge to. */
+void
+mb_update_bridges(struct mb_table *table)
+{
+    if (table->bridges_generation == table->generation) {
+        return;
+    }
+    table->bridges_generation = table->generation;
+    const struct mb_place *own = table->self->place;
+    struct mb_place *place;
+    TAILQ_FOREACH (place, &table->places, link) {
+        place->bridged = false;
+        bool grouped = own->living < table->group_min &&
+                       strcmp(place->region, own->region) == 0;
+        if (place == own || grouped || place->living == 0) {
+            continue;
+        }
+        char key[2 * Mb_NAME_MAX + sizeof("bridge//")];
+        strlcpy(key, "bridge/", sizeof(key));
+        strlcat(key, own->name, sizeof(key));
+        strlcat(key, "/", sizeof(key));
+        strlcat(key, place->name, sizeof(key));
+        const struct mb_record *top[Mb_BRIDGES];
+        size_t count = Mb_Top(table, key, own->name, top, Mb_BRIDGES);
+        for (size_t i = 0; i < count; i++) {
+            if (top[i] == &table->self->record) {
+                place->bridged = true;
+            }
+        }
+    }
+}
+
+static bool
+lives_in(const struct mb_table *table, const struct mb_entry *entry,
+         const void *arg)
+{
+    return entry->place == arg && entry->record.state != MB_DEAD;
+}
+
+static void
+probe_beyond(struct mb_table *table, int64_t now)
+{
+    mb_update_bridges(table);
+    struct mb_place *place;
+    TAILQ_FOREACH (place, &table->places, link) {
+        if (!place->bridged || now < place->next_usec) {
+            continue;
+        }
+        if (place->wait_usec < table->period_usec) {
+            place->wait_usec = table->period_usec;
+        }
+        place->next_usec = now + place->wait_usec;
+        const struct mb_entry *entry = mb_pick(table, lives_in, place);
+        struct mb_probe *probe =
+            entry == NULL
+                ? NULL
+                : mb_probe_new(table, MB_FOR_BRIDGE, entry->record.id,
+                               now + table->period_usec);
+        if (probe != NULL) {
+            mb_ping(table, entry, probe->sequence, true);
+        }
+    }
+}
+
+static bool
+may_return(const struct mb_table *table, const struct mb_entry *entry,
+           const void *arg)
+{
+    const int64_t *now = arg;
+    return entry->record.state == MB_DEAD && !entry->departed &&
+           mb_in_group(table, entry) && *now >= entry->next_usec;
+}
+
+/*
+ * Probes one dead member with backoff.  Without this the two sides of a cut
+ * inside a region, each taking the other for dead, would never find each
+ * other again.
+ */
+static void
+probe_dead(struct mb_table *table, int64_t now)
+{
+    struct mb_entry *entry = mb_pick(table, may_return, &now);
+    if (entry == NULL) {
+        return;
+    }
+    entry->wait_usec *= 2;
+    if (entry->wait_usec == 0) {
+        entry->wait_usec = Mb_RETURN_WAIT_USEC;
+    }
+    if (entry->wait_usec > Mb_RETURN_WAIT_MAX_USEC) {
+        entry->wait_usec = Mb_RETURN_WAIT_MAX_USEC;
+    }
+    entry->next_usec = now + entry->wait_usec;
+    mb_ping(table, entry, ++table->sequence, true);
+}
+
+static bool
+is_known(const struct mb_table *table, const struct mb_endpoint *seed)
+{
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, (struct mb_tree *)&table->members) {
+        if (entry->record.state != MB_DEAD &&
+            entry->record.peer_port == seed->port &&
+            strcmp(entry->record.address, seed->address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_alone(const struct mb_table *table)
+{
+    return Mb_Count(table, MB_ALIVE) <= 1;
+}
+
+/* Asks a seed that is no known member, often while none is known. */
+static void
+probe_seed(struct mb_table *table, int64_t now)
+{
+    if (table->seed_count == 0 || now < table->next_seed_usec) {
+        return;
+    }
+    table->next_seed_usec =
+        now + (is_alone(table) ? table->period_usec : Mb_SEED_WAIT_USEC);
+    size_t start = Rn_Below(table->random, (uint32_t)table->seed_count);
+    for (size_t i = 0; i < table->seed_count; i++) {
+        const struct mb_endpoint *seed =
+            &table->seeds[(start + i) % table->seed_count];
+        if (is_known(table, seed)) {
+            continue;
+        }
+        struct mb_message ping =
+            mb_message_new(table, MB_PING, ++table->sequence, "");
+        mb_message_add(&ping, &table->self->record);
+        table->ops->send(table->arg, seed, MB_FAR, &ping);
+        return;
+    }
+}
+
+static int64_t
+keep_usec(const struct mb_entry *entry)
+{
+    return entry->departed ? Mb_FORGET_LEFT_USEC : Mb_FORGET_DEAD_USEC;
+}
+
+static bool
+is_forgettable(const struct mb_entry *entry, int64_t now)
+{
+    if (entry->record.state == MB_DEAD) {
+        return now - entry->since_usec > keep_usec(entry);
+    }
+    return entry->place->out_of_reach &&
+           now - entry->place->since_usec > Mb_FORGET_UNREACHED_USEC;
+}
+
+static void
+forget_old(struct mb_table *table, int64_t now)
+{
+    struct mb_entry *entry;
+    struct mb_entry *next;
+    RB_FOREACH_SAFE (entry, mb_tree, &table->members, next) {
+        if (entry != table->self && is_forgettable(entry, now)) {
+            mb_forget(table, entry);
+        }
+    }
+}
+
+/*
+ * A process that was paused finds every time limit passed while the answers
+ * wait unread in its socket.  It would suspect and bury healthy members; so
+ * open probes are dropped and verdicts put off by the length of the pause.
+ */
+static void
+forgive_pause(struct mb_table *table, int64_t now)
+{
+    int64_t pause = now - table->last_tick_usec;
+    table->last_tick_usec = now;
+    if (pause <= Mb_PAUSE_USEC) {
+        return;
+    }
+    memset(table->probes, 0, sizeof(table->probes));
+    table->last_heard_usec += pause;
+    struct mb_entry *entry;
+    RB_FOREACH (entry, mb_tree, &table->members) {
+        if (entry->deadline_usec != 0) {
+            entry->since_usec += pause;
+            entry->deadline_usec += pause;
+        }
+    }
+}
+
+/* Does what is due.  To be called about ten times in a period. */
+void
+Mb_Tick(struct mb_table *table)
+{
+    int64_t now = Ck_Now(table->clock);
+    forgive_pause(table, now);
+    check_probes(table, now);
+    check_suspicions(table, now);
+    if (now >= table->next_probe_usec) {
+        probe_next(table, now);
+    }
+    probe_beyond(table, now);
+    if (now >= table->next_scan_usec) {
+        table->next_scan_usec = now + table->period_usec;
+        ask_suspects(table);
+        probe_dead(table, now);
+        forget_old(table, now);
+    }
+    probe_seed(table, now);
+}
--- /dev/null
+++ b/packages/member/table_query.c
@@ -0,0 +1,192 @@
+/* Questions to the membership table; nothing here changes it. */
+#include <string.h>
+
+#include "base/hash.h"
+#include "member/table.h"
+#include "member/table_internal.h"
+
+static const struct mb_entry *
+entry_of(const struct mb_record *record)
+{
+    return (const struct mb_entry *)((const char *)record -
+                                     offsetof(struct mb_entry, record));
+}
+
+/* The record of this node itself. */
+const struct mb_record *
+Mb_Self(const struct mb_table *table)
+{
+    return &table->self->record;
+}
+
+/* The member of that id, whatever its state; NULL when not known. */
+const struct mb_record *
+Mb_Find(const struct mb_table *table, const char *id)
+{
+    const struct mb_entry *entry = mb_find(table, id);
+    return entry != NULL ? &entry->record : NULL;
+}
+
+/* The first member in order of ids, this node and dead ones included. */
+const struct mb_record *
+Mb_First(const struct mb_table *table)
+{
+    const struct mb_entry *entry =
+        RB_MIN(mb_tree, (struct mb_tree *)&table->members);
+    return entry != NULL ? &entry->record : NULL;
+}
+
+/* The member after this one, NULL after the last. */
+const struct mb_record *
+Mb_Next(const struct mb_record *record)
+{
+    const struct mb_entry *next =
+        RB_NEXT(mb_tree, NULL, (struct mb_entry *)entry_of(record));
+    return next != NULL ? &next->record : NULL;
+}
+
+/* How many members are in a state; this node counts. */
+size_t
+Mb_Count(const struct mb_table *table, enum mb_state state)
+{
+    size_t count = 0;
+    const struct mb_record *record;
+    for (record = Mb_First(table); record != NULL; record = Mb_Next(record)) {
+        if (record->state == state) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* True while there are changes to spread. */
+bool
+Mb_HasUpdates(const struct mb_table *table)
+{
+    return !TAILQ_EMPTY(&table->queue);
+}
+
+static const struct mb_place *
+place_named(const struct mb_table *table, const char *name)
+{
+    const struct mb_place *place;
+    TAILQ_FOREACH (place, &table->places, link) {
+        if (strcmp(place->name, name) == 0) {
+            return place;
+        }
+    }
+    return NULL;
+}
+
+/* False when the bridges get no answer from the data centre. */
+bool
+Mb_Reachable(const struct mb_table *table, const char *data_centre)
+{
+    const struct mb_place *place = place_named(table, data_centre);
+    return place == NULL || !place->out_of_reach;
+}
+
+/* True when this node watches that data centre for its own. */
+bool
+Mb_IsBridge(const struct mb_table *table, const char *data_centre)
+{
+    const struct mb_place *place = place_named(table, data_centre);
+    return place != NULL && place->bridged;
+}
+
+/* True when this node itself seems to be cut off from its group. */
+bool
+Mb_Isolated(const struct mb_table *table)
+{
+    return mb_isolated(table, Ck_Now(table->clock));
+}
+
+/* True for a member that may be given new work: alive and within reach. */
+bool
+Mb_Usable(const struct mb_table *table, const struct mb_record *record)
+{
+    return record->state == MB_ALIVE && !entry_of(record)->place->out_of_reach;
+}
+
+enum mb_distance
+Mb_Distance(const struct mb_table *table, const struct mb_record *record)
+{
+    const struct mb_record *self = &table->self->record;
+    if (strcmp(record->data_centre, self->data_centre) == 0) {
+        return MB_SAME_DATA_CENTRE;
+    }
+    if (strcmp(record->region, self->region) == 0) {
+        return MB_SAME_REGION;
+    }
+    return MB_FAR;
+}
+
+/* Grows with every change of what the table says. */
+uint64_t
+Mb_Generation(const struct mb_table *table)
+{
+    return table->generation;
+}
+
+struct mb_ranking {
+    const struct mb_record **records;
+    uint64_t *weights;
+    size_t count;
+    size_t max;
+};
+
+static void
+rank(struct mb_ranking *ranking, const struct mb_record *record,
+     uint64_t weight)
+{
+    size_t at = ranking->count;
+    while (at > 0 && ranking->weights[at - 1] < weight) {
+        at--;
+    }
+    if (at >= ranking->max) {
+        return;
+    }
+    if (ranking->count < ranking->max) {
+        ranking->count++;
+    }
+    size_t moved = ranking->count - 1 - at;
+    memmove(&ranking->records[at + 1], &ranking->records[at],
+            moved * sizeof(ranking->records[0]));
+    memmove(&ranking->weights[at + 1], &ranking->weights[at],
+            moved * sizeof(ranking->weights[0]));
+    ranking->records[at] = record;
+    ranking->weights[at] = weight;
+}
+
+/*
+ * The up to "max" (at most 16) usable members responsible for a key, best
+ * first, by rendezvous hashing; of one data centre unless that is NULL.
+ * Returns how many.
+ */
+size_t
+Mb_Top(const struct mb_table *table, const char *key, const char *data_centre,
+       const struct mb_record **out, size_t max)
+{
+    uint64_t weights[16];
+    struct mb_ranking ranking = {.records = out, .weights = weights};
+    ranking.max = max < 16 ? max : 16;
+    const struct mb_record *record;
+    for (record = Mb_First(table); record != NULL; record = Mb_Next(record)) {
+        if (!Mb_Usable(table, record)) {
+            continue;
+        }
+        if (data_centre == NULL ||
+            strcmp(record->data_centre, data_centre) == 0) {
+            rank(&ranking, record, Hash_Rendezvous(key, record->id));
+        }
+    }
+    return ranking.count;
+}
+
+/* The name of a state as shown to operators. */
+const char *
+Mb_StateName(enum mb_state state)
+{
+    static const char *const names[] = {"alive", "leaving", "suspect", "dead"};
+    return names[state];
+}
