--- a/packages/gate/loadwatch.c
+++ b/packages/gate/loadwatch.c
@@ -64,10 +64,10 @@
     return poll;
 }
 
+/* Frees a poll that is in no list any more. */
 static void
 poll_free(struct poll *poll)
 {
-    TAILQ_REMOVE(&poll->watch->polls, poll, link);
     if (poll->call != NULL) {
         Jc_Cancel(poll->call);
     }
@@ -165,6 +165,7 @@
     TAILQ_FOREACH_SAFE (poll, &watch->polls, link, next) {
         poll->unseen++;
         if (poll->unseen > Lw_FORGET_ROUNDS) {
+            TAILQ_REMOVE(&watch->polls, poll, link);
             poll_free(poll);
         }
     }
@@ -175,7 +176,6 @@
 {
     struct lw_watch *watch = arg;
     const struct cf_config *config = watch->gate->config;
-    forget_unseen(watch);
     for (size_t i = 0; config != NULL && i < config->service_count; i++) {
         const struct cf_service *service = &config->services[i];
         struct ch_table *table =
@@ -188,6 +188,7 @@
             visit(watch, service->name, Ch_Info(endpoint));
         }
     }
+    forget_unseen(watch);
     Lp_TimerSet(watch->timer, Lw_ROUND);
 }
 
@@ -223,6 +224,7 @@
     }
     struct poll *poll;
     while ((poll = TAILQ_FIRST(&watch->polls)) != NULL) {
+        TAILQ_REMOVE(&watch->polls, poll, link);
         poll_free(poll);
     }
     Lp_TimerDestroy(watch->timer);
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -116,17 +116,9 @@
 send_event(struct rl_engine *relay, const char *data)
 {
     struct rq_request *request = relay->request;
-    char head[] = "data: ";
-    size_t len = strlen(data);
-    char *line = malloc(sizeof(head) + len + 2);
-    if (line == NULL) {
-        abort();
-    }
-    memcpy(line, head, sizeof(head) - 1);
-    memcpy(line + sizeof(head) - 1, data, len);
-    memcpy(line + sizeof(head) - 1 + len, "\n\n", 2);
-    Hs_StreamWrite(request->http, line, sizeof(head) - 1 + len + 2);
-    free(line);
+    Hs_StreamWrite(request->http, "data: ", strlen("data: "));
+    Hs_StreamWrite(request->http, data, strlen(data));
+    Hs_StreamWrite(request->http, "\n\n", 2);
     if (Hs_Pending(request->http) > Rl_PENDING_MAX && relay->call != NULL &&
         !relay->paused) {
         /* A caller that reads slowly holds its engine back, not our memory. */
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -387,7 +387,7 @@
 static struct hs_server *
 server_of(struct lws *wsi)
 {
-    struct sockaddr_in at;
+    struct sockaddr_in at = {0};
     socklen_t len = sizeof(at);
     if (getsockname(lws_get_socket_fd(wsi), (struct sockaddr *)&at, &len) !=
         0) {
