--- /dev/null
+++ b/apps/cornelctl/main.c
@@ -0,0 +1,190 @@
+/* cornelctl, the operators' command; docs/man/cornelctl.1 describes it. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "command.h"
+
+#define Ct_WAIT_SECONDS 15
+
+enum key {
+    KEY_ADMIN = 256,
+    KEY_COUNT,
+    KEY_JSON,
+    KEY_OUT,
+    KEY_TLS,
+    KEY_WAIT,
+};
+
+struct command {
+    const char *name;
+    const char *operand; /* what the operand is, NULL: there is none */
+    int (*run)(const struct ct_options *options);
+};
+
+static const struct command commands[] = {
+    {"check", "FILE", Ct_Check}, {"generate", "FILE", Ct_Generate},
+    {"diff", "FILE", Ct_Diff},   {"publish", "FILE", Ct_Publish},
+    {"status", NULL, Ct_Status}, {"watch", NULL, Ct_Watch},
+    {"key", "NAME", Ct_Key},
+};
+
+struct line {
+    struct ct_options options;
+    const struct command *command;
+};
+
+static const struct argp_option option_list[] = {
+    {"admin", KEY_ADMIN, "IP:PORT[,...]", 0,
+     "administration addresses of daemons; the first that answers is used", 0},
+    {"count", KEY_COUNT, "N", 0, "watch: look N times, then end", 0},
+    {"json", KEY_JSON, NULL, 0, "status: print the document as JSON", 0},
+    {"out", KEY_OUT, "DIR", 0, "generate: write one file a section", 0},
+    {"tls", KEY_TLS, NULL, 0, "speak TLS to the daemons", 0},
+    {"wait", KEY_WAIT, "SECONDS", 0,
+     "publish: wait so long for every daemon (15)", 0},
+    {0},
+};
+
+static const char description[] =
+    "Checks, generates, compares and publishes the configuration of "
+    "cornelgate, and shows what its daemons report."
+    "\vCommands: check FILE, generate FILE, diff FILE, publish FILE, status, "
+    "watch, key NAME. The key of your team is taken from the environment "
+    "variable CORNELGATE_ADMIN_KEY.";
+
+static const struct command *
+find_command(const char *name)
+{
+    for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+        if (strcmp(commands[i].name, name) == 0) {
+            return &commands[i];
+        }
+    }
+    return NULL;
+}
+
+static double
+positive(const char *text, struct argp_state *state, const char *option)
+{
+    char *end;
+    double value = strtod(text, &end);
+    if (end == text || *end != '\0' || !(value >= 0 && value <= 86400)) {
+        argp_error(state, "%s %s: give a number from 0 to 86400", option,
+                   text);
+    }
+    return value;
+}
+
+static void
+take_word(struct line *line, const char *word, struct argp_state *state)
+{
+    if (line->command == NULL) {
+        line->command = find_command(word);
+        if (line->command == NULL) {
+            argp_error(state, "there is no command \"%s\"; see --help", word);
+        }
+    }
+    else if (line->command->operand != NULL && line->options.operand == NULL) {
+        line->options.operand = word;
+    }
+    else {
+        argp_error(state, "\"%s\" is one word too many", word);
+    }
+}
+
+static void
+check_line(const struct line *line, struct argp_state *state)
+{
+    if (line->command == NULL) {
+        argp_error(state, "name a command; see --help");
+    }
+    else if (line->command->operand != NULL && line->options.operand == NULL) {
+        argp_error(state, "%s needs a %s", line->command->name,
+                   line->command->operand);
+    }
+}
+
+static error_t
+parse(int key, char *text, struct argp_state *state)
+{
+    struct line *line = state->input;
+    switch (key) {
+    case KEY_ADMIN:
+        line->options.admins = text;
+        break;
+    case KEY_COUNT:
+        line->options.count = (int)positive(text, state, "--count");
+        break;
+    case KEY_JSON:
+        line->options.json = true;
+        break;
+    case KEY_OUT:
+        line->options.out_dir = text;
+        break;
+    case KEY_TLS:
+        line->options.tls = true;
+        break;
+    case KEY_WAIT:
+        line->options.wait_usec =
+            (int64_t)(positive(text, state, "--wait") * Ck_USEC_PER_SEC);
+        break;
+    case ARGP_KEY_ARG:
+        take_word(line, text, state);
+        break;
+    case ARGP_KEY_END:
+        check_line(line, state);
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+static const struct argp argp = {
+    .options = option_list,
+    .parser = parse,
+    .args_doc = "COMMAND [FILE | NAME]",
+    .doc = description,
+};
+
+/* Says a failure on standard error; returns the exit status for it. */
+int
+Ct_Report(enum st_status status)
+{
+    if (status == ST_OK) {
+        return CT_DONE;
+    }
+    fprintf(stderr, "cornelctl: %s\n", St_Message());
+    switch (status) {
+    case ST_INVALID:
+    case ST_NOT_FOUND:
+        return CT_INVALID;
+    case ST_CONFLICT:
+        return CT_CONFLICT;
+    case ST_DENIED:
+        return CT_DENIED;
+    case ST_UNAVAILABLE:
+    case ST_TIMEOUT:
+    case ST_UNKNOWN:
+    case ST_OVERLOAD:
+        return CT_UNAVAILABLE;
+    default:
+        return CT_FAILED;
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct line line = {.options = {
+                            .key = getenv("CORNELGATE_ADMIN_KEY"),
+                            .admins = getenv("CORNELGATE_ADMIN"),
+                            .wait_usec = Ct_WAIT_SECONDS * Ck_USEC_PER_SEC,
+                        }};
+    argp_err_exit_status = CT_USAGE;
+    argp_parse(&argp, argc, argv, 0, NULL, &line);
+    return line.command->run(&line.options);
+}
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -130,6 +130,7 @@
                                    const char *key_digest);
 const struct cf_team *Cf_TeamByName(const struct cf_config *config,
                                     const char *name);
+bool Cf_IsName(const char *text);
 bool Cf_MayPublish(const struct cf_config *config, const char *team,
                    const char *section);
 bool Cf_MayRead(const struct cf_config *config, const char *team,
--- a/packages/config/field.c
+++ b/packages/config/field.c
@@ -15,7 +15,7 @@
  * digits, dot, underscore and hyphen, at most 47 bytes.
  */
 bool
-Fd_IsName(const char *text)
+Cf_IsName(const char *text)
 {
     size_t len = strlen(text);
     return len > 0 && len < Cf_NAME_MAX && strspn(text, Fd_NAME_BYTES) == len;
@@ -69,7 +69,7 @@
         good = Fd_IsPrefix(text);
     }
     else {
-        good = Fd_IsName(text);
+        good = Cf_IsName(text);
     }
     if (!good && (text[0] != '\0' || field->required)) {
         return refuse(where, field, value);
--- a/packages/config/field.h
+++ b/packages/config/field.h
@@ -37,7 +37,6 @@
 
 enum st_status Fd_Read(const char *where, const json_t *object,
                        const struct fd_field *fields, size_t count, void *out);
-bool Fd_IsName(const char *text);
 bool Fd_IsDigest(const char *text);
 bool Fd_IsPrefix(const char *text);
 
--- a/packages/config/generate.c
+++ b/packages/config/generate.c
@@ -205,6 +205,21 @@
     return status;
 }
 
+/* What every daemon checks between sections. */
+static enum st_status
+check_together(const struct qn_documents *documents)
+{
+    struct cf_section sections[2];
+    for (size_t i = 0; i < documents->count; i++) {
+        sections[i].name = documents->items[i].section;
+        sections[i].json = documents->items[i].body;
+    }
+    struct cf_config *config = NULL;
+    enum st_status status = Cf_Build(sections, documents->count, 0, &config);
+    Cf_Destroy(config);
+    return status;
+}
+
 /*
  * Makes the section documents of the answers, the platform section first
  * where it is answered.  Clear the documents in either case.
@@ -228,6 +243,9 @@
                                         make_callers(answers), "services",
                                         make_services(answers)));
     }
+    if (status == ST_OK && answers->has_platform) {
+        status = check_together(out);
+    }
     return status;
 }
 
--- a/packages/config/part.c
+++ b/packages/config/part.c
@@ -221,7 +221,7 @@
 static enum st_status
 check_entry(const char *where, const char *name, const json_t *value)
 {
-    if (!Fd_IsName(name)) {
+    if (!Cf_IsName(name)) {
         return St_Fail(ST_INVALID, "%s: the name \"%.60s\" will not do: %s",
                        where, name, Cf_REMEDY_NAME);
     }
@@ -337,7 +337,7 @@
         return ST_OK;
     }
     if (strncmp(section, Cf_TEAM_PREFIX, skip) == 0 &&
-        Fd_IsName(section + skip)) {
+        Cf_IsName(section + skip)) {
         *team = section + skip;
         return ST_OK;
     }
--- a/packages/config/question.c
+++ b/packages/config/question.c
@@ -105,7 +105,7 @@
         return Fd_IsPrefix(text);
     }
     strlcpy(out, text, Cf_NAME_MAX);
-    return Fd_IsName(text);
+    return Cf_IsName(text);
 }
 
 static void
