--- a/packages/config/field.c
+++ b/packages/config/field.c
@@ -9,6 +9,8 @@
 #define Fd_SHOWN_MAX 64 /* bytes of a wrong value repeated in a message */
 #define Fd_NAME_BYTES                                                         \
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
+/* The bytes that a path may hold unescaped (RFC 3986). */
+#define Fd_PATH_BYTES Fd_NAME_BYTES "/~!$&'()*+,;=:@"
 
 /*
  * A name is used as a label, a path element and a key of the log: letters,
@@ -36,7 +38,7 @@
     size_t len = strlen(text);
     return len > 0 && len < Cf_PATH_MAX && text[0] == '/' &&
            text[len - 1] == '/' && strstr(text, "//") == NULL &&
-           strpbrk(text, " ?#%") == NULL && strncmp(text, "/v1/", 4) != 0;
+           strspn(text, Fd_PATH_BYTES) == len && strncmp(text, "/v1/", 4) != 0;
 }
 
 static enum st_status
--- a/packages/config/part.c
+++ b/packages/config/part.c
@@ -48,7 +48,7 @@
      FD_KIND, true},
     {"prefix", AT(cf_service, prefix), 0, 0, 0,
      "give a path that begins and ends with a slash, such as "
-     "\"/box-office/\", without query, and not below /v1/",
+     "\"/box-office/\", without escapes or query, and not below /v1/",
      FD_PATH, false},
     {"idempotent", AT(cf_service, idempotent), 0, 0, 0, "write true or false",
      FD_BOOL, false},
--- a/packages/config/test/build_test.cc
+++ b/packages/config/test/build_test.cc
@@ -151,6 +151,7 @@
     {R"({"services":{"s":{"kind":"plain"}}})", "prefix is missing"},
     {R"({"services":{"s":{"kind":"plain","prefix":"/v1/"}}})", "/v1/"},
     {R"({"services":{"s":{"kind":"plain","prefix":"/a"}}})", "slash"},
+    {R"({"services":{"s":{"kind":"plain","prefix":"/a%2f/"}}})", "slash"},
     {R"({"services":{"s":{"kind":"plain","prefix":"/a/"},
         "t":{"kind":"plain","prefix":"/a/"}}})",
      "two services"},
--- a/packages/config/test/questionnaire_test.cc
+++ b/packages/config/test/questionnaire_test.cc
@@ -157,6 +157,8 @@
      "prefix"},
     {"path = \"/box-office/\";", "path = \"box\";", "path is \"box\"",
      "slash"},
+    {"path = \"/box-office/\";", "path = \"/box\xff/\";", "box-office.path is",
+     "slash"},
     {"repeatable = false;", "", "repeatable is not answered", "twice"},
     {"version = \"v1\";", "", "version is not answered", "move"},
     {"version = \"v1\";",
--- /dev/null
+++ b/tools/config_bench.c
@@ -0,0 +1,252 @@
+/*
+ * Measures the sections of the configuration at several sizes: bytes of a
+ * change beside those of whole sections, time and memory of a change, of a
+ * day's changes and of a snapshot.  docs/design/configuration.md has its
+ * output.
+ */
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "config/sections.h"
+
+#define CHANGES_A_DAY 950
+#define BODY_BYTES (1024 * 1024)
+#define NAME_BYTES 64
+
+struct size {
+    int teams;
+    int customers;
+    int services;
+};
+
+static const struct size sizes[] = {
+    {1, 5, 2}, {2, 10, 4}, {10, 130, 25}, {30, 400, 75}, {60, 800, 150}};
+
+static char body[BODY_BYTES];
+static char text[BODY_BYTES];
+
+static void
+fail(const char *where)
+{
+    fprintf(stderr, "config_bench: %s: %s\n", where, St_Message());
+    exit(1);
+}
+
+static void
+digest_of(const char *kind, int n, char out[Hash_DIGEST_HEX])
+{
+    char name[NAME_BYTES];
+    snprintf(name, sizeof(name), "%s-%d", kind, n);
+    Hash_Digest(name, strlen(name), out);
+}
+
+static size_t
+platform_body(const struct size *size)
+{
+    char digest[Hash_DIGEST_HEX];
+    size_t at = 0;
+    at += (size_t)snprintf(body, BODY_BYTES, "{\"data_centres\":{");
+    for (int i = 0; i < 7; i++) {
+        at += (size_t)snprintf(body + at, BODY_BYTES - at,
+                               "%s\"dc-%d\":{\"region\":\"region-%d\"}",
+                               i > 0 ? "," : "", i, i / 4);
+    }
+    at += (size_t)snprintf(body + at, BODY_BYTES - at, "},\"teams\":{");
+    for (int i = 0; i < size->teams; i++) {
+        digest_of("team", i, digest);
+        at += (size_t)snprintf(
+            body + at, BODY_BYTES - at,
+            "%s\"team-%d\":{\"key_digest\":\"%s\",\"role\":\"%s\"}",
+            i > 0 ? "," : "", i, digest, i == 0 ? "operator" : "editor");
+    }
+    return at + (size_t)snprintf(body + at, BODY_BYTES - at, "}}");
+}
+
+static size_t
+put_customer(size_t at, int n, const char *comma)
+{
+    char digest[Hash_DIGEST_HEX];
+    digest_of("customer", n, digest);
+    return at + (size_t)snprintf(
+                    body + at, BODY_BYTES - at,
+                    "%s\"customer-%d\":{\"key_digest\":\"%s\",\"weight\":1.25,"
+                    "\"requests_per_sec\":12.5,\"max_in_flight\":120,"
+                    "\"body_max\":1048576}",
+                    comma, n, digest);
+}
+
+static size_t
+put_service(size_t at, int n, const char *comma)
+{
+    return at +
+           (size_t)snprintf(
+               body + at, BODY_BYTES - at,
+               "%s\"service-%d\":{\"kind\":\"engine\",\"fenced\":true,"
+               "\"first_token_usec\":300000,\"token_usec\":33000,"
+               "\"deadline_usec\":20000000,\"slots\":8,\"replicas_min\":2,"
+               "\"replicas_max\":9,\"headroom\":0.25,\"reclaimable_max\":0.65,"
+               "\"survive_dc_loss\":true,\"move\":{\"from\":\"v1\","
+               "\"to\":\"v2\",\"first_share\":0.02,"
+               "\"deadline_sec\":1797746400,\"withdrawn\":false}}",
+               comma, n);
+}
+
+/* Customers and services whose number is the team's, modulo the teams. */
+static size_t
+team_body(const struct size *size, int team)
+{
+    size_t at = (size_t)snprintf(body, BODY_BYTES, "{\"customers\":{");
+    const char *comma = "";
+    for (int i = team; i < size->customers; i += size->teams) {
+        at = put_customer(at, i, comma);
+        comma = ",";
+    }
+    at += (size_t)snprintf(body + at, BODY_BYTES - at, "},\"services\":{");
+    comma = "";
+    for (int i = team; i < size->services; i += size->teams) {
+        at = put_service(at, i, comma);
+        comma = ",";
+    }
+    return at + (size_t)snprintf(body + at, BODY_BYTES - at, "}}");
+}
+
+static size_t
+apply(struct sc_state *state, const char *kind, const char *section,
+      const char *author)
+{
+    uint64_t offset = Sc_Offset(state) + 1;
+    int len = snprintf(
+        text, sizeof(text),
+        "{\"kind\":\"%s\",\"section\":\"%s\",\"base\":%" PRIu64
+        ",\"author\":\"%s\",\"id\":\"%032" PRIx64 "\",\"body\":%s}",
+        kind, section, Sc_SectionOffset(state, section), author, offset, body);
+    if (Sc_Apply(state, offset, text) != ST_OK ||
+        Sc_VerdictAt(state, offset)->status != ST_OK) {
+        fail(section);
+    }
+    return (size_t)len;
+}
+
+/* A day's changes: weights, shares and limits of one entry each. */
+static size_t
+apply_day(struct sc_state *state, const struct size *size)
+{
+    char section[NAME_BYTES];
+    size_t bytes = 0;
+    for (int i = 0; i < CHANGES_A_DAY; i++) {
+        if (i % 3 == 0) {
+            int n = i % size->services;
+            snprintf(section, sizeof(section), "team/team-%d",
+                     n % size->teams);
+            snprintf(body, BODY_BYTES,
+                     "{\"services\":{\"service-%d\":{\"move\":"
+                     "{\"first_share\":%.4f}}}}",
+                     n, 0.01 + i * 0.0001);
+        }
+        else {
+            int n = i % size->customers;
+            snprintf(section, sizeof(section), "team/team-%d",
+                     n % size->teams);
+            snprintf(body, BODY_BYTES,
+                     "{\"customers\":{\"customer-%d\":{\"weight\":%.3f}}}", n,
+                     1 + i * 0.001);
+        }
+        bytes += apply(state, "patch", section, "team-0");
+    }
+    return bytes;
+}
+
+static size_t
+publish_all(struct sc_state *state, const struct size *size)
+{
+    char section[NAME_BYTES];
+    size_t bytes = platform_body(size);
+    apply(state, "section", "platform", "bootstrap");
+    for (int i = 0; i < size->teams; i++) {
+        bytes += team_body(size, i);
+        snprintf(section, sizeof(section), "team/team-%d", i);
+        apply(state, "section", section, "team-0");
+    }
+    return bytes;
+}
+
+/* Time of building everything from documents, as a start does. */
+static int64_t
+time_build(const struct sc_state *state)
+{
+    size_t count = Sc_SectionCount(state);
+    struct cf_section *sections = calloc(count, sizeof(*sections));
+    if (sections == NULL) {
+        fail("memory");
+        return 0;
+    }
+    for (size_t i = 0; i < count; i++) {
+        struct sc_section one = Sc_SectionAt(state, i);
+        sections[i].name = one.name;
+        sections[i].json = one.body;
+    }
+    struct cf_config *config = NULL;
+    int64_t began = Ck_Now(Ck_System());
+    if (Cf_Build(sections, count, 1, &config) != ST_OK) {
+        fail("build");
+    }
+    int64_t took = Ck_Now(Ck_System()) - began;
+    Cf_Destroy(config);
+    free(sections);
+    return took;
+}
+
+static void
+measure(const struct size *size)
+{
+    struct sc_state *state;
+    struct sc_state *other;
+    struct mallinfo2 before = mallinfo2();
+    if (Sc_Create(&state) != ST_OK) {
+        fail("create");
+    }
+    size_t whole = publish_all(state, size);
+    size_t memory = mallinfo2().uordblks - before.uordblks;
+    int64_t build = time_build(state);
+    int64_t began = Ck_Now(Ck_System());
+    size_t day = apply_day(state, size);
+    int64_t took = Ck_Now(Ck_System()) - began;
+    size_t after = mallinfo2().uordblks - before.uordblks;
+    char *snapshot = Sc_Snapshot(state);
+    if (snapshot == NULL || Sc_Create(&other) != ST_OK) {
+        fail("snapshot");
+        return;
+    }
+    began = Ck_Now(Ck_System());
+    if (Sc_Restore(other, snapshot) != ST_OK) {
+        fail("restore");
+    }
+    int64_t restore = Ck_Now(Ck_System()) - began;
+    printf("| %d | %d | %d | %zu | %zu | %zu | %.1f | %" PRId64
+           " | %.2f | %zu | %zu | %" PRId64 " |\n",
+           size->teams, size->customers, size->services, whole,
+           whole / (size_t)(size->teams + 1), day / CHANGES_A_DAY,
+           (double)took / CHANGES_A_DAY, build, (double)took / 1000000,
+           memory / 1024, after / 1024, restore);
+    free(snapshot);
+    Sc_Destroy(state);
+    Sc_Destroy(other);
+}
+
+int
+main(void)
+{
+    printf("| teams | customers | services | all sections, bytes | mean "
+           "section, bytes | a change's record, bytes | Sc_Apply a change, us "
+           "| Cf_Build of all, us | 950 changes, s | state, KiB | state after "
+           "950 changes, KiB | restore from snapshot, us |\n");
+    for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+        measure(&sizes[i]);
+    }
+    return 0;
+}
