--- a/packages/config/part.c
+++ b/packages/config/part.c
@@ -48,7 +48,7 @@
      FD_KIND, true},
     {"prefix", AT(cf_service, prefix), 0, 0, 0,
      "give a path that begins and ends with a slash, such as "
-     "\"/box-office/\", without query, and not below /v1/",
+     "\"/box-office/\", without escapes or query, and not below /v1/",
      FD_PATH, false},
     {"idempotent", AT(cf_service, idempotent), 0, 0, 0, "write true or false",
      FD_BOOL, false},
@@ -221,7 +221,7 @@
 static enum st_status
 check_entry(const char *where, const char *name, const json_t *value)
 {
-    if (!Fd_IsName(name)) {
+    if (!Cf_IsName(name)) {
         return St_Fail(ST_INVALID, "%s: the name \"%.60s\" will not do: %s",
                        where, name, Cf_REMEDY_NAME);
     }
@@ -337,7 +337,7 @@
         return ST_OK;
     }
     if (strncmp(section, Cf_TEAM_PREFIX, skip) == 0 &&
-        Fd_IsName(section + skip)) {
+        Cf_IsName(section + skip)) {
         *team = section + skip;
         return ST_OK;
     }
