--- a/packages/config/sections_snapshot.c
+++ b/packages/config/sections_snapshot.c
@@ -53,7 +53,7 @@
         "{s:I, s:I, s:o, s:o}", "offset", (json_int_t)state->offset,
         "in_force", (json_int_t)state->config->offset, "sections",
         sections_to_json(state), "verdicts", verdicts_to_json(state));
-    char *text = json_dumps(json, JSON_COMPACT);
+    char *text = json_dumps(json, JSON_COMPACT | JSON_ENSURE_ASCII);
     json_decref(json);
     return text;
 }
--- a/packages/gate/admin.c
+++ b/packages/gate/admin.c
@@ -225,6 +225,7 @@
     }
     const char *team = authenticate(admin, request);
     if (team == NULL) {
+        Ev_Log(&CF_KEY_UNKNOWN, "method=%s path=%s", Hs_Method(request), path);
         refuse(request, 401, "unauthenticated",
                "no team has this key: set CORNELGATE_ADMIN_KEY to your "
                "team's key, and ask an operator if it was replaced");
--- a/packages/gate/admin_internal.h
+++ b/packages/gate/admin_internal.h
@@ -4,9 +4,14 @@
 
 #include <bsd/sys/queue.h>
 
+#include "base/event.h"
 #include "gate/admin.h"
 #include "web/server.h"
 
+#define EV(n, name, level, meaning, todo) Ev_DEFINE(n, name, level)
+#include "config/events.def"
+#undef EV
+
 struct ad_publish;
 
 TAILQ_HEAD(ad_publishes, ad_publish);
--- a/packages/gate/admin_publish.c
+++ b/packages/gate/admin_publish.c
@@ -23,6 +23,7 @@
     bool appending; /* the append has not ended */
     char id[Sc_ID_MAX];
     char section[Cf_SECTION_MAX];
+    char team[Cf_NAME_MAX];
 };
 
 static void
@@ -101,6 +102,8 @@
 {
     struct ad_publish *publish = arg;
     struct hs_request *request = take_request(publish);
+    Ev_Log(&CF_VERDICT_UNKNOWN, "section=%s team=%s id=%s", publish->section,
+           publish->team, publish->id);
     Ad_Refuse(request,
               St_Fail(ST_UNKNOWN,
                       "the verdict on the change %s could not be read from "
@@ -212,6 +215,9 @@
     publish->timer = Lp_TimerCreate(admin->loop, on_deadline, publish);
     TAILQ_INSERT_TAIL(&admin->publishes, publish, link);
     Hs_SetUser(request, publish);
+    strlcpy(publish->team,
+            json_string_value(json_object_get(record, "author")),
+            sizeof(publish->team));
     const char *kind = json_string_value(json_object_get(record, "kind"));
     enum st_status status =
         publish->timer == NULL
@@ -269,6 +275,17 @@
     }
 }
 
+/* The audit trail of this daemon: who changed which section. */
+static void
+log_verdict(const struct ad_publish *publish, const struct sc_verdict *verdict)
+{
+    const struct ev_event *event =
+        verdict->status == ST_OK ? &CF_ACCEPTED : &CF_REFUSED;
+    Ev_Log(event, "section=%s team=%s offset=%" PRIu64 " id=%s %s",
+           publish->section, publish->team, verdict->offset, publish->id,
+           verdict->reason);
+}
+
 /*
  * To be called after records were applied to the sections: answers the
  * changes whose verdict is now known.
@@ -285,6 +302,7 @@
             continue;
         }
         struct hs_request *request = take_request(publish);
+        log_verdict(publish, verdict);
         answer_verdict(request, publish->section, verdict);
         publish_settle(publish);
     }
