Web: free a listener's watch; a test keeps its servers until the loop ends

Under the sanitizers every server leaked the watch of its listening socket, because the closing loop only forgot it, and one test of web freed its servers before the loop although the library still holds pointers into them. The watch is freed when its descriptor closes; the test follows the documented order and checks what it did before.

--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -458,6 +458,7 @@
 listener_closed(void *arg)
 {
     struct hs_server *server = arg;
+    Lp_WatchDestroy(server->listener);
     server->listener = NULL;
 }
 
--- a/packages/web/test/web_test.cc
+++ b/packages/web/test/web_test.cc
@@ -117,6 +117,8 @@
     {
         Lp_Destroy(f.loop);
         Hs_Destroy(f.server);
+        Hs_Destroy(named[0]);
+        Hs_Destroy(named[1]);
     }
 
     void
@@ -140,6 +142,7 @@
     }
 
     Fixture f;
+    struct hs_server *named[2] = {nullptr, nullptr}; /* outlive the loop */
 };
 
 TEST_F(Web, CarriesBodiesAndHeadersBothWays)
@@ -273,19 +276,16 @@
 TEST_F(Web, TwoServersInOneProcessKeepApart)
 {
     Named names[2] = {{"one"}, {"two"}};
-    struct hs_server *servers[2];
     for (int i = 0; i < 2; i++) {
         struct hs_options options = {};
         options.address = "127.0.0.1";
         options.ops = &kNamedOps;
         options.arg = &names[i];
-        ASSERT_EQ(ST_OK, Hs_Create(f.loop, &options, &servers[i]));
+        ASSERT_EQ(ST_OK, Hs_Create(f.loop, &options, &named[i]));
     }
-    Start("GET", "/", "", Hs_Port(servers[1]));
+    Start("GET", "/", "", Hs_Port(named[1]));
     Lp_Run(f.loop);
     EXPECT_EQ("two", f.answer);
-    Hs_Destroy(servers[0]);
-    Hs_Destroy(servers[1]);
 }
 
 } // namespace
