Book of job leases on the control stream

400 seeded rounds of three hosts with pauses, restarts, outages longer than the term, lost answers and rolling expiry: orders follow the fencing numbers and, without fencing, do not overlap.

--- a/packages/state/lease.c
+++ b/packages/state/lease.c
@@ -74,6 +74,7 @@
 Ls_Sent(struct ls_agent *agent, enum ls_op op, int64_t now)
 {
     agent->sent = op;
+    agent->sent_base = agent->lease.last;
     agent->sent_at = now;
     if (op == LS_RELEASE) {
         /* From here on another host may take the job at any moment. */
@@ -115,13 +116,20 @@
 {
     bool accepted = Ls_Judge(&agent->lease, writer, offset, change);
     bool ours = Rc_CompareWriters(writer, &agent->self) == 0;
+    /*
+     * A state that is built again from a snapshot passes older records of
+     * this host a second time: the base tells them from the one on its way,
+     * whose sending alone begins a new term.
+     */
+    bool awaited =
+        ours && agent->sent == change->op && agent->sent_base == change->base;
     if (accepted) {
         agent->seen_at = now;
     }
-    if (ours && accepted && agent->sent == change->op) {
+    if (awaited && accepted) {
         confirm(agent, change->op);
     }
-    if (ours) {
+    if (awaited) {
         agent->sent = LS_NOTHING;
     }
     if (accepted && !ours) {
@@ -129,6 +137,14 @@
     }
 }
 
+/* Takes over a job's lease from a snapshot. */
+void
+Ls_Loaded(struct ls_agent *agent, const struct ls_lease *lease, int64_t now)
+{
+    agent->lease = *lease;
+    agent->seen_at = now;
+}
+
 /* Whether the log says that this host holds the job. */
 bool
 Ls_Holds(const struct ls_agent *agent)
--- a/packages/state/lease.h
+++ b/packages/state/lease.h
@@ -66,9 +66,10 @@
     struct rc_writer self;
     struct ls_terms terms;
     struct ls_lease lease;
-    bool wanted;      /* this host should hold the job */
-    int64_t seen_at;  /* when the present "lease" was seen */
-    enum ls_op sent;  /* our record on its way */
+    bool wanted;     /* this host should hold the job */
+    int64_t seen_at; /* when the present "lease" was seen */
+    enum ls_op sent; /* our record on its way */
+    uint64_t sent_base;
     int64_t sent_at;  /* before it was first sent */
     int64_t until;    /* end of our confirmed term */
     int64_t act_from; /* orders of the holder before us have ended by then */
@@ -89,6 +90,8 @@
 void Ls_Want(struct ls_agent *agent, bool wanted);
 void Ls_Sent(struct ls_agent *agent, enum ls_op op, int64_t now);
 void Ls_NotWritten(struct ls_agent *agent);
+void Ls_Loaded(struct ls_agent *agent, const struct ls_lease *lease,
+               int64_t now);
 void Ls_Applied(struct ls_agent *agent, const struct rc_writer *writer,
                 uint64_t offset, const struct ls_change *change, int64_t now);
 
--- /dev/null
+++ b/packages/state/leases.c
@@ -0,0 +1,257 @@
+#include "state/leases.h"
+
+#include <bsd/string.h>
+#include <bsd/sys/tree.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define Le_TERM_USEC (15 * Ck_USEC_PER_SEC)
+#define Le_MARGIN_USEC Ck_USEC_PER_SEC
+
+struct le_job {
+    RB_ENTRY(le_job) node;
+    char name[Ls_JOB_MAX];
+    struct ls_agent agent;
+};
+
+static int
+compare(struct le_job *a, struct le_job *b)
+{
+    return strcmp(a->name, b->name);
+}
+
+RB_HEAD(le_tree, le_job);
+RB_GENERATE_INTERNAL(le_tree, le_job, node, compare,
+                     static __attribute__((unused)))
+
+struct le_book {
+    struct le_tree jobs;
+    const struct ck_clock *clock;
+    struct rc_writer self;
+    struct wr_writer *writer;
+    struct ls_terms terms;
+};
+
+/* Makes a book without jobs; it must outlive its writer. */
+enum st_status
+Le_Create(const struct le_options *options, struct le_book **out)
+{
+    struct le_book *book = calloc(1, sizeof(*book));
+    if (book == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for leases");
+    }
+    RB_INIT(&book->jobs);
+    book->clock = options->clock;
+    book->self = options->self;
+    book->writer = options->writer;
+    book->terms.term_usec =
+        options->term_usec > 0 ? options->term_usec : Le_TERM_USEC;
+    book->terms.margin_usec =
+        options->margin_usec > 0 ? options->margin_usec : Le_MARGIN_USEC;
+    *out = book;
+    return ST_OK;
+}
+
+/* Frees a book; its writer must be destroyed before. */
+void
+Le_Destroy(struct le_book *book)
+{
+    if (book == NULL) {
+        return;
+    }
+    struct le_job *job;
+    struct le_job *next;
+    RB_FOREACH_SAFE (job, le_tree, &book->jobs, next) {
+        RB_REMOVE(le_tree, &book->jobs, job);
+        free(job);
+    }
+    free(book);
+}
+
+static struct le_job *
+find(const struct le_book *book, const char *name)
+{
+    struct le_job probe;
+    strlcpy(probe.name, name, sizeof(probe.name));
+    /* RB_FIND() does not change the tree but takes no const one. */
+    return RB_FIND(le_tree, (struct le_tree *)&book->jobs, &probe);
+}
+
+static struct le_job *
+find_or_add(struct le_book *book, const char *name)
+{
+    struct le_job *job = find(book, name);
+    if (job != NULL) {
+        return job;
+    }
+    job = calloc(1, sizeof(*job));
+    if (job == NULL) {
+        abort(); /* a book without this job would judge unlike others */
+    }
+    strlcpy(job->name, name, sizeof(job->name));
+    Ls_Init(&job->agent, &book->self, &book->terms);
+    RB_INSERT(le_tree, &book->jobs, job);
+    return job;
+}
+
+/*
+ * Says whether this host should hold a job.  "order_usec" is the longest
+ * life of an order at endpoints that compare no fencing numbers, 0 where all
+ * compare them; every host must give the same.
+ */
+enum st_status
+Le_Want(struct le_book *book, const char *name, bool wanted,
+        int64_t order_usec)
+{
+    if (name[0] == '\0' || strlen(name) >= Ls_JOB_MAX) {
+        return St_Fail(ST_INVALID, "job name of %zu bytes; use 1 to %d",
+                       strlen(name), Ls_JOB_MAX - 1);
+    }
+    struct le_job *job = find_or_add(book, name);
+    job->agent.terms.order_usec = order_usec;
+    Ls_Want(&job->agent, wanted);
+    return ST_OK;
+}
+
+static void
+change_written(void *arg, enum wr_result result, uint64_t sequence)
+{
+    struct le_job *job = arg;
+    if (result == WR_NOT_WRITTEN) {
+        Ls_NotWritten(&job->agent);
+    }
+}
+
+static void
+append(struct le_book *book, struct le_job *job, enum ls_op op, int64_t now)
+{
+    struct ls_change change = {.op = op, .base = job->agent.lease.last};
+    strlcpy(change.job, job->name, sizeof(change.job));
+    Ls_Sent(&job->agent, op, now);
+    if (Wr_Put(book->writer, BG_LEASE, Ls_KIND, Ls_Body(&change),
+               now + book->terms.term_usec, change_written, job) != ST_OK) {
+        Ls_NotWritten(&job->agent);
+    }
+}
+
+/*
+ * Appends what is due.  "ready" and "tail_asked" are Sn_AtTail() of the
+ * control stream's replica: without a known state nothing is taken.
+ */
+void
+Le_Tick(struct le_book *book, bool ready, int64_t tail_asked)
+{
+    if (!ready) {
+        return;
+    }
+    int64_t now = Ck_Now(book->clock);
+    struct le_job *job;
+    RB_FOREACH (job, le_tree, &book->jobs) {
+        enum ls_op op = Ls_Due(&job->agent, now, tail_asked);
+        if (op != LS_NOTHING) {
+            append(book, job, op, now);
+        }
+    }
+}
+
+/* Forgets what the log said; what this host wants and has sent stays. */
+void
+Le_Reset(struct le_book *book)
+{
+    struct ls_lease none = {.last = 0};
+    struct le_job *job;
+    RB_FOREACH (job, le_tree, &book->jobs) {
+        Ls_Loaded(&job->agent, &none, Ck_Now(book->clock));
+    }
+}
+
+/* Applies the next record of the stream. */
+void
+Le_Apply(struct le_book *book, const struct rc_record *record)
+{
+    struct ls_change change;
+    if (!Rc_Is(record, Ls_KIND) || !Ls_Read(record->body, &change)) {
+        return;
+    }
+    struct le_job *job = find_or_add(book, change.job);
+    Ls_Applied(&job->agent, &record->writer, record->offset, &change,
+               Ck_Now(book->clock));
+}
+
+/* Adds the entry of one job; entries of other modules are skipped. */
+void
+Le_Load(struct le_book *book, const json_t *entry)
+{
+    const char *name = Rc_Text(entry, "lease");
+    if (name[0] == '\0') {
+        return;
+    }
+    struct ls_lease lease = {
+        .holder.incarnation = (uint64_t)Rc_Number(entry, "i"),
+        .last = (uint64_t)Rc_Number(entry, "last"),
+        .fence = (uint64_t)Rc_Number(entry, "fence"),
+    };
+    strlcpy(lease.holder.node, Rc_Text(entry, "n"), sizeof(lease.holder.node));
+    Ls_Loaded(&find_or_add(book, name)->agent, &lease, Ck_Now(book->clock));
+}
+
+/* Appends the entries of all jobs to a snapshot's list. */
+void
+Le_Save(const struct le_book *book, json_t *list)
+{
+    struct le_tree *jobs = (struct le_tree *)&book->jobs;
+    struct le_job *job;
+    RB_FOREACH (job, le_tree, jobs) {
+        const struct ls_lease *lease = &job->agent.lease;
+        if (lease->last == 0) {
+            continue;
+        }
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:I, s:I, s:I}", "lease", job->name,
+                            "n", lease->holder.node, "i",
+                            (json_int_t)lease->holder.incarnation, "last",
+                            (json_int_t)lease->last, "fence",
+                            (json_int_t)lease->fence));
+    }
+}
+
+/* As Ls_MayAct(), with the clock read now.  Call it right before an order. */
+bool
+Le_MayAct(const struct le_book *book, const char *name, struct ls_permit *out)
+{
+    const struct le_job *job = find(book, name);
+    return job != NULL && Ls_MayAct(&job->agent, Ck_Now(book->clock), out);
+}
+
+/* Whether the log says that this host holds the job. */
+bool
+Le_Holds(const struct le_book *book, const char *name)
+{
+    const struct le_job *job = find(book, name);
+    return job != NULL && Ls_Holds(&job->agent);
+}
+
+/* What the log says about a job; false when nothing. */
+bool
+Le_Get(const struct le_book *book, const char *name, struct ls_lease *out)
+{
+    const struct le_job *job = find(book, name);
+    if (job == NULL || job->agent.lease.last == 0) {
+        return false;
+    }
+    *out = job->agent.lease;
+    return true;
+}
+
+/* Number of jobs this host holds. */
+size_t
+Le_Held(const struct le_book *book)
+{
+    struct le_tree *jobs = (struct le_tree *)&book->jobs;
+    struct le_job *job;
+    size_t count = 0;
+    RB_FOREACH (job, le_tree, jobs) {
+        count += Ls_Holds(&job->agent) ? 1 : 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/state/leases.h
@@ -0,0 +1,53 @@
+/*
+ * The leases of all jobs, on the control stream: a part of the state of a
+ * replica (snapshot.h) of that stream, and the records that this host's
+ * agents append to it.
+ */
+#ifndef STATE_LEASES_H
+#define STATE_LEASES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "base/clock.h"
+#include "state/lease.h"
+#include "state/writer.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct le_options {
+    const struct ck_clock *clock;
+    struct rc_writer self;    /* as that of the writer */
+    struct wr_writer *writer; /* of the control stream */
+    int64_t term_usec;        /* 0: 15 s */
+    int64_t margin_usec;      /* 0: 1 s */
+};
+
+struct le_book;
+
+enum st_status Le_Create(const struct le_options *options,
+                         struct le_book **out);
+void Le_Destroy(struct le_book *book);
+enum st_status Le_Want(struct le_book *book, const char *job, bool wanted,
+                       int64_t order_usec);
+void Le_Tick(struct le_book *book, bool ready, int64_t tail_asked);
+
+/* For the table of sn_ops; Le_Apply() skips records of other kinds. */
+void Le_Reset(struct le_book *book);
+void Le_Apply(struct le_book *book, const struct rc_record *record);
+void Le_Load(struct le_book *book, const json_t *entry);
+void Le_Save(const struct le_book *book, json_t *list);
+
+bool Le_MayAct(const struct le_book *book, const char *job,
+               struct ls_permit *out);
+bool Le_Holds(const struct le_book *book, const char *job);
+bool Le_Get(const struct le_book *book, const char *job, struct ls_lease *out);
+size_t Le_Held(const struct le_book *book);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/state/test/lease_test.cc
+++ b/packages/state/test/lease_test.cc
@@ -163,6 +163,27 @@
     EXPECT_EQ(1u, bench.Fence(0, 38));
 }
 
+/*
+ * A holder that fell behind builds its state again and reads its older
+ * renewal a second time, while a new one is on its way and may never land.
+ * The old one must not begin the term of the new one.
+ */
+TEST(Lease, ARenewalReadASecondTimeBeginsNoTerm)
+{
+    Bench bench(1, Terms(30, 3, 0));
+    bench.Append(0, 0, LS_TAKE);
+    bench.Read(0, 1);
+    struct ls_lease before = bench.agents[0].lease;
+    bench.Append(0, 10, LS_RENEW);
+    bench.Read(0, 11);
+    bench.Send(0, 20, LS_RENEW);
+    Ls_Loaded(&bench.agents[0], &before, 25);
+    bench.read[0] = 1;
+    bench.Read(0, 25);
+    EXPECT_EQ(1u, bench.Fence(0, 36));
+    EXPECT_EQ(0u, bench.Fence(0, 37));
+}
+
 /* A renewal that was refused is sent again, at once. */
 TEST(Lease, ARefusedRenewalIsSentAgain)
 {
--- /dev/null
+++ b/packages/state/test/leases_test.cc
@@ -0,0 +1,240 @@
+/* Leases of several hosts over one log with faults. */
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/test/fake_log.h"
+#include "state/leases.h"
+#include "state/snapshot.h"
+#include "state/test/fake_clock.h"
+
+namespace {
+
+const int64_t kTerm = 3 * Ck_USEC_PER_SEC;
+const int64_t kOrder = 3 * Ck_USEC_PER_SEC / 2;
+
+/* What the endpoints saw: the newest fence, and when orders end. */
+struct Endpoint {
+    uint64_t fence = 0;
+    int64_t ends = 0;
+    std::string by;
+    int orders = 0;
+    int changes = 0;
+};
+
+struct Host {
+    FakeLog &log;
+    FakeClock &clock;
+    struct bg_budget *budget;
+    struct wr_writer *writer = nullptr;
+    struct sn_replica *replica = nullptr;
+    struct le_book *book = nullptr;
+    std::string name;
+
+    Host(FakeLog &l, FakeClock &c, const char *n)
+        : log(l), clock(c), budget(Bg_Create(&c.clock)), name(n)
+    {
+        static uint64_t incarnation;
+        struct wr_options write = {};
+        write.log = &l.log;
+        write.stream = "control";
+        snprintf(write.self.node, sizeof(write.self.node), "%s", n);
+        write.self.incarnation = ++incarnation;
+        write.clock = &c.clock;
+        write.budget = budget;
+        for (int i = 0; i < BG_PURPOSES; i++) {
+            Bg_Set(budget, (enum bg_purpose)i, 1000, 1000);
+        }
+        EXPECT_EQ(ST_OK, Wr_Create(&write, &writer));
+        struct le_options options = {};
+        options.clock = &c.clock;
+        options.self = write.self;
+        options.writer = writer;
+        options.term_usec = kTerm;
+        options.margin_usec = kTerm / 10;
+        EXPECT_EQ(ST_OK, Le_Create(&options, &book));
+        struct sn_options replicate = {};
+        replicate.log = &l.log;
+        replicate.stream = "control";
+        replicate.clock = &c.clock;
+        replicate.writer = writer;
+        replicate.poll_usec = 100 * Ck_USEC_PER_MSEC;
+        replicate.snapshot_records = 20;
+        replicate.ops = &kOps;
+        replicate.arg = this;
+        EXPECT_EQ(ST_OK, Sn_Create(&replicate, &replica));
+        Sn_SetWriting(replica, true);
+        EXPECT_EQ(ST_OK, Le_Want(book, "fenced", true, 0));
+        EXPECT_EQ(ST_OK, Le_Want(book, "plain", true, kOrder));
+    }
+
+    ~Host()
+    {
+        Wr_Destroy(writer);
+        Le_Destroy(book);
+        Sn_Destroy(replica);
+        Bg_Destroy(budget);
+    }
+
+    void
+    Tick()
+    {
+        int64_t asked = 0;
+        bool ready = Sn_AtTail(replica, &asked);
+        Le_Tick(book, ready, asked);
+        Wr_Tick(writer);
+        Sn_Tick(replica);
+    }
+
+    static void
+    Reset(void *arg)
+    {
+        Le_Reset(static_cast<Host *>(arg)->book);
+    }
+
+    static void
+    Apply(void *arg, const struct rc_record *record)
+    {
+        Le_Apply(static_cast<Host *>(arg)->book, record);
+    }
+
+    static json_t *
+    Save(void *arg)
+    {
+        json_t *list = json_array();
+        Le_Save(static_cast<Host *>(arg)->book, list);
+        return list;
+    }
+
+    static void
+    Load(void *arg, const json_t *entry)
+    {
+        Le_Load(static_cast<Host *>(arg)->book, entry);
+    }
+
+    static const struct sn_ops kOps;
+};
+
+const struct sn_ops Host::kOps = {Reset, Apply, Save, Load};
+
+/* Orders when it may; fails when an older holder acts after a newer one, or
+ * while an order of an older one still lives. */
+void
+Order(Host &host, const char *job, Endpoint &endpoint)
+{
+    struct ls_permit permit;
+    if (!Le_MayAct(host.book, job, &permit)) {
+        return;
+    }
+    ASSERT_GE(permit.fence, endpoint.fence) << job;
+    if (permit.fence > endpoint.fence) {
+        ASSERT_LE(endpoint.ends, host.clock.boot) << job;
+        endpoint.changes++;
+    }
+    endpoint.fence = permit.fence;
+    endpoint.ends = host.clock.boot + permit.life_usec;
+    endpoint.orders++;
+}
+
+/*
+ * A host orders a version although another one took its job: it was paused,
+ * cut off from the log or restarted, answers were lost, the log was down for
+ * longer than the term, its state was built again from a snapshot.  Whatever
+ * comes, orders follow the order of fencing numbers, and the job is held
+ * again once the trouble is over.
+ */
+TEST(Leases, OrdersFollowTheFencesWhateverFails)
+{
+    Endpoint total;
+    for (uint64_t seed = 1; seed <= 400; seed++) {
+        FakeLog log;
+        FakeClock clock;
+        Rn_Seed(&log.random, seed);
+        log.lost_rate = 0.2;
+        log.refused_rate = 0.1;
+        log.short_rate = 0.1;
+        std::vector<std::unique_ptr<Host>> hosts;
+        for (const char *name : {"a", "b", "c"}) {
+            hosts.push_back(std::make_unique<Host>(log, clock, name));
+        }
+        std::map<std::string, Endpoint> endpoints;
+        size_t paused = 0;
+        for (int step = 0; step < 1500; step++) {
+            if (step == 1200) {
+                log.lost_rate = log.refused_rate = log.short_rate = 0;
+                log.outage = false;
+                paused = hosts.size();
+                endpoints["fenced"].orders = endpoints["plain"].orders = 0;
+            }
+            if (step < 1200 && Rn_Below(&log.random, 80) == 0) {
+                paused = Rn_Below(&log.random, 4);
+            }
+            if (step < 1200 && Rn_Below(&log.random, 200) == 0) {
+                log.outage = !log.outage;
+            }
+            size_t i = Rn_Below(&log.random, 3);
+            if (step < 1200 && Rn_Below(&log.random, 300) == 0) {
+                std::string name = hosts[i]->name;
+                hosts[i] = std::make_unique<Host>(log, clock, name.c_str());
+            }
+            if (i != paused) {
+                hosts[i]->Tick();
+                Order(*hosts[i], "fenced", endpoints["fenced"]);
+                Order(*hosts[i], "plain", endpoints["plain"]);
+            }
+            ASSERT_FALSE(HasFatalFailure()) << "seed " << seed;
+            log.Run((int)Rn_Below(&log.random, 6));
+            if (Rn_Below(&log.random, 20) == 0) {
+                log.DeliverLate();
+            }
+            FakeLog::Stream &s = log.streams["control"];
+            if (s.records.size() > 150) {
+                log.Expire("control", s.Next() - 120);
+            }
+            clock.Advance((int64_t)Rn_Below(&log.random, 60) *
+                          Ck_USEC_PER_MSEC);
+        }
+        for (const char *job : {"fenced", "plain"}) {
+            ASSERT_GT(endpoints[job].orders, 0) << job << " seed " << seed;
+            total.changes += endpoints[job].changes;
+        }
+    }
+    EXPECT_GT(total.changes, 1000);
+}
+
+/* A planned stop hands every job over without waiting for a term. */
+TEST(Leases, AHostThatLeavesHandsItsJobsOver)
+{
+    FakeLog log;
+    FakeClock clock;
+    Host a(log, clock, "a");
+    auto settle = [&](Host &host) {
+        for (int i = 0; i < 10; i++) {
+            host.Tick();
+            log.Run();
+            clock.Advance(20 * Ck_USEC_PER_MSEC);
+            Sn_Kick(host.replica);
+            log.Run();
+        }
+    };
+    settle(a);
+    EXPECT_EQ(2u, Le_Held(a.book));
+    Host b(log, clock, "b");
+    settle(b);
+    EXPECT_EQ(0u, Le_Held(b.book));
+    Le_Want(a.book, "fenced", false, 0);
+    settle(a);
+    settle(b);
+    struct ls_permit permit;
+    struct ls_lease lease;
+    EXPECT_FALSE(Le_MayAct(a.book, "fenced", &permit));
+    EXPECT_TRUE(Le_MayAct(b.book, "fenced", &permit));
+    EXPECT_TRUE(Le_Get(a.book, "plain", &lease));
+    EXPECT_STREQ("a", lease.holder.node);
+    EXPECT_EQ(ST_INVALID, Le_Want(a.book, "", true, 0));
+}
+
+} // namespace
