--- a/packages/member/fact.c
+++ b/packages/member/fact.c
@@ -127,6 +127,9 @@
 enqueue(struct fc_table *facts, struct fc_entry *entry, int left)
 {
     unqueue(facts, entry);
+    if (facts->quiet) {
+        return;
+    }
     entry->left = left;
     if (left > 0) {
         TAILQ_INSERT_HEAD(&facts->queues[entry->scope], entry, queued);
@@ -355,6 +358,19 @@
     return true;
 }
 
+/*
+ * Merges a fact without spreading it further: what a new node takes with its
+ * first full state is news to that node alone.
+ */
+bool
+Fc_Learn(struct fc_table *facts, const struct fc_fact *fact)
+{
+    facts->quiet = true;
+    bool news = Fc_Apply(facts, fact);
+    facts->quiet = false;
+    return news;
+}
+
 /*
  * Ends facts whose time is over.  The version is kept a while longer: a copy
  * that a slow peer still holds must not bring the fact back.
--- a/packages/member/fact.h
+++ b/packages/member/fact.h
@@ -85,6 +85,7 @@
 enum st_status Fc_Watch(struct fc_table *facts, const char *key_prefix,
                         fc_changed_fn changed, void *arg);
 bool Fc_Apply(struct fc_table *facts, const struct fc_fact *fact);
+bool Fc_Learn(struct fc_table *facts, const struct fc_fact *fact);
 void Fc_Expire(struct fc_table *facts);
 void Fc_SetSpread(struct fc_table *facts, enum fc_scope scope, int count);
 void Fc_TakeBegin(struct fc_table *facts);
@@ -104,6 +105,7 @@
                  size_t bucket, struct fc_stamp *out, size_t max);
 bool Fc_ByHash(const struct fc_table *facts, uint64_t name_hash,
                struct fc_fact *out);
+uint32_t Fc_ValueHash(const struct fc_fact *fact);
 size_t Fc_Bucket(uint64_t name_hash);
 
 #ifdef __cplusplus
--- a/packages/member/fact_internal.h
+++ b/packages/member/fact_internal.h
@@ -47,6 +47,7 @@
     struct fc_queue queues[Fc_SCOPES];
     struct fc_queue sent[Fc_SCOPES]; /* already in the present datagram */
     int spread[Fc_SCOPES];
+    bool quiet; /* nothing is queued for spreading */
     struct fc_watches watches;
 };
 
--- a/packages/member/fact_query.c
+++ b/packages/member/fact_query.c
@@ -112,6 +112,13 @@
     return name_hash >> Fc_BUCKET_SHIFT;
 }
 
+/* Tells values of equal versions apart. */
+uint32_t
+Fc_ValueHash(const struct fc_fact *fact)
+{
+    return (uint32_t)Hash_Bytes(fact->value, fact->len, 0);
+}
+
 static struct fc_stamp
 stamp_of(const struct fc_entry *entry)
 {
--- /dev/null
+++ b/packages/member/link.c
@@ -0,0 +1,326 @@
+/* The links of a node, requests and their handlers, time limits. */
+#include "member/link.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/link_internal.h"
+
+#define Lk_IDLE_USEC (60 * Ck_USEC_PER_SEC)
+#define Lk_HELLO_USEC (5 * Ck_USEC_PER_SEC)
+#define Lk_CALL_SWEEP_USEC (50 * Ck_USEC_PER_MSEC)
+#define Lk_IDLE_SWEEP_USEC Ck_USEC_PER_SEC
+
+static void on_timer(void *arg);
+static void free_dead(struct lk_links *links);
+
+/*
+ * Creates the links and listens.  They must be destroyed before the loop.
+ */
+enum st_status
+Lk_Create(struct lp_loop *loop, const struct lk_options *options,
+          struct lk_links **out)
+{
+    if (options->cluster_key == NULL || options->cluster_key[0] == '\0') {
+        return St_Fail(ST_INVALID, "no cluster key; give every daemon the "
+                                   "same secret");
+    }
+    struct lk_links *links = calloc(1, sizeof(*links));
+    if (links == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the links");
+    }
+    links->loop = loop;
+    links->clock = options->clock;
+    links->idle_usec =
+        options->idle_usec != 0 ? options->idle_usec : Lk_IDLE_USEC;
+    strlcpy(links->node, options->node, sizeof(links->node));
+    Wr_DeriveKey(options->cluster_key, "frame", links->key);
+    TAILQ_INIT(&links->connections);
+    TAILQ_INIT(&links->dead);
+    TAILQ_INIT(&links->calls);
+    TAILQ_INIT(&links->requests);
+    SLIST_INIT(&links->handlers);
+    links->timer = Lp_TimerCreate(loop, on_timer, links);
+    enum st_status status =
+        links->timer == NULL
+            ? St_Fail(ST_NO_MEMORY, "no memory for a timer")
+            : lk_listen(links, options->address, options->port);
+    if (status != ST_OK) {
+        Lk_Destroy(links);
+        return status;
+    }
+    *out = links;
+    return ST_OK;
+}
+
+/*
+ * Closes all connections.  Calls under way end without a word, and requests
+ * not yet answered must not be answered any more.
+ */
+void
+Lk_Destroy(struct lk_links *links)
+{
+    if (links == NULL) {
+        return;
+    }
+    struct lk_call *call;
+    struct lk_call *next_call;
+    TAILQ_FOREACH_SAFE (call, &links->calls, link, next_call) {
+        Lk_Cancel(call);
+    }
+    struct lk_connection *connection;
+    struct lk_connection *next_connection;
+    TAILQ_FOREACH_SAFE (connection, &links->connections, link,
+                        next_connection) {
+        lk_close(connection);
+    }
+    free_dead(links);
+    struct lk_request *request;
+    struct lk_request *next_request;
+    TAILQ_FOREACH_SAFE (request, &links->requests, link, next_request) {
+        free(request);
+    }
+    struct lk_handler *handler;
+    struct lk_handler *next_handler;
+    SLIST_FOREACH_SAFE(handler, &links->handlers, link, next_handler)
+    {
+        free(handler);
+    }
+    Lp_WatchDestroy(links->listener);
+    Lp_TimerDestroy(links->timer);
+    free(links);
+}
+
+/* The port listened on. */
+uint16_t
+Lk_Port(const struct lk_links *links)
+{
+    return links->port;
+}
+
+const struct lk_counters *
+Lk_Counters(const struct lk_links *links)
+{
+    return &links->counters;
+}
+
+/* How many connections stand, in both directions. */
+size_t
+Lk_Connections(const struct lk_links *links)
+{
+    return links->connection_count;
+}
+
+/* Sets the handler of a type of request; ST_CONFLICT when it has one. */
+enum st_status
+Lk_Handle(struct lk_links *links, const char *type, lk_handler_fn fn,
+          void *arg)
+{
+    struct lk_handler *handler;
+    SLIST_FOREACH (handler, &links->handlers, link) {
+        if (strcmp(handler->type, type) == 0) {
+            return St_Fail(ST_CONFLICT, "requests of type %s have a handler",
+                           type);
+        }
+    }
+    if (strlen(type) >= Wr_TYPE_MAX) {
+        return St_Fail(ST_INVALID, "request type %s; at most %d bytes fit",
+                       type, Wr_TYPE_MAX - 1);
+    }
+    handler = calloc(1, sizeof(*handler));
+    if (handler == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for a handler");
+    }
+    strlcpy(handler->type, type, sizeof(handler->type));
+    handler->fn = fn;
+    handler->arg = arg;
+    SLIST_INSERT_HEAD(&links->handlers, handler, link);
+    return ST_OK;
+}
+
+/* Sets the timer: often while calls have time limits, else for idleness. */
+void
+lk_arm(struct lk_links *links)
+{
+    int64_t delay = 0;
+    if (!TAILQ_EMPTY(&links->calls) || !TAILQ_EMPTY(&links->dead)) {
+        delay = Lk_CALL_SWEEP_USEC;
+    }
+    else if (!TAILQ_EMPTY(&links->connections)) {
+        delay = Lk_IDLE_SWEEP_USEC;
+    }
+    int64_t due = Ck_Now(links->clock) + delay;
+    /* Never later than set: frequent calls must not put it off for ever. */
+    if (delay != 0 && (links->timer_usec == 0 || due < links->timer_usec)) {
+        links->timer_usec = due;
+        Lp_TimerSet(links->timer, delay);
+    }
+}
+
+static struct lk_handler *
+find_handler(struct lk_links *links, const char *type)
+{
+    struct lk_handler *handler;
+    SLIST_FOREACH (handler, &links->handlers, link) {
+        if (strcmp(handler->type, type) == 0) {
+            return handler;
+        }
+    }
+    return NULL;
+}
+
+/* Hands a request to its handler. */
+void
+lk_take_request(struct lk_connection *connection, const struct wr_frame *frame)
+{
+    struct lk_links *links = connection->links;
+    struct lk_request *request = calloc(1, sizeof(*request) + frame->len);
+    if (request == NULL) {
+        lk_close(connection);
+        return;
+    }
+    request->links = links;
+    request->connection = connection;
+    request->id = frame->id;
+    request->len = frame->len;
+    strlcpy(request->from, connection->node, sizeof(request->from));
+    if (frame->len > 0) {
+        memcpy(request->payload, frame->payload, frame->len);
+    }
+    TAILQ_INSERT_TAIL(&links->requests, request, link);
+    connection->open++;
+    struct lk_handler *handler = find_handler(links, frame->name);
+    if (handler == NULL) {
+        Lk_Reply(request, ST_NOT_FOUND, NULL, 0);
+        return;
+    }
+    handler->fn(handler->arg, request);
+}
+
+/* The payload of a request, valid until it is answered. */
+const void *
+Lk_Payload(const struct lk_request *request, size_t *len)
+{
+    *len = request->len;
+    return request->payload;
+}
+
+/* The id of the node that sent a request. */
+const char *
+Lk_From(const struct lk_request *request)
+{
+    return request->from;
+}
+
+/*
+ * Answers a request and frees it.  The answer is dropped when the connection
+ * is gone or has too much to send: the caller then sees a lost connection or
+ * a time limit, both of which say that the request may have had its effect.
+ */
+void
+Lk_Reply(struct lk_request *request, enum st_status status,
+         const void *payload, size_t len)
+{
+    struct lk_connection *connection = request->connection;
+    TAILQ_REMOVE(&request->links->requests, request, link);
+    if (connection != NULL) {
+        struct wr_frame frame = {.kind = WR_ANSWER,
+                                 .id = request->id,
+                                 .status = status,
+                                 .payload = payload,
+                                 .len = len};
+        connection->open--;
+        if (lk_queue(connection, &frame, NULL) == ST_OK) {
+            Lp_WatchWritable(connection->watch);
+        }
+    }
+    free(request);
+}
+
+/* Ends the calls of a connection that is gone, and orphans its requests. */
+void
+lk_connection_lost(struct lk_connection *connection)
+{
+    struct lk_links *links = connection->links;
+    struct lk_request *request;
+    TAILQ_FOREACH (request, &links->requests, link) {
+        if (request->connection == connection) {
+            request->connection = NULL;
+        }
+    }
+    struct lk_call *call;
+    while ((call = lk_call_on(connection)) != NULL) {
+        struct lk_result result = {.status = ST_UNAVAILABLE,
+                                   .may_have_left = call->may_have_left};
+        lk_finish(call, &result);
+    }
+}
+
+static void
+end_late_calls(struct lk_links *links, int64_t now)
+{
+    struct lk_call *call;
+    while ((call = lk_late_call(links, now)) != NULL) {
+        struct lk_result result = {.status = ST_TIMEOUT,
+                                   .may_have_left = call->may_have_left};
+        lk_finish(call, &result);
+    }
+}
+
+static bool
+is_idle(const struct lk_connection *connection, int64_t now)
+{
+    if (!connection->ready) {
+        return now - connection->made_usec > Lk_HELLO_USEC;
+    }
+    return connection->open == 0 && TAILQ_EMPTY(&connection->frames) &&
+           now - connection->used_usec > connection->links->idle_usec;
+}
+
+static struct lk_connection *
+find_idle(const struct lk_links *links, int64_t now)
+{
+    struct lk_connection *connection;
+    TAILQ_FOREACH (connection, &links->connections, link) {
+        if (is_idle(connection, now)) {
+            return connection;
+        }
+    }
+    return NULL;
+}
+
+/* One that is closed may end calls, and these may change the list. */
+static void
+close_idle(struct lk_links *links, int64_t now)
+{
+    struct lk_connection *connection;
+    while ((connection = find_idle(links, now)) != NULL) {
+        lk_close(connection);
+    }
+}
+
+/* Frees closed connections, now that none of their handlers runs. */
+static void
+free_dead(struct lk_links *links)
+{
+    struct lk_connection *connection;
+    struct lk_connection *next;
+    TAILQ_FOREACH_SAFE (connection, &links->dead, link, next) {
+        free(connection->in);
+        free(connection);
+    }
+    TAILQ_INIT(&links->dead);
+}
+
+static void
+on_timer(void *arg)
+{
+    struct lk_links *links = arg;
+    int64_t now = Ck_Now(links->clock);
+    links->timer_usec = 0;
+    free_dead(links);
+    end_late_calls(links, now);
+    close_idle(links, now);
+    lk_arm(links);
+}
--- /dev/null
+++ b/packages/member/link_connection.c
@@ -0,0 +1,395 @@
+/* One TCP connection: hello, sending and reading of frames. */
+#include <arpa/inet.h>
+#include <bsd/stdlib.h>
+#include <bsd/string.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "member/address.h"
+#include "member/link.h"
+#include "member/link_internal.h"
+
+#define Lk_BACKLOG 512
+#define Lk_READ_BYTES 16384
+#define Lk_ACCEPTS 64 /* taken in one turn of the loop */
+
+static void
+free_frames(struct lk_connection *connection)
+{
+    struct lk_frame *frame;
+    struct lk_frame *next;
+    TAILQ_FOREACH_SAFE (frame, &connection->frames, link, next) {
+        lk_unqueue(connection, frame);
+    }
+}
+
+/*
+ * Closes a connection and ends what was under way on it.  It is freed by the
+ * timer: a handler of it may be running now.
+ */
+void
+lk_close(struct lk_connection *connection)
+{
+    if (connection->dead) {
+        return;
+    }
+    struct lk_links *links = connection->links;
+    connection->dead = true;
+    TAILQ_REMOVE(&links->connections, connection, link);
+    TAILQ_INSERT_TAIL(&links->dead, connection, link);
+    links->connection_count--;
+    Lp_WatchDestroy(connection->watch);
+    connection->watch = NULL;
+    free_frames(connection);
+    lk_connection_lost(connection);
+    lk_arm(links);
+}
+
+static void
+deny(struct lk_connection *connection)
+{
+    connection->links->counters.denied++;
+    lk_close(connection);
+}
+
+static size_t
+read_length(const uint8_t *bytes)
+{
+    size_t len = 0;
+    for (int i = 0; i < Wr_FRAME_HEAD; i++) {
+        len = len << 8 | bytes[i];
+    }
+    return len;
+}
+
+static void
+frame_sent(struct lk_connection *connection, struct lk_frame *frame)
+{
+    connection->links->counters.frames_out++;
+    lk_unqueue(connection, frame);
+}
+
+/* Sends what the socket takes.  May close the connection. */
+void
+lk_flush(struct lk_connection *connection)
+{
+    struct lk_frame *frame;
+    if (connection->dead || !connection->connected) {
+        return;
+    }
+    while ((frame = lk_next_frame(connection)) != NULL) {
+        if (!frame->sealed && !lk_seal(connection, frame)) {
+            lk_close(connection);
+            return;
+        }
+        size_t left = lk_frame_bytes(frame) - frame->sent;
+        ssize_t sent = send(connection->fd, frame->bytes + frame->sent, left,
+                            MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
+            Lp_WatchWritable(connection->watch);
+            return;
+        }
+        if (sent < 0) {
+            lk_close(connection);
+            return;
+        }
+        if (frame->call != NULL) {
+            frame->call->may_have_left = true;
+        }
+        frame->sent += (size_t)sent;
+        connection->links->counters.bytes_out += (size_t)sent;
+        if ((size_t)sent == left) {
+            frame_sent(connection, frame);
+        }
+    }
+}
+
+static enum st_status
+queue_hello(struct lk_connection *connection)
+{
+    arc4random_buf(connection->nonce, sizeof(connection->nonce));
+    struct wr_frame hello = {.kind = WR_HELLO,
+                             .payload = connection->nonce,
+                             .len = sizeof(connection->nonce)};
+    strlcpy(hello.name, connection->links->node, sizeof(hello.name));
+    return lk_queue(connection, &hello, NULL);
+}
+
+/*
+ * Takes the hello of the other side.  One that carries our own random number
+ * is our hello sent back to us, by which our own frames would pass as the
+ * other's.
+ */
+static void
+take_hello(struct lk_connection *connection, const struct wr_frame *frame)
+{
+    if (frame->kind != WR_HELLO || frame->len != Wr_NONCE_BYTES ||
+        memcmp(frame->payload, connection->nonce, Wr_NONCE_BYTES) == 0) {
+        deny(connection);
+        return;
+    }
+    memcpy(connection->peer_nonce, frame->payload, Wr_NONCE_BYTES);
+    strlcpy(connection->node, frame->name, sizeof(connection->node));
+    connection->ready = true;
+    lk_flush(connection);
+}
+
+static void
+take_frame(struct lk_connection *connection, const uint8_t *body, size_t len)
+{
+    struct wr_frame frame;
+    if (!lk_check_mac(connection, body, len) ||
+        Wr_UnpackFrame(body, len, &frame) != ST_OK) {
+        deny(connection);
+        return;
+    }
+    connection->links->counters.frames_in++;
+    connection->used_usec = Ck_Now(connection->links->clock);
+    if (!connection->ready) {
+        take_hello(connection, &frame);
+    }
+    else if (frame.kind == WR_ANSWER && connection->outgoing) {
+        lk_take_answer(connection, &frame);
+    }
+    else if (frame.kind == WR_REQUEST && !connection->outgoing) {
+        lk_take_request(connection, &frame);
+    }
+    else {
+        deny(connection);
+    }
+}
+
+/* Takes every whole frame that has come. */
+static void
+take_frames(struct lk_connection *connection)
+{
+    size_t at = 0;
+    while (!connection->dead && connection->in_len - at >= Wr_FRAME_HEAD) {
+        size_t len = read_length(connection->in + at);
+        size_t most = connection->ready ? Wr_FRAME_MAX : Lk_HELLO_MAX;
+        if (len > most) {
+            deny(connection);
+            return;
+        }
+        size_t whole = Wr_FRAME_HEAD + len + Wr_MAC_BYTES;
+        if (connection->in_len - at < whole) {
+            break;
+        }
+        take_frame(connection, connection->in + at + Wr_FRAME_HEAD, len);
+        at += whole;
+    }
+    if (!connection->dead && at > 0) {
+        memmove(connection->in, connection->in + at, connection->in_len - at);
+        connection->in_len -= at;
+    }
+}
+
+static bool
+make_room(struct lk_connection *connection)
+{
+    size_t wanted = connection->in_len + Lk_READ_BYTES;
+    if (wanted <= connection->in_max) {
+        return true;
+    }
+    uint8_t *in = realloc(connection->in, 2 * wanted);
+    if (in == NULL) {
+        return false;
+    }
+    connection->in = in;
+    connection->in_max = 2 * wanted;
+    return true;
+}
+
+static void
+release_room(struct lk_connection *connection)
+{
+    if (!connection->dead && connection->in_len == 0) {
+        free(connection->in);
+        connection->in = NULL;
+        connection->in_max = 0;
+    }
+}
+
+static void
+on_readable(void *arg)
+{
+    struct lk_connection *connection = arg;
+    if (!make_room(connection)) {
+        lk_close(connection);
+        return;
+    }
+    ssize_t got = recv(connection->fd, connection->in + connection->in_len,
+                       connection->in_max - connection->in_len, MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (got <= 0) {
+        lk_close(connection);
+        return;
+    }
+    connection->in_len += (size_t)got;
+    connection->links->counters.bytes_in += (size_t)got;
+    take_frames(connection);
+    release_room(connection);
+}
+
+static void
+on_writable(void *arg)
+{
+    struct lk_connection *connection = arg;
+    if (!connection->connected) {
+        int error = 0;
+        socklen_t len = sizeof(error);
+        if (getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &error, &len) !=
+                0 ||
+            error != 0) {
+            lk_close(connection);
+            return;
+        }
+        connection->connected = true;
+    }
+    lk_flush(connection);
+}
+
+static void
+on_closed(void *arg)
+{
+    lk_close(arg);
+}
+
+static const struct lp_watch_ops connection_ops = {on_readable, on_writable,
+                                                   on_closed};
+
+/* Makes a connection of a socket; takes the socket in any case. */
+static enum st_status
+adopt(struct lk_links *links, int fd, bool outgoing,
+      struct lk_connection **out)
+{
+    int on = 1;
+    struct lk_connection *connection = calloc(1, sizeof(*connection));
+    if (connection == NULL || links->connection_count >= Lk_CONNECTIONS_MAX) {
+        free(connection);
+        close(fd);
+        return St_Fail(ST_OVERLOAD, "too many connections between daemons");
+    }
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    connection->links = links;
+    connection->fd = fd;
+    connection->outgoing = outgoing;
+    connection->connected = !outgoing;
+    connection->made_usec = Ck_Now(links->clock);
+    connection->used_usec = connection->made_usec;
+    TAILQ_INIT(&connection->frames);
+    connection->watch =
+        Lp_WatchCreate(links->loop, fd, &connection_ops, connection);
+    if (connection->watch == NULL) {
+        free(connection);
+        close(fd);
+        return St_Fail(ST_NO_MEMORY, "no memory to watch a connection");
+    }
+    TAILQ_INSERT_TAIL(&links->connections, connection, link);
+    links->connection_count++;
+    enum st_status status = queue_hello(connection);
+    if (status != ST_OK) {
+        lk_close(connection);
+        return status;
+    }
+    Lp_WatchWritable(connection->watch);
+    *out = connection;
+    return ST_OK;
+}
+
+/* Begins a connection; failures show later, when it is closed. */
+enum st_status
+lk_connect(struct lk_links *links, const struct mb_endpoint *to,
+           struct lk_connection **out)
+{
+    struct sockaddr_storage address;
+    socklen_t len = Ad_ToSocket(to, &address);
+    if (len == 0) {
+        return St_Fail(ST_INVALID, "%s is no IP number", to->address);
+    }
+    int fd = socket(address.ss_family,
+                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return St_Fail(ST_UNAVAILABLE, "socket: %s", strerror(errno));
+    }
+    if (connect(fd, (struct sockaddr *)&address, len) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return St_Fail(ST_UNAVAILABLE, "connect to %s port %d: %s",
+                       to->address, to->port, strerror(errno));
+    }
+    enum st_status status = adopt(links, fd, true, out);
+    if (status == ST_OK) {
+        (*out)->peer = *to;
+    }
+    return status;
+}
+
+static void
+on_acceptable(void *arg)
+{
+    struct lk_links *links = arg;
+    for (int i = 0; i < Lk_ACCEPTS; i++) {
+        int fd = accept4(links->listener_fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        struct lk_connection *connection;
+        if (adopt(links, fd, false, &connection) == ST_OK) {
+            lk_arm(links);
+        }
+    }
+}
+
+static void
+on_listener_closed(void *arg)
+{
+    struct lk_links *links = arg;
+    Lp_WatchDestroy(links->listener);
+    links->listener = NULL;
+}
+
+static const struct lp_watch_ops listener_ops = {on_acceptable, NULL,
+                                                 on_listener_closed};
+
+/* Listens for other daemons; port 0 picks a free one. */
+enum st_status
+lk_listen(struct lk_links *links, const char *address, uint16_t port)
+{
+    int on = 1;
+    struct sockaddr_storage where;
+    struct mb_endpoint endpoint = {.port = port};
+    strlcpy(endpoint.address, address, sizeof(endpoint.address));
+    socklen_t len = Ad_ToSocket(&endpoint, &where);
+    if (len == 0) {
+        return St_Fail(ST_INVALID, "%s is no IP number", address);
+    }
+    int fd =
+        socket(where.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return St_Fail(ST_UNAVAILABLE, "socket: %s", strerror(errno));
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&where, len) != 0 ||
+        listen(fd, Lk_BACKLOG) != 0) {
+        close(fd);
+        return St_Fail(ST_UNAVAILABLE,
+                       "listening on %s port %d: %s; choose another peer port",
+                       address, port, strerror(errno));
+    }
+    links->port = Ad_LocalPort(fd);
+    links->listener_fd = fd;
+    links->listener = Lp_WatchCreate(links->loop, fd, &listener_ops, links);
+    if (links->listener == NULL) {
+        close(fd);
+        return St_Fail(ST_NO_MEMORY, "no memory to watch a socket");
+    }
+    return ST_OK;
+}
--- /dev/null
+++ b/packages/member/node_sync.c
@@ -0,0 +1,608 @@
+/*
+ * Exchange of full states between two nodes (anti-entropy): digests first,
+ * then only what differs.
+ *
+ * "sync/digest" carries [members, [facts of a scope...]], each a digest of
+ * fixed-size buckets; the answer is [differing, [record...], [[differing,
+ * [stamp...]]...]], with a bit for each bucket.  "sync/merge" carries
+ * [[record...], [fact...], [wanted...]] and is answered by [fact...].
+ */
+#include <bsd/string.h>
+#include <string.h>
+
+#include "member/node.h"
+#include "member/node_internal.h"
+
+#define Nd_BUCKETS 64 /* of members; a bit each in a uint64_t */
+#define Nd_SYNC_TIMEOUT_USEC (5 * Ck_USEC_PER_SEC)
+#define Nd_SYNC_RETRY_USEC Ck_USEC_PER_SEC
+#define Nd_STAMPS_MAX 1024 /* in a bucket */
+#define Nd_FAR_OF_TEN 1    /* of ten exchanges, beyond the region */
+#define Nd_REGION_OF_TEN 2
+#define Nd_DIGEST "sync/digest"
+#define Nd_MERGE "sync/merge"
+#define Nd_BYTES_MAX (Lk_PAYLOAD_MAX - 4096) /* leaves room for one more */
+
+static void
+pack_buckets(msgpack_packer *packer, const uint64_t *buckets, size_t count)
+{
+    uint8_t bytes[Nd_BUCKETS * sizeof(uint64_t)];
+    for (size_t i = 0; i < count * sizeof(uint64_t); i++) {
+        bytes[i] = (uint8_t)(buckets[i / 8] >> i % 8 * 8);
+    }
+    msgpack_pack_bin_with_body(packer, bytes, count * sizeof(uint64_t));
+}
+
+static bool
+read_buckets(const msgpack_object *object, uint64_t *buckets, size_t count)
+{
+    if (object->type != MSGPACK_OBJECT_BIN ||
+        object->via.bin.size != count * sizeof(uint64_t)) {
+        return false;
+    }
+    memset(buckets, 0, count * sizeof(uint64_t));
+    for (size_t i = 0; i < count * sizeof(uint64_t); i++) {
+        buckets[i / 8] |= (uint64_t)(uint8_t)object->via.bin.ptr[i]
+                          << i % 8 * 8;
+    }
+    return true;
+}
+
+static uint64_t
+differing(const uint64_t *a, const uint64_t *b, size_t count)
+{
+    uint64_t bits = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (a[i] != b[i]) {
+            bits |= UINT64_C(1) << i;
+        }
+    }
+    return bits;
+}
+
+static const msgpack_object *
+parts(const msgpack_object *object, size_t least)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size < least) {
+        return NULL;
+    }
+    return object->via.array.ptr;
+}
+
+static bool
+is_in(const struct mb_record *record, uint64_t bits)
+{
+    return (bits >> Mb_Bucket(record, Nd_BUCKETS) & 1) != 0;
+}
+
+static void
+pack_records(struct nd_node *node, msgpack_packer *packer, uint64_t bits)
+{
+    size_t count = 0;
+    const struct mb_record *record;
+    for (record = Mb_First(node->members); record != NULL;
+         record = Mb_Next(record)) {
+        count += is_in(record, bits);
+    }
+    msgpack_pack_array(packer, count);
+    for (record = Mb_First(node->members); record != NULL;
+         record = Mb_Next(record)) {
+        if (is_in(record, bits)) {
+            Wr_PackRecord(packer, record);
+        }
+    }
+}
+
+static bool
+take_records(struct nd_node *node, const msgpack_object *object, bool learn)
+{
+    const msgpack_object *part = parts(object, 0);
+    if (part == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < object->via.array.size; i++) {
+        struct mb_record record;
+        if (!Wr_ReadRecord(&part[i], &record)) {
+            return false;
+        }
+        if (learn) {
+            Mb_Learn(node->members, &record);
+        }
+        else {
+            Mb_Apply(node->members, &record);
+        }
+    }
+    return true;
+}
+
+static bool
+take_facts(struct nd_node *node, const msgpack_object *object, bool learn)
+{
+    const msgpack_object *part = parts(object, 0);
+    if (part == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < object->via.array.size; i++) {
+        struct wr_fact fact;
+        if (!Wr_ReadFact(&part[i], &fact)) {
+            return false;
+        }
+        if (learn) {
+            Fc_Learn(node->facts, &fact.fact);
+        }
+        else {
+            Fc_Apply(node->facts, &fact.fact);
+        }
+    }
+    return true;
+}
+
+static void
+pack_stamps(struct nd_node *node, msgpack_packer *packer, enum fc_scope scope,
+            uint64_t bits)
+{
+    struct fc_stamp stamps[Nd_STAMPS_MAX];
+    size_t total = 0;
+    for (size_t i = 0; i < Fc_BUCKETS; i++) {
+        if ((bits >> i & 1) != 0) {
+            total += Fc_Stamps(node->facts, scope, i, stamps, Nd_STAMPS_MAX);
+        }
+    }
+    msgpack_pack_array(packer, 2);
+    msgpack_pack_uint64(packer, bits);
+    msgpack_pack_array(packer, total);
+    for (size_t i = 0; i < Fc_BUCKETS; i++) {
+        if ((bits >> i & 1) == 0) {
+            continue;
+        }
+        size_t count = Fc_Stamps(node->facts, scope, i, stamps, Nd_STAMPS_MAX);
+        for (size_t j = 0; j < count; j++) {
+            msgpack_pack_array(packer, 3);
+            msgpack_pack_uint64(packer, stamps[j].name_hash);
+            msgpack_pack_uint64(packer, stamps[j].version);
+            msgpack_pack_uint32(packer, stamps[j].value_hash);
+        }
+    }
+}
+
+static bool
+read_stamp(const msgpack_object *object, struct fc_stamp *out)
+{
+    const msgpack_object *part = parts(object, 3);
+    if (part == NULL) {
+        return false;
+    }
+    for (int i = 0; i < 3; i++) {
+        if (part[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return false;
+        }
+    }
+    out->name_hash = part[0].via.u64;
+    out->version = part[1].via.u64;
+    out->value_hash = (uint32_t)part[2].via.u64;
+    return true;
+}
+
+static enum fc_scope
+scope_of_peer(struct nd_node *node, const char *id)
+{
+    const struct mb_record *record = Mb_Find(node->members, id);
+    return nd_scope(record != NULL ? Mb_Distance(node->members, record)
+                                   : MB_FAR);
+}
+
+/* Unpacks the payload of a request or an answer and hands it on. */
+static bool
+with_payload(struct nd_node *node, const void *payload, size_t len,
+             bool (*take)(struct nd_node *node, const msgpack_object *object,
+                          void *arg),
+             void *arg)
+{
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    size_t offset = 0;
+    bool good = msgpack_unpack_next(&unpacked, payload, len, &offset) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                take(node, &unpacked.data, arg);
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
+
+/* The answering side. */
+
+struct nd_reply {
+    enum fc_scope narrowest;
+    msgpack_sbuffer buffer;
+};
+
+static bool
+answer_digest(struct nd_node *node, const msgpack_object *object, void *arg)
+{
+    struct nd_reply *reply = arg;
+    const msgpack_object *part = parts(object, 2);
+    uint64_t theirs[Nd_BUCKETS];
+    uint64_t ours[Nd_BUCKETS];
+    if (part == NULL || !read_buckets(&part[0], theirs, Nd_BUCKETS) ||
+        parts(&part[1], 0) == NULL) {
+        return false;
+    }
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &reply->buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, 3);
+    Mb_Digest(node->members, ours, Nd_BUCKETS);
+    uint64_t bits = differing(theirs, ours, Nd_BUCKETS);
+    msgpack_pack_uint64(&packer, bits);
+    pack_records(node, &packer, bits);
+    size_t scopes = reply->narrowest + 1U;
+    if (part[1].via.array.size < scopes) {
+        scopes = part[1].via.array.size;
+    }
+    msgpack_pack_array(&packer, scopes);
+    for (size_t scope = 0; scope < scopes; scope++) {
+        if (!read_buckets(&part[1].via.array.ptr[scope], theirs, Fc_BUCKETS)) {
+            return false;
+        }
+        Fc_Digest(node->facts, (enum fc_scope)scope, ours);
+        pack_stamps(node, &packer, (enum fc_scope)scope,
+                    differing(theirs, ours, Fc_BUCKETS));
+    }
+    return true;
+}
+
+static bool
+answer_merge(struct nd_node *node, const msgpack_object *object, void *arg)
+{
+    struct nd_reply *reply = arg;
+    const msgpack_object *part = parts(object, 3);
+    if (part == NULL || !take_records(node, &part[0], false) ||
+        !take_facts(node, &part[1], false)) {
+        return false;
+    }
+    const msgpack_object *wanted = parts(&part[2], 0);
+    if (wanted == NULL) {
+        return false;
+    }
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &reply->buffer, msgpack_sbuffer_write);
+    size_t given = 0;
+    size_t count = part[2].via.array.size;
+    msgpack_pack_array(&packer, count);
+    for (; given < count; given++) {
+        struct fc_fact fact = {.owner = "", .key = ""};
+        /* Every element wanted is answered, if only by nil. */
+        if (wanted[given].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+            !Fc_ByHash(node->facts, wanted[given].via.u64, &fact) ||
+            fact.scope > reply->narrowest ||
+            reply->buffer.size > Nd_BYTES_MAX) {
+            msgpack_pack_nil(&packer);
+        }
+        else {
+            Wr_PackFact(&packer, &fact);
+        }
+    }
+    return true;
+}
+
+static void
+reply_with(struct nd_node *node, struct lk_request *request,
+           bool (*take)(struct nd_node *node, const msgpack_object *object,
+                        void *arg))
+{
+    size_t len;
+    const void *payload = Lk_Payload(request, &len);
+    struct nd_reply reply = {.narrowest =
+                                 scope_of_peer(node, Lk_From(request))};
+    msgpack_sbuffer_init(&reply.buffer);
+    bool good = with_payload(node, payload, len, take, &reply);
+    Lk_Reply(request, good ? ST_OK : ST_INVALID, reply.buffer.data,
+             good ? reply.buffer.size : 0);
+    msgpack_sbuffer_destroy(&reply.buffer);
+}
+
+static void
+on_digest(void *arg, struct lk_request *request)
+{
+    reply_with(arg, request, answer_digest);
+}
+
+static void
+on_merge(void *arg, struct lk_request *request)
+{
+    reply_with(arg, request, answer_merge);
+}
+
+/* The asking side. */
+
+static void
+ended(struct nd_node *node, bool good)
+{
+    node->syncing = false;
+    if (good) {
+        node->synced = true;
+        node->counters.syncs++;
+    }
+}
+
+static bool
+take_merged(struct nd_node *node, const msgpack_object *object, void *arg)
+{
+    const msgpack_object *part = parts(object, 0);
+    if (part == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < object->via.array.size; i++) {
+        struct wr_fact fact;
+        if (part[i].type == MSGPACK_OBJECT_NIL) {
+            continue;
+        }
+        if (!Wr_ReadFact(&part[i], &fact)) {
+            return false;
+        }
+        if (node->synced) {
+            Fc_Apply(node->facts, &fact.fact);
+        }
+        else {
+            Fc_Learn(node->facts, &fact.fact);
+        }
+    }
+    return true;
+}
+
+static void
+on_merged(void *arg, const struct lk_result *result)
+{
+    struct nd_node *node = arg;
+    ended(node, result->status == ST_OK &&
+                    with_payload(node, result->payload, result->len,
+                                 take_merged, NULL));
+}
+
+/* What to send and what to ask for, after comparing stamps. */
+struct nd_difference {
+    uint64_t member_bits;
+    msgpack_sbuffer facts;
+    size_t fact_count;
+    msgpack_sbuffer wanted;
+    size_t wanted_count;
+};
+
+static void
+want(struct nd_difference *difference, uint64_t name_hash)
+{
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &difference->wanted, msgpack_sbuffer_write);
+    msgpack_pack_uint64(&packer, name_hash);
+    difference->wanted_count++;
+}
+
+static void
+give(struct nd_difference *difference, const struct fc_fact *fact)
+{
+    msgpack_packer packer;
+    if (difference->facts.size > Nd_BYTES_MAX / 2) {
+        return; /* the next exchange goes on */
+    }
+    msgpack_packer_init(&packer, &difference->facts, msgpack_sbuffer_write);
+    Wr_PackFact(&packer, fact);
+    difference->fact_count++;
+}
+
+static bool
+holds_stamp(const msgpack_object *stamps, uint64_t name_hash)
+{
+    for (size_t i = 0; i < stamps->via.array.size; i++) {
+        struct fc_stamp stamp;
+        if (read_stamp(&stamps->via.array.ptr[i], &stamp) &&
+            stamp.name_hash == name_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* What they hold: newer than ours is wanted, older is given ours. */
+static bool
+compare_theirs(struct nd_node *node, const msgpack_object *stamps,
+               struct nd_difference *difference)
+{
+    for (size_t i = 0; i < stamps->via.array.size; i++) {
+        struct fc_stamp theirs;
+        struct fc_fact ours;
+        if (!read_stamp(&stamps->via.array.ptr[i], &theirs)) {
+            return false;
+        }
+        bool known = Fc_ByHash(node->facts, theirs.name_hash, &ours);
+        if (!known || theirs.version > ours.version) {
+            want(difference, theirs.name_hash);
+        }
+        else if (theirs.version < ours.version) {
+            give(difference, &ours);
+        }
+        else if (theirs.value_hash != Fc_ValueHash(&ours)) {
+            want(difference, theirs.name_hash);
+            give(difference, &ours);
+        }
+    }
+    return true;
+}
+
+/* What only we hold in the buckets that differ is given. */
+static void
+compare_ours(struct nd_node *node, enum fc_scope scope, uint64_t bits,
+             const msgpack_object *theirs, struct nd_difference *difference)
+{
+    struct fc_stamp stamps[Nd_STAMPS_MAX];
+    for (size_t i = 0; i < Fc_BUCKETS; i++) {
+        if ((bits >> i & 1) == 0) {
+            continue;
+        }
+        size_t count = Fc_Stamps(node->facts, scope, i, stamps, Nd_STAMPS_MAX);
+        for (size_t j = 0; j < count; j++) {
+            struct fc_fact ours;
+            if (!holds_stamp(theirs, stamps[j].name_hash) &&
+                Fc_ByHash(node->facts, stamps[j].name_hash, &ours)) {
+                give(difference, &ours);
+            }
+        }
+    }
+}
+
+static bool
+compare_scope(struct nd_node *node, enum fc_scope scope,
+              const msgpack_object *object, struct nd_difference *difference)
+{
+    const msgpack_object *part = parts(object, 2);
+    if (part == NULL || part[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        parts(&part[1], 0) == NULL ||
+        !compare_theirs(node, &part[1], difference)) {
+        return false;
+    }
+    compare_ours(node, scope, part[0].via.u64, &part[1], difference);
+    return true;
+}
+
+static bool
+take_digest(struct nd_node *node, const msgpack_object *object, void *arg)
+{
+    struct nd_difference *difference = arg;
+    const msgpack_object *part = parts(object, 3);
+    if (part == NULL || part[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        parts(&part[2], 0) == NULL || part[2].via.array.size > Fc_SCOPES) {
+        return false;
+    }
+    difference->member_bits = part[0].via.u64;
+    for (size_t scope = 0; scope < part[2].via.array.size; scope++) {
+        if (!compare_scope(node, (enum fc_scope)scope,
+                           &part[2].via.array.ptr[scope], difference)) {
+            return false;
+        }
+    }
+    return take_records(node, &part[1], !node->synced);
+}
+
+static bool
+is_equal(const struct nd_difference *difference)
+{
+    return difference->member_bits == 0 && difference->fact_count == 0 &&
+           difference->wanted_count == 0;
+}
+
+static enum st_status
+send_merge(struct nd_node *node, const char *peer,
+           const struct nd_difference *difference)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, 3);
+    pack_records(node, &packer, difference->member_bits);
+    msgpack_pack_array(&packer, difference->fact_count);
+    if (difference->fact_count > 0) {
+        msgpack_sbuffer_write(&buffer, difference->facts.data,
+                              difference->facts.size);
+    }
+    msgpack_pack_array(&packer, difference->wanted_count);
+    if (difference->wanted_count > 0) {
+        msgpack_sbuffer_write(&buffer, difference->wanted.data,
+                              difference->wanted.size);
+    }
+    enum st_status status =
+        Nd_Call(node, peer, Nd_MERGE, buffer.data, buffer.size,
+                Nd_SYNC_TIMEOUT_USEC, on_merged, node, NULL);
+    msgpack_sbuffer_destroy(&buffer);
+    return status;
+}
+
+static void
+on_digests(void *arg, const struct lk_result *result)
+{
+    struct nd_node *node = arg;
+    struct nd_difference difference = {0};
+    msgpack_sbuffer_init(&difference.facts);
+    msgpack_sbuffer_init(&difference.wanted);
+    bool good = result->status == ST_OK &&
+                with_payload(node, result->payload, result->len, take_digest,
+                             &difference);
+    if (!good || is_equal(&difference) ||
+        send_merge(node, node->sync_peer, &difference) != ST_OK) {
+        ended(node, good && is_equal(&difference));
+    }
+    msgpack_sbuffer_destroy(&difference.facts);
+    msgpack_sbuffer_destroy(&difference.wanted);
+}
+
+static const struct mb_record *
+choose_peer(struct nd_node *node)
+{
+    uint32_t chance = Rn_Below(&node->random, 10);
+    enum mb_distance distance = MB_SAME_DATA_CENTRE;
+    if (chance < Nd_FAR_OF_TEN || node->sync_far) {
+        distance = MB_FAR;
+    }
+    else if (chance < Nd_FAR_OF_TEN + Nd_REGION_OF_TEN) {
+        distance = MB_SAME_REGION;
+    }
+    node->sync_far = false;
+    for (int i = 0; i <= MB_FAR; i++) {
+        const struct mb_record *peer = Mb_RandomPeer(node->members, distance);
+        if (peer != NULL) {
+            return peer;
+        }
+        distance = (enum mb_distance)((distance + 1) % (MB_FAR + 1));
+    }
+    return NULL;
+}
+
+static void
+plan_next(struct nd_node *node, int64_t wait_usec)
+{
+    int64_t jitter = Rn_Below(&node->random, (uint32_t)(wait_usec / 2) + 1);
+    node->next_sync_usec = Ck_Now(node->clock) + wait_usec * 3 / 4 + jitter;
+}
+
+/*
+ * Begins an exchange with a random member, mostly of the own data centre; at
+ * once when a first member is known.
+ */
+void
+nd_sync_start(struct nd_node *node)
+{
+    const struct mb_record *peer = node->syncing ? NULL : choose_peer(node);
+    if (peer == NULL) {
+        return;
+    }
+    plan_next(node,
+              node->synced ? node->sync_period_usec : Nd_SYNC_RETRY_USEC);
+    uint64_t buckets[Nd_BUCKETS];
+    size_t scopes = nd_scope(Mb_Distance(node->members, peer)) + 1U;
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, 2);
+    Mb_Digest(node->members, buckets, Nd_BUCKETS);
+    pack_buckets(&packer, buckets, Nd_BUCKETS);
+    msgpack_pack_array(&packer, scopes);
+    for (size_t scope = 0; scope < scopes; scope++) {
+        Fc_Digest(node->facts, (enum fc_scope)scope, buckets);
+        pack_buckets(&packer, buckets, Fc_BUCKETS);
+    }
+    strlcpy(node->sync_peer, peer->id, sizeof(node->sync_peer));
+    node->syncing =
+        Nd_Call(node, peer->id, Nd_DIGEST, buffer.data, buffer.size,
+                Nd_SYNC_TIMEOUT_USEC, on_digests, node, NULL) == ST_OK;
+    msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Makes the node answer the exchanges of others. */
+enum st_status
+nd_sync_init(struct nd_node *node)
+{
+    enum st_status status = Lk_Handle(node->links, Nd_DIGEST, on_digest, node);
+    if (status == ST_OK) {
+        status = Lk_Handle(node->links, Nd_MERGE, on_merge, node);
+    }
+    return status;
+}
--- a/packages/member/table.c
+++ b/packages/member/table.c
@@ -17,45 +17,6 @@
 #define Mb_ISOLATED_MIN 3 /* others in the group before silence means us */
 #define Mb_SPREAD_EXTRA 2 /* transmissions beyond the binary logarithm */
 
-RB_GENERATE(mb_tree, mb_entry, node, mb_compare);
-
-int
-mb_compare(const struct mb_entry *a, const struct mb_entry *b)
-{
-    return strcmp(a->record.id, b->record.id);
-}
-
-struct mb_entry *
-mb_find(const struct mb_table *table, const char *id)
-{
-    struct mb_entry wanted;
-    strlcpy(wanted.record.id, id, sizeof(wanted.record.id));
-    return RB_FIND(mb_tree, (struct mb_tree *)&table->members, &wanted);
-}
-
-static struct mb_place *
-find_place(struct mb_table *table, const struct mb_record *record)
-{
-    struct mb_place *place;
-    TAILQ_FOREACH (place, &table->places, link) {
-        if (strcmp(place->name, record->data_centre) == 0) {
-            return place;
-        }
-    }
-    if (table->place_count >= Mb_DATA_CENTRES_MAX) {
-        return NULL;
-    }
-    place = calloc(1, sizeof(*place));
-    if (place == NULL) {
-        return NULL;
-    }
-    strlcpy(place->name, record->data_centre, sizeof(place->name));
-    strlcpy(place->region, record->region, sizeof(place->region));
-    TAILQ_INSERT_TAIL(&table->places, place, link);
-    table->place_count++;
-    return place;
-}
-
 static int
 spread_count(const struct mb_table *table)
 {
@@ -70,6 +31,9 @@
 void
 mb_enqueue(struct mb_table *table, struct mb_entry *entry)
 {
+    if (table->quiet && entry != table->self) {
+        return;
+    }
     if (entry->left > 0) {
         TAILQ_REMOVE(&table->queue, entry, queued);
     }
@@ -77,12 +41,6 @@
     TAILQ_INSERT_HEAD(&table->queue, entry, queued);
 }
 
-static bool
-is_living(enum mb_state state)
-{
-    return state != MB_DEAD;
-}
-
 /* Sets the state and tells the owner of the table. */
 void
 mb_set_state(struct mb_table *table, struct mb_entry *entry,
@@ -103,10 +61,10 @@
     else if (state == MB_ALIVE) {
         entry->departed = false;
     }
-    if (is_living(before) && !is_living(state)) {
+    if (mb_is_living(before) && !mb_is_living(state)) {
         entry->place->living--;
     }
-    else if (!is_living(before) && is_living(state)) {
+    else if (!mb_is_living(before) && mb_is_living(state)) {
         entry->place->living++;
     }
     table->generation++;
@@ -246,38 +204,15 @@
     }
 }
 
-static struct mb_entry *
-add_entry(struct mb_table *table, const struct mb_record *record)
-{
-    if (table->member_count >= Mb_MEMBERS_MAX) {
-        return NULL;
-    }
-    struct mb_entry *entry = calloc(1, sizeof(*entry));
-    if (entry == NULL) {
-        return NULL;
-    }
-    entry->record = *record;
-    entry->record.state = MB_DEAD;
-    entry->place = find_place(table, record);
-    if (entry->place == NULL) {
-        free(entry);
-        return NULL;
-    }
-    RB_INSERT(mb_tree, &table->members, entry);
-    table->member_count++;
-    table->generation++;
-    return entry;
-}
-
 static void
 take_places(struct mb_table *table, struct mb_entry *entry,
             const struct mb_record *record)
 {
-    struct mb_place *place = find_place(table, record);
+    struct mb_place *place = mb_place_of(table, record);
     if (place == NULL) {
         return;
     }
-    if (is_living(entry->record.state)) {
+    if (mb_is_living(entry->record.state)) {
         entry->place->living--;
         place->living++;
     }
@@ -333,7 +268,7 @@
         if (!record->full || record->state == MB_DEAD) {
             return;
         }
-        entry = add_entry(table, record);
+        entry = mb_add(table, record);
         if (entry != NULL) {
             take_news(table, entry, record);
         }
@@ -349,25 +284,16 @@
     }
 }
 
-/* Drops a member; its facts and its tombstone go with it. */
+/*
+ * Merges what a peer says of a member without spreading it further: the
+ * first full state that a new node takes is news to that node alone.
+ */
 void
-mb_forget(struct mb_table *table, struct mb_entry *entry)
+Mb_Learn(struct mb_table *table, const struct mb_record *record)
 {
-    if (is_living(entry->record.state)) {
-        mb_set_state(table, entry, MB_DEAD);
-    }
-    if (entry->left > 0) {
-        TAILQ_REMOVE(&table->queue, entry, queued);
-    }
-    for (size_t i = 0; i < table->order_len; i++) {
-        if (table->order[i] == entry) {
-            table->order[i] = NULL;
-        }
-    }
-    RB_REMOVE(mb_tree, &table->members, entry);
-    table->member_count--;
-    table->generation++;
-    free(entry);
+    table->quiet = true;
+    Mb_Apply(table, record);
+    table->quiet = false;
 }
 
 static enum st_status
@@ -413,7 +339,7 @@
         table->last_tick_usec +
         Rn_Below(table->random, (uint32_t)table->period_usec);
     table->sequence = Rn_Below(table->random, UINT32_MAX);
-    table->self = add_entry(table, &options->self);
+    table->self = mb_add(table, &options->self);
     if (table->self == NULL) {
         Mb_Destroy(table);
         return St_Fail(ST_NO_MEMORY, "no memory for the member table");
--- a/packages/member/table.h
+++ b/packages/member/table.h
@@ -119,6 +119,7 @@
 void Mb_Receive(struct mb_table *table, const struct mb_endpoint *from,
                 const struct mb_message *message);
 void Mb_Apply(struct mb_table *table, const struct mb_record *record);
+void Mb_Learn(struct mb_table *table, const struct mb_record *record);
 void Mb_Gossip(struct mb_table *table);
 void Mb_Leave(struct mb_table *table);
 void Mb_SetReach(struct mb_table *table, const char *data_centre,
@@ -143,6 +144,8 @@
               size_t max);
 const struct mb_record *Mb_RandomPeer(struct mb_table *table,
                                       enum mb_distance distance);
+void Mb_Digest(const struct mb_table *table, uint64_t *buckets, size_t count);
+size_t Mb_Bucket(const struct mb_record *record, size_t count);
 size_t Mb_RecordBytes(const struct mb_record *record);
 const char *Mb_StateName(enum mb_state state);
 
--- a/packages/member/table_internal.h
+++ b/packages/member/table_internal.h
@@ -78,6 +78,7 @@
     struct mb_entry *self;
     struct mb_tree members;
     size_t member_count;
+    bool quiet; /* nothing is queued for spreading */
     struct mb_queue queue;
     struct mb_places places;
     size_t place_count;
@@ -104,12 +105,19 @@
 
 int mb_compare(const struct mb_entry *a, const struct mb_entry *b);
 
-/* table.c */
+/* table_entry.c */
 struct mb_entry *mb_find(const struct mb_table *table, const char *id);
+struct mb_entry *mb_add(struct mb_table *table,
+                        const struct mb_record *record);
+void mb_forget(struct mb_table *table, struct mb_entry *entry);
+struct mb_place *mb_place_of(struct mb_table *table,
+                             const struct mb_record *record);
+bool mb_is_living(enum mb_state state);
+
+/* table.c */
 void mb_set_state(struct mb_table *table, struct mb_entry *entry,
                   enum mb_state state);
 void mb_enqueue(struct mb_table *table, struct mb_entry *entry);
-void mb_forget(struct mb_table *table, struct mb_entry *entry);
 bool mb_in_group(const struct mb_table *table, const struct mb_entry *entry);
 bool mb_isolated(const struct mb_table *table, int64_t now);
 void mb_accuse(struct mb_table *table, struct mb_entry *entry);
--- a/packages/member/table_query.c
+++ b/packages/member/table_query.c
@@ -128,6 +128,32 @@
     return table->generation;
 }
 
+/* The bucket of a digest that a member falls into. */
+size_t
+Mb_Bucket(const struct mb_record *record, size_t count)
+{
+    return Hash_String(record->id, 0) % count;
+}
+
+/*
+ * One hash for each bucket of members (by hash of their ids) that are not
+ * dead; equal where both sides know the same.
+ */
+void
+Mb_Digest(const struct mb_table *table, uint64_t *buckets, size_t count)
+{
+    memset(buckets, 0, count * sizeof(*buckets));
+    const struct mb_record *record;
+    for (record = Mb_First(table); record != NULL; record = Mb_Next(record)) {
+        if (record->state == MB_DEAD) {
+            continue;
+        }
+        uint64_t name = Hash_String(record->id, 0);
+        uint64_t version[] = {record->incarnation, record->state};
+        buckets[name % count] += Hash_Bytes(version, sizeof(version), name);
+    }
+}
+
 struct mb_ranking {
     const struct mb_record **records;
     uint64_t *weights;
--- /dev/null
+++ b/packages/member/wire.c
@@ -0,0 +1,253 @@
+/* Records and facts as msgpack, keys, and the window against replay. */
+#include "member/wire.h"
+
+#include <bsd/string.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define Wr_RECORD_SHORT 4 /* elements */
+#define Wr_RECORD_FULL 9
+#define Wr_FACT 6
+#define Wr_TTL_UNIT_USEC (100 * Ck_USEC_PER_MSEC)
+#define Wr_TTL_MAX (INT64_MAX / Wr_TTL_UNIT_USEC)
+#define Wr_WINDOW 64
+
+/* A key for one purpose, so that no byte string of one passes as another. */
+void
+Wr_DeriveKey(const char *cluster_key, const char *purpose,
+             char out[Wr_KEY_MAX])
+{
+    uint8_t mac[Wr_MAC_BYTES];
+    Hash_Mac(cluster_key, purpose, strlen(purpose), mac);
+    for (int i = 0; i < Wr_MAC_BYTES; i++) {
+        snprintf(out + 2 * i, 3, "%02x", mac[i]);
+    }
+}
+
+static int
+buffer_write(void *data, const char *bytes, size_t len)
+{
+    struct wr_buffer *buffer = data;
+    if (buffer->overflow || len > buffer->max - buffer->len) {
+        buffer->overflow = true;
+        return -1;
+    }
+    if (len > 0) {
+        memcpy(buffer->data + buffer->len, bytes, len);
+        buffer->len += len;
+    }
+    return 0;
+}
+
+/* Makes msgpack pack into a buffer; look at "overflow" in the end. */
+void
+Wr_PackerInit(msgpack_packer *packer, struct wr_buffer *buffer)
+{
+    msgpack_packer_init(packer, buffer, buffer_write);
+}
+
+static void
+pack_string(msgpack_packer *packer, const char *text)
+{
+    msgpack_pack_str_with_body(packer, text, strlen(text));
+}
+
+void
+Wr_PackRecord(msgpack_packer *packer, const struct mb_record *record)
+{
+    msgpack_pack_array(packer,
+                       record->full ? Wr_RECORD_FULL : Wr_RECORD_SHORT);
+    pack_string(packer, record->id);
+    msgpack_pack_uint64(packer, record->incarnation);
+    msgpack_pack_uint8(packer, record->state);
+    pack_string(packer, record->by);
+    if (record->full) {
+        pack_string(packer, record->address);
+        msgpack_pack_uint16(packer, record->peer_port);
+        msgpack_pack_uint16(packer, record->admin_port);
+        pack_string(packer, record->data_centre);
+        pack_string(packer, record->region);
+    }
+}
+
+/* Copies a string; false when it is none, too long or holds a NUL. */
+bool
+Wr_ReadString(const msgpack_object *object, char *out, size_t size)
+{
+    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
+        return false;
+    }
+    size_t len = object->via.str.size;
+    if (len > 0) { /* the pointer of an empty one may be NULL */
+        memcpy(out, object->via.str.ptr, len);
+    }
+    out[len] = '\0';
+    return strlen(out) == len;
+}
+
+static bool
+read_number(const msgpack_object *object, uint64_t max, uint64_t *out)
+{
+    if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        object->via.u64 > max) {
+        return false;
+    }
+    *out = object->via.u64;
+    return true;
+}
+
+static const msgpack_object *
+read_array(const msgpack_object *object, size_t least)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size < least) {
+        return NULL;
+    }
+    return object->via.array.ptr;
+}
+
+static bool
+read_places(const msgpack_object *part, struct mb_record *out)
+{
+    uint64_t peer_port;
+    uint64_t admin_port;
+    if (!Wr_ReadString(&part[0], out->address, sizeof(out->address)) ||
+        !read_number(&part[1], UINT16_MAX, &peer_port) ||
+        !read_number(&part[2], UINT16_MAX, &admin_port) ||
+        !Wr_ReadString(&part[3], out->data_centre, sizeof(out->data_centre)) ||
+        !Wr_ReadString(&part[4], out->region, sizeof(out->region))) {
+        return false;
+    }
+    out->peer_port = (uint16_t)peer_port;
+    out->admin_port = (uint16_t)admin_port;
+    out->full = true;
+    return out->address[0] != '\0' && out->data_centre[0] != '\0' &&
+           out->region[0] != '\0';
+}
+
+/* Reads a record; elements beyond those known are skipped. */
+bool
+Wr_ReadRecord(const msgpack_object *object, struct mb_record *out)
+{
+    memset(out, 0, sizeof(*out));
+    const msgpack_object *part = read_array(object, Wr_RECORD_SHORT);
+    uint64_t state;
+    if (part == NULL || !Wr_ReadString(&part[0], out->id, sizeof(out->id)) ||
+        out->id[0] == '\0' ||
+        !read_number(&part[1], UINT64_MAX - 1, &out->incarnation) ||
+        !read_number(&part[2], MB_DEAD, &state) ||
+        !Wr_ReadString(&part[3], out->by, sizeof(out->by))) {
+        return false;
+    }
+    out->state = (enum mb_state)state;
+    if (object->via.array.size < Wr_RECORD_FULL) {
+        return true;
+    }
+    return read_places(part + Wr_RECORD_SHORT, out);
+}
+
+static uint64_t
+ttl_units(const struct fc_fact *fact)
+{
+    return (uint64_t)((fact->ttl_usec + Wr_TTL_UNIT_USEC - 1) /
+                      Wr_TTL_UNIT_USEC);
+}
+
+void
+Wr_PackFact(msgpack_packer *packer, const struct fc_fact *fact)
+{
+    msgpack_pack_array(packer, Wr_FACT);
+    pack_string(packer, fact->owner);
+    pack_string(packer, fact->key);
+    msgpack_pack_uint64(packer, fact->version);
+    msgpack_pack_uint8(packer, fact->scope);
+    msgpack_pack_uint64(packer, ttl_units(fact));
+    msgpack_pack_bin_with_body(packer, fact->value, fact->len);
+}
+
+/* Reads a fact; its value leads into the bytes unpacked. */
+bool
+Wr_ReadFact(const msgpack_object *object, struct wr_fact *out)
+{
+    const msgpack_object *part = read_array(object, Wr_FACT);
+    uint64_t scope;
+    uint64_t ttl;
+    if (part == NULL ||
+        !Wr_ReadString(&part[0], out->owner, sizeof(out->owner)) ||
+        !Wr_ReadString(&part[1], out->key, sizeof(out->key)) ||
+        !read_number(&part[2], UINT64_MAX - 1, &out->fact.version) ||
+        !read_number(&part[3], FC_DATA_CENTRE, &scope) ||
+        !read_number(&part[4], Wr_TTL_MAX, &ttl) ||
+        part[5].type != MSGPACK_OBJECT_BIN ||
+        part[5].via.bin.size > Fc_VALUE_MAX || out->key[0] == '\0') {
+        return false;
+    }
+    out->fact.owner = out->owner;
+    out->fact.key = out->key;
+    out->fact.scope = (enum fc_scope)scope;
+    out->fact.ttl_usec = (int64_t)ttl * Wr_TTL_UNIT_USEC;
+    out->fact.value = part[5].via.bin.ptr;
+    out->fact.len = part[5].via.bin.size;
+    return true;
+}
+
+static size_t
+number_bytes(uint64_t number)
+{
+    if (number < 0x80) {
+        return 1;
+    }
+    if (number <= UINT8_MAX) {
+        return 2;
+    }
+    if (number <= UINT16_MAX) {
+        return 3;
+    }
+    return number <= UINT32_MAX ? 5 : 9;
+}
+
+/* The encoded size of a fact in bytes, at most two more than it takes. */
+size_t
+Wr_FactBytes(const struct fc_fact *fact)
+{
+    return 1 + 2 + strlen(fact->owner) + 2 + strlen(fact->key) +
+           number_bytes(fact->version) + 1 + number_bytes(ttl_units(fact)) +
+           3 + fact->len;
+}
+
+/*
+ * Says whether a datagram of this incarnation and counter was seen before,
+ * and notes it.  Failure guarded against: somebody on the network repeats a
+ * recorded datagram, so that, say, a host that left is taken for living.
+ * The counter grows with each datagram of a life and the incarnation with
+ * each life, and the code covers both, so a repeat falls below the window or
+ * on a bit already set.
+ */
+enum wr_admission
+Wr_Admit(struct wr_window *window, uint64_t incarnation, uint64_t counter)
+{
+    if (incarnation < window->incarnation) {
+        return WR_FORMER_LIFE;
+    }
+    if (incarnation > window->incarnation) {
+        window->incarnation = incarnation;
+        window->top = counter;
+        window->seen = 1;
+        return WR_FRESH;
+    }
+    if (counter > window->top) {
+        uint64_t ahead = counter - window->top;
+        window->seen = ahead < Wr_WINDOW ? window->seen << ahead : 0;
+        window->seen |= 1;
+        window->top = counter;
+        return WR_FRESH;
+    }
+    uint64_t behind = window->top - counter;
+    if (behind >= Wr_WINDOW || (window->seen >> behind & 1) != 0) {
+        return WR_REPLAYED;
+    }
+    window->seen |= UINT64_C(1) << behind;
+    return WR_FRESH;
+}
--- /dev/null
+++ b/packages/member/wire.h
@@ -0,0 +1,114 @@
+/*
+ * The bytes of datagrams and frames between daemons: msgpack with a message
+ * authentication code, and the window that refuses replayed datagrams.  See
+ * docs/design/membership.md for the exact layout.
+ */
+#ifndef MEMBER_WIRE_H
+#define MEMBER_WIRE_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "member/fact.h"
+#include "member/table.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Wr_VERSION 1
+#define Wr_DATAGRAM_MAX 1400
+#define Wr_MAC_BYTES 16
+#define Wr_FACTS_MAX 96 /* in one datagram */
+#define Wr_KEY_MAX 33   /* a derived key: 32 hex digits and the NUL */
+#define Wr_FRAME_MAX (1024 * 1024)
+#define Wr_FRAME_HEAD 4
+#define Wr_NONCE_BYTES 16
+#define Wr_TYPE_MAX 32
+
+/* A buffer of fixed size that msgpack packs into. */
+struct wr_buffer {
+    uint8_t *data;
+    size_t len;
+    size_t max;
+    bool overflow;
+};
+
+struct wr_fact {
+    char owner[Mb_ID_MAX];
+    char key[Fc_KEY_MAX];
+    struct fc_fact fact;
+};
+
+struct wr_datagram {
+    struct mb_message message;
+    uint64_t counter;
+    size_t fact_count;
+    struct wr_fact facts[Wr_FACTS_MAX];
+};
+
+enum wr_kind {
+    WR_REQUEST,
+    WR_ANSWER,
+    WR_HELLO,
+};
+
+/* The body of a frame.  Pointers lead into the bytes it was read from. */
+struct wr_frame {
+    enum wr_kind kind;
+    uint64_t id;
+    char name[Mb_ID_MAX];  /* type of a request, node id of a hello */
+    enum st_status status; /* of an answer */
+    const void *payload;   /* or the nonce of a hello */
+    size_t len;
+};
+
+/* What was seen of the datagrams of one sender. */
+struct wr_window {
+    uint64_t incarnation;
+    uint64_t top;  /* highest counter seen */
+    uint64_t seen; /* bit n: counter top - n was seen */
+};
+
+enum wr_admission {
+    WR_FRESH,
+    WR_REPLAYED,
+    WR_FORMER_LIFE, /* sent under an earlier incarnation */
+};
+
+void Wr_DeriveKey(const char *cluster_key, const char *purpose,
+                  char out[Wr_KEY_MAX]);
+
+size_t Wr_PackDatagram(const char *key, const struct mb_message *message,
+                       uint64_t counter, struct fc_table *facts,
+                       enum fc_scope narrowest, uint8_t out[Wr_DATAGRAM_MAX]);
+enum st_status Wr_UnpackDatagram(const char *key, const uint8_t *data,
+                                 size_t len, struct wr_datagram *out);
+enum wr_admission Wr_Admit(struct wr_window *window, uint64_t incarnation,
+                           uint64_t counter);
+
+size_t Wr_PackFrame(const struct wr_frame *frame, uint8_t *out, size_t max);
+enum st_status Wr_UnpackFrame(const uint8_t *body, size_t len,
+                              struct wr_frame *out);
+enum st_status Wr_FrameMac(const char *key, const uint8_t *from_nonce,
+                           const uint8_t *to_nonce, uint64_t sequence,
+                           const uint8_t *body, size_t len,
+                           uint8_t out[Wr_MAC_BYTES]);
+
+/* Pieces shared with the exchange of full states. */
+void Wr_PackerInit(msgpack_packer *packer, struct wr_buffer *buffer);
+void Wr_PackRecord(msgpack_packer *packer, const struct mb_record *record);
+bool Wr_ReadRecord(const msgpack_object *object, struct mb_record *out);
+void Wr_PackFact(msgpack_packer *packer, const struct fc_fact *fact);
+bool Wr_ReadFact(const msgpack_object *object, struct wr_fact *out);
+size_t Wr_FactBytes(const struct fc_fact *fact);
+bool Wr_ReadString(const msgpack_object *object, char *out, size_t size);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/member/wire_datagram.c
@@ -0,0 +1,178 @@
+/*
+ * Datagrams: [version, type, from, incarnation, counter, sequence, subject,
+ * [record...], [fact...]] in msgpack, then the code over these bytes.
+ */
+#include <openssl/crypto.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "member/wire.h"
+
+#define Wr_DATAGRAM 9      /* elements */
+#define Wr_ARRAY16 0x10000 /* makes msgpack write a count of two bytes */
+#define Wr_COUNT_BYTES 2
+
+static void
+pack_head(msgpack_packer *packer, const struct mb_message *message,
+          uint64_t counter)
+{
+    msgpack_pack_array(packer, Wr_DATAGRAM);
+    msgpack_pack_uint8(packer, Wr_VERSION);
+    msgpack_pack_uint8(packer, message->type);
+    msgpack_pack_str_with_body(packer, message->from, strlen(message->from));
+    msgpack_pack_uint64(packer, message->incarnation);
+    msgpack_pack_uint64(packer, counter);
+    msgpack_pack_uint32(packer, message->sequence);
+    msgpack_pack_str_with_body(packer, message->subject,
+                               strlen(message->subject));
+    msgpack_pack_array(packer, message->update_count);
+    for (size_t i = 0; i < message->update_count; i++) {
+        Wr_PackRecord(packer, &message->updates[i]);
+    }
+}
+
+static void
+pack_facts(msgpack_packer *packer, struct wr_buffer *buffer,
+           struct fc_table *facts, enum fc_scope narrowest)
+{
+    /* How many facts fit shows only in the end: patch a fixed count. */
+    msgpack_pack_array(packer, Wr_ARRAY16 - 1);
+    size_t count_at = buffer->len - Wr_COUNT_BYTES;
+    size_t count = 0;
+    struct fc_fact fact;
+    if (facts != NULL) {
+        Fc_TakeBegin(facts);
+        while (count < Wr_FACTS_MAX &&
+               Fc_Take(facts, narrowest, buffer->max - buffer->len,
+                       Wr_FactBytes, &fact)) {
+            Wr_PackFact(packer, &fact);
+            count++;
+        }
+    }
+    buffer->data[count_at] = (uint8_t)(count >> 8);
+    buffer->data[count_at + 1] = (uint8_t)count;
+}
+
+/*
+ * Packs a message and fills the room left with queued facts that the
+ * receiver may be given ("facts" may be NULL).  Returns the length, 0 when
+ * the message does not fit.
+ */
+size_t
+Wr_PackDatagram(const char *key, const struct mb_message *message,
+                uint64_t counter, struct fc_table *facts,
+                enum fc_scope narrowest, uint8_t out[Wr_DATAGRAM_MAX])
+{
+    struct wr_buffer buffer = {.data = out,
+                               .max = Wr_DATAGRAM_MAX - Wr_MAC_BYTES};
+    msgpack_packer packer;
+    Wr_PackerInit(&packer, &buffer);
+    pack_head(&packer, message, counter);
+    pack_facts(&packer, &buffer, facts, narrowest);
+    if (buffer.overflow) {
+        return 0;
+    }
+    Hash_Mac(key, out, buffer.len, out + buffer.len);
+    return buffer.len + Wr_MAC_BYTES;
+}
+
+static bool
+read_head(const msgpack_object *part, struct wr_datagram *out)
+{
+    struct mb_message *message = &out->message;
+    for (int i = 0; i < 6; i++) {
+        if (i != 2 && part[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return false;
+        }
+    }
+    if (part[0].via.u64 != Wr_VERSION || part[1].via.u64 > MB_GOSSIP ||
+        part[3].via.u64 == UINT64_MAX || part[5].via.u64 > UINT32_MAX) {
+        return false;
+    }
+    message->type = (enum mb_type)part[1].via.u64;
+    message->incarnation = part[3].via.u64;
+    out->counter = part[4].via.u64;
+    message->sequence = (uint32_t)part[5].via.u64;
+    return Wr_ReadString(&part[2], message->from, sizeof(message->from)) &&
+           message->from[0] != '\0' &&
+           Wr_ReadString(&part[6], message->subject, sizeof(message->subject));
+}
+
+static bool
+read_updates(const msgpack_object *object, struct mb_message *message)
+{
+    message->update_count = 0;
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size > Mb_UPDATES_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < object->via.array.size; i++) {
+        if (!Wr_ReadRecord(&object->via.array.ptr[i], &message->updates[i])) {
+            return false;
+        }
+        message->update_count++;
+    }
+    return true;
+}
+
+static bool
+read_facts(const msgpack_object *object, struct wr_datagram *out)
+{
+    out->fact_count = 0;
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size > Wr_FACTS_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < object->via.array.size; i++) {
+        if (!Wr_ReadFact(&object->via.array.ptr[i], &out->facts[i])) {
+            return false;
+        }
+        out->fact_count++;
+    }
+    return true;
+}
+
+static bool
+read_datagram(const msgpack_object *object, struct wr_datagram *out)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size < Wr_DATAGRAM) {
+        return false;
+    }
+    const msgpack_object *part = object->via.array.ptr;
+    return read_head(part, out) && read_updates(&part[7], &out->message) &&
+           read_facts(&part[8], out);
+}
+
+/*
+ * Checks and reads a datagram: ST_DENIED when its code does not fit the key,
+ * ST_INVALID when its content is malformed.  Nothing is parsed before the
+ * code was checked.  The values of facts lead into "data".
+ */
+enum st_status
+Wr_UnpackDatagram(const char *key, const uint8_t *data, size_t len,
+                  struct wr_datagram *out)
+{
+    uint8_t mac[Wr_MAC_BYTES];
+    if (len <= Wr_MAC_BYTES || len > Wr_DATAGRAM_MAX) {
+        return St_Fail(ST_INVALID, "datagram of %zu bytes", len);
+    }
+    len -= Wr_MAC_BYTES;
+    Hash_Mac(key, data, len, mac);
+    if (CRYPTO_memcmp(mac, data + len, Wr_MAC_BYTES) != 0) {
+        return St_Fail(ST_DENIED, "datagram under another cluster key; give "
+                                  "all daemons the same one");
+    }
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    size_t offset = 0;
+    bool good = msgpack_unpack_next(&unpacked, (const char *)data, len,
+                                    &offset) == MSGPACK_UNPACK_SUCCESS &&
+                offset == len && read_datagram(&unpacked.data, out);
+    msgpack_unpacked_destroy(&unpacked);
+    if (!good) {
+        return St_Fail(ST_INVALID, "malformed datagram; check that the "
+                                   "daemons' versions go together");
+    }
+    return ST_OK;
+}
