Lease search: the put-in flaw of a missing base again leads to a win

Since a record on its way is known by its base, the flaw that lets any take count must change that base too; without it the search rightly found nothing. The in-memory log now ends every call when it is destroyed, as its table promises.

--- a/packages/platform/test/fake_log.h
+++ b/packages/platform/test/fake_log.h
@@ -46,6 +46,13 @@
     {
         Rn_Seed(&random, 1);
     }
+    FakeLog(const FakeLog &) = delete;
+
+    /* Every call ends, as the table promises. */
+    ~FakeLog()
+    {
+        Run();
+    }
 
     uint64_t
     Put(const std::string &stream, const std::string &text)
--- a/packages/state/test/lease_test.cc
+++ b/packages/state/test/lease_test.cc
@@ -441,6 +441,7 @@
         change.base = entry.base;
         if (flaw == Flaw::kNoBase && entry.op == LS_TAKE) {
             change.base = agent.lease.last;
+            agent.sent_base = agent.lease.last;
         }
         if (flaw == Flaw::kTermFromAnswer && entry.host == i) {
             agent.sent_at = now;
