--- a/packages/state/claim.c
+++ b/packages/state/claim.c
@@ -7,7 +7,7 @@
 #include "state/claim_internal.h"
 
 #define Cl_WINDOW_MS (INT64_C(24) * 3600 * 1000)
-#define Cl_ENTRIES ((size_t)50000)
+#define Cl_ENTRIES ((size_t)20000)
 #define Cl_BODIES ((size_t)4 << 20)
 
 static int
--- a/packages/state/claim.h
+++ b/packages/state/claim.h
@@ -77,7 +77,7 @@
 
 struct cl_options {
     int64_t window_ms;  /* how long a key is remembered; 0: 24 hours */
-    size_t max_entries; /* 0: 50000 */
+    size_t max_entries; /* 0: 20000 */
     size_t max_bodies;  /* bytes of kept bodies; 0: 4 MiB */
 };
 
