Administration API: the first key learns the verdict on its own change

A run of the suite failed: when the answer to the first publish was lost and it was sent again, its key had lost its power by that very change, and the operator was told 'unknown key' though the platform section was in force. The bootstrap key now opens the verdict on its own change, and nothing else. cornelctl says 'accepted, but the key was replaced' where a team replaced its own key, and does not call an attempt refused whose earlier outcome is not known.

--- a/apps/cornelctl/admin_publish.c
+++ b/apps/cornelctl/admin_publish.c
@@ -52,6 +52,12 @@
     for (;;) {
         enum st_status status = send_change(session, change);
         unknown |= status == ST_UNKNOWN;
+        if (unknown && status == ST_DENIED) {
+            return St_Fail(ST_UNKNOWN,
+                           "the key is refused after an attempt whose "
+                           "outcome is not known: the change may be in force "
+                           "and have replaced the key; look with the new key");
+        }
         if (status != ST_UNAVAILABLE && status != ST_UNKNOWN) {
             return status;
         }
--- a/apps/cornelctl/command_publish.c
+++ b/apps/cornelctl/command_publish.c
@@ -223,7 +223,13 @@
         size_t there = 0;
         enum st_status status = Am_Get(session, "/admin/v1/status", &document);
         if (status == ST_DENIED) {
-            return Ct_Report(status);
+            fprintf(stderr,
+                    "cornelctl: accepted at offset %" PRIu64 ", but the key "
+                    "no longer opens the status: set CORNELGATE_ADMIN_KEY to "
+                    "the new key and publish again to see whether it is in "
+                    "force everywhere\n",
+                    offset);
+            return CT_LAGGING;
         }
         json_t *daemons = json_object_get(document, "daemons");
         count_daemons(daemons, offset, &all, &there);
--- a/packages/gate/admin.c
+++ b/packages/gate/admin.c
@@ -67,10 +67,7 @@
     return Sc_Config(admin->ops->sections(admin->arg));
 }
 
-/*
- * The team of the bearer key, or NULL.  The bootstrap key counts only while
- * there is no team: afterwards it opens nothing.
- */
+/* The team of the bearer key, or NULL. */
 static const char *
 authenticate(const struct ad_admin *admin, const struct hs_request *request)
 {
@@ -82,7 +79,7 @@
     char digest[Hash_DIGEST_HEX];
     Hash_Digest(value + skip, strlen(value + skip), digest);
     const struct cf_config *config = config_of(admin);
-    if (config->team_count == 0 && admin->bootstrap_digest[0] != '\0' &&
+    if (admin->bootstrap_digest[0] != '\0' &&
         strcmp(digest, admin->bootstrap_digest) == 0) {
         return Cf_BOOTSTRAP;
     }
@@ -211,6 +208,25 @@
     }
 }
 
+/*
+ * The bootstrap key counts only while there is no team; afterwards it opens
+ * nothing but the verdict on its own change.  Guards against a first publish
+ * that is in force and is called refused: its answer was lost, and when it is
+ * sent again its key has lost its power by that very change.
+ */
+static bool
+bootstrap_serves(struct ad_admin *admin, struct hs_request *request,
+                 const char *path)
+{
+    if (config_of(admin)->team_count == 0) {
+        return true;
+    }
+    const char *method = Hs_Method(request);
+    return strcmp(path, Ad_SECTIONS Cf_PLATFORM) == 0 &&
+           (strcmp(method, "PUT") == 0 || strcmp(method, "PATCH") == 0) &&
+           Ad_HasVerdict(admin, request, Cf_PLATFORM);
+}
+
 static void
 on_request(void *arg, struct hs_request *request)
 {
@@ -224,6 +240,10 @@
         return;
     }
     const char *team = authenticate(admin, request);
+    if (team != NULL && strcmp(team, Cf_BOOTSTRAP) == 0 &&
+        !bootstrap_serves(admin, request, path)) {
+        team = NULL;
+    }
     if (team == NULL) {
         Ev_Log(&CF_KEY_UNKNOWN, "method=%s path=%s", Hs_Method(request), path);
         refuse(request, 401, "unauthenticated",
--- a/packages/gate/admin_internal.h
+++ b/packages/gate/admin_internal.h
@@ -30,6 +30,8 @@
 void Ad_Refuse(struct hs_request *request, enum st_status status);
 void Ad_Publish(struct ad_admin *admin, struct hs_request *request,
                 const char *team, const char *section, bool patch);
+bool Ad_HasVerdict(struct ad_admin *admin, struct hs_request *request,
+                   const char *section);
 void Ad_PublishGone(struct ad_publish *publish);
 void Ad_PublishDrop(struct ad_publish *publish);
 
--- a/packages/gate/admin_publish.c
+++ b/packages/gate/admin_publish.c
@@ -233,16 +233,40 @@
     return ST_OK;
 }
 
+/* Whether the request repeats a change of the section that was decided. */
+bool
+Ad_HasVerdict(struct ad_admin *admin, struct hs_request *request,
+              const char *section)
+{
+    json_t *record = make_record(request, "", section, false);
+    const char *id = json_string_value(json_object_get(record, "id"));
+    const struct sc_verdict *verdict =
+        id != NULL ? Sc_VerdictOf(admin->ops->sections(admin->arg), id) : NULL;
+    json_decref(record);
+    return verdict != NULL && strcmp(verdict->section, section) == 0;
+}
+
+static enum st_status
+check_team(const struct ad_admin *admin, const char *team, const char *section)
+{
+    const struct sc_state *state = admin->ops->sections(admin->arg);
+    if (Cf_MayPublish(Sc_Config(state), team, section)) {
+        return ST_OK;
+    }
+    return St_Fail(ST_DENIED,
+                   "team %s may not publish section %.63s: ask that team, or "
+                   "an operator, to publish the change",
+                   team, section);
+}
+
 static enum st_status
 publish(struct ad_admin *admin, struct hs_request *request, const char *team,
         const char *section, bool patch)
 {
     const struct sc_state *state = admin->ops->sections(admin->arg);
-    if (!Cf_MayPublish(Sc_Config(state), team, section)) {
-        return St_Fail(ST_DENIED,
-                       "team %s may not publish section %.63s: ask that "
-                       "team, or an operator, to publish the change",
-                       team, section);
+    if (strcmp(team, Cf_BOOTSTRAP) != 0 &&
+        check_team(admin, team, section) != ST_OK) {
+        return ST_DENIED;
     }
     json_t *record = make_record(request, team, section, patch);
     if (record == NULL) {
--- a/packages/gate/test/admin_test.cc
+++ b/packages/gate/test/admin_test.cc
@@ -310,6 +310,25 @@
     EXPECT_EQ(0, log.appends);
 }
 
+/*
+ * The first publish is in force, and its operator is told that the key is
+ * unknown.  The answer was lost; by the time the change is sent again, the
+ * key has lost its power by that very change.
+ */
+TEST_F(Admin, BootstrapKeyLearnsTheVerdictOnItsOwnChange)
+{
+    std::string body = change(0, platform(), "first-of-all");
+    log.paused = true;
+    EXPECT_EQ(504, Do(0, "PUT", kPlatform, "first", body).code);
+    log.paused = false;
+    Read();
+    Call again = Do(1, "PUT", kPlatform, "first", body);
+    EXPECT_EQ(200, again.code) << again.body;
+    EXPECT_EQ(401, Do(1, "PUT", kDerwent, "first", body).code);
+    EXPECT_EQ(401, Do(1, "GET", kPlatform, "first").code);
+    EXPECT_EQ(1, log.appends);
+}
+
 struct Refused {
     const char *method;
     const char *path;
@@ -446,6 +465,7 @@
     Call stray = Do(0, "PUT", "/admin/v1/sections/team/ops", "o",
                     change(0, "{}", "intent-7"));
     EXPECT_EQ(400, stray.code);
+    EXPECT_EQ(403, Do(0, "PATCH", kDerwent, "n", body).code);
 }
 
 /*
--- a/test/cornelctl_test.cc
+++ b/test/cornelctl_test.cc
@@ -15,9 +15,11 @@
 namespace cg {
 namespace {
 
-// Of the keys "first-key" and "derwent-key".
+// Keys and their digests.
 const char kFirstKey[] = "first-key";
 const char kFirstDigest[] = "9e24b55356ef2a121ab5fd1a3ee8a3c9";
+const char kOtherKey[] = "other-key";
+const char kOtherDigest[] = "580843d03d2216ff1a275d0991bad66e";
 const char kTeamKey[] = "derwent-key";
 const char kTeamDigest[] = "16338bcc35d368ba720cdfaa25737ef5";
 
@@ -216,6 +218,20 @@
     EXPECT_FALSE(Has(status, "\"offset\": 1,")) << status.text;
 }
 
+// A team replaces its own key, and is told that the publish failed.  The
+// change is in force; the old key no longer opens the status.
+TEST_F(Cornelctl, ReplacingTheOwnKeyIsNoFailure)
+{
+    StartDaemons({"--daemons=2"});
+    Prepare();
+    Change(kTeamDigest, kOtherDigest);
+    Outcome publish = Publish(kTeamKey, Admin(1));
+    EXPECT_EQ(6, publish.status) << publish.text;
+    EXPECT_TRUE(Has(publish, "accepted at offset 3")) << publish.text;
+    Outcome again = Publish(kOtherKey, Admin(1));
+    EXPECT_EQ(0, again.status) << again.text;
+}
+
 TEST_F(Cornelctl, GoesOnToTheNextDaemon)
 {
     StartDaemons({"--daemons=2"});
