Version moves: trip, sequential evidence, phases

Cause: a bad version must be stopped by those who see it, a good one must not be given up for noise or an outage of both, and small traffic proves little. Ruled out: fixed thresholds, SPRT against a fixed share, repeated significance tests; see docs/design/version-moves.md. Change: each router's own trip with confirmation by the old version; a cap in flight over all routers; e-values per route and class over the same blocks with a false-alarm rate of 0.01 a move; the state machine with probation under load, revision, withdrawal and the operator's sentence. Seen failing with the guard off: trip and its confirmation, void evidence, early outcomes, old failures in the run, sending half back, repeated reports, block share of the old version, distrust, alarm, load in probation, revision, final verdict, cap in flight, deadline, capacity.

--- /dev/null
+++ b/packages/policy/test/move_model.c
@@ -0,0 +1,187 @@
+#include "move_model.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/random.h"
+
+#define SEC INT64_C(1000000)
+#define SPAN (3600 * SEC)
+#define LATE_AT (2100 * SEC)
+#define LOAD_PERIOD (1800 * SEC)
+#define ROUTES 4
+#define CLASSES 2
+
+struct run {
+    const struct move_model *model;
+    struct rn_random random;
+    struct mv_evidence *evidence;
+    struct mv_trip *trips;
+    struct mv_cell (*cells)[ROUTES * CLASSES]; /* per router */
+    int64_t now;
+    struct move_outcome *out;
+};
+
+static double
+load(int64_t now)
+{
+    return 0.75 - 0.25 * cos(2 * M_PI * (double)now / LOAD_PERIOD);
+}
+
+static double
+failing(const struct run *run, enum mv_side side, int route)
+{
+    double usual = run->model->old_failed;
+    if (side == MV_OLD) {
+        return usual;
+    }
+    switch (run->model->fault) {
+    case FAULT_FAILS:
+        return 0.3;
+    case FAULT_FAILS_LITTLE:
+        return 0.03;
+    case FAULT_LATE:
+        return run->now >= LATE_AT ? 0.3 : usual;
+    case FAULT_LOAD:
+        return load(run->now) > 0.8 ? 0.2 : usual;
+    case FAULT_ROUTE:
+        return route == 0 ? 0.2 : usual;
+    default:
+        return usual;
+    }
+}
+
+static double
+normal(struct rn_random *random)
+{
+    double u = 1 - Rn_Unit(random);
+    return sqrt(-2 * log(u)) * cos(2 * M_PI * Rn_Unit(random));
+}
+
+static void
+request(struct run *run, struct mv_move *move)
+{
+    int router = (int)Rn_Below(&run->random, (uint32_t)run->model->routers);
+    double drawn = Rn_Unit(&run->random);
+    int route = drawn < 0.1 ? 0 : 1 + (int)((drawn - 0.1) / 0.3001);
+    int cls = Rn_Unit(&run->random) < 0.3;
+    struct mv_trip *trip = &run->trips[router];
+    double share =
+        Mv_TripSuspects(trip) ? fmin(0.5, move->share) : move->share;
+    bool new = Rn_Unit(&run->random) < share;
+    if (new && trip->tripped && !run->model->without_trip) {
+        new = false;
+    }
+    enum mv_side side = new ? MV_NEW : MV_OLD;
+    struct mv_cell *cell = &run->cells[router][route * CLASSES + cls];
+    double middle = 120000 * (1 + 0.5 * load(run->now));
+    if (new && run->model->fault == FAULT_SLOWS) {
+        middle *= 2;
+    }
+    int64_t first = (int64_t)(middle * exp(0.5 * normal(&run->random)));
+    bool failed = Rn_Unit(&run->random) < failing(run, side, route);
+    cell->count[side]++;
+    cell->failed[side] += failed;
+    cell->first_token[side][Mv_Bucket(first)] += !failed;
+    run->out->requests += new;
+    run->out->hurt += new &&failed;
+    Mv_TripNote(trip, side, failed ? MV_FAILED : MV_GOOD);
+}
+
+static void
+report(struct run *run, uint64_t sequence)
+{
+    for (int r = 0; r < run->model->routers; r++) {
+        char id[16];
+        snprintf(id, sizeof(id), "r%d", r);
+        Mv_Merge(run->evidence, id, sequence, run->cells[r], ROUTES * CLASSES);
+        for (int c = 0; c < ROUTES * CLASSES; c++) {
+            struct mv_cell *cell = &run->cells[r][c];
+            memset(cell->count, 0, sizeof(cell->count));
+            memset(cell->failed, 0, sizeof(cell->failed));
+            memset(cell->first_token, 0, sizeof(cell->first_token));
+        }
+    }
+    Mv_CloseBlock(run->evidence);
+}
+
+static void
+set_up(struct run *run)
+{
+    const struct move_model *model = run->model;
+    size_t routers = (size_t)model->routers;
+    Rn_Seed(&run->random, model->seed * 7919 + 1);
+    run->evidence = Mv_EvidenceCreate(0.01);
+    run->trips = calloc(routers, sizeof(*run->trips));
+    run->cells = calloc(routers, sizeof(*run->cells));
+    for (size_t r = 0; r < routers; r++) {
+        Mv_TripInit(&run->trips[r]);
+        for (int c = 0; c < ROUTES * CLASSES; c++) {
+            struct mv_cell *cell = &run->cells[r][c];
+            snprintf(cell->route, sizeof(cell->route), "/r%d", c / CLASSES);
+            cell->request_class = c % CLASSES;
+        }
+    }
+    run->out->fault_at = -1;
+    if (model->fault == FAULT_LATE) {
+        run->out->fault_at = LATE_AT;
+    }
+    else if (model->fault != FAULT_NONE) {
+        run->out->fault_at = 0;
+    }
+}
+
+void
+Move_Run(const struct move_model *model, struct move_outcome *out)
+{
+    struct run run = {.model = model, .out = out};
+    struct mv_plan plan = {"rink", "v1", "v2", 0.02, SPAN + SEC, false};
+    memset(out, 0, sizeof(*out));
+    set_up(&run);
+    Mv_Begin(&out->move, &plan, SEC);
+    double due = 0;
+    uint64_t sequence = 0;
+    while (!Mv_IsOver(&out->move) && run.now < SPAN + 60 * SEC) {
+        double per_sec = model->per_sec * load(run.now);
+        due += per_sec;
+        int arrivals = (int)due;
+        due -= arrivals;
+        for (int i = 0; i < arrivals; i++) {
+            request(&run, &out->move);
+        }
+        run.now += SEC;
+        if (run.now % Mv_BLOCK_USEC == 0) {
+            report(&run, ++sequence);
+        }
+        struct mv_view view = {2, 1, false, per_sec, model->per_sec};
+        for (int r = 0; r < model->routers; r++) {
+            view.distrusted |= run.trips[r].tripped && !model->without_trip;
+        }
+        out->tripped = view.distrusted;
+        out->share_at_end = out->move.share;
+        Mv_Tick(&out->move, run.evidence, &view, run.now + SEC);
+    }
+    out->ended_at = run.now;
+    Mv_EvidenceDestroy(run.evidence);
+    free(run.trips);
+    free(run.cells);
+}
+
+bool
+Outage_Run(uint64_t seed, double bad, double share)
+{
+    struct rn_random random;
+    struct mv_trip trip;
+    Rn_Seed(&random, seed * 77 + 1);
+    Mv_TripInit(&trip);
+    for (int i = 0; i < 8000; i++) {
+        bool outage = i / 2000 % 2 == 1;
+        double here = Mv_TripSuspects(&trip) ? fmin(0.5, share) : share;
+        enum mv_side side = Rn_Unit(&random) < here ? MV_NEW : MV_OLD;
+        bool failed = Rn_Unit(&random) < (outage ? bad : 0.01);
+        Mv_TripNote(&trip, side, failed ? MV_FAILED : MV_GOOD);
+    }
+    return trip.tripped;
+}
--- /dev/null
+++ b/packages/policy/test/move_test.cc
@@ -0,0 +1,352 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "move_model.h"
+#include "policy/move.h"
+
+namespace {
+
+const int64_t kSec = 1000000;
+
+struct Mover {
+    struct mv_evidence *evidence = Mv_EvidenceCreate(0.01);
+    struct mv_move move;
+    struct mv_view view = {2, 1, false, 10, 10};
+    int64_t now = kSec;
+    uint64_t sequence = 0;
+
+    explicit Mover(int64_t deadline = 3601 * kSec)
+    {
+        struct mv_plan plan = {"rink", "v1", "v2", 0.02, deadline, false};
+        EXPECT_EQ(ST_OK, Mv_Begin(&move, &plan, now));
+    }
+
+    ~Mover()
+    {
+        Mv_EvidenceDestroy(evidence);
+    }
+
+    void
+    report(uint32_t old_count, uint32_t old_failed, uint32_t new_count,
+           uint32_t new_failed)
+    {
+        struct mv_cell cell = {};
+        snprintf(cell.route, sizeof(cell.route), "/a");
+        cell.count[MV_OLD] = old_count;
+        cell.failed[MV_OLD] = old_failed;
+        cell.count[MV_NEW] = new_count;
+        cell.failed[MV_NEW] = new_failed;
+        cell.first_token[MV_OLD][20] = old_count - old_failed;
+        cell.first_token[MV_NEW][20] = new_count - new_failed;
+        Mv_Merge(evidence, "r1", ++sequence, &cell, 1);
+        Mv_CloseBlock(evidence);
+    }
+
+    /* Runs ticks until the phase or the end of the time. */
+    void
+    until(enum mv_phase phase, int64_t most = 4000 * kSec)
+    {
+        int64_t stop = now + most;
+        while (move.phase != phase && !Mv_IsOver(&move) && now < stop) {
+            now += kSec;
+            if (now % (10 * kSec) == 0) {
+                report(90, 0, 10, 0);
+            }
+            Mv_Tick(&move, evidence, &view, now);
+        }
+    }
+
+    std::string
+    sentence()
+    {
+        char out[512];
+        Mv_Sentence(&move, out, sizeof(out));
+        return out;
+    }
+};
+
+TEST(Move, AGoodVersionIsDoneBeforeTheDeadlineInGrowingSteps)
+{
+    Mover m;
+    std::vector<double> shares;
+    EXPECT_EQ(MV_PLANNED, m.move.phase);
+    while (!Mv_IsOver(&m.move) && m.now < 3700 * kSec) {
+        m.until(MV_DONE, kSec);
+        if (shares.empty() || shares.back() != m.move.share) {
+            shares.push_back(m.move.share);
+        }
+    }
+    EXPECT_EQ(MV_DONE, m.move.phase);
+    EXPECT_LT(m.now, 3601 * kSec);
+    ASSERT_GE(shares.size(), 5u);
+    EXPECT_LE(shares[0], 0.02);
+    for (size_t i = 1; i < shares.size(); i++) {
+        EXPECT_GT(shares[i], shares[i - 1]);
+        EXPECT_LE(shares[i], shares[i - 1] * 3 + 1e-9);
+    }
+    EXPECT_NE(std::string::npos, m.sentence().find("is done, "));
+    EXPECT_NE(std::string::npos, m.sentence().find("before the deadline"));
+}
+
+/*
+ * Door sales fail for minutes although a router saw ten failures in a row:
+ * it waited for the log, which was down, to tell the others.
+ */
+TEST(Move, ARouterTripsOnItsOwnAfterFewFailures)
+{
+    struct mv_trip trip;
+    Mv_TripInit(&trip);
+    for (int i = 0; i < 1000; i++) {
+        EXPECT_FALSE(Mv_TripNote(&trip, MV_OLD, MV_GOOD));
+        EXPECT_FALSE(Mv_TripNote(&trip, MV_NEW, MV_GOOD));
+    }
+    int failures = 0;
+    while (!Mv_TripNote(&trip, MV_NEW, MV_FAILED) && failures < 100) {
+        failures++;
+        Mv_TripNote(&trip, MV_OLD, MV_GOOD);
+    }
+    EXPECT_LE(failures, 6);
+    EXPECT_TRUE(Mv_TripNote(&trip, MV_NEW, MV_GOOD));
+    Mv_TripInit(&trip);
+    for (failures = 1; !Mv_TripNote(&trip, MV_NEW, MV_FAILED); failures++) {
+        ASSERT_LT(failures, 100);
+    }
+    EXPECT_GT(failures, 5);
+    EXPECT_LE(failures, 15);
+}
+
+/*
+ * A good version is given up because the database behind both versions was
+ * away for a minute.
+ */
+TEST(Move, AFaultOfBothVersionsTripsNothing)
+{
+    int whole = 0;
+    int part = 0;
+    for (uint64_t seed = 1; seed <= 100; seed++) {
+        for (double share : {0.02, 0.5, 0.95}) {
+            whole += Outage_Run(seed, 1, share);
+            part += Outage_Run(seed, 0.4, share);
+        }
+    }
+    EXPECT_EQ(0, whole);
+    EXPECT_LE(part, 15);
+    Mover m;
+    m.until(MV_GROWING);
+    for (int i = 0; i < 60; i++) {
+        m.report(900, i / 6 % 2 == 1 ? 500 : 5, 100, i / 6 % 2 == 1 ? 55 : 1);
+    }
+    struct mv_finding finding;
+    Mv_Finding(m.evidence, &finding);
+    EXPECT_FALSE(finding.alarm);
+}
+
+/* Gossip repeats; a report counted twice would prove twice as much. */
+TEST(Move, ARepeatedReportCountsOnce)
+{
+    struct mv_evidence *evidence = Mv_EvidenceCreate(0.01);
+    struct mv_cell cell = {};
+    cell.count[MV_OLD] = 100;
+    cell.count[MV_NEW] = 3;
+    cell.failed[MV_NEW] = 1;
+    for (int i = 0; i < 50; i++) {
+        Mv_Merge(evidence, "r1", 1, &cell, 1);
+        Mv_CloseBlock(evidence);
+    }
+    struct mv_totals totals;
+    struct mv_finding finding;
+    Mv_Totals(evidence, &totals);
+    Mv_Finding(evidence, &finding);
+    EXPECT_EQ(3u, totals.count[MV_NEW]);
+    EXPECT_FALSE(finding.alarm);
+    Mv_EvidenceDestroy(evidence);
+}
+
+TEST(Move, FindingNamesRouteAndClassAndTheSentenceTellsIt)
+{
+    Mover m;
+    m.until(MV_GROWING);
+    for (int i = 0; i < 30; i++) {
+        struct mv_cell cells[2] = {};
+        snprintf(cells[0].route, sizeof(cells[0].route), "/seats");
+        cells[0].request_class = 1;
+        cells[0].count[MV_OLD] = cells[0].count[MV_NEW] = 20;
+        cells[0].failed[MV_NEW] = 8;
+        snprintf(cells[1].route, sizeof(cells[1].route), "/hire");
+        cells[1].count[MV_OLD] = cells[1].count[MV_NEW] = 2000;
+        cells[1].failed[MV_OLD] = cells[1].failed[MV_NEW] = 20;
+        Mv_Merge(m.evidence, "r1", ++m.sequence, cells, 2);
+        Mv_CloseBlock(m.evidence);
+    }
+    EXPECT_TRUE(Mv_Tick(&m.move, m.evidence, &m.view, m.now));
+    EXPECT_EQ(MV_TAKEN_BACK, m.move.phase);
+    EXPECT_EQ(0, m.move.share);
+    EXPECT_STREQ("/seats", m.move.finding.route);
+    EXPECT_EQ(1, m.move.finding.request_class);
+    EXPECT_NE(std::string::npos, m.sentence().find("taken back"));
+    EXPECT_NE(std::string::npos, m.sentence().find("on route /seats"));
+    EXPECT_NE(std::string::npos, m.sentence().find("All requests go to v1"));
+}
+
+TEST(Move, DistrustTakesItBackInEveryPhase)
+{
+    for (int phase = MV_PLANNED; phase <= MV_PROBATION; phase++) {
+        Mover m;
+        m.view.new_endpoints = phase == MV_PLANNED ? 0 : 2;
+        m.until((enum mv_phase)phase);
+        ASSERT_EQ(phase, m.move.phase);
+        m.view.distrusted = true;
+        EXPECT_TRUE(Mv_Tick(&m.move, m.evidence, &m.view, m.now));
+        EXPECT_EQ(MV_TAKEN_BACK, m.move.phase);
+        m.view.distrusted = false;
+        EXPECT_FALSE(Mv_Tick(&m.move, m.evidence, &m.view, m.now));
+    }
+}
+
+/*
+ * The old version is gone when the Friday peak shows that the new one fails
+ * under load: the move was done in the quiet of the morning.
+ */
+TEST(Move, ProbationLastsUntilALoadNearThePeak)
+{
+    Mover m(8 * 3600 * kSec);
+    m.view.per_sec = 3;
+    m.until(MV_PROBATION);
+    ASSERT_EQ(MV_PROBATION, m.move.phase);
+    EXPECT_LT(m.move.share, 1);
+    EXPECT_GE(m.move.share, 0.8);
+    m.until(MV_DONE, 6000 * kSec);
+    EXPECT_EQ(MV_PROBATION, m.move.phase);
+    m.view.per_sec = 9;
+    m.until(MV_DONE, 10 * kSec);
+    EXPECT_EQ(MV_DONE, m.move.phase);
+}
+
+TEST(Move, DeadlineDecidesWhatIsNotReady)
+{
+    Mover none;
+    none.view.new_endpoints = 0;
+    none.until(MV_DONE);
+    EXPECT_EQ(MV_TAKEN_BACK, none.move.phase);
+    EXPECT_EQ(3601 * kSec, none.now);
+    Mover few;
+    few.view.new_capacity = 0.3;
+    few.until(MV_DONE);
+    EXPECT_EQ(MV_TAKEN_BACK, few.move.phase);
+    Mover quiet;
+    quiet.view.per_sec = 1;
+    quiet.until(MV_DONE);
+    EXPECT_EQ(MV_DONE, quiet.move.phase);
+    EXPECT_NE(std::string::npos, quiet.sentence().find("not yet carried"));
+}
+
+/*
+ * An operator corrects the target while the move runs, and the third
+ * version inherits the share the second one had earned.
+ */
+TEST(Move, RevisedAndWithdrawnInMidFlight)
+{
+    Mover m;
+    m.until(MV_PROBATION);
+    struct mv_plan plan = m.move.plan;
+    EXPECT_FALSE(Mv_Revise(&m.move, &plan, m.now));
+    plan.deadline += 60 * kSec;
+    EXPECT_TRUE(Mv_Revise(&m.move, &plan, m.now));
+    EXPECT_EQ(MV_PROBATION, m.move.phase);
+    snprintf(plan.to, sizeof(plan.to), "v3");
+    snprintf(plan.from, sizeof(plan.from), "v2");
+    EXPECT_TRUE(Mv_Revise(&m.move, &plan, m.now));
+    EXPECT_EQ(MV_PLANNED, m.move.phase);
+    EXPECT_EQ(0, m.move.share);
+    EXPECT_STREQ("v1", m.move.plan.from);
+    m.until(MV_GROWING);
+    plan = m.move.plan;
+    plan.withdrawn = true;
+    EXPECT_TRUE(Mv_Revise(&m.move, &plan, m.now));
+    EXPECT_EQ(MV_TAKEN_BACK, m.move.phase);
+    EXPECT_NE(std::string::npos, m.sentence().find("withdrawn"));
+    plan.withdrawn = false;
+    plan.deadline += 60 * kSec;
+    EXPECT_FALSE(Mv_Revise(&m.move, &plan, m.now));
+    EXPECT_EQ(MV_TAKEN_BACK, m.move.phase);
+    Mover over;
+    over.until(MV_DONE);
+    plan = over.move.plan;
+    plan.withdrawn = true; /* the old version may be gone by now */
+    EXPECT_FALSE(Mv_Revise(&over.move, &plan, over.now));
+    EXPECT_EQ(MV_DONE, over.move.phase);
+}
+
+/*
+ * At three requests in flight over seven routers each router lets one
+ * request through to a hanging version, and all parents wait on it.
+ */
+TEST(Move, SmallTrafficIsCappedInFlightOverAllRouters)
+{
+    const char *routers[] = {"a", "b", "c", "d", "e", "f", "g"};
+    Mover m;
+    m.until(MV_SMALL);
+    for (int in_flight : {0, 3, 50, 100, 600, 6000}) {
+        int cap = 0;
+        double share = 0;
+        for (const char *router : routers) {
+            struct mv_allotment a;
+            Mv_Allot(&m.move, router, routers, 7, in_flight, &a);
+            EXPECT_NE(0, a.max_in_flight);
+            cap += a.max_in_flight > 0 ? a.max_in_flight : 0;
+            share += a.share / 7;
+        }
+        EXPECT_GE(cap, 1);
+        EXPECT_LE(cap, std::max(1.0, 0.02 * in_flight + 7));
+        if (in_flight <= 300) {
+            EXPECT_LE(cap, std::max(1, (int)(0.02 * in_flight + 0.999)));
+        }
+        EXPECT_NEAR(0.02, share, 0.0001);
+    }
+}
+
+struct Outcomes {
+    int taken_back = 0;
+    int done = 0;
+    double delay = 0;
+    double worst_share = 0;
+};
+
+Outcomes
+run_all(enum move_fault fault, int seeds, double per_sec, bool trip)
+{
+    Outcomes sum;
+    for (int seed = 1; seed <= seeds; seed++) {
+        struct move_model model = {(uint64_t)seed, per_sec, 7,
+                                   0.005,          fault,   !trip};
+        struct move_outcome out;
+        Move_Run(&model, &out);
+        sum.taken_back += out.move.phase == MV_TAKEN_BACK;
+        sum.done += out.move.phase == MV_DONE;
+        sum.delay += (double)(out.ended_at - out.fault_at) / 1e6 / seeds;
+        sum.worst_share = std::max(sum.worst_share, out.share_at_end);
+    }
+    return sum;
+}
+
+TEST(Move, GoodVersionsAreDoneAtTheStatedRate)
+{
+    Outcomes good = run_all(FAULT_NONE, 100, 5, true);
+    EXPECT_GE(good.done, 97);
+    EXPECT_EQ(100, good.done + good.taken_back);
+}
+
+TEST(Move, EachKindOfBadVersionIsTakenBack)
+{
+    for (int fault = FAULT_FAILS; fault < FAULT_KINDS; fault++) {
+        Outcomes bad = run_all((enum move_fault)fault, 10, 10, true);
+        EXPECT_EQ(10, bad.taken_back) << fault;
+    }
+    EXPECT_LE(run_all(FAULT_FAILS, 10, 10, true).worst_share, 0.02);
+}
+
+} // namespace
--- a/tools/policy_bench.c
+++ b/tools/policy_bench.c
@@ -5,9 +5,12 @@
  */
 #include <math.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/random.h"
 #include "model.h"
+#include "move_model.h"
 #include "policy/choose.h"
 #include "policy/stream.h"
 
@@ -179,6 +182,96 @@
     printf("\n");
 }
 
+static const char *const fault_names[FAULT_KINDS] = {
+    "none",
+    "30% fail at once",
+    "3% fail at once",
+    "first token twice as late",
+    "30% fail after 35 min",
+    "20% fail above 80% of peak load",
+    "20% fail on one route (a tenth of traffic)",
+};
+
+static int
+compare_double(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+static void
+bench_move(enum move_fault fault, double per_sec, int seeds, bool without_trip)
+{
+    double *delays = calloc((size_t)seeds, sizeof(*delays));
+    double *hurt = calloc((size_t)seeds, sizeof(*hurt));
+    int back = 0;
+    int tripped = 0;
+    double share = 0;
+    for (int seed = 0; seed < seeds; seed++) {
+        struct move_model model = {
+            (uint64_t)seed + 1, per_sec, 7, 0.005, fault, without_trip};
+        struct move_outcome out;
+        Move_Run(&model, &out);
+        back += out.move.phase == MV_TAKEN_BACK;
+        tripped += out.tripped;
+        delays[seed] = (double)(out.ended_at - out.fault_at) / 1e6;
+        hurt[seed] = (double)out.hurt;
+        share += out.share_at_end / seeds;
+    }
+    qsort(delays, (size_t)seeds, sizeof(*delays), compare_double);
+    qsort(hurt, (size_t)seeds, sizeof(*hurt), compare_double);
+    printf("| %s | %g | %s | %d | %.1f%% | %.1f%% | %.0f | %.0f | %.0f | "
+           "%.0f | %.0f%% |\n",
+           fault_names[fault], per_sec, without_trip ? "no" : "yes", seeds,
+           100.0 * back / seeds, 100.0 * tripped / seeds, delays[seeds / 2],
+           delays[seeds * 95 / 100], hurt[seeds / 2], hurt[seeds * 95 / 100],
+           share * 100);
+    free(delays);
+    free(hurt);
+}
+
+static void
+bench_outages(void)
+{
+    const double bads[] = {1, 0.8, 0.4, 0.2};
+    const double shares[] = {0.02, 0.5, 0.95};
+    printf("| outage of both: failing | share of the new version | trips of "
+           "one router in 1,000 runs of 2 outages |\n| --- | --- | --- |\n");
+    for (size_t b = 0; b < sizeof(bads) / sizeof(bads[0]); b++) {
+        for (size_t s = 0; s < sizeof(shares) / sizeof(shares[0]); s++) {
+            int trips = 0;
+            for (uint64_t seed = 1; seed <= 1000; seed++) {
+                trips += Outage_Run(seed, bads[b], shares[s]);
+            }
+            printf("| %.0f%% | %.0f%% | %d |\n", bads[b] * 100,
+                   shares[s] * 100, trips);
+        }
+    }
+    printf("\n");
+}
+
+static void
+bench_moves(void)
+{
+    const double rates[] = {0.3, 10, 100};
+    printf("| fault of the new version | requests/s at the peak | trips | "
+           "seeds | taken back | by a trip | end, s after the fault: median | "
+           "95 in 100 | failed requests on it: median | 95 in 100 | its share "
+           "before the end |\n| --- | --- | --- | --- | --- | --- | --- | --- "
+           "| --- | --- | --- |\n");
+    for (size_t r = 0; r < sizeof(rates) / sizeof(rates[0]); r++) {
+        int good = rates[r] > 50 ? 300 : 2000;
+        bench_move(FAULT_NONE, rates[r], good, false);
+        bench_move(FAULT_NONE, rates[r], good, true);
+        for (int fault = FAULT_NONE + 1; fault < FAULT_KINDS; fault++) {
+            bench_move((enum move_fault)fault, rates[r], 200, false);
+            bench_move((enum move_fault)fault, rates[r], 200, true);
+        }
+    }
+    printf("\n");
+}
+
 struct part {
     const char *name;
     void (*run)(void);
@@ -187,6 +280,8 @@
 static const struct part parts[] = {
     {"choice", bench_choice},
     {"streams", bench_streams},
+    {"moves", bench_moves},
+    {"outages", bench_outages},
 };
 
 int
