--- a/tools/policy_bench.c
+++ b/tools/policy_bench.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/random.h"
+#include "fleet_model.h"
 #include "model.h"
 #include "move_model.h"
 #include "policy/choose.h"
@@ -272,16 +273,39 @@
     printf("\n");
 }
 
+static void
+bench_hosts(void)
+{
+    const struct ft_ops *ops[] = {Ft_Spread(), Ft_AllOnDemand(),
+                                  Ft_CheapestOnly()};
+    printf("| plan | cost a day | requests above the capacity | on-demand "
+           "host hours | releases with work in flight |\n"
+           "| --- | --- | --- | --- | --- |\n");
+    for (size_t i = 0; i < sizeof(ops) / sizeof(ops[0]); i++) {
+        struct fleet_result sum = {0};
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            struct fleet_result result;
+            Fleet_Run(ops[i], (uint64_t)seed, 7, &result);
+            sum.cost += result.cost / SEEDS;
+            sum.uncovered += result.uncovered / SEEDS;
+            sum.on_demand += result.on_demand / SEEDS;
+            sum.cut += result.cut;
+        }
+        printf("| %s | %.0f | %.3f%% | %.1f%% | %d |\n", ops[i]->name,
+               sum.cost, sum.uncovered * 100, sum.on_demand * 100, sum.cut);
+    }
+    printf("\n");
+}
+
 struct part {
     const char *name;
     void (*run)(void);
 };
 
 static const struct part parts[] = {
-    {"choice", bench_choice},
-    {"streams", bench_streams},
-    {"moves", bench_moves},
-    {"outages", bench_outages},
+    {"choice", bench_choice}, {"streams", bench_streams},
+    {"moves", bench_moves},   {"outages", bench_outages},
+    {"hosts", bench_hosts},
 };
 
 int
