Callers: typed refusals for bad input, and TLS that is served

Ruled out: a second idempotency-key header cannot be refused, since the library shows the first only; the first counts, for the repeat as well.

Change: the server checks the whole head in one place and refuses with 400, 405, 411, 413 or 414; raw connections are closed; TLS is switched on.

--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -86,6 +86,7 @@
     free(request);
 }
 
+/* NULL for a method that is not served. */
 static const char *
 method_name(int method)
 {
@@ -103,7 +104,7 @@
     case LWSHUMETH_HEAD:
         return "HEAD";
     default:
-        return "OTHER";
+        return NULL;
     }
 }
 
@@ -122,37 +123,84 @@
     return -1;
 }
 
-/* Copies one header while libwebsockets still holds it. */
-static char *
-copy_header(struct lws *wsi, const char *name)
+/* The length of a header's value, -1 when the header is absent. */
+static int
+header_length(struct lws *wsi, const char *name)
+{
+    char key[Hs_NAME_MAX];
+    int token = known_token(name);
+    if (token >= 0) {
+        int len = lws_hdr_total_length(wsi, (enum lws_token_indexes)token);
+        return len > 0 ? len : -1;
+    }
+    int key_len = snprintf(key, sizeof(key), "%s:", name);
+    return lws_hdr_custom_length(wsi, key, key_len);
+}
+
+/*
+ * Copies one header while libwebsockets still holds it.  False when it is too
+ * long or holds a NUL: taken for absent or for its first part, such an
+ * idempotency key would let a charge run twice.
+ */
+static bool
+copy_header(struct lws *wsi, const char *name, char **out)
 {
     char value[Hs_VALUE_MAX];
-    int len;
+    int len = header_length(wsi, name);
+    if (len < 0) {
+        return true;
+    }
     int token = known_token(name);
     if (token >= 0) {
-        len = lws_hdr_total_length(wsi, (enum lws_token_indexes)token) > 0
-                  ? lws_hdr_copy(wsi, value, sizeof(value),
-                                 (enum lws_token_indexes)token)
-                  : -1;
+        len = lws_hdr_copy(wsi, value, sizeof(value),
+                           (enum lws_token_indexes)token);
     }
     else {
-        char key[64];
+        char key[Hs_NAME_MAX];
         int key_len = snprintf(key, sizeof(key), "%s:", name);
         len = lws_hdr_custom_copy(wsi, value, sizeof(value), key, key_len);
     }
-    return len >= 0 ? strdup(value) : NULL;
+    if (len < 0 || memchr(value, '\0', (size_t)len) != NULL) {
+        return false;
+    }
+    *out = strdup(value);
+    return *out != NULL;
 }
 
-static void
+/* Keeps the headers that the handler asked for; false as copy_header(). */
+static bool
 copy_headers(struct hs_request *request)
 {
     const char *const *names = request->server->headers;
     if (names == NULL) {
-        return;
+        return true;
     }
     for (size_t i = 0; i < Hs_HEADERS_MAX && names[i] != NULL; i++) {
-        request->values[i] = copy_header(request->wsi, names[i]);
+        if (!copy_header(request->wsi, names[i], &request->values[i])) {
+            return false;
+        }
     }
+    return true;
+}
+
+/*
+ * True when a header that frames the body has a space before its colon.  One
+ * server in a row may skip such a header and the next obey it, so that they
+ * disagree where the request ends.
+ */
+static bool
+has_hidden_framing(struct lws *wsi)
+{
+    static const char *const hidden[] = {
+        "transfer-encoding :", "transfer-encoding\t:", "content-length :",
+        "content-length\t:"};
+    for (size_t i = 0; i < sizeof(hidden) / sizeof(hidden[0]); i++) {
+        if (lws_hdr_custom_length(wsi, hidden[i], (int)strlen(hidden[i])) >=
+            0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /*
@@ -165,6 +213,9 @@
 {
     char text[32];
     *out = 0;
+    if (has_hidden_framing(wsi)) {
+        return 400;
+    }
     if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
         return 411;
     }
@@ -204,16 +255,21 @@
 
 /*
  * Copies the query argument by argument: copied in one go, the library puts
- * commas between them, and every argument but the first is lost.
+ * commas between them, and every argument but the first is lost.  False when
+ * it does not fit: cut short, another request than the caller's would run.
  */
-static void
+static bool
 copy_query(struct hs_request *request)
 {
     size_t used = 0;
+    if (lws_hdr_total_length(request->wsi, WSI_TOKEN_HTTP_URI_ARGS) >=
+        (int)sizeof(request->query) - 1) {
+        return false;
+    }
     for (int i = 0;; i++) {
         size_t skip = i > 0 ? 1 : 0; /* room for the separator */
         if (used + skip + 1 >= sizeof(request->query)) {
-            return;
+            return false;
         }
         int len =
             lws_hdr_copy_fragment(request->wsi, request->query + used + skip,
@@ -221,7 +277,7 @@
                                   WSI_TOKEN_HTTP_URI_ARGS, i);
         if (len < 0) {
             request->query[used] = '\0';
-            return;
+            return true;
         }
         if (skip > 0) {
             request->query[used] = '&';
@@ -230,6 +286,42 @@
     }
 }
 
+/*
+ * Reads everything that stands before the body.  Returns an HTTP status and
+ * the remedy, 0 when fine.
+ */
+static int
+check_head(struct hs_request *request, int method, const char *path,
+           const char **remedy)
+{
+    if (request->method == NULL) {
+        *remedy = "use GET, HEAD, POST, PUT, PATCH or DELETE";
+        return 405;
+    }
+    if (strlcpy(request->path, path, sizeof(request->path)) >=
+            sizeof(request->path) ||
+        !copy_query(request)) {
+        *remedy = "shorten the path and the query to 1000 bytes each";
+        return 414;
+    }
+    bool has_body = method == LWSHUMETH_POST || method == LWSHUMETH_PUT ||
+                    method == LWSHUMETH_PATCH;
+    int code = body_length(request->wsi, has_body, &request->body_expected);
+    if (code != 0) {
+        *remedy = "send one Content-Length and no Transfer-Encoding";
+        return code;
+    }
+    if (request->body_expected > request->server->body_max) {
+        *remedy = "send a smaller body";
+        return 413;
+    }
+    if (!copy_headers(request)) {
+        *remedy = "send headers of at most 1023 bytes without NUL";
+        return 400;
+    }
+    return 0;
+}
+
 static int
 on_headers(struct hs_server *server, struct lws *wsi, const char *path)
 {
@@ -245,28 +337,13 @@
     request->method = method_name(method);
     server->open++;
     lws_set_opaque_user_data(wsi, request);
-    if (strlcpy(request->path, path, sizeof(request->path)) >=
-        sizeof(request->path)) {
-        request->dispatched = true;
-        refuse(request, 414, "shorten the path to 1023 bytes");
-        return 0;
-    }
-    copy_query(request);
-    bool has_body = method == LWSHUMETH_POST || method == LWSHUMETH_PUT ||
-                    method == LWSHUMETH_PATCH;
-    int code = body_length(wsi, has_body, &request->body_expected);
-    if (code == 0 && request->body_expected > server->body_max) {
-        code = 413;
-    }
+    const char *remedy = NULL;
+    int code = check_head(request, method, path, &remedy);
     if (code != 0) {
         request->dispatched = true;
-        refuse(request, code,
-               code == 413 ? "send a smaller body"
-                           : "send one Content-Length and no "
-                             "Transfer-Encoding");
+        refuse(request, code, remedy);
         return 0;
     }
-    copy_headers(request);
     if (request->body_expected == 0) {
         dispatch(request);
         return 0;
@@ -405,12 +482,29 @@
     return NULL;
 }
 
+/*
+ * True for the callbacks of a connection that is no HTTP.  The library turns
+ * a connection raw after CONNECT and lifts its timeouts; kept open, such
+ * connections use up the descriptors.
+ */
+static bool
+is_raw(enum lws_callback_reasons reason)
+{
+    return reason == LWS_CALLBACK_RAW_ADOPT ||
+           reason == LWS_CALLBACK_RAW_CONNECTED ||
+           reason == LWS_CALLBACK_RAW_RX ||
+           reason == LWS_CALLBACK_RAW_WRITEABLE;
+}
+
 static int
 server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
                 void *in, size_t len)
 {
     struct hs_request *request =
         wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
+    if (is_raw(reason)) {
+        return -1;
+    }
     if (reason == LWS_CALLBACK_HTTP) {
         struct hs_server *server = server_of(wsi);
         /* A second request before the first one's answer: not supported. */
@@ -519,6 +613,13 @@
     info.ssl_cert_filepath = options->tls_cert_file;
     info.ssl_private_key_filepath = options->tls_key_file;
     info.alpn = "http/1.1";
+    if (options->tls_cert_file != NULL) {
+        /*
+         * Without this option the library passes over the certificate and
+         * serves in the clear, and keys cross the network unprotected.
+         */
+        info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    }
     server->vhost = lws_create_vhost(Lp_Context(server->loop), &info);
     if (server->vhost == NULL) {
         return St_Fail(ST_INVALID, "cannot serve; check the TLS files");
--- a/test/http.cc
+++ b/test/http.cc
@@ -34,8 +34,12 @@
     explicit Transfer(const HttpCall &call)
         : call_(call), easy_(curl_easy_init())
     {
-        std::string url = "http://" + call.url;
+        bool secure = call.url.rfind("https://", 0) == 0;
+        std::string url = secure ? call.url : "http://" + call.url;
         curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+        if (secure) {
+            curl_easy_setopt(easy_, CURLOPT_CAINFO, call.ca_file.c_str());
+        }
         curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, call.method.c_str());
         curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS,
                          (long)call.timeout.count());
--- a/test/http.h
+++ b/test/http.h
@@ -19,7 +19,8 @@
 
 struct HttpCall {
     std::string method = "GET";
-    std::string url; // "127.0.0.1:80/path"
+    std::string url;     // "127.0.0.1:80/path", or with "https://" before it
+    std::string ca_file; // trusted for https
     Headers headers;
     std::string body;
     Millis timeout{20000};
