--- a/apps/cornelgated/settings.c
+++ b/apps/cornelgated/settings.c
@@ -25,6 +25,7 @@
     KEY_TLS_CERT,
     KEY_TLS_KEY,
     KEY_DRAIN_SECONDS,
+    KEY_BOOTSTRAP_DIGEST,
     KEY_LOG_LEVEL,
 };
 
@@ -43,6 +44,8 @@
     {"tls-cert", KEY_TLS_CERT, "FILE", 0, "certificate for callers", 0},
     {"tls-key", KEY_TLS_KEY, "FILE", 0, "key of the certificate", 0},
     {"drain-seconds", KEY_DRAIN_SECONDS, "N", 0, "longest planned stop", 0},
+    {"bootstrap-digest", KEY_BOOTSTRAP_DIGEST, "HEX", 0,
+     "digest of the first operator's key", 0},
     {"log-level", KEY_LOG_LEVEL, "LEVEL", 0, "error, warn, info or debug", 0},
     {0},
 };
@@ -128,6 +131,9 @@
             read_number("drain-seconds", value, Set_DRAIN_MAX_SEC, &number);
         options->drain_usec = number * Ck_USEC_PER_SEC;
         return status;
+    case KEY_BOOTSTRAP_DIGEST:
+        options->bootstrap_digest = value;
+        return ST_OK;
     case KEY_LOG_LEVEL:
         return read_level(value, &settings->log_level);
     default:
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -6,24 +6,44 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "gate/admin.h"
 #include "gate/claims.h"
 #include "gate/confstream.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
 #include "gate/hostwatch.h"
+#include "gate/intake.h"
+#include "gate/loadwatch.h"
+#include "gate/peers.h"
 #include "gate/request.h"
+#include "gate/status.h"
 #include "gate/stop.h"
 #include "platform/plog.h"
 #include "state/budget.h"
 
 #define Dm_TICK (20 * Ck_USEC_PER_MSEC)
+#define Dm_APPEND_USEC (5 * Ck_USEC_PER_SEC)
+#define Dm_OFFSET_PERIOD (1200 * Ck_USEC_PER_SEC)
+#define Dm_PULL_PERIOD (200 * Ck_USEC_PER_MSEC)
+#define Dm_DEMANDS_MAX 32
+#define Dm_KEY_MAX 32
+/* Appends a second of one daemon; the keeper sets those for claims. */
+#define Dm_CONFIG_APPENDS 5
+#define Dm_LEASE_APPENDS 5
+#define Dm_EVIDENCE_APPENDS 1
+#define Dm_APPEND_BURST 20
 #define Dm_BODY_MAX ((size_t)1 << 20)
 #define Dm_INCARNATION_MASK (UINT64_MAX >> 1)
 
 struct dm_daemon {
     struct gt_gate gate;
     struct hs_server *callers;
-    struct hs_server *admin;
+    struct ad_admin *admin;
+    struct pe_peers *peers;
+    struct lw_watch *loads;
+    int64_t next_demand;
+    int64_t next_pull;
+    int64_t next_offset;
     struct pl_log *log;
     struct bg_budget *budget;
     struct cs_stream *config;
@@ -40,13 +60,27 @@
     "cornelgate-class", "content-type",    NULL,
 };
 
-static const char *const admin_headers[] = {"authorization", NULL};
-
-static bool
-is_ready(const struct dm_daemon *daemon)
+/*
+ * Why callers are not served yet, or NULL.  A daemon that starts while its
+ * own way to the log is cut must not serve with less than its peers know.
+ */
+static const char *
+not_ready(const struct dm_daemon *daemon)
 {
-    return daemon->gate.config != NULL && daemon->hosts_seen &&
-           !Sp_Begun(daemon->stop);
+    if (Sp_Begun(daemon->stop)) {
+        return "the daemon is stopping";
+    }
+    if (!daemon->hosts_seen) {
+        return "the host list has not come yet";
+    }
+    if (daemon->gate.config == NULL) {
+        return "no configuration has been read yet";
+    }
+    if (Sc_Offset(Cs_State(daemon->config)) <
+        Pe_HighestOffset(daemon->peers)) {
+        return "the configuration is behind that of other daemons";
+    }
+    return NULL;
 }
 
 static void
@@ -78,46 +112,120 @@
     .drained = take_drained,
 };
 
-static void
-reply_text(struct hs_request *http, int code, const char *type,
-           const char *text)
+static const struct sc_state *
+admin_sections(void *arg)
 {
-    Hs_Reply(http, code, type, NULL, 0, text, strlen(text));
+    struct dm_daemon *daemon = arg;
+    return Cs_State(daemon->config);
 }
 
+struct append {
+    ad_appended_fn appended;
+    void *ticket;
+};
+
 static void
-take_admin(void *arg, struct hs_request *http)
+admin_appended(void *arg, enum wr_result result, uint64_t sequence)
 {
-    struct dm_daemon *daemon = arg;
-    const char *path = Hs_Path(http);
-    if (strcmp(path, "/healthz") == 0) {
-        reply_text(http, 200, "text/plain", "ok\n");
+    struct append *append = arg;
+    enum st_status status = ST_UNKNOWN;
+    (void)sequence;
+    if (result == WR_WRITTEN) {
+        status = ST_OK;
     }
-    else if (strcmp(path, "/readyz") == 0) {
-        bool ready = is_ready(daemon);
-        reply_text(http, ready ? 200 : 503, "text/plain",
-                   ready ? "ready\n" : "not ready\n");
+    else if (result == WR_NOT_WRITTEN) {
+        status = ST_UNAVAILABLE;
     }
-    else if (strcmp(path, "/metrics") == 0) {
-        char *text = Mt_Print(daemon->gate.metrics);
-        reply_text(http, 200, "text/plain", text != NULL ? text : "");
-        free(text);
+    append->appended(append->ticket, status);
+    free(append);
+}
+
+static enum st_status
+admin_append(void *arg, const char *kind, json_t *body,
+             ad_appended_fn appended, void *ticket)
+{
+    struct dm_daemon *daemon = arg;
+    struct append *append = calloc(1, sizeof(*append));
+    if (append == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for a change");
     }
-    else {
-        reply_text(http, 404, "text/plain", "not found\n");
+    append->appended = appended;
+    append->ticket = ticket;
+    int64_t deadline = Ck_Now(daemon->gate.clock) + Dm_APPEND_USEC;
+    enum st_status status =
+        Wr_Put(Cs_Writer(daemon->config), BG_CONFIG, kind, json_incref(body),
+               deadline, admin_appended, append);
+    if (status != ST_OK) {
+        free(append);
+        return status;
     }
+    Cs_Kick(daemon->config);
+    return ST_OK;
+}
+
+static json_t *
+admin_status(void *arg)
+{
+    struct dm_daemon *daemon = arg;
+    uint64_t offset = Sc_Offset(Cs_State(daemon->config));
+    uint64_t in_force =
+        daemon->gate.config != NULL ? daemon->gate.config->offset : 0;
+    return json_pack("{s:s,s:b,s:{s:I,s:I},s:o,s:o,s:{s:i,s:i,s:b}}", "node",
+                     daemon->gate.options->node_id, "ready",
+                     not_ready(daemon) == NULL, "config", "offset",
+                     (json_int_t)offset, "in_force", (json_int_t)in_force,
+                     "daemons", Pe_Status(daemon->peers, offset), "services",
+                     Sd_Services(&daemon->gate), "work", "queued",
+                     In_Queued(daemon->gate.intake), "claim_slots",
+                     Gc_SlotsKept(daemon->gate.claims), "log_in_reach",
+                     Cs_Reading(daemon->config));
 }
 
 static void
-admin_gone(void *arg, struct hs_request *http)
+set_gauge(struct dm_daemon *daemon, const char *name, int64_t value)
 {
-    (void)arg;
-    (void)http;
+    Mt_Set(Mt_Get(daemon->gate.metrics, MT_GAUGE, name, ""), value);
 }
 
-static const struct hs_ops admin_ops = {
-    .request = take_admin,
-    .gone = admin_gone,
+/* Brings the gauges up to date and copies the counters of other modules. */
+static void
+refresh_metrics(struct dm_daemon *daemon)
+{
+    const struct nd_counters *node = Nd_Counters(Pe_Node(daemon->peers));
+    const struct lk_counters *links =
+        Lk_Counters(Nd_Links(Pe_Node(daemon->peers)));
+    set_gauge(daemon, "cg_queued", In_Queued(daemon->gate.intake));
+    set_gauge(daemon, "cg_config_offset",
+              (int64_t)Sc_Offset(Cs_State(daemon->config)));
+    set_gauge(daemon, "cg_gossip_bytes_in", (int64_t)node->bytes_in);
+    set_gauge(daemon, "cg_gossip_bytes_out", (int64_t)node->bytes_out);
+    set_gauge(daemon, "cg_link_bytes_in", (int64_t)links->bytes_in);
+    set_gauge(daemon, "cg_link_bytes_out", (int64_t)links->bytes_out);
+    set_gauge(daemon, "cg_peers_alive",
+              (int64_t)Mb_Count(Nd_Members(Pe_Node(daemon->peers)), MB_ALIVE));
+}
+
+static char *
+admin_metrics(void *arg)
+{
+    struct dm_daemon *daemon = arg;
+    refresh_metrics(daemon);
+    return Mt_Print(daemon->gate.metrics);
+}
+
+static bool
+admin_ready(void *arg, const char **why)
+{
+    *why = not_ready(arg);
+    return *why == NULL;
+}
+
+static const struct ad_ops admin_ops = {
+    .sections = admin_sections,
+    .append = admin_append,
+    .status = admin_status,
+    .metrics = admin_metrics,
+    .ready = admin_ready,
 };
 
 static void
@@ -126,6 +234,7 @@
     struct dm_daemon *daemon = arg;
     daemon->hosts_seen = true;
     Ep_Sync(daemon->gate.endpoints, hosts, count);
+    Pe_Seed(daemon->peers, hosts, count);
 }
 
 static void
@@ -139,6 +248,7 @@
         return;
     }
     Ep_Leaving(daemon->gate.endpoints, host, left_usec);
+    Pe_HostLeaving(daemon->peers, host, left_usec);
 }
 
 static const struct hw_ops host_ops = {
@@ -149,27 +259,175 @@
 static const char *
 slot_keeper(void *arg, int slot)
 {
-    (void)arg;
-    (void)slot;
-    return NULL;
+    struct dm_daemon *daemon = arg;
+    char key[Dm_KEY_MAX];
+    snprintf(key, sizeof(key), "claims-%02d", slot);
+    return Pe_Responsible(daemon->peers, key);
+}
+
+static enum st_status
+ask_keeper(void *arg, const char *node, const char *payload, size_t len,
+           int64_t timeout_usec, gc_reply_fn reply, void *reply_arg)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_AskClaim(daemon->peers, node, payload, len, timeout_usec, reply,
+                       reply_arg);
+}
+
+static bool
+run_ended(void *arg, const struct rc_writer *owner)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_RunEnded(daemon->peers, owner->node, owner->incarnation);
 }
 
 static const struct gc_ops claim_ops = {
     .keeper = slot_keeper,
+    .ask = ask_keeper,
+    .dead = run_ended,
 };
 
 static void
 config_applied(void *arg, uint64_t offset)
 {
-    (void)arg;
+    struct dm_daemon *daemon = arg;
+    Pe_ConfigOffset(daemon->peers, offset);
+    if (daemon->admin != NULL) {
+        Ad_Advanced(daemon->admin);
+    }
+}
+
+static void
+peer_config_ahead(void *arg, uint64_t offset)
+{
+    struct dm_daemon *daemon = arg;
     (void)offset;
+    Cs_Kick(daemon->config);
+}
+
+static char *
+peer_config_state(void *arg)
+{
+    struct dm_daemon *daemon = arg;
+    return Cs_Export(daemon->config);
+}
+
+static void
+peer_config_came(void *arg, const char *state, size_t len)
+{
+    struct dm_daemon *daemon = arg;
+    (void)Cs_Import(daemon->config, state, len);
+}
+
+static void
+peer_load(void *arg, const struct lw_report *report)
+{
+    struct dm_daemon *daemon = arg;
+    Ep_Report(daemon->gate.endpoints, report->service, report->endpoint,
+              &report->sample);
+    if (report->leaving) {
+        Ep_Leaving(daemon->gate.endpoints, report->endpoint,
+                   report->left_usec);
+    }
+}
+
+static void
+peer_leaving(void *arg, const char *host, int64_t left_usec)
+{
+    struct dm_daemon *daemon = arg;
+    Ep_Leaving(daemon->gate.endpoints, host, left_usec);
+}
+
+static void
+peer_distrust(void *arg, const char *service, const char *version)
+{
+    struct dm_daemon *daemon = arg;
+    Ep_Distrust(daemon->gate.endpoints, service, version);
+}
+
+static void
+peer_demand(void *arg, const char *node, const struct am_demand *demands,
+            size_t count)
+{
+    struct dm_daemon *daemon = arg;
+    In_Hear(daemon->gate.intake, node, demands, count);
+}
+
+static void
+peer_member(void *arg, const char *node, bool present)
+{
+    struct dm_daemon *daemon = arg;
+    In_Member(daemon->gate.intake, node, present);
 }
 
+static void
+claim_served(void *arg, const char *payload, size_t len)
+{
+    Lk_Reply(arg, ST_OK, payload, len);
+}
+
+static void
+peer_claim(void *arg, struct lk_request *request)
+{
+    struct dm_daemon *daemon = arg;
+    size_t len;
+    const char *payload = Lk_Payload(request, &len);
+    if (Gc_Serve(daemon->gate.claims, payload, len, claim_served, request) !=
+        ST_OK) {
+        Lk_Reply(request, ST_UNAVAILABLE, NULL, 0);
+    }
+}
+
+static const struct pe_ops peer_ops = {
+    .config_ahead = peer_config_ahead,
+    .config_state = peer_config_state,
+    .config_came = peer_config_came,
+    .load = peer_load,
+    .leaving = peer_leaving,
+    .distrust = peer_distrust,
+    .demand = peer_demand,
+    .member = peer_member,
+    .claim = peer_claim,
+};
+
+static bool
+load_mine(void *arg, const struct ch_info *info)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_Watches(daemon->peers, info);
+}
+
+static void
+load_report(void *arg, const struct lw_report *report)
+{
+    struct dm_daemon *daemon = arg;
+    peer_load(daemon, report);
+    Pe_Load(daemon->peers, report);
+}
+
+static void
+load_silent(void *arg, const char *service, const char *endpoint)
+{
+    struct dm_daemon *daemon = arg;
+    struct ch_table *table = Ep_Table(daemon->gate.endpoints, service);
+    if (table != NULL) {
+        Ch_SetState(table, endpoint, CH_SUSPECT, 0,
+                    Ck_Now(daemon->gate.clock));
+    }
+}
+
+static const struct lw_ops load_ops = {
+    .mine = load_mine,
+    .report = load_report,
+    .silent = load_silent,
+};
+
 static void
 stop_leaving(void *arg)
 {
     struct dm_daemon *daemon = arg;
     Hs_CloseConnections(daemon->callers);
+    Pe_Leave(daemon->peers);
 }
 
 static void
@@ -217,13 +475,60 @@
     .finished = stop_finished,
 };
 
+/*
+ * A daemon that cannot read the log itself takes the sections of a peer
+ * that has read further.
+ */
+static void
+catch_up(struct dm_daemon *daemon, int64_t now)
+{
+    if (now < daemon->next_pull) {
+        return;
+    }
+    daemon->next_pull = now + Dm_PULL_PERIOD;
+    uint64_t offset = Sc_Offset(Cs_State(daemon->config));
+    if (offset < Pe_HighestOffset(daemon->peers) &&
+        !Cs_Reading(daemon->config)) {
+        Pe_PullConfig(daemon->peers);
+    }
+}
+
+static void
+tell_demand(struct dm_daemon *daemon, int64_t now)
+{
+    struct am_demand demands[Dm_DEMANDS_MAX];
+    if (now < daemon->next_demand) {
+        return;
+    }
+    daemon->next_demand = now + In_PublishInterval(daemon->gate.intake);
+    size_t count = In_Publish(daemon->gate.intake, demands, Dm_DEMANDS_MAX);
+    Pe_Demand(daemon->peers, demands, count);
+}
+
+/* What the others know of this daemon is told again before it expires. */
+static void
+tell_offset(struct dm_daemon *daemon, int64_t now)
+{
+    if (now >= daemon->next_offset) {
+        daemon->next_offset = now + Dm_OFFSET_PERIOD;
+        Pe_ConfigOffset(daemon->peers, Sc_Offset(Cs_State(daemon->config)));
+    }
+}
+
 static void
 tick(void *arg)
 {
     struct dm_daemon *daemon = arg;
+    int64_t now = Ck_Now(daemon->gate.clock);
     Cs_Tick(daemon->config);
     Gc_Tick(daemon->gate.claims);
-    if (!daemon->was_ready && is_ready(daemon)) {
+    In_Pump(daemon->gate.intake);
+    Cs_SetWriting(daemon->config,
+                  Pe_Responsible(daemon->peers, "config-snapshot") == NULL);
+    catch_up(daemon, now);
+    tell_demand(daemon, now);
+    tell_offset(daemon, now);
+    if (!daemon->was_ready && not_ready(daemon) == NULL) {
         daemon->was_ready = true;
         Ev_Log(&GT_READY, "node=%s", daemon->gate.options->node_id);
     }
@@ -244,13 +549,12 @@
         .ops = &caller_ops,
         .arg = daemon,
     };
-    struct hs_options admin = {
+    struct ad_options admin = {
         .address = options->address,
         .port = options->admin_port,
         .tls_cert_file = options->tls_cert_file,
         .tls_key_file = options->tls_key_file,
-        .body_max = Dm_BODY_MAX,
-        .headers = admin_headers,
+        .bootstrap_digest = options->bootstrap_digest,
         .ops = &admin_ops,
         .arg = daemon,
     };
@@ -259,7 +563,7 @@
     if (status != ST_OK) {
         return status;
     }
-    return Hs_Create(daemon->gate.loop, &admin, &daemon->admin);
+    return Ad_Create(daemon->gate.loop, &admin, &daemon->admin);
 }
 
 static enum st_status
@@ -279,6 +583,9 @@
     if (daemon->budget == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the append budget");
     }
+    Bg_Set(daemon->budget, BG_CONFIG, Dm_CONFIG_APPENDS, Dm_APPEND_BURST);
+    Bg_Set(daemon->budget, BG_LEASE, Dm_LEASE_APPENDS, Dm_APPEND_BURST);
+    Bg_Set(daemon->budget, BG_EVIDENCE, Dm_EVIDENCE_APPENDS, Dm_APPEND_BURST);
     struct cs_options config = {
         .gate = &daemon->gate,
         .log = daemon->log,
@@ -317,11 +624,21 @@
     enum st_status status =
         Ep_Create(gate, Rl_EndpointLeaving, &gate->endpoints);
     if (status == ST_OK) {
-        status = start_state(daemon, incarnation);
+        status = In_Create(gate, Rq_Dispatch, &gate->intake);
     }
     if (status == ST_OK) {
         status = start_servers(daemon);
     }
+    if (status == ST_OK) {
+        status = Pe_Create(gate, (uint16_t)Ad_Port(daemon->admin), incarnation,
+                           &peer_ops, daemon, &daemon->peers);
+    }
+    if (status == ST_OK) {
+        status = start_state(daemon, incarnation);
+    }
+    if (status == ST_OK) {
+        status = Lw_Create(gate, &load_ops, daemon, &daemon->loads);
+    }
     if (status == ST_OK) {
         status = Hw_Create(gate, &host_ops, daemon, &daemon->hosts);
     }
@@ -372,8 +689,8 @@
     const struct gt_options *options = daemon->gate.options;
     Ev_Log(&GT_STARTED, "node=%s", options->node_id);
     printf("ready port=%d admin_port=%d peer_port=%d\n",
-           Hs_Port(daemon->callers), Hs_Port(daemon->admin),
-           options->peer_port);
+           Hs_Port(daemon->callers), Ad_Port(daemon->admin),
+           Pe_Port(daemon->peers));
     fflush(stdout);
     Lp_Run(daemon->gate.loop);
     return daemon->cut;
@@ -390,13 +707,17 @@
     Lp_TimerDestroy(daemon->tick);
     Sp_Destroy(daemon->stop);
     Hw_Destroy(daemon->hosts);
+    Lw_Destroy(daemon->loads);
+    Ad_Stop(daemon->admin);
     Gc_Destroy(daemon->gate.claims);
     Cs_Destroy(daemon->config);
+    Pe_Destroy(daemon->peers);
     Bg_Destroy(daemon->budget);
     Pl_HttpDestroy(daemon->log);
+    In_Destroy(daemon->gate.intake);
     Lp_Destroy(daemon->gate.loop);
     Hs_Destroy(daemon->callers);
-    Hs_Destroy(daemon->admin);
+    Ad_Destroy(daemon->admin);
     Ep_Destroy(daemon->gate.endpoints);
     if (daemon->gate.config != NULL) {
         Cf_Destroy(daemon->gate.config);
--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -250,14 +250,17 @@
     }
 }
 
-/* Takes a load report in. */
+/* Takes a load report in; "service" may be NULL when it is not known. */
 void
 Ep_Report(struct ep_pool *pool, const char *service, const char *endpoint,
           const struct ch_sample *sample)
 {
-    struct service *found = find_service(pool, service);
-    if (found != NULL) {
-        Ch_Report(found->table, endpoint, sample);
+    struct service *at;
+    TAILQ_FOREACH (at, &pool->services, link) {
+        if ((service == NULL || strcmp(at->name, service) == 0) &&
+            find_known(at, endpoint) != NULL) {
+            Ch_Report(at->table, endpoint, sample);
+        }
     }
 }
 
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -5,6 +5,7 @@
 #include "base/event.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
+#include "gate/intake.h"
 
 #define Gt_LABEL_MAX 160
 
@@ -24,6 +25,7 @@
     }
     gate->config = Cf_Ref(config);
     Ep_Configure(gate->endpoints, config);
+    In_Configure(gate->intake, config);
     Ev_Log(&GT_CONFIG_IN_FORCE, "offset=%llu",
            (unsigned long long)config->offset);
 }
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -24,6 +24,7 @@
 
 struct ep_pool;
 struct gc_claims;
+struct in_intake;
 struct rq_request;
 
 /* What flags and environment variables say. */
@@ -42,7 +43,8 @@
     struct jc_target hosts;
     struct jc_target cloud;
     struct jc_target weights;
-    int64_t drain_usec; /* longest planned stop */
+    const char *bootstrap_digest; /* of the first operator's key; or NULL */
+    int64_t drain_usec;           /* longest planned stop */
 };
 
 TAILQ_HEAD(rq_list, rq_request);
@@ -57,6 +59,7 @@
     struct cf_config *config;      /* NULL before the first */
     struct ep_pool *endpoints;
     struct gc_claims *claims;
+    struct in_intake *intake;
     struct rq_list requests;
     uint64_t next_request;
     bool draining;
--- /dev/null
+++ b/packages/gate/intake.h
@@ -0,0 +1,45 @@
+/*
+ * Between a caller's request and its dispatch: limits per customer that hold
+ * over all daemons together, and a fair queue in front of each service.
+ */
+#ifndef GATE_INTAKE_H
+#define GATE_INTAKE_H
+
+#include "gate/gate.h"
+#include "policy/admit.h"
+#include "policy/queue.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct in_intake;
+struct rq_request;
+
+/* Called when a request may be dispatched. */
+typedef void (*in_start_fn)(struct rq_request *request);
+
+enum st_status In_Create(struct gt_gate *gate, in_start_fn start,
+                         struct in_intake **out);
+void In_Destroy(struct in_intake *intake);
+
+/* Commands. */
+void In_Configure(struct in_intake *intake, const struct cf_config *config);
+void In_Member(struct in_intake *intake, const char *node, bool present);
+void In_Hear(struct in_intake *intake, const char *node,
+             const struct am_demand *demands, size_t count);
+size_t In_Publish(struct in_intake *intake, struct am_demand *out,
+                  size_t size);
+void In_Submit(struct in_intake *intake, struct rq_request *request);
+void In_Leave(struct in_intake *intake, struct rq_request *request);
+void In_Pump(struct in_intake *intake);
+
+/* Queries. */
+int64_t In_PublishInterval(const struct in_intake *intake);
+int In_Queued(const struct in_intake *intake);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/gate/peer_facts.c
@@ -0,0 +1,235 @@
+#include "gate/peer_facts.h"
+
+#include <bsd/string.h>
+#include <msgpack.h>
+#include <stdio.h>
+#include <string.h>
+
+#define Pf_CONFIG_FIELDS 2
+#define Pf_LOAD_FIELDS 6
+#define Pf_DEMAND_FIELDS 3
+#define Pf_AGE_UNIT INT64_C(1000)
+
+/* Joins a key; false when it does not fit. */
+bool
+Pf_WriteName(const char *prefix, const char *first, const char *second,
+             char *out, size_t size)
+{
+    int n = snprintf(out, size, "%s%s/%s", prefix, first, second);
+    return n > 0 && (size_t)n < size;
+}
+
+/* Takes a key apart; false when it is none of Pf_WriteName(). */
+bool
+Pf_ReadName(const char *key, struct pf_name *out)
+{
+    const char *first = strchr(key, '/');
+    if (first == NULL) {
+        return false;
+    }
+    first++;
+    const char *slash = strchr(first, '/');
+    if (slash == NULL || (size_t)(slash - first) >= sizeof(out->first)) {
+        return false;
+    }
+    memcpy(out->first, first, (size_t)(slash - first));
+    out->first[slash - first] = '\0';
+    return strlcpy(out->second, slash + 1, sizeof(out->second)) <
+           sizeof(out->second);
+}
+
+static size_t
+copy_out(const msgpack_sbuffer *buffer, char *out, size_t size)
+{
+    if (buffer->size > size) {
+        return 0;
+    }
+    memcpy(out, buffer->data, buffer->size);
+    return buffer->size;
+}
+
+static int64_t
+read_int(const msgpack_object *object)
+{
+    if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        return object->via.i64;
+    }
+    return 0;
+}
+
+/* Writes what a daemon says of its configuration. */
+size_t
+Pf_WriteConfig(const struct pf_config *config, char *out, size_t size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Pf_CONFIG_FIELDS);
+    msgpack_pack_uint64(&packer, config->offset);
+    msgpack_pack_uint64(&packer, config->incarnation);
+    size_t len = copy_out(&buffer, out, size);
+    msgpack_sbuffer_destroy(&buffer);
+    return len;
+}
+
+/* Reads what another daemon says of its configuration. */
+bool
+Pf_ReadConfig(const void *value, size_t len, struct pf_config *out)
+{
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    bool good = msgpack_unpack_next(&unpacked, value, len, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
+                unpacked.data.via.array.size >= Pf_CONFIG_FIELDS;
+    if (good) {
+        const msgpack_object *field = unpacked.data.via.array.ptr;
+        out->offset = (uint64_t)read_int(&field[0]);
+        out->incarnation = (uint64_t)read_int(&field[1]);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
+
+/* Writes a sample and its age; 0 when it does not fit. */
+size_t
+Pf_WriteLoad(const struct lw_report *report, int64_t age_usec, char *out,
+             size_t size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Pf_LOAD_FIELDS);
+    msgpack_pack_int32(&packer, report->sample.running);
+    msgpack_pack_int32(&packer, report->sample.waiting);
+    msgpack_pack_float(&packer, (float)report->sample.tokens_per_s);
+    msgpack_pack_int64(&packer, age_usec / Pf_AGE_UNIT);
+    if (report->leaving) {
+        msgpack_pack_true(&packer);
+    }
+    else {
+        msgpack_pack_false(&packer);
+    }
+    msgpack_pack_int64(&packer, report->left_usec / Pf_AGE_UNIT);
+    size_t len = copy_out(&buffer, out, size);
+    msgpack_sbuffer_destroy(&buffer);
+    return len;
+}
+
+static double
+read_double(const msgpack_object *object)
+{
+    if (object->type == MSGPACK_OBJECT_FLOAT32 ||
+        object->type == MSGPACK_OBJECT_FLOAT64) {
+        return object->via.f64;
+    }
+    return 0;
+}
+
+/*
+ * Reads a sample; sample.taken is its age until the caller dates it.  More
+ * fields than known are skipped: a newer daemon may send them.
+ */
+bool
+Pf_ReadLoad(const void *value, size_t len, struct lw_report *out)
+{
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    memset(out, 0, sizeof(*out));
+    bool good = msgpack_unpack_next(&unpacked, value, len, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
+                unpacked.data.via.array.size >= Pf_LOAD_FIELDS;
+    if (good) {
+        const msgpack_object *field = unpacked.data.via.array.ptr;
+        out->sample.running = (int)read_int(&field[0]);
+        out->sample.waiting = (int)read_int(&field[1]);
+        out->sample.tokens_per_s = read_double(&field[2]);
+        out->sample.taken = read_int(&field[3]) * Pf_AGE_UNIT;
+        out->leaving =
+            field[4].type == MSGPACK_OBJECT_BOOLEAN && field[4].via.boolean;
+        out->left_usec = read_int(&field[5]) * Pf_AGE_UNIT;
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
+
+static size_t
+write_demands(const struct am_demand *demands, size_t count, char *out,
+              size_t size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, count);
+    for (size_t i = 0; i < count; i++) {
+        size_t len = strlen(demands[i].customer);
+        msgpack_pack_array(&packer, Pf_DEMAND_FIELDS);
+        msgpack_pack_str(&packer, len);
+        msgpack_pack_str_body(&packer, demands[i].customer, len);
+        msgpack_pack_float(&packer, (float)demands[i].per_sec);
+        msgpack_pack_float(&packer, (float)demands[i].in_flight);
+    }
+    size_t len = copy_out(&buffer, out, size);
+    msgpack_sbuffer_destroy(&buffer);
+    return len;
+}
+
+/* Writes as many demands, from the first, as fit. */
+size_t
+Pf_WriteDemands(const struct am_demand *demands, size_t count, char *out,
+                size_t size)
+{
+    if (count > Pf_DEMANDS_MAX) {
+        count = Pf_DEMANDS_MAX;
+    }
+    size_t len = write_demands(demands, count, out, size);
+    while (len == 0 && count > 0) {
+        count--;
+        len = write_demands(demands, count, out, size);
+    }
+    return len;
+}
+
+static bool
+read_demand(const msgpack_object *object, struct am_demand *out)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size < Pf_DEMAND_FIELDS ||
+        object->via.array.ptr[0].type != MSGPACK_OBJECT_STR ||
+        object->via.array.ptr[0].via.str.size >= sizeof(out->customer)) {
+        return false;
+    }
+    const msgpack_object *field = object->via.array.ptr;
+    memcpy(out->customer, field[0].via.str.ptr, field[0].via.str.size);
+    out->customer[field[0].via.str.size] = '\0';
+    out->per_sec = read_double(&field[1]);
+    out->in_flight = read_double(&field[2]);
+    return true;
+}
+
+/* Reads at most Pf_DEMANDS_MAX demands. */
+bool
+Pf_ReadDemands(const void *value, size_t len, struct am_demand *out,
+               size_t *count)
+{
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    *count = 0;
+    bool good = msgpack_unpack_next(&unpacked, value, len, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+    for (size_t i = 0;
+         good && i < unpacked.data.via.array.size && *count < Pf_DEMANDS_MAX;
+         i++) {
+        if (read_demand(&unpacked.data.via.array.ptr[i], &out[*count])) {
+            (*count)++;
+        }
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
--- /dev/null
+++ b/packages/gate/peer_facts.h
@@ -0,0 +1,47 @@
+/*
+ * Names and values of the facts that daemons gossip, in msgpack.
+ */
+#ifndef GATE_PEER_FACTS_H
+#define GATE_PEER_FACTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "gate/loadwatch.h"
+#include "member/fact.h"
+#include "policy/admit.h"
+
+#define Pf_CONFIG "config"
+#define Pf_LOAD "load/"
+#define Pf_LEAVING "left/"
+#define Pf_DISTRUST "dist/"
+#define Pf_DEMAND "demand"
+
+#define Pf_DEMANDS_MAX 32
+
+/* The parts of a key "prefix/FIRST/SECOND". */
+struct pf_name {
+    char first[Fc_KEY_MAX];
+    char second[Fc_KEY_MAX];
+};
+
+/* How far a daemon has read the config stream, and which run of it says so. */
+struct pf_config {
+    uint64_t offset;
+    uint64_t incarnation;
+};
+
+size_t Pf_WriteConfig(const struct pf_config *config, char *out, size_t size);
+bool Pf_ReadConfig(const void *value, size_t len, struct pf_config *out);
+bool Pf_WriteName(const char *prefix, const char *first, const char *second,
+                  char *out, size_t size);
+bool Pf_ReadName(const char *key, struct pf_name *out);
+size_t Pf_WriteLoad(const struct lw_report *report, int64_t age_usec,
+                    char *out, size_t size);
+bool Pf_ReadLoad(const void *value, size_t len, struct lw_report *out);
+size_t Pf_WriteDemands(const struct am_demand *demands, size_t count,
+                       char *out, size_t size);
+bool Pf_ReadDemands(const void *value, size_t len, struct am_demand *out,
+                    size_t *count);
+
+#endif
--- /dev/null
+++ b/packages/gate/peers.c
@@ -0,0 +1,591 @@
+#include "gate/peers.h"
+
+#include <bsd/string.h>
+#include <msgpack.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/events.h"
+#include "gate/peer_facts.h"
+
+#define Pe_CALL_USEC (2 * Ck_USEC_PER_SEC)
+#define Pe_SEEDS_MAX 64
+#define Pe_WATCHERS 2
+/* How long a new daemon takes to learn who else is there. */
+#define Pe_LEARN_USEC (10 * Ck_USEC_PER_SEC)
+#define Pe_LOAD_TTL (15 * Ck_USEC_PER_SEC)
+#define Pe_LEAVING_TTL (600 * Ck_USEC_PER_SEC)
+#define Pe_DISTRUST_TTL (24 * 3600 * Ck_USEC_PER_SEC)
+#define Pe_CONFIG_TTL (3600 * Ck_USEC_PER_SEC)
+#define Pe_DEMAND_TTL (60 * Ck_USEC_PER_SEC)
+
+struct pe_peers {
+    struct gt_gate *gate;
+    const struct pe_ops *ops;
+    void *arg;
+    struct nd_node *node;
+    uint64_t incarnation; /* of this run of the daemon */
+    int64_t started;
+    uint64_t highest;
+    bool pulling;
+};
+
+static void
+config_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    struct pf_config config;
+    if (Pf_ReadConfig(fact->value, fact->len, &config) &&
+        config.offset > peers->highest) {
+        peers->highest = config.offset;
+        peers->ops->config_ahead(peers->arg, config.offset);
+    }
+}
+
+static bool
+config_of(const struct pe_peers *peers, const char *node,
+          struct pf_config *out)
+{
+    struct fc_fact fact;
+    return Fc_Get(Nd_Facts(peers->node), node, Pf_CONFIG, &fact) &&
+           Pf_ReadConfig(fact.value, fact.len, out);
+}
+
+static void
+load_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    struct lw_report report;
+    struct pf_name name;
+    if (strcmp(fact->owner, Nd_Id(peers->node)) == 0 ||
+        !Pf_ReadName(fact->key, &name) ||
+        !Pf_ReadLoad(fact->value, fact->len, &report)) {
+        return;
+    }
+    report.service = NULL;
+    report.endpoint = name.first;
+    /* On the wire stands the age; a sample is dated on the reader's clock. */
+    report.sample.taken = Ck_Now(peers->gate->clock) - report.sample.taken;
+    peers->ops->load(peers->arg, &report);
+}
+
+static void
+leaving_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    struct pf_name name;
+    int64_t left = fact->ttl_usec > 0 ? fact->ttl_usec - Pe_LEAVING_TTL : 0;
+    if (Pf_ReadName(fact->key, &name)) {
+        peers->ops->leaving(peers->arg, name.first, left > 0 ? left : 0);
+    }
+}
+
+static void
+distrust_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    struct pf_name name;
+    char text[Fc_VALUE_MAX + 1];
+    memcpy(text, fact->value, fact->len);
+    text[fact->len] = '\0';
+    if (Pf_ReadName(text, &name)) {
+        peers->ops->distrust(peers->arg, name.first, name.second);
+    }
+}
+
+static void
+demand_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    struct am_demand demands[Pf_DEMANDS_MAX];
+    size_t count = 0;
+    if (strcmp(fact->owner, Nd_Id(peers->node)) != 0 &&
+        Pf_ReadDemands(fact->value, fact->len, demands, &count)) {
+        peers->ops->demand(peers->arg, fact->owner, demands, count);
+    }
+}
+
+static void
+member_changed(void *arg, const struct mb_record *member, enum mb_state before)
+{
+    struct pe_peers *peers = arg;
+    (void)before;
+    peers->ops->member(peers->arg, member->id, member->state != MB_DEAD);
+}
+
+static const struct nd_ops node_ops = {.changed = member_changed};
+
+static void
+serve_config(void *arg, struct lk_request *request)
+{
+    struct pe_peers *peers = arg;
+    char *state = peers->ops->config_state(peers->arg);
+    if (state == NULL) {
+        Lk_Reply(request, ST_UNAVAILABLE, NULL, 0);
+        return;
+    }
+    Lk_Reply(request, ST_OK, state, strlen(state));
+    free(state);
+}
+
+static void
+serve_claim(void *arg, struct lk_request *request)
+{
+    struct pe_peers *peers = arg;
+    peers->ops->claim(peers->arg, request);
+}
+
+static enum st_status
+watch_facts(struct pe_peers *peers)
+{
+    static const struct {
+        const char *prefix;
+        fc_changed_fn fn;
+    } watched[] = {
+        {Pf_CONFIG, config_fact},   {Pf_LOAD, load_fact},
+        {Pf_LEAVING, leaving_fact}, {Pf_DISTRUST, distrust_fact},
+        {Pf_DEMAND, demand_fact},
+    };
+    for (size_t i = 0; i < sizeof(watched) / sizeof(watched[0]); i++) {
+        enum st_status status = Fc_Watch(
+            Nd_Facts(peers->node), watched[i].prefix, watched[i].fn, peers);
+        if (status != ST_OK) {
+            return status;
+        }
+    }
+    return ST_OK;
+}
+
+static enum st_status
+serve_links(struct pe_peers *peers)
+{
+    struct lk_links *links = Nd_Links(peers->node);
+    enum st_status status = Lk_Handle(links, "config", serve_config, peers);
+    if (status == ST_OK) {
+        status = Lk_Handle(links, "claim", serve_claim, peers);
+    }
+    return status;
+}
+
+/* Joins the others once Pe_Seed() has named some. */
+enum st_status
+Pe_Create(struct gt_gate *gate, uint16_t admin_port, uint64_t incarnation,
+          const struct pe_ops *ops, void *arg, struct pe_peers **out)
+{
+    struct pe_peers *peers = calloc(1, sizeof(*peers));
+    if (peers == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the other daemons");
+    }
+    peers->gate = gate;
+    peers->ops = ops;
+    peers->arg = arg;
+    peers->incarnation = incarnation;
+    peers->started = Ck_Now(gate->clock);
+    struct nd_options options = {
+        .id = gate->options->node_id,
+        .address = gate->options->address,
+        .peer_port = (uint16_t)gate->options->peer_port,
+        .admin_port = admin_port,
+        .data_centre = gate->options->data_centre,
+        .region = gate->options->region,
+        .cluster_key = gate->options->cluster_key,
+        .clock = gate->clock,
+        .ops = &node_ops,
+        .arg = peers,
+    };
+    enum st_status status = Nd_Create(gate->loop, &options, &peers->node);
+    if (status == ST_OK) {
+        status = watch_facts(peers);
+    }
+    if (status == ST_OK) {
+        status = serve_links(peers);
+    }
+    if (status != ST_OK) {
+        Pe_Destroy(peers);
+        return status;
+    }
+    *out = peers;
+    return ST_OK;
+}
+
+/* Leaves without a word; see Pe_Leave().  Call it before the loop ends. */
+void
+Pe_Destroy(struct pe_peers *peers)
+{
+    if (peers == NULL) {
+        return;
+    }
+    Nd_Destroy(peers->node);
+    free(peers);
+}
+
+/* The host list names entries: some of them are asked who else is there. */
+void
+Pe_Seed(struct pe_peers *peers, const struct hl_host *hosts, size_t count)
+{
+    struct mb_endpoint seeds[Pe_SEEDS_MAX];
+    size_t found = 0;
+    for (size_t i = 0; i < count && found < Pe_SEEDS_MAX; i++) {
+        const struct hl_host *host = &hosts[i];
+        if (host->role != HL_ENTRY || host->peer_port == 0 ||
+            host->state != HL_LIVE ||
+            strcmp(host->id, Nd_Id(peers->node)) == 0) {
+            continue;
+        }
+        strlcpy(seeds[found].address, host->address,
+                sizeof(seeds[found].address));
+        seeds[found].port = (uint16_t)host->peer_port;
+        found++;
+    }
+    Nd_SetSeeds(peers->node, seeds, found);
+}
+
+/* Tells the others that this daemon takes no new work. */
+void
+Pe_Leave(struct pe_peers *peers)
+{
+    Nd_Leave(peers->node);
+}
+
+static void
+publish(struct pe_peers *peers, const struct fc_post *post)
+{
+    if (Nd_Publish(peers->node, post) != ST_OK) {
+        Ev_Log(&GT_FACT_REFUSED, "key=%s reason=\"%s\"", post->key,
+               St_Message());
+    }
+}
+
+/*
+ * A version for this daemon's own fact that is above those of its earlier
+ * runs, which the others may still hold: their word would stand otherwise.
+ */
+static uint64_t
+next_version(const struct pe_peers *peers, const char *key)
+{
+    struct fc_fact known;
+    uint64_t version = (uint64_t)Ck_Wall(peers->gate->clock);
+    if (Fc_Get(Nd_Facts(peers->node), Nd_Id(peers->node), key, &known) &&
+        known.version >= version) {
+        version = known.version + 1;
+    }
+    return version;
+}
+
+/* Tells the others how far this daemon has read the config stream. */
+void
+Pe_ConfigOffset(struct pe_peers *peers, uint64_t offset)
+{
+    struct pf_config config = {
+        .offset = offset,
+        .incarnation = peers->incarnation,
+    };
+    char value[Fc_VALUE_MAX];
+    struct fc_post post = {
+        .key = Pf_CONFIG,
+        .owned = true,
+        .version = next_version(peers, Pf_CONFIG),
+        .scope = FC_CLUSTER,
+        .ttl_usec = Pe_CONFIG_TTL,
+        .value = value,
+    };
+    post.len = Pf_WriteConfig(&config, value, sizeof(value));
+    if (offset > peers->highest) {
+        peers->highest = offset;
+    }
+    publish(peers, &post);
+}
+
+static void
+config_pulled(void *arg, const struct lk_result *result)
+{
+    struct pe_peers *peers = arg;
+    peers->pulling = false;
+    if (result->answered && result->status == ST_OK) {
+        peers->ops->config_came(peers->arg, result->payload, result->len);
+    }
+}
+
+/* The daemon that has read furthest, this one excepted; NULL: none. */
+static const char *
+furthest(const struct pe_peers *peers)
+{
+    const struct mb_table *members = Nd_Members(peers->node);
+    const struct mb_record *member = Mb_First(members);
+    const char *best = NULL;
+    uint64_t best_offset = 0;
+    for (; member != NULL; member = Mb_Next(member)) {
+        struct pf_config config;
+        if (strcmp(member->id, Nd_Id(peers->node)) == 0 ||
+            !Mb_Usable(members, member) ||
+            !config_of(peers, member->id, &config)) {
+            continue;
+        }
+        if (config.offset > best_offset) {
+            best_offset = config.offset;
+            best = member->id;
+        }
+    }
+    return best;
+}
+
+/* Asks the peer that has read furthest for its sections, one at a time. */
+void
+Pe_PullConfig(struct pe_peers *peers)
+{
+    const char *from = peers->pulling ? NULL : furthest(peers);
+    if (from == NULL) {
+        return;
+    }
+    peers->pulling = Nd_Call(peers->node, from, "config", "", 0, Pe_CALL_USEC,
+                             config_pulled, peers, NULL) == ST_OK;
+}
+
+/* Passes a load sample on to the daemons of this data centre. */
+void
+Pe_Load(struct pe_peers *peers, const struct lw_report *report)
+{
+    char key[Fc_KEY_MAX];
+    char value[Fc_VALUE_MAX];
+    int64_t age = Ck_Now(peers->gate->clock) - report->sample.taken;
+    struct fc_post post = {
+        .key = key,
+        .scope = FC_DATA_CENTRE,
+        .ttl_usec = Pe_LOAD_TTL,
+        .value = value,
+        .version = (uint64_t)Ck_Wall(peers->gate->clock),
+    };
+    post.len = Pf_WriteLoad(report, age, value, sizeof(value));
+    if (post.len > 0 &&
+        Pf_WriteName(Pf_LOAD, report->endpoint, "", key, sizeof(key))) {
+        publish(peers, &post);
+    }
+}
+
+/* Tells every daemon that a host is about to go. */
+void
+Pe_HostLeaving(struct pe_peers *peers, const char *host, int64_t left_usec)
+{
+    char key[Fc_KEY_MAX];
+    struct fc_post post = {
+        .key = key,
+        .version = 1,
+        .scope = FC_CLUSTER,
+        /* The time left shrinks with the time to live on its way. */
+        .ttl_usec = Pe_LEAVING_TTL + left_usec,
+        .value = "",
+    };
+    if (Pf_WriteName(Pf_LEAVING, host, "", key, sizeof(key))) {
+        publish(peers, &post);
+    }
+}
+
+/* Tells every daemon to give a version no new work. */
+void
+Pe_Distrust(struct pe_peers *peers, const char *service, const char *version)
+{
+    char key[Fc_KEY_MAX];
+    char value[Fc_VALUE_MAX];
+    struct fc_post post = {
+        .key = key,
+        .version = 1,
+        .scope = FC_CLUSTER,
+        .ttl_usec = Pe_DISTRUST_TTL,
+        .value = value,
+    };
+    /* Two names may be longer than a key: they stand in the value. */
+    if (Pf_WriteName(Pf_DISTRUST, service, version, value, sizeof(value))) {
+        snprintf(key, sizeof(key), Pf_DISTRUST "%016llx",
+                 (unsigned long long)Hash_String(value, 0));
+        post.len = strlen(value);
+        publish(peers, &post);
+    }
+}
+
+/* Tells the others what this daemon's callers ask for. */
+void
+Pe_Demand(struct pe_peers *peers, const struct am_demand *demands,
+          size_t count)
+{
+    char value[Fc_VALUE_MAX];
+    struct fc_post post = {
+        .key = Pf_DEMAND,
+        .owned = true,
+        .version = next_version(peers, Pf_DEMAND),
+        .scope = FC_CLUSTER,
+        .ttl_usec = Pe_DEMAND_TTL,
+        .value = value,
+    };
+    post.len = Pf_WriteDemands(demands, count, value, sizeof(value));
+    publish(peers, &post);
+}
+
+struct claim_call {
+    gc_reply_fn reply;
+    void *arg;
+};
+
+static void
+claim_answered(void *arg, const struct lk_result *result)
+{
+    struct claim_call *call = arg;
+    enum st_status status = result->answered ? result->status : ST_UNAVAILABLE;
+    call->reply(call->arg, status, result->payload, result->len);
+    free(call);
+}
+
+/* Asks the keeper of a slot; "reply" comes exactly once, later. */
+enum st_status
+Pe_AskClaim(struct pe_peers *peers, const char *node, const char *payload,
+            size_t len, int64_t timeout_usec, gc_reply_fn reply, void *arg)
+{
+    struct claim_call *call = calloc(1, sizeof(*call));
+    if (call == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory to ask another daemon");
+    }
+    call->reply = reply;
+    call->arg = arg;
+    enum st_status status = Nd_Call(peers->node, node, "claim", payload, len,
+                                    timeout_usec, claim_answered, call, NULL);
+    if (status != ST_OK) {
+        free(call);
+    }
+    return status;
+}
+
+/* The port for other daemons. */
+uint16_t
+Pe_Port(const struct pe_peers *peers)
+{
+    return Nd_Port(peers->node);
+}
+
+/* The daemon that should do a job; NULL: this one. */
+const char *
+Pe_Responsible(const struct pe_peers *peers, const char *key)
+{
+    const struct mb_record *member = Nd_Responsible(peers->node, key, NULL);
+    if (member == NULL || strcmp(member->id, Nd_Id(peers->node)) == 0) {
+        return NULL;
+    }
+    return member->id;
+}
+
+/*
+ * Whether this daemon is one of the two that watch an endpoint: of its data
+ * centre, or of all when no daemon stands there.
+ */
+bool
+Pe_Watches(const struct pe_peers *peers, const struct ch_info *info)
+{
+    const struct mb_record *watchers[Pe_WATCHERS];
+    size_t count = Nd_Top(peers->node, info->id, info->data_centre, watchers,
+                          Pe_WATCHERS);
+    if (count == 0) {
+        count = Nd_Top(peers->node, info->id, NULL, watchers, Pe_WATCHERS);
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(watchers[i]->id, Nd_Id(peers->node)) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Whether a daemon's run is taken to have ended: it is dead, or back with
+ * another incarnation.  A daemon that has just started knows too little of
+ * the others to say so.
+ */
+bool
+Pe_RunEnded(const struct pe_peers *peers, const char *node,
+            uint64_t incarnation)
+{
+    if (Ck_Now(peers->gate->clock) - peers->started < Pe_LEARN_USEC) {
+        return false;
+    }
+    if (strcmp(node, Nd_Id(peers->node)) == 0) {
+        return incarnation != peers->incarnation;
+    }
+    const struct mb_record *member = Mb_Find(Nd_Members(peers->node), node);
+    if (member == NULL || member->state == MB_DEAD) {
+        return true;
+    }
+    struct pf_config config;
+    return config_of(peers, node, &config) &&
+           config.incarnation != incarnation;
+}
+
+/* The highest configuration offset that any daemon has told of. */
+uint64_t
+Pe_HighestOffset(const struct pe_peers *peers)
+{
+    return peers->highest;
+}
+
+/* A state as operators read it. */
+static const char *
+state_name(enum mb_state state)
+{
+    switch (state) {
+    case MB_ALIVE:
+        return "live";
+    case MB_LEAVING:
+        return "leaving";
+    case MB_SUSPECT:
+        return "suspect";
+    case MB_DEAD:
+        return "gone";
+    }
+    return "gone";
+}
+
+static json_t *
+daemon_status(const struct pe_peers *peers, const struct mb_record *member,
+              uint64_t own_offset)
+{
+    struct pf_config config;
+    uint64_t offset = 0;
+    bool self = strcmp(member->id, Nd_Id(peers->node)) == 0;
+    if (self) {
+        offset = own_offset;
+    }
+    else if (config_of(peers, member->id, &config)) {
+        offset = config.offset;
+    }
+    char address[Mb_ADDRESS_MAX + 8];
+    snprintf(address, sizeof(address), "%s:%u", member->address,
+             member->admin_port);
+    return json_pack("{s:s,s:s,s:s,s:s,s:I}", "node", member->id, "address",
+                     address, "data_centre", member->data_centre, "state",
+                     state_name(member->state), "config_offset",
+                     (json_int_t)offset);
+}
+
+/* The daemons as this one knows them, a new reference. */
+json_t *
+Pe_Status(const struct pe_peers *peers, uint64_t own_offset)
+{
+    json_t *list = json_array();
+    const struct mb_table *members = Nd_Members(peers->node);
+    bool self_seen = false;
+    const struct mb_record *member = Mb_First(members);
+    for (; member != NULL; member = Mb_Next(member)) {
+        self_seen = self_seen || strcmp(member->id, Nd_Id(peers->node)) == 0;
+        json_array_append_new(list, daemon_status(peers, member, own_offset));
+    }
+    if (!self_seen) {
+        json_array_append_new(
+            list, daemon_status(peers, Mb_Self(members), own_offset));
+    }
+    return list;
+}
+
+/* The node, for what this module does not wrap. */
+struct nd_node *
+Pe_Node(const struct pe_peers *peers)
+{
+    return peers->node;
+}
--- /dev/null
+++ b/packages/gate/peers.h
@@ -0,0 +1,78 @@
+/*
+ * What this daemon shares with the others: who is there, the highest
+ * configuration offset, loads and leaving hosts, distrusted versions,
+ * demands on shared limits, and questions between daemons.
+ */
+#ifndef GATE_PEERS_H
+#define GATE_PEERS_H
+
+#include <jansson.h>
+
+#include "gate/claims.h"
+#include "gate/gate.h"
+#include "gate/loadwatch.h"
+#include "member/node.h"
+#include "platform/hostlist.h"
+#include "policy/admit.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct pe_peers;
+
+struct pe_ops {
+    /* A peer knows of a higher configuration offset. */
+    void (*config_ahead)(void *arg, uint64_t offset);
+    /* The state of this daemon's sections for a peer, to be freed; or NULL. */
+    char *(*config_state)(void *arg);
+    /* A peer's state has come. */
+    void (*config_came)(void *arg, const char *state, size_t len);
+    void (*load)(void *arg, const struct lw_report *report);
+    void (*leaving)(void *arg, const char *host, int64_t left_usec);
+    void (*distrust)(void *arg, const char *service, const char *version);
+    void (*demand)(void *arg, const char *node,
+                   const struct am_demand *demands, size_t count);
+    /* A daemon came or went (its demands no longer count). */
+    void (*member)(void *arg, const char *node, bool present);
+    /* A question about claims; answer through Pe_Answer(). */
+    void (*claim)(void *arg, struct lk_request *request);
+};
+
+enum st_status Pe_Create(struct gt_gate *gate, uint16_t admin_port,
+                         uint64_t incarnation, const struct pe_ops *ops,
+                         void *arg, struct pe_peers **out);
+void Pe_Destroy(struct pe_peers *peers);
+
+/* Commands. */
+void Pe_Seed(struct pe_peers *peers, const struct hl_host *hosts,
+             size_t count);
+void Pe_Leave(struct pe_peers *peers);
+void Pe_ConfigOffset(struct pe_peers *peers, uint64_t offset);
+void Pe_PullConfig(struct pe_peers *peers);
+void Pe_Load(struct pe_peers *peers, const struct lw_report *report);
+void Pe_HostLeaving(struct pe_peers *peers, const char *host,
+                    int64_t left_usec);
+void Pe_Distrust(struct pe_peers *peers, const char *service,
+                 const char *version);
+void Pe_Demand(struct pe_peers *peers, const struct am_demand *demands,
+               size_t count);
+enum st_status Pe_AskClaim(struct pe_peers *peers, const char *node,
+                           const char *payload, size_t len,
+                           int64_t timeout_usec, gc_reply_fn reply, void *arg);
+
+/* Queries. */
+uint16_t Pe_Port(const struct pe_peers *peers);
+const char *Pe_Responsible(const struct pe_peers *peers, const char *key);
+bool Pe_Watches(const struct pe_peers *peers, const struct ch_info *info);
+bool Pe_RunEnded(const struct pe_peers *peers, const char *node,
+                 uint64_t incarnation);
+uint64_t Pe_HighestOffset(const struct pe_peers *peers);
+json_t *Pe_Status(const struct pe_peers *peers, uint64_t own_offset);
+struct nd_node *Pe_Node(const struct pe_peers *peers);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -10,6 +10,7 @@
 
 #include "base/event.h"
 #include "gate/events.h"
+#include "gate/intake.h"
 
 #define Rq_KEY_MAX 255
 #define Rq_DEADLINE_MAX_MS 3600000
@@ -39,6 +40,7 @@
 request_free(struct rq_request *request)
 {
     TAILQ_REMOVE(&request->gate->requests, request, link);
+    In_Leave(request->gate->intake, request);
     if (request->http != NULL) {
         Hs_SetUser(request->http, NULL);
     }
@@ -423,8 +425,9 @@
     }
 }
 
-static void
-admit(struct rq_request *request)
+/* The request's turn has come: claim its key, or send it. */
+void
+Rq_Dispatch(struct rq_request *request)
 {
     if (!request->repeatable && request->keyed) {
         start_claim(request);
@@ -481,7 +484,7 @@
         Rq_Refuse(request, AN_INVALID, 0, "%s", St_Message());
         return;
     }
-    admit(request);
+    In_Submit(gate->intake, request);
 }
 
 /* The caller closed its connection before the answer ended. */
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -12,6 +12,7 @@
 #include "gate/gate.h"
 #include "platform/engine.h"
 #include "policy/choose.h"
+#include "policy/queue.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -46,6 +47,9 @@
     bool keyed;
     struct gc_key key;
     struct gc_wait *claim;
+    bool admitted; /* counts against the customer's limits */
+    bool queued;   /* "item" stands in a queue */
+    struct qu_item item;
     bool claimed; /* the claim was won and not given back */
     struct lp_timer *timer;
     const char *tried[Rq_TRIED_MAX]; /* endpoints, owned copies */
@@ -56,6 +60,7 @@
 };
 
 void Rq_Accept(struct gt_gate *gate, struct hs_request *http);
+void Rq_Dispatch(struct rq_request *request);
 void Rq_CallerGone(struct gt_gate *gate, struct hs_request *http);
 void Rq_Refuse(struct rq_request *request, enum an_kind kind,
                int retry_after_sec, const char *fmt, ...)
