State: numbered events; a keeper reads often only while an owner waits

A claim that was given up but whose record may still land kept its slot reading every 20 ms for up to ten minutes. Events 501 to 504 tell operators of a hole, of falling behind, of foreign text and of late claims.

--- a/packages/state/follower.c
+++ b/packages/state/follower.c
@@ -3,6 +3,8 @@
 #include <bsd/string.h>
 #include <stdlib.h>
 
+#include "state/events.h"
+
 #define Fo_READ_RECORDS 512
 #define Fo_POLL_USEC (500 * Ck_USEC_PER_MSEC)
 #define Fo_RETRY_USEC (100 * Ck_USEC_PER_MSEC)
@@ -71,6 +73,8 @@
 {
     struct rc_record record;
     if (Rc_Parse(raw->text, raw->offset, &record) != ST_OK) {
+        Ev_Log(&STATE_FOREIGN, "stream=%s offset=%llu", follower->stream,
+               (unsigned long long)raw->offset);
         return;
     }
     if (follower->seen == NULL || Se_Accept(follower->seen, &record)) {
--- a/packages/state/keeper_slot.c
+++ b/packages/state/keeper_slot.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "state/events.h"
 #include "state/keeper_internal.h"
 
 #define Kp_READ_USEC (20 * Ck_USEC_PER_MSEC)
@@ -120,6 +121,8 @@
     }
     wait->settled = true;
     if (wait->answered && out->verdict == CL_WON) {
+        Ev_Log(&STATE_LATE_CLAIM, "slot=%d customer=%s key=%s", slot->number,
+               claim.key.customer, claim.key.digest);
         Kp_PutNote(slot, Cl_RELEASE,
                    Cl_ReleaseBody(&claim.key, &claim.attempt), NULL, NULL);
     }
@@ -335,10 +338,12 @@
 {
     struct kp_wait *wait;
     struct kp_wait *next;
+    bool awaits = false; /* an owner waits for a claim to be read back */
     TAILQ_FOREACH_SAFE (wait, &slot->waits, link, next) {
+        awaits = awaits || (wait->put && !wait->answered);
         tick_wait(slot, wait, now);
     }
-    if (!TAILQ_EMPTY(&slot->waits) && now >= slot->read_at) {
+    if (awaits && now >= slot->read_at) {
         slot->read_at = now + Kp_READ_USEC;
         Sn_Kick(slot->replica);
     }
--- a/packages/state/snapshot.c
+++ b/packages/state/snapshot.c
@@ -1,9 +1,11 @@
 #include "state/snapshot.h"
 
+#include <bsd/string.h>
 #include <bsd/sys/queue.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "state/events.h"
 #include "state/follower.h"
 #include "state/seen.h"
 
@@ -30,6 +32,7 @@
 };
 
 struct sn_replica {
+    char stream[Pl_STREAM_MAX];
     const struct ck_clock *clock;
     struct wr_writer *writer;
     const struct sn_ops *ops;
@@ -279,6 +282,10 @@
     if (!replica->valid && replica->begin == Pl_FIRST_OFFSET) {
         begin_valid(replica);
     }
+    if (!replica->valid && !replica->tail_empty) {
+        Ev_Log(&STATE_HOLE, "stream=%s from=%llu", replica->stream,
+               (unsigned long long)replica->begin);
+    }
     replica->reached = replica->valid;
     replica->tail_empty = !replica->valid;
 }
@@ -288,6 +295,10 @@
 on_expired(void *arg, uint64_t oldest)
 {
     struct sn_replica *replica = arg;
+    if (replica->valid) {
+        Ev_Log(&STATE_BEHIND, "stream=%s oldest=%llu", replica->stream,
+               (unsigned long long)oldest);
+    }
     replica->valid = false;
     replica->reached = false;
     replica->begin = oldest;
@@ -310,6 +321,7 @@
     if (replica == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for a replica");
     }
+    strlcpy(replica->stream, options->stream, sizeof(replica->stream));
     replica->clock = options->clock;
     replica->writer = options->writer;
     replica->ops = options->ops;
