--- a/packages/member/node.c
+++ b/packages/member/node.c
@@ -20,6 +20,8 @@
 #define Nd_REACH_TTL_USEC (180 * Ck_USEC_PER_SEC)
 #define Nd_REACH_REPEAT_USEC (60 * Ck_USEC_PER_SEC)
 #define Nd_SPREAD_EXTRA 2 /* sendings of a fact beyond the logarithm */
+#define Nd_SPREAD_LESS 2  /* fewer of one of the data centre only */
+#define Nd_SPREAD_MIN 2
 
 static void
 on_changed(void *arg, const struct mb_record *member, enum mb_state before)
@@ -123,7 +125,9 @@
     Fc_SetSpread(node->facts, FC_REGION,
                  bits(counts[FC_REGION]) + Nd_SPREAD_EXTRA);
     /* Load samples: frequent and soon replaced, so fewer copies will do. */
-    Fc_SetSpread(node->facts, FC_DATA_CENTRE, bits(counts[FC_DATA_CENTRE]));
+    int copies = bits(counts[FC_DATA_CENTRE]) - Nd_SPREAD_LESS;
+    Fc_SetSpread(node->facts, FC_DATA_CENTRE,
+                 copies > Nd_SPREAD_MIN ? copies : Nd_SPREAD_MIN);
 }
 
 /* A verdict that stands is repeated before it ends, for new members. */
--- a/packages/member/node_internal.h
+++ b/packages/member/node_internal.h
@@ -42,6 +42,7 @@
     int64_t next_second_usec;
     int64_t next_sync_usec;
     int64_t sync_period_usec;
+    int64_t sync_wait_usec; /* grows to the period after the start */
     int64_t denied_logged_usec;
     bool isolated;
     bool synced;   /* a full state was taken since the start */
--- a/packages/member/node_sync.c
+++ b/packages/member/node_sync.c
@@ -555,9 +555,21 @@
     return NULL;
 }
 
+/*
+ * Exchanges follow each other closely after the start: when many daemons
+ * start at once, the first peer asked knows few of them.
+ */
 static void
-plan_next(struct nd_node *node, int64_t wait_usec)
+plan_next(struct nd_node *node)
 {
+    int64_t wait_usec = 2 * node->sync_wait_usec;
+    if (!node->synced) {
+        wait_usec = Nd_SYNC_RETRY_USEC;
+    }
+    if (wait_usec > node->sync_period_usec) {
+        wait_usec = node->sync_period_usec;
+    }
+    node->sync_wait_usec = wait_usec;
     int64_t jitter = Rn_Below(&node->random, (uint32_t)(wait_usec / 2) + 1);
     node->next_sync_usec = Ck_Now(node->clock) + wait_usec * 3 / 4 + jitter;
 }
@@ -573,8 +585,7 @@
     if (peer == NULL) {
         return;
     }
-    plan_next(node,
-              node->synced ? node->sync_period_usec : Nd_SYNC_RETRY_USEC);
+    plan_next(node);
     uint64_t buckets[Nd_BUCKETS];
     size_t scopes = nd_scope(Mb_Distance(node->members, peer)) + 1U;
     msgpack_sbuffer buffer;
