--- a/packages/policy/queue.h
+++ b/packages/policy/queue.h
@@ -25,7 +25,10 @@
 
 struct qu_flow;
 
-/* Embedded in the caller's request; set what is above the line. */
+/*
+ * Embedded in the caller's request: zeroed first, then set what is above
+ * "Of the queue".
+ */
 struct qu_item {
     enum qu_class service_class;
     int64_t deadline; /* when the answer must have begun */
--- a/tools/policy_bench.c
+++ b/tools/policy_bench.c
@@ -7,12 +7,17 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "base/random.h"
 #include "fleet_model.h"
 #include "model.h"
 #include "move_model.h"
+#include "policy/admit.h"
+#include "policy/admit_internal.h"
 #include "policy/choose.h"
+#include "policy/choose_internal.h"
+#include "policy/queue.h"
 #include "policy/stream.h"
 
 #define SEEDS 10
@@ -297,6 +302,165 @@
     printf("\n");
 }
 
+static double
+seconds(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+static void
+print_cost(const char *what, double began, int times)
+{
+    printf("| %s | %.2f |\n", what, (seconds() - began) * 1e6 / times);
+}
+
+static void
+cost_choose(int endpoints)
+{
+    struct ch_settings settings;
+    struct rn_random random;
+    Ch_Defaults(&settings);
+    Rn_Seed(&random, 1);
+    struct ch_table *table = Ch_Create("a", Ch_Predictive(), &settings);
+    for (int i = 0; i < endpoints; i++) {
+        struct ch_info info = {.slots = 8};
+        struct ch_sample sample = {4, 0, 200, 1000000};
+        snprintf(info.id, sizeof(info.id), "endpoint-%d", i);
+        Ch_Put(table, &info);
+        Ch_Report(table, info.id, &sample);
+    }
+    const int times = 20000;
+    double began = seconds();
+    for (int i = 0; i < times; i++) {
+        struct ch_request request = {.prefix = (uint64_t)i % 97 + 1};
+        struct ch_flight flight;
+        int64_t now = 2000000 + i * INT64_C(250);
+        if (Ch_Choose(table, &request, now, &random, &flight) == ST_OK) {
+            Ch_Start(table, &flight, now);
+            Ch_FirstToken(table, &flight, now);
+            Ch_End(table, &flight, CH_GOOD, now);
+        }
+    }
+    char what[80];
+    snprintf(what, sizeof(what), "a request's choice among %d endpoints",
+             endpoints);
+    print_cost(what, began, times);
+    Ch_Destroy(table);
+}
+
+static void
+cost_limits(int peers, int customers)
+{
+    struct am_limits *limits = Am_Create("self");
+    struct am_demand demand = {"customer-0", 3, 2};
+    char name[32];
+    for (int i = 0; i < customers; i++) {
+        snprintf(name, sizeof(name), "customer-%d", i);
+        Am_SetCustomer(limits, name, 100, 20);
+    }
+    for (int i = 0; i < peers; i++) {
+        snprintf(name, sizeof(name), "daemon-%d", i);
+        Am_Hear(limits, name, &demand, 1, 1000000);
+    }
+    const int times = 200;
+    double began = seconds();
+    for (int i = 0; i < times; i++) {
+        struct am_share share;
+        struct am_demand out[1];
+        Am_Publish(limits, 2000000, out, 1);
+        for (int c = 0; c < customers; c++) {
+            snprintf(name, sizeof(name), "customer-%d", c);
+            Am_Share(limits, name, 2000000 + i, &share);
+        }
+    }
+    char what[96];
+    snprintf(what, sizeof(what),
+             "all shares anew, %d daemons, %d customers (each %lld ms)", peers,
+             customers, (long long)Am_Interval(limits) / 1000);
+    print_cost(what, began, times);
+    Am_Destroy(limits);
+}
+
+static void
+cost_queue(void)
+{
+    struct qu_settings settings;
+    Qu_Defaults(&settings);
+    struct qu_queue *queue = Qu_Create(&settings);
+    const int length = 1000;
+    const int rounds = 20;
+    struct qu_item *items = calloc((size_t)length, sizeof(*items));
+    double began = seconds();
+    for (int round = 0; round < rounds; round++) {
+        for (int i = 0; i < length; i++) {
+            struct qu_refusal refusal;
+            char name[16];
+            snprintf(name, sizeof(name), "c%d", i % 20);
+            items[i] = (struct qu_item){.deadline = 1000000000 + i % 13};
+            Qu_Push(queue, name, &items[i], 1e6, 1000, &refusal);
+        }
+        while (Qu_Pop(queue, 2000) != NULL) {
+        }
+    }
+    print_cost("an item through a queue of up to 1000, 20 customers", began,
+               length * rounds);
+    Qu_Destroy(queue);
+    free(items);
+}
+
+static void
+cost_evidence(int routers)
+{
+    struct mv_evidence *evidence = Mv_EvidenceCreate(0.01);
+    struct mv_cell cells[8] = {0};
+    for (int i = 0; i < 8; i++) {
+        snprintf(cells[i].route, sizeof(cells[i].route), "/r%d", i);
+        cells[i].count[MV_OLD] = 20;
+        cells[i].count[MV_NEW] = 1;
+        cells[i].first_token[MV_OLD][20] = 20;
+        cells[i].first_token[MV_NEW][20] = 1;
+    }
+    const int times = 100;
+    double began = seconds();
+    for (int i = 1; i <= times; i++) {
+        for (int r = 0; r < routers; r++) {
+            char id[16];
+            snprintf(id, sizeof(id), "r%d", r);
+            Mv_Merge(evidence, id, (uint64_t)i, cells, 8);
+        }
+        Mv_CloseBlock(evidence);
+    }
+    char what[80];
+    snprintf(what, sizeof(what),
+             "a block of evidence, %d routers, 8 cells (each 10 s)", routers);
+    print_cost(what, began, times);
+    Mv_EvidenceDestroy(evidence);
+}
+
+static void
+bench_cost(void)
+{
+    printf("| decision | us of processor time |\n| --- | --- |\n");
+    cost_choose(18);
+    cost_choose(100);
+    cost_choose(740);
+    cost_limits(6, 5);
+    cost_limits(420, 50);
+    cost_queue();
+    cost_evidence(7);
+    cost_evidence(420);
+    printf("\n| state | bytes |\n| --- | --- |\n");
+    printf("| an endpoint in a table | %zu |\n", sizeof(struct ch_endpoint));
+    printf("| a customer's limits | %zu |\n", sizeof(struct am_customer));
+    printf("| a daemon known | %zu |\n", sizeof(struct am_peer));
+    printf("| a demand heard | %zu |\n", sizeof(struct am_peer_demand));
+    printf("| an item queued | %zu |\n", sizeof(struct qu_item));
+    printf("| a report's cell of a move | %zu |\n", sizeof(struct mv_cell));
+    printf("| a move | %zu |\n\n", sizeof(struct mv_move));
+}
+
 struct part {
     const char *name;
     void (*run)(void);
@@ -305,7 +469,7 @@
 static const struct part parts[] = {
     {"choice", bench_choice}, {"streams", bench_streams},
     {"moves", bench_moves},   {"outages", bench_outages},
-    {"hosts", bench_hosts},
+    {"hosts", bench_hosts},   {"cost", bench_cost},
 };
 
 int
