Fuzz entry points for every reader of others' bytes

Found on the first runs and mended, each seen to fail first: - an engine's event with a negative index, or one beyond an int, was taken; cut down to an int it could pass for the token that is due; - an answer about a claim that could not be read was never freed (leak reported by the sanitizer, gone with the change).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CMAKE_FLAGS = -G Ninja
 
 .PHONY: all deps build asan test check demo lint format bench soak events \
-	clean
+	fuzz clean
 
 all: build
 
@@ -29,6 +29,24 @@
 	@tools/run-tests $(BUILD)
 	@tools/run-tests $(ASAN_BUILD)
 
+# Each entry point for SECONDS of mutated input; finds stay in FUZZ_BUILD.
+FUZZ_BUILD ?= build-fuzz
+SECONDS ?= 60
+FUZZ_ENTRIES = events prompt claims sections claims_wire
+
+fuzz:
+	@cmake -S . -B $(FUZZ_BUILD) $(CMAKE_FLAGS) -DCMAKE_BUILD_TYPE=Debug \
+	    -DCG_FUZZ=ON -DCMAKE_C_COMPILER=clang \
+	    -DCMAKE_CXX_COMPILER=clang++ >/dev/null
+	@cmake --build $(FUZZ_BUILD) -j $(JOBS) \
+	    --target $(FUZZ_ENTRIES:%=fuzz_%)
+	@set -e; for entry in $(FUZZ_ENTRIES); do \
+	    mkdir -p $(FUZZ_BUILD)/corpus/$$entry; \
+	    $(FUZZ_BUILD)/fuzz/fuzz_$$entry -max_total_time=$(SECONDS) \
+	        -artifact_prefix=$(FUZZ_BUILD)/ -print_final_stats=1 -verbosity=0 \
+	        $(FUZZ_BUILD)/corpus/$$entry fuzz/corpus/$$entry; \
+	done
+
 demo: deps build
 	@tools/demo $(BUILD)
 
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -38,6 +38,13 @@
     add_link_options(-fsanitize=address,undefined)
 endif()
 
+option(CG_FUZZ "libFuzzer programs of fuzz/ (clang)" OFF)
+if(CG_FUZZ)
+    add_compile_options(-fsanitize=fuzzer-no-link,address,undefined
+        -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+endif()
+
 # cg_package(NAME libs...): the package's *.c as a library, test/*.cc as one
 # test program each.
 function(cg_package name)
--- /dev/null
+++ b/fuzz/target.c
@@ -0,0 +1,15 @@
+/* One entry point as a libFuzzer program; Fz_TARGET names it. */
+#include "fuzz/entries.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+    static const struct fz_entry *entry;
+    if (entry == NULL) {
+        entry = Fz_Find(Fz_TARGET);
+    }
+    entry->run(data, len);
+    return 0;
+}
--- a/packages/gate/claims_wire.c
+++ b/packages/gate/claims_wire.c
@@ -116,12 +116,9 @@
     return text;
 }
 
-/* Reads the answer to a claim; Cw_FreeAnswer() frees it. */
-enum st_status
-Cw_ReadAnswer(const char *payload, size_t len, struct cw_answer *out)
+static enum st_status
+read_answer(struct cw_answer *out)
 {
-    memset(out, 0, sizeof(*out));
-    out->root = json_loadb(payload, len, 0, NULL);
     int verdict =
         index_of(verdict_names, Cw_VERDICTS,
                  json_string_value(json_object_get(out->root, "verdict")));
@@ -143,6 +140,19 @@
     return ST_OK;
 }
 
+/* Reads the answer to a claim; on success Cw_FreeAnswer() frees it. */
+enum st_status
+Cw_ReadAnswer(const char *payload, size_t len, struct cw_answer *out)
+{
+    memset(out, 0, sizeof(*out));
+    out->root = json_loadb(payload, len, 0, NULL);
+    enum st_status status = read_answer(out);
+    if (status != ST_OK) {
+        Cw_FreeAnswer(out);
+    }
+    return status;
+}
+
 /* Frees what Cw_ReadAnswer() allocated. */
 void
 Cw_FreeAnswer(struct cw_answer *answer)
--- a/packages/platform/engine.c
+++ b/packages/platform/engine.c
@@ -199,7 +199,10 @@
         read_usage(usage, &out->usage);
         return ST_OK;
     }
-    if (out->text == NULL || !json_is_integer(index)) {
+    /* Cut down to an int, a huge index could pass for the next one. */
+    if (out->text == NULL || !json_is_integer(index) ||
+        json_integer_value(index) < 0 ||
+        json_integer_value(index) > En_MAX_TOKENS_LIMIT) {
         En_EventFree(out);
         return St_Fail(ST_INVALID, "the engine sent an event without a text "
                                    "and an index; check its version");
