--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,11 @@
 	        $(FUZZ_BUILD)/corpus/$$entry fuzz/corpus/$$entry; \
 	done
 
+SEED ?= 1
+
+soak: build
+	@$(BUILD)/test/cg_soak --seconds $(SECONDS) --seed $(SEED)
+
 demo: deps build
 	@tools/demo $(BUILD)
 
--- a/test/scene.cc
+++ b/test/scene.cc
@@ -19,20 +19,6 @@
            KeyDigest("derwent-key") + R"(","role":"editor"}]})";
 }
 
-std::string
-DefaultTeam(const std::string &fields)
-{
-    return R"({"customers":[{"name":"families","key_digest":")" +
-           KeyDigest(kCustomerKey) + R"("}],
-        "services":[
-        {"name":"rink","kind":"engine","slots":8,"move":{"to":"v1"})" +
-           fields + R"(},
-        {"name":"seats","kind":"plain","prefix":"/seats/","slots":64,
-         "idempotent":true,"move":{"to":"v1"}},
-        {"name":"charge","kind":"plain","prefix":"/charge/","slots":64,
-         "move":{"to":"v1"}}]})";
-}
-
 } // namespace
 
 std::string
@@ -48,6 +34,21 @@
 {
 }
 
+std::string
+Scene::DefaultTeam(const std::string &fields, const std::string &customers)
+{
+    return R"({"customers":[)" + customers +
+           R"({"name":"families","key_digest":")" + KeyDigest(kCustomerKey) +
+           R"("}],
+        "services":[
+        {"name":"rink","kind":"engine","slots":8,"move":{"to":"v1"})" +
+           fields + R"(},
+        {"name":"seats","kind":"plain","prefix":"/seats/","slots":64,
+         "idempotent":true,"move":{"to":"v1"}},
+        {"name":"charge","kind":"plain","prefix":"/charge/","slots":64,
+         "move":{"to":"v1"}}]})";
+}
+
 Engine &
 Scene::AddEngine(const std::vector<std::string> &args,
                  const std::string &version, const std::string &data_centre)
@@ -83,11 +84,11 @@
     return *plains.back();
 }
 
-long long
-Scene::Publish(const std::string &section, const std::string &body,
-               long long base)
+std::string
+Scene::SectionRecord(const std::string &section, const std::string &body,
+                     long long base)
 {
-    sequence_++;
+    long long sequence = ++sequence_;
     Json record =
         Json()
             .Set("kind", "section")
@@ -100,11 +101,18 @@
                         .Set("v", 2)
                         .Set("n", "operator")
                         .Set("i", 1)
-                        .Set("s", (int)sequence_)
+                        .Set("s", (int)sequence)
                         .Set("t", 0)
                         .Set("k", "section")
                         .Set("d", record);
-    return platform.Append("config", {envelope.Dump()});
+    return envelope.Dump();
+}
+
+long long
+Scene::Publish(const std::string &section, const std::string &body,
+               long long base)
+{
+    return platform.Append("config", {SectionRecord(section, body, base)});
 }
 
 void
--- a/test/scene.h
+++ b/test/scene.h
@@ -3,6 +3,7 @@
 #ifndef TEST_SCENE_H
 #define TEST_SCENE_H
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,13 @@
     // Appends a section to the config stream; its offset.
     long long Publish(const std::string &section, const std::string &body,
                       long long base = 0);
+    // A record of the config stream.
+    std::string SectionRecord(const std::string &section,
+                              const std::string &body, long long base);
+    // The team's section of most tests, with more customers, each with a
+    // comma after it.
+    static std::string DefaultTeam(const std::string &fields,
+                                   const std::string &customers = "");
     // The configuration of most tests; "fields" go into service "rink".
     void PublishDefaults(const std::string &fields = "");
 
@@ -42,7 +50,7 @@
     std::vector<std::unique_ptr<Plain>> plains;
 
   private:
-    long long sequence_ = 0;
+    std::atomic<long long> sequence_{0};
 };
 
 // First 32 hex digits of SHA-256: how keys stand in the configuration.
--- /dev/null
+++ b/test/soak.cc
@@ -0,0 +1,128 @@
+// cg_soak: daemons and stand-ins under mixed load and seeded faults, held
+// against each promise of the system at the end.  Exit status 1: a promise
+// was broken or could not be tried.
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "test/soak_check.h"
+#include "test/soak_load.h"
+
+namespace {
+
+using cg::SoakCall;
+
+const int kThreads = 16;
+const size_t kDaemons = 5;
+const size_t kEngines = 5;
+const char kBearer[] = "key-of-the-customer";
+
+struct Options {
+    int seconds = 60;
+    uint64_t seed = 1;
+};
+
+Options
+ReadOptions(int argc, char **argv)
+{
+    Options options;
+    for (int i = 1; i + 1 < argc; i += 2) {
+        if (std::string(argv[i]) == "--seconds") {
+            options.seconds = std::atoi(argv[i + 1]);
+        }
+        else if (std::string(argv[i]) == "--seed") {
+            options.seed = std::strtoull(argv[i + 1], nullptr, 10);
+        }
+        else {
+            fprintf(stderr, "use --seconds N and --seed N\n");
+            exit(2);
+        }
+    }
+    return options;
+}
+
+std::vector<std::string>
+StartDaemons(cg::Scene &scene)
+{
+    std::vector<std::string> urls;
+    for (size_t i = 0; i < kDaemons; i++) {
+        cg::DaemonOptions options;
+        options.port = cg::FreePort();
+        options.admin_port = cg::FreePort();
+        options.peer_port = cg::FreePort();
+        options.data_centre = i % 2 == 0 ? "dc-1" : "dc-2";
+        scene.cluster.Add(options);
+        urls.push_back(scene.cluster.Url(i));
+    }
+    return urls;
+}
+
+void
+PrintTally(const std::vector<SoakCall> &calls)
+{
+    std::map<std::string, long long> tally;
+    for (const SoakCall &call : calls) {
+        tally[call.whole ? "whole"
+              : call.outcome.empty()
+                  ? "no answer"
+                  : call.outcome + " " + std::to_string(call.code)]++;
+    }
+    printf("calls %zu:", calls.size());
+    for (const auto &[name, count] : tally) {
+        printf(" %s %lld;", name.c_str(), count);
+    }
+    printf("\n");
+}
+
+void
+PrintFaults(const cg::SoakFaults &faults, const cg::SoakConfig &config)
+{
+    printf("faults:");
+    for (const auto &[name, count] : faults.counts) {
+        printf(" %s %lld;", name.c_str(), count);
+    }
+    printf(
+        "\nconfigurations: accepted %lld; lost races %lld; slowest %.2f s\n",
+        config.published, config.lost_races, config.slowest_sec);
+}
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+    Options options = ReadOptions(argc, argv);
+    printf("seed %llu, %d s\n", (unsigned long long)options.seed,
+           options.seconds);
+    fflush(stdout);
+    cg::Scene scene({"--lag-ms", "500"});
+    cg::SoakLedger ledger;
+    cg::SoakFaults faults(scene, ledger, options.seed);
+    for (size_t i = 0; i < kEngines; i++) {
+        faults.AddEngine();
+    }
+    scene.AddPlain({"--work-us", "20000"});
+    scene.PublishDefaults(",\"slots\":16");
+    std::vector<std::string> urls = StartDaemons(scene);
+    if (!scene.cluster.WaitReady()) {
+        fprintf(stderr, "the daemons are not ready\n");
+        return 1;
+    }
+    cg::SoakLoad load(ledger, urls, kBearer, options.seed);
+    cg::SoakConfig config(scene, ledger, urls, faults.log_out);
+    load.Start(kThreads);
+    config.Start();
+    faults.Run(std::chrono::steady_clock::now() +
+               std::chrono::seconds(options.seconds));
+    config.Stop();
+    load.Stop();
+    faults.Finish();
+    PrintTally(ledger.Calls());
+    PrintFaults(faults, config);
+    int bad = cg::ReportSoak(cg::CheckSoak(ledger, faults, config));
+    if (bad > 0) {
+        printf("repeat with: make soak SECONDS=%d SEED=%llu\n",
+               options.seconds, (unsigned long long)options.seed);
+    }
+    return bad > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/test/soak_config.h
@@ -0,0 +1,48 @@
+// Operators of the soak: two publish conflicting changes at once, again and
+// again. Each change brings a customer of its own, so that a call with its
+// key tells whether it is in force.
+#ifndef TEST_SOAK_CONFIG_H
+#define TEST_SOAK_CONFIG_H
+
+#include <atomic>
+#include <thread>
+
+#include "base/random.h"
+#include "test/scene.h"
+#include "test/soak_ledger.h"
+
+namespace cg {
+
+class SoakConfig {
+  public:
+    SoakConfig(Scene &scene, SoakLedger &ledger, std::vector<std::string> urls,
+               const std::atomic<bool> &log_out);
+    void Start();
+    void Stop();
+
+    long long published = 0;
+    long long lost_races = 0;
+    double slowest_sec = 0;
+    std::vector<std::string> breaches;
+
+  private:
+    void Work();
+    void Round(int round);
+    std::string Team(const std::string &extra) const;
+    bool InForce(size_t daemon, const std::string &key) const;
+    bool InForceEverywhere(const std::string &key);
+    void CheckNothingReverted();
+
+    Scene &scene_;
+    SoakLedger &ledger_;
+    std::vector<std::string> urls_;
+    const std::atomic<bool> &log_out_;
+    std::atomic<bool> stop_{false};
+    std::thread thread_;
+    std::vector<std::string> accepted_;
+    long long base_ = 2; // the team's section of PublishDefaults()
+};
+
+} // namespace cg
+
+#endif
--- /dev/null
+++ b/test/soak_faults.h
@@ -0,0 +1,77 @@
+// What the soak does to the system: a seeded schedule of faults, and the
+// endpoints' records saved before an endpoint dies.
+#ifndef TEST_SOAK_FAULTS_H
+#define TEST_SOAK_FAULTS_H
+
+#include <atomic>
+#include <functional>
+
+#include "base/random.h"
+#include "test/scene.h"
+#include "test/soak_ledger.h"
+
+namespace cg {
+
+// A reclaimed endpoint, watched until it is gone.
+struct SoakLeaver {
+    size_t engine = 0;
+    long long told_usec = 0; // boot clock
+    long long die_usec = 0;  // earlier than announced; 0: not
+    bool watched_late = false;
+    bool gone = false;
+};
+
+class SoakFaults {
+  public:
+    SoakFaults(Scene &scene, SoakLedger &ledger, uint64_t seed);
+
+    void AddEngine();
+    // Gives faults until the time is over; call it on the main thread.
+    void Run(Instant until);
+    // Ends all faults and saves the records that are left.
+    void Finish();
+
+    // What was done, by name.
+    std::map<std::string, long long> counts;
+    std::vector<SoakRun> runs;
+    std::set<std::string> reclaimed_requests; // ran when the notice came
+    std::vector<std::string> late_work;       // begun long after a notice
+    std::vector<std::string> bad_stops;
+    long long leavers_watched = 0;
+    // Held while the log does not take or give records.
+    std::atomic<bool> log_out{false};
+
+  private:
+    using Fault = void (SoakFaults::*)();
+
+    void ReclaimWave();
+    void EngineKill();
+    void EngineFault();
+    void PlainFault();
+    void PlainKill();
+    void DaemonKill();
+    void DaemonStop();
+    void LogOutage();
+    void LogLostAnswers();
+    void HostListFault();
+
+    std::vector<size_t> LiveEngines();
+    void Watch();
+    void Revive(size_t daemon);
+    void SaveRuns(const Endpoint &endpoint, const std::string &name);
+    void SaveLeaver(SoakLeaver *leaver);
+    void Sleep(int millis);
+    int Below(int bound);
+
+    Scene &scene_;
+    SoakLedger &ledger_;
+    struct rn_random random_;
+    std::vector<SoakLeaver> leavers_;
+    std::set<size_t> retired_; // engines that are gone or going
+    size_t live_plain_ = 0;
+    std::map<std::string, std::map<std::string, SoakRun>> seen_;
+};
+
+} // namespace cg
+
+#endif
