Version moves in the daemon; streams finish, move their cache or resume

A move's state is a record on the control stream that only the holder of its lease can write; each router trips on its own evidence and spreads distrust, and reports evidence to the holder. The sentence is part of the record, so every daemon tells the same. Tests with real processes: a bad version is taken back within seconds and gets nothing afterwards, also when a daemon is killed in mid-move.

A reclaim notice is now decided for each stream by the time left: finish, move the KV cache, resume (before: always resume at once). Tests cause each of the three, and the reclaim of a move's target; answers are exact to the byte.

--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -9,11 +9,13 @@
 #include "gate/admin.h"
 #include "gate/claims.h"
 #include "gate/confstream.h"
+#include "gate/control.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
 #include "gate/hostwatch.h"
 #include "gate/intake.h"
 #include "gate/loadwatch.h"
+#include "gate/moves.h"
 #include "gate/peers.h"
 #include "gate/request.h"
 #include "gate/status.h"
@@ -47,6 +49,7 @@
     struct pl_log *log;
     struct bg_budget *budget;
     struct cs_stream *config;
+    struct ct_control *control;
     struct hw_watch *hosts;
     struct sp_stop *stop;
     struct lp_timer *tick;
@@ -170,12 +173,13 @@
     uint64_t offset = Sc_Offset(Cs_State(daemon->config));
     uint64_t in_force =
         daemon->gate.config != NULL ? daemon->gate.config->offset : 0;
-    return json_pack("{s:s,s:b,s:{s:I,s:I},s:o,s:o,s:{s:i,s:i,s:b}}", "node",
-                     daemon->gate.options->node_id, "ready",
+    return json_pack("{s:s,s:b,s:{s:I,s:I},s:o,s:o,s:o,s:{s:i,s:i,s:b}}",
+                     "node", daemon->gate.options->node_id, "ready",
                      not_ready(daemon) == NULL, "config", "offset",
                      (json_int_t)offset, "in_force", (json_int_t)in_force,
                      "daemons", Pe_Status(daemon->peers, offset), "services",
-                     Sd_Services(&daemon->gate), "work", "queued",
+                     Sd_Services(&daemon->gate), "moves",
+                     Mo_Status(daemon->gate.moves), "work", "queued",
                      In_Queued(daemon->gate.intake), "claim_slots",
                      Gc_SlotsKept(daemon->gate.claims), "log_in_reach",
                      Cs_Reading(daemon->config));
@@ -378,6 +382,13 @@
     }
 }
 
+static void
+peer_evidence(void *arg, const char *text, size_t len)
+{
+    struct dm_daemon *daemon = arg;
+    Mo_Report(daemon->gate.moves, text, len);
+}
+
 static const struct pe_ops peer_ops = {
     .config_ahead = peer_config_ahead,
     .config_state = peer_config_state,
@@ -388,6 +399,48 @@
     .demand = peer_demand,
     .member = peer_member,
     .claim = peer_claim,
+    .evidence = peer_evidence,
+};
+
+static bool
+move_should_hold(void *arg, const char *job)
+{
+    struct dm_daemon *daemon = arg;
+    return !Sp_Begun(daemon->stop) &&
+           Pe_Responsible(daemon->peers, job) == NULL;
+}
+
+static void
+move_report(void *arg, const char *job, const char *text, size_t len)
+{
+    struct dm_daemon *daemon = arg;
+    const char *holder = Pe_Responsible(daemon->peers, job);
+    if (holder == NULL) {
+        Mo_Report(daemon->gate.moves, text, len);
+        return;
+    }
+    Pe_SendEvidence(daemon->peers, holder, text, len);
+}
+
+static void
+move_distrust(void *arg, const char *service, const char *version)
+{
+    struct dm_daemon *daemon = arg;
+    Pe_Distrust(daemon->peers, service, version);
+}
+
+static size_t
+move_routers(void *arg, const char **out, size_t max)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_Routers(daemon->peers, out, max);
+}
+
+static const struct mo_ops move_ops = {
+    .should_hold = move_should_hold,
+    .report = move_report,
+    .distrust = move_distrust,
+    .routers = move_routers,
 };
 
 static bool
@@ -523,8 +576,12 @@
     Cs_Tick(daemon->config);
     Gc_Tick(daemon->gate.claims);
     In_Pump(daemon->gate.intake);
+    Ct_Tick(daemon->control);
+    Mo_Tick(daemon->gate.moves);
     Cs_SetWriting(daemon->config,
                   Pe_Responsible(daemon->peers, "config-snapshot") == NULL);
+    Ct_SetWriting(daemon->control,
+                  Pe_Responsible(daemon->peers, "control-snapshot") == NULL);
     catch_up(daemon, now);
     tell_demand(daemon, now);
     tell_offset(daemon, now);
@@ -566,6 +623,28 @@
     return Ad_Create(daemon->gate.loop, &admin, &daemon->admin);
 }
 
+static enum st_status
+start_control(struct dm_daemon *daemon, const struct rc_writer *self)
+{
+    struct gt_gate *gate = &daemon->gate;
+    enum st_status status = Mo_Create(gate, &move_ops, daemon, &gate->moves);
+    if (status != ST_OK) {
+        return status;
+    }
+    struct ct_options control = {
+        .clock = gate->clock,
+        .log = daemon->log,
+        .budget = daemon->budget,
+        .self = *self,
+        .part = Mo_Part(gate->moves),
+    };
+    status = Ct_Create(&control, &daemon->control);
+    if (status == ST_OK) {
+        Mo_SetControl(gate->moves, daemon->control);
+    }
+    return status;
+}
+
 static enum st_status
 start_state(struct dm_daemon *daemon, uint64_t incarnation)
 {
@@ -608,7 +687,11 @@
         .ops = &claim_ops,
         .arg = daemon,
     };
-    return Gc_Create(&claims, &daemon->gate.claims);
+    status = Gc_Create(&claims, &daemon->gate.claims);
+    if (status != ST_OK) {
+        return status;
+    }
+    return start_control(daemon, &config.self);
 }
 
 static enum st_status
@@ -711,6 +794,8 @@
     Ad_Stop(daemon->admin);
     Gc_Destroy(daemon->gate.claims);
     Cs_Destroy(daemon->config);
+    Ct_Destroy(daemon->control);
+    Mo_Destroy(daemon->gate.moves);
     Pe_Destroy(daemon->peers);
     Bg_Destroy(daemon->budget);
     Pl_HttpDestroy(daemon->log);
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -25,6 +25,7 @@
 struct ep_pool;
 struct gc_claims;
 struct in_intake;
+struct mo_moves;
 struct rq_request;
 
 /* What flags and environment variables say. */
@@ -60,6 +61,7 @@
     struct ep_pool *endpoints;
     struct gc_claims *claims;
     struct in_intake *intake;
+    struct mo_moves *moves;
     struct rq_list requests;
     uint64_t next_request;
     bool draining;
--- /dev/null
+++ b/packages/gate/moves.h
@@ -0,0 +1,60 @@
+/*
+ * Version moves on this daemon: the state that the log gives each move, the
+ * router's own guard and evidence, and the work of the move's holder.
+ */
+#ifndef GATE_MOVES_H
+#define GATE_MOVES_H
+
+#include <jansson.h>
+
+#include "gate/control.h"
+#include "gate/gate.h"
+#include "policy/move.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct mo_moves;
+
+/* What a router saw of one request. */
+struct mo_outcome {
+    const char *service;
+    const char *version;
+    const char *route;
+    bool patient;
+    bool failed;
+    int64_t first_token_usec; /* when it did not fail */
+    int64_t target_usec;      /* target for the first token; 0: none */
+};
+
+struct mo_ops {
+    /* Whether this daemon should hold the job. */
+    bool (*should_hold)(void *arg, const char *job);
+    /* Sends a router's report to the daemon that should hold the job. */
+    void (*report)(void *arg, const char *job, const char *text, size_t len);
+    /* Every daemon must give a version no new work. */
+    void (*distrust)(void *arg, const char *service, const char *version);
+    /* Ids of the daemons that route; returns how many were written. */
+    size_t (*routers)(void *arg, const char **out, size_t max);
+};
+
+enum st_status Mo_Create(struct gt_gate *gate, const struct mo_ops *ops,
+                         void *arg, struct mo_moves **out);
+void Mo_Destroy(struct mo_moves *moves);
+struct ct_part Mo_Part(struct mo_moves *moves);
+void Mo_SetControl(struct mo_moves *moves, struct ct_control *control);
+
+/* Commands. */
+void Mo_Tick(struct mo_moves *moves);
+void Mo_Note(struct mo_moves *moves, const struct mo_outcome *outcome);
+void Mo_Report(struct mo_moves *moves, const char *text, size_t len);
+
+/* Queries. */
+json_t *Mo_Status(const struct mo_moves *moves);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/gate/moves_holder.c
@@ -0,0 +1,191 @@
+/*
+ * The work of a move's holder: it gathers the routers' evidence, decides,
+ * and writes each decision to the log under its lease.  A new holder goes on
+ * from the last record; what it does not know of the evidence it gathers
+ * anew, and the routers' distrust holds meanwhile.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/endpoints.h"
+#include "gate/events.h"
+#include "gate/moves_internal.h"
+
+#define Mo_FALSE_ALARMS 0.01
+#define Mo_APPEND_USEC (5 * Ck_USEC_PER_SEC)
+/* Reports come some seconds after their block has ended. */
+#define Mo_CLOSE_EVERY Mv_BLOCK_USEC
+
+/* Gives up what only a holder has. */
+void
+Mo_HolderStop(struct mo_service *service)
+{
+    service->holding = false;
+    if (service->evidence != NULL) {
+        Mv_EvidenceDestroy(service->evidence);
+        service->evidence = NULL;
+    }
+}
+
+static bool
+start_holding(struct mo_moves *moves, struct mo_service *service)
+{
+    int64_t wall = Ck_Wall(moves->gate->clock);
+    service->evidence = Mv_EvidenceCreate(Mo_FALSE_ALARMS);
+    if (service->evidence == NULL) {
+        return false;
+    }
+    service->holding = true;
+    service->block_closed = Ck_Now(moves->gate->clock);
+    if (service->recorded) {
+        service->working = service->record.move;
+        return true;
+    }
+    return Mv_Begin(&service->working, &service->plan, wall) == ST_OK;
+}
+
+static void
+record_written(void *arg, enum wr_result result, uint64_t sequence)
+{
+    struct mo_service *service = arg;
+    (void)result;
+    (void)sequence;
+    service->appending = false;
+}
+
+static bool
+same_state(const struct mo_service *service)
+{
+    const struct mv_move *now = &service->working;
+    const struct mv_move *then = &service->record.move;
+    return service->recorded && now->phase == then->phase &&
+           now->share == then->share && now->started == then->started &&
+           strcmp(now->plan.to, then->plan.to) == 0 &&
+           strcmp(now->plan.from, then->plan.from) == 0 &&
+           now->plan.deadline == then->plan.deadline &&
+           now->plan.withdrawn == then->plan.withdrawn;
+}
+
+/*
+ * Writes the state as it is now.  Until it is read back nothing further is
+ * decided: the routers act on what the log says, and evidence gathered under
+ * the last state must not be taken for evidence under the next.
+ */
+static void
+write_state(struct mo_moves *moves, struct mo_service *service)
+{
+    struct ls_permit permit;
+    if (service->appending || same_state(service) ||
+        !Le_MayAct(Ct_Leases(moves->control), service->job, &permit)) {
+        return;
+    }
+    struct mw_record record = {
+        .fence = permit.fence,
+        .move = service->working,
+    };
+    Mv_Sentence(&service->working, record.sentence, sizeof(record.sentence));
+    int64_t deadline = Ck_Now(moves->gate->clock) + Mo_APPEND_USEC;
+    service->appending = Ct_Append(moves->control, Mw_KIND, Mw_Body(&record),
+                                   deadline, record_written, service) == ST_OK;
+}
+
+static void
+look(struct mo_moves *moves, struct mo_service *service, struct mv_view *view)
+{
+    struct ch_table *table = Ep_Table(moves->gate->endpoints, service->name);
+    const char *routers[Mo_ROUTERS_MAX];
+    struct ch_capacity capacity = {0};
+    int new_slots = 0;
+    int old_slots = 0;
+    memset(view, 0, sizeof(*view));
+    if (table == NULL) {
+        return;
+    }
+    struct ch_endpoint *endpoint = Ch_First(table);
+    for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
+        const struct ch_info *info = Ch_Info(endpoint);
+        int slots = info->slots > 0 ? info->slots : 1;
+        if (Ch_State(endpoint) != CH_LIVE) {
+            continue;
+        }
+        if (strcmp(info->version, service->working.plan.to) == 0) {
+            new_slots += slots;
+            view->new_endpoints++;
+        }
+        else if (strcmp(info->version, service->working.plan.from) == 0) {
+            old_slots += slots;
+        }
+    }
+    Ch_Capacity(table, Ck_Now(moves->gate->clock), &capacity);
+    view->new_capacity =
+        old_slots > new_slots ? (double)new_slots / old_slots : 1;
+    view->distrusted = !Ch_Trusted(table, service->working.plan.to);
+    /* Every router carries about as much as this one. */
+    view->per_sec =
+        capacity.per_sec *
+        (double)moves->ops->routers(moves->arg, routers, Mo_ROUTERS_MAX);
+    if (view->per_sec > service->peak_per_sec) {
+        service->peak_per_sec = view->per_sec;
+    }
+    view->peak_per_sec = service->peak_per_sec;
+}
+
+static void
+decide(struct mo_moves *moves, struct mo_service *service)
+{
+    int64_t now = Ck_Now(moves->gate->clock);
+    int64_t wall = Ck_Wall(moves->gate->clock);
+    struct mv_view view;
+    if (now - service->block_closed >= Mo_CLOSE_EVERY) {
+        service->block_closed = now;
+        Mv_CloseBlock(service->evidence);
+    }
+    if (same_state(service)) {
+        Mv_Revise(&service->working, &service->plan, wall);
+        look(moves, service, &view);
+        Mv_Tick(&service->working, service->evidence, &view, wall);
+    }
+    write_state(moves, service);
+}
+
+/* Takes the job, works on it, or leaves it. */
+void
+Mo_HolderTick(struct mo_moves *moves, struct mo_service *service)
+{
+    struct le_book *leases = Ct_Leases(moves->control);
+    bool wanted = Mo_Active(service) &&
+                  moves->ops->should_hold(moves->arg, service->job);
+    if (!wanted && !service->holding && !Le_Holds(leases, service->job)) {
+        return;
+    }
+    Le_Want(leases, service->job, wanted, 0);
+    if (!wanted || !Le_Holds(leases, service->job)) {
+        Mo_HolderStop(service);
+        return;
+    }
+    if (!service->holding && !start_holding(moves, service)) {
+        Mo_HolderStop(service);
+        return;
+    }
+    decide(moves, service);
+}
+
+/* A router's report has come. */
+void
+Mo_Report(struct mo_moves *moves, const char *text, size_t len)
+{
+    struct mw_report *report = calloc(1, sizeof(*report));
+    if (report == NULL) {
+        return;
+    }
+    if (Mw_ReadReport(text, len, report)) {
+        struct mo_service *service = Mo_Find(moves, report->service);
+        if (service != NULL && service->holding &&
+            strcmp(report->to, service->working.plan.to) == 0) {
+            Mv_Merge(service->evidence, report->router, report->sequence,
+                     report->cells, report->count);
+        }
+    }
+    free(report);
+}
--- /dev/null
+++ b/packages/gate/moves_router.c
@@ -0,0 +1,176 @@
+/*
+ * The router's side of a version move: its part of the share, its own trip,
+ * and the evidence it reports to the move's holder.
+ */
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/endpoints.h"
+#include "gate/events.h"
+#include "gate/moves_internal.h"
+
+#define Mo_ROUTES_OF_OWN 12
+#define Mo_VERY_SLOW 8 /* times the target for the first token */
+#define Mo_SHARES 2
+
+static int
+in_flight(const struct ch_table *table)
+{
+    int sum = 0;
+    struct ch_endpoint *endpoint = Ch_First(table);
+    for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
+        sum += Ch_InFlight(endpoint);
+    }
+    return sum;
+}
+
+static void
+set_shares(struct mo_moves *moves, struct mo_service *service)
+{
+    const char *routers[Mo_ROUTERS_MAX];
+    struct ch_share shares[Mo_SHARES] = {{.share = 1}, {.share = 0}};
+    const struct mv_move *move = Mo_InForce(service);
+    struct ch_table *table = Ep_Table(moves->gate->endpoints, service->name);
+    strlcpy(shares[0].version, service->plan.from, sizeof(shares[0].version));
+    strlcpy(shares[1].version, service->plan.to, sizeof(shares[1].version));
+    if (move != NULL && table != NULL) {
+        struct mv_allotment part;
+        size_t count =
+            moves->ops->routers(moves->arg, routers, Mo_ROUTERS_MAX);
+        /* Every router carries about as much as this one. */
+        int total = in_flight(table) * (int)count;
+        Mv_Allot(move, moves->gate->options->node_id, routers, count, total,
+                 &part);
+        shares[1].share = part.share;
+        shares[1].max_in_flight = part.max_in_flight;
+        shares[0].share = 1 - part.share;
+    }
+    Ep_SetShares(moves->gate->endpoints, service->name, shares, Mo_SHARES);
+}
+
+static void
+trip(struct mo_moves *moves, struct mo_service *service)
+{
+    Ev_Log(&GT_MOVE_TRIPPED, "service=%s version=%s", service->name,
+           service->plan.to);
+    Ep_Distrust(moves->gate->endpoints, service->name, service->plan.to);
+    moves->ops->distrust(moves->arg, service->name, service->plan.to);
+}
+
+static struct mv_cell *
+cell_of(struct mw_report *report, const char *route, int request_class)
+{
+    for (size_t i = 0; i < report->count; i++) {
+        struct mv_cell *cell = &report->cells[i];
+        if (cell->request_class == request_class &&
+            strcmp(cell->route, route) == 0) {
+            return cell;
+        }
+    }
+    if (report->count >= Mv_CELLS_MAX) {
+        return NULL;
+    }
+    struct mv_cell *cell = &report->cells[report->count++];
+    memset(cell, 0, sizeof(*cell));
+    strlcpy(cell->route, route, sizeof(cell->route));
+    cell->request_class = request_class;
+    return cell;
+}
+
+static void
+note_cell(struct mo_service *service, const struct mo_outcome *outcome,
+          enum mv_side side)
+{
+    /* Beyond a dozen routes the rest is counted as one. */
+    bool crowded = service->report.count >= Mo_ROUTES_OF_OWN;
+    struct mv_cell *cell =
+        cell_of(&service->report, crowded ? "other" : outcome->route,
+                outcome->patient ? 1 : 0);
+    if (cell == NULL) {
+        return;
+    }
+    cell->count[side]++;
+    if (outcome->failed) {
+        cell->failed[side]++;
+    }
+    else {
+        cell->first_token[side][Mv_Bucket(outcome->first_token_usec)]++;
+    }
+}
+
+static enum mv_outcome
+judge(const struct mo_outcome *outcome)
+{
+    if (outcome->failed) {
+        return MV_FAILED;
+    }
+    if (outcome->target_usec > 0 &&
+        outcome->first_token_usec > Mo_VERY_SLOW * outcome->target_usec) {
+        return MV_VERY_SLOW;
+    }
+    return MV_GOOD;
+}
+
+/*
+ * Enters what a request showed of its version.  A fault that is plain to see
+ * stops this router's traffic at once, without the log or any message.
+ */
+void
+Mo_Note(struct mo_moves *moves, const struct mo_outcome *outcome)
+{
+    struct mo_service *service = Mo_Find(moves, outcome->service);
+    if (service == NULL || service->plan.to[0] == '\0') {
+        return;
+    }
+    enum mv_side side;
+    if (strcmp(outcome->version, service->plan.to) == 0) {
+        side = MV_NEW;
+    }
+    else if (strcmp(outcome->version, service->plan.from) == 0) {
+        side = MV_OLD;
+    }
+    else {
+        return;
+    }
+    note_cell(service, outcome, side);
+    bool before = service->trip.tripped;
+    if (Mv_TripNote(&service->trip, side, judge(outcome)) && !before) {
+        trip(moves, service);
+    }
+}
+
+static void
+send_report(struct mo_moves *moves, struct mo_service *service)
+{
+    struct mw_report *report = &service->report;
+    if (report->count == 0) {
+        return;
+    }
+    report->sequence++;
+    strlcpy(report->service, service->name, sizeof(report->service));
+    strlcpy(report->to, service->plan.to, sizeof(report->to));
+    strlcpy(report->router, moves->gate->incarnation, sizeof(report->router));
+    char *text = Mw_WriteReport(report);
+    if (text != NULL) {
+        moves->ops->report(moves->arg, service->job, text, strlen(text));
+    }
+    free(text);
+    report->count = 0;
+}
+
+/* Brings this router's part of the share up to date and reports. */
+void
+Mo_RouterTick(struct mo_moves *moves, struct mo_service *service)
+{
+    int64_t now = Ck_Now(moves->gate->clock);
+    if (service->plan.to[0] == '\0') {
+        return;
+    }
+    set_shares(moves, service);
+    if (now - service->block_begun >= Mv_BLOCK_USEC) {
+        service->block_begun = now;
+        send_report(moves, service);
+    }
+}
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -137,6 +137,16 @@
     peers->ops->claim(peers->arg, request);
 }
 
+static void
+serve_evidence(void *arg, struct lk_request *request)
+{
+    struct pe_peers *peers = arg;
+    size_t len;
+    const char *text = Lk_Payload(request, &len);
+    peers->ops->evidence(peers->arg, text, len);
+    Lk_Reply(request, ST_OK, NULL, 0);
+}
+
 static enum st_status
 watch_facts(struct pe_peers *peers)
 {
@@ -166,6 +176,9 @@
     if (status == ST_OK) {
         status = Lk_Handle(links, "claim", serve_claim, peers);
     }
+    if (status == ST_OK) {
+        status = Lk_Handle(links, "evidence", serve_evidence, peers);
+    }
     return status;
 }
 
@@ -422,6 +435,25 @@
     publish(peers, &post);
 }
 
+static void
+evidence_sent(void *arg, const struct lk_result *result)
+{
+    (void)arg;
+    (void)result;
+}
+
+/*
+ * Sends a report to a move's holder.  One that is lost is not sent again:
+ * both versions are missing from it alike.
+ */
+void
+Pe_SendEvidence(struct pe_peers *peers, const char *node, const char *text,
+                size_t len)
+{
+    (void)Nd_Call(peers->node, node, "evidence", text, len, Pe_CALL_USEC,
+                  evidence_sent, NULL, NULL);
+}
+
 struct claim_call {
     gc_reply_fn reply;
     void *arg;
@@ -473,6 +505,21 @@
     return member->id;
 }
 
+/* Ids of the daemons that take new requests; returns how many there are. */
+size_t
+Pe_Routers(const struct pe_peers *peers, const char **out, size_t max)
+{
+    const struct mb_table *members = Nd_Members(peers->node);
+    const struct mb_record *member = Mb_First(members);
+    size_t count = 0;
+    for (; member != NULL && count < max; member = Mb_Next(member)) {
+        if (member->state == MB_ALIVE) {
+            out[count++] = member->id;
+        }
+    }
+    return count;
+}
+
 /*
  * Whether this daemon is one of the two that watch an endpoint: of its data
  * centre, or of all when no daemon stands there.
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -35,6 +35,8 @@
                    const struct am_demand *demands, size_t count);
     /* A daemon came or went (its demands no longer count). */
     void (*member)(void *arg, const char *node, bool present);
+    /* A router's report on a version move. */
+    void (*evidence)(void *arg, const char *text, size_t len);
     /* A question about claims; answer through Pe_Answer(). */
     void (*claim)(void *arg, struct lk_request *request);
 };
@@ -57,6 +59,8 @@
                  const char *version);
 void Pe_Demand(struct pe_peers *peers, const struct am_demand *demands,
                size_t count);
+void Pe_SendEvidence(struct pe_peers *peers, const char *node,
+                     const char *text, size_t len);
 enum st_status Pe_AskClaim(struct pe_peers *peers, const char *node,
                            const char *payload, size_t len,
                            int64_t timeout_usec, gc_reply_fn reply, void *arg);
@@ -64,6 +68,7 @@
 /* Queries. */
 uint16_t Pe_Port(const struct pe_peers *peers);
 const char *Pe_Responsible(const struct pe_peers *peers, const char *key);
+size_t Pe_Routers(const struct pe_peers *peers, const char **out, size_t max);
 bool Pe_Watches(const struct pe_peers *peers, const struct ch_info *info);
 bool Pe_RunEnded(const struct pe_peers *peers, const char *node,
                  uint64_t incarnation);
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -15,7 +15,9 @@
 #include "gate/endpoints.h"
 #include "gate/events.h"
 #include "gate/request.h"
+#include "platform/kvmove.h"
 #include "platform/sse.h"
+#include "policy/stream.h"
 #include "web/client.h"
 
 #define Rl_ATTEMPTS 6
@@ -29,6 +31,10 @@
 #define Rl_URGENT_PRIORITY 10
 #define Rl_PATIENT_PRIORITY 1
 #define Rl_LABELS_MAX 200
+/* What moving a cache costs, until an engine has shown otherwise. */
+#define Rl_MOVE_USEC (20 * Ck_USEC_PER_MSEC)
+#define Rl_MOVE_PER_TOKEN 20
+#define Rl_FIRST_GUESS_TOKEN_USEC (30 * Ck_USEC_PER_MSEC)
 
 struct rl_engine {
     struct rq_request *request;
@@ -52,16 +58,28 @@
     struct en_usage usage;
     int recomputed;
     int64_t last_token;
+    int64_t answered;  /* time to this attempt's first token */
+    int64_t began;     /* this attempt's first token */
+    int64_t leaving;   /* when its engine will be gone; 0: it stays */
+    enum sm_plan plan; /* what the timer will do about it */
+    struct lp_timer *plan_timer;
+    struct kv_move *move;    /* on its way to the target */
+    struct ch_flight target; /* reserved while the cache moves */
     struct mt_metric *first_token_time;
     struct mt_metric *token_time;
 };
 
 static void attempt(struct rl_engine *relay);
+static void launch(struct rl_engine *relay, const char *kv);
+static void decide(struct rl_engine *relay);
+static void plan_due(void *arg);
 
 static void
 end_flight(struct rl_engine *relay, enum ch_outcome outcome)
 {
     if (relay->flight.endpoint != NULL) {
+        Rq_NoteVersion(relay->request, &relay->flight, outcome,
+                       relay->answered);
         Ch_End(relay->table, &relay->flight, outcome,
                Ck_Now(relay->request->gate->clock));
         relay->flight.endpoint = NULL;
@@ -78,6 +96,23 @@
     }
 }
 
+/* Gives up a cache on its way and the place kept for it. */
+static void
+drop_move(struct rl_engine *relay)
+{
+    if (relay->move != NULL) {
+        Kv_Cancel(relay->move);
+        relay->move = NULL;
+    }
+    if (relay->target.endpoint != NULL) {
+        Ch_End(relay->table, &relay->target, CH_CANCELLED,
+               Ck_Now(relay->request->gate->clock));
+        relay->target.endpoint = NULL;
+    }
+    relay->leaving = 0;
+    Lp_TimerCancel(relay->plan_timer);
+}
+
 static bool
 keep_text(struct rl_engine *relay, const char *text)
 {
@@ -140,6 +175,8 @@
     }
     relay->last_token = now;
     if (relay->flight.endpoint != NULL && !relay->flight.first_token) {
+        relay->began = now;
+        relay->answered = now - relay->flight.started;
         Ch_FirstToken(relay->table, &relay->flight, now);
     }
 }
@@ -281,6 +318,7 @@
 finish(struct rl_engine *relay)
 {
     struct rq_request *request = relay->request;
+    drop_move(relay);
     end_flight(relay, CH_GOOD);
     count_tokens(relay);
     answer_caller(relay);
@@ -296,6 +334,7 @@
 give_up(struct rl_engine *relay, enum an_kind kind, const char *message)
 {
     struct rq_request *request = relay->request;
+    drop_move(relay);
     drop_call(relay);
     end_flight(relay, CH_FAILED);
     count_tokens(relay);
@@ -316,6 +355,7 @@
 next_attempt(struct rl_engine *relay)
 {
     struct gt_gate *gate = relay->request->gate;
+    drop_move(relay);
     if (relay->attempts >= Rl_ATTEMPTS) {
         give_up(relay, AN_UNKNOWN,
                 "several engines failed this request; it may be repeated");
@@ -384,7 +424,7 @@
 };
 
 static enum st_status
-send_call(struct rl_engine *relay)
+send_call(struct rl_engine *relay, const char *kv)
 {
     struct rq_request *request = relay->request;
     const struct ch_info *info = Ch_Info(relay->flight.endpoint);
@@ -392,6 +432,7 @@
         .text = relay->text,
         .text_len = relay->text_len,
         .tokens = relay->tokens,
+        .kv = kv,
     };
     char *body = En_BuildRequest(
         &request->prompt,
@@ -419,26 +460,23 @@
 }
 
 static void
-attempt(struct rl_engine *relay)
+fill_ask(const struct rl_engine *relay, struct ch_request *ask)
 {
-    struct rq_request *request = relay->request;
-    struct gt_gate *gate = request->gate;
-    int64_t now = Ck_Now(gate->clock);
+    const struct rq_request *request = relay->request;
     size_t prompt_bytes = request->prompt.text_len + relay->text_len;
-    struct ch_request ask = {
-        .prefix = request->prompt.prefix_hash,
-        .prompt_tokens = (int)(prompt_bytes / Rl_BYTES_PER_TOKEN),
-        .expected_tokens = request->prompt.max_tokens > 0
+    memset(ask, 0, sizeof(*ask));
+    ask->prefix = request->prompt.prefix_hash;
+    ask->prompt_tokens = (int)(prompt_bytes / Rl_BYTES_PER_TOKEN);
+    ask->expected_tokens = request->prompt.max_tokens > 0
                                ? request->prompt.max_tokens
-                               : Rl_EXPECTED_TOKENS,
-        .budget = request->deadline - now,
-    };
-    relay->table = Ep_Table(gate->endpoints, request->service->name);
-    if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
-        give_up(relay, relay->attempts == 0 ? AN_UNAVAILABLE : AN_UNKNOWN,
-                "no engine of this service is free; come back later");
-        return;
-    }
+                               : Rl_EXPECTED_TOKENS;
+    ask->budget = request->deadline - Ck_Now(request->gate->clock);
+}
+
+/* Sends the request to the engine of the flight that has been started. */
+static void
+launch(struct rl_engine *relay, const char *kv)
+{
     Ss_Destroy(relay->parser);
     relay->parser = Ss_Create(Rl_EVENT_MAX);
     relay->attempts++;
@@ -447,14 +485,164 @@
     relay->code = 0;
     relay->sent_on = relay->tokens;
     relay->expected = -1;
-    snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d", request->id,
-             relay->attempts);
-    if (relay->parser == NULL || send_call(relay) != ST_OK) {
+    snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d",
+             relay->request->id, relay->attempts);
+    if (relay->parser == NULL || send_call(relay, kv) != ST_OK) {
         give_up(relay, AN_OVERLOADED,
                 "this host is out of memory; come back later");
     }
 }
 
+static void
+attempt(struct rl_engine *relay)
+{
+    struct rq_request *request = relay->request;
+    struct ch_request ask;
+    fill_ask(relay, &ask);
+    relay->table = Ep_Table(request->gate->endpoints, request->service->name);
+    if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
+        give_up(relay, relay->attempts == 0 ? AN_UNAVAILABLE : AN_UNKNOWN,
+                "no engine of this service is free; come back later");
+        return;
+    }
+    launch(relay, NULL);
+}
+
+static void
+fill_stream(const struct rl_engine *relay, int64_t now,
+            struct sm_stream *stream)
+{
+    const struct rq_request *request = relay->request;
+    int whole = request->prompt.max_tokens > 0 ? request->prompt.max_tokens
+                                               : Rl_EXPECTED_TOKENS;
+    int given_here = relay->tokens - relay->sent_on;
+    stream->left = relay->leaving - now;
+    stream->prompt_tokens =
+        (int)(request->prompt.text_len / Rl_BYTES_PER_TOKEN);
+    stream->tokens_given = relay->tokens;
+    stream->tokens_expected =
+        whole > relay->tokens ? whole - relay->tokens : 1;
+    stream->token_usec =
+        given_here > 1 ? (relay->last_token - relay->began) / (given_here - 1)
+                       : Rl_FIRST_GUESS_TOKEN_USEC;
+}
+
+/* The engine that would take the stream over; no flight is started. */
+static void
+fill_target(struct rl_engine *relay, int64_t now, struct sm_target *target,
+            struct ch_flight *flight)
+{
+    struct gt_gate *gate = relay->request->gate;
+    struct ch_settings settings;
+    struct ch_request ask;
+    Ch_Defaults(&settings);
+    fill_ask(relay, &ask);
+    memset(target, 0, sizeof(*target));
+    target->found =
+        Ch_Choose(relay->table, &ask, now, &gate->random, flight) == ST_OK &&
+        flight->endpoint != relay->flight.endpoint;
+    target->imports = true;
+    target->wait = target->found ? flight->predicted : 0;
+    target->move_usec = Rl_MOVE_USEC;
+    target->move_per_token = Rl_MOVE_PER_TOKEN;
+    target->prefill_per_token = settings.per_token;
+}
+
+static void
+cache_moved(void *arg, const struct kv_result *result)
+{
+    struct rl_engine *relay = arg;
+    struct gt_gate *gate = relay->request->gate;
+    relay->move = NULL;
+    if (result->status != ST_OK) {
+        drop_call(relay);
+        end_flight(relay, CH_CANCELLED);
+        next_attempt(relay);
+        return;
+    }
+    drop_call(relay);
+    end_flight(relay, CH_CANCELLED);
+    relay->flight = relay->target;
+    relay->target.endpoint = NULL;
+    relay->leaving = 0;
+    Lp_TimerCancel(relay->plan_timer);
+    Ev_Log(&GT_STREAM_MOVED, "request=%s tokens=%d how=kv", relay->request->id,
+           relay->tokens);
+    Gt_Count(gate, "cg_streams_moved_total", "how", "kv");
+    launch(relay, result->handle);
+}
+
+static void
+to_target(const struct ch_info *info, struct jc_target *out)
+{
+    strlcpy(out->address, info->address, sizeof(out->address));
+    out->port = info->port;
+}
+
+/*
+ * Moves the cache while the stream goes on where it is.  If the engine dies
+ * first, or the move fails, the stream is resumed from its tokens instead.
+ */
+static void
+start_move(struct rl_engine *relay, const struct ch_flight *flight,
+           int64_t now)
+{
+    struct gt_gate *gate = relay->request->gate;
+    struct jc_target source;
+    struct jc_target target;
+    relay->target = *flight;
+    Ch_Start(relay->table, &relay->target, now);
+    to_target(Ch_Info(relay->flight.endpoint), &source);
+    to_target(Ch_Info(relay->target.endpoint), &target);
+    if (Kv_Start(gate->loop, &source, &target, relay->attempt,
+                 relay->leaving - now, cache_moved, relay,
+                 &relay->move) != ST_OK) {
+        relay->move = NULL;
+        drop_call(relay);
+        end_flight(relay, CH_CANCELLED);
+        next_attempt(relay);
+    }
+}
+
+/* Finish, move the cache, or resume elsewhere: chosen by the time left. */
+static void
+decide(struct rl_engine *relay)
+{
+    struct gt_gate *gate = relay->request->gate;
+    int64_t now = Ck_Now(gate->clock);
+    struct sm_settings settings;
+    struct sm_stream stream;
+    struct sm_target target;
+    struct sm_decision decision;
+    struct ch_flight flight = {0};
+    if (relay->move != NULL) {
+        return;
+    }
+    Sm_Defaults(&settings);
+    fill_stream(relay, now, &stream);
+    fill_target(relay, now, &target, &flight);
+    Sm_Decide(&settings, &stream, &target, &gate->random, &decision);
+    relay->plan = decision.plan;
+    if (decision.plan == SM_MOVE) {
+        start_move(relay, &flight, now);
+        return;
+    }
+    Lp_TimerSet(relay->plan_timer, decision.act_after);
+}
+
+static void
+plan_due(void *arg)
+{
+    struct rl_engine *relay = arg;
+    if (relay->plan != SM_RESUME) {
+        decide(relay);
+        return;
+    }
+    drop_call(relay);
+    end_flight(relay, CH_CANCELLED);
+    next_attempt(relay);
+}
+
 static void
 find_metrics(struct rl_engine *relay)
 {
@@ -480,6 +668,7 @@
     }
     relay->request = request;
     request->engine = relay;
+    relay->plan_timer = Lp_TimerCreate(request->gate->loop, plan_due, relay);
     find_metrics(relay);
     attempt(relay);
 }
@@ -488,6 +677,7 @@
 void
 Rl_EngineCallerGone(struct rq_request *request)
 {
+    drop_move(request->engine);
     drop_call(request->engine);
     end_flight(request->engine, CH_CANCELLED);
     count_tokens(request->engine);
@@ -522,12 +712,16 @@
         return;
     }
     drop_call(relay);
+    if (relay->move != NULL) {
+        Kv_Cancel(relay->move);
+    }
+    Lp_TimerDestroy(relay->plan_timer);
     Ss_Destroy(relay->parser);
     free(relay->text);
     free(relay);
 }
 
-/* An endpoint is leaving: streams on it that would not end in time move. */
+/* An endpoint is leaving: what becomes of each stream on it is decided. */
 void
 Rl_EndpointLeaving(void *arg, const char *service, const char *endpoint,
                    int64_t left_usec)
@@ -535,14 +729,14 @@
     struct gt_gate *gate = arg;
     struct rq_request *request;
     struct rq_request *next;
+    (void)service;
     TAILQ_FOREACH_SAFE (request, &gate->requests, link, next) {
         struct rl_engine *relay = request->engine;
         if (relay == NULL || relay->flight.endpoint == NULL ||
             strcmp(Ch_Info(relay->flight.endpoint)->id, endpoint) != 0) {
             continue;
         }
-        drop_call(relay);
-        end_flight(relay, CH_CANCELLED);
-        next_attempt(relay);
+        relay->leaving = Ck_Now(gate->clock) + left_usec;
+        decide(relay);
     }
 }
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -34,6 +34,7 @@
     char type[Rl_TYPE_MAX];
     bool matched; /* the answer carries this attempt's id */
     bool lingering;
+    int64_t answered; /* time to the headers of the answer */
 };
 
 static void
@@ -41,6 +42,7 @@
 {
     struct rl_plain *relay = request->plain;
     if (relay->flight.endpoint != NULL) {
+        Rq_NoteVersion(request, &relay->flight, outcome, relay->answered);
         Ch_End(relay->table, &relay->flight, outcome,
                Ck_Now(request->gate->clock));
         relay->flight.endpoint = NULL;
@@ -57,7 +59,9 @@
             sizeof(relay->type));
     const char *id = Hc_Header(call, "x-request-id");
     relay->matched = id != NULL && strcmp(id, relay->attempt) == 0;
-    Ch_FirstToken(relay->table, &relay->flight, Ck_Now(request->gate->clock));
+    int64_t now = Ck_Now(request->gate->clock);
+    relay->answered = now - relay->flight.started;
+    Ch_FirstToken(relay->table, &relay->flight, now);
 }
 
 /* Keeps the answer, so that a repeat under the same key gets it too. */
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -11,6 +11,7 @@
 #include "base/event.h"
 #include "gate/events.h"
 #include "gate/intake.h"
+#include "gate/moves.h"
 
 #define Rq_KEY_MAX 255
 #define Rq_DEADLINE_MAX_MS 3600000
@@ -160,6 +161,39 @@
     return ST_OK;
 }
 
+/* The route of a request, as evidence is kept by: few and stable names. */
+static const char *
+route_name(const struct rq_request *request)
+{
+    if (request->service->kind == CF_PLAIN) {
+        return request->service->prefix;
+    }
+    return request->prompt.chat ? "chat" : "completions";
+}
+
+/*
+ * Tells a version move what an attempt showed.  An attempt that was given up
+ * or refused for load says nothing about the version.
+ */
+void
+Rq_NoteVersion(struct rq_request *request, const struct ch_flight *flight,
+               enum ch_outcome outcome, int64_t first_token_usec)
+{
+    if (outcome != CH_GOOD && outcome != CH_FAILED) {
+        return;
+    }
+    struct mo_outcome note = {
+        .service = request->service->name,
+        .version = Ch_Info(flight->endpoint)->version,
+        .route = route_name(request),
+        .patient = request->patient,
+        .failed = outcome == CH_FAILED,
+        .first_token_usec = first_token_usec,
+        .target_usec = request->service->first_token_usec,
+    };
+    Mo_Note(request->gate->moves, &note);
+}
+
 /* True when no request is under way. */
 bool
 Rq_Idle(const struct gt_gate *gate)
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -68,6 +68,8 @@
 void Rq_Finish(struct rq_request *request, enum an_outcome outcome);
 enum st_status Rq_Choose(struct rq_request *request, struct ch_table *table,
                          struct ch_request *ask, struct ch_flight *flight);
+void Rq_NoteVersion(struct rq_request *request, const struct ch_flight *flight,
+                    enum ch_outcome outcome, int64_t first_token_usec);
 bool Rq_Idle(const struct gt_gate *gate);
 
 /* The relays; each ends the request by Rq_Refuse() or Rq_Finish(). */
--- /dev/null
+++ b/test/moves_test.cc
@@ -0,0 +1,158 @@
+// Version moves: a bad version gets little and is taken back, a good one is
+// done, and every daemon tells the same.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <ctime>
+#include <thread>
+
+#include "test/scene.h"
+
+namespace {
+
+using cg::Json;
+using cg::Millis;
+
+class Moves : public ::testing::Test {
+  protected:
+    void
+    Start(int deadline_sec)
+    {
+        for (int i = 0; i < 2; i++) {
+            scene.AddEngine({"--token-us", "500", "--slots", "32"}, "v1");
+        }
+        for (int i = 0; i < 2; i++) {
+            scene.AddEngine({"--token-us", "500", "--slots", "32"}, "v2");
+        }
+        long long by = (long long)time(nullptr) + deadline_sec;
+        scene.PublishDefaults(",\"move\":{\"from\":\"v1\",\"to\":\"v2\","
+                              "\"first_share\":0.1,\"deadline_sec\":" +
+                              std::to_string(by) + "}");
+        scene.cluster.AddMany(3);
+        ASSERT_TRUE(scene.cluster.WaitReady());
+    }
+
+    // Runs callers until the condition holds, at most for the limit.
+    bool
+    LoadUntil(const std::function<bool()> &condition, Millis limit)
+    {
+        std::atomic<bool> stop{false};
+        std::vector<std::thread> callers;
+        for (size_t t = 0; t < 6; t++) {
+            callers.emplace_back([&, t] {
+                for (int n = 0; n < 100000 && !stop; n++) {
+                    std::string prompt =
+                        std::to_string(t) + "/" + std::to_string(n);
+                    cg::HttpResult result = cg::Http(
+                        scene.Complete(t % 3, prompt, 10, n % 2 == 0));
+                    cg::Completion answer = cg::ReadCompletion(result);
+                    whole += answer.done && answer.text ==
+                                                cg::ExpectedAnswer(prompt, 10)
+                                 ? 1
+                                 : 0;
+                    asked++;
+                    std::this_thread::sleep_for(Millis(5));
+                }
+            });
+        }
+        bool held = cg::Eventually(condition, limit);
+        stop = true;
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        return held;
+    }
+
+    // The move as one daemon shows it.
+    Json
+    Move(size_t daemon)
+    {
+        return scene.cluster.Status(daemon, "ops-key")["moves"][0];
+    }
+
+    bool
+    AllSay(const std::string &phase)
+    {
+        for (size_t i = 0; i < scene.cluster.Size(); i++) {
+            if (scene.cluster.process(i).Running() &&
+                Move(i)["phase"].Str() != phase) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    long long
+    Runs(size_t first, size_t count)
+    {
+        long long runs = 0;
+        for (size_t i = first; i < first + count; i++) {
+            runs += scene.engines[i]->Totals()["runs"].Int();
+        }
+        return runs;
+    }
+
+    cg::Scene scene;
+    std::atomic<long long> whole{0};
+    std::atomic<long long> asked{0};
+};
+
+/*
+ * A new version of the assistant fails every request. Only a small share may
+ * meet it, none soon after its fault shows, no caller may notice, and the
+ * operator reads one sentence, the same from every daemon.
+ */
+TEST_F(Moves, ABadVersionIsTakenBack)
+{
+    Start(120);
+    for (size_t i = 2; i < 4; i++) {
+        scene.engines[i]->Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    }
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("taken back"); }, Millis(60000)))
+        << Move(0).Dump();
+    EXPECT_EQ(asked, whole);
+    std::string sentence = Move(0)["sentence"].Str();
+    EXPECT_NE("", sentence);
+    for (size_t i = 1; i < 3; i++) {
+        EXPECT_EQ(sentence, Move(i)["sentence"].Str());
+    }
+    long long bad = Runs(2, 2);
+    EXPECT_LE(bad * 5, Runs(0, 2));
+    LoadUntil([&] { return false; }, Millis(1500));
+    EXPECT_EQ(bad, Runs(2, 2)) << "new work after it was taken back";
+}
+
+/*
+ * The daemon that holds the move is killed while the new version carries its
+ * small share. Another goes on from what the log says; the bad version is
+ * taken back all the same.
+ */
+TEST_F(Moves, ItsHolderIsKilledInMidMove)
+{
+    Start(120);
+    ASSERT_TRUE(
+        LoadUntil([&] { return AllSay("small share"); }, Millis(60000)))
+        << Move(0).Dump();
+    for (size_t i = 2; i < 4; i++) {
+        scene.engines[i]->Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    }
+    // Which daemon holds it is not told: each in turn would do.
+    scene.cluster.process(0).Kill();
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("taken back"); }, Millis(90000)))
+        << Move(1).Dump();
+    EXPECT_EQ(Move(1)["sentence"].Str(), Move(2)["sentence"].Str());
+}
+
+TEST_F(Moves, AGoodVersionIsDone)
+{
+    Start(25);
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("done"); }, Millis(280000)))
+        << Move(0).Dump();
+    EXPECT_EQ(asked, whole);
+    EXPECT_EQ(Move(0)["sentence"].Str(), Move(2)["sentence"].Str());
+    long long old = Runs(0, 2);
+    LoadUntil([&] { return false; }, Millis(1000));
+    EXPECT_EQ(old, Runs(0, 2)) << "the old version still gets work";
+}
+
+} // namespace
--- a/test/streams_test.cc
+++ b/test/streams_test.cc
@@ -1,6 +1,8 @@
 // Streams survive what happens to their engines, byte for byte.
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "test/scene.h"
 
 namespace {
@@ -35,6 +37,12 @@
         return -1;
     }
 
+    long long
+    Moved(const std::string &how) const
+    {
+        return scene.Metric(0, "cg_streams_moved_total{how=\"" + how + "\"}");
+    }
+
     static void
     ExpectWhole(const HttpResult &result, const std::string &prompt,
                 int tokens)
@@ -97,6 +105,83 @@
     ExpectWhole(cg::Http(scene.Complete(0, "after", 10, true)), "after", 10);
 }
 
+/*
+ * A notice leaves more time than the rest of the answer needs: the stream
+ * ends where it is, and nothing is computed twice.
+ */
+TEST_F(Streams, ANoticeWithTimeEnoughLetsTheStreamEnd)
+{
+    Start(2, {"--token-us", "5000"});
+    auto answer = cg::HttpAsync(scene.Complete(0, "short", 100, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    scene.engines[(size_t)busy]->Leave(20000);
+    scene.platform.Notice("engine-" + std::to_string(busy), 20000);
+    ExpectWhole(answer.get(), "short", 100);
+    EXPECT_EQ(0, Moved("kv") + Moved("resume"));
+    EXPECT_EQ(0, scene.Metric(0, "cg_tokens_recomputed_total"));
+}
+
+/*
+ * A long answer will not end in time, but its cache can be moved. It goes on
+ * elsewhere without its tokens being computed again.
+ */
+TEST_F(Streams, ANoticeForALongStreamMovesItsCache)
+{
+    Start(2, {"--token-us", "10000", "--first-us", "1000",
+              "--prefill-us-per-token", "2000"});
+    std::string prompt(2000, 'p');
+    auto answer = cg::HttpAsync(scene.Complete(0, prompt, 400, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    scene.engines[(size_t)busy]->Leave(2500);
+    scene.platform.Notice("engine-" + std::to_string(busy), 2500);
+    ExpectWhole(answer.get(), prompt, 400);
+    EXPECT_EQ(1, Moved("kv"));
+    EXPECT_EQ(0, Moved("resume"));
+}
+
+/*
+ * The notice comes too late for its cache to be moved. The stream is resumed
+ * elsewhere from its tokens; what is computed again is counted.
+ */
+TEST_F(Streams, ANoticeThatComesTooLateResumes)
+{
+    Start(2, {"--token-us", "5000", "--kv-us-per-token", "100000"});
+    auto answer = cg::HttpAsync(scene.Complete(0, "too late", 300, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    scene.engines[(size_t)busy]->Leave(100);
+    scene.platform.Notice("engine-" + std::to_string(busy), 100);
+    ExpectWhole(answer.get(), "too late", 300);
+    EXPECT_EQ(1, Moved("resume"));
+    EXPECT_GT(scene.Metric(0, "cg_tokens_recomputed_total"), 0);
+}
+
+/*
+ * The engine that should take a cache is reclaimed as well, while the cache
+ * is on its way. The caller notices nothing.
+ */
+TEST_F(Streams, TheTargetOfAMoveIsReclaimedToo)
+{
+    Start(3, {"--token-us", "10000", "--kv-us-per-token", "2000"});
+    std::string prompt(2000, 'q');
+    auto answer = cg::HttpAsync(scene.Complete(0, prompt, 300, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    scene.engines[(size_t)busy]->Leave(2000);
+    scene.platform.Notice("engine-" + std::to_string(busy), 2000);
+    for (size_t i = 0; i < 3; i++) {
+        if ((int)i != busy && (int)i != (busy + 1) % 3) {
+            scene.engines[i]->process().Kill();
+        }
+    }
+    int next = (busy + 1) % 3;
+    std::this_thread::sleep_for(cg::Millis(600));
+    scene.platform.Notice("engine-" + std::to_string(next), 60000);
+    ExpectWhole(answer.get(), prompt, 300);
+}
+
 /*
  * An engine sends another request's tokens into a stream. They carry another
  * id and must not reach the caller, who still gets the whole answer.
