--- a/packages/state/test/keeper_test.cc
+++ b/packages/state/test/keeper_test.cc
@@ -44,6 +44,7 @@
     std::vector<std::unique_ptr<Request>> requests;
     std::vector<Request *> won;     /* not dispatched yet */
     std::vector<Request *> running; /* dispatched, no result yet */
+    std::vector<Request *> moved;   /* asked of a second keeper as well */
 
     Node(World &w, std::string n)
         : world(w), name(std::move(n)), budget(Bg_Create(&w.clock.clock))
@@ -93,6 +94,7 @@
         world.dead.insert(name + std::to_string(self.incarnation));
         won.clear();
         running.clear();
+        moved.clear();
         Start();
     }
 
@@ -119,6 +121,39 @@
         return raw;
     }
 
+    /*
+     * The first keeper's answer does not come (its link is cut), so the same
+     * attempt is claimed through another keeper.
+     */
+    void
+    Move(Node &keeper_node)
+    {
+        Request *first = requests.empty() ? nullptr : requests.back().get();
+        if (first == nullptr || first->answered) {
+            return;
+        }
+        first->answered = true;
+        auto second = std::make_unique<Request>();
+        second->node = this;
+        second->claim = first->claim;
+        Request *raw = second.get();
+        requests.push_back(std::move(second));
+        moved.push_back(raw);
+        EXPECT_EQ(ST_OK,
+                  Kp_Claim(keeper_node.keeper, &raw->claim,
+                           world.clock.boot + Ck_USEC_PER_SEC, OnAnswer, raw));
+    }
+
+    /* An attempt that will not be dispatched is released: it may have won at
+     * the keeper whose answer was lost. */
+    void
+    ReleaseMoved(Request *r)
+    {
+        if (r->answered && r->verdict != KP_WON) {
+            Release(r);
+        }
+    }
+
     static void
     OnAnswer(void *arg, const struct kp_answer *answer)
     {
@@ -371,7 +406,7 @@
 
 /* One random step of a node's callers and its own life. */
 void
-Act(World &world, Node &node, bool calm)
+Act(World &world, Node &node, Node &other)
 {
     struct rn_random *random = &world.log.random;
     uint32_t what = Rn_Below(random, 100);
@@ -394,9 +429,15 @@
         node.Finish(node.running.back());
         node.running.pop_back();
     }
-    else if (what < 62 && !calm) {
+    else if (what < 62) {
         node.Restart();
     }
+    else if (what < 70) {
+        node.Move(other);
+    }
+    else if (what < 74 && !node.moved.empty()) {
+        node.ReleaseMoved(node.moved.back());
+    }
     for (auto &[name, stream] : world.log.streams) {
         if (stream.records.size() > 60) {
             world.log.Expire(name, stream.Next() - 50);
@@ -433,8 +474,9 @@
 /*
  * A seat is charged twice in a bad hour: both hosts keep the slot, answers
  * of the log are lost, appends arrive late, hosts die at any moment, keys
- * are released and claimed again, records expire behind snapshots.  Whatever
- * comes, a key runs at most once, and afterwards every key has an answer.
+ * are released and claimed again, an attempt is claimed through a second
+ * keeper, records expire behind snapshots.  Whatever comes, a key runs at most
+ * once, and afterwards every key has an answer.
  */
 TEST(Keeper, AKeyRunsAtMostOnceWhateverFails)
 {
@@ -450,7 +492,8 @@
         world.log.short_rate = 0.1;
         world.log.overlap_rate = 0.1;
         for (int step = 0; step < 300; step++) {
-            Act(world, *nodes[Rn_Below(&world.log.random, 2)], false);
+            size_t i = Rn_Below(&world.log.random, 2);
+            Act(world, *nodes[i], *nodes[1 - i]);
             for (const auto &[key, runs] : world.runs) {
                 ASSERT_LE(runs, 1) << key << " seed " << seed;
             }
@@ -464,6 +507,9 @@
             for (Request *r : node->won) {
                 node->Release(r);
             }
+            for (Request *r : node->moved) {
+                node->ReleaseMoved(r);
+            }
             for (Request *r : node->running) {
                 node->Finish(r);
             }
