--- a/packages/state/claim.h
+++ b/packages/state/claim.h
@@ -95,6 +95,8 @@
 size_t Cl_Count(const struct cl_table *table);
 size_t Cl_BodyBytes(const struct cl_table *table);
 json_t *Cl_Save(const struct cl_table *table);
+void Cl_Each(const struct cl_table *table,
+             void (*emit)(void *arg, json_t *entry), void *arg);
 
 int Cl_Slot(const struct cl_key *key);
 bool Cl_SameAttempt(const struct cl_attempt *a, const struct cl_attempt *b);
--- a/packages/state/claim_query.c
+++ b/packages/state/claim_query.c
@@ -72,16 +72,30 @@
     return body;
 }
 
+/* Gives the entries for Cl_Load() one by one; "emit" takes each over. */
+void
+Cl_Each(const struct cl_table *table, void (*emit)(void *arg, json_t *entry),
+        void *arg)
+{
+    emit(arg, save_time(table));
+    const struct cl_entry *entry;
+    TAILQ_FOREACH (entry, &table->order, link) {
+        emit(arg, save_entry(entry));
+    }
+}
+
+static void
+append_entry(void *arg, json_t *entry)
+{
+    json_array_append_new(arg, entry);
+}
+
 /* The table as a list of entries for Cl_Load(). */
 json_t *
 Cl_Save(const struct cl_table *table)
 {
     json_t *list = json_array();
-    json_array_append_new(list, save_time(table));
-    const struct cl_entry *entry;
-    TAILQ_FOREACH (entry, &table->order, link) {
-        json_array_append_new(list, save_entry(entry));
-    }
+    Cl_Each(table, append_entry, list);
     return list;
 }
 
--- a/packages/state/keeper_slot.c
+++ b/packages/state/keeper_slot.c
@@ -163,6 +163,13 @@
     return Cl_Save(slot->table);
 }
 
+static void
+table_each(void *arg, sn_emit_fn emit, void *emit_arg)
+{
+    const struct kp_slot *slot = arg;
+    Cl_Each(slot->table, emit, emit_arg);
+}
+
 static void
 table_load(void *arg, const json_t *entry)
 {
@@ -175,6 +182,7 @@
     .apply = table_apply,
     .save = table_save,
     .load = table_load,
+    .each = table_each,
 };
 
 /* Forgets a slot's state; its writer stays. */
--- a/packages/state/snapshot.c
+++ b/packages/state/snapshot.c
@@ -1,58 +1,14 @@
 #include "state/snapshot.h"
 
 #include <bsd/string.h>
-#include <bsd/sys/queue.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "state/events.h"
-#include "state/follower.h"
-#include "state/seen.h"
+#include "state/snapshot_internal.h"
 
 #define Sn_SNAPSHOT_USEC (600 * Ck_USEC_PER_SEC)
 #define Sn_SNAPSHOT_RECORDS 20000
-#define Sn_PART_BYTES ((size_t)40 << 10)
-#define Sn_PARTS_MAX 4096
-
-/* A record read before the state it applies to was known. */
-struct sn_kept {
-    TAILQ_ENTRY(sn_kept) link;
-    struct rc_record record;
-};
-
-/* A snapshot of which not all parts have been read. */
-struct sn_set {
-    TAILQ_ENTRY(sn_set) link;
-    struct rc_writer writer;
-    int64_t id;
-    uint64_t covers;
-    size_t parts;
-    size_t have;
-    json_t **bodies;
-};
-
-struct sn_replica {
-    char stream[Pl_STREAM_MAX];
-    const struct ck_clock *clock;
-    struct wr_writer *writer;
-    const struct sn_ops *ops;
-    void *arg;
-    struct fo_follower *follower;
-    struct se_table *seen;
-    int64_t snapshot_usec;
-    uint64_t snapshot_records;
-    TAILQ_HEAD(sn_kept_list, sn_kept) kept;
-    TAILQ_HEAD(sn_set_list, sn_set) sets;
-    uint64_t begin;  /* where reading began when the state is not known */
-    bool valid;      /* the state is that at the follower's position */
-    bool reached;    /* and the end of the stream was seen since */
-    bool tail_empty; /* the end was seen without a usable snapshot */
-    bool writing;
-    size_t unwritten;     /* parts of our snapshot still to be written */
-    uint64_t last_covers; /* of the newest whole snapshot read */
-    uint64_t applied;     /* records since then, snapshots not counted */
-    int64_t last_at;      /* when it was read, or reading began */
-};
 
 static void
 set_free(struct sn_replica *replica, struct sn_set *set)
@@ -142,6 +98,7 @@
     return set->have == set->parts ? set : NULL;
 }
 
+/* The entries of one part, as text in a snapshot, as a list from a peer. */
 static void
 load_entries(struct sn_replica *replica, const json_t *body)
 {
@@ -150,6 +107,11 @@
     json_array_foreach (json_object_get(body, "seen"), i, entry) {
         Se_Load(replica->seen, entry);
     }
+    json_t *entries = json_loads(Rc_Text(body, "z"), 0, NULL);
+    json_array_foreach (entries, i, entry) {
+        replica->ops->load(replica->arg, entry);
+    }
+    json_decref(entries);
     json_array_foreach (json_object_get(body, "e"), i, entry) {
         replica->ops->load(replica->arg, entry);
     }
@@ -368,128 +330,12 @@
     free(replica);
 }
 
-static void
-part_written(void *arg, enum wr_result result, uint64_t sequence)
-{
-    struct sn_replica *replica = arg;
-    replica->unwritten--;
-}
-
-struct part_pair {
-    json_t *seen;
-    json_t *entries;
-};
-
-static void
-put_part(struct sn_replica *replica, const struct part_pair *pair,
-         uint64_t covers, size_t part, size_t parts)
-{
-    json_t *body = json_pack(
-        "{s:I, s:I, s:I, s:I, s:o, s:o}", "id", (json_int_t)covers, "part",
-        (json_int_t)part, "parts", (json_int_t)parts, "covers",
-        (json_int_t)covers, "seen", pair->seen, "e", pair->entries);
-    replica->unwritten++;
-    if (Wr_Put(replica->writer, BG_EVIDENCE, Sn_KIND, body, 0, part_written,
-               replica) != ST_OK) {
-        replica->unwritten--;
-    }
-}
-
-/* Moves entries from "from" (from *at on) until a part is full. */
-static json_t *
-cut_part(const json_t *from, size_t *at, size_t *bytes)
-{
-    json_t *part = json_array();
-    while (*at < json_array_size(from) && *bytes < Sn_PART_BYTES) {
-        json_t *entry = json_array_get(from, *at);
-        *bytes += json_dumpb(entry, NULL, 0, JSON_COMPACT) + 1;
-        json_array_append(part, entry);
-        (*at)++;
-    }
-    return part;
-}
-
-static bool
-all_cut(const json_t *seen, size_t seen_at, const json_t *entries,
-        size_t entry_at)
-{
-    return seen_at >= json_array_size(seen) &&
-           entry_at >= json_array_size(entries);
-}
-
-/* Returns the number of parts; the caller takes over their lists. */
-static size_t
-cut_parts(const json_t *seen, const json_t *entries, struct part_pair *parts)
-{
-    size_t seen_at = 0;
-    size_t entry_at = 0;
-    size_t count = 0;
-    do {
-        size_t bytes = 0;
-        parts[count].seen = cut_part(seen, &seen_at, &bytes);
-        parts[count].entries = cut_part(entries, &entry_at, &bytes);
-        count++;
-    } while (count < Sn_PARTS_MAX &&
-             !all_cut(seen, seen_at, entries, entry_at));
-    return count;
-}
-
-/*
- * Writes a snapshot of the present state through the replica's writer.
- * ST_UNAVAILABLE while the state is not known or the last one is still being
- * written.
- */
-enum st_status
-Sn_Write(struct sn_replica *replica)
-{
-    if (!replica->reached || replica->unwritten > 0) {
-        return St_Fail(ST_UNAVAILABLE, "no snapshot now; try again later");
-    }
-    struct part_pair *parts = calloc(Sn_PARTS_MAX, sizeof(*parts));
-    if (parts == NULL) {
-        return St_Fail(ST_NO_MEMORY, "no memory for a snapshot");
-    }
-    uint64_t covers = Sn_Next(replica) - 1;
-    json_t *seen = Se_Save(replica->seen);
-    json_t *entries = replica->ops->save(replica->arg);
-    size_t count = cut_parts(seen, entries, parts);
-    /* A snapshot that was cut short would lose the rest of the state. */
-    bool whole = count < Sn_PARTS_MAX;
-    for (size_t i = 0; i < count; i++) {
-        if (whole) {
-            put_part(replica, &parts[i], covers, i, count);
-        }
-        else {
-            json_decref(parts[i].seen);
-            json_decref(parts[i].entries);
-        }
-    }
-    json_decref(seen);
-    json_decref(entries);
-    free(parts);
-    replica->last_at = Ck_Now(replica->clock);
-    return whole ? ST_OK
-                 : St_Fail(ST_OVERLOAD, "the state is too large for a "
-                                        "snapshot; lower its bounds");
-}
-
-static bool
-snapshot_due(const struct sn_replica *replica)
-{
-    if (!replica->writing || !replica->reached || replica->unwritten > 0 ||
-        Sn_Next(replica) == Pl_FIRST_OFFSET) {
-        return false;
-    }
-    return replica->applied >= replica->snapshot_records ||
-           Ck_Now(replica->clock) - replica->last_at >= replica->snapshot_usec;
-}
-
 /* Reads and writes what is due.  The writer has a tick of its own. */
 void
 Sn_Tick(struct sn_replica *replica)
 {
     Fo_Tick(replica->follower);
-    if (snapshot_due(replica)) {
+    if (Sn_Due(replica)) {
         Sn_Write(replica);
     }
 }
--- a/packages/state/snapshot.h
+++ b/packages/state/snapshot.h
@@ -20,12 +20,19 @@
 
 #define Sn_KIND "snapshot"
 
+typedef void (*sn_emit_fn)(void *arg, json_t *entry);
+
 /* The state.  The same records must give the same state everywhere. */
 struct sn_ops {
     void (*reset)(void *arg);
     void (*apply)(void *arg, const struct rc_record *record);
     json_t *(*save)(void *arg); /* a list of entries, in the order to load */
     void (*load)(void *arg, const json_t *entry);
+    /*
+     * Instead of "save" for a large state: gives each entry, in the same
+     * order, to "emit", which takes it over.  May be NULL.
+     */
+    void (*each)(void *arg, sn_emit_fn emit, void *emit_arg);
 };
 
 enum sn_phase {
--- a/packages/state/test/leases_test.cc
+++ b/packages/state/test/leases_test.cc
@@ -118,7 +118,7 @@
     static const struct sn_ops kOps;
 };
 
-const struct sn_ops Host::kOps = {Reset, Apply, Save, Load};
+const struct sn_ops Host::kOps = {Reset, Apply, Save, Load, nullptr};
 
 /* Orders when it may; fails when an older holder acts after a newer one, or
  * while an order of an older one still lives. */
--- a/packages/state/test/snapshot_test.cc
+++ b/packages/state/test/snapshot_test.cc
@@ -120,7 +120,7 @@
     static const struct sn_ops kOps;
 };
 
-const struct sn_ops Replica::kOps = {Reset, Apply, Save, Load};
+const struct sn_ops Replica::kOps = {Reset, Apply, Save, Load, nullptr};
 
 void
 PutMany(Replica &writer, int from, int to)
--- a/packages/state/writer.c
+++ b/packages/state/writer.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define Wr_BATCH_RECORDS 256
-#define Wr_BATCH_BYTES ((size_t)1 << 20)
+#define Wr_BATCH_BYTES ((size_t)256 << 10)
 #define Wr_RETRY_USEC (50 * Ck_USEC_PER_MSEC)
 #define Wr_RETRY_MOST (2 * Ck_USEC_PER_SEC)
 
