--- a/test/moves_test.cc
+++ b/test/moves_test.cc
@@ -145,7 +145,7 @@
 
 TEST_F(Moves, AGoodVersionIsDone)
 {
-    Start(25);
+    Start(230);
     ASSERT_TRUE(LoadUntil([&] { return AllSay("done"); }, Millis(280000)))
         << Move(0).Dump();
     EXPECT_EQ(asked, whole);
