Configuration reaches every daemon without the log, and never an older one

Fault table with real processes (test/config_test.cc). Four causes found, each seen to fail first: - a daemon cut off from the log took its peers' sections once and never again: a replica that knew its state refused every later one. It now refuses only one that covers no more than it has read. - a daemon restarted during a log outage could not hand its state on, and the next one restarted asked just that daemon for ever: any known state is handed on, and of equal peers one is asked at random. - a daemon started while the log showed a shorter end served with it before it heard its first peer: it now waits up to 5 s for word of one when the host list names others. - daemons out of reach were taken out of the sharing of limits, so both sides of a cut used the whole limit: only those that left, or are dead and off the host list, are taken out.

--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -234,13 +234,10 @@
     return Ck_Now(stream->options.gate->clock) - asked < Cs_FRESH;
 }
 
-/* The state for a peer, as JSON text to be freed; NULL before it is whole. */
+/* The state for a peer, as JSON text to be freed; NULL before it is known. */
 char *
 Cs_Export(const struct cs_stream *stream)
 {
-    if (!Cs_Ready(stream)) {
-        return NULL;
-    }
     json_t *state = Sn_Export(stream->replica);
     char *text = state != NULL ? json_dumps(state, JSON_COMPACT) : NULL;
     json_decref(state);
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -26,6 +26,11 @@
 #define Dm_TICK (20 * Ck_USEC_PER_MSEC)
 #define Dm_APPEND_USEC (5 * Ck_USEC_PER_SEC)
 #define Dm_OFFSET_PERIOD (1200 * Ck_USEC_PER_SEC)
+/*
+ * How long a new daemon waits for word of the others before it trusts what
+ * the log alone shows: the log may answer with an end that lags.
+ */
+#define Dm_HEAR_USEC (5 * Ck_USEC_PER_SEC)
 #define Dm_PULL_PERIOD (200 * Ck_USEC_PER_MSEC)
 #define Dm_DEMANDS_MAX 32
 #define Dm_KEY_MAX 32
@@ -53,7 +58,9 @@
     struct hw_watch *hosts;
     struct sp_stop *stop;
     struct lp_timer *tick;
+    int64_t started;
     bool hosts_seen;
+    bool others_listed; /* the host list names other daemons */
     bool was_ready;
     int cut;
 };
@@ -79,6 +86,10 @@
     if (daemon->gate.config == NULL) {
         return "no configuration has been read yet";
     }
+    if (daemon->others_listed && !Pe_HeardAny(daemon->peers) &&
+        Ck_Now(daemon->gate.clock) - daemon->started < Dm_HEAR_USEC) {
+        return "no other daemon has been heard of yet";
+    }
     if (Sc_Offset(Cs_State(daemon->config)) <
         Pe_HighestOffset(daemon->peers)) {
         return "the configuration is behind that of other daemons";
@@ -232,11 +243,41 @@
     .ready = admin_ready,
 };
 
+/*
+ * Remembers whether there are other daemons, and takes those out of the
+ * sharing of limits that are both dead and off the list.  A daemon that is
+ * only out of reach keeps its part: it may be serving on its side of a cut.
+ */
+static void
+note_others(struct dm_daemon *daemon, const struct hl_host *hosts,
+            size_t count)
+{
+    const struct mb_table *members = Nd_Members(Pe_Node(daemon->peers));
+    daemon->others_listed = false;
+    for (size_t i = 0; i < count; i++) {
+        daemon->others_listed =
+            daemon->others_listed ||
+            (hosts[i].role == HL_ENTRY && hosts[i].state == HL_LIVE &&
+             strcmp(hosts[i].id, daemon->gate.options->node_id) != 0);
+    }
+    const struct mb_record *member = Mb_First(members);
+    for (; member != NULL; member = Mb_Next(member)) {
+        bool listed = false;
+        for (size_t i = 0; i < count && member->state == MB_DEAD; i++) {
+            listed = listed || strcmp(hosts[i].id, member->id) == 0;
+        }
+        if (member->state == MB_DEAD && !listed) {
+            In_Member(daemon->gate.intake, member->id, false);
+        }
+    }
+}
+
 static void
 take_hosts(void *arg, const struct hl_host *hosts, size_t count)
 {
     struct dm_daemon *daemon = arg;
     daemon->hosts_seen = true;
+    note_others(daemon, hosts, count);
     Ep_Sync(daemon->gate.endpoints, hosts, count);
     Pe_Seed(daemon->peers, hosts, count);
 }
@@ -741,6 +782,7 @@
     }
     daemon->gate.options = options;
     daemon->gate.clock = Ck_System();
+    daemon->started = Ck_Now(daemon->gate.clock);
     daemon->gate.metrics = Mt_Create();
     TAILQ_INIT(&daemon->gate.requests);
     enum st_status status = Lp_Create(&daemon->gate.loop);
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -111,8 +111,12 @@
 member_changed(void *arg, const struct mb_record *member, enum mb_state before)
 {
     struct pe_peers *peers = arg;
-    (void)before;
-    peers->ops->member(peers->arg, member->id, member->state != MB_DEAD);
+    bool left = member->state == MB_DEAD && before == MB_LEAVING;
+    if (member->state == MB_DEAD && !left) {
+        /* Out of reach is not gone: see the "member" operation. */
+        return;
+    }
+    peers->ops->member(peers->arg, member->id, !left);
 }
 
 static const struct nd_ops node_ops = {.changed = member_changed};
@@ -321,7 +325,11 @@
     }
 }
 
-/* The daemon that has read furthest, this one excepted; NULL: none. */
+/*
+ * The daemon that has read furthest, this one excepted; NULL: none.  Of
+ * several one is taken at random: the first may be unable to hand its state
+ * on.
+ */
 static const char *
 furthest(const struct pe_peers *peers)
 {
@@ -329,21 +337,31 @@
     const struct mb_record *member = Mb_First(members);
     const char *best = NULL;
     uint64_t best_offset = 0;
+    uint32_t ties = 0;
     for (; member != NULL; member = Mb_Next(member)) {
         struct pf_config config;
         if (strcmp(member->id, Nd_Id(peers->node)) == 0 ||
             !Mb_Usable(members, member) ||
-            !config_of(peers, member->id, &config)) {
+            !config_of(peers, member->id, &config) || config.offset == 0 ||
+            config.offset < best_offset) {
             continue;
         }
-        if (config.offset > best_offset) {
-            best_offset = config.offset;
+        ties = config.offset > best_offset ? 1 : ties + 1;
+        best_offset = config.offset;
+        if (Rn_Below(&peers->gate->random, ties) == 0) {
             best = member->id;
         }
     }
     return best;
 }
 
+/* Whether any other daemon has said how far it has read. */
+bool
+Pe_HeardAny(const struct pe_peers *peers)
+{
+    return furthest(peers) != NULL;
+}
+
 /* Asks the peer that has read furthest for its sections, one at a time. */
 void
 Pe_PullConfig(struct pe_peers *peers)
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -33,7 +33,10 @@
     void (*distrust)(void *arg, const char *service, const char *version);
     void (*demand)(void *arg, const char *node,
                    const struct am_demand *demands, size_t count);
-    /* A daemon came or went (its demands no longer count). */
+    /*
+     * A daemon came, or has left.  One that is only out of reach has not
+     * left: on its side of a cut it goes on serving its part of the limits.
+     */
     void (*member)(void *arg, const char *node, bool present);
     /* A router's report on a version move. */
     void (*evidence)(void *arg, const char *text, size_t len);
@@ -72,6 +75,7 @@
 bool Pe_Watches(const struct pe_peers *peers, const struct ch_info *info);
 bool Pe_RunEnded(const struct pe_peers *peers, const char *node,
                  uint64_t incarnation);
+bool Pe_HeardAny(const struct pe_peers *peers);
 uint64_t Pe_HighestOffset(const struct pe_peers *peers);
 json_t *Pe_Status(const struct pe_peers *peers, uint64_t own_offset);
 struct nd_node *Pe_Node(const struct pe_peers *peers);
--- a/packages/state/snapshot.c
+++ b/packages/state/snapshot.c
@@ -355,14 +355,17 @@
 }
 
 /*
- * Takes over a peer's state made by Sn_Export().  Only a replica that does
- * not know its state takes it: for any other it could only be older.
+ * Takes over a peer's state made by Sn_Export().  One that covers no more than
+ * this replica has read is refused: a peer that was restarted with an old
+ * state must not turn it back.  A later one is taken also by a replica that
+ * knows its state, since its own way to the log may be cut.
  */
 enum st_status
 Sn_Import(struct sn_replica *replica, const json_t *state)
 {
     uint64_t covers = (uint64_t)Rc_Number(state, "covers");
-    if (replica->valid || covers + 1 < replica->begin) {
+    bool older = replica->valid && covers < Fo_Next(replica->follower);
+    if (older || covers + 1 < replica->begin) {
         return St_Fail(ST_CONFLICT,
                        "the state of a peer ends at offset %llu, "
                        "which is too old; ask another one",
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -40,4 +40,154 @@
         << scene.cluster.Status(0, "ops-key").Dump();
 }
 
+// How far each daemon has read, as it says itself.
+long long
+OffsetOf(const cg::Scene &scene, size_t daemon)
+{
+    return scene.cluster.Status(daemon, "ops-key")["config"]["offset"].Int();
+}
+
+/*
+ * A daemon's own way to the log is cut. It must come to serve with what the
+ * others know, and get every later change from them, or callers who reach it
+ * are treated by yesterday's configuration.
+ */
+TEST_F(Config, ADaemonCutOffFromTheLogFollowsItsPeers)
+{
+    scene.AddPlain();
+    scene.PublishDefaults();
+    cg::FaultProxy to_log(scene.platform.Address());
+    scene.cluster.AddMany(6, {"dc-1", "dc-2"});
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    to_log.Fault("{\"mode\":\"refuse\",\"count\":-1}");
+    cg::DaemonOptions options;
+    options.log = to_log.ListenAddress();
+    size_t cut = scene.cluster.Add(options);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    EXPECT_EQ(2, OffsetOf(scene, cut));
+    for (int change = 0; change < 3; change++) {
+        long long offset = scene.Publish(
+            "team/derwent",
+            "{\"customers\":[{\"name\":\"families\",\"key_digest\":\"" +
+                cg::KeyDigest("key-of-the-customer") +
+                "\",\"weight\":" + std::to_string(change + 2) + "}]}",
+            change + 2);
+        EXPECT_TRUE(cg::Eventually([&] { return AllKnow(offset); }))
+            << scene.cluster.Status(cut, "ops-key").Dump();
+    }
+}
+
+/*
+ * The log is out while all seven daemons are replaced one after another, as
+ * hosts are. Nobody but the daemons knows the configuration meanwhile; it
+ * must be handed on, and never an older one.
+ */
+TEST_F(Config, AllSevenAreReplacedDuringALogOutage)
+{
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(7, {"dc-1", "dc-2"});
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    ASSERT_TRUE(cg::Eventually([&] { return AllKnow(2); }));
+    scene.platform.Fault("{\"target\":\"read\",\"mode\":\"refuse\","
+                         "\"count\":-1}");
+    scene.platform.Fault("{\"target\":\"append\",\"mode\":\"refuse\","
+                         "\"count\":-1}");
+    for (size_t i = 0; i < 7; i++) {
+        if (i % 2 == 0) {
+            scene.cluster.process(i).Kill();
+        }
+        else {
+            scene.cluster.process(i).Term();
+            scene.cluster.process(i).WaitExit(cg::Millis(60000));
+        }
+        scene.cluster.Restart(i);
+        ASSERT_TRUE(cg::Eventually([&] { return scene.cluster.IsReady(i); }))
+            << i << scene.cluster.process(i).Stderr();
+        EXPECT_EQ(2, OffsetOf(scene, i));
+        EXPECT_EQ(200, cg::Http(scene.Call(i, "GET", "/seats/x")).code);
+    }
+    scene.platform.Clear();
+    long long offset = scene.Publish(
+        "team/derwent",
+        "{\"customers\":[{\"name\":\"families\",\"key_digest\":\"" +
+            cg::KeyDigest("key-of-the-customer") + "\"}]}",
+        2);
+    EXPECT_TRUE(cg::Eventually([&] { return AllKnow(offset); }));
+}
+
+/*
+ * The log answers with a shorter end than before, as a lagging replica of it
+ * does. No daemon may turn back, and one started just then must not serve
+ * with less than the others know.
+ */
+TEST_F(Config, AShorterLogTurnsNobodyBack)
+{
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(3);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    ASSERT_TRUE(cg::Eventually([&] { return AllKnow(2); }));
+    scene.platform.Fault("{\"target\":\"read\",\"mode\":\"short_tail\","
+                         "\"records\":1,\"stream\":\"config\","
+                         "\"count\":-1}");
+    size_t late = scene.cluster.Add();
+    bool behind = false;
+    cg::Eventually(
+        [&] {
+            for (size_t i = 0; i < 3; i++) {
+                behind = behind || OffsetOf(scene, i) < 2;
+            }
+            if (scene.cluster.IsReady(late)) {
+                behind = behind || OffsetOf(scene, late) < 2;
+                return true;
+            }
+            return behind;
+        },
+        cg::Millis(4000));
+    EXPECT_FALSE(behind);
+    scene.platform.Clear();
+    EXPECT_TRUE(cg::Eventually([&] { return scene.cluster.IsReady(late); }));
+}
+
+/*
+ * Two operators change the same section at once at two daemons. One must
+ * win, the other must be told, and all daemons must agree.
+ */
+TEST_F(Config, TwoOperatorsAtOnce)
+{
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(3);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    long long base = 2;
+    for (int round = 0; round < 10; round++) {
+        std::vector<cg::HttpCall> calls;
+        for (int i = 0; i < 2; i++) {
+            cg::HttpCall call;
+            call.method = "PATCH";
+            call.url = scene.cluster.Admin((size_t)i) +
+                       "/admin/v1/sections/team/derwent";
+            call.headers["authorization"] = "Bearer ops-key";
+            call.body = "{\"base\":" + std::to_string(base) +
+                        ",\"body\":{\"customers\":{\"families\":{\"weight\":" +
+                        std::to_string(1 + round * 2 + i) + "}}}}";
+            calls.push_back(call);
+        }
+        std::vector<cg::HttpResult> results = cg::HttpAll(calls);
+        int won = 0;
+        for (const cg::HttpResult &result : results) {
+            if (result.code == 200) {
+                won++;
+                base = result.json()["offset"].Int();
+                continue;
+            }
+            EXPECT_EQ(409, result.code) << result.body;
+            EXPECT_NE("", result.json()["error"]["message"].Str());
+        }
+        ASSERT_EQ(1, won) << results[0].body << results[1].body;
+    }
+    EXPECT_TRUE(cg::Eventually([&] { return AllKnow(base); }));
+}
+
 } // namespace
--- a/test/moves_test.cc
+++ b/test/moves_test.cc
@@ -150,6 +150,8 @@
         << Move(0).Dump();
     EXPECT_EQ(asked, whole);
     EXPECT_EQ(Move(0)["sentence"].Str(), Move(2)["sentence"].Str());
+    // Routers act on a record at their next tick, within half a second.
+    LoadUntil([&] { return false; }, Millis(2000));
     long long old = Runs(0, 2);
     LoadUntil([&] { return false; }, Millis(1000));
     EXPECT_EQ(old, Runs(0, 2)) << "the old version still gets work";
