--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -9,6 +9,8 @@
 
 /* An endpoint missing from this many lists in a row is forgotten. */
 #define Ep_MISSING_LISTS 3
+/* How long a notice is kept after its host was to go. */
+#define Ep_TOLD_KEEP (3600 * Ck_USEC_PER_SEC)
 
 struct known {
     TAILQ_ENTRY(known) link;
@@ -31,10 +33,24 @@
 
 TAILQ_HEAD(service_list, service);
 
+/*
+ * A notice, kept beyond the host list.  The list lags: it may name a host
+ * only after its notice, or lose it and bring it back as live, and then the
+ * host would get new work until it dies.
+ */
+struct told {
+    TAILQ_ENTRY(told) link;
+    char host[Hl_NAME_MAX];
+    int64_t leaves_at;
+};
+
+TAILQ_HEAD(told_list, told);
+
 struct ep_pool {
     struct gt_gate *gate;
     ep_leaving_fn leaving;
     struct service_list services;
+    struct told_list told;
 };
 
 /* Creates an empty pool; "leaving" gets the gate as its argument. */
@@ -48,6 +64,7 @@
     pool->gate = gate;
     pool->leaving = leaving;
     TAILQ_INIT(&pool->services);
+    TAILQ_INIT(&pool->told);
     *out = pool;
     return ST_OK;
 }
@@ -64,6 +81,47 @@
     free(service);
 }
 
+/* Forgets the notices of hosts that were to go before a moment. */
+static void
+forget_told(struct ep_pool *pool, int64_t before)
+{
+    struct told *told;
+    struct told *next;
+    TAILQ_FOREACH_SAFE (told, &pool->told, link, next) {
+        if (told->leaves_at < before) {
+            TAILQ_REMOVE(&pool->told, told, link);
+            free(told);
+        }
+    }
+}
+
+static struct told *
+find_told(const struct ep_pool *pool, const char *host)
+{
+    struct told *told;
+    TAILQ_FOREACH (told, &pool->told, link) {
+        if (strcmp(told->host, host) == 0) {
+            return told;
+        }
+    }
+    return NULL;
+}
+
+static void
+remember_told(struct ep_pool *pool, const char *host, int64_t leaves_at)
+{
+    if (find_told(pool, host) != NULL) {
+        return;
+    }
+    struct told *told = calloc(1, sizeof(*told));
+    if (told == NULL) {
+        return;
+    }
+    strlcpy(told->host, host, sizeof(told->host));
+    told->leaves_at = leaves_at;
+    TAILQ_INSERT_TAIL(&pool->told, told, link);
+}
+
 /* Frees the pool; NULL is allowed. */
 void
 Ep_Destroy(struct ep_pool *pool)
@@ -76,6 +134,7 @@
         TAILQ_REMOVE(&pool->services, service, link);
         service_destroy(service);
     }
+    forget_told(pool, INT64_MAX);
     free(pool);
 }
 
@@ -198,7 +257,12 @@
      * A list that lags may still say "live" after a notice has come: an
      * endpoint once known to leave stays leaving.
      */
-    if (host->state == HL_LEAVING && !known->leaving) {
+    const struct told *told = find_told(pool, host->id);
+    if (told != NULL && !known->leaving) {
+        int64_t left = told->leaves_at - Ck_Now(pool->gate->clock);
+        mark_leaving(pool, service, known, left > 0 ? left : 0);
+    }
+    else if (host->state == HL_LEAVING && !known->leaving) {
         mark_leaving(pool, service, known, 0);
     }
 }
@@ -235,6 +299,7 @@
     TAILQ_FOREACH (service, &pool->services, link) {
         forget_missing(service);
     }
+    forget_told(pool, Ck_Now(pool->gate->clock) - Ep_TOLD_KEEP);
 }
 
 /* A reclaim notice or a report says that a host leaves in left_usec. */
@@ -242,6 +307,7 @@
 Ep_Leaving(struct ep_pool *pool, const char *host, int64_t left_usec)
 {
     struct service *service;
+    remember_told(pool, host, Ck_Now(pool->gate->clock) + left_usec);
     TAILQ_FOREACH (service, &pool->services, link) {
         struct known *known = find_known(service, host);
         if (known != NULL) {
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -385,7 +385,13 @@
         finish(relay);
         return;
     }
-    if (result->code >= 400 && result->code < 500 && result->code != 429) {
+    /*
+     * Only the first engine's word counts as the request being invalid: an
+     * engine that refuses to go on with a stream would otherwise end it with
+     * a refusal among the tokens, after another engine has run it.
+     */
+    if (result->code >= 400 && result->code < 500 && result->code != 429 &&
+        relay->attempts == 1) {
         end_flight(relay, CH_GOOD);
         Rq_Refuse(relay->request, AN_INVALID, 0,
                   "the engine refused the request with %d; check its fields",
@@ -488,7 +494,7 @@
     snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d",
              relay->request->id, relay->attempts);
     if (relay->parser == NULL || send_call(relay, kv) != ST_OK) {
-        give_up(relay, AN_OVERLOADED,
+        give_up(relay, relay->attempts == 1 ? AN_OVERLOADED : AN_UNKNOWN,
                 "this host is out of memory; come back later");
     }
 }
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -33,6 +33,12 @@
     int attempts;
     char type[Rl_TYPE_MAX];
     bool matched; /* the answer carries this attempt's id */
+    /*
+     * A byte of an earlier attempt may have left, so that an endpoint may
+     * have run it.  Without this a last attempt that found nobody would have
+     * the whole request called "not run".
+     */
+    bool left_before;
     bool lingering;
     int64_t answered; /* time to the headers of the answer */
 };
@@ -118,6 +124,14 @@
               request->id);
 }
 
+/* True when an endpoint may have run any attempt. */
+static bool
+may_have_run(const struct rl_plain *relay)
+{
+    return relay->left_before ||
+           (relay->call != NULL && Hc_Stage(relay->call) != HC_CONNECTING);
+}
+
 static void attempt(struct rq_request *request);
 
 static void
@@ -144,6 +158,7 @@
     }
     bool left = result->stage != HC_CONNECTING;
     bool again = !left || request->repeatable;
+    relay->left_before = relay->left_before || left;
     if (again && request->http != NULL && relay->attempts < Rl_ATTEMPTS) {
         Gt_Count(request->gate, "cg_retries_total", NULL, NULL);
         attempt(request);
@@ -157,7 +172,8 @@
         outcome_unknown(request);
         return;
     }
-    Rq_Refuse(request, left ? AN_UNKNOWN : AN_UNAVAILABLE, Rl_RETRY_SOON_SEC,
+    Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_UNAVAILABLE,
+              Rl_RETRY_SOON_SEC,
               "no endpoint of %s gave an answer; come back later",
               request->service->name);
 }
@@ -208,15 +224,11 @@
     int64_t now = Ck_Now(gate->clock);
     struct ch_request ask = {
         .budget = request->deadline - now,
-        .tried = request->tried,
-        .tried_count = request->tried_count,
     };
     relay->table = Ep_Table(gate->endpoints, request->service->name);
-    if (relay->table == NULL ||
-        Ch_Choose(relay->table, &ask, now, &gate->random, &relay->flight) !=
-            ST_OK) {
-        relay->flight.endpoint = NULL;
-        Rq_Refuse(request, AN_UNAVAILABLE, Rl_RETRY_SOON_SEC,
+    if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
+        Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_UNAVAILABLE,
+                  Rl_RETRY_SOON_SEC,
                   "no endpoint of %s is free; come back later",
                   request->service->name);
         return;
@@ -227,7 +239,8 @@
              relay->attempts);
     if (send_call(request) != ST_OK) {
         end_flight(request, CH_CANCELLED);
-        Rq_Refuse(request, AN_INVALID, 0, "%s", St_Message());
+        Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_INVALID, 0,
+                  "%s", St_Message());
     }
 }
 
@@ -252,7 +265,7 @@
 Rl_PlainCallerGone(struct rq_request *request)
 {
     struct rl_plain *relay = request->plain;
-    bool left = relay->call != NULL && Hc_Stage(relay->call) != HC_CONNECTING;
+    bool left = may_have_run(relay);
     if (left && request->claimed) {
         relay->lingering = true;
         Lp_TimerSet(request->timer, Rl_LINGER);
@@ -271,7 +284,7 @@
 Rl_PlainDeadline(struct rq_request *request)
 {
     struct rl_plain *relay = request->plain;
-    bool left = relay->call != NULL && Hc_Stage(relay->call) != HC_CONNECTING;
+    bool left = may_have_run(relay);
     if (!left) {
         end_flight(request, CH_FAILED);
         Rq_Refuse(request, AN_DEADLINE, Rl_RETRY_SOON_SEC,
--- a/packages/web/client.c
+++ b/packages/web/client.c
@@ -12,6 +12,7 @@
 #define Hc_CONNECT_USEC (2 * Ck_USEC_PER_SEC)
 #define Hc_COLLECT_MAX ((size_t)4 << 20)
 #define Hc_READ_BYTES 8192
+#define Hc_LIFT_USEC (1 * Ck_USEC_PER_SEC)
 #define Hc_WRITE_BYTES 16384
 #define Hc_NAME_MAX 64
 #define Hc_VALUE_MAX 512
@@ -21,6 +22,7 @@
     struct lp_loop *loop;
     struct lws *wsi;
     struct lp_timer *timer;
+    struct lp_timer *patience; /* see lift_limit() */
     const struct hc_ops *ops;
     void *arg;
     char address[Hc_ADDRESS_MAX];
@@ -50,6 +52,7 @@
 call_free(struct hc_call *call)
 {
     Lp_TimerDestroy(call->timer);
+    Lp_TimerDestroy(call->patience);
     free(call->header_text);
     free(call->body);
     free(call->collected);
@@ -151,6 +154,22 @@
     call_finish(call);
 }
 
+/*
+ * Lifts the library's own limit of 5 s on the wait for an answer.  It would
+ * close the connection under a call that takes longer, and what may not run
+ * twice would end with an unknown outcome.  The library sets the limit at
+ * times of its own, so it is lifted again and again until the answer begins.
+ */
+static void
+lift_limit(void *arg)
+{
+    struct hc_call *call = arg;
+    if (call->wsi != NULL && call->stage == HC_SENT) {
+        lws_set_timeout(call->wsi, NO_PENDING_TIMEOUT, 0);
+        Lp_TimerSet(call->patience, Hc_LIFT_USEC);
+    }
+}
+
 static int
 append_headers(struct hc_call *call, struct lws *wsi, unsigned char **at,
                unsigned char *end)
@@ -178,6 +197,7 @@
         lws_callback_on_writable(wsi);
     }
     timer_arm(call);
+    Lp_TimerSet(call->patience, Hc_LIFT_USEC);
     return 0;
 }
 
@@ -433,12 +453,13 @@
         request->collect_max > 0 ? request->collect_max : Hc_COLLECT_MAX;
     call->started = Ck_Now(Ck_System());
     call->timer = Lp_TimerCreate(loop, timer_fired, call);
+    call->patience = Lp_TimerCreate(loop, lift_limit, call);
     strlcpy(call->address, request->address, sizeof(call->address));
     enum st_status status = copy_headers(call, request);
     if (status == ST_OK) {
         status = copy_body(call, request);
     }
-    if (status != ST_OK || call->timer == NULL) {
+    if (status != ST_OK || call->timer == NULL || call->patience == NULL) {
         call_free(call);
         return status != ST_OK ? status : St_Fail(ST_NO_MEMORY, "no timer");
     }
