--- a/test/soak_check.cc
+++ b/test/soak_check.cc
@@ -185,7 +185,7 @@
     SoakPromise leaving;
     leaving.name = "a leaving endpoint gets no new work after 3 s";
     leaving.tried = faults.leavers_watched;
-    leaving.breaches = faults.late_work;
+    leaving.breaches.assign(faults.late_work.begin(), faults.late_work.end());
     SoakPromise force;
     force.name = "an accepted configuration is in force everywhere within "
                  "11 s and never reverts";
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -116,7 +116,7 @@
         long long finished = list[i]["finished"].Int();
         std::string request = RequestOf(list[i]["request_id"].Str());
         if (started > leaver->told_usec + kNewWorkUsec) {
-            late_work.push_back(name + " began " + request);
+            late_work.insert(name + " began " + request);
         }
         if (started <= leaver->told_usec &&
             (finished == 0 || finished > leaver->told_usec)) {
@@ -144,6 +144,22 @@
     }
 }
 
+size_t
+SoakFaults::Busiest(const std::vector<size_t> &live)
+{
+    size_t busiest = live[0];
+    long long most = -1;
+    for (size_t i : live) {
+        long long running =
+            scene_.engines[i]->Get("/v1/load").json()["running"].Int();
+        if (running > most) {
+            most = running;
+            busiest = i;
+        }
+    }
+    return busiest;
+}
+
 // Announces one or two reclaims at once; some hosts die before their time.
 void
 SoakFaults::ReclaimWave()
@@ -155,9 +171,14 @@
             return;
         }
         SoakLeaver leaver;
-        leaver.engine = live[(size_t)Below((int)live.size())];
+        leaver.engine = Busiest(live);
         int left = kNoticeLeastMs + Below(kNoticeRangeMs);
         bool early = Below(3) == 0;
+        if (leavers_.empty()) {
+            // Long enough to see whether new work still comes.
+            left = kNoticeLeastMs + kNoticeRangeMs;
+            early = false;
+        }
         Engine &engine = *scene_.engines[leaver.engine];
         leaver.told_usec = NowUsec();
         if (early) {
@@ -319,6 +340,7 @@
     // One round in a drawn order before the next, so that a short run meets
     // every kind.
     std::vector<int> order;
+    ReclaimWave();
     while (std::chrono::steady_clock::now() < until) {
         if (order.empty()) {
             for (int i = 0; i < kFaults; i++) {
--- a/test/soak_faults.h
+++ b/test/soak_faults.h
@@ -35,7 +35,7 @@
     std::map<std::string, long long> counts;
     std::vector<SoakRun> runs;
     std::set<std::string> reclaimed_requests; // ran when the notice came
-    std::vector<std::string> late_work;       // begun long after a notice
+    std::set<std::string> late_work;          // begun long after a notice
     std::vector<std::string> bad_stops;
     long long leavers_watched = 0;
     // Held while the log does not take or give records.
@@ -56,6 +56,7 @@
     void HostListFault();
 
     std::vector<size_t> LiveEngines();
+    size_t Busiest(const std::vector<size_t> &live);
     void Watch();
     void Revive(size_t daemon);
     void SaveRuns(const Endpoint &endpoint, const std::string &name);
