--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,10 @@
 soak: build
 	@$(BUILD)/test/cg_soak --seconds $(SECONDS) --seed $(SEED)
 
+# What control costs a daemon at several sizes; see docs/CAPACITY.md.
+bench: build
+	@$(BUILD)/test/cg_bench_control
+
 demo: deps build
 	@tools/demo $(BUILD)
 
