Cut what control costs a daemon as the system grows

It now closes a slot 10 s after it last had to keep it. - The whole host list was read each second. That a host leaves is never held back. - Demands: 40 a second in the whole system instead of 100. - The members for a job and for an endpoint are kept until the table of members changes, instead of being ranked 800 times a second. Ruled out: two readers of the list per data centre: 230 KB/s for each of them.

--- a/packages/gate/claims.c
+++ b/packages/gate/claims.c
@@ -10,10 +10,13 @@
 #define Gc_ASK_USEC (1500 * Ck_USEC_PER_MSEC)
 /* Beyond the caller's deadline an endpoint may still answer for a while. */
 #define Gc_EXPIRE_SLACK_MS 90000
+/* How long a slot stays open after this daemon last had to keep it. */
+#define Gc_KEEP_USEC (10 * Ck_USEC_PER_SEC)
 
 struct gc_claims {
     struct gc_options options;
     struct kp_keeper *keeper;
+    int64_t kept_at[Cl_SLOTS]; /* when a slot was last kept or used here */
     uint64_t next_attempt;
     TAILQ_HEAD(wait_list, gc_wait) waits;
     size_t notes; /* results and releases on their way to other daemons */
@@ -91,18 +94,28 @@
 
 /*
  * Follows the slots this daemon should keep, so that it is ready when the
- * first claim comes, and closes those that others should keep.
+ * first claim comes, and closes those that others should keep: every daemon
+ * starts alone and opens all of them, and each open one asks the log twice a
+ * second.  One that was kept a moment ago stays open for a while, since
+ * members that come and go would have it loaded again and again.
  */
 void
 Gc_Tick(struct gc_claims *claims)
 {
     const struct gc_options *options = &claims->options;
+    int64_t now = Ck_Now(options->gate->clock);
     for (int slot = 0; slot < Cl_SLOTS; slot++) {
         bool mine = options->ops->keeper(options->arg, slot) == NULL;
         bool open = Kp_IsOpen(claims->keeper, slot);
+        if (mine) {
+            claims->kept_at[slot] = now;
+        }
         if (mine && !open) {
             Kp_Open(claims->keeper, slot);
         }
+        else if (open && now - claims->kept_at[slot] >= Gc_KEEP_USEC) {
+            Kp_Close(claims->keeper, slot);
+        }
     }
     Kp_Tick(claims->keeper);
 }
@@ -165,6 +178,7 @@
            int64_t deadline, kp_claim_fn done, void *arg)
 {
     int slot = Cl_Slot(&claim->key);
+    claims->kept_at[slot] = Ck_Now(claims->options.gate->clock);
     if (!Kp_IsOpen(claims->keeper, slot)) {
         enum st_status status = Kp_Open(claims->keeper, slot);
         if (status != ST_OK) {
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -251,8 +251,16 @@
     Pe_HostLeaving(daemon->peers, host, left_usec);
 }
 
+static void
+hosts_changed(void *arg, uint64_t digest)
+{
+    struct dm_daemon *daemon = arg;
+    Pe_HostsDigest(daemon->peers, digest);
+}
+
 static const struct hw_ops host_ops = {
     .hosts = take_hosts,
+    .changed = hosts_changed,
     .notice = take_notice,
 };
 
@@ -353,6 +361,15 @@
     In_Hear(daemon->gate.intake, node, demands, count);
 }
 
+static void
+peer_hosts(void *arg, uint64_t digest)
+{
+    struct dm_daemon *daemon = arg;
+    if (daemon->hosts != NULL) {
+        Hw_Hear(daemon->hosts, digest);
+    }
+}
+
 static void
 peer_member(void *arg, const char *node, bool present)
 {
@@ -386,6 +403,7 @@
     .leaving = peer_leaving,
     .distrust = peer_distrust,
     .demand = peer_demand,
+    .hosts = peer_hosts,
     .member = peer_member,
     .claim = peer_claim,
 };
--- a/packages/gate/loadwatch.c
+++ b/packages/gate/loadwatch.c
@@ -10,6 +10,12 @@
 #define Lw_PERIOD (1 * Ck_USEC_PER_SEC)
 #define Lw_TIMEOUT (1 * Ck_USEC_PER_SEC)
 #define Lw_SILENT_AFTER 3
+/*
+ * Samples that all watchers of a data centre pass on in a second.  More
+ * endpoints are told of less often each: every sample costs every daemon of
+ * the data centre the same few hundred bytes.
+ */
+#define Lw_SPREAD_PER_SEC 20
 /* Rounds after which a poll of a vanished endpoint is forgotten. */
 #define Lw_FORGET_ROUNDS 10
 
@@ -32,6 +38,7 @@
     void *arg;
     struct lp_timer *timer;
     struct poll_list polls;
+    int64_t nearby; /* endpoints of this data centre in the last round */
 };
 
 static struct poll *
@@ -90,6 +97,13 @@
     return (int)json_integer_value(json_object_get(body, key));
 }
 
+static int64_t
+spread(const struct lw_watch *watch)
+{
+    int64_t usec = watch->nearby * Ck_USEC_PER_SEC / Lw_SPREAD_PER_SEC;
+    return usec > Lw_PERIOD ? usec : Lw_PERIOD;
+}
+
 static void
 poll_done(void *arg, const struct jc_answer *answer)
 {
@@ -119,6 +133,7 @@
             },
         .leaving = state != NULL && strcmp(state, "leaving") == 0,
         .left_usec = number(body, "left_ms") * Ck_USEC_PER_MSEC,
+        .spread_usec = spread(watch),
     };
     strlcpy(report.version, version != NULL ? version : "",
             sizeof(report.version));
@@ -176,6 +191,8 @@
 {
     struct lw_watch *watch = arg;
     const struct cf_config *config = watch->gate->config;
+    const char *here = watch->gate->options->data_centre;
+    int64_t nearby = 0;
     for (size_t i = 0; config != NULL && i < config->service_count; i++) {
         const struct cf_service *service = &config->services[i];
         struct ch_table *table =
@@ -185,9 +202,12 @@
         }
         struct ch_endpoint *endpoint = Ch_First(table);
         for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
-            visit(watch, service->name, Ch_Info(endpoint));
+            const struct ch_info *info = Ch_Info(endpoint);
+            nearby += strcmp(info->data_centre, here) == 0 ? 1 : 0;
+            visit(watch, service->name, info);
         }
     }
+    watch->nearby = nearby;
     forget_unseen(watch);
     Lp_TimerSet(watch->timer, Lw_ROUND);
 }
--- a/packages/gate/loadwatch.h
+++ b/packages/gate/loadwatch.h
@@ -23,6 +23,8 @@
     bool leaving;
     int64_t left_usec; /* when leaving */
     char version[Ch_NAME_MAX];
+    /* The samples of one endpoint that are passed on are this far apart. */
+    int64_t spread_usec;
 };
 
 struct lw_ops {
--- a/packages/gate/peer_facts.h
+++ b/packages/gate/peer_facts.h
@@ -16,6 +16,7 @@
 #define Pf_LEAVING "left/"
 #define Pf_DISTRUST "dist/"
 #define Pf_DEMAND "demand"
+#define Pf_HOSTS "hosts"
 
 #define Pf_DEMANDS_MAX 32
 
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "base/hash.h"
 #include "gate/events.h"
 #include "gate/peer_facts.h"
 
@@ -19,8 +20,27 @@
 #define Pe_LEAVING_TTL (600 * Ck_USEC_PER_SEC)
 #define Pe_DISTRUST_TTL (24 * 3600 * Ck_USEC_PER_SEC)
 #define Pe_CONFIG_TTL (3600 * Ck_USEC_PER_SEC)
+#define Pe_HOSTS_TTL (3600 * Ck_USEC_PER_SEC)
 #define Pe_DEMAND_TTL (60 * Ck_USEC_PER_SEC)
 
+/* Two in a data centre's worth of endpoints, and the jobs with a key. */
+#define Pe_WATCH_CACHE 2048
+#define Pe_JOB_CACHE 64
+
+/* What the table said of an endpoint at a generation of it; 0: nothing. */
+struct watch_memo {
+    uint64_t key;
+    uint64_t generation;
+    bool watches;
+};
+
+/* Who does a job, as of a generation of the table. */
+struct job_memo {
+    uint64_t key;
+    uint64_t generation;
+    const struct mb_record *member;
+};
+
 struct pe_peers {
     struct gt_gate *gate;
     const struct pe_ops *ops;
@@ -30,6 +50,8 @@
     int64_t started;
     uint64_t highest;
     bool pulling;
+    struct watch_memo watch_memos[Pe_WATCH_CACHE];
+    struct job_memo job_memos[Pe_JOB_CACHE];
 };
 
 static void
@@ -107,6 +129,17 @@
     }
 }
 
+static void
+hosts_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    uint64_t digest;
+    if (fact->len == sizeof(digest)) {
+        memcpy(&digest, fact->value, sizeof(digest));
+        peers->ops->hosts(peers->arg, digest);
+    }
+}
+
 static void
 member_changed(void *arg, const struct mb_record *member, enum mb_state before)
 {
@@ -146,7 +179,7 @@
     } watched[] = {
         {Pf_CONFIG, config_fact},   {Pf_LOAD, load_fact},
         {Pf_LEAVING, leaving_fact}, {Pf_DISTRUST, distrust_fact},
-        {Pf_DEMAND, demand_fact},
+        {Pf_DEMAND, demand_fact},   {Pf_HOSTS, hosts_fact},
     };
     for (size_t i = 0; i < sizeof(watched) / sizeof(watched[0]); i++) {
         enum st_status status = Fc_Watch(
@@ -331,6 +364,34 @@
     return best;
 }
 
+/*
+ * Tells the others of a new host list, unless they know of this one.  Only
+ * equality of digests counts, so the order of their bytes does not matter.
+ */
+void
+Pe_HostsDigest(struct pe_peers *peers, uint64_t digest)
+{
+    struct fc_fact known;
+    struct fc_post post = {
+        .key = Pf_HOSTS,
+        .version = (uint64_t)Ck_Wall(peers->gate->clock),
+        .scope = FC_CLUSTER,
+        .ttl_usec = Pe_HOSTS_TTL,
+        .value = &digest,
+        .len = sizeof(digest),
+    };
+    if (Fc_Get(Nd_Facts(peers->node), "", Pf_HOSTS, &known)) {
+        if (known.len == sizeof(digest) &&
+            memcmp(known.value, &digest, sizeof(digest)) == 0) {
+            return;
+        }
+        if (known.version >= post.version) {
+            post.version = known.version + 1;
+        }
+    }
+    publish(peers, &post);
+}
+
 /* Asks the peer that has read furthest for its sections, one at a time. */
 void
 Pe_PullConfig(struct pe_peers *peers)
@@ -343,7 +404,29 @@
                              config_pulled, peers, NULL) == ST_OK;
 }
 
-/* Passes a load sample on to the daemons of this data centre. */
+/*
+ * True when a sample of this endpoint was passed on a moment ago, by this
+ * daemon or the other that watches it.  That a host leaves never waits.
+ */
+static bool
+told_lately(const struct pe_peers *peers, const struct lw_report *report,
+            const char *key)
+{
+    struct fc_fact known;
+    struct lw_report last;
+    if (!Fc_Get(Nd_Facts(peers->node), "", key, &known) ||
+        !Pf_ReadLoad(known.value, known.len, &last) ||
+        last.leaving != report->leaving) {
+        return false;
+    }
+    int64_t age = Ck_Wall(peers->gate->clock) - (int64_t)known.version;
+    return age < report->spread_usec;
+}
+
+/*
+ * Passes a load sample on to the daemons of this data centre, one every
+ * report->spread_usec.
+ */
 void
 Pe_Load(struct pe_peers *peers, const struct lw_report *report)
 {
@@ -359,7 +442,8 @@
     };
     post.len = Pf_WriteLoad(report, age, value, sizeof(value));
     if (post.len > 0 &&
-        Pf_WriteName(Pf_LOAD, report->endpoint, "", key, sizeof(key))) {
+        Pf_WriteName(Pf_LOAD, report->endpoint, "", key, sizeof(key)) &&
+        !told_lately(peers, report, key)) {
         publish(peers, &post);
     }
 }
@@ -462,23 +546,37 @@
     return Nd_Port(peers->node);
 }
 
+/*
+ * The member for a job.  The claim slots alone ask 800 times a second, and
+ * each answer ranks all members: it is kept until the table changes.
+ */
+static const struct mb_record *
+member_for(struct pe_peers *peers, const char *key)
+{
+    uint64_t generation = Mb_Generation(Nd_Members(peers->node)) + 1;
+    uint64_t hash = Hash_String(key, 0);
+    struct job_memo *memo = &peers->job_memos[hash % Pe_JOB_CACHE];
+    if (memo->key != hash || memo->generation != generation) {
+        memo->key = hash;
+        memo->generation = generation;
+        memo->member = Nd_Responsible(peers->node, key, NULL);
+    }
+    return memo->member;
+}
+
 /* The daemon that should do a job; NULL: this one. */
 const char *
-Pe_Responsible(const struct pe_peers *peers, const char *key)
+Pe_Responsible(struct pe_peers *peers, const char *key)
 {
-    const struct mb_record *member = Nd_Responsible(peers->node, key, NULL);
+    const struct mb_record *member = member_for(peers, key);
     if (member == NULL || strcmp(member->id, Nd_Id(peers->node)) == 0) {
         return NULL;
     }
     return member->id;
 }
 
-/*
- * Whether this daemon is one of the two that watch an endpoint: of its data
- * centre, or of all when no daemon stands there.
- */
-bool
-Pe_Watches(const struct pe_peers *peers, const struct ch_info *info)
+static bool
+ranks_as_watcher(const struct pe_peers *peers, const struct ch_info *info)
 {
     const struct mb_record *watchers[Pe_WATCHERS];
     size_t count = Nd_Top(peers->node, info->id, info->data_centre, watchers,
@@ -494,6 +592,24 @@
     return false;
 }
 
+/*
+ * Whether this daemon is one of the two that watch an endpoint: of its data
+ * centre, or of all when no daemon stands there.
+ */
+bool
+Pe_Watches(struct pe_peers *peers, const struct ch_info *info)
+{
+    uint64_t generation = Mb_Generation(Nd_Members(peers->node)) + 1;
+    uint64_t key = Hash_String(info->id, Hash_String(info->data_centre, 0));
+    struct watch_memo *memo = &peers->watch_memos[key % Pe_WATCH_CACHE];
+    if (memo->key != key || memo->generation != generation) {
+        memo->key = key;
+        memo->generation = generation;
+        memo->watches = ranks_as_watcher(peers, info);
+    }
+    return memo->watches;
+}
+
 /*
  * Whether a daemon's run is taken to have ended: it is dead, or back with
  * another incarnation.  A daemon that has just started knows too little of
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -31,6 +31,8 @@
     void (*load)(void *arg, const struct lw_report *report);
     void (*leaving)(void *arg, const char *host, int64_t left_usec);
     void (*distrust)(void *arg, const char *service, const char *version);
+    /* Another daemon got a host list with this digest. */
+    void (*hosts)(void *arg, uint64_t digest);
     void (*demand)(void *arg, const char *node,
                    const struct am_demand *demands, size_t count);
     /* A daemon came or went (its demands no longer count). */
@@ -48,6 +50,7 @@
 void Pe_Seed(struct pe_peers *peers, const struct hl_host *hosts,
              size_t count);
 void Pe_Leave(struct pe_peers *peers);
+void Pe_HostsDigest(struct pe_peers *peers, uint64_t digest);
 void Pe_ConfigOffset(struct pe_peers *peers, uint64_t offset);
 void Pe_PullConfig(struct pe_peers *peers);
 void Pe_Load(struct pe_peers *peers, const struct lw_report *report);
@@ -63,8 +66,8 @@
 
 /* Queries. */
 uint16_t Pe_Port(const struct pe_peers *peers);
-const char *Pe_Responsible(const struct pe_peers *peers, const char *key);
-bool Pe_Watches(const struct pe_peers *peers, const struct ch_info *info);
+const char *Pe_Responsible(struct pe_peers *peers, const char *key);
+bool Pe_Watches(struct pe_peers *peers, const struct ch_info *info);
 bool Pe_RunEnded(const struct pe_peers *peers, const char *node,
                  uint64_t incarnation);
 uint64_t Pe_HighestOffset(const struct pe_peers *peers);
--- a/packages/policy/admit_table.c
+++ b/packages/policy/admit_table.c
@@ -12,7 +12,8 @@
 #include "policy/admit_internal.h"
 
 #define INTERVAL_MIN (500 * Ck_USEC_PER_MSEC)
-#define INTERVAL_PER_PEER (10 * Ck_USEC_PER_MSEC)
+/* Every daemon hears every other: 40 demands a second, however many. */
+#define INTERVAL_PER_PEER (25 * Ck_USEC_PER_MSEC)
 
 /* Makes the limits of the daemon named; NULL when there is no memory. */
 struct am_limits *
