--- a/packages/gate/claims.c
+++ b/packages/gate/claims.c
@@ -8,13 +8,24 @@
 
 /* How long another daemon may take before this one claims by itself. */
 #define Gc_ASK_USEC (1500 * Ck_USEC_PER_MSEC)
+/* The asked one gives up before its asker does. */
+#define Gc_SERVE_USEC (1000 * Ck_USEC_PER_MSEC)
 /* Beyond the caller's deadline an endpoint may still answer for a while. */
+/*
+ * How long a slot that others keep stays open: opening reads its stream anew,
+ * and daemons may differ for a while on who keeps it.
+ */
+#define Gc_CLOSE_AFTER (60 * Ck_USEC_PER_SEC)
 #define Gc_EXPIRE_SLACK_MS 90000
+/* How long a slot stays open after this daemon last had to keep it. */
+#define Gc_KEEP_USEC (10 * Ck_USEC_PER_SEC)
 
 struct gc_claims {
     struct gc_options options;
     struct kp_keeper *keeper;
+    int64_t kept_at[Cl_SLOTS]; /* when a slot was last kept or used here */
     uint64_t next_attempt;
+    int64_t foreign_since[Cl_SLOTS]; /* open here though others keep it */
     TAILQ_HEAD(wait_list, gc_wait) waits;
     size_t notes; /* results and releases on their way to other daemons */
 };
@@ -27,6 +38,7 @@
     int64_t deadline;
     gc_done_fn done; /* NULL: given up; a claim won late is given back */
     void *arg;
+    bool unheard; /* another daemon may have appended it */
 };
 
 /* A result or a release on its way to another daemon. */
@@ -91,18 +103,34 @@
 
 /*
  * Follows the slots this daemon should keep, so that it is ready when the
- * first claim comes, and closes those that others should keep.
+ * first claim comes, and closes those that others should keep: every daemon
+ * starts alone and opens all of them, and each open one asks the log twice a
+ * second.  One that was kept a moment ago stays open for a while, since
+ * members that come and go would have it loaded again and again.
  */
 void
 Gc_Tick(struct gc_claims *claims)
 {
     const struct gc_options *options = &claims->options;
+    int64_t now = Ck_Now(options->gate->clock);
     for (int slot = 0; slot < Cl_SLOTS; slot++) {
         bool mine = options->ops->keeper(options->arg, slot) == NULL;
         bool open = Kp_IsOpen(claims->keeper, slot);
+        if (mine) {
+            claims->kept_at[slot] = now;
+        }
         if (mine && !open) {
             Kp_Open(claims->keeper, slot);
         }
+        if (mine || !open) {
+            claims->foreign_since[slot] = now;
+        }
+        else if (now - claims->foreign_since[slot] > Gc_CLOSE_AFTER) {
+            Kp_Close(claims->keeper, slot);
+        }
+        else if (open && now - claims->kept_at[slot] >= Gc_KEEP_USEC) {
+            Kp_Close(claims->keeper, slot);
+        }
     }
     Kp_Tick(claims->keeper);
 }
@@ -137,8 +165,13 @@
     gc_done_fn done = wait->done;
     void *arg = wait->arg;
     TAILQ_REMOVE(&claims->waits, wait, link);
-    if (done == NULL && answer->verdict == KP_WON) {
-        /* Nobody waits for it any more: the key is free again. */
+    bool won = answer->verdict == KP_WON;
+    if ((done == NULL && won) || (wait->unheard && !won)) {
+        /*
+         * Nobody waits for it any more, or it may have been won at a daemon
+         * whose word was lost: the key is free again.  This changes nothing
+         * unless this attempt holds the key, and it is never dispatched.
+         */
         release(claims, &wait->claim.key, &wait->claim.attempt);
     }
     free(wait);
@@ -165,6 +198,7 @@
            int64_t deadline, kp_claim_fn done, void *arg)
 {
     int slot = Cl_Slot(&claim->key);
+    claims->kept_at[slot] = Ck_Now(claims->options.gate->clock);
     if (!Kp_IsOpen(claims->keeper, slot)) {
         enum st_status status = Kp_Open(claims->keeper, slot);
         if (status != ST_OK) {
@@ -187,9 +221,11 @@
     }
     /*
      * The other daemon may be gone, or may have appended the claim already.
-     * The same attempt is claimed from here: whichever record comes first,
-     * it is this attempt that holds the key.
+     * The same attempt is claimed from here.  If the other record comes
+     * first this one is told that the key is in progress, by this very
+     * attempt: wait_end() then gives the key back.
      */
+    wait->unheard = true;
     if (claim_here(wait->claims, &wait->claim, wait->deadline, keeper_answered,
                    wait) != ST_OK) {
         wait_fail(wait, "no daemon could settle the claim");
@@ -396,7 +432,7 @@
     served->claim = ask->claim;
     served->answer = answer;
     served->arg = arg;
-    int64_t deadline = Ck_Now(claims->options.gate->clock) + Gc_ASK_USEC;
+    int64_t deadline = Ck_Now(claims->options.gate->clock) + Gc_SERVE_USEC;
     enum st_status status =
         claim_here(claims, &ask->claim, deadline, serve_claim_done, served);
     if (status != ST_OK) {
