--- a/packages/member/fact.c
+++ b/packages/member/fact.c
@@ -398,11 +398,14 @@
     }
 }
 
-/* Sets how often a node sends on a new fact of a scope. */
+/*
+ * Sets how often a node sends on a new fact of a scope; 0 where there is
+ * nobody to send it to, else it would wait in the queue for ever.
+ */
 void
 Fc_SetSpread(struct fc_table *facts, enum fc_scope scope, int count)
 {
-    facts->spread[scope] = count > 0 ? count : 1;
+    facts->spread[scope] = count;
 }
 
 /* Begins a datagram: every queued fact may be taken once. */
--- a/packages/member/node.c
+++ b/packages/member/node.c
@@ -90,14 +90,18 @@
     node->told_reach = false;
 }
 
+/* The binary logarithm of the hearers and "extra" more, at least two. */
 static int
-bits(size_t n)
+copies_for(size_t members, int extra)
 {
-    int count = 0;
-    for (; n > 0; n >>= 1) {
-        count++;
+    if (members <= 1) {
+        return 0;
     }
-    return count;
+    int copies = extra;
+    for (size_t n = members; n > 0; n >>= 1) {
+        copies++;
+    }
+    return copies > Nd_SPREAD_MIN ? copies : Nd_SPREAD_MIN;
 }
 
 /* Sends a fact on as often as the number of those who must hear it asks. */
@@ -121,13 +125,12 @@
         counts[FC_DATA_CENTRE] += distance == MB_SAME_DATA_CENTRE;
     }
     Fc_SetSpread(node->facts, FC_CLUSTER,
-                 bits(counts[FC_CLUSTER]) + Nd_SPREAD_EXTRA);
+                 copies_for(counts[FC_CLUSTER], Nd_SPREAD_EXTRA));
     Fc_SetSpread(node->facts, FC_REGION,
-                 bits(counts[FC_REGION]) + Nd_SPREAD_EXTRA);
+                 copies_for(counts[FC_REGION], Nd_SPREAD_EXTRA));
     /* Load samples: frequent and soon replaced, so fewer copies will do. */
-    int copies = bits(counts[FC_DATA_CENTRE]) - Nd_SPREAD_LESS;
     Fc_SetSpread(node->facts, FC_DATA_CENTRE,
-                 copies > Nd_SPREAD_MIN ? copies : Nd_SPREAD_MIN);
+                 copies_for(counts[FC_DATA_CENTRE], -Nd_SPREAD_LESS));
 }
 
 /* A verdict that stands is repeated before it ends, for new members. */
@@ -165,7 +168,6 @@
 each_second(struct nd_node *node, int64_t now)
 {
     Fc_Expire(node->facts);
-    update_spread(node);
     repeat_reach(node, now);
     check_isolation(node);
     nd_drop_old_senders(node, now);
@@ -178,6 +180,7 @@
     int64_t now = Ck_Now(node->clock);
     Lp_TimerSet(node->timer, Nd_TICK_USEC);
     Mb_Tick(node->members);
+    update_spread(node);
     if (now >= node->next_gossip_usec &&
         (Mb_HasUpdates(node->members) || Fc_HasUpdates(node->facts))) {
         node->next_gossip_usec = now + Nd_GOSSIP_USEC;
@@ -372,6 +375,7 @@
 enum st_status
 Nd_Publish(struct nd_node *node, const struct fc_post *post)
 {
+    update_spread(node);
     return Fc_Publish(node->facts, post);
 }
 
--- a/packages/member/node_sync.c
+++ b/packages/member/node_sync.c
@@ -202,7 +202,8 @@
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
     size_t offset = 0;
-    bool good = msgpack_unpack_next(&unpacked, payload, len, &offset) ==
+    bool good = Wr_CountsFit(payload, len) &&
+                msgpack_unpack_next(&unpacked, payload, len, &offset) ==
                     MSGPACK_UNPACK_SUCCESS &&
                 take(node, &unpacked.data, arg);
     msgpack_unpacked_destroy(&unpacked);
--- a/packages/member/table.c
+++ b/packages/member/table.c
@@ -400,7 +400,13 @@
 heard(struct mb_table *table, const struct mb_entry *sender)
 {
     int64_t now = Ck_Now(table->clock);
-    if (sender == NULL || !mb_in_group(table, sender)) {
+    if (sender == NULL) {
+        return;
+    }
+    if (sender->place->out_of_reach) {
+        sender->place->next_usec = now; /* no need to wait for the backoff */
+    }
+    if (!mb_in_group(table, sender)) {
         return;
     }
     if (mb_isolated(table, now)) {
--- a/packages/member/test/node_test.cc
+++ b/packages/member/test/node_test.cc
@@ -34,14 +34,14 @@
     struct nd_node *
     Make(const std::string &id, const std::string &data_centre,
          const char *key = "secret", int64_t sync = 2000 * kMsec,
-         uint16_t port = 0)
+         uint16_t port = 0, const char *region = "west")
     {
         struct nd_options options = {};
         options.id = id.c_str();
         options.address = "127.0.0.1";
         options.peer_port = port;
         options.data_centre = data_centre.c_str();
-        options.region = "west";
+        options.region = region;
         options.cluster_key = key;
         options.clock = Ck_System();
         options.seed = nodes.size() + 1;
@@ -132,6 +132,17 @@
     EXPECT_TRUE(runner->Until([&] { return Holders("config", "42") == 7; }));
     Publish(nodes[1], "load/e1", "x", 0, FC_DATA_CENTRE);
     EXPECT_TRUE(runner->Until([&] { return Holders("load/e1", "x") == 2; }));
+    /* The only node of its data centre has nobody to tell. */
+    Publish(nodes[3], "load/e2", "x", 0, FC_DATA_CENTRE);
+    EXPECT_TRUE(runner->Until([&] {
+        for (auto *node : nodes) {
+            if (Fc_HasUpdates(Nd_Facts(node))) {
+                return false;
+            }
+        }
+        return true;
+    }));
+    EXPECT_EQ(1U, Holders("load/e2", "x"));
     for (int i = 0; i < 20; i++) {
         std::string key = "slot" + std::to_string(i);
         const auto *first = Nd_Responsible(nodes[0], key.c_str(), nullptr);
@@ -171,6 +182,39 @@
     }
 }
 
+/*
+ * Work goes on being given to a region that is cut off, or the region is
+ * forgotten and never found again.  Only two nodes of a data centre probe
+ * another one; the rest must hear of the verdict, keep the members, and hear
+ * again when the region is back.
+ */
+TEST_F(Node, RegionOutOfReachIsToldKeptAndFoundAgain)
+{
+    for (int i = 0; i < 4; i++) {
+        Make("n" + std::to_string(i), "dc0");
+    }
+    struct nd_node *far =
+        Make("far", "dc1", "secret", 2000 * kMsec, 0, "east");
+    uint16_t port = Nd_Port(far);
+    ASSERT_TRUE(runner->Until([&] { return AllSee(5); }));
+    auto reach = [&](bool wanted) {
+        size_t count = 0;
+        for (auto *node : nodes) {
+            count += Mb_Reachable(Nd_Members(node), "dc1") == wanted ? 1 : 0;
+        }
+        return count;
+    };
+    Kill(4);
+    ASSERT_TRUE(runner->Until([&] { return reach(false) == 4; }));
+    for (auto *node : nodes) {
+        ASSERT_NE(nullptr, Mb_Find(Nd_Members(node), "far"));
+        EXPECT_EQ(MB_ALIVE, Mb_Find(Nd_Members(node), "far")->state);
+        EXPECT_EQ(nullptr, Nd_Responsible(node, "slot1", "dc1"));
+    }
+    Make("far", "dc1", "secret", 2000 * kMsec, port, "east");
+    EXPECT_TRUE(runner->Until([&] { return reach(true) == 5; }));
+}
+
 /*
  * A new daemon serves callers under an old configuration.  The facts it
  * needs were spread before it came and nobody repeats them; only the
--- a/packages/member/wire_datagram.c
+++ b/packages/member/wire_datagram.c
@@ -166,7 +166,8 @@
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
     size_t offset = 0;
-    bool good = msgpack_unpack_next(&unpacked, (const char *)data, len,
+    bool good = Wr_CountsFit(data, len) &&
+                msgpack_unpack_next(&unpacked, (const char *)data, len,
                                     &offset) == MSGPACK_UNPACK_SUCCESS &&
                 offset == len && read_datagram(&unpacked.data, out);
     msgpack_unpacked_destroy(&unpacked);
--- a/packages/member/wire_frame.c
+++ b/packages/member/wire_frame.c
@@ -58,7 +58,8 @@
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
     size_t offset = 0;
-    bool good = msgpack_unpack_next(&unpacked, (const char *)body, len,
+    bool good = Wr_CountsFit(body, len) &&
+                msgpack_unpack_next(&unpacked, (const char *)body, len,
                                     &offset) == MSGPACK_UNPACK_SUCCESS &&
                 offset == len && read_frame(&unpacked.data, out);
     msgpack_unpacked_destroy(&unpacked);
--- a/tools/member_bench.c
+++ b/tools/member_bench.c
@@ -193,8 +193,8 @@
     double published = bench->published - bench->published_before;
     double hearers = nodes / places - 1;
     long memory = rss_bytes() - bench->rss_before;
-    printf("%d %d %g %g ", settings->nodes, settings->data_centres,
-           settings->endpoints / places, settings->changes / places);
+    printf("%d %d %.1f %.1f ", settings->nodes, settings->data_centres,
+           settings->endpoints / places, published / places / seconds);
     printf("%.0f %.0f %.0f ", (after.udp_out - before->udp_out) * each,
            (after.udp_in - before->udp_in) * each,
            (after.tcp - before->tcp) * each);
@@ -489,8 +489,9 @@
 main(int argc, char **argv)
 {
     static const char doc[] =
-        "Prints: nodes, data centres, endpoints and changes/s of one centre, "
-        "then of each node: datagram bytes/s out and in (with IP and UDP "
+        "Prints: nodes, data centres, endpoints and changes/s of one centre "
+        "(each endpoint is told of again every 10 s at least), then of each "
+        "node: datagram bytes/s out and in (with IP and UDP "
         "headers), TCP payload bytes/s, datagrams/s, % of one processor, KiB "
         "of memory, share of changes that datagrams brought, copies of each, "
         "exchanges of state.";
