Soak: the share of a bad version, and daemons that end by themselves

The daemon has version moves now: one engine of a version that fails every request is under a move from the start. It may have one run in five at most and none 3 s after a daemon said that it was taken back; callers go on until then, for at most 60 s. A daemon that ended by itself counted as killed before; it is a breach now, and each daemon must stop in order at the end.

--- a/test/soak.cc
+++ b/test/soak.cc
@@ -3,6 +3,7 @@
 // was broken or could not be tried.
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <string>
 
 #include "test/soak_check.h"
@@ -57,6 +58,17 @@
     return urls;
 }
 
+// The service's fields, with a move to the bad version under way.
+std::string
+ServiceFields()
+{
+    const long long kMoveSeconds = 300;
+    long long by = (long long)time(nullptr) + kMoveSeconds;
+    return ",\"slots\":16,\"move\":{\"from\":\"v1\",\"to\":\"v2\","
+           "\"first_share\":0.1,\"deadline_sec\":" +
+           std::to_string(by) + "}";
+}
+
 void
 PrintTally(const std::vector<SoakCall> &calls)
 {
@@ -102,18 +114,21 @@
         faults.AddEngine();
     }
     scene.AddPlain({"--work-us", "20000"});
-    scene.PublishDefaults(",\"slots\":16");
+    faults.AddBadVersion();
+    std::string fields = ServiceFields();
+    scene.PublishDefaults(fields);
     std::vector<std::string> urls = StartDaemons(scene);
     if (!scene.cluster.WaitReady()) {
         fprintf(stderr, "the daemons are not ready\n");
         return 1;
     }
     cg::SoakLoad load(ledger, urls, kBearer, options.seed);
-    cg::SoakConfig config(scene, ledger, urls, faults.log_out);
+    cg::SoakConfig config(scene, ledger, urls, fields, faults.log_out);
     load.Start(kThreads);
     config.Start();
     faults.Run(std::chrono::steady_clock::now() +
                std::chrono::seconds(options.seconds));
+    faults.AwaitVerdict();
     config.Stop();
     load.Stop();
     faults.Finish();
--- a/test/soak_check.cc
+++ b/test/soak_check.cc
@@ -174,6 +174,26 @@
     return promise;
 }
 
+SoakPromise
+BadVersion(const SoakFaults &faults)
+{
+    const long long kSmallShare = 5; // one in so many, as a bound
+    SoakPromise promise;
+    promise.name = "a bad version gets a small share, and none 3 s after it "
+                   "was taken back";
+    promise.tried = faults.taken_back_usec != 0 ? faults.bad_runs : 0;
+    if (faults.bad_runs * kSmallShare > (long long)faults.runs.size()) {
+        promise.breaches.push_back(std::to_string(faults.bad_runs) + " of " +
+                                   std::to_string(faults.runs.size()) +
+                                   " runs");
+    }
+    if (faults.bad_runs_late > 0) {
+        promise.breaches.push_back(std::to_string(faults.bad_runs_late) +
+                                   " runs after it was taken back");
+    }
+    return promise;
+}
+
 } // namespace
 
 std::vector<SoakPromise>
@@ -193,6 +213,7 @@
     force.breaches = config.breaches;
     return {
         Reclaims(calls, ledger, faults),
+        BadVersion(faults),
         Answers(calls, ledger),
         Refusals(calls, records),
         AtMostOnce(calls, records),
@@ -215,8 +236,6 @@
             printf("    %s\n", promise.breaches[i].c_str());
         }
     }
-    printf("not tried: a bad version gets only a small share, and none soon "
-           "after its fault shows: the daemon has no version moves yet\n");
     return bad;
 }
 
--- a/test/soak_config.cc
+++ b/test/soak_config.cc
@@ -14,9 +14,10 @@
 } // namespace
 
 SoakConfig::SoakConfig(Scene &scene, SoakLedger &ledger,
-                       std::vector<std::string> urls,
+                       std::vector<std::string> urls, std::string fields,
                        const std::atomic<bool> &log_out)
-    : scene_(scene), ledger_(ledger), urls_(std::move(urls)), log_out_(log_out)
+    : scene_(scene), ledger_(ledger), urls_(std::move(urls)),
+      fields_(std::move(fields)), log_out_(log_out)
 {
 }
 
@@ -54,7 +55,7 @@
         list += R"({"name":")" + name + R"(","key_digest":")" +
                 KeyDigest(name) + R"("},)";
     }
-    return Scene::DefaultTeam(",\"slots\":16", list);
+    return Scene::DefaultTeam(fields_, list);
 }
 
 // 200: in force; 401: not; anything else says nothing.
--- a/test/soak_config.h
+++ b/test/soak_config.h
@@ -16,7 +16,7 @@
 class SoakConfig {
   public:
     SoakConfig(Scene &scene, SoakLedger &ledger, std::vector<std::string> urls,
-               const std::atomic<bool> &log_out);
+               std::string fields, const std::atomic<bool> &log_out);
     void Start();
     void Stop();
 
@@ -36,6 +36,7 @@
     Scene &scene_;
     SoakLedger &ledger_;
     std::vector<std::string> urls_;
+    std::string fields_; // of the service, the same in every change
     const std::atomic<bool> &log_out_;
     std::atomic<bool> stop_{false};
     std::thread thread_;
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -1,5 +1,6 @@
 #include "test/soak_faults.h"
 
+#include <algorithm>
 #include <thread>
 
 #include "base/clock.h"
@@ -13,6 +14,7 @@
 const int kNoticeLeastMs = 1500;
 const int kNoticeRangeMs = 8000;
 const int kStepMs = 50;
+const size_t kTailBytes = 300;
 const Millis kStopLimit{90000};
 
 long long
@@ -27,6 +29,12 @@
     return attempt.substr(0, attempt.rfind('.'));
 }
 
+std::string
+Tail(const std::string &log)
+{
+    return log.substr(log.size() - std::min(log.size(), kTailBytes));
+}
+
 std::string
 FaultText(const std::string &target, const std::string &mode, int count,
           int delay_ms = 0)
@@ -62,6 +70,46 @@
     scene_.AddEngine({"--token-us", "3000", "--slots", "16"});
 }
 
+void
+SoakFaults::AddBadVersion()
+{
+    Engine &engine =
+        scene_.AddEngine({"--token-us", "3000", "--slots", "16"}, "v2");
+    engine.Fault(FaultText("", "error_500", -1));
+    bad_engine_ = scene_.engines.size() - 1;
+    retired_.insert(bad_engine_);
+}
+
+// Notes when any daemon first says that the bad version was taken back.
+void
+SoakFaults::WatchMove()
+{
+    const int kEvery = 10;
+    if (taken_back_usec != 0 || ++watches_ % kEvery != 0) {
+        return;
+    }
+    for (size_t i = 0; i < scene_.cluster.Size(); i++) {
+        Json moves = scene_.cluster.Status(i, "ops-key")["moves"];
+        if (moves[0]["phase"].Str() == "taken back") {
+            taken_back_usec = NowUsec();
+            return;
+        }
+    }
+}
+
+void
+SoakFaults::CountBadRuns()
+{
+    Json list = scene_.engines[bad_engine_]->Runs();
+    bad_runs = (long long)list.Size();
+    for (size_t i = 0; i < list.Size(); i++) {
+        if (taken_back_usec != 0 &&
+            list[i]["started"].Int() > taken_back_usec + kNewWorkUsec) {
+            bad_runs_late++;
+        }
+    }
+}
+
 std::vector<size_t>
 SoakFaults::LiveEngines()
 {
@@ -128,6 +176,7 @@
 void
 SoakFaults::Watch()
 {
+    WatchMove();
     for (SoakLeaver &leaver : leavers_) {
         if (!leaver.gone) {
             SaveLeaver(&leaver);
@@ -261,23 +310,23 @@
     ledger_.Close(daemon);
 }
 
+// A daemon that ends by itself breaks every promise at once.
 void
-SoakFaults::DaemonKill()
+SoakFaults::ExpectAlive(size_t daemon)
 {
-    size_t victim = (size_t)Below((int)scene_.cluster.Size());
-    ledger_.Open(victim, SoakBlow::kKilled);
-    scene_.cluster.process(victim).Kill();
-    Sleep(300);
-    Revive(victim);
-    counts["daemon kills"]++;
+    Process &process = scene_.cluster.process(daemon);
+    if (!process.Running()) {
+        bad_stops.push_back("daemon " + std::to_string(daemon) +
+                            " ended by itself: " + Tail(process.Stderr()));
+    }
 }
 
+// Stops a daemon in order; its end is noted when it was not one.
 void
-SoakFaults::DaemonStop()
+SoakFaults::StopInOrder(size_t daemon)
 {
-    size_t victim = (size_t)Below((int)scene_.cluster.Size());
-    Process &process = scene_.cluster.process(victim);
-    ledger_.Open(victim, SoakBlow::kStopped);
+    Process &process = scene_.cluster.process(daemon);
+    ExpectAlive(daemon);
     process.Term();
     Instant limit = std::chrono::steady_clock::now() + kStopLimit;
     while (process.Running() && std::chrono::steady_clock::now() < limit) {
@@ -287,10 +336,29 @@
     if (process.Running() || process.WaitExit() != 0 ||
         log.find("GT_CUT") != std::string::npos ||
         log.find("forced=0") == std::string::npos) {
-        bad_stops.push_back(
-            "daemon " + std::to_string(victim) + ": " +
-            log.substr(log.size() - std::min(log.size(), (size_t)300)));
+        bad_stops.push_back("daemon " + std::to_string(daemon) + ": " +
+                            Tail(log));
     }
+}
+
+void
+SoakFaults::DaemonKill()
+{
+    size_t victim = (size_t)Below((int)scene_.cluster.Size());
+    ExpectAlive(victim);
+    ledger_.Open(victim, SoakBlow::kKilled);
+    scene_.cluster.process(victim).Kill();
+    Sleep(300);
+    Revive(victim);
+    counts["daemon kills"]++;
+}
+
+void
+SoakFaults::DaemonStop()
+{
+    size_t victim = (size_t)Below((int)scene_.cluster.Size());
+    ledger_.Open(victim, SoakBlow::kStopped);
+    StopInOrder(victim);
     Revive(victim);
     counts["planned stops"]++;
 }
@@ -353,10 +421,28 @@
     }
 }
 
+void
+SoakFaults::AwaitVerdict()
+{
+    const int kVerdictMs = 60000;
+    const int kAfterMs = 5000;
+    for (int waited = 0; waited < kVerdictMs && taken_back_usec == 0;
+         waited += kStepMs) {
+        Sleep(kStepMs);
+    }
+    Sleep(kAfterMs);
+}
+
 void
 SoakFaults::Finish()
 {
     scene_.platform.Clear();
+    for (size_t i = 0; i < scene_.cluster.Size(); i++) {
+        StopInOrder(i);
+    }
+    CountBadRuns();
+    SaveRuns(*scene_.engines[bad_engine_],
+             "engine-" + std::to_string(bad_engine_));
     for (size_t i : LiveEngines()) {
         SaveRuns(*scene_.engines[i], "engine-" + std::to_string(i));
     }
--- a/test/soak_faults.h
+++ b/test/soak_faults.h
@@ -26,8 +26,12 @@
     SoakFaults(Scene &scene, SoakLedger &ledger, uint64_t seed);
 
     void AddEngine();
+    // One engine of a version that fails every request.
+    void AddBadVersion();
     // Gives faults until the time is over; call it on the main thread.
     void Run(Instant until);
+    // Waits, under load, until the bad version has been taken back.
+    void AwaitVerdict();
     // Ends all faults and saves the records that are left.
     void Finish();
 
@@ -38,6 +42,9 @@
     std::set<std::string> late_work;          // begun long after a notice
     std::vector<std::string> bad_stops;
     long long leavers_watched = 0;
+    long long bad_runs = 0;        // of the bad version
+    long long bad_runs_late = 0;   // begun long after it was taken back
+    long long taken_back_usec = 0; // boot clock; 0: not seen
     // Held while the log does not take or give records.
     std::atomic<bool> log_out{false};
 
@@ -58,7 +65,11 @@
     std::vector<size_t> LiveEngines();
     size_t Busiest(const std::vector<size_t> &live);
     void Watch();
+    void WatchMove();
+    void CountBadRuns();
     void Revive(size_t daemon);
+    void ExpectAlive(size_t daemon);
+    void StopInOrder(size_t daemon);
     void SaveRuns(const Endpoint &endpoint, const std::string &name);
     void SaveLeaver(SoakLeaver *leaver);
     void Sleep(int millis);
@@ -70,6 +81,8 @@
     std::vector<SoakLeaver> leavers_;
     std::set<size_t> retired_; // engines that are gone or going
     size_t live_plain_ = 0;
+    size_t bad_engine_ = 0;
+    int watches_ = 0;
     std::map<std::string, std::map<std::string, SoakRun>> seen_;
 };
 
