--- a/packages/gate/claims.c
+++ b/packages/gate/claims.c
@@ -11,11 +11,6 @@
 /* The asked one gives up before its asker does. */
 #define Gc_SERVE_USEC (1000 * Ck_USEC_PER_MSEC)
 /* Beyond the caller's deadline an endpoint may still answer for a while. */
-/*
- * How long a slot that others keep stays open: opening reads its stream anew,
- * and daemons may differ for a while on who keeps it.
- */
-#define Gc_CLOSE_AFTER (60 * Ck_USEC_PER_SEC)
 #define Gc_EXPIRE_SLACK_MS 90000
 /* How long a slot stays open after this daemon last had to keep it. */
 #define Gc_KEEP_USEC (10 * Ck_USEC_PER_SEC)
@@ -25,7 +20,6 @@
     struct kp_keeper *keeper;
     int64_t kept_at[Cl_SLOTS]; /* when a slot was last kept or used here */
     uint64_t next_attempt;
-    int64_t foreign_since[Cl_SLOTS]; /* open here though others keep it */
     TAILQ_HEAD(wait_list, gc_wait) waits;
     size_t notes; /* results and releases on their way to other daemons */
 };
@@ -122,12 +116,6 @@
         if (mine && !open) {
             Kp_Open(claims->keeper, slot);
         }
-        if (mine || !open) {
-            claims->foreign_since[slot] = now;
-        }
-        else if (now - claims->foreign_since[slot] > Gc_CLOSE_AFTER) {
-            Kp_Close(claims->keeper, slot);
-        }
         else if (open && now - claims->kept_at[slot] >= Gc_KEEP_USEC) {
             Kp_Close(claims->keeper, slot);
         }
