A stop waits for connections that have not spoken yet; daemon split by job

Cause: the listener's descriptor was closed by the loop a turn after the last accept, and a connection made in between was reset by the kernel; and a connection accepted but not yet heard from was closed after half a second. Ruled out: requests taken (all had ended). The socket now stops listening in the same step as the last accept, and the stop waits up to 5 s for connections that have sent nothing.

--- /dev/null
+++ b/packages/gate/daemon_peers.c
@@ -0,0 +1,302 @@
+/*
+ * What the daemon does with the word of others: the host list, the other
+ * daemons, load samples, claims and version moves.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "gate/daemon_internal.h"
+#include "gate/endpoints.h"
+
+#define Dm_KEY_MAX 32
+
+/*
+ * Remembers whether there are other daemons, and takes those out of the
+ * sharing of limits that are both dead and off the list.  A daemon that is
+ * only out of reach keeps its part: it may be serving on its side of a cut.
+ */
+static void
+note_others(struct dm_daemon *daemon, const struct hl_host *hosts,
+            size_t count)
+{
+    const struct mb_table *members = Nd_Members(Pe_Node(daemon->peers));
+    daemon->others_listed = false;
+    for (size_t i = 0; i < count; i++) {
+        daemon->others_listed =
+            daemon->others_listed ||
+            (hosts[i].role == HL_ENTRY && hosts[i].state == HL_LIVE &&
+             strcmp(hosts[i].id, daemon->gate.options->node_id) != 0);
+    }
+    const struct mb_record *member = Mb_First(members);
+    for (; member != NULL; member = Mb_Next(member)) {
+        bool listed = false;
+        for (size_t i = 0; i < count && member->state == MB_DEAD; i++) {
+            listed = listed || strcmp(hosts[i].id, member->id) == 0;
+        }
+        if (member->state == MB_DEAD && !listed) {
+            In_Member(daemon->gate.intake, member->id, false);
+        }
+    }
+}
+
+static void
+take_hosts(void *arg, const struct hl_host *hosts, size_t count)
+{
+    struct dm_daemon *daemon = arg;
+    daemon->hosts_seen = true;
+    note_others(daemon, hosts, count);
+    Ep_Sync(daemon->gate.endpoints, hosts, count);
+    Pe_Seed(daemon->peers, hosts, count);
+}
+
+static void
+take_notice(void *arg, const char *host, int64_t left_usec)
+{
+    struct dm_daemon *daemon = arg;
+    if (strcmp(host, daemon->gate.options->node_id) == 0) {
+        if (!Sp_Begun(daemon->stop)) {
+            Sp_Begin(daemon->stop);
+        }
+        return;
+    }
+    Ep_Leaving(daemon->gate.endpoints, host, left_usec);
+    Pe_HostLeaving(daemon->peers, host, left_usec);
+}
+
+static void
+hosts_changed(void *arg, uint64_t digest)
+{
+    struct dm_daemon *daemon = arg;
+    Pe_HostsDigest(daemon->peers, digest);
+}
+
+const struct hw_ops dm_host_ops = {
+    .hosts = take_hosts,
+    .changed = hosts_changed,
+    .notice = take_notice,
+};
+
+static const char *
+slot_keeper(void *arg, int slot)
+{
+    struct dm_daemon *daemon = arg;
+    char key[Dm_KEY_MAX];
+    snprintf(key, sizeof(key), "claims-%02d", slot);
+    return Pe_Responsible(daemon->peers, key);
+}
+
+static enum st_status
+ask_keeper(void *arg, const char *node, const char *payload, size_t len,
+           int64_t timeout_usec, gc_reply_fn reply, void *reply_arg)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_AskClaim(daemon->peers, node, payload, len, timeout_usec, reply,
+                       reply_arg);
+}
+
+static bool
+run_ended(void *arg, const struct rc_writer *owner)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_RunEnded(daemon->peers, owner->node, owner->incarnation);
+}
+
+const struct gc_ops dm_claim_ops = {
+    .keeper = slot_keeper,
+    .ask = ask_keeper,
+    .dead = run_ended,
+};
+
+void
+Dm_ConfigApplied(void *arg, uint64_t offset)
+{
+    struct dm_daemon *daemon = arg;
+    Pe_ConfigOffset(daemon->peers, offset);
+    if (daemon->admin != NULL) {
+        Ad_Advanced(daemon->admin);
+    }
+}
+
+static void
+peer_config_ahead(void *arg, uint64_t offset)
+{
+    struct dm_daemon *daemon = arg;
+    (void)offset;
+    Cs_Kick(daemon->config);
+}
+
+static char *
+peer_config_state(void *arg)
+{
+    struct dm_daemon *daemon = arg;
+    return Cs_Export(daemon->config);
+}
+
+static void
+peer_config_came(void *arg, const char *state, size_t len)
+{
+    struct dm_daemon *daemon = arg;
+    (void)Cs_Import(daemon->config, state, len);
+}
+
+static void
+peer_load(void *arg, const struct lw_report *report)
+{
+    struct dm_daemon *daemon = arg;
+    Ep_Report(daemon->gate.endpoints, report->service, report->endpoint,
+              &report->sample);
+    if (report->leaving) {
+        Ep_Leaving(daemon->gate.endpoints, report->endpoint,
+                   report->left_usec);
+    }
+}
+
+static void
+peer_leaving(void *arg, const char *host, int64_t left_usec)
+{
+    struct dm_daemon *daemon = arg;
+    Ep_Leaving(daemon->gate.endpoints, host, left_usec);
+}
+
+static void
+peer_distrust(void *arg, const char *service, const char *version)
+{
+    struct dm_daemon *daemon = arg;
+    Ep_Distrust(daemon->gate.endpoints, service, version);
+}
+
+static void
+peer_demand(void *arg, const char *node, const struct am_demand *demands,
+            size_t count)
+{
+    struct dm_daemon *daemon = arg;
+    In_Hear(daemon->gate.intake, node, demands, count);
+}
+
+static void
+peer_hosts(void *arg, uint64_t digest)
+{
+    struct dm_daemon *daemon = arg;
+    if (daemon->hosts != NULL) {
+        Hw_Hear(daemon->hosts, digest);
+    }
+}
+
+static void
+peer_member(void *arg, const char *node, bool present)
+{
+    struct dm_daemon *daemon = arg;
+    In_Member(daemon->gate.intake, node, present);
+}
+
+static void
+claim_served(void *arg, const char *payload, size_t len)
+{
+    Lk_Reply(arg, ST_OK, payload, len);
+}
+
+static void
+peer_claim(void *arg, struct lk_request *request)
+{
+    struct dm_daemon *daemon = arg;
+    size_t len;
+    const char *payload = Lk_Payload(request, &len);
+    if (Gc_Serve(daemon->gate.claims, payload, len, claim_served, request) !=
+        ST_OK) {
+        Lk_Reply(request, ST_UNAVAILABLE, NULL, 0);
+    }
+}
+
+static void
+peer_evidence(void *arg, const char *text, size_t len)
+{
+    struct dm_daemon *daemon = arg;
+    Mo_Report(daemon->gate.moves, text, len);
+}
+
+const struct pe_ops dm_peer_ops = {
+    .config_ahead = peer_config_ahead,
+    .config_state = peer_config_state,
+    .config_came = peer_config_came,
+    .load = peer_load,
+    .leaving = peer_leaving,
+    .distrust = peer_distrust,
+    .demand = peer_demand,
+    .hosts = peer_hosts,
+    .member = peer_member,
+    .claim = peer_claim,
+    .evidence = peer_evidence,
+};
+
+static bool
+move_should_hold(void *arg, const char *job)
+{
+    struct dm_daemon *daemon = arg;
+    return !Sp_Begun(daemon->stop) &&
+           Pe_Responsible(daemon->peers, job) == NULL;
+}
+
+static void
+move_report(void *arg, const char *job, const char *text, size_t len)
+{
+    struct dm_daemon *daemon = arg;
+    const char *holder = Pe_Responsible(daemon->peers, job);
+    if (holder == NULL) {
+        Mo_Report(daemon->gate.moves, text, len);
+        return;
+    }
+    Pe_SendEvidence(daemon->peers, holder, text, len);
+}
+
+static void
+move_distrust(void *arg, const char *service, const char *version)
+{
+    struct dm_daemon *daemon = arg;
+    Pe_Distrust(daemon->peers, service, version);
+}
+
+static size_t
+move_routers(void *arg, const char **out, size_t max)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_Routers(daemon->peers, out, max);
+}
+
+const struct mo_ops dm_move_ops = {
+    .should_hold = move_should_hold,
+    .report = move_report,
+    .distrust = move_distrust,
+    .routers = move_routers,
+};
+
+static bool
+load_mine(void *arg, const struct ch_info *info)
+{
+    struct dm_daemon *daemon = arg;
+    return Pe_Watches(daemon->peers, info);
+}
+
+static void
+load_report(void *arg, const struct lw_report *report)
+{
+    struct dm_daemon *daemon = arg;
+    peer_load(daemon, report);
+    Pe_Load(daemon->peers, report);
+}
+
+static void
+load_silent(void *arg, const char *service, const char *endpoint)
+{
+    struct dm_daemon *daemon = arg;
+    struct ch_table *table = Ep_Table(daemon->gate.endpoints, service);
+    if (table != NULL) {
+        Ch_SetState(table, endpoint, CH_SUSPECT, 0,
+                    Ck_Now(daemon->gate.clock));
+    }
+}
+
+const struct lw_ops dm_load_ops = {
+    .mine = load_mine,
+    .report = load_report,
+    .silent = load_silent,
+};
--- a/packages/gate/stop.c
+++ b/packages/gate/stop.c
@@ -15,9 +15,11 @@
 #define Sp_SETTLE (2 * Ck_USEC_PER_SEC)
 /*
  * How long connections made before the listener closed have to send their
- * request, which is then refused in words rather than by a reset.
+ * request, which is then refused in words rather than by a reset: the least,
+ * and the most for those that are still silent.
  */
 #define Sp_CLOSING (500 * Ck_USEC_PER_MSEC)
+#define Sp_CLOSING_MOST (5 * Ck_USEC_PER_SEC)
 #define Sp_POLL (50 * Ck_USEC_PER_MSEC)
 
 enum sp_phase {
@@ -60,7 +62,9 @@
         }
         return;
     case SP_CLOSING:
-        stop->over = now >= stop->phase_end && stop->ops->idle(stop->arg);
+        stop->over = now >= stop->phase_end && stop->ops->idle(stop->arg) &&
+                     (stop->ops->quiet(stop->arg) ||
+                      now >= stop->phase_end + Sp_CLOSING_MOST);
         return;
     }
 }
--- a/packages/gate/stop.h
+++ b/packages/gate/stop.h
@@ -20,6 +20,8 @@
     void (*refusing)(void *arg);
     /* Nothing runs any more: refuse new connections. */
     void (*closing)(void *arg);
+    /* True when every connection has sent a request, or is closed. */
+    bool (*quiet)(void *arg);
     /* True when nothing is left that a stop would cut or lose. */
     bool (*idle)(void *arg);
     /* Everything has ended, or the limit has passed: leave the loop. */
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -36,6 +36,8 @@
     int port;
     struct in_addr address;
     bool closing; /* every answer ends its connection */
+    char mark;    /* its address marks connections without a request yet */
+    size_t fresh; /* how many of these there are */
     struct lws_protocols protocols[2];
     const struct hs_ops *ops;
     void *arg;
@@ -496,12 +498,44 @@
            reason == LWS_CALLBACK_RAW_WRITEABLE;
 }
 
+/* The server of a connection that has not sent its first request, or NULL. */
+static struct hs_server *
+fresh_server(struct lws *wsi)
+{
+    const void *opaque = lws_get_opaque_user_data(wsi);
+    struct hs_server *server;
+    TAILQ_FOREACH (server, &servers, link) {
+        if (opaque == &server->mark) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
+/* Ends the wait for a connection's first request when it came, or never will.
+ */
+static void
+end_fresh(struct lws *wsi, struct hs_server *server,
+          enum lws_callback_reasons reason)
+{
+    if (reason == LWS_CALLBACK_HTTP || reason == LWS_CALLBACK_WSI_DESTROY) {
+        lws_set_opaque_user_data(wsi, NULL);
+        server->fresh--;
+    }
+}
+
 static int
 server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
                 void *in, size_t len)
 {
-    struct hs_request *request =
-        wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
+    struct hs_request *request = NULL;
+    struct hs_server *waiting = wsi != NULL ? fresh_server(wsi) : NULL;
+    if (waiting != NULL) {
+        end_fresh(wsi, waiting, reason);
+    }
+    else if (wsi != NULL) {
+        request = lws_get_opaque_user_data(wsi);
+    }
     if (is_raw(reason)) {
         return -1;
     }
@@ -544,7 +578,11 @@
             return;
         }
         /* On failure the library has closed the descriptor. */
-        lws_adopt_socket_vhost(server->vhost, fd);
+        struct lws *wsi = lws_adopt_socket_vhost(server->vhost, fd);
+        if (wsi != NULL) {
+            lws_set_opaque_user_data(wsi, &server->mark);
+            server->fresh++;
+        }
     }
 }
 
@@ -679,18 +717,28 @@
 
 /*
  * Refuses new connections.  Those that have connected already are taken
- * first, so that they are answered rather than reset.
+ * first, so that they are answered rather than reset.  The socket stops
+ * listening here and now: the loop closes it only at its next turn, and what
+ * connected until then would be reset.
  */
 void
 Hs_StopListening(struct hs_server *server)
 {
     if (server->listener != NULL) {
         accept_some(server);
+        shutdown(server->listen_fd, SHUT_RDWR);
         Lp_WatchDestroy(server->listener);
         server->listener = NULL;
     }
 }
 
+/* Connections that have not sent their first request yet. */
+size_t
+Hs_Fresh(const struct hs_server *server)
+{
+    return server->fresh;
+}
+
 /* Requests that were taken and whose answer has not been written out. */
 size_t
 Hs_OpenRequests(const struct hs_server *server)
