--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 # What control costs a daemon at several sizes; see docs/CAPACITY.md.
 bench: build
 	@$(BUILD)/test/cg_bench_control
+	@$(BUILD)/test/cg_bench_data
 
 demo: deps build
 	@tools/demo $(BUILD)
