--- a/test/caller_test.cc
+++ b/test/caller_test.cc
@@ -545,6 +545,7 @@
         usleep(100000);
     }
     long grown = scene.cluster.process(0).RssKilobytes() - before;
+    RecordProperty("grown_kilobytes", std::to_string(grown));
     EXPECT_LT(grown, kMostKilobytes);
     readers.clear();
     EXPECT_TRUE(cg::Eventually([&] {
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -14,6 +14,7 @@
 const int kNoticeLeastMs = 1500;
 const int kNoticeRangeMs = 8000;
 const int kStepMs = 50;
+const int kWarmMs = 1500;
 const size_t kTailBytes = 300;
 const Millis kStopLimit{90000};
 
@@ -408,6 +409,8 @@
     // One round in a drawn order before the next, so that a short run meets
     // every kind.
     std::vector<int> order;
+    // The first host to leave must have had work before.
+    Sleep(kWarmMs);
     ReclaimWave();
     while (std::chrono::steady_clock::now() < until) {
         if (order.empty()) {
