A daemon without callers tells its demand a third as often

Cause: demands were three quarters of the gossip of an idle daemon (docs/CAPACITY.md). An empty demand repeated says nothing new; it is told every third interval, since silence for four sets a daemon's part aside.

--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -21,6 +21,8 @@
 #define Dm_HEAR_USEC (5 * Ck_USEC_PER_SEC)
 #define Dm_PULL_PERIOD (200 * Ck_USEC_PER_MSEC)
 #define Dm_DEMANDS_MAX 32
+/* A daemon is taken for silent after four intervals without a word. */
+#define Dm_DEMANDS_SKIPPED 2
 /* Appends a second of one daemon; the keeper sets those for claims. */
 #define Dm_CONFIG_APPENDS 5
 #define Dm_LEASE_APPENDS 5
@@ -177,7 +179,20 @@
         return;
     }
     daemon->next_demand = now + In_PublishInterval(daemon->gate.intake);
+    /*
+     * A daemon without callers has nothing new to say; it says so often
+     * enough that the others do not take it for silent.
+     */
+    bool idle = daemon->demands_told == 0 &&
+                daemon->requests_told == daemon->gate.next_request;
+    if (idle && daemon->demands_skipped < Dm_DEMANDS_SKIPPED) {
+        daemon->demands_skipped++;
+        return;
+    }
+    daemon->demands_skipped = 0;
+    daemon->requests_told = daemon->gate.next_request;
     size_t count = In_Publish(daemon->gate.intake, demands, Dm_DEMANDS_MAX);
+    daemon->demands_told = count;
     Pe_Demand(daemon->peers, demands, count);
 }
 
--- a/packages/gate/daemon_internal.h
+++ b/packages/gate/daemon_internal.h
@@ -23,6 +23,9 @@
     struct pe_peers *peers;
     struct lw_watch *loads;
     int64_t next_demand;
+    uint64_t requests_told; /* requests taken when demand was last told */
+    size_t demands_told;
+    int demands_skipped;
     int64_t next_pull;
     int64_t next_offset;
     struct pl_log *log;
