Retries are paid for by successes

Cause: the relays tried each failed request up to four times whatever went on, which multiplies load in an outage. The budget of packages/policy/retry.h is now one a service: 50 at once, a fifth of a retry for each success. Going on with a stream that has begun is not a retry.

--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -12,6 +12,13 @@
 /* How long a notice is kept after its host was to go. */
 #define Ep_TOLD_KEEP (3600 * Ck_USEC_PER_SEC)
 
+/*
+ * Retries are paid for by successes, so that an outage does not turn each
+ * request into several and keep the endpoints down.
+ */
+#define Ep_RETRY_RATIO 0.2
+#define Ep_RETRY_MOST 50
+
 struct known {
     TAILQ_ENTRY(known) link;
     char id[Hl_NAME_MAX];
@@ -27,6 +34,7 @@
     TAILQ_ENTRY(service) link;
     char name[Cf_NAME_MAX];
     struct ch_table *table;
+    struct rt_budget retries;
     struct known_list endpoints;
     bool shares_set;
 };
@@ -165,6 +173,7 @@
     Ch_Defaults(&settings);
     strlcpy(service->name, name, sizeof(service->name));
     TAILQ_INIT(&service->endpoints);
+    Rt_Init(&service->retries, Ep_RETRY_RATIO, Ep_RETRY_MOST);
     service->table = Ch_Create(pool->gate->options->data_centre,
                                Ch_Predictive(), &settings);
     if (service->table == NULL) {
@@ -359,3 +368,11 @@
     struct service *found = find_service(pool, service);
     return found != NULL ? found->table : NULL;
 }
+
+/* The retries a service may still make, or NULL when it is not known. */
+struct rt_budget *
+Ep_Budget(const struct ep_pool *pool, const char *service)
+{
+    struct service *found = find_service(pool, service);
+    return found != NULL ? &found->retries : NULL;
+}
--- a/packages/gate/endpoints.h
+++ b/packages/gate/endpoints.h
@@ -8,6 +8,7 @@
 #include "gate/gate.h"
 #include "platform/hostlist.h"
 #include "policy/choose.h"
+#include "policy/retry.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -31,6 +32,7 @@
                  const char *version);
 void Ep_SetShares(struct ep_pool *pool, const char *service,
                   const struct ch_share *shares, size_t count);
+struct rt_budget *Ep_Budget(const struct ep_pool *pool, const char *service);
 struct ch_table *Ep_Table(const struct ep_pool *pool, const char *service);
 
 #ifdef __cplusplus
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -320,6 +320,7 @@
     struct rq_request *request = relay->request;
     drop_move(relay);
     end_flight(relay, CH_GOOD);
+    Rq_Succeeded(relay->request);
     count_tokens(relay);
     answer_caller(relay);
     Rq_Finish(request, AN_RAN);
@@ -361,7 +362,6 @@
                 "several engines failed this request; it may be repeated");
         return;
     }
-    Gt_Count(gate, "cg_retries_total", NULL, NULL);
     if (relay->tokens > 0) {
         Ev_Log(&GT_STREAM_MOVED, "request=%s tokens=%d", relay->request->id,
                relay->tokens);
@@ -370,6 +370,23 @@
     attempt(relay);
 }
 
+/*
+ * An attempt failed.  Going on with a stream that the caller has begun to
+ * read is always tried; starting anew is a retry and is paid for.
+ */
+static void
+attempt_failed(struct rl_engine *relay)
+{
+    if (relay->tokens == 0 &&
+        !Rq_MayRetry(relay->request, RT_SENT, relay->attempts)) {
+        give_up(relay, AN_UNKNOWN,
+                "the engines of this service fail; the request may be "
+                "repeated later");
+        return;
+    }
+    next_attempt(relay);
+}
+
 static enum ch_outcome
 failure_kind(int code)
 {
@@ -399,7 +416,7 @@
         return;
     }
     end_flight(relay, failure_kind(result->code));
-    next_attempt(relay);
+    attempt_failed(relay);
 }
 
 static void
@@ -419,7 +436,7 @@
     else if (relay->broken) {
         drop_call(relay);
         end_flight(relay, CH_FAILED);
-        next_attempt(relay);
+        attempt_failed(relay);
     }
 }
 
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -16,7 +16,6 @@
 #include "gate/request.h"
 #include "web/client.h"
 
-#define Rl_ATTEMPTS 4
 #define Rl_ATTEMPT_MAX (Rq_ID_MAX + 16)
 #define Rl_TYPE_MAX 128
 #define Rl_URL_MAX 4096
@@ -143,6 +142,7 @@
     bool complete = result->stage == HC_COMPLETE;
     if (complete && relay->matched && result->code < 500) {
         end_flight(request, CH_GOOD);
+        Rq_Succeeded(request);
         answer_caller(request, call, result->code);
         return;
     }
@@ -157,10 +157,8 @@
         Gt_Count(request->gate, "cg_crossed_answers_total", NULL, NULL);
     }
     bool left = result->stage != HC_CONNECTING;
-    bool again = !left || request->repeatable;
     relay->left_before = relay->left_before || left;
-    if (again && request->http != NULL && relay->attempts < Rl_ATTEMPTS) {
-        Gt_Count(request->gate, "cg_retries_total", NULL, NULL);
+    if (Rq_MayRetry(request, left ? RT_SENT : RT_NOT_SENT, relay->attempts)) {
         attempt(request);
         return;
     }
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -9,6 +9,7 @@
 #include <strings.h>
 
 #include "base/event.h"
+#include "gate/endpoints.h"
 #include "gate/events.h"
 #include "gate/intake.h"
 #include "gate/moves.h"
@@ -161,6 +162,41 @@
     return ST_OK;
 }
 
+/*
+ * Whether a failed attempt may be followed by another; takes from the
+ * service's budget when it may.
+ */
+bool
+Rq_MayRetry(struct rq_request *request, enum rt_stage stage, int attempts)
+{
+    struct gt_gate *gate = request->gate;
+    struct rt_budget *budget =
+        Ep_Budget(gate->endpoints, request->service->name);
+    struct rt_attempt attempt = {
+        .stage = stage,
+        .idempotent = request->repeatable,
+        .keyed = request->keyed,
+        .attempts = attempts,
+        .left = request->deadline - Ck_Now(gate->clock),
+    };
+    bool may = request->http != NULL && budget != NULL &&
+               Rt_Decide(budget, &attempt) == RT_RETRY;
+    Gt_Count(gate, may ? "cg_retries_total" : "cg_retries_refused_total", NULL,
+             NULL);
+    return may;
+}
+
+/* An endpoint has answered well: it pays for a part of a later retry. */
+void
+Rq_Succeeded(struct rq_request *request)
+{
+    struct rt_budget *budget =
+        Ep_Budget(request->gate->endpoints, request->service->name);
+    if (budget != NULL) {
+        Rt_Success(budget);
+    }
+}
+
 /* The route of a request, as evidence is kept by: few and stable names. */
 static const char *
 route_name(const struct rq_request *request)
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -13,6 +13,7 @@
 #include "platform/engine.h"
 #include "policy/choose.h"
 #include "policy/queue.h"
+#include "policy/retry.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -68,6 +69,9 @@
 void Rq_Finish(struct rq_request *request, enum an_outcome outcome);
 enum st_status Rq_Choose(struct rq_request *request, struct ch_table *table,
                          struct ch_request *ask, struct ch_flight *flight);
+bool Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
+                 int attempts);
+void Rq_Succeeded(struct rq_request *request);
 void Rq_NoteVersion(struct rq_request *request, const struct ch_flight *flight,
                     enum ch_outcome outcome, int64_t first_token_usec);
 bool Rq_Idle(const struct gt_gate *gate);
--- a/test/refusal_test.cc
+++ b/test/refusal_test.cc
@@ -252,4 +252,26 @@
     EXPECT_EQ(0, scene.cluster.process(0).WaitExit());
 }
 
+/*
+ * Every endpoint of a service fails for a while. If each request were tried
+ * three times, the endpoints would get three times the load just then, and
+ * stay down. Retries are paid for by successes; without any there are few.
+ */
+TEST(Retries, AnOutageIsNotMultiplied)
+{
+    cg::Scene scene;
+    for (int i = 0; i < 3; i++) {
+        scene.AddPlain().Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    }
+    scene.PublishDefaults();
+    scene.cluster.AddMany(1);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    const int kRequests = 300;
+    for (int i = 0; i < kRequests; i++) {
+        cg::Http(scene.Call(0, "GET", "/seats/free"));
+    }
+    EXPECT_LE(scene.Metric(0, "cg_retries_total"), 50);
+    EXPECT_GT(scene.Metric(0, "cg_retries_refused_total"), 0);
+}
+
 } // namespace
