A few daemons of each data centre read the config stream often, the others on their word

Two of each data centre still do; the others read when gossip tells of a later offset, else every 5 s, and ask a peer when they are still behind a second later.

--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -8,8 +8,10 @@
 #include "state/snapshot.h"
 
 #define Cs_POLL (250 * Ck_USEC_PER_MSEC)
+/* Without word of a change; a net below gossip. */
+#define Cs_POLL_SLOW (5 * Ck_USEC_PER_SEC)
 /* A tail seen longer ago than this says nothing about the log's state now. */
-#define Cs_FRESH (5 * Ck_USEC_PER_SEC)
+#define Cs_FRESH (3 * Cs_POLL_SLOW)
 /* A piece of the sections' snapshot that fits one record of the log. */
 #define Cs_PIECE_BYTES ((size_t)24 << 10)
 
@@ -18,6 +20,7 @@
     struct sc_state *sections;
     struct wr_writer *writer;
     struct sn_replica *replica;
+    bool fast;
     char *gathered; /* pieces of a snapshot being loaded */
     size_t gathered_len;
 };
@@ -140,6 +143,7 @@
     if (status == ST_OK) {
         status = Sn_Create(&replica, &stream->replica);
     }
+    stream->fast = true;
     if (status != ST_OK) {
         Cs_Destroy(stream);
         return status;
@@ -177,6 +181,20 @@
     Sn_Kick(stream->replica);
 }
 
+/*
+ * Whether this daemon reads the stream at short intervals.  A few do in each
+ * data centre; the others read on their word, and else seldom: 420 daemons
+ * at four reads a second would ask the log 1,680 times a second.
+ */
+void
+Cs_SetFast(struct cs_stream *stream, bool fast)
+{
+    if (fast != stream->fast) {
+        stream->fast = fast;
+        Sn_SetPoll(stream->replica, fast ? Cs_POLL : Cs_POLL_SLOW);
+    }
+}
+
 /* Whether this daemon is the one that writes the stream's snapshots. */
 void
 Cs_SetWriting(struct cs_stream *stream, bool writing)
--- a/packages/gate/confstream.h
+++ b/packages/gate/confstream.h
@@ -32,6 +32,7 @@
 void Cs_Destroy(struct cs_stream *stream);
 void Cs_Tick(struct cs_stream *stream);
 void Cs_Kick(struct cs_stream *stream);
+void Cs_SetFast(struct cs_stream *stream, bool fast);
 void Cs_SetWriting(struct cs_stream *stream, bool writing);
 enum st_status Cs_Import(struct cs_stream *stream, const char *state,
                          size_t len);
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -19,6 +19,8 @@
  * the log alone shows: the log may answer with an end that lags.
  */
 #define Dm_HEAR_USEC (5 * Ck_USEC_PER_SEC)
+#define Dm_BEHIND_USEC (1 * Ck_USEC_PER_SEC)
+#define Dm_SHARING_PERIOD (1 * Ck_USEC_PER_SEC)
 #define Dm_PULL_PERIOD (200 * Ck_USEC_PER_MSEC)
 #define Dm_DEMANDS_MAX 32
 /* A daemon is taken for silent after four intervals without a word. */
@@ -154,23 +156,35 @@
 };
 
 /*
- * A daemon that cannot read the log itself takes the sections of a peer
- * that has read further.
+ * Word of a change makes a daemon read the log at once.  One that is still
+ * behind a while later, since it cannot read the log, takes the sections of a
+ * peer that has read further.
  */
 static void
 catch_up(struct dm_daemon *daemon, int64_t now)
 {
-    if (now < daemon->next_pull) {
+    uint64_t offset = Sc_Offset(Cs_State(daemon->config));
+    if (offset >= Pe_HighestOffset(daemon->peers)) {
+        daemon->behind_since = now;
         return;
     }
-    daemon->next_pull = now + Dm_PULL_PERIOD;
-    uint64_t offset = Sc_Offset(Cs_State(daemon->config));
-    if (offset < Pe_HighestOffset(daemon->peers) &&
-        !Cs_Reading(daemon->config)) {
+    bool waited = daemon->gate.config == NULL ||
+                  now - daemon->behind_since >= Dm_BEHIND_USEC;
+    if (waited && now >= daemon->next_pull) {
+        daemon->next_pull = now + Dm_PULL_PERIOD;
         Pe_PullConfig(daemon->peers);
     }
 }
 
+static void
+share_reading(struct dm_daemon *daemon, int64_t now)
+{
+    if (now >= daemon->next_sharing) {
+        daemon->next_sharing = now + Dm_SHARING_PERIOD;
+        Cs_SetFast(daemon->config, Pe_ReadsFast(daemon->peers));
+    }
+}
+
 static void
 tell_demand(struct dm_daemon *daemon, int64_t now)
 {
@@ -221,6 +235,7 @@
     Ct_SetWriting(daemon->control,
                   Pe_Responsible(daemon->peers, "control-snapshot") == NULL);
     catch_up(daemon, now);
+    share_reading(daemon, now);
     tell_demand(daemon, now);
     tell_offset(daemon, now);
     if (!daemon->was_ready && Dm_NotReady(daemon) == NULL) {
--- a/packages/gate/daemon_internal.h
+++ b/packages/gate/daemon_internal.h
@@ -27,6 +27,8 @@
     size_t demands_told;
     int demands_skipped;
     int64_t next_pull;
+    int64_t behind_since; /* others know of a later offset */
+    int64_t next_sharing;
     int64_t next_offset;
     struct pl_log *log;
     struct bg_budget *budget;
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -640,6 +640,23 @@
     return count;
 }
 
+/* Whether this daemon is one of two of its data centre that read the config
+ * stream at short intervals. */
+bool
+Pe_ReadsFast(const struct pe_peers *peers)
+{
+    const struct mb_record *readers[Pe_WATCHERS];
+    size_t count =
+        Nd_Top(peers->node, "config-readers",
+               peers->gate->options->data_centre, readers, Pe_WATCHERS);
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(readers[i]->id, Nd_Id(peers->node)) == 0) {
+            return true;
+        }
+    }
+    return count == 0;
+}
+
 static bool
 ranks_as_watcher(const struct pe_peers *peers, const struct ch_info *info)
 {
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -75,6 +75,7 @@
 uint16_t Pe_Port(const struct pe_peers *peers);
 const char *Pe_Responsible(struct pe_peers *peers, const char *key);
 size_t Pe_Routers(const struct pe_peers *peers, const char **out, size_t max);
+bool Pe_ReadsFast(const struct pe_peers *peers);
 bool Pe_Watches(struct pe_peers *peers, const struct ch_info *info);
 bool Pe_RunEnded(const struct pe_peers *peers, const char *node,
                  uint64_t incarnation);
--- a/packages/state/follower.c
+++ b/packages/state/follower.c
@@ -196,6 +196,16 @@
     }
 }
 
+/* Changes the time between reads at the tail; a shorter one counts at once. */
+void
+Fo_SetPoll(struct fo_follower *follower, int64_t poll_usec)
+{
+    if (poll_usec < follower->poll_usec) {
+        follower->read_at -= follower->poll_usec - poll_usec;
+    }
+    follower->poll_usec = poll_usec;
+}
+
 /* Reads now; a read on its way is followed by another one. */
 void
 Fo_Kick(struct fo_follower *follower)
--- a/packages/state/snapshot.c
+++ b/packages/state/snapshot.c
@@ -347,6 +347,13 @@
     Fo_Kick(replica->follower);
 }
 
+/* Changes the time between reads at the tail, in microseconds. */
+void
+Sn_SetPoll(struct sn_replica *replica, int64_t poll_usec)
+{
+    Fo_SetPoll(replica->follower, poll_usec);
+}
+
 /* Whether this replica writes snapshots; one of them should. */
 void
 Sn_SetWriting(struct sn_replica *replica, bool writing)
