--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -107,6 +107,10 @@
     .dead = run_ended,
 };
 
+/*
+ * The config stream was read further: the others and waiting operators are
+ * told.
+ */
 void
 Dm_ConfigApplied(void *arg, uint64_t offset)
 {
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -6,7 +6,8 @@
  * at another engine from the tokens already given; the numbers make sure that
  * the caller sees neither a gap nor a repeat.
  */
-#include <bsd/string.h>
+#include "gate/relay_engine.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,68 +15,21 @@
 #include "base/event.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
-#include "gate/request.h"
-#include "platform/kvmove.h"
-#include "platform/sse.h"
-#include "policy/stream.h"
-#include "web/client.h"
 
 #define Rl_ATTEMPTS 6
-#define Rl_ATTEMPT_MAX (Rq_ID_MAX + 16)
 #define Rl_EVENT_MAX ((size_t)64 << 10)
 #define Rl_TEXT_MAX ((size_t)4 << 20)
 #define Rl_PENDING_MAX ((size_t)256 << 10)
 #define Rl_RETRY_SOON_SEC 1
-#define Rl_BYTES_PER_TOKEN 4
-#define Rl_EXPECTED_TOKENS 256
 #define Rl_URGENT_PRIORITY 10
 #define Rl_PATIENT_PRIORITY 1
 #define Rl_LABELS_MAX 200
-/* What moving a cache costs, until an engine has shown otherwise. */
-#define Rl_MOVE_USEC (20 * Ck_USEC_PER_MSEC)
-#define Rl_MOVE_PER_TOKEN 20
-#define Rl_FIRST_GUESS_TOKEN_USEC (30 * Ck_USEC_PER_MSEC)
-
-struct rl_engine {
-    struct rq_request *request;
-    struct hc_call *call;
-    struct ss_parser *parser;
-    struct ch_flight flight;
-    struct ch_table *table;
-    char attempt[Rl_ATTEMPT_MAX];
-    int attempts;
-    int code;
-    bool paused;
-    bool streaming; /* the caller's stream has begun */
-    bool done;      /* the engine said the answer is whole */
-    bool broken;    /* this attempt sent what cannot be used */
-    int tokens;     /* given to the caller, or kept for it */
-    int sent_on;    /* tokens known when this attempt began */
-    int expected;   /* tokens of the whole answer, by the engine's count */
-    char *text;
-    size_t text_len;
-    size_t text_size;
-    struct en_usage usage;
-    int recomputed;
-    int64_t last_token;
-    int64_t answered;  /* time to this attempt's first token */
-    int64_t began;     /* this attempt's first token */
-    int64_t leaving;   /* when its engine will be gone; 0: it stays */
-    enum sm_plan plan; /* what the timer will do about it */
-    struct lp_timer *plan_timer;
-    struct kv_move *move;    /* on its way to the target */
-    struct ch_flight target; /* reserved while the cache moves */
-    struct mt_metric *first_token_time;
-    struct mt_metric *token_time;
-};
 
 static void attempt(struct rl_engine *relay);
-static void launch(struct rl_engine *relay, const char *kv);
-static void decide(struct rl_engine *relay);
-static void plan_due(void *arg);
 
-static void
-end_flight(struct rl_engine *relay, enum ch_outcome outcome)
+/* Ends the attempt's place at its engine and tells what it showed. */
+void
+Re_EndFlight(struct rl_engine *relay, enum ch_outcome outcome)
 {
     if (relay->flight.endpoint != NULL) {
         Rq_NoteVersion(relay->request, &relay->flight, outcome,
@@ -87,8 +41,8 @@
 }
 
 /* Closes the connection to the engine, which then stops computing. */
-static void
-drop_call(struct rl_engine *relay)
+void
+Re_DropCall(struct rl_engine *relay)
 {
     if (relay->call != NULL) {
         Hc_Cancel(relay->call);
@@ -96,23 +50,6 @@
     }
 }
 
-/* Gives up a cache on its way and the place kept for it. */
-static void
-drop_move(struct rl_engine *relay)
-{
-    if (relay->move != NULL) {
-        Kv_Cancel(relay->move);
-        relay->move = NULL;
-    }
-    if (relay->target.endpoint != NULL) {
-        Ch_End(relay->table, &relay->target, CH_CANCELLED,
-               Ck_Now(relay->request->gate->clock));
-        relay->target.endpoint = NULL;
-    }
-    relay->leaving = 0;
-    Lp_TimerCancel(relay->plan_timer);
-}
-
 static bool
 keep_text(struct rl_engine *relay, const char *text)
 {
@@ -318,8 +255,8 @@
 finish(struct rl_engine *relay)
 {
     struct rq_request *request = relay->request;
-    drop_move(relay);
-    end_flight(relay, CH_GOOD);
+    Re_DropMove(relay);
+    Re_EndFlight(relay, CH_GOOD);
     Rq_Succeeded(relay->request);
     count_tokens(relay);
     answer_caller(relay);
@@ -335,9 +272,9 @@
 give_up(struct rl_engine *relay, enum an_kind kind, const char *message)
 {
     struct rq_request *request = relay->request;
-    drop_move(relay);
-    drop_call(relay);
-    end_flight(relay, CH_FAILED);
+    Re_DropMove(relay);
+    Re_DropCall(relay);
+    Re_EndFlight(relay, CH_FAILED);
     count_tokens(relay);
     if (relay->streaming && request->http != NULL) {
         char *body = An_ErrorBody(AN_UNKNOWN, message);
@@ -352,11 +289,12 @@
     Rq_Refuse(request, kind, Rl_RETRY_SOON_SEC, "%s", message);
 }
 
-static void
-next_attempt(struct rl_engine *relay)
+/* Goes on at another engine from the tokens given, or gives the request up. */
+void
+Re_NextAttempt(struct rl_engine *relay)
 {
     struct gt_gate *gate = relay->request->gate;
-    drop_move(relay);
+    Re_DropMove(relay);
     if (relay->attempts >= Rl_ATTEMPTS) {
         give_up(relay, AN_UNKNOWN,
                 "several engines failed this request; it may be repeated");
@@ -384,7 +322,7 @@
                 "repeated later");
         return;
     }
-    next_attempt(relay);
+    Re_NextAttempt(relay);
 }
 
 static enum ch_outcome
@@ -409,13 +347,13 @@
      */
     if (result->code >= 400 && result->code < 500 && result->code != 429 &&
         relay->attempts == 1) {
-        end_flight(relay, CH_GOOD);
+        Re_EndFlight(relay, CH_GOOD);
         Rq_Refuse(relay->request, AN_INVALID, 0,
                   "the engine refused the request with %d; check its fields",
                   result->code);
         return;
     }
-    end_flight(relay, failure_kind(result->code));
+    Re_EndFlight(relay, failure_kind(result->code));
     attempt_failed(relay);
 }
 
@@ -430,12 +368,12 @@
         relay->broken = true;
     }
     if (relay->done) {
-        drop_call(relay);
+        Re_DropCall(relay);
         finish(relay);
     }
     else if (relay->broken) {
-        drop_call(relay);
-        end_flight(relay, CH_FAILED);
+        Re_DropCall(relay);
+        Re_EndFlight(relay, CH_FAILED);
         attempt_failed(relay);
     }
 }
@@ -482,8 +420,9 @@
     return status;
 }
 
-static void
-fill_ask(const struct rl_engine *relay, struct ch_request *ask)
+/* What the choice of an engine needs to know of the request as it stands. */
+void
+Re_FillAsk(const struct rl_engine *relay, struct ch_request *ask)
 {
     const struct rq_request *request = relay->request;
     size_t prompt_bytes = request->prompt.text_len + relay->text_len;
@@ -497,8 +436,8 @@
 }
 
 /* Sends the request to the engine of the flight that has been started. */
-static void
-launch(struct rl_engine *relay, const char *kv)
+void
+Re_Launch(struct rl_engine *relay, const char *kv)
 {
     Ss_Destroy(relay->parser);
     relay->parser = Ss_Create(Rl_EVENT_MAX);
@@ -521,149 +460,14 @@
 {
     struct rq_request *request = relay->request;
     struct ch_request ask;
-    fill_ask(relay, &ask);
+    Re_FillAsk(relay, &ask);
     relay->table = Ep_Table(request->gate->endpoints, request->service->name);
     if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
         give_up(relay, relay->attempts == 0 ? AN_UNAVAILABLE : AN_UNKNOWN,
                 "no engine of this service is free; come back later");
         return;
     }
-    launch(relay, NULL);
-}
-
-static void
-fill_stream(const struct rl_engine *relay, int64_t now,
-            struct sm_stream *stream)
-{
-    const struct rq_request *request = relay->request;
-    int whole = request->prompt.max_tokens > 0 ? request->prompt.max_tokens
-                                               : Rl_EXPECTED_TOKENS;
-    int given_here = relay->tokens - relay->sent_on;
-    stream->left = relay->leaving - now;
-    stream->prompt_tokens =
-        (int)(request->prompt.text_len / Rl_BYTES_PER_TOKEN);
-    stream->tokens_given = relay->tokens;
-    stream->tokens_expected =
-        whole > relay->tokens ? whole - relay->tokens : 1;
-    stream->token_usec =
-        given_here > 1 ? (relay->last_token - relay->began) / (given_here - 1)
-                       : Rl_FIRST_GUESS_TOKEN_USEC;
-}
-
-/* The engine that would take the stream over; no flight is started. */
-static void
-fill_target(struct rl_engine *relay, int64_t now, struct sm_target *target,
-            struct ch_flight *flight)
-{
-    struct gt_gate *gate = relay->request->gate;
-    struct ch_settings settings;
-    struct ch_request ask;
-    Ch_Defaults(&settings);
-    fill_ask(relay, &ask);
-    memset(target, 0, sizeof(*target));
-    target->found =
-        Ch_Choose(relay->table, &ask, now, &gate->random, flight) == ST_OK &&
-        flight->endpoint != relay->flight.endpoint;
-    target->imports = true;
-    target->wait = target->found ? flight->predicted : 0;
-    target->move_usec = Rl_MOVE_USEC;
-    target->move_per_token = Rl_MOVE_PER_TOKEN;
-    target->prefill_per_token = settings.per_token;
-}
-
-static void
-cache_moved(void *arg, const struct kv_result *result)
-{
-    struct rl_engine *relay = arg;
-    struct gt_gate *gate = relay->request->gate;
-    relay->move = NULL;
-    if (result->status != ST_OK) {
-        drop_call(relay);
-        end_flight(relay, CH_CANCELLED);
-        next_attempt(relay);
-        return;
-    }
-    drop_call(relay);
-    end_flight(relay, CH_CANCELLED);
-    relay->flight = relay->target;
-    relay->target.endpoint = NULL;
-    relay->leaving = 0;
-    Lp_TimerCancel(relay->plan_timer);
-    Ev_Log(&GT_STREAM_MOVED, "request=%s tokens=%d how=kv", relay->request->id,
-           relay->tokens);
-    Gt_Count(gate, "cg_streams_moved_total", "how", "kv");
-    launch(relay, result->handle);
-}
-
-static void
-to_target(const struct ch_info *info, struct jc_target *out)
-{
-    strlcpy(out->address, info->address, sizeof(out->address));
-    out->port = info->port;
-}
-
-/*
- * Moves the cache while the stream goes on where it is.  If the engine dies
- * first, or the move fails, the stream is resumed from its tokens instead.
- */
-static void
-start_move(struct rl_engine *relay, const struct ch_flight *flight,
-           int64_t now)
-{
-    struct gt_gate *gate = relay->request->gate;
-    struct jc_target source;
-    struct jc_target target;
-    relay->target = *flight;
-    Ch_Start(relay->table, &relay->target, now);
-    to_target(Ch_Info(relay->flight.endpoint), &source);
-    to_target(Ch_Info(relay->target.endpoint), &target);
-    if (Kv_Start(gate->loop, &source, &target, relay->attempt,
-                 relay->leaving - now, cache_moved, relay,
-                 &relay->move) != ST_OK) {
-        relay->move = NULL;
-        drop_call(relay);
-        end_flight(relay, CH_CANCELLED);
-        next_attempt(relay);
-    }
-}
-
-/* Finish, move the cache, or resume elsewhere: chosen by the time left. */
-static void
-decide(struct rl_engine *relay)
-{
-    struct gt_gate *gate = relay->request->gate;
-    int64_t now = Ck_Now(gate->clock);
-    struct sm_settings settings;
-    struct sm_stream stream;
-    struct sm_target target;
-    struct sm_decision decision;
-    struct ch_flight flight = {0};
-    if (relay->move != NULL) {
-        return;
-    }
-    Sm_Defaults(&settings);
-    fill_stream(relay, now, &stream);
-    fill_target(relay, now, &target, &flight);
-    Sm_Decide(&settings, &stream, &target, &gate->random, &decision);
-    relay->plan = decision.plan;
-    if (decision.plan == SM_MOVE) {
-        start_move(relay, &flight, now);
-        return;
-    }
-    Lp_TimerSet(relay->plan_timer, decision.act_after);
-}
-
-static void
-plan_due(void *arg)
-{
-    struct rl_engine *relay = arg;
-    if (relay->plan != SM_RESUME) {
-        decide(relay);
-        return;
-    }
-    drop_call(relay);
-    end_flight(relay, CH_CANCELLED);
-    next_attempt(relay);
+    Re_Launch(relay, NULL);
 }
 
 static void
@@ -691,7 +495,7 @@
     }
     relay->request = request;
     request->engine = relay;
-    relay->plan_timer = Lp_TimerCreate(request->gate->loop, plan_due, relay);
+    relay->plan_timer = Lp_TimerCreate(request->gate->loop, Re_PlanDue, relay);
     find_metrics(relay);
     attempt(relay);
 }
@@ -700,9 +504,9 @@
 void
 Rl_EngineCallerGone(struct rq_request *request)
 {
-    drop_move(request->engine);
-    drop_call(request->engine);
-    end_flight(request->engine, CH_CANCELLED);
+    Re_DropMove(request->engine);
+    Re_DropCall(request->engine);
+    Re_EndFlight(request->engine, CH_CANCELLED);
     count_tokens(request->engine);
     Rq_Finish(request, AN_OUTCOME_UNKNOWN);
 }
@@ -734,7 +538,7 @@
     if (relay == NULL) {
         return;
     }
-    drop_call(relay);
+    Re_DropCall(relay);
     if (relay->move != NULL) {
         Kv_Cancel(relay->move);
     }
@@ -743,23 +547,3 @@
     free(relay->text);
     free(relay);
 }
-
-/* An endpoint is leaving: what becomes of each stream on it is decided. */
-void
-Rl_EndpointLeaving(void *arg, const char *service, const char *endpoint,
-                   int64_t left_usec)
-{
-    struct gt_gate *gate = arg;
-    struct rq_request *request;
-    struct rq_request *next;
-    (void)service;
-    TAILQ_FOREACH_SAFE (request, &gate->requests, link, next) {
-        struct rl_engine *relay = request->engine;
-        if (relay == NULL || relay->flight.endpoint == NULL ||
-            strcmp(Ch_Info(relay->flight.endpoint)->id, endpoint) != 0) {
-            continue;
-        }
-        relay->leaving = Ck_Now(gate->clock) + left_usec;
-        decide(relay);
-    }
-}
--- /dev/null
+++ b/packages/gate/relay_leave.c
@@ -0,0 +1,190 @@
+/*
+ * Streams on an engine that is leaving: each finishes, moves its KV cache or
+ * is resumed elsewhere, by the time left.
+ */
+#include <bsd/string.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gate/events.h"
+#include "gate/relay_engine.h"
+
+/* What moving a cache costs, until an engine has shown otherwise. */
+#define Rl_MOVE_USEC (20 * Ck_USEC_PER_MSEC)
+#define Rl_MOVE_PER_TOKEN 20
+#define Rl_FIRST_GUESS_TOKEN_USEC (30 * Ck_USEC_PER_MSEC)
+
+static void decide(struct rl_engine *relay);
+
+/* Gives up a cache on its way and the place kept for it. */
+void
+Re_DropMove(struct rl_engine *relay)
+{
+    if (relay->move != NULL) {
+        Kv_Cancel(relay->move);
+        relay->move = NULL;
+    }
+    if (relay->target.endpoint != NULL) {
+        Ch_End(relay->table, &relay->target, CH_CANCELLED,
+               Ck_Now(relay->request->gate->clock));
+        relay->target.endpoint = NULL;
+    }
+    relay->leaving = 0;
+    Lp_TimerCancel(relay->plan_timer);
+}
+
+static void
+fill_stream(const struct rl_engine *relay, int64_t now,
+            struct sm_stream *stream)
+{
+    const struct rq_request *request = relay->request;
+    int whole = request->prompt.max_tokens > 0 ? request->prompt.max_tokens
+                                               : Rl_EXPECTED_TOKENS;
+    int given_here = relay->tokens - relay->sent_on;
+    stream->left = relay->leaving - now;
+    stream->prompt_tokens =
+        (int)(request->prompt.text_len / Rl_BYTES_PER_TOKEN);
+    stream->tokens_given = relay->tokens;
+    stream->tokens_expected =
+        whole > relay->tokens ? whole - relay->tokens : 1;
+    stream->token_usec =
+        given_here > 1 ? (relay->last_token - relay->began) / (given_here - 1)
+                       : Rl_FIRST_GUESS_TOKEN_USEC;
+}
+
+/* The engine that would take the stream over; no flight is started. */
+static void
+fill_target(struct rl_engine *relay, int64_t now, struct sm_target *target,
+            struct ch_flight *flight)
+{
+    struct gt_gate *gate = relay->request->gate;
+    struct ch_settings settings;
+    struct ch_request ask;
+    Ch_Defaults(&settings);
+    Re_FillAsk(relay, &ask);
+    memset(target, 0, sizeof(*target));
+    target->found =
+        Ch_Choose(relay->table, &ask, now, &gate->random, flight) == ST_OK &&
+        flight->endpoint != relay->flight.endpoint;
+    target->imports = true;
+    target->wait = target->found ? flight->predicted : 0;
+    target->move_usec = Rl_MOVE_USEC;
+    target->move_per_token = Rl_MOVE_PER_TOKEN;
+    target->prefill_per_token = settings.per_token;
+}
+
+static void
+cache_moved(void *arg, const struct kv_result *result)
+{
+    struct rl_engine *relay = arg;
+    struct gt_gate *gate = relay->request->gate;
+    relay->move = NULL;
+    if (result->status != ST_OK) {
+        Re_DropCall(relay);
+        Re_EndFlight(relay, CH_CANCELLED);
+        Re_NextAttempt(relay);
+        return;
+    }
+    Re_DropCall(relay);
+    Re_EndFlight(relay, CH_CANCELLED);
+    relay->flight = relay->target;
+    relay->target.endpoint = NULL;
+    relay->leaving = 0;
+    Lp_TimerCancel(relay->plan_timer);
+    Ev_Log(&GT_STREAM_MOVED, "request=%s tokens=%d how=kv", relay->request->id,
+           relay->tokens);
+    Gt_Count(gate, "cg_streams_moved_total", "how", "kv");
+    Re_Launch(relay, result->handle);
+}
+
+static void
+to_target(const struct ch_info *info, struct jc_target *out)
+{
+    strlcpy(out->address, info->address, sizeof(out->address));
+    out->port = info->port;
+}
+
+/*
+ * Moves the cache while the stream goes on where it is.  If the engine dies
+ * first, or the move fails, the stream is resumed from its tokens instead.
+ */
+static void
+start_move(struct rl_engine *relay, const struct ch_flight *flight,
+           int64_t now)
+{
+    struct gt_gate *gate = relay->request->gate;
+    struct jc_target source;
+    struct jc_target target;
+    relay->target = *flight;
+    Ch_Start(relay->table, &relay->target, now);
+    to_target(Ch_Info(relay->flight.endpoint), &source);
+    to_target(Ch_Info(relay->target.endpoint), &target);
+    if (Kv_Start(gate->loop, &source, &target, relay->attempt,
+                 relay->leaving - now, cache_moved, relay,
+                 &relay->move) != ST_OK) {
+        relay->move = NULL;
+        Re_DropCall(relay);
+        Re_EndFlight(relay, CH_CANCELLED);
+        Re_NextAttempt(relay);
+    }
+}
+
+/* Finish, move the cache, or resume elsewhere: chosen by the time left. */
+static void
+decide(struct rl_engine *relay)
+{
+    struct gt_gate *gate = relay->request->gate;
+    int64_t now = Ck_Now(gate->clock);
+    struct sm_settings settings;
+    struct sm_stream stream;
+    struct sm_target target;
+    struct sm_decision decision;
+    struct ch_flight flight = {0};
+    if (relay->move != NULL) {
+        return;
+    }
+    Sm_Defaults(&settings);
+    fill_stream(relay, now, &stream);
+    fill_target(relay, now, &target, &flight);
+    Sm_Decide(&settings, &stream, &target, &gate->random, &decision);
+    relay->plan = decision.plan;
+    if (decision.plan == SM_MOVE) {
+        start_move(relay, &flight, now);
+        return;
+    }
+    Lp_TimerSet(relay->plan_timer, decision.act_after);
+}
+
+/* The time has come to act on what was decided, or to decide again. */
+void
+Re_PlanDue(void *arg)
+{
+    struct rl_engine *relay = arg;
+    if (relay->plan != SM_RESUME) {
+        decide(relay);
+        return;
+    }
+    Re_DropCall(relay);
+    Re_EndFlight(relay, CH_CANCELLED);
+    Re_NextAttempt(relay);
+}
+
+/* An endpoint is leaving: what becomes of each stream on it is decided. */
+void
+Rl_EndpointLeaving(void *arg, const char *service, const char *endpoint,
+                   int64_t left_usec)
+{
+    struct gt_gate *gate = arg;
+    struct rq_request *request;
+    struct rq_request *next;
+    (void)service;
+    TAILQ_FOREACH_SAFE (request, &gate->requests, link, next) {
+        struct rl_engine *relay = request->engine;
+        if (relay == NULL || relay->flight.endpoint == NULL ||
+            strcmp(Ch_Info(relay->flight.endpoint)->id, endpoint) != 0) {
+            continue;
+        }
+        relay->leaving = Ck_Now(gate->clock) + left_usec;
+        decide(relay);
+    }
+}
--- a/packages/member/fact.c
+++ b/packages/member/fact.c
@@ -14,6 +14,7 @@
 
 RB_GENERATE(fc_tree, fc_entry, node, fc_compare);
 
+/* Orders facts by owner, then key. */
 int
 fc_compare(const struct fc_entry *a, const struct fc_entry *b)
 {
@@ -69,6 +70,7 @@
     free(entry);
 }
 
+/* Frees the table and every fact in it; NULL is allowed. */
 void
 Fc_Destroy(struct fc_table *facts)
 {
--- a/packages/member/fact_query.c
+++ b/packages/member/fact_query.c
@@ -8,12 +8,14 @@
 
 #define Fc_BUCKET_SHIFT 59 /* 64 less the bits of Fc_BUCKETS */
 
+/* Hash of a fact's owner and key, as digests carry it. */
 uint64_t
 fc_name_hash(const char *owner, const char *key)
 {
     return Hash_String(key, Hash_String(owner, 0));
 }
 
+/* The entry of an owner and key, or NULL. */
 struct fc_entry *
 fc_find(const struct fc_table *facts, const char *owner, const char *key)
 {
--- a/packages/member/link.c
+++ b/packages/member/link.c
@@ -99,6 +99,7 @@
     return links->port;
 }
 
+/* Counters since the links were created. */
 const struct lk_counters *
 Lk_Counters(const struct lk_links *links)
 {
--- a/packages/member/node_datagram.c
+++ b/packages/member/node_datagram.c
@@ -23,6 +23,7 @@
 
 RB_GENERATE(nd_senders, nd_sender, node, nd_compare_senders);
 
+/* Orders senders for their tree. */
 int
 nd_compare_senders(const struct nd_sender *a, const struct nd_sender *b)
 {
--- a/packages/member/node_query.c
+++ b/packages/member/node_query.c
@@ -4,6 +4,7 @@
 #include "member/node.h"
 #include "member/node_internal.h"
 
+/* Id of this node. */
 const char *
 Nd_Id(const struct nd_node *node)
 {
@@ -20,30 +21,35 @@
     return node->incarnation;
 }
 
+/* Port in use, also when a free one was asked for. */
 uint16_t
 Nd_Port(const struct nd_node *node)
 {
     return Lk_Port(node->links);
 }
 
+/* The members, this node included. */
 const struct mb_table *
 Nd_Members(const struct nd_node *node)
 {
     return node->members;
 }
 
+/* The facts; publish with Nd_Publish(). */
 struct fc_table *
 Nd_Facts(struct nd_node *node)
 {
     return node->facts;
 }
 
+/* The links, for handlers of requests. */
 struct lk_links *
 Nd_Links(struct nd_node *node)
 {
     return node->links;
 }
 
+/* Counters since the node was created. */
 const struct nd_counters *
 Nd_Counters(const struct nd_node *node)
 {
--- a/packages/member/table.c
+++ b/packages/member/table.c
@@ -351,6 +351,7 @@
     return ST_OK;
 }
 
+/* Frees the table; NULL is allowed. */
 void
 Mb_Destroy(struct mb_table *table)
 {
--- a/packages/member/table_entry.c
+++ b/packages/member/table_entry.c
@@ -8,12 +8,14 @@
 
 RB_GENERATE(mb_tree, mb_entry, node, mb_compare);
 
+/* Orders members by id. */
 int
 mb_compare(const struct mb_entry *a, const struct mb_entry *b)
 {
     return strcmp(a->record.id, b->record.id);
 }
 
+/* The entry of a member, or NULL. */
 struct mb_entry *
 mb_find(const struct mb_table *table, const char *id)
 {
@@ -46,6 +48,7 @@
     return place;
 }
 
+/* Whether a member in this state may still answer. */
 bool
 mb_is_living(enum mb_state state)
 {
--- a/packages/member/table_query.c
+++ b/packages/member/table_query.c
@@ -108,6 +108,7 @@
     return record->state == MB_ALIVE && !entry_of(record)->place->out_of_reach;
 }
 
+/* How far a member is: same data centre, same region, or beyond. */
 enum mb_distance
 Mb_Distance(const struct mb_table *table, const struct mb_record *record)
 {
--- a/packages/member/table_send.c
+++ b/packages/member/table_send.c
@@ -21,6 +21,7 @@
     return bytes;
 }
 
+/* An empty message of a type, from this node. */
 struct mb_message
 mb_message_new(struct mb_table *table, enum mb_type type, uint32_t sequence,
                const char *subject)
@@ -91,6 +92,7 @@
     TAILQ_CONCAT(&table->queue, &sent, queued);
 }
 
+/* Sends a message, with the updates that fit, to a member. */
 void
 mb_send_to(struct mb_table *table, const struct mb_entry *entry,
            const struct mb_message *message)
--- a/packages/member/wire.c
+++ b/packages/member/wire.c
@@ -54,6 +54,7 @@
     msgpack_pack_str_with_body(packer, text, strlen(text));
 }
 
+/* Packs a member's record. */
 void
 Wr_PackRecord(msgpack_packer *packer, const struct mb_record *record)
 {
@@ -155,6 +156,7 @@
                       Wr_TTL_UNIT_USEC);
 }
 
+/* Packs a fact with the time it has left to live. */
 void
 Wr_PackFact(msgpack_packer *packer, const struct fc_fact *fact)
 {
--- a/packages/policy/admit_table.c
+++ b/packages/policy/admit_table.c
@@ -55,6 +55,7 @@
     free(peer);
 }
 
+/* Frees the limits; NULL is allowed. */
 void
 Am_Destroy(struct am_limits *limits)
 {
@@ -76,6 +77,7 @@
     free(limits);
 }
 
+/* The entry of a customer, or NULL. */
 struct am_customer *
 am_find_customer(const struct am_limits *limits, const char *name)
 {
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -25,12 +25,14 @@
     return true;
 }
 
+/* What is fixed about an endpoint. */
 const struct ch_info *
 Ch_Info(const struct ch_endpoint *endpoint)
 {
     return &endpoint->info;
 }
 
+/* The state an endpoint was last reported in. */
 enum ch_state
 Ch_State(const struct ch_endpoint *endpoint)
 {
--- a/packages/policy/fleet_refusal.c
+++ b/packages/policy/fleet_refusal.c
@@ -35,6 +35,7 @@
     return refusals;
 }
 
+/* Frees the refusals; NULL is allowed. */
 void
 Ft_RefusalsDestroy(struct ft_refusals *refusals)
 {
--- a/packages/policy/move.c
+++ b/packages/policy/move.c
@@ -103,6 +103,7 @@
     return move->phase == MV_DONE || move->phase == MV_TAKEN_BACK;
 }
 
+/* The phase as operators read it. */
 const char *
 Mv_PhaseName(enum mv_phase phase)
 {
--- a/packages/policy/move_evidence.c
+++ b/packages/policy/move_evidence.c
@@ -60,6 +60,7 @@
     return evidence;
 }
 
+/* Frees the evidence; NULL is allowed. */
 void
 Mv_EvidenceDestroy(struct mv_evidence *evidence)
 {
--- a/packages/policy/queue.c
+++ b/packages/policy/queue.c
@@ -122,12 +122,14 @@
     return ST_OK;
 }
 
+/* Items waiting. */
 int
 Qu_Length(const struct qu_queue *queue)
 {
     return queue->length;
 }
 
+/* Memory kept for the items waiting. */
 size_t
 Qu_Bytes(const struct qu_queue *queue)
 {
--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -265,12 +265,14 @@
     lws_cancel_service(loop->context);
 }
 
+/* The library's context, for the other modules of this package. */
 struct lws_context *
 Lp_Context(struct lp_loop *loop)
 {
     return loop->context;
 }
 
+/* The library's client side, for the other modules of this package. */
 struct lws_vhost *
 Lp_ClientVhost(struct lp_loop *loop)
 {
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -15,6 +15,7 @@
 /* Every server of this process; see server_of(). */
 static struct hs_servers servers = TAILQ_HEAD_INITIALIZER(servers);
 
+/* Frees a request that no connection refers to any more. */
 void
 hs_request_free(struct hs_request *request)
 {
--- a/packages/web/server_answer.c
+++ b/packages/web/server_answer.c
@@ -58,6 +58,7 @@
     return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
 }
 
+/* Writes what is due; -1 closes the connection. */
 int
 hs_write(struct hs_request *request)
 {
--- a/packages/web/server_read.c
+++ b/packages/web/server_read.c
@@ -244,6 +244,7 @@
     return 0;
 }
 
+/* Takes the headers of a request; -1 closes the connection. */
 int
 hs_read_head(struct hs_server *server, struct lws *wsi, const char *path)
 {
@@ -274,6 +275,7 @@
     return request->body != NULL ? 0 : -1;
 }
 
+/* Takes bytes of a body; -1 closes the connection. */
 int
 hs_read_body(struct hs_request *request, const void *data, size_t len)
 {
@@ -288,6 +290,7 @@
     return 0;
 }
 
+/* The body is whole: hands the request over. */
 void
 hs_end_body(struct hs_request *request)
 {
