A stream whose engine froze goes on elsewhere; control_test by another yardstick

A host that freezes or loses its network sends no reset: its stream stayed silent until the caller's deadline. Five seconds without a token now count as a failure (before the first token only when the engine's watcher does not reach it either), and an engine marked silent gets work again when it reports: it never did before.

It now counts reads of the claim slots against those of the control stream, with the same margins: half of the bound when slots are closed, twice when they stay open.

--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -325,6 +325,16 @@
     }
 }
 
+/* An endpoint that was silent and reports again may get work again. */
+static void
+trust_again(struct ep_pool *pool, struct service *service, const char *id)
+{
+    const struct ch_endpoint *endpoint = Ch_Find(service->table, id);
+    if (endpoint != NULL && Ch_State(endpoint) == CH_SUSPECT) {
+        Ch_SetState(service->table, id, CH_LIVE, 0, Ck_Now(pool->gate->clock));
+    }
+}
+
 /* Takes a load report in; "service" may be NULL when it is not known. */
 void
 Ep_Report(struct ep_pool *pool, const char *service, const char *endpoint,
@@ -335,6 +345,7 @@
         if ((service == NULL || strcmp(at->name, service) == 0) &&
             find_known(at, endpoint) != NULL) {
             Ch_Report(at->table, endpoint, sample);
+            trust_again(pool, at, endpoint);
         }
     }
 }
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -21,6 +21,14 @@
 #define Rl_TEXT_MAX ((size_t)4 << 20)
 #define Rl_PENDING_MAX ((size_t)256 << 10)
 #define Rl_RETRY_SOON_SEC 1
+/*
+ * A host that froze or lost its network sends no reset: its stream would stay
+ * silent until the caller's deadline.  No engine pauses so long between
+ * tokens; before the first it may be queueing, and is only given up when its
+ * watcher does not reach it either.
+ */
+#define Rl_STALL_USEC (5 * Ck_USEC_PER_SEC)
+#define Rl_STALL_CHECK (1 * Ck_USEC_PER_SEC)
 #define Rl_URGENT_PRIORITY 10
 #define Rl_PATIENT_PRIORITY 1
 #define Rl_LABELS_MAX 200
@@ -470,6 +478,33 @@
     Re_Launch(relay, NULL);
 }
 
+static bool
+is_stalled(const struct rl_engine *relay, int64_t now)
+{
+    if (relay->flight.endpoint == NULL || relay->paused) {
+        return false;
+    }
+    if (relay->flight.first_token) {
+        return now - relay->last_token >= Rl_STALL_USEC;
+    }
+    return Ch_State(relay->flight.endpoint) == CH_SUSPECT &&
+           now - relay->flight.started >= Rl_STALL_USEC;
+}
+
+static void
+stall_check(void *arg)
+{
+    struct rl_engine *relay = arg;
+    struct gt_gate *gate = relay->request->gate;
+    Lp_TimerSet(relay->stall_timer, Rl_STALL_CHECK);
+    if (is_stalled(relay, Ck_Now(gate->clock))) {
+        Gt_Count(gate, "cg_streams_stalled_total", NULL, NULL);
+        Re_DropCall(relay);
+        Re_EndFlight(relay, CH_FAILED);
+        attempt_failed(relay);
+    }
+}
+
 static void
 find_metrics(struct rl_engine *relay)
 {
@@ -496,6 +531,14 @@
     relay->request = request;
     request->engine = relay;
     relay->plan_timer = Lp_TimerCreate(request->gate->loop, Re_PlanDue, relay);
+    relay->stall_timer =
+        Lp_TimerCreate(request->gate->loop, stall_check, relay);
+    if (relay->plan_timer == NULL || relay->stall_timer == NULL) {
+        give_up(relay, AN_OVERLOADED,
+                "this host is out of memory; come back later");
+        return;
+    }
+    Lp_TimerSet(relay->stall_timer, Rl_STALL_CHECK);
     find_metrics(relay);
     attempt(relay);
 }
@@ -543,6 +586,7 @@
         Kv_Cancel(relay->move);
     }
     Lp_TimerDestroy(relay->plan_timer);
+    Lp_TimerDestroy(relay->stall_timer);
     Ss_Destroy(relay->parser);
     free(relay->text);
     free(relay);
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -39,6 +39,7 @@
     int64_t leaving;   /* when its engine will be gone; 0: it stays */
     enum sm_plan plan; /* what the timer will do about it */
     struct lp_timer *plan_timer;
+    struct lp_timer *stall_timer;
     struct kv_move *move;    /* on its way to the target */
     struct ch_flight target; /* reserved while the cache moves */
     struct mt_metric *first_token_time;
--- a/packages/gate/relay_leave.c
+++ b/packages/gate/relay_leave.c
@@ -30,7 +30,9 @@
         relay->target.endpoint = NULL;
     }
     relay->leaving = 0;
-    Lp_TimerCancel(relay->plan_timer);
+    if (relay->plan_timer != NULL) {
+        Lp_TimerCancel(relay->plan_timer);
+    }
 }
 
 static void
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -13,23 +13,32 @@
         return scene.cluster.Status(i, "ops-key")["work"]["claim_slots"].Int();
     }
 
-    // Reads of the log while the config stream is read kReads times.
-    double
-    ReadsOfTheLog()
+    // Reads of all claim slots while the control stream is read kReads times.
+    long long
+    ReadsOfSlots()
+    {
+        long long before = Claims();
+        long long begun = Reads("control");
+        cg::Eventually([&] { return Reads("control") >= begun + kReads; });
+        return Claims() - before;
+    }
+
+    long long
+    Reads(const std::string &stream)
     {
-        Json before = scene.platform.Counts();
-        cg::Eventually([&] {
-            return Config() >=
-                   before["streams"]["config"]["reads"].Int() + kReads;
-        });
-        Json after = scene.platform.Counts();
-        return after["reads"].Number() - before["reads"].Number();
+        return scene.platform.Counts()["streams"][stream]["reads"].Int();
     }
 
     long long
-    Config()
+    Claims()
     {
-        return scene.platform.Counts()["streams"]["config"]["reads"].Int();
+        long long reads = 0;
+        for (int slot = 0; slot < 16; slot++) {
+            char name[16];
+            snprintf(name, sizeof(name), "claims-%02d", slot);
+            reads += Reads(name);
+        }
+        return reads;
     }
 
     using Json = cg::Json;
@@ -52,10 +61,10 @@
         }
         return sum == 16;
     }));
-    // Of 60 reads of the config stream at 4 a second for each of 4 daemons
-    // come 16 slots at 2 a second: 120 reads; with every slot open in every
-    // daemon 480.
-    EXPECT_TRUE(cg::Eventually([&] { return ReadsOfTheLog() < 240; },
+    // While 4 daemons read the control stream 60 times at twice a second each,
+    // 16 slots at twice a second come to 240 reads; with every slot open in
+    // every daemon to 960.
+    EXPECT_TRUE(cg::Eventually([&] { return ReadsOfSlots() < 480; },
                                cg::Millis(60000)));
 }
 
--- a/test/streams_test.cc
+++ b/test/streams_test.cc
@@ -105,6 +105,33 @@
     ExpectWhole(cg::Http(scene.Complete(0, "after", 10, true)), "after", 10);
 }
 
+/*
+ * An engine's host freezes in mid-stream: no reset comes, only silence. The
+ * stream goes on elsewhere, and the engine gets work again once it thaws.
+ */
+TEST_F(Streams, AnEngineThatFreezesInMidStream)
+{
+    Start(2, {"--token-us", "5000"});
+    auto answer = cg::HttpAsync(scene.Complete(0, "tell me a lot", 200, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    scene.engines[(size_t)busy]->process().Stop();
+    ExpectWhole(answer.get(), "tell me a lot", 200);
+    EXPECT_EQ(1, scene.Metric(0, "cg_streams_stalled_total"));
+    scene.engines[(size_t)busy]->process().Cont();
+    long long before = scene.engines[(size_t)busy]->Totals()["runs"].Int();
+    int asked = 0;
+    EXPECT_TRUE(cg::Eventually(
+        [&] {
+            std::string prompt = "again " + std::to_string(asked++);
+            ExpectWhole(cg::Http(scene.Complete(0, prompt, 5, false)), prompt,
+                        5);
+            return scene.engines[(size_t)busy]->Totals()["runs"].Int() >
+                   before;
+        },
+        cg::Millis(60000)));
+}
+
 /*
  * A notice leaves more time than the rest of the answer needs: the stream
  * ends where it is, and nothing is computed twice.
