limits_test: count what overlapped at the endpoint

Cause: the test counted the answers of a round; on a busy machine a round of 30 connections lasts longer than one request, and a place freed early is rightly given again.

--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -1,6 +1,7 @@
 // Limits of a customer hold over all daemons together.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <thread>
@@ -83,11 +84,35 @@
         << seconds << " s, " << refused << " refused";
 }
 
-/* Requests at once are limited over all daemons too. */
+// The most runs that the endpoint had at once, by its own record.
+size_t
+MostAtOnce(const cg::Json &runs)
+{
+    std::vector<std::pair<double, int>> edges;
+    for (size_t i = 0; i < runs.Size(); i++) {
+        edges.emplace_back(runs[i]["started"].Number(), 1);
+        edges.emplace_back(runs[i]["finished"].Number(), -1);
+    }
+    // An end and a start at the same instant: the end came first.
+    std::sort(edges.begin(), edges.end());
+    size_t most = 0;
+    int now = 0;
+    for (const auto &edge : edges) {
+        now += edge.second;
+        most = std::max(most, (size_t)std::max(now, 0));
+    }
+    return most;
+}
+
+/*
+ * Requests at once are limited over all daemons too. The endpoint's record
+ * says how many overlapped; how many of a round were answered does not, since
+ * on a busy machine a round takes longer than one of its requests.
+ */
 TEST(Limits, RequestsAtOnceHoldOverAllDaemonsTogether)
 {
     const size_t kDaemons = 3;
-    const int kAtOnce = 6;
+    const size_t kAtOnce = 6;
     cg::Scene scene;
     scene.AddPlain({"--work-us", "300000"});
     scene.PublishDefaults();
@@ -123,8 +148,8 @@
                 << result.code << result.body;
         }
         EXPECT_GT(admitted, 0);
-        EXPECT_LE(admitted, kAtOnce);
     }
+    EXPECT_LE(MostAtOnce(scene.plains[0]->Runs()), kAtOnce);
 }
 
 } // namespace
