--- a/packages/gate/claims_wire.h
+++ b/packages/gate/claims_wire.h
@@ -21,7 +21,7 @@
     struct cl_key key;         /* the others */
     struct cl_attempt attempt; /* the others */
     struct cl_answer answer;   /* CW_RESULT */
-    void *bytes;               /* body of the answer; freed by Cw_Free() */
+    void *bytes;               /* body of the answer; freed by Cw_FreeAsk() */
 };
 
 /* An answer as it is read from the wire. */
--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -234,13 +234,6 @@
     return stream->writer;
 }
 
-/* True once the end of the stream has been read, or a peer's state taken. */
-bool
-Cs_Ready(const struct cs_stream *stream)
-{
-    return Sn_Phase(stream->replica) == SN_READY;
-}
-
 /* True while this daemon can read the log to its end. */
 bool
 Cs_Reading(const struct cs_stream *stream)
--- a/packages/gate/confstream.h
+++ b/packages/gate/confstream.h
@@ -39,7 +39,6 @@
 
 const struct sc_state *Cs_State(const struct cs_stream *stream);
 struct wr_writer *Cs_Writer(struct cs_stream *stream);
-bool Cs_Ready(const struct cs_stream *stream);
 bool Cs_Reading(const struct cs_stream *stream);
 char *Cs_Export(const struct cs_stream *stream);
 
--- a/packages/gate/moves.c
+++ b/packages/gate/moves.c
@@ -10,7 +10,6 @@
 #include "gate/events.h"
 
 #define Mo_PERIOD (500 * Ck_USEC_PER_MSEC)
-/* Evidence of two earlier names of a plan never meets: see plan_changed(). */
 
 /* Creates the moves; Mo_SetControl() must follow before the first tick. */
 enum st_status
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -42,7 +42,7 @@
     void (*member)(void *arg, const char *node, bool present);
     /* A router's report on a version move. */
     void (*evidence)(void *arg, const char *text, size_t len);
-    /* A question about claims; answer through Pe_Answer(). */
+    /* A question about claims; answer by Lk_Reply(). */
     void (*claim)(void *arg, struct lk_request *request);
 };
 
--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -13,6 +13,29 @@
 using cg::HttpResult;
 using cg::Millis;
 
+// Gives the customer a limit and waits until every daemon has it in force.
+bool
+PutInForce(cg::Scene &scene, const std::string &limit)
+{
+    long long offset = scene.Publish(
+        "team/derwent",
+        "{\"customers\":[{\"name\":\"families\"," + limit +
+            ",\"key_digest\":\"" + cg::KeyDigest("key-of-the-customer") +
+            "\"}],\"services\":[{\"name\":\"seats\",\"kind\":\"plain\","
+            "\"prefix\":\"/seats/\",\"slots\":64,\"idempotent\":true,"
+            "\"move\":{\"to\":\"v1\"}}]}",
+        2);
+    return cg::Eventually([&] {
+        for (size_t i = 0; i < scene.cluster.Size(); i++) {
+            cg::Json status = scene.cluster.Status(i, "ops-key");
+            if (status["config"]["in_force"].Int() < offset) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
 /*
  * One large customer's callers are spread by the balancer over all daemons.
  * If each daemon allowed the whole limit, the customer would get three times
@@ -27,24 +50,7 @@
     scene.PublishDefaults();
     scene.cluster.AddMany(kDaemons);
     ASSERT_TRUE(scene.cluster.WaitReady());
-    long long offset = scene.Publish(
-        "team/derwent",
-        "{\"customers\":[{\"name\":\"families\",\"requests_per_sec\":30,"
-        "\"key_digest\":\"" +
-            cg::KeyDigest("key-of-the-customer") +
-            "\"}],\"services\":[{\"name\":\"seats\",\"kind\":\"plain\","
-            "\"prefix\":\"/seats/\",\"slots\":64,\"idempotent\":true,"
-            "\"move\":{\"to\":\"v1\"}}]}",
-        2);
-    ASSERT_TRUE(cg::Eventually([&] {
-        for (size_t i = 0; i < kDaemons; i++) {
-            if (scene.cluster.Status(i, "ops-key")["config"]["in_force"]
-                    .Int() < offset) {
-                return false;
-            }
-        }
-        return true;
-    }));
+    ASSERT_TRUE(PutInForce(scene, "\"requests_per_sec\":30"));
     std::atomic<int> admitted{0};
     std::atomic<int> refused{0};
     std::atomic<int> other{0};
@@ -118,24 +124,7 @@
     scene.PublishDefaults();
     scene.cluster.AddMany(kDaemons);
     ASSERT_TRUE(scene.cluster.WaitReady());
-    long long offset = scene.Publish(
-        "team/derwent",
-        "{\"customers\":[{\"name\":\"families\",\"max_in_flight\":6,"
-        "\"key_digest\":\"" +
-            cg::KeyDigest("key-of-the-customer") +
-            "\"}],\"services\":[{\"name\":\"seats\",\"kind\":\"plain\","
-            "\"prefix\":\"/seats/\",\"slots\":64,\"idempotent\":true,"
-            "\"move\":{\"to\":\"v1\"}}]}",
-        2);
-    ASSERT_TRUE(cg::Eventually([&] {
-        for (size_t i = 0; i < kDaemons; i++) {
-            if (scene.cluster.Status(i, "ops-key")["config"]["in_force"]
-                    .Int() < offset) {
-                return false;
-            }
-        }
-        return true;
-    }));
+    ASSERT_TRUE(PutInForce(scene, "\"max_in_flight\":6"));
     for (int round = 0; round < 5; round++) {
         std::vector<cg::HttpCall> calls;
         for (size_t i = 0; i < 30; i++) {
