--- /dev/null
+++ b/packages/edge/admit.c
@@ -0,0 +1,132 @@
+/* Admission: whether a request is served at all, and for whom. */
+#include <stdio.h>
+#include <string.h>
+
+#include "edge/exchange.h"
+
+/*
+ * What a caller is told to wait when the daemon itself is not ready: about
+ * as long as it takes to read configuration and endpoints.
+ */
+#define Ad_STARTING_USEC (500 * Ck_USEC_PER_MSEC)
+#define Ad_FIELDS_MAX 256
+#define Ad_BODY_MAX 256
+
+struct refusal {
+    int status;
+    int64_t retry_usec; /* 0: coming back would not help */
+    const char *why;
+};
+
+static void
+refuse(struct ga_gate *gate, struct sv_request *request, const char *id,
+       const struct refusal *refusal)
+{
+    char fields[Ad_FIELDS_MAX];
+    char body[Ad_BODY_MAX];
+    int at =
+        snprintf(fields, sizeof(fields), "Content-Type: application/json\r\n");
+    if (refusal->retry_usec > 0) {
+        snprintf(fields + at, sizeof(fields) - (size_t)at, "%s: %.3f\r\n",
+                 gate->options.wire->retry_after,
+                 (double)refusal->retry_usec / (double)Ck_USEC_PER_SEC);
+    }
+    int len =
+        snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", refusal->why);
+    Mt_Add(gate->count.refused, 1);
+    Ln_Log(LN_FAILURE, "request.refused",
+           "\"id\":\"%s\",\"status\":%d,\"why\":\"%s\",\"retry_ms\":%lld", id,
+           refusal->status, refusal->why,
+           (long long)(refusal->retry_usec / Ck_USEC_PER_MSEC));
+    Sv_Reply(request, refusal->status, fields, body, (size_t)len);
+}
+
+/*
+ * What the configuration at hand does not allow may be allowed by a newer
+ * one.  Without touch to the store that cannot be ruled out, and the caller
+ * is asked to come back rather than told something final.
+ */
+static struct refusal
+not_allowed(const struct ga_gate *gate, int status, const char *why)
+{
+    if (!Fe_Current(gate->feed)) {
+        return (struct refusal){503, Ad_STARTING_USEC,
+                                "the configuration may be out of date"};
+    }
+    return (struct refusal){status, 0, why};
+}
+
+static double
+cost_of(const struct ec_tenant *tenant, const struct ak_ask *ask)
+{
+    if (!tenant->in_tokens) {
+        return 1;
+    }
+    return ask->counted ? (double)(ask->tokens_in + ask->tokens_out)
+                        : (double)tenant->plain;
+}
+
+/* Finds route, tenant and service; false with the refusal. */
+static bool
+admit(struct ga_gate *gate, const struct h1_head *head,
+      struct xc_admitted *out, struct refusal *refusal)
+{
+    const struct ec_config *config = Fe_Config(gate->feed);
+    if (config == NULL) {
+        *refusal = (struct refusal){503, Ad_STARTING_USEC, "starting"};
+        return false;
+    }
+    const struct h1_field *host = H1_Find(head, "host");
+    if (host == NULL || H1_CountOf(head, "host") != 1 || out->ask->two_keys) {
+        *refusal = (struct refusal){400, 0, "one host and one key, please"};
+        return false;
+    }
+    out->route = Ec_Match(config, host->value.at, host->value.len,
+                          head->target.at, head->target.len);
+    if (out->route == NULL) {
+        *refusal = not_allowed(gate, 404, "no such route");
+        return false;
+    }
+    if (!out->route->open && config->tenant_count > 0) {
+        out->tenant =
+            out->ask->has_key ? Ec_Holder(config, out->ask->key) : NULL;
+        if (out->tenant == NULL) {
+            *refusal = not_allowed(gate, 401, "unknown key");
+            return false;
+        }
+    }
+    const char *service = Ec_Pick(out->route, Rn_Unit(&gate->random));
+    out->service = Ec_Service(config, service);
+    if (out->service == NULL || Fl_CountUsable(gate->fleet, service) == 0) {
+        *refusal = (struct refusal){503, Ad_STARTING_USEC, "no endpoint"};
+        return false;
+    }
+    return true;
+}
+
+void
+Ad_Take(struct ga_gate *gate, struct sv_request *request)
+{
+    static struct ak_ask ask;
+    const struct h1_head *head = Sv_Head(request);
+    gate->options.wire->decode_ask(head, &ask);
+    Mt_Add(gate->count.requests, 1);
+    struct xc_admitted admitted = {.ask = &ask};
+    struct refusal refusal;
+    if (!admit(gate, head, &admitted, &refusal)) {
+        refuse(gate, request, ask.id, &refusal);
+        return;
+    }
+    if (admitted.tenant != NULL) {
+        int64_t wait_usec;
+        admitted.cost = cost_of(admitted.tenant, &ask);
+        if (!Qt_Take(gate->quota, admitted.tenant->name, admitted.cost,
+                     &wait_usec)) {
+            refusal = (struct refusal){429, wait_usec, "over the quota"};
+            refuse(gate, request, ask.id, &refusal);
+            return;
+        }
+    }
+    admitted.config = Ec_Hold(Fe_Config(gate->feed));
+    Xc_Start(gate, request, &admitted);
+}
--- /dev/null
+++ b/packages/edge/config.c
@@ -0,0 +1,171 @@
+#include "edge/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* An empty configuration with one reference; NULL without memory. */
+struct ec_config *
+Ec_Create(void)
+{
+    struct ec_config *config = calloc(1, sizeof(*config));
+    if (config != NULL) {
+        config->refs = 1;
+    }
+    return config;
+}
+
+static int
+compare_routes(const void *a, const void *b)
+{
+    const struct ec_route *left = a;
+    const struct ec_route *right = b;
+    int order = strcasecmp(left->host, right->host);
+    if (order != 0) {
+        return order;
+    }
+    size_t left_len = strlen(left->prefix);
+    size_t right_len = strlen(right->prefix);
+    return left_len > right_len ? -1 : left_len < right_len;
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+    return strcmp(((const struct ec_key *)a)->key,
+                  ((const struct ec_key *)b)->key);
+}
+
+/* Routes by host and then longest prefix first; keys by their text. */
+void
+Ec_Seal(struct ec_config *config)
+{
+    if (config->route_count > 0) {
+        qsort(config->routes, config->route_count, sizeof(*config->routes),
+              compare_routes);
+    }
+    if (config->key_count > 0) {
+        qsort(config->keys, config->key_count, sizeof(*config->keys),
+              compare_keys);
+    }
+}
+
+struct ec_config *
+Ec_Hold(struct ec_config *config)
+{
+    config->refs++;
+    return config;
+}
+
+void
+Ec_Release(struct ec_config *config)
+{
+    if (config == NULL || --config->refs > 0) {
+        return;
+    }
+    for (size_t i = 0; i < config->route_count; i++) {
+        free(config->routes[i].host);
+        free(config->routes[i].prefix);
+    }
+    for (size_t i = 0; i < config->key_count; i++) {
+        free(config->keys[i].key);
+    }
+    free(config->routes);
+    free(config->services);
+    free(config->tenants);
+    free(config->keys);
+    free(config);
+}
+
+static int
+compare_host(const char *host, size_t len, const char *other)
+{
+    int order = strncasecmp(host, other, len);
+    return order != 0 ? order : -(other[len] != '\0');
+}
+
+/* Where the routes of a host begin; route_count when there are none. */
+static size_t
+first_of_host(const struct ec_config *config, const char *host, size_t len)
+{
+    size_t low = 0;
+    size_t high = config->route_count;
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+        if (compare_host(host, len, config->routes[middle].host) > 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+/* The route of a request; NULL without one.  The query does not count. */
+const struct ec_route *
+Ec_Match(const struct ec_config *config, const char *host, size_t host_len,
+         const char *target, size_t target_len)
+{
+    const char *port = memchr(host, ':', host_len);
+    if (port != NULL) {
+        host_len = (size_t)(port - host);
+    }
+    const char *query = memchr(target, '?', target_len);
+    if (query != NULL) {
+        target_len = (size_t)(query - target);
+    }
+    for (size_t i = first_of_host(config, host, host_len);
+         i < config->route_count &&
+         compare_host(host, host_len, config->routes[i].host) == 0;
+         i++) {
+        const char *prefix = config->routes[i].prefix;
+        size_t len = strlen(prefix);
+        if (len <= target_len && memcmp(prefix, target, len) == 0) {
+            return &config->routes[i];
+        }
+    }
+    return NULL;
+}
+
+const struct ec_service *
+Ec_Service(const struct ec_config *config, const char *name)
+{
+    for (size_t i = 0; i < config->service_count; i++) {
+        if (strcmp(config->services[i].name, name) == 0) {
+            return &config->services[i];
+        }
+    }
+    return NULL;
+}
+
+/* The tenant that holds a key; NULL for an unknown key. */
+const struct ec_tenant *
+Ec_Holder(const struct ec_config *config, const char *key)
+{
+    struct ec_key wanted = {.key = (char *)key};
+    const struct ec_key *found = NULL;
+    if (config->key_count > 0) {
+        found = bsearch(&wanted, config->keys, config->key_count,
+                        sizeof(*config->keys), compare_keys);
+    }
+    return found == NULL ? NULL : &config->tenants[found->tenant];
+}
+
+/* The service that takes a request, by weight; "unit" is in [0, 1). */
+const char *
+Ec_Pick(const struct ec_route *route, double unit)
+{
+    int total = 0;
+    for (size_t i = 0; i < route->share_count; i++) {
+        total += route->shares[i].weight;
+    }
+    double at = unit * total;
+    for (size_t i = 0; i < route->share_count; i++) {
+        at -= route->shares[i].weight;
+        if (at < 0) {
+            return route->shares[i].service;
+        }
+    }
+    return route->shares[0].service;
+}
--- /dev/null
+++ b/packages/edge/duty.c
@@ -0,0 +1,322 @@
+#include "edge/duty.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/duty_record.h"
+
+/* Renewed this often in a term, so that one lost answer does not end it. */
+#define Du_RENEWALS 3
+/*
+ * Part of a term at its end in which the holder no longer acts: what it sends
+ * has to arrive before a successor can.
+ */
+#define Du_MARGIN_DIVISOR 6
+/* Daemons further back wait this much longer each, so that few collide. */
+#define Du_RANK_USEC (300 * Ck_USEC_PER_MSEC)
+#define Du_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
+
+struct du_duty {
+    struct du_options options;
+    int64_t end;      /* all records before it were read; -1: none */
+    int64_t moved_at; /* when the end was first seen where it is */
+    int64_t heard_at; /* last word of a holder by a peer */
+    int64_t heard_fence;
+    int64_t fence; /* ours; 0: not the holder */
+    int64_t valid_until;
+    int64_t sent_at; /* the append or read under way */
+    int64_t retry_at;
+    bool at_end; /* the last read reached the end */
+    bool busy;
+    bool doubtful; /* an append may or may not be done */
+    int64_t doubtful_sent_at;
+    struct du_usage usages[Du_WINDOWS];
+};
+
+struct du_duty *
+Du_Create(const struct du_options *options)
+{
+    struct du_duty *duty = calloc(1, sizeof(*duty));
+    if (duty != NULL) {
+        duty->options = *options;
+        duty->end = -1;
+    }
+    return duty;
+}
+
+/* Answers of the store must not come any more. */
+void
+Du_Destroy(struct du_duty *duty)
+{
+    free(duty);
+}
+
+static int64_t
+now_of(const struct du_duty *duty)
+{
+    return Ck_Now(duty->options.clock);
+}
+
+bool
+Du_Holds(const struct du_duty *duty)
+{
+    return duty->fence != 0 &&
+           now_of(duty) < duty->valid_until -
+                              duty->options.lease_usec / Du_MARGIN_DIVISOR;
+}
+
+int64_t
+Du_Fence(const struct du_duty *duty)
+{
+    return Du_Holds(duty) ? duty->fence : 0;
+}
+
+static void
+lose(struct du_duty *duty)
+{
+    if (duty->fence != 0) {
+        duty->fence = 0;
+        duty->options.changed(duty->options.arg, false, 0);
+    }
+}
+
+static void
+win(struct du_duty *duty, int64_t offset, int64_t sent_at)
+{
+    duty->valid_until = sent_at + duty->options.lease_usec;
+    if (duty->fence == 0) {
+        duty->fence = offset + 1; /* the first offset is 0 */
+        duty->options.changed(duty->options.arg, true, duty->fence);
+    }
+}
+
+struct du_usage *
+Du_Usage(struct du_duty *duty, int64_t window)
+{
+    struct du_usage *usage = &duty->usages[(uint64_t)window % Du_WINDOWS];
+    return usage->window == window && window != 0 ? usage : NULL;
+}
+
+static void
+keep_usage(struct du_duty *duty, const struct du_usage *usage)
+{
+    struct du_usage *slot =
+        &duty->usages[(uint64_t)usage->window % Du_WINDOWS];
+    /* The first record of a window stands. */
+    if (slot->window < usage->window) {
+        *slot = *usage;
+        slot->reported = false;
+    }
+}
+
+static void
+take(struct du_duty *duty, const struct ag_record *record)
+{
+    struct dr_record decoded;
+    duty->end = record->offset + 1;
+    duty->moved_at = now_of(duty);
+    if (!Dr_Decode(record->value, record->len, &decoded)) {
+        return;
+    }
+    if (decoded.has_usage) {
+        keep_usage(duty, &decoded.usage);
+    }
+    if (decoded.run != duty->options.run) {
+        lose(duty);
+    }
+    else if (duty->doubtful) {
+        /* The append whose answer was lost was done, no earlier than sent. */
+        duty->doubtful = false;
+        win(duty, record->offset, duty->doubtful_sent_at);
+    }
+}
+
+static void
+on_read(void *arg, const struct ag_result *result)
+{
+    struct du_duty *duty = arg;
+    duty->busy = false;
+    duty->at_end = false;
+    if (result->status == AG_EXPIRED) {
+        duty->end = result->offset;
+        duty->moved_at = now_of(duty);
+        return;
+    }
+    if (result->status != AG_OK) {
+        duty->retry_at = now_of(duty) + Du_RETRY_USEC;
+        return;
+    }
+    for (size_t i = 0; i < result->count; i++) {
+        take(duty, &result->records[i]);
+    }
+    if (duty->end < 0) {
+        duty->end = 0;
+    }
+    duty->at_end = duty->end >= result->end;
+    if (!duty->at_end && result->count == 0) {
+        duty->end = result->end;
+        duty->moved_at = now_of(duty);
+    }
+}
+
+static void
+start_read(struct du_duty *duty)
+{
+    duty->busy = true;
+    duty->sent_at = now_of(duty);
+    duty->options.store->ops->read(duty->options.store, AG_DUTY,
+                                   duty->end < 0 ? 0 : duty->end, 0, on_read,
+                                   duty);
+}
+
+static void
+on_append(void *arg, const struct ag_result *result)
+{
+    struct du_duty *duty = arg;
+    duty->busy = false;
+    switch (result->status) {
+    case AG_OK:
+        duty->doubtful = false;
+        duty->end = result->offset + 1;
+        duty->moved_at = now_of(duty);
+        duty->at_end = true;
+        win(duty, result->offset, duty->sent_at);
+        break;
+    case AG_CONFLICT:
+    case AG_EXPIRED:
+        /* Another record is there, maybe our own of before: read it. */
+        duty->at_end = false;
+        break;
+    case AG_UNKNOWN:
+        /* Of several, the first: the term must not seem longer than it is. */
+        if (!duty->doubtful) {
+            duty->doubtful = true;
+            duty->doubtful_sent_at = duty->sent_at;
+        }
+        duty->at_end = false;
+        break;
+    case AG_UNAVAILABLE:
+        duty->retry_at = now_of(duty) + Du_RETRY_USEC;
+        break;
+    }
+}
+
+static void
+start_append(struct du_duty *duty, const struct du_usage *usage)
+{
+    struct dr_record record = {.run = duty->options.run};
+    if (usage != NULL) {
+        record.has_usage = true;
+        record.usage = *usage;
+    }
+    char *data;
+    size_t len = Dr_Encode(&record, &data);
+    duty->busy = true;
+    duty->sent_at = now_of(duty);
+    duty->options.store->ops->append(duty->options.store, AG_DUTY, duty->end,
+                                     NULL, data, len, on_append, duty);
+    free(data);
+}
+
+/*
+ * After its term a holder does not act, but renews: that the log still ends
+ * at its own record shows that nobody has acted since.
+ */
+static void
+tick_holder(struct du_duty *duty)
+{
+    int64_t now = now_of(duty);
+    if (!duty->at_end) {
+        start_read(duty);
+        return;
+    }
+    int64_t renew_at = duty->valid_until - duty->options.lease_usec +
+                       duty->options.lease_usec / Du_RENEWALS;
+    if (now >= renew_at) {
+        start_append(duty, NULL);
+    }
+}
+
+/*
+ * A term counts from before its renewal was sent; we saw the renewal later.
+ * So a log that has stood still for a whole term, as we saw it, is free.
+ */
+static void
+tick_other(struct du_duty *duty)
+{
+    int64_t now = now_of(duty);
+    int64_t wait = duty->options.lease_usec +
+                   duty->options.rank(duty->options.arg) * Du_RANK_USEC;
+    if (duty->end >= 0 && now - duty->heard_at < wait) {
+        return;
+    }
+    bool free_now = duty->end == 0 || now - duty->moved_at > wait;
+    if (duty->end >= 0 && duty->at_end && !free_now) {
+        return;
+    }
+    if (duty->at_end && free_now &&
+        now - duty->sent_at < duty->options.lease_usec / Du_RENEWALS) {
+        /* The end was confirmed a moment ago. */
+        duty->at_end = false;
+        start_append(duty, NULL);
+        return;
+    }
+    start_read(duty);
+}
+
+void
+Du_Tick(struct du_duty *duty)
+{
+    int64_t now = now_of(duty);
+    if (duty->busy || now < duty->retry_at) {
+        return;
+    }
+    if (duty->fence != 0) {
+        tick_holder(duty);
+    }
+    else {
+        tick_other(duty);
+    }
+}
+
+void
+Du_Heard(struct du_duty *duty, int64_t fence)
+{
+    if (duty->fence != 0 && fence > duty->fence) {
+        lose(duty);
+        duty->at_end = false;
+    }
+    if (fence >= duty->heard_fence) {
+        duty->heard_fence = fence;
+        duty->heard_at = now_of(duty);
+    }
+}
+
+bool
+Du_Agree(struct du_duty *duty, const struct du_usage *usage)
+{
+    if (duty->busy || !Du_Holds(duty) || !duty->at_end) {
+        return false;
+    }
+    struct du_usage *slot =
+        &duty->usages[(uint64_t)usage->window % Du_WINDOWS];
+    if (slot->window >= usage->window) {
+        return false;
+    }
+    start_append(duty, usage);
+    return true;
+}
+
+void
+Du_Refused(struct du_duty *duty)
+{
+    lose(duty);
+    duty->at_end = false;
+    duty->moved_at = now_of(duty);
+}
+
+void
+Du_Resign(struct du_duty *duty)
+{
+    lose(duty);
+}
--- /dev/null
+++ b/packages/edge/duty.h
@@ -0,0 +1,76 @@
+/*
+ * Who acts for the whole system, and what was agreed on its behalf.  One log
+ * carries both: a record of a daemon appended at the log's end makes it the
+ * holder, and each later one renews that.  The offset of the first is the
+ * fence: it rises, and no two holders have the same.  What a window's usage
+ * was is a record of the same log before it is reported, so that a successor
+ * repeats the report to the digit.
+ */
+#ifndef EDGE_DUTY_H
+#define EDGE_DUTY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "edge/store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Du_WINDOWS 8
+#define Du_TENANTS_MAX 64
+
+struct du_tenant {
+    char name[Ec_NAME_MAX];
+    uint32_t count;
+};
+
+/* The agreed usage of a window. */
+struct du_usage {
+    int64_t window;
+    size_t count;
+    struct du_tenant tenants[Du_TENANTS_MAX];
+    bool reported;
+};
+
+struct du_duty;
+
+struct du_options {
+    const struct ck_clock *clock;
+    struct ag_store *store;
+    const char *name; /* of this daemon */
+    uint64_t run;     /* of this process */
+    int64_t lease_usec;
+    /* Position among the daemons alive: the first one tries first. */
+    unsigned (*rank)(void *arg);
+    void (*changed)(void *arg, bool holder, int64_t fence);
+    void *arg;
+};
+
+struct du_duty *Du_Create(const struct du_options *options);
+void Du_Destroy(struct du_duty *duty);
+
+/* To be called several times a second. */
+void Du_Tick(struct du_duty *duty);
+/* A peer says that it holds the duty by this fence. */
+void Du_Heard(struct du_duty *duty, int64_t fence);
+/* Records a window's usage; false when that cannot be begun now. */
+bool Du_Agree(struct du_duty *duty, const struct du_usage *usage);
+/* The platform refused our fence: another has acted by a higher one. */
+void Du_Refused(struct du_duty *duty);
+/* Gives the duty up without waiting for its end. */
+void Du_Resign(struct du_duty *duty);
+
+bool Du_Holds(const struct du_duty *duty);
+int64_t Du_Fence(const struct du_duty *duty);
+/* The agreed usage; NULL while there is none. */
+struct du_usage *Du_Usage(struct du_duty *duty, int64_t window);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/duty_record.c
@@ -0,0 +1,91 @@
+#include "edge/duty_record.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* [run, window, [[tenant, count]...]]; a bare renewal is [run]. */
+size_t
+Dr_Encode(const struct dr_record *record, char **out)
+{
+    msgpack_sbuffer buffer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, record->has_usage ? 3 : 1);
+    msgpack_pack_uint64(&packer, record->run);
+    if (record->has_usage) {
+        msgpack_pack_int64(&packer, record->usage.window);
+        msgpack_pack_array(&packer, record->usage.count);
+        for (size_t i = 0; i < record->usage.count; i++) {
+            const struct du_tenant *tenant = &record->usage.tenants[i];
+            size_t len = strlen(tenant->name);
+            msgpack_pack_array(&packer, 2);
+            msgpack_pack_str(&packer, len);
+            msgpack_pack_str_body(&packer, tenant->name, len);
+            msgpack_pack_uint32(&packer, tenant->count);
+        }
+    }
+    size_t len = buffer.size;
+    *out = msgpack_sbuffer_release(&buffer);
+    return len;
+}
+
+static bool
+decode_tenants(const msgpack_object *list, struct du_usage *usage)
+{
+    if (list->type != MSGPACK_OBJECT_ARRAY ||
+        list->via.array.size > Du_TENANTS_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < list->via.array.size; i++) {
+        const msgpack_object *pair = &list->via.array.ptr[i];
+        if (pair->type != MSGPACK_OBJECT_ARRAY || pair->via.array.size != 2) {
+            return false;
+        }
+        const msgpack_object *name = &pair->via.array.ptr[0];
+        const msgpack_object *count = &pair->via.array.ptr[1];
+        if (name->type != MSGPACK_OBJECT_STR ||
+            name->via.str.size >= Ec_NAME_MAX ||
+            count->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return false;
+        }
+        struct du_tenant *tenant = &usage->tenants[usage->count++];
+        memcpy(tenant->name, name->via.str.ptr, name->via.str.size);
+        tenant->name[name->via.str.size] = '\0';
+        tenant->count = (uint32_t)count->via.u64;
+    }
+    return true;
+}
+
+static bool
+decode(const msgpack_object *object, struct dr_record *out)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < 1 ||
+        object->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return false;
+    }
+    out->run = object->via.array.ptr[0].via.u64;
+    if (object->via.array.size < 3) {
+        return true;
+    }
+    if (object->via.array.ptr[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return false;
+    }
+    out->has_usage = true;
+    out->usage.window = (int64_t)object->via.array.ptr[1].via.u64;
+    return decode_tenants(&object->via.array.ptr[2], &out->usage);
+}
+
+bool
+Dr_Decode(const void *data, size_t len, struct dr_record *out)
+{
+    memset(out, 0, sizeof(*out));
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    bool fine = msgpack_unpack_next(&unpacked, data, len, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                decode(&unpacked.data, out);
+    msgpack_unpacked_destroy(&unpacked);
+    return fine;
+}
--- /dev/null
+++ b/packages/edge/duty_record.h
@@ -0,0 +1,17 @@
+/* Records of the duty log, as bytes. */
+#ifndef EDGE_DUTY_RECORD_H
+#define EDGE_DUTY_RECORD_H
+
+#include "edge/duty.h"
+
+struct dr_record {
+    uint64_t run; /* of the process that wrote it */
+    bool has_usage;
+    struct du_usage usage;
+};
+
+/* Returns the length; the caller frees *out. */
+size_t Dr_Encode(const struct dr_record *record, char **out);
+bool Dr_Decode(const void *data, size_t len, struct dr_record *out);
+
+#endif
--- /dev/null
+++ b/packages/edge/events.c
@@ -0,0 +1,134 @@
+#include "edge/events.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define Es_EVENT_MAX (1u << 20)
+#define Es_ID_DIGITS_MAX 15
+
+static bool
+keep(struct es_events *events, const char *data, size_t len)
+{
+    if (events->len + len > Es_EVENT_MAX) {
+        return false;
+    }
+    if (events->len + len > events->size) {
+        size_t size = events->size == 0 ? 512 : events->size;
+        while (size < events->len + len) {
+            size *= 2;
+        }
+        char *grown = realloc(events->buffer, size);
+        if (grown == NULL) {
+            return false;
+        }
+        events->buffer = grown;
+        events->size = size;
+    }
+    memcpy(events->buffer + events->len, data, len);
+    events->len += len;
+    return true;
+}
+
+static int64_t
+read_id(const char *line, size_t len)
+{
+    static const char field[] = "id:";
+    size_t at = sizeof(field) - 1;
+    if (len < at || memcmp(line, field, at) != 0) {
+        return -1;
+    }
+    while (at < len && line[at] == ' ') {
+        at++;
+    }
+    if (at == len || len - at > Es_ID_DIGITS_MAX) {
+        return -1;
+    }
+    int64_t id = 0;
+    for (; at < len && line[at] != '\r'; at++) {
+        if (line[at] < '0' || line[at] > '9') {
+            return -1;
+        }
+        id = id * 10 + (line[at] - '0');
+    }
+    return id;
+}
+
+static void
+tell(const char *data, size_t len, es_fn fn, void *arg)
+{
+    struct es_event event = {.data = data, .len = len, .id = -1};
+    size_t at = 0;
+    while (at < len) {
+        const char *end = memchr(data + at, '\n', len - at);
+        size_t line = end == NULL ? len - at : (size_t)(end - (data + at));
+        if (at == 0) {
+            event.first_line = data;
+            event.first_len = line;
+        }
+        int64_t id = read_id(data + at, line);
+        if (id >= 0) {
+            event.id = id;
+        }
+        at += line + 1;
+    }
+    fn(arg, &event);
+}
+
+/* Where the first event ends, behind its empty line; 0: not yet. */
+static size_t
+find_end(struct es_events *events, size_t from)
+{
+    size_t at = events->scanned > from + 3 ? events->scanned - 3 : from;
+    while (at < events->len) {
+        const char *newline =
+            memchr(events->buffer + at, '\n', events->len - at);
+        if (newline == NULL) {
+            break;
+        }
+        size_t i = (size_t)(newline - events->buffer) + 1;
+        if (i < events->len && events->buffer[i] == '\n') {
+            return i + 1;
+        }
+        if (i + 1 < events->len && events->buffer[i] == '\r' &&
+            events->buffer[i + 1] == '\n') {
+            return i + 2;
+        }
+        at = i;
+    }
+    events->scanned = events->len;
+    return 0;
+}
+
+void
+Es_Feed(struct es_events *events, const char *data, size_t len, es_fn fn,
+        void *arg)
+{
+    if (events->failed || !keep(events, data, len)) {
+        events->failed = true;
+        return;
+    }
+    size_t from = 0;
+    size_t end;
+    while (!events->failed && (end = find_end(events, from)) != 0) {
+        tell(events->buffer + from, end - from, fn, arg);
+        from = end;
+    }
+    if (from > 0 && events->buffer != NULL) {
+        events->len -= from;
+        memmove(events->buffer, events->buffer + from, events->len);
+        events->scanned = 0;
+    }
+}
+
+size_t
+Es_Left(const struct es_events *events)
+{
+    return events->len;
+}
+
+void
+Es_Clear(struct es_events *events)
+{
+    free(events->buffer);
+    memset(events, 0, sizeof(*events));
+}
--- /dev/null
+++ b/packages/edge/exchange.c
@@ -0,0 +1,472 @@
+#include "edge/exchange.h"
+
+#include <bsd/string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "edge/health.h"
+#include "edge/place.h"
+
+#define Xc_CANDIDATES_MAX 1024
+/*
+ * An endpoint is given up as silent when it has not answered anybody for
+ * this many times the route's aim: others need well under one.
+ */
+#define Xc_SILENT_AIMS 2
+/* Requests given to an endpoint, as a multiple of what it runs at once. */
+#define Xc_ENGINE_FILL 1.25
+#define Xc_PLAIN_FILL 3.0
+/* Time after which a place is likely to be free, where none is now. */
+#define Xc_BUSY_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
+#define Xc_NONE_RETRY_USEC (800 * Ck_USEC_PER_MSEC)
+/* Endpoints asked that did not run the request, beyond those that may. */
+#define Xc_REFUSALS_MAX 2
+#define Xc_FIELDS_MAX 512
+#define Xc_BODY_MAX 256
+#define Xc_SLOWNESS_FLOOR_USEC 5000.0
+
+static void on_timer(void *arg);
+
+static void
+log_end(const struct xc_exchange *exchange, const char *outcome)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    bool fine = strcmp(outcome, "served") == 0;
+    Ln_Log(fine ? LN_ORDINARY : LN_FAILURE, "request.end",
+           "\"id\":\"%s\",\"outcome\":\"%s\",\"route\":\"%s\","
+           "\"config\":%lld,\"status\":%d,\"endpoint\":\"%s\",\"sends\":%d,"
+           "\"ran\":%d,\"last_event\":%lld,\"ms\":%lld,\"left_ms\":%lld",
+           exchange->ask.id, outcome, exchange->route->name,
+           (long long)exchange->config->version, attempt->status,
+           attempt->endpoint == NULL ? "" : attempt->endpoint->entry.id,
+           exchange->sends, exchange->runs, (long long)exchange->last_event,
+           (long long)((Ga_Now(exchange->gate) - exchange->arrived) /
+                       Ck_USEC_PER_MSEC),
+           (long long)((exchange->deadline - Ga_Now(exchange->gate)) /
+                       Ck_USEC_PER_MSEC));
+}
+
+void
+Xc_Release(struct xc_exchange *exchange)
+{
+    struct xc_attempt *attempt = &exchange->attempt;
+    if (attempt->endpoint == NULL) {
+        return;
+    }
+    attempt->endpoint->running--;
+    attempt->endpoint->reading -= attempt->reading;
+    if (attempt->channel != NULL) {
+        Po_Give(exchange->gate, attempt->endpoint, attempt->channel);
+    }
+    Fl_Drop(attempt->endpoint);
+    free(attempt->fields);
+    free(attempt->body);
+    Es_Clear(&attempt->events);
+    memset(attempt, 0, sizeof(*attempt));
+}
+
+void
+Xc_End(struct xc_exchange *exchange, const char *outcome)
+{
+    log_end(exchange, outcome);
+    Mt_Add(strcmp(outcome, "served") == 0 ? exchange->gate->count.served
+                                          : exchange->gate->count.failed,
+           1);
+    Mt_Observe(exchange->gate->count.whole,
+               Ga_Now(exchange->gate) - exchange->arrived);
+    if (exchange->charged && !exchange->may_have_run) {
+        Qt_Refund(exchange->gate->quota, exchange->tenant->name,
+                  exchange->cost);
+    }
+    Xc_Release(exchange);
+    Lp_TimerDestroy(exchange->timer);
+    Ec_Release(exchange->config);
+    free(exchange);
+}
+
+void
+Xc_Refuse(struct xc_exchange *exchange, int status, int64_t retry_usec,
+          const char *why)
+{
+    struct sv_request *request = exchange->request;
+    if (exchange->began) {
+        Sv_SetUser(request, NULL);
+        Xc_End(exchange, why);
+        Sv_Abort(request);
+        return;
+    }
+    char fields[Xc_FIELDS_MAX];
+    char body[Xc_BODY_MAX];
+    int at = snprintf(fields, sizeof(fields),
+                      "Content-Type: application/json\r\nX-Request-Id: %s\r\n",
+                      exchange->ask.id);
+    if (retry_usec > 0) {
+        snprintf(fields + at, sizeof(fields) - (size_t)at, "%s: %.3f\r\n",
+                 exchange->gate->options.wire->retry_after,
+                 (double)retry_usec / (double)Ck_USEC_PER_SEC);
+    }
+    int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
+    Sv_SetUser(request, NULL);
+    Xc_End(exchange, why);
+    Sv_Reply(request, status, fields, body, (size_t)len);
+}
+
+static void
+set_timer(struct xc_exchange *exchange)
+{
+    int64_t now = Ga_Now(exchange->gate);
+    int64_t at = exchange->deadline;
+    const struct xc_attempt *attempt = &exchange->attempt;
+    if (attempt->endpoint != NULL && !attempt->had_head &&
+        !exchange->silent_told) {
+        int64_t silent =
+            attempt->sent_at + Xc_SILENT_AIMS * exchange->route->aim_usec;
+        if (silent < at) {
+            at = silent;
+        }
+    }
+    Lp_TimerSet(exchange->timer, at - now);
+}
+
+bool
+Xc_MayRepeat(struct xc_exchange *exchange, bool ran)
+{
+    if (ran && (!exchange->repeatable ||
+                exchange->runs >= exchange->route->attempts)) {
+        return false;
+    }
+    int most = exchange->route->attempts + Xc_REFUSALS_MAX;
+    if (exchange->sends >= most || exchange->tried_count >= Xc_TRIED_MAX ||
+        Ga_Now(exchange->gate) >= exchange->deadline) {
+        return false;
+    }
+    return true;
+}
+
+/* The time the endpoint's first bytes take, against the whole service's. */
+static double
+mean_first(const struct ga_gate *gate, const char *service)
+{
+    double sum = 0;
+    size_t count = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (strcmp(endpoint->entry.service, service) == 0 &&
+            endpoint->first_usec > 0) {
+            sum += endpoint->first_usec;
+            count++;
+        }
+    }
+    return count == 0 ? 0 : sum / (double)count;
+}
+
+static bool
+was_tried(const struct xc_exchange *exchange, uint32_t hash)
+{
+    for (size_t i = 0; i < exchange->tried_count; i++) {
+        if (exchange->tried[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static struct pl_candidate
+describe(const struct xc_exchange *exchange,
+         const struct fl_endpoint *endpoint, double mean)
+{
+    const struct ga_gate *gate = exchange->gate;
+    int64_t now = Ga_Now(gate);
+    uint64_t group = Px_Group(&exchange->ask);
+    if (group == 0) {
+        group = Hash_String(exchange->ask.id, 0);
+    }
+    uint64_t both[2] = {group, endpoint->hash};
+    struct pl_candidate candidate = {
+        .slots = endpoint->entry.slots,
+        .running = endpoint->running + endpoint->others_running,
+        .reading = endpoint->reading + endpoint->others_reading,
+        .missing =
+            Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, now),
+        .near = strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
+        .shunned = He_Shunned(endpoint, now),
+        .tried = was_tried(exchange, endpoint->hash),
+        .full = Po_Full(gate, endpoint, exchange->service),
+        .failing = endpoint->failing,
+        .draw = Hash_Bytes(both, sizeof(both), 0),
+    };
+    if (mean > Xc_SLOWNESS_FLOOR_USEC) {
+        candidate.slowness = endpoint->first_usec / mean;
+    }
+    return candidate;
+}
+
+static enum pl_verdict
+choose(struct xc_exchange *exchange, struct fl_endpoint **out)
+{
+    static struct pl_candidate candidates[Xc_CANDIDATES_MAX];
+    static struct fl_endpoint *endpoints[Xc_CANDIDATES_MAX];
+    size_t count = 0;
+    const char *service = exchange->service->name;
+    double mean = mean_first(exchange->gate, service);
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(exchange->gate->fleet), link) {
+        if (count < Xc_CANDIDATES_MAX && Fl_Usable(endpoint) &&
+            strcmp(endpoint->entry.service, service) == 0) {
+            candidates[count] = describe(exchange, endpoint, mean);
+            endpoints[count++] = endpoint;
+        }
+    }
+    bool engine = exchange->service->engine;
+    struct pl_limits limits = {
+        .engine = engine,
+        .fill = engine ? Xc_ENGINE_FILL : Xc_PLAIN_FILL,
+    };
+    size_t chosen = 0;
+    enum pl_verdict verdict = Pl_Choose(candidates, count, &limits, &chosen);
+    if (verdict == PL_CHOSEN) {
+        *out = endpoints[chosen];
+    }
+    return verdict;
+}
+
+static size_t
+put(char *out, size_t at, struct h1_text text)
+{
+    memcpy(out + at, text.at, text.len);
+    return at + text.len;
+}
+
+/* The request's head as an endpoint gets it; the caller frees it. */
+static char *
+write_head(const struct xc_exchange *exchange, const struct ak_send *send,
+           size_t body_len, size_t *len)
+{
+    const struct h1_head *head = Sv_Head(exchange->request);
+    size_t size = head->method.len + head->target.len + 2048;
+    for (size_t i = 0; i < head->count; i++) {
+        size += head->fields[i].name.len + head->fields[i].value.len + 4;
+    }
+    char *out = malloc(size);
+    if (out == NULL) {
+        return NULL;
+    }
+    size_t at = put(out, 0, head->method);
+    out[at++] = ' ';
+    at = put(out, at, head->target);
+    at += (size_t)sprintf(out + at, " HTTP/1.1\r\n");
+    for (size_t i = 0; i < head->count; i++) {
+        const struct h1_field *field = &head->fields[i];
+        if (H1_HopByHop(head, field->name) ||
+            exchange->gate->options.wire->reserved(field->name) ||
+            (send->resume_after >= 0 && H1_Is(field->name, "last-event-id"))) {
+            continue;
+        }
+        at = put(out, at, field->name);
+        at += (size_t)sprintf(out + at, ": ");
+        at = put(out, at, field->value);
+        at += (size_t)sprintf(out + at, "\r\n");
+    }
+    if (body_len > 0 || head->chunked ||
+        H1_Find(head, "content-length") != NULL) {
+        at += (size_t)sprintf(out + at, "Content-Length: %zu\r\n", body_len);
+    }
+    at += exchange->gate->options.wire->encode_send(send, out + at, size - at);
+    at += (size_t)sprintf(out + at, "\r\n");
+    *len = at;
+    return out;
+}
+
+static int
+rank_of(const struct xc_exchange *exchange)
+{
+    return exchange->tenant != NULL && exchange->tenant->rank >= 0
+               ? exchange->tenant->rank
+               : exchange->route->rank;
+}
+
+static bool
+send_to(struct xc_exchange *exchange, struct fl_endpoint *endpoint)
+{
+    struct ga_gate *gate = exchange->gate;
+    int64_t now = Ga_Now(gate);
+    struct xc_attempt *attempt = &exchange->attempt;
+    struct ak_send send = {
+        .endpoint = endpoint->entry.id,
+        .tenant = exchange->tenant == NULL ? NULL : exchange->tenant->name,
+        .left_usec = exchange->deadline - now,
+        .rank = rank_of(exchange),
+        .resume_after = exchange->began ? exchange->last_event : -1,
+        .version = exchange->began && exchange->version[0] != '\0'
+                       ? exchange->version
+                       : NULL,
+    };
+    size_t body_len;
+    const char *body = Sv_Body(exchange->request, &body_len);
+    size_t head_len;
+    char *head = write_head(exchange, &send, body_len, &head_len);
+    struct cn_channel *channel =
+        head == NULL ? NULL : Po_Take(gate, endpoint, exchange->repeatable);
+    if (channel == NULL) {
+        free(head);
+        return false;
+    }
+    attempt->endpoint = Fl_Hold(endpoint);
+    attempt->channel = channel;
+    attempt->sent_at = now;
+    attempt->reading =
+        Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, now);
+    endpoint->running++;
+    endpoint->reading += attempt->reading;
+    Px_Note(gate->prefixes, &exchange->ask, endpoint->hash, now);
+    exchange->tried[exchange->tried_count++] = endpoint->hash;
+    exchange->sends++;
+    exchange->silent_told = false;
+    Cn_Send(channel, head, head_len, body, body_len,
+            H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &Xc_ChannelOps,
+            exchange);
+    free(head);
+    return true;
+}
+
+void
+Xc_Dispatch(struct xc_exchange *exchange)
+{
+    struct fl_endpoint *endpoint = NULL;
+    enum pl_verdict verdict = choose(exchange, &endpoint);
+    if (verdict != PL_CHOSEN) {
+        bool unknown = exchange->may_have_run && !exchange->repeatable;
+        Xc_Refuse(exchange, unknown ? 502 : 503,
+                  verdict == PL_BUSY ? Xc_BUSY_RETRY_USEC : Xc_NONE_RETRY_USEC,
+                  verdict == PL_BUSY ? "all endpoints are busy"
+                                     : "no endpoint");
+        return;
+    }
+    if (exchange->sends == 0) {
+        Bu_First(exchange->gate->budget, exchange->service->name);
+    }
+    else if (!Bu_Repeat(exchange->gate->budget, exchange->service->name)) {
+        Xc_Refuse(exchange, 503, Xc_BUSY_RETRY_USEC, "no repeat to spare");
+        return;
+    }
+    else {
+        Mt_Add(exchange->gate->count.repeats, 1);
+    }
+    if (!send_to(exchange, endpoint)) {
+        Xc_Refuse(exchange, 503, Xc_BUSY_RETRY_USEC, "no connection to spare");
+        return;
+    }
+    set_timer(exchange);
+}
+
+static void
+on_deadline(struct xc_exchange *exchange)
+{
+    if (exchange->sends == 0 || !exchange->may_have_run) {
+        if (exchange->attempt.endpoint == NULL ||
+            !Cn_Sent(exchange->attempt.channel)) {
+            Xc_Refuse(exchange, 503, Xc_BUSY_RETRY_USEC, "not run in time");
+            return;
+        }
+    }
+    if (exchange->attempt.endpoint != NULL) {
+        exchange->may_have_run = true;
+    }
+    Xc_Refuse(exchange, 504, 0, "out of time");
+}
+
+static void
+on_timer(void *arg)
+{
+    struct xc_exchange *exchange = arg;
+    int64_t now = Ga_Now(exchange->gate);
+    struct xc_attempt *attempt = &exchange->attempt;
+    if (now >= exchange->deadline) {
+        on_deadline(exchange);
+        return;
+    }
+    exchange->silent_told = true;
+    if (attempt->endpoint != NULL && !attempt->had_head &&
+        attempt->endpoint->answered_at < attempt->sent_at) {
+        He_Note(attempt->endpoint, HE_SILENT, now);
+        bool sent = Cn_Sent(attempt->channel);
+        exchange->may_have_run |= sent;
+        exchange->runs += sent;
+        if (Xc_MayRepeat(exchange, sent)) {
+            Xc_Release(exchange);
+            Xc_Dispatch(exchange);
+            return;
+        }
+        exchange->runs -= sent;
+    }
+    set_timer(exchange);
+}
+
+static bool
+is_repeatable(const struct ec_route *route)
+{
+    return route->kind == EC_SAFE ||
+           (route->kind == EC_STREAM && route->resumable);
+}
+
+/* Takes a request over; answers it in the end. */
+void
+Xc_Start(struct ga_gate *gate, struct sv_request *request,
+         const struct xc_admitted *admitted)
+{
+    struct xc_exchange *exchange = calloc(1, sizeof(*exchange));
+    struct lp_timer *timer =
+        exchange == NULL
+            ? NULL
+            : Lp_TimerCreate(gate->options.loop, on_timer, exchange);
+    if (timer == NULL) {
+        free(exchange);
+        Ec_Release(admitted->config);
+        Sv_Reply(request, 503, "", "", 0);
+        return;
+    }
+    exchange->gate = gate;
+    exchange->request = request;
+    exchange->timer = timer;
+    exchange->config = admitted->config;
+    exchange->route = admitted->route;
+    exchange->tenant = admitted->tenant;
+    exchange->service = admitted->service;
+    exchange->ask = *admitted->ask;
+    exchange->cost = admitted->cost;
+    exchange->charged = admitted->tenant != NULL;
+    exchange->repeatable = is_repeatable(admitted->route);
+    exchange->last_event = admitted->ask->last_event;
+    exchange->arrived = Ga_Now(gate);
+    int64_t limit = admitted->route->timeout_usec;
+    if (admitted->ask->deadline_usec >= 0 &&
+        admitted->ask->deadline_usec < limit) {
+        limit = admitted->ask->deadline_usec;
+    }
+    exchange->deadline = exchange->arrived + limit;
+    Sv_SetUser(request, exchange);
+    Xc_Dispatch(exchange);
+}
+
+/* The caller has left: whatever still works for it is stopped. */
+void
+Xc_Gone(struct sv_request *request)
+{
+    struct xc_exchange *exchange = Sv_User(request);
+    if (exchange == NULL) {
+        return;
+    }
+    exchange->may_have_run |= exchange->attempt.endpoint != NULL;
+    Xc_End(exchange, "caller left");
+}
+
+void
+Xc_Drained(struct sv_request *request)
+{
+    struct xc_exchange *exchange = Sv_User(request);
+    if (exchange != NULL && exchange->attempt.channel != NULL) {
+        Cn_Pause(exchange->attempt.channel, false);
+    }
+}
--- /dev/null
+++ b/packages/edge/exchange.h
@@ -0,0 +1,95 @@
+/*
+ * A request from its admission to the end of its answer: which endpoints it
+ * was sent to, what they answered, what the caller was told.
+ */
+#ifndef EDGE_EXCHANGE_H
+#define EDGE_EXCHANGE_H
+
+#include "edge/events.h"
+#include "edge/gate_internal.h"
+
+#define Xc_TRIED_MAX 6
+
+/* What an endpoint was sent and has answered so far. */
+struct xc_attempt {
+    struct fl_endpoint *endpoint; /* NULL: none under way */
+    struct cn_channel *channel;
+    int64_t sent_at;
+    int64_t reading; /* prompt tokens counted at the endpoint */
+    bool had_head;
+    bool streaming;
+    int status;
+    struct ak_answer answer;
+    char *fields; /* to be passed on with the answer */
+    char *body;
+    size_t body_len;
+    size_t body_size;
+    bool overflow;
+    bool gap; /* events are missing */
+    struct es_events events;
+};
+
+struct xc_exchange {
+    struct ga_gate *gate;
+    struct sv_request *request;
+    struct ec_config *config;
+    const struct ec_route *route;
+    const struct ec_tenant *tenant; /* NULL: the route needs no key */
+    const struct ec_service *service;
+    struct ak_ask ask;
+    struct lp_timer *timer;
+    int64_t arrived;
+    int64_t deadline;
+    double cost; /* of the tenant's quota */
+    bool charged;
+    bool counted; /* in the usage */
+    bool repeatable;
+    bool began; /* the caller has the head of an answer */
+    bool may_have_run;
+    bool silent_told;
+    int sends;
+    int runs; /* endpoints that did or may have run it */
+    uint32_t tried[Xc_TRIED_MAX];
+    size_t tried_count;
+    int64_t last_event; /* passed on; -1: none */
+    char version[Ak_VERSION_MAX];
+    struct xc_attempt attempt;
+};
+
+struct xc_admitted {
+    struct ec_config *config; /* a reference, handed over */
+    const struct ec_route *route;
+    const struct ec_tenant *tenant;
+    const struct ec_service *service;
+    const struct ak_ask *ask;
+    double cost;
+};
+
+void Xc_Start(struct ga_gate *gate, struct sv_request *request,
+              const struct xc_admitted *admitted);
+
+/* Sends the request to an endpoint, or answers that it cannot. */
+void Xc_Dispatch(struct xc_exchange *exchange);
+/* Ends with an answer of our own. */
+void Xc_Refuse(struct xc_exchange *exchange, int status, int64_t retry_usec,
+               const char *why);
+/* Ends without another word: the answer was given, or cannot be finished. */
+void Xc_End(struct xc_exchange *exchange, const char *outcome);
+/* Whether one more endpoint may be asked, the budget included. */
+bool Xc_MayRepeat(struct xc_exchange *exchange, bool ran);
+/* Lets go of the attempt; its connection is kept when it can be. */
+void Xc_Release(struct xc_exchange *exchange);
+
+/* The endpoint's side of an attempt. */
+extern const struct cn_ops Xc_ChannelOps;
+
+/* Connections to endpoints. */
+struct cn_channel *Po_Take(struct ga_gate *gate, struct fl_endpoint *endpoint,
+                           bool repeatable);
+void Po_Give(struct ga_gate *gate, struct fl_endpoint *endpoint,
+             struct cn_channel *channel);
+bool Po_Full(const struct ga_gate *gate, const struct fl_endpoint *endpoint,
+             const struct ec_service *service);
+void Po_Sweep(struct ga_gate *gate);
+
+#endif
--- /dev/null
+++ b/packages/edge/feed.h
@@ -0,0 +1,56 @@
+/*
+ * Keeps the configuration and the endpoints up to date: from the store while
+ * it answers, from peers while it does not.  What was learned is never
+ * unlearned by an older reading, wherever it comes from.
+ */
+#ifndef EDGE_FEED_H
+#define EDGE_FEED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "edge/config.h"
+#include "edge/fleet.h"
+#include "edge/store.h"
+#include "web/loop.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct fe_feed;
+
+struct fe_ops {
+    void (*config)(void *arg, struct ec_config *config);
+    void (*store)(void *arg, bool reached);
+};
+
+struct fe_options {
+    struct lp_loop *loop;
+    const struct ck_clock *clock;
+    struct ag_store *store;
+    const struct ag_codec *codec;
+    struct fl_fleet *fleet;
+    const struct fe_ops *ops;
+    void *arg;
+};
+
+struct fe_feed *Fe_Create(const struct fe_options *options);
+void Fe_Destroy(struct fe_feed *feed);
+struct ec_config *Fe_Config(const struct fe_feed *feed);
+/* Whether the store was reached so recently that nothing newer is unread. */
+bool Fe_Current(const struct fe_feed *feed);
+bool Fe_Reached(const struct fe_feed *feed);
+int64_t Fe_End(const struct fe_feed *feed, enum ag_topic topic);
+
+/* All that is known, packed for a peer that has less. */
+size_t Fe_Pack(const struct fe_feed *feed, int64_t config_from, char **out);
+void Fe_Unpack(struct fe_feed *feed, const char *data, size_t len);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/fleet.c
@@ -0,0 +1,231 @@
+#include "edge/fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define Fl_HASH_SEED 0x666c6565
+/*
+ * While the store was away entries lapse though their endpoints live; they
+ * are written again within two seconds of its return.  A removal told in that
+ * time is believed once this has passed without a new entry: shorter than the
+ * shortest drain bound in use, so that an endpoint that did leave is not sent
+ * anything past it.
+ */
+#define Fl_VANISH_USEC (1500 * Ck_USEC_PER_MSEC)
+
+struct fl_fleet {
+    const struct ck_clock *clock;
+    struct fl_list endpoints;
+    int64_t doubt_until;
+};
+
+struct fl_fleet *
+Fl_Create(const struct ck_clock *clock)
+{
+    struct fl_fleet *fleet = calloc(1, sizeof(*fleet));
+    if (fleet != NULL) {
+        fleet->clock = clock;
+        TAILQ_INIT(&fleet->endpoints);
+    }
+    return fleet;
+}
+
+static void
+close_idle(struct fl_endpoint *endpoint)
+{
+    struct fl_idle *idle;
+    while ((idle = TAILQ_FIRST(&endpoint->idle)) != NULL) {
+        TAILQ_REMOVE(&endpoint->idle, idle, link);
+        Cn_Close(idle->channel);
+        endpoint->connections--;
+        free(idle);
+    }
+}
+
+struct fl_endpoint *
+Fl_Hold(struct fl_endpoint *endpoint)
+{
+    endpoint->refs++;
+    return endpoint;
+}
+
+void
+Fl_Drop(struct fl_endpoint *endpoint)
+{
+    if (endpoint != NULL && --endpoint->refs == 0) {
+        close_idle(endpoint);
+        free(endpoint);
+    }
+}
+
+static void
+remove_now(struct fl_fleet *fleet, struct fl_endpoint *endpoint)
+{
+    endpoint->gone = true;
+    close_idle(endpoint);
+    TAILQ_REMOVE(&fleet->endpoints, endpoint, link);
+    Fl_Drop(endpoint);
+}
+
+void
+Fl_Destroy(struct fl_fleet *fleet)
+{
+    if (fleet == NULL) {
+        return;
+    }
+    struct fl_endpoint *endpoint;
+    while ((endpoint = TAILQ_FIRST(&fleet->endpoints)) != NULL) {
+        remove_now(fleet, endpoint);
+    }
+    free(fleet);
+}
+
+struct fl_endpoint *
+Fl_Find(const struct fl_fleet *fleet, const char *id)
+{
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
+        if (strcmp(endpoint->entry.id, id) == 0) {
+            return endpoint;
+        }
+    }
+    return NULL;
+}
+
+struct fl_endpoint *
+Fl_ByHash(const struct fl_fleet *fleet, uint32_t hash)
+{
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
+        if (endpoint->hash == hash) {
+            return endpoint;
+        }
+    }
+    return NULL;
+}
+
+static struct fl_endpoint *
+add(struct fl_fleet *fleet, const struct fl_entry *entry)
+{
+    struct fl_endpoint *endpoint = calloc(1, sizeof(*endpoint));
+    if (endpoint == NULL) {
+        return NULL;
+    }
+    endpoint->refs = 1;
+    endpoint->hash = (uint32_t)Hash_String(entry->id, Fl_HASH_SEED);
+    endpoint->since = Ck_Now(fleet->clock);
+    TAILQ_INIT(&endpoint->idle);
+    TAILQ_INSERT_TAIL(&fleet->endpoints, endpoint, link);
+    return endpoint;
+}
+
+/* Takes an entry that an endpoint wrote. */
+void
+Fl_Apply(struct fl_fleet *fleet, const struct fl_entry *entry)
+{
+    struct fl_endpoint *endpoint = Fl_Find(fleet, entry->id);
+    if (endpoint != NULL &&
+        (endpoint->entry.born != entry->born ||
+         strcmp(endpoint->entry.address, entry->address) != 0)) {
+        /* Started again: another engine under the same name. */
+        remove_now(fleet, endpoint);
+        endpoint = NULL;
+    }
+    if (endpoint == NULL) {
+        endpoint = add(fleet, entry);
+        if (endpoint == NULL) {
+            return;
+        }
+    }
+    /* One that leaves does not come back under the same start. */
+    bool draining = endpoint->entry.draining || entry->draining;
+    endpoint->entry = *entry;
+    endpoint->entry.draining = draining;
+    endpoint->vanished_at = 0;
+    endpoint->refreshed_at = Ck_Now(fleet->clock);
+    if (draining) {
+        close_idle(endpoint);
+    }
+}
+
+/* Takes the removal of an entry. */
+void
+Fl_Remove(struct fl_fleet *fleet, const char *id)
+{
+    struct fl_endpoint *endpoint = Fl_Find(fleet, id);
+    if (endpoint == NULL) {
+        return;
+    }
+    int64_t now = Ck_Now(fleet->clock);
+    if (now < fleet->doubt_until && !endpoint->entry.draining) {
+        if (endpoint->vanished_at == 0) {
+            endpoint->vanished_at = now;
+        }
+        return;
+    }
+    remove_now(fleet, endpoint);
+}
+
+void
+Fl_Doubt(struct fl_fleet *fleet, int64_t usec)
+{
+    fleet->doubt_until = Ck_Now(fleet->clock) + usec;
+}
+
+/* Believes removals that were in doubt for long enough. */
+void
+Fl_Tick(struct fl_fleet *fleet)
+{
+    int64_t now = Ck_Now(fleet->clock);
+    struct fl_endpoint *endpoint;
+    struct fl_endpoint *next;
+    TAILQ_FOREACH_SAFE (endpoint, &fleet->endpoints, link, next) {
+        if (endpoint->vanished_at != 0 &&
+            now - endpoint->vanished_at > Fl_VANISH_USEC) {
+            remove_now(fleet, endpoint);
+        }
+    }
+}
+
+void
+Fl_ClearOthers(struct fl_fleet *fleet)
+{
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
+        endpoint->others_running = 0;
+        endpoint->others_reading = 0;
+    }
+}
+
+const struct fl_list *
+Fl_All(const struct fl_fleet *fleet)
+{
+    return &fleet->endpoints;
+}
+
+/* Whether new requests may go there, its health aside. */
+bool
+Fl_Usable(const struct fl_endpoint *endpoint)
+{
+    return !endpoint->gone && !endpoint->entry.draining;
+}
+
+size_t
+Fl_CountUsable(const struct fl_fleet *fleet, const char *service)
+{
+    size_t count = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
+        count += Fl_Usable(endpoint) &&
+                 strcmp(endpoint->entry.service, service) == 0;
+    }
+    return count;
+}
+
+bool
+Fl_Any(const struct fl_fleet *fleet)
+{
+    return !TAILQ_EMPTY(&fleet->endpoints);
+}
--- /dev/null
+++ b/packages/edge/fleet.h
@@ -0,0 +1,104 @@
+/*
+ * The endpoints of all services as their entries in the store tell, with
+ * what this daemon has seen of them.  An endpoint is known by its identity:
+ * an address may be given to another service once it is free, and the same
+ * identity with another start time knows nothing of what was before.
+ */
+#ifndef EDGE_FLEET_H
+#define EDGE_FLEET_H
+
+#include <bsd/sys/queue.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "edge/config.h"
+#include "web/channel.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* An entry of the store, decoded. */
+struct fl_entry {
+    char id[Ec_NAME_MAX];
+    char service[Ec_NAME_MAX];
+    char address[Ec_NAME_MAX];
+    char zone[Ec_NAME_MAX];
+    char version[Ec_NAME_MAX]; /* of its software */
+    int slots;
+    bool draining;
+    bool spot;         /* may be taken away at short notice */
+    int64_t born;      /* start, milliseconds since 1970 */
+    int64_t cold_usec; /* how much longer it is slow after its start */
+};
+
+TAILQ_HEAD(fl_idle_list, fl_idle);
+
+struct fl_endpoint {
+    TAILQ_ENTRY(fl_endpoint) link;
+    int refs;
+    struct fl_entry entry;
+    uint32_t hash;        /* of the identity; names it between daemons */
+    bool gone;            /* the entry was removed */
+    int64_t vanished_at;  /* removed while that may be false; 0: no */
+    int64_t refreshed_at; /* last entry seen */
+    int64_t since;        /* first entry seen */
+
+    /* What this daemon has sent and not yet seen the end of. */
+    int running;
+    int64_t reading; /* prompt tokens sent whose first event is awaited */
+    int connections;
+    struct fl_idle_list idle;
+    /* The same of all other daemons, as they last told. */
+    int others_running;
+    int64_t others_reading;
+
+    /* How it has answered; see health.h. */
+    double failing;    /* share of recent answers that failed, 0 to 1 */
+    double first_usec; /* recent time to the first byte */
+    int strikes;       /* breaks in a row */
+    int64_t shunned_until;
+    int64_t silent_since; /* waits since then without any answer; 0: no */
+    int64_t answered_at;
+};
+
+/* A kept connection. */
+struct fl_idle {
+    TAILQ_ENTRY(fl_idle) link;
+    struct fl_endpoint *endpoint;
+    struct cn_channel *channel;
+};
+
+TAILQ_HEAD(fl_list, fl_endpoint);
+
+struct fl_fleet;
+
+struct fl_fleet *Fl_Create(const struct ck_clock *clock);
+void Fl_Destroy(struct fl_fleet *fleet);
+
+/* Changes. */
+void Fl_Apply(struct fl_fleet *fleet, const struct fl_entry *entry);
+void Fl_Remove(struct fl_fleet *fleet, const char *id);
+/* Removals told from now on may be false for "usec" (the store was away). */
+void Fl_Doubt(struct fl_fleet *fleet, int64_t usec);
+void Fl_Tick(struct fl_fleet *fleet);
+void Fl_ClearOthers(struct fl_fleet *fleet);
+
+/* Queries. */
+const struct fl_list *Fl_All(const struct fl_fleet *fleet);
+struct fl_endpoint *Fl_ByHash(const struct fl_fleet *fleet, uint32_t hash);
+struct fl_endpoint *Fl_Find(const struct fl_fleet *fleet, const char *id);
+bool Fl_Usable(const struct fl_endpoint *endpoint);
+size_t Fl_CountUsable(const struct fl_fleet *fleet, const char *service);
+bool Fl_Any(const struct fl_fleet *fleet);
+
+struct fl_endpoint *Fl_Hold(struct fl_endpoint *endpoint);
+void Fl_Drop(struct fl_endpoint *endpoint);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/gate.c
@@ -0,0 +1,381 @@
+#include "edge/gate.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/exchange.h"
+#include "edge/gate_internal.h"
+
+#define Ga_TICK_USEC Ms_TICK_USEC
+#define Ga_SWEEP_TICKS 5 /* twice a second */
+/*
+ * A planned stop: readiness is asked once a second and two misses take a
+ * host out, so callers come for some three seconds more; idle connections
+ * are ended after that, and what still runs has until shortly before the
+ * platform kills the process.
+ */
+#define Ga_STOP_IDLE_USEC (3200 * Ck_USEC_PER_MSEC)
+#define Ga_STOP_LEAST_USEC (3800 * Ck_USEC_PER_MSEC)
+#define Ga_STOP_MARGIN_USEC (300 * Ck_USEC_PER_MSEC)
+
+int64_t
+Ga_Now(const struct ga_gate *gate)
+{
+    return Ck_Now(gate->options.clock);
+}
+
+/* Whether callers are welcome. */
+bool
+Ga_Ready(const struct ga_gate *gate)
+{
+    return gate->stopping_at == 0 && Fe_Config(gate->feed) != NULL &&
+           Fl_Any(gate->fleet);
+}
+
+static void
+on_request(void *arg, struct sv_request *request)
+{
+    Ad_Take(arg, request);
+}
+
+static void
+on_gone(void *arg, struct sv_request *request)
+{
+    (void)arg;
+    Xc_Gone(request);
+}
+
+static void
+on_drained(void *arg, struct sv_request *request)
+{
+    (void)arg;
+    Xc_Drained(request);
+}
+
+static void
+on_refused(void *arg, int status, const char *why)
+{
+    struct ga_gate *gate = arg;
+    Mt_Add(gate->count.refused, 1);
+    Ln_Log(LN_FAILURE, "request.unreadable", "\"status\":%d,\"why\":\"%s\"",
+           status, why);
+}
+
+static const struct sv_ops caller_ops = {
+    .request = on_request,
+    .gone = on_gone,
+    .drained = on_drained,
+    .refused = on_refused,
+};
+
+static bool
+asks_for(const struct sv_request *request, const char *path)
+{
+    struct h1_text target = Sv_Head(request)->target;
+    size_t len = strlen(path);
+    return target.len >= len && memcmp(target.at, path, len) == 0;
+}
+
+static void
+on_ready_asked(void *arg, struct sv_request *request)
+{
+    struct ga_gate *gate = arg;
+    if (!asks_for(request, gate->options.ready_path)) {
+        Sv_Reply(request, 404, "", "", 0);
+        return;
+    }
+    Sv_Reply(request, Ga_Ready(gate) ? 200 : 503, "", "", 0);
+}
+
+static void
+on_metrics_asked(void *arg, struct sv_request *request)
+{
+    struct ga_gate *gate = arg;
+    if (!asks_for(request, gate->options.metrics_path)) {
+        Sv_Reply(request, 404, "", "", 0);
+        return;
+    }
+    char *text = Mt_Print(gate->registry);
+    Sv_Reply(request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
+             text == NULL ? "" : text, text == NULL ? 0 : strlen(text));
+    free(text);
+}
+
+static void
+ignore_gone(void *arg, struct sv_request *request)
+{
+    (void)arg;
+    (void)request;
+}
+
+static const struct sv_ops ready_ops = {
+    .request = on_ready_asked,
+    .gone = ignore_gone,
+};
+
+static const struct sv_ops metrics_ops = {
+    .request = on_metrics_asked,
+    .gone = ignore_gone,
+};
+
+static void
+on_config(void *arg, struct ec_config *config)
+{
+    struct ga_gate *gate = arg;
+    Qt_Configure(gate->quota, config);
+    struct sv_limits limits = {
+        .head_bytes = config->limits.head_bytes,
+        .body_bytes = config->limits.body_bytes,
+        .head_usec = config->limits.head_usec,
+        .idle_usec = config->limits.idle_usec,
+    };
+    Sv_SetLimits(gate->callers, &limits);
+    Ln_Log(LN_STATE, "config.applied",
+           "\"version\":%lld,\"routes\":%zu,\"tenants\":%zu,\"keys\":%zu",
+           (long long)config->version, config->route_count,
+           config->tenant_count, config->key_count);
+}
+
+static void
+on_store(void *arg, bool reached)
+{
+    struct ga_gate *gate = arg;
+    const struct ec_config *config = Fe_Config(gate->feed);
+    Ln_Log(LN_STATE, reached ? "store.regained" : "store.lost",
+           "\"config\":%lld",
+           config == NULL ? -1LL : (long long)config->version);
+}
+
+static const struct fe_ops feed_ops = {
+    .config = on_config,
+    .store = on_store,
+};
+
+static void
+step_stop(struct ga_gate *gate)
+{
+    int64_t gone = Ga_Now(gate) - gate->stopping_at;
+    if (gone > Ga_STOP_IDLE_USEC) {
+        Sv_CloseIdle(gate->callers, Ga_TICK_USEC);
+    }
+    bool done =
+        gone > Ga_STOP_LEAST_USEC && Sv_Connections(gate->callers) == 0;
+    if (done || gone > gate->options.node->grace_usec - Ga_STOP_MARGIN_USEC) {
+        Ln_Log(LN_STATE, "process.stopped", "\"open\":%zu",
+               Sv_Open(gate->callers));
+        Ln_Flush();
+        Lp_Stop(gate->options.loop);
+    }
+}
+
+static void
+note_readiness(struct ga_gate *gate)
+{
+    bool ready = Ga_Ready(gate);
+    if (ready != gate->was_ready) {
+        gate->was_ready = ready;
+        Ln_Log(LN_STATE, ready ? "ready" : "unready", "\"daemons\":%zu",
+               Ms_CountAlive(gate->mesh));
+    }
+}
+
+static void
+on_tick(void *arg)
+{
+    struct ga_gate *gate = arg;
+    Lp_TimerSet(gate->tick, Ga_TICK_USEC);
+    gate->ticks++;
+    Fl_Tick(gate->fleet);
+    Pe_Tick(gate->peers);
+    Du_Tick(gate->duty);
+    Wo_Tick(gate->work);
+    if (gate->ticks % Ga_SWEEP_TICKS == 0) {
+        Sv_Tick(gate->callers);
+        Sv_Tick(gate->ready);
+        Sv_Tick(gate->metrics_server);
+        Po_Sweep(gate);
+    }
+    note_readiness(gate);
+    Ln_Flush();
+    if (gate->stopping_at != 0) {
+        step_stop(gate);
+    }
+}
+
+static unsigned
+rank(void *arg)
+{
+    const struct ga_gate *gate = arg;
+    return Ms_Rank(gate->mesh);
+}
+
+static struct mt_metric *
+counter(struct ga_gate *gate, const char *name)
+{
+    return Mt_Get(gate->registry, MT_COUNTER, name, "");
+}
+
+static void
+create_counters(struct ga_gate *gate)
+{
+    gate->count = (struct ga_counters){
+        .requests = counter(gate, "cornelgate_requests_total"),
+        .served = counter(gate, "cornelgate_served_total"),
+        .refused = counter(gate, "cornelgate_refused_total"),
+        .failed = counter(gate, "cornelgate_failed_total"),
+        .repeats = counter(gate, "cornelgate_repeats_total"),
+        .opened = counter(gate, "cornelgate_connections_opened_total"),
+        .first = Mt_Get(gate->registry, MT_HISTOGRAM,
+                        "cornelgate_first_byte_usec", ""),
+        .whole = Mt_Get(gate->registry, MT_HISTOGRAM,
+                        "cornelgate_whole_answer_usec", ""),
+    };
+}
+
+static enum st_status
+create_tables(struct ga_gate *gate)
+{
+    const struct nd_node *node = gate->options.node;
+    const struct ck_clock *clock = gate->options.clock;
+    Rn_Seed(&gate->random, gate->options.run);
+    gate->registry = Mt_Create();
+    gate->fleet = Fl_Create(clock);
+    gate->quota = Qt_Create(clock, node->first_start);
+    gate->budget = Bu_Create(clock, node->retry_ratio, node->retry_extra,
+                             node->retry_window_usec);
+    gate->prefixes = Px_Create();
+    gate->usage = Us_Create();
+    gate->time = Tt_Create(clock);
+    if (gate->registry == NULL || gate->fleet == NULL || gate->quota == NULL ||
+        gate->budget == NULL || gate->prefixes == NULL ||
+        gate->usage == NULL || gate->time == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the daemon's tables");
+    }
+    create_counters(gate);
+    return ST_OK;
+}
+
+static enum st_status
+create_servers(struct ga_gate *gate)
+{
+    const struct ga_options *options = &gate->options;
+    const struct nd_node *node = options->node;
+    char metrics[Nd_NAME_MAX + 8];
+    snprintf(metrics, sizeof(metrics), "%s:%d", node->ip, node->metrics_port);
+    enum st_status status =
+        Sv_Create(options->loop, options->clock, node->callers, &caller_ops,
+                  gate, &gate->callers);
+    if (status == ST_OK) {
+        status = Sv_Create(options->loop, options->clock, node->ready,
+                           &ready_ops, gate, &gate->ready);
+    }
+    if (status == ST_OK) {
+        status = Sv_Create(options->loop, options->clock, metrics,
+                           &metrics_ops, gate, &gate->metrics_server);
+    }
+    return status;
+}
+
+static enum st_status
+create_shared(struct ga_gate *gate)
+{
+    const struct ga_options *options = &gate->options;
+    gate->peers = Pe_Create(gate);
+    if (gate->peers == NULL) {
+        return ST_UNAVAILABLE;
+    }
+    struct fe_options feed = {
+        .loop = options->loop,
+        .clock = options->clock,
+        .store = options->store,
+        .codec = options->codec,
+        .fleet = gate->fleet,
+        .ops = &feed_ops,
+        .arg = gate,
+    };
+    struct du_options duty = {
+        .clock = options->clock,
+        .store = options->store,
+        .name = options->node->name,
+        .run = options->run,
+        .lease_usec = options->node->lease_usec,
+        .rank = rank,
+        .changed = Wo_Changed,
+        .arg = gate,
+    };
+    gate->feed = Fe_Create(&feed);
+    gate->duty = Du_Create(&duty);
+    gate->work = Wo_Create(gate);
+    gate->tick = Lp_TimerCreate(options->loop, on_tick, gate);
+    if (gate->feed == NULL || gate->duty == NULL || gate->work == NULL ||
+        gate->tick == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
+    }
+    Lp_TimerSet(gate->tick, 0);
+    return ST_OK;
+}
+
+/* Starts serving; everything happens on the loop from then on. */
+enum st_status
+Ga_Create(const struct ga_options *options, struct ga_gate **out)
+{
+    struct ga_gate *gate = calloc(1, sizeof(*gate));
+    if (gate == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
+    }
+    gate->options = *options;
+    enum st_status status = create_tables(gate);
+    if (status == ST_OK) {
+        status = create_servers(gate);
+    }
+    if (status == ST_OK) {
+        status = create_shared(gate);
+    }
+    if (status != ST_OK) {
+        Ga_Destroy(gate);
+        return status;
+    }
+    Ln_Log(LN_STATE, "process.started", "\"callers\":\"%s\",\"run\":%llu",
+           options->node->callers, (unsigned long long)options->run);
+    *out = gate;
+    return ST_OK;
+}
+
+void
+Ga_Stop(struct ga_gate *gate)
+{
+    if (gate->stopping_at != 0) {
+        return;
+    }
+    gate->stopping_at = Ga_Now(gate);
+    Sv_Drain(gate->callers);
+    Ln_Log(LN_STATE, "process.stopping", "\"open\":%zu,\"connections\":%zu",
+           Sv_Open(gate->callers), Sv_Connections(gate->callers));
+}
+
+/* The store and the cloud must not answer any more. */
+void
+Ga_Destroy(struct ga_gate *gate)
+{
+    if (gate == NULL) {
+        return;
+    }
+    Lp_TimerDestroy(gate->tick);
+    Wo_Destroy(gate->work);
+    Du_Destroy(gate->duty);
+    Fe_Destroy(gate->feed);
+    Pe_Destroy(gate->peers);
+    Ms_Destroy(gate->mesh);
+    Sv_Destroy(gate->callers);
+    Sv_Destroy(gate->ready);
+    Sv_Destroy(gate->metrics_server);
+    Fl_Destroy(gate->fleet);
+    Qt_Destroy(gate->quota);
+    Bu_Destroy(gate->budget);
+    Px_Destroy(gate->prefixes);
+    Us_Destroy(gate->usage);
+    Tt_Destroy(gate->time);
+    Mt_Destroy(gate->registry);
+    free(gate);
+}
--- /dev/null
+++ b/packages/edge/gate_internal.h
@@ -0,0 +1,83 @@
+/* Shared by the modules of the request path only. */
+#ifndef EDGE_GATE_INTERNAL_H
+#define EDGE_GATE_INTERNAL_H
+
+#include "base/hash.h"
+#include "base/line.h"
+#include "base/metric.h"
+#include "base/random.h"
+#include "edge/budget.h"
+#include "edge/duty.h"
+#include "edge/feed.h"
+#include "edge/fleet.h"
+#include "edge/gate.h"
+#include "edge/mesh.h"
+#include "edge/prefix.h"
+#include "edge/quota.h"
+#include "edge/truetime.h"
+#include "edge/usage.h"
+#include "web/serve.h"
+
+struct pe_peers;
+struct wo_work;
+
+struct ga_counters {
+    struct mt_metric *requests;
+    struct mt_metric *served;
+    struct mt_metric *refused;
+    struct mt_metric *failed;
+    struct mt_metric *repeats;
+    struct mt_metric *opened; /* connections to endpoints */
+    struct mt_metric *first;  /* time to the first byte of an answer */
+    struct mt_metric *whole;  /* time to the end of an answer */
+};
+
+struct ga_gate {
+    struct ga_options options;
+    struct rn_random random;
+    struct sv_server *callers;
+    struct sv_server *ready;
+    struct sv_server *metrics_server;
+    struct fl_fleet *fleet;
+    struct fe_feed *feed;
+    struct qt_quota *quota;
+    struct bu_budget *budget;
+    struct px_table *prefixes;
+    struct us_usage *usage;
+    struct tt_time *time;
+    struct du_duty *duty;
+    struct ms_mesh *mesh;
+    struct pe_peers *peers;
+    struct wo_work *work;
+    struct mt_registry *registry;
+    struct ga_counters count;
+    struct lp_timer *tick;
+    int64_t ticks;
+    int64_t stopping_at; /* 0: serving */
+    bool was_ready;
+};
+
+int64_t Ga_Now(const struct ga_gate *gate);
+bool Ga_Ready(const struct ga_gate *gate);
+
+/* Admission: a whole request from a caller. */
+void Ad_Take(struct ga_gate *gate, struct sv_request *request);
+
+/* The life of an admitted request. */
+struct xc_exchange;
+void Xc_Gone(struct sv_request *request);
+void Xc_Drained(struct sv_request *request);
+
+/* Work for the whole system: usage reports and orders. */
+struct wo_work *Wo_Create(struct ga_gate *gate);
+void Wo_Destroy(struct wo_work *work);
+void Wo_Tick(struct wo_work *work);
+void Wo_Changed(void *arg, bool holder, int64_t fence);
+int64_t Wo_Window(const struct ga_gate *gate, int64_t true_usec);
+
+/* Other daemons. */
+struct pe_peers *Pe_Create(struct ga_gate *gate);
+void Pe_Destroy(struct pe_peers *peers);
+void Pe_Tick(struct pe_peers *peers);
+
+#endif
--- /dev/null
+++ b/packages/edge/health.c
@@ -0,0 +1,62 @@
+#include "edge/health.h"
+
+/* Weight of the newest answer; about the last eight count. */
+#define He_WEIGHT 0.125
+/*
+ * A broken connection keeps new requests away for this long, twice as long
+ * for each further one in a row: a crashed endpoint is back or struck from
+ * the list within a few seconds, and one request finds out.
+ */
+#define He_SHUN_FIRST_USEC (400 * Ck_USEC_PER_MSEC)
+#define He_SHUN_DOUBLINGS 4
+/* A full endpoint is left alone until about a tenth of its queue has gone. */
+#define He_FULL_USEC (100 * Ck_USEC_PER_MSEC)
+
+static void
+shun(struct fl_endpoint *endpoint, int64_t until)
+{
+    if (endpoint->shunned_until < until) {
+        endpoint->shunned_until = until;
+    }
+}
+
+/* Takes the end of a request. */
+void
+He_Note(struct fl_endpoint *endpoint, enum he_outcome outcome, int64_t now)
+{
+    double failed = outcome == HE_SERVED || outcome == HE_REFUSED ? 0 : 1;
+    if (outcome != HE_REFUSED) {
+        endpoint->failing += He_WEIGHT * (failed - endpoint->failing);
+    }
+    switch (outcome) {
+    case HE_SERVED:
+    case HE_FAILED:
+        endpoint->strikes = 0;
+        endpoint->answered_at = now;
+        break;
+    case HE_REFUSED:
+        shun(endpoint, now + He_FULL_USEC);
+        break;
+    case HE_BROKE:
+    case HE_SILENT:
+        if (endpoint->strikes < He_SHUN_DOUBLINGS) {
+            endpoint->strikes++;
+        }
+        shun(endpoint, now + (He_SHUN_FIRST_USEC << (endpoint->strikes - 1)));
+        break;
+    }
+}
+
+/* Takes the time that the first byte of an answer took. */
+void
+He_First(struct fl_endpoint *endpoint, int64_t usec, int64_t now)
+{
+    endpoint->answered_at = now;
+    endpoint->first_usec += He_WEIGHT * ((double)usec - endpoint->first_usec);
+}
+
+bool
+He_Shunned(const struct fl_endpoint *endpoint, int64_t now)
+{
+    return now < endpoint->shunned_until;
+}
--- /dev/null
+++ b/packages/edge/mesh.h
@@ -0,0 +1,121 @@
+/*
+ * What daemons tell each other, some ten times a second and without being
+ * asked: that they live, what they have sent where, what they have admitted
+ * and counted, how much of the store they know.  All of it is advice or a
+ * count that only rises, so datagrams may be lost, late or twice.
+ */
+#ifndef EDGE_MESH_H
+#define EDGE_MESH_H
+
+#include <bsd/sys/queue.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "edge/node.h"
+#include "web/loop.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Ms_LOADS_MAX 48
+#define Ms_SPENT_MAX 64
+#define Ms_COUNTS_MAX 192
+#define Ms_HINTS_MAX 4
+
+/* Requests of one daemon at one endpoint. */
+struct ms_load {
+    uint32_t endpoint;
+    int running;
+    int64_t reading;
+};
+
+struct ms_spent {
+    uint32_t tenant;
+    uint64_t total; /* admitted since the daemon's start */
+};
+
+struct ms_counted {
+    int64_t window;
+    uint32_t tenant;
+    uint32_t count;
+};
+
+/* What one datagram says. */
+struct ms_word {
+    char name[Nd_NAME_MAX];
+    char ip[Nd_NAME_MAX];
+    uint64_t run; /* of the process: differs at each start */
+    bool ready;
+    bool stopping;
+    int64_t wall_usec;
+    int64_t config_end;
+    int64_t entries_end;
+    int64_t fence; /* 0: does not hold the duty */
+    size_t load_count;
+    struct ms_load loads[Ms_LOADS_MAX];
+    size_t spent_count;
+    struct ms_spent spent[Ms_SPENT_MAX];
+    size_t counted_count;
+    struct ms_counted counted[Ms_COUNTS_MAX];
+    size_t hint_count;
+    char hints[Ms_HINTS_MAX][Nd_NAME_MAX]; /* addresses of other daemons */
+};
+
+struct ms_peer {
+    TAILQ_ENTRY(ms_peer) link;
+    char ip[Nd_NAME_MAX];
+    char name[Nd_NAME_MAX];
+    uint64_t run;
+    bool ready;
+    bool stopping;
+    int64_t heard_at; /* 0: never */
+    int64_t asked_at; /* last datagram sent */
+    int64_t known_at;
+    int64_t config_end;
+    int64_t entries_end;
+    size_t load_count;
+    struct ms_load loads[Ms_LOADS_MAX];
+    size_t spent_count;
+    struct ms_spent spent[Ms_SPENT_MAX];
+};
+
+TAILQ_HEAD(ms_peers, ms_peer);
+
+struct ms_ops {
+    /* Fills what this daemon has to say. */
+    void (*fill)(void *arg, struct ms_word *word);
+    /* A word has come; "peer" is as it was before. */
+    void (*word)(void *arg, const struct ms_peer *peer,
+                 const struct ms_word *word);
+};
+
+struct ms_mesh;
+
+struct ms_mesh *Ms_Create(struct lp_loop *loop, const struct ck_clock *clock,
+                          const struct nd_node *node, uint64_t run,
+                          const struct ms_ops *ops, void *arg);
+void Ms_Destroy(struct ms_mesh *mesh);
+void Ms_Know(struct ms_mesh *mesh, const char *ip);
+/* To be called every Ms_TICK_USEC. */
+void Ms_Tick(struct ms_mesh *mesh);
+#define Ms_TICK_USEC (100 * Ck_USEC_PER_MSEC)
+
+const struct ms_peers *Ms_Peers(const struct ms_mesh *mesh);
+bool Ms_Alive(const struct ms_mesh *mesh, const struct ms_peer *peer);
+size_t Ms_CountAlive(const struct ms_mesh *mesh); /* this one included */
+size_t Ms_CountKnown(const struct ms_mesh *mesh);
+/* Position of this daemon among those alive, by name. */
+unsigned Ms_Rank(const struct ms_mesh *mesh);
+
+/* Bytes of a word; 0 when it does not fit.  False: not a word of ours. */
+size_t Ms_Encode(const struct ms_word *word, char *out, size_t size);
+bool Ms_Decode(const char *data, size_t len, struct ms_word *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/mesh_word.c
@@ -0,0 +1,171 @@
+#include <bsd/string.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/mesh.h"
+
+/* Changed with the layout, so that daemons of two versions do not mix. */
+#define Ms_FORMAT 1
+#define Ms_FIELDS 14
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t len = strlen(text);
+    msgpack_pack_str(packer, len);
+    msgpack_pack_str_body(packer, text, len);
+}
+
+static void
+pack_tables(msgpack_packer *packer, const struct ms_word *word)
+{
+    msgpack_pack_array(packer, word->load_count * 3);
+    for (size_t i = 0; i < word->load_count; i++) {
+        msgpack_pack_uint32(packer, word->loads[i].endpoint);
+        msgpack_pack_int64(packer, word->loads[i].running);
+        msgpack_pack_int64(packer, word->loads[i].reading);
+    }
+    msgpack_pack_array(packer, word->spent_count * 2);
+    for (size_t i = 0; i < word->spent_count; i++) {
+        msgpack_pack_uint32(packer, word->spent[i].tenant);
+        msgpack_pack_uint64(packer, word->spent[i].total);
+    }
+    msgpack_pack_array(packer, word->counted_count * 3);
+    for (size_t i = 0; i < word->counted_count; i++) {
+        msgpack_pack_int64(packer, word->counted[i].window);
+        msgpack_pack_uint32(packer, word->counted[i].tenant);
+        msgpack_pack_uint32(packer, word->counted[i].count);
+    }
+    msgpack_pack_array(packer, word->hint_count);
+    for (size_t i = 0; i < word->hint_count; i++) {
+        pack_text(packer, word->hints[i]);
+    }
+}
+
+size_t
+Ms_Encode(const struct ms_word *word, char *out, size_t size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Ms_FIELDS);
+    msgpack_pack_int(&packer, Ms_FORMAT);
+    pack_text(&packer, word->name);
+    pack_text(&packer, word->ip);
+    msgpack_pack_uint64(&packer, word->run);
+    msgpack_pack_int(&packer, word->ready);
+    msgpack_pack_int(&packer, word->stopping);
+    msgpack_pack_int64(&packer, word->wall_usec);
+    msgpack_pack_int64(&packer, word->config_end);
+    msgpack_pack_int64(&packer, word->entries_end);
+    msgpack_pack_int64(&packer, word->fence);
+    pack_tables(&packer, word);
+    size_t len = buffer.size <= size ? buffer.size : 0;
+    memcpy(out, buffer.data, len);
+    msgpack_sbuffer_destroy(&buffer);
+    return len;
+}
+
+static bool
+get_text(const msgpack_object *object, char *out, size_t size)
+{
+    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
+        return false;
+    }
+    memcpy(out, object->via.str.ptr, object->via.str.size);
+    out[object->via.str.size] = '\0';
+    return true;
+}
+
+static int64_t
+get_number(const msgpack_object *object)
+{
+    if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        return object->via.i64;
+    }
+    return 0;
+}
+
+/* Entries of "width" numbers each; never more than "most". */
+static size_t
+count_rows(const msgpack_object *object, size_t width, size_t most)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return 0;
+    }
+    size_t rows = object->via.array.size / width;
+    return rows < most ? rows : most;
+}
+
+static void
+get_tables(const msgpack_object *field, struct ms_word *out)
+{
+    out->load_count = count_rows(&field[0], 3, Ms_LOADS_MAX);
+    for (size_t i = 0; i < out->load_count; i++) {
+        const msgpack_object *row = &field[0].via.array.ptr[i * 3];
+        out->loads[i].endpoint = (uint32_t)get_number(&row[0]);
+        out->loads[i].running = (int)get_number(&row[1]);
+        out->loads[i].reading = get_number(&row[2]);
+    }
+    out->spent_count = count_rows(&field[1], 2, Ms_SPENT_MAX);
+    for (size_t i = 0; i < out->spent_count; i++) {
+        const msgpack_object *row = &field[1].via.array.ptr[i * 2];
+        out->spent[i].tenant = (uint32_t)get_number(&row[0]);
+        out->spent[i].total = (uint64_t)get_number(&row[1]);
+    }
+    out->counted_count = count_rows(&field[2], 3, Ms_COUNTS_MAX);
+    for (size_t i = 0; i < out->counted_count; i++) {
+        const msgpack_object *row = &field[2].via.array.ptr[i * 3];
+        out->counted[i].window = get_number(&row[0]);
+        out->counted[i].tenant = (uint32_t)get_number(&row[1]);
+        out->counted[i].count = (uint32_t)get_number(&row[2]);
+    }
+    size_t hints = count_rows(&field[3], 1, Ms_HINTS_MAX);
+    for (size_t i = 0; i < hints; i++) {
+        if (get_text(&field[3].via.array.ptr[i], out->hints[out->hint_count],
+                     Nd_NAME_MAX)) {
+            out->hint_count++;
+        }
+    }
+}
+
+static bool
+get_word(const msgpack_object *object, struct ms_word *out)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != Ms_FIELDS) {
+        return false;
+    }
+    const msgpack_object *field = object->via.array.ptr;
+    if (get_number(&field[0]) != Ms_FORMAT ||
+        !get_text(&field[1], out->name, sizeof(out->name)) ||
+        !get_text(&field[2], out->ip, sizeof(out->ip)) ||
+        field[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return false;
+    }
+    out->run = field[3].via.u64;
+    out->ready = get_number(&field[4]) != 0;
+    out->stopping = get_number(&field[5]) != 0;
+    out->wall_usec = get_number(&field[6]);
+    out->config_end = get_number(&field[7]);
+    out->entries_end = get_number(&field[8]);
+    out->fence = get_number(&field[9]);
+    get_tables(&field[10], out);
+    return true;
+}
+
+bool
+Ms_Decode(const char *data, size_t len, struct ms_word *out)
+{
+    memset(out, 0, sizeof(*out));
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    bool fine = msgpack_unpack_next(&unpacked, data, len, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                get_word(&unpacked.data, out);
+    msgpack_unpacked_destroy(&unpacked);
+    return fine;
+}
--- /dev/null
+++ b/packages/edge/node.h
@@ -0,0 +1,58 @@
+/* What a daemon is told of itself and of what it may rely on. */
+#ifndef EDGE_NODE_H
+#define EDGE_NODE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define Nd_NAME_MAX 96
+#define Nd_SEEDS_MAX 8
+
+struct nd_node {
+    char name[Nd_NAME_MAX];
+    char ip[Nd_NAME_MAX];
+    char zone[Nd_NAME_MAX];
+    char callers[Nd_NAME_MAX]; /* IP:PORT of the listener for callers */
+    char ready[Nd_NAME_MAX];   /* IP:PORT of the readiness check */
+    char store[Nd_NAME_MAX];
+    char cloud[Nd_NAME_MAX];
+    int peer_port; /* datagrams and state between daemons */
+    int metrics_port;
+    char seeds[Nd_SEEDS_MAX][Nd_NAME_MAX]; /* IP numbers of other hosts */
+    size_t seed_count;
+    bool first_start; /* the whole system starts for the first time */
+    int max_fds;
+    int64_t memory_bytes;
+    int64_t heartbeat_usec; /* of an endpoint's entry */
+    int64_t drain_usec;
+    int64_t grace_usec;
+    double retry_ratio;
+    int64_t retry_window_usec;
+    double retry_extra;
+    int64_t quota_window_usec;
+    double quota_slack;
+    int64_t lease_usec;
+    int64_t usage_window_usec;
+    int64_t usage_late_usec;
+    bool report_usage;
+    bool order_endpoints;
+};
+
+/*
+ * Reads the settings file.  ST_INVALID: the message names the setting and
+ * the remedy.
+ */
+enum st_status Nd_Read(const char *path, struct nd_node *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/peers.c
@@ -0,0 +1,407 @@
+/*
+ * What the other daemons know and do: their counts and loads are taken in,
+ * and what they have read of the store is fetched when the store does not
+ * answer here.
+ */
+#include <bsd/string.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/gate_internal.h"
+#include "web/channel.h"
+
+#define Pe_PATH_MAX 128
+#define Pe_STATE_PATH "/state?config="
+/* One fetch at a time, this long at the most, and not more often than so. */
+#define Pe_FETCH_USEC (1000 * Ck_USEC_PER_MSEC)
+#define Pe_FETCH_EVERY_USEC (300 * Ck_USEC_PER_MSEC)
+/* When nobody is heard, the hosts' records in the store are read again. */
+#define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
+#define Pe_STATE_MAX (16u << 20)
+/*
+ * With fewer than this part of the known daemons in touch, the others may be
+ * admitting as well, unseen.
+ */
+#define Pe_TOUCH_PART 0.6
+
+struct pe_peers {
+    struct ga_gate *gate;
+    struct sv_server *server;
+    struct cn_channel *fetch;
+    int64_t fetch_at;
+    char *answer;
+    size_t answer_len;
+    int answer_status;
+    int64_t listed_at;
+    bool listing;
+    bool announced;
+    bool announcing;
+};
+
+static void
+fill_loads(const struct ga_gate *gate, struct ms_word *word)
+{
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (endpoint->running > 0 && word->load_count < Ms_LOADS_MAX) {
+            word->loads[word->load_count++] = (struct ms_load){
+                endpoint->hash, endpoint->running, endpoint->reading};
+        }
+    }
+}
+
+static void
+fill_spent(void *arg, uint32_t tenant, uint64_t total)
+{
+    struct ms_word *word = arg;
+    if (word->spent_count < Ms_SPENT_MAX) {
+        word->spent[word->spent_count++] = (struct ms_spent){tenant, total};
+    }
+}
+
+static void
+fill_counted(const struct ga_gate *gate, struct ms_word *word)
+{
+    int64_t now = Wo_Window(gate, Tt_Now(gate->time));
+    for (int64_t window = now; window > now - 3; window--) {
+        struct us_count counts[Us_TENANTS_MAX];
+        size_t count = Us_Own(gate->usage, window, counts);
+        for (size_t i = 0; i < count && word->counted_count < Ms_COUNTS_MAX;
+             i++) {
+            word->counted[word->counted_count++] =
+                (struct ms_counted){window, counts[i].tenant, counts[i].count};
+        }
+    }
+}
+
+static void
+fill(void *arg, struct ms_word *word)
+{
+    struct ga_gate *gate = arg;
+    word->ready = Ga_Ready(gate);
+    word->stopping = gate->stopping_at != 0;
+    word->config_end = Fe_End(gate->feed, AG_CONFIG);
+    word->entries_end = Fe_End(gate->feed, AG_ENDPOINTS);
+    word->fence = Du_Fence(gate->duty);
+    fill_loads(gate, word);
+    Qt_Each(gate->quota, fill_spent, word);
+    fill_counted(gate, word);
+}
+
+static void
+add_loads(struct ga_gate *gate, const struct ms_load *loads, size_t count,
+          int sign)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct fl_endpoint *endpoint =
+            Fl_ByHash(gate->fleet, loads[i].endpoint);
+        if (endpoint != NULL) {
+            endpoint->others_running += sign * loads[i].running;
+            endpoint->others_reading += sign * loads[i].reading;
+        }
+    }
+}
+
+/* What a peer admitted since its last word, or since its start. */
+static void
+take_spent(struct ga_gate *gate, const struct ms_peer *peer,
+           const struct ms_word *word)
+{
+    bool same = peer->run == word->run;
+    if (!same && peer->run == 0 && word->spent_count > 0) {
+        /* Heard for the first time: what it did before counted for others. */
+        return;
+    }
+    for (size_t i = 0; i < word->spent_count; i++) {
+        uint64_t before = 0;
+        for (size_t j = 0; same && j < peer->spent_count; j++) {
+            if (peer->spent[j].tenant == word->spent[i].tenant) {
+                before = peer->spent[j].total;
+            }
+        }
+        if (word->spent[i].total > before) {
+            Qt_Spent(gate->quota, word->spent[i].tenant,
+                     (double)(word->spent[i].total - before));
+        }
+    }
+}
+
+static void
+on_word(void *arg, const struct ms_peer *peer, const struct ms_word *word)
+{
+    struct ga_gate *gate = arg;
+    Tt_Peer(gate->time, Hash_String(word->ip, 0), word->wall_usec);
+    take_spent(gate, peer, word);
+    for (size_t i = 0; i < word->counted_count; i++) {
+        Us_Peer(gate->usage, word->run, word->counted[i].window,
+                word->counted[i].tenant, word->counted[i].count);
+    }
+    if (word->fence > 0) {
+        Du_Heard(gate->duty, word->fence);
+    }
+}
+
+static const struct ms_ops mesh_ops = {
+    .fill = fill,
+    .word = on_word,
+};
+
+static void
+serve(void *arg, struct sv_request *request)
+{
+    struct pe_peers *peers = arg;
+    const struct h1_head *head = Sv_Head(request);
+    size_t prefix = strlen(Pe_STATE_PATH);
+    if (head->target.len <= prefix ||
+        memcmp(head->target.at, Pe_STATE_PATH, prefix) != 0) {
+        Sv_Reply(request, 404, "", "", 0);
+        return;
+    }
+    int64_t from = 0;
+    for (size_t i = prefix; i < head->target.len; i++) {
+        char c = head->target.at[i];
+        from = c >= '0' && c <= '9' ? from * 10 + (c - '0') : 0;
+    }
+    char *state;
+    size_t len = Fe_Pack(peers->gate->feed, from, &state);
+    Sv_Reply(request, 200, "", state, len);
+    free(state);
+}
+
+static void
+on_gone(void *arg, struct sv_request *request)
+{
+    (void)arg;
+    (void)request;
+}
+
+static const struct sv_ops server_ops = {
+    .request = serve,
+    .gone = on_gone,
+};
+
+static void
+end_fetch(struct pe_peers *peers)
+{
+    Cn_Close(peers->fetch);
+    peers->fetch = NULL;
+    free(peers->answer);
+    peers->answer = NULL;
+    peers->answer_len = 0;
+}
+
+static bool
+fetch_head(void *arg, const struct h1_head *head)
+{
+    struct pe_peers *peers = arg;
+    peers->answer_status = head->status;
+    return true;
+}
+
+static void
+fetch_body(void *arg, const char *data, size_t len)
+{
+    struct pe_peers *peers = arg;
+    if (peers->answer_len + len > Pe_STATE_MAX) {
+        return;
+    }
+    char *grown = realloc(peers->answer, peers->answer_len + len);
+    if (grown != NULL) {
+        memcpy(grown + peers->answer_len, data, len);
+        peers->answer = grown;
+        peers->answer_len += len;
+    }
+}
+
+static void
+fetch_done(void *arg, enum cn_outcome outcome)
+{
+    struct pe_peers *peers = arg;
+    if (outcome == CN_COMPLETE && peers->answer_status == 200) {
+        Fe_Unpack(peers->gate->feed, peers->answer, peers->answer_len);
+    }
+    end_fetch(peers);
+}
+
+static const struct cn_ops fetch_ops = {
+    .head = fetch_head,
+    .body = fetch_body,
+    .done = fetch_done,
+};
+
+static void
+start_fetch(struct pe_peers *peers, const struct ms_peer *peer)
+{
+    struct ga_gate *gate = peers->gate;
+    char address[Nd_NAME_MAX + 8];
+    snprintf(address, sizeof(address), "%s:%d", peer->ip,
+             gate->options.node->peer_port);
+    peers->fetch_at = Ga_Now(gate);
+    peers->fetch =
+        Cn_Open(gate->options.loop, gate->options.clock, address, NULL, NULL);
+    if (peers->fetch == NULL) {
+        return;
+    }
+    char head[Pe_PATH_MAX * 2];
+    int len = snprintf(head, sizeof(head),
+                       "GET " Pe_STATE_PATH "%" PRId64 " HTTP/1.1\r\n"
+                       "Host: %s\r\n\r\n",
+                       Fe_End(gate->feed, AG_CONFIG), address);
+    Ln_Log(LN_STATE, "state.fetched", "\"peer\":\"%s\",\"config_end\":%lld",
+           peer->name, (long long)peer->config_end);
+    Cn_Send(peers->fetch, head, (size_t)len, NULL, 0, false, &fetch_ops,
+            peers);
+}
+
+/*
+ * A daemon that the store turns away, or whose connection to it has fallen
+ * silent, learns of what is newer from whoever has read it.
+ */
+static void
+fetch_newer(struct pe_peers *peers)
+{
+    struct ga_gate *gate = peers->gate;
+    int64_t now = Ga_Now(gate);
+    if (peers->fetch != NULL) {
+        if (now - peers->fetch_at > Pe_FETCH_USEC) {
+            end_fetch(peers);
+        }
+        return;
+    }
+    if (now - peers->fetch_at < Pe_FETCH_EVERY_USEC) {
+        return;
+    }
+    bool reached = Fe_Reached(gate->feed);
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (!Ms_Alive(gate->mesh, peer)) {
+            continue;
+        }
+        if (peer->config_end > Fe_End(gate->feed, AG_CONFIG) ||
+            (!reached &&
+             peer->entries_end > Fe_End(gate->feed, AG_ENDPOINTS))) {
+            start_fetch(peers, peer);
+            return;
+        }
+    }
+}
+
+static void
+on_listed(void *arg, const struct ag_result *result)
+{
+    struct pe_peers *peers = arg;
+    peers->listing = false;
+    if (result->status != AG_OK) {
+        return;
+    }
+    for (size_t i = 0; i < result->count; i++) {
+        const struct ag_record *record = &result->records[i];
+        char ip[Nd_NAME_MAX];
+        if (record->value != NULL && record->len < sizeof(ip)) {
+            memcpy(ip, record->value, record->len);
+            ip[record->len] = '\0';
+            Ms_Know(peers->gate->mesh, ip);
+        }
+    }
+}
+
+static void
+on_announced(void *arg, const struct ag_result *result)
+{
+    struct pe_peers *peers = arg;
+    peers->announcing = false;
+    peers->announced = result->status == AG_OK;
+}
+
+/* Seeds may all be down or gone; the store knows who has been there. */
+static void
+find_peers(struct pe_peers *peers)
+{
+    struct ga_gate *gate = peers->gate;
+    struct ag_store *store = gate->options.store;
+    const struct nd_node *node = gate->options.node;
+    int64_t now = Ga_Now(gate);
+    if (now - peers->listed_at < Pe_LIST_EVERY_USEC) {
+        return;
+    }
+    if (!peers->announced && !peers->announcing) {
+        peers->announcing = true;
+        store->ops->append(store, AG_HOSTS, -1, node->name, node->ip,
+                           strlen(node->ip), on_announced, peers);
+    }
+    bool alone = Ms_CountAlive(gate->mesh) <= 1;
+    if ((peers->listed_at == 0 || alone) && !peers->listing) {
+        peers->listing = true;
+        store->ops->newest(store, AG_HOSTS, NULL, on_listed, peers);
+    }
+    peers->listed_at = now;
+}
+
+static void
+share_quota(struct ga_gate *gate)
+{
+    size_t alive = Ms_CountAlive(gate->mesh);
+    size_t known = Ms_CountKnown(gate->mesh);
+    bool cut = (double)alive < Pe_TOUCH_PART * (double)known;
+    Qt_SetShare(gate->quota, cut ? (double)alive / (double)known : 1);
+    Bu_SetDaemons(gate->budget, known);
+}
+
+static void
+sum_loads(struct ga_gate *gate)
+{
+    Fl_ClearOthers(gate->fleet);
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (Ms_Alive(gate->mesh, peer)) {
+            add_loads(gate, peer->loads, peer->load_count, 1);
+        }
+    }
+}
+
+struct pe_peers *
+Pe_Create(struct ga_gate *gate)
+{
+    const struct nd_node *node = gate->options.node;
+    struct pe_peers *peers = calloc(1, sizeof(*peers));
+    if (peers == NULL) {
+        return NULL;
+    }
+    peers->gate = gate;
+    char address[Nd_NAME_MAX + 8];
+    snprintf(address, sizeof(address), "%s:%d", node->ip, node->peer_port);
+    gate->mesh = Ms_Create(gate->options.loop, gate->options.clock, node,
+                           gate->options.run, &mesh_ops, gate);
+    if (gate->mesh == NULL ||
+        Sv_Create(gate->options.loop, gate->options.clock, address,
+                  &server_ops, peers, &peers->server) != ST_OK) {
+        Ms_Destroy(gate->mesh);
+        gate->mesh = NULL;
+        free(peers);
+        return NULL;
+    }
+    return peers;
+}
+
+void
+Pe_Destroy(struct pe_peers *peers)
+{
+    if (peers != NULL) {
+        end_fetch(peers);
+        Sv_Destroy(peers->server);
+        free(peers);
+    }
+}
+
+void
+Pe_Tick(struct pe_peers *peers)
+{
+    Ms_Tick(peers->gate->mesh);
+    Sv_Tick(peers->server);
+    sum_loads(peers->gate);
+    share_quota(peers->gate);
+    find_peers(peers);
+    fetch_newer(peers);
+}
--- /dev/null
+++ b/packages/edge/prefix.c
@@ -0,0 +1,87 @@
+#include "edge/prefix.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#define Px_SLOTS 16384 /* a power of two; 256 KiB */
+/*
+ * Engines drop the parts used least recently; how soon depends on their
+ * load.  Half a minute is several times what a part must be kept to pay.
+ */
+#define Px_KEPT_USEC (30 * Ck_USEC_PER_SEC)
+
+struct slot {
+    uint64_t mark;
+    int64_t used_at;
+};
+
+struct px_table {
+    struct slot slots[Px_SLOTS];
+};
+
+struct px_table *
+Px_Create(void)
+{
+    return calloc(1, sizeof(struct px_table));
+}
+
+void
+Px_Destroy(struct px_table *table)
+{
+    free(table);
+}
+
+static uint64_t
+mark_of(uint64_t chain, uint32_t endpoint)
+{
+    uint64_t both[2] = {chain, endpoint};
+    return Hash_Bytes(both, sizeof(both), 0);
+}
+
+static uint64_t
+extend(uint64_t chain, uint64_t part)
+{
+    uint64_t both[2] = {chain, part};
+    return Hash_Bytes(both, sizeof(both), 1);
+}
+
+void
+Px_Note(struct px_table *table, const struct ak_ask *ask, uint32_t endpoint,
+        int64_t now)
+{
+    uint64_t chain = 0;
+    for (size_t i = 0; i < ask->part_count; i++) {
+        chain = extend(chain, ask->parts[i].id);
+        uint64_t mark = mark_of(chain, endpoint);
+        struct slot *slot = &table->slots[mark & (Px_SLOTS - 1)];
+        slot->mark = mark;
+        slot->used_at = now;
+    }
+}
+
+int64_t
+Px_Missing(const struct px_table *table, const struct ak_ask *ask,
+           uint32_t endpoint, int64_t now)
+{
+    int64_t missing = ask->tokens_in;
+    uint64_t chain = 0;
+    for (size_t i = 0; i < ask->part_count; i++) {
+        chain = extend(chain, ask->parts[i].id);
+        uint64_t mark = mark_of(chain, endpoint);
+        const struct slot *slot = &table->slots[mark & (Px_SLOTS - 1)];
+        if (slot->mark != mark || now - slot->used_at > Px_KEPT_USEC) {
+            break;
+        }
+        missing -= ask->parts[i].tokens;
+    }
+    return missing > 0 ? missing : 0;
+}
+
+/* The last part is the request's own, so the one before it is shared. */
+uint64_t
+Px_Group(const struct ak_ask *ask)
+{
+    return ask->part_count < 2 ? 0 : ask->parts[ask->part_count - 2].id;
+}
--- /dev/null
+++ b/packages/edge/prefix.h
@@ -0,0 +1,38 @@
+/*
+ * Which endpoint has lately read which part of a prompt, as far as this
+ * daemon sent it there.  A fixed table; an older entry yields to a newer.
+ */
+#ifndef EDGE_PREFIX_H
+#define EDGE_PREFIX_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "edge/ask.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct px_table;
+
+struct px_table *Px_Create(void);
+void Px_Destroy(struct px_table *table);
+/* The request's prompt was sent to the endpoint. */
+void Px_Note(struct px_table *table, const struct ak_ask *ask,
+             uint32_t endpoint, int64_t now);
+/*
+ * Prompt tokens that the endpoint would have to read.  Parts count as kept
+ * only with all parts before them.
+ */
+int64_t Px_Missing(const struct px_table *table, const struct ak_ask *ask,
+                   uint32_t endpoint, int64_t now);
+/* What requests that share this prompt have in common; 0: nothing. */
+uint64_t Px_Group(const struct ak_ask *ask);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/quota.c
@@ -0,0 +1,194 @@
+#include "edge/quota.h"
+
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define Qt_HASH_SEED 0x71756f74
+#define Qt_TENANTS_MAX 256
+/*
+ * A daemon that starts again does not know what was admitted before; with a
+ * full bucket, all daemons killed in a row would admit the burst anew.
+ */
+#define Qt_RESTART_SHARE 0.25
+#define Qt_WAIT_MIN_USEC (100 * Ck_USEC_PER_MSEC)
+
+struct bucket {
+    char tenant[Ec_NAME_MAX];
+    uint32_t hash;
+    double per_sec;
+    double burst;
+    double level;
+    double own_level; /* of the share alone, in use when cut off */
+    double total;     /* admitted here since the start */
+    int64_t filled_at;
+    bool seen;
+};
+
+struct qt_quota {
+    const struct ck_clock *clock;
+    double share;
+    double start_share;
+    size_t count;
+    struct bucket buckets[Qt_TENANTS_MAX];
+};
+
+/* NULL without memory. */
+struct qt_quota *
+Qt_Create(const struct ck_clock *clock, bool first_start)
+{
+    struct qt_quota *quota = calloc(1, sizeof(*quota));
+    if (quota != NULL) {
+        quota->clock = clock;
+        quota->share = 1;
+        quota->start_share = first_start ? 1 : Qt_RESTART_SHARE;
+    }
+    return quota;
+}
+
+void
+Qt_Destroy(struct qt_quota *quota)
+{
+    free(quota);
+}
+
+uint32_t
+Qt_Hash(const char *tenant)
+{
+    return (uint32_t)Hash_String(tenant, Qt_HASH_SEED);
+}
+
+static struct bucket *
+find(struct qt_quota *quota, uint32_t hash)
+{
+    for (size_t i = 0; i < quota->count; i++) {
+        if (quota->buckets[i].hash == hash) {
+            return &quota->buckets[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+fill(struct qt_quota *quota, struct bucket *bucket)
+{
+    int64_t now = Ck_Now(quota->clock);
+    double gain = bucket->per_sec * (double)(now - bucket->filled_at) /
+                  (double)Ck_USEC_PER_SEC;
+    bucket->filled_at = now;
+    bucket->level += gain;
+    if (bucket->level > bucket->burst) {
+        bucket->level = bucket->burst;
+    }
+    double own_burst = bucket->burst * quota->share;
+    bucket->own_level += gain * quota->share;
+    if (bucket->own_level > own_burst) {
+        bucket->own_level = own_burst;
+    }
+}
+
+/* Takes the limits of a configuration; levels are kept. */
+void
+Qt_Configure(struct qt_quota *quota, const struct ec_config *config)
+{
+    for (size_t i = 0; i < config->tenant_count; i++) {
+        const struct ec_tenant *tenant = &config->tenants[i];
+        struct bucket *bucket = find(quota, Qt_Hash(tenant->name));
+        if (bucket == NULL && quota->count < Qt_TENANTS_MAX) {
+            bucket = &quota->buckets[quota->count++];
+            memset(bucket, 0, sizeof(*bucket));
+            strlcpy(bucket->tenant, tenant->name, sizeof(bucket->tenant));
+            bucket->hash = Qt_Hash(tenant->name);
+            bucket->level = tenant->burst * quota->start_share;
+            bucket->own_level = bucket->level * quota->share;
+            bucket->filled_at = Ck_Now(quota->clock);
+        }
+        if (bucket == NULL) {
+            continue;
+        }
+        fill(quota, bucket);
+        bucket->per_sec = tenant->per_sec;
+        bucket->burst = tenant->burst;
+    }
+}
+
+void
+Qt_SetShare(struct qt_quota *quota, double share)
+{
+    if (share == quota->share) {
+        return;
+    }
+    for (size_t i = 0; i < quota->count; i++) {
+        fill(quota, &quota->buckets[i]);
+        double own = quota->buckets[i].level * share;
+        quota->buckets[i].own_level = own > 0 ? own : 0;
+    }
+    quota->share = share;
+}
+
+bool
+Qt_Take(struct qt_quota *quota, const char *tenant, double cost,
+        int64_t *wait_usec)
+{
+    struct bucket *bucket = find(quota, Qt_Hash(tenant));
+    if (bucket == NULL || bucket->per_sec <= 0) {
+        return true;
+    }
+    fill(quota, bucket);
+    double level = bucket->level;
+    double rate = bucket->per_sec;
+    if (quota->share < 1 && bucket->own_level < level) {
+        level = bucket->own_level;
+        rate *= quota->share;
+    }
+    /*
+     * One request may exceed what a bucket can ever hold; it goes through
+     * when the bucket is full and is paid for afterwards.
+     */
+    double need = cost < bucket->burst ? cost : bucket->burst;
+    if (level < need) {
+        *wait_usec =
+            (int64_t)((need - level) / rate * (double)Ck_USEC_PER_SEC);
+        if (*wait_usec < Qt_WAIT_MIN_USEC) {
+            *wait_usec = Qt_WAIT_MIN_USEC;
+        }
+        return false;
+    }
+    bucket->level -= cost;
+    bucket->own_level -= cost;
+    bucket->total += cost;
+    return true;
+}
+
+/* Gives back what a request took that was then not run. */
+void
+Qt_Refund(struct qt_quota *quota, const char *tenant, double cost)
+{
+    struct bucket *bucket = find(quota, Qt_Hash(tenant));
+    if (bucket != NULL && bucket->per_sec > 0) {
+        bucket->level += cost;
+        bucket->own_level += cost;
+    }
+}
+
+void
+Qt_Each(const struct qt_quota *quota, qt_each_fn fn, void *arg)
+{
+    for (size_t i = 0; i < quota->count; i++) {
+        if (quota->buckets[i].total > 0) {
+            fn(arg, quota->buckets[i].hash, (uint64_t)quota->buckets[i].total);
+        }
+    }
+}
+
+void
+Qt_Spent(struct qt_quota *quota, uint32_t tenant, double cost)
+{
+    struct bucket *bucket = find(quota, tenant);
+    if (bucket != NULL) {
+        fill(quota, bucket);
+        bucket->level -= cost;
+    }
+}
--- /dev/null
+++ b/packages/edge/relay.c
@@ -0,0 +1,327 @@
+/*
+ * What an endpoint answers, and what the caller gets of it.  An answer is
+ * passed on unchanged; a stream event by event, at once, and under the head
+ * of the first endpoint also when another one goes on with it.
+ */
+#include <bsd/string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/exchange.h"
+#include "edge/health.h"
+
+/* Answers up to this size are complete before the caller gets any of it. */
+#define Re_WHOLE_MAX (2u << 20)
+/* A caller that reads more slowly than this stops the endpoint's reading. */
+#define Re_PENDING_MAX (256u << 10)
+/* An endpoint that is another than expected, or full, is left alone. */
+#define Re_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
+#define Re_VERSION_FIELD "x-weight-versions:"
+
+static void
+count_run(struct xc_exchange *exchange)
+{
+    exchange->may_have_run = true;
+    if (!exchange->counted && exchange->tenant != NULL) {
+        struct ga_gate *gate = exchange->gate;
+        Us_Began(gate->usage, Wo_Window(gate, Tt_Now(gate->time)),
+                 Qt_Hash(exchange->tenant->name));
+        exchange->counted = true;
+    }
+}
+
+/* The fields that are passed on; NULL without memory. */
+static char *
+copy_fields(const struct h1_head *head)
+{
+    size_t size = 1;
+    for (size_t i = 0; i < head->count; i++) {
+        size += head->fields[i].name.len + head->fields[i].value.len + 4;
+    }
+    char *out = malloc(size);
+    if (out == NULL) {
+        return NULL;
+    }
+    size_t at = 0;
+    for (size_t i = 0; i < head->count; i++) {
+        const struct h1_field *field = &head->fields[i];
+        if (H1_HopByHop(head, field->name)) {
+            continue;
+        }
+        memcpy(out + at, field->name.at, field->name.len);
+        at += field->name.len;
+        memcpy(out + at, ": ", 2);
+        at += 2;
+        memcpy(out + at, field->value.at, field->value.len);
+        at += field->value.len;
+        memcpy(out + at, "\r\n", 2);
+        at += 2;
+    }
+    out[at] = '\0';
+    return out;
+}
+
+static bool
+genuine(const struct ak_answer *answer)
+{
+    return answer->sealed && answer->echoed && !answer->encoded;
+}
+
+static bool
+on_head(void *arg, const struct h1_head *head)
+{
+    struct xc_exchange *exchange = arg;
+    struct xc_attempt *attempt = &exchange->attempt;
+    exchange->gate->options.wire->decode_answer(head, exchange->ask.id,
+                                                &attempt->answer);
+    if (!attempt->answer.own) {
+        Ln_Log(LN_FAILURE, "answer.foreign",
+               "\"id\":\"%s\",\"endpoint\":\"%s\"", exchange->ask.id,
+               attempt->endpoint->entry.id);
+        return false;
+    }
+    int64_t now = Ga_Now(exchange->gate);
+    attempt->had_head = true;
+    attempt->status = head->status;
+    attempt->fields = copy_fields(head);
+    attempt->endpoint->reading -= attempt->reading;
+    attempt->reading = 0;
+    if (!attempt->answer.not_run) {
+        exchange->runs++;
+        count_run(exchange);
+    }
+    if (head->status == 200 && genuine(&attempt->answer)) {
+        He_First(attempt->endpoint, now - attempt->sent_at, now);
+        Mt_Observe(exchange->gate->count.first, now - exchange->arrived);
+        attempt->streaming = exchange->route->kind == EC_STREAM;
+    }
+    return true;
+}
+
+static void
+keep_body(struct xc_attempt *attempt, const char *data, size_t len)
+{
+    if (attempt->body_len + len > Re_WHOLE_MAX) {
+        attempt->overflow = true;
+    }
+    if (attempt->overflow) {
+        return;
+    }
+    if (attempt->body_len + len > attempt->body_size) {
+        size_t size = attempt->body_size == 0 ? 2048 : attempt->body_size;
+        while (size < attempt->body_len + len) {
+            size *= 2;
+        }
+        char *grown = realloc(attempt->body, size);
+        if (grown == NULL) {
+            attempt->overflow = true;
+            return;
+        }
+        attempt->body = grown;
+        attempt->body_size = size;
+    }
+    memcpy(attempt->body + attempt->body_len, data, len);
+    attempt->body_len += len;
+}
+
+static void
+begin(struct xc_exchange *exchange)
+{
+    if (!exchange->began) {
+        exchange->began = true;
+        strlcpy(exchange->version, exchange->attempt.answer.version,
+                sizeof(exchange->version));
+        Sv_Begin(exchange->request, exchange->attempt.status,
+                 exchange->attempt.fields, -1);
+    }
+}
+
+/* Weights may change between events; the event that is first says so. */
+static void
+note_version(struct xc_exchange *exchange, const struct es_event *event)
+{
+    size_t name = strlen(Re_VERSION_FIELD);
+    if (event->first_len <= name ||
+        memcmp(event->first_line, Re_VERSION_FIELD, name) != 0) {
+        return;
+    }
+    size_t at = name;
+    while (at < event->first_len && event->first_line[at] == ' ') {
+        at++;
+    }
+    size_t len = event->first_len - at;
+    if (len > 0 && event->first_line[event->first_len - 1] == '\r') {
+        len--;
+    }
+    if (len < sizeof(exchange->version)) {
+        memcpy(exchange->version, event->first_line + at, len);
+        exchange->version[len] = '\0';
+    }
+}
+
+static void
+on_event(void *arg, const struct es_event *event)
+{
+    struct xc_exchange *exchange = arg;
+    struct xc_attempt *attempt = &exchange->attempt;
+    if (attempt->gap) {
+        return;
+    }
+    if (event->id >= 0 && exchange->last_event >= 0) {
+        if (event->id <= exchange->last_event) {
+            return;
+        }
+        if (event->id > exchange->last_event + 1) {
+            attempt->gap = true;
+            return;
+        }
+    }
+    begin(exchange);
+    note_version(exchange, event);
+    Sv_Write(exchange->request, event->data, event->len);
+    if (event->id >= 0) {
+        exchange->last_event = event->id;
+    }
+}
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+    struct xc_exchange *exchange = arg;
+    struct xc_attempt *attempt = &exchange->attempt;
+    if (!attempt->streaming) {
+        keep_body(attempt, data, len);
+        return;
+    }
+    Es_Feed(&attempt->events, data, len, on_event, exchange);
+    if (exchange->began && Sv_Pending(exchange->request) > Re_PENDING_MAX) {
+        Cn_Pause(attempt->channel, true);
+    }
+}
+
+/* The attempt came to nothing; another endpoint, or the caller is told. */
+static void
+go_on(struct xc_exchange *exchange, bool ran, int status, const char *why)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    Ln_Log(LN_FAILURE, "attempt.failed",
+           "\"id\":\"%s\",\"endpoint\":\"%s\",\"why\":\"%s\",\"ran\":%d,"
+           "\"status\":%d,\"sends\":%d,\"ms\":%lld",
+           exchange->ask.id, attempt->endpoint->entry.id, why, ran,
+           attempt->status, exchange->sends,
+           (long long)((Ga_Now(exchange->gate) - attempt->sent_at) /
+                       Ck_USEC_PER_MSEC));
+    if (Xc_MayRepeat(exchange, ran)) {
+        Xc_Release(exchange);
+        Xc_Dispatch(exchange);
+        return;
+    }
+    Xc_Refuse(exchange, status, status == 503 ? Re_RETRY_USEC : 0, why);
+}
+
+/* Passes a complete answer on as it is. */
+static void
+pass_on(struct xc_exchange *exchange)
+{
+    struct sv_request *request = exchange->request;
+    struct xc_attempt *attempt = &exchange->attempt;
+    char *fields = attempt->fields;
+    char *body = attempt->body;
+    size_t len = attempt->body_len;
+    int status = attempt->status;
+    bool fine = status < 500;
+    attempt->fields = NULL;
+    attempt->body = NULL;
+    Sv_SetUser(request, NULL);
+    Xc_End(exchange, fine ? "served" : "endpoint failed");
+    Sv_Reply(request, status, fields == NULL ? "" : fields, body, len);
+    free(fields);
+    free(body);
+}
+
+static void
+end_stream(struct xc_exchange *exchange)
+{
+    struct sv_request *request = exchange->request;
+    begin(exchange);
+    Sv_SetUser(request, NULL);
+    Xc_End(exchange, "served");
+    Sv_End(request);
+}
+
+static void
+on_complete(struct xc_exchange *exchange)
+{
+    struct xc_attempt *attempt = &exchange->attempt;
+    struct fl_endpoint *endpoint = attempt->endpoint;
+    int64_t now = Ga_Now(exchange->gate);
+    if (attempt->streaming) {
+        bool cut = attempt->gap || attempt->events.failed ||
+                   Es_Left(&attempt->events) > 0;
+        He_Note(endpoint, cut ? HE_FAILED : HE_SERVED, now);
+        if (cut) {
+            go_on(exchange, true, 502, "stream cut");
+        }
+        else {
+            end_stream(exchange);
+        }
+        return;
+    }
+    if (attempt->answer.not_run) {
+        He_Note(endpoint, attempt->status == 421 ? HE_BROKE : HE_REFUSED, now);
+        go_on(exchange, false,
+              exchange->may_have_run && !exchange->repeatable ? 502 : 503,
+              "endpoint refused");
+        return;
+    }
+    if (!genuine(&attempt->answer) || attempt->overflow || exchange->began) {
+        He_Note(endpoint, HE_FAILED, now);
+        go_on(exchange, true, 502, "not the endpoint's answer");
+        return;
+    }
+    if (attempt->status >= 500) {
+        He_Note(endpoint, HE_FAILED, now);
+        if (Xc_MayRepeat(exchange, true)) {
+            go_on(exchange, true, 502, "endpoint failed");
+            return;
+        }
+    }
+    else {
+        He_Note(endpoint, HE_SERVED, now);
+    }
+    pass_on(exchange);
+}
+
+static void
+on_done(void *arg, enum cn_outcome outcome)
+{
+    struct xc_exchange *exchange = arg;
+    struct xc_attempt *attempt = &exchange->attempt;
+    int64_t now = Ga_Now(exchange->gate);
+    switch (outcome) {
+    case CN_COMPLETE:
+        on_complete(exchange);
+        break;
+    case CN_NOT_SENT:
+        He_Note(attempt->endpoint, HE_BROKE, now);
+        go_on(exchange, false,
+              exchange->may_have_run && !exchange->repeatable ? 502 : 503,
+              "endpoint not reached");
+        break;
+    case CN_BROKEN:
+        He_Note(attempt->endpoint, HE_BROKE, now);
+        if (!attempt->had_head) {
+            exchange->runs++;
+            exchange->may_have_run = true;
+        }
+        go_on(exchange, true, 502, "connection broke");
+        break;
+    }
+}
+
+const struct cn_ops Xc_ChannelOps = {
+    .head = on_head,
+    .body = on_body,
+    .done = on_done,
+};
--- /dev/null
+++ b/packages/edge/store.h
@@ -0,0 +1,88 @@
+/*
+ * The store that daemons agree through, as the product needs it: topics of
+ * ordered records, appended under a condition, and the newest record of each
+ * key.  An adapter provides it; answers come later, never from the call.
+ */
+#ifndef EDGE_STORE_H
+#define EDGE_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "edge/config.h"
+#include "edge/fleet.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum ag_topic {
+    AG_CONFIG,    /* keyed; what the operator wrote */
+    AG_ENDPOINTS, /* keyed; what endpoints wrote */
+    AG_HOSTS,     /* keyed; daemons by name */
+    AG_DUTY,      /* a log; leases and agreed usage */
+    AG_TOPICS,
+};
+
+enum ag_status {
+    AG_OK,
+    AG_CONFLICT,    /* the topic does not end where the condition says */
+    AG_EXPIRED,     /* the records asked for are gone */
+    AG_UNAVAILABLE, /* nothing was done */
+    AG_UNKNOWN,     /* it may be done, now or later */
+};
+
+struct ag_record {
+    int64_t offset;
+    const char *key; /* keyed topics; not terminated */
+    size_t key_len;
+    const void *value; /* NULL in a keyed topic: the key was removed */
+    size_t len;
+};
+
+struct ag_result {
+    enum ag_status status;
+    int64_t end;    /* offset of the next record */
+    int64_t offset; /* of the record appended */
+    const struct ag_record *records;
+    size_t count;
+    bool more; /* a listing goes on after its last key */
+};
+
+typedef void (*ag_fn)(void *arg, const struct ag_result *result);
+
+struct ag_store;
+
+struct ag_ops {
+    /* Records from an offset on; waits for one up to "wait_usec". */
+    void (*read)(struct ag_store *store, enum ag_topic topic, int64_t from,
+                 int64_t wait_usec, ag_fn fn, void *arg);
+    /* The newest record of each key, after a key (NULL: from the first). */
+    void (*newest)(struct ag_store *store, enum ag_topic topic,
+                   const char *after, ag_fn fn, void *arg);
+    /* Appends if the topic ends at "at"; -1: in any case. */
+    void (*append)(struct ag_store *store, enum ag_topic topic, int64_t at,
+                   const char *key, const void *value, size_t len, ag_fn fn,
+                   void *arg);
+};
+
+struct ag_store {
+    const struct ag_ops *ops;
+};
+
+/* What the records of others mean; the adapter knows their form. */
+struct ag_codec {
+    /* NULL: not a configuration. */
+    struct ec_config *(*config)(const void *data, size_t len);
+    bool (*is_config)(const char *key, size_t key_len);
+    /* False: names no endpoint to use. */
+    bool (*entry)(const char *key, size_t key_len, const void *data,
+                  size_t len, struct fl_entry *out);
+};
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/truetime.c
@@ -0,0 +1,84 @@
+#include "edge/truetime.h"
+
+#include <stddef.h>
+#include <stdlib.h>
+
+#define Tt_PEERS_MAX 32
+/* A peer's reading is dropped when it has not been renewed for this long. */
+#define Tt_FRESH_USEC (5 * Ck_USEC_PER_SEC)
+
+struct reading {
+    uint64_t peer;
+    int64_t offset;
+    int64_t taken_at;
+};
+
+struct tt_time {
+    const struct ck_clock *clock;
+    struct reading readings[Tt_PEERS_MAX];
+    size_t count;
+};
+
+struct tt_time *
+Tt_Create(const struct ck_clock *clock)
+{
+    struct tt_time *time = calloc(1, sizeof(*time));
+    if (time != NULL) {
+        time->clock = clock;
+    }
+    return time;
+}
+
+void
+Tt_Destroy(struct tt_time *time)
+{
+    free(time);
+}
+
+/* Takes a peer's calendar time, read just now. */
+void
+Tt_Peer(struct tt_time *time, uint64_t peer, int64_t wall_usec)
+{
+    int64_t now = Ck_Now(time->clock);
+    struct reading *slot = NULL;
+    for (size_t i = 0; i < time->count && slot == NULL; i++) {
+        if (time->readings[i].peer == peer) {
+            slot = &time->readings[i];
+        }
+    }
+    if (slot == NULL && time->count < Tt_PEERS_MAX) {
+        slot = &time->readings[time->count++];
+    }
+    for (size_t i = 0; i < time->count && slot == NULL; i++) {
+        if (now - time->readings[i].taken_at > Tt_FRESH_USEC) {
+            slot = &time->readings[i];
+        }
+    }
+    if (slot != NULL) {
+        *slot = (struct reading){peer, wall_usec - now, now};
+    }
+}
+
+static int
+compare(const void *a, const void *b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return left < right ? -1 : left > right;
+}
+
+int64_t
+Tt_Now(struct tt_time *time)
+{
+    int64_t offsets[Tt_PEERS_MAX + 1];
+    size_t count = 0;
+    int64_t now = Ck_Now(time->clock);
+    offsets[count++] = Ck_Wall(time->clock) - now;
+    for (size_t i = 0; i < time->count; i++) {
+        if (now - time->readings[i].taken_at <= Tt_FRESH_USEC) {
+            offsets[count++] = time->readings[i].offset;
+        }
+    }
+    qsort(offsets, count, sizeof(offsets[0]), compare);
+    return now + offsets[(count - 1) / 2];
+}
--- /dev/null
+++ b/packages/edge/truetime.h
@@ -0,0 +1,28 @@
+/*
+ * Calendar time that a jump of one host's clock does not move: the median of
+ * the offsets between this host's steady clock and the calendar clocks of
+ * this host and its peers.
+ */
+#ifndef EDGE_TRUETIME_H
+#define EDGE_TRUETIME_H
+
+#include <stdint.h>
+
+#include "base/clock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct tt_time;
+
+struct tt_time *Tt_Create(const struct ck_clock *clock);
+void Tt_Destroy(struct tt_time *time);
+void Tt_Peer(struct tt_time *time, uint64_t peer, int64_t wall_usec);
+int64_t Tt_Now(struct tt_time *time);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/work.c
@@ -0,0 +1,356 @@
+/*
+ * What one daemon does for all: it reports usage and orders endpoints.  Both
+ * go out under its fence, and both can be repeated: a report is agreed on
+ * before it is sent, an order names a state and not a step.
+ */
+#include <bsd/string.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/gate_internal.h"
+#include "edge/plan.h"
+
+/*
+ * Counts of a window travel between daemons for a while after its end; a
+ * report is due only many seconds later.
+ */
+#define Wo_SETTLE_USEC (2500 * Ck_USEC_PER_MSEC)
+#define Wo_RETRY_USEC (700 * Ck_USEC_PER_MSEC)
+#define Wo_PLAN_EVERY_USEC (1000 * Ck_USEC_PER_MSEC)
+/* A kind refused in a data centre is asked for again after this. */
+#define Wo_DRY_USEC (3 * Ck_USEC_PER_SEC)
+/* An order that was answered is repeated, should it have been undone. */
+#define Wo_REPEAT_USEC (10 * Ck_USEC_PER_SEC)
+#define Wo_ORDERS_MAX 64
+#define Wo_LATE_WINDOWS 2
+
+struct order {
+    char service[Ec_NAME_MAX];
+    char zone[Ec_NAME_MAX];
+    bool spot;
+    int wanted;
+    int confirmed; /* -1: none under this fence */
+    int64_t asked_at;
+    int64_t dry_until;
+    bool busy;
+    struct wo_work *work;
+};
+
+struct base {
+    char service[Ec_NAME_MAX];
+    int wanted;
+};
+
+struct wo_work {
+    struct ga_gate *gate;
+    int64_t report_window; /* under way; 0: none */
+    int64_t retry_at;
+    int64_t planned_at;
+    size_t order_count;
+    struct order orders[Wo_ORDERS_MAX];
+    size_t base_count;
+    struct base bases[8];
+};
+
+struct wo_work *
+Wo_Create(struct ga_gate *gate)
+{
+    struct wo_work *work = calloc(1, sizeof(*work));
+    if (work != NULL) {
+        work->gate = gate;
+    }
+    return work;
+}
+
+/* Answers of the cloud must not come any more. */
+void
+Wo_Destroy(struct wo_work *work)
+{
+    free(work);
+}
+
+/* Number of the usage window of a moment in true time. */
+int64_t
+Wo_Window(const struct ga_gate *gate, int64_t true_usec)
+{
+    return true_usec / gate->options.node->usage_window_usec;
+}
+
+void
+Wo_Changed(void *arg, bool holder, int64_t fence)
+{
+    struct ga_gate *gate = arg;
+    Ln_Log(LN_STATE, holder ? "duty.won" : "duty.lost", "\"fence\":%lld",
+           (long long)fence);
+    for (size_t i = 0; gate->work != NULL && i < gate->work->order_count;
+         i++) {
+        gate->work->orders[i].confirmed = -1;
+    }
+}
+
+static void
+on_reported(void *arg, enum cl_status status)
+{
+    struct wo_work *work = arg;
+    struct ga_gate *gate = work->gate;
+    struct du_usage *usage = Du_Usage(gate->duty, work->report_window);
+    Ln_Log(status == CL_DONE ? LN_ORDINARY : LN_FAILURE, "usage.reported",
+           "\"window\":%lld,\"status\":%d,\"fence\":%lld",
+           (long long)work->report_window, (int)status,
+           (long long)Du_Fence(gate->duty));
+    work->report_window = 0;
+    if (status == CL_DONE && usage != NULL) {
+        usage->reported = true;
+        return;
+    }
+    work->retry_at = Ga_Now(gate) + Wo_RETRY_USEC;
+    if (status == CL_FENCED) {
+        Du_Refused(gate->duty);
+    }
+}
+
+static void
+report(struct wo_work *work, struct du_usage *usage)
+{
+    struct ga_gate *gate = work->gate;
+    work->report_window = usage->window;
+    gate->options.cloud->ops->report(gate->options.cloud, Du_Fence(gate->duty),
+                                     usage, on_reported, work);
+}
+
+static const char *
+tenant_name(const struct ec_config *config, uint32_t hash)
+{
+    for (size_t i = 0; i < config->tenant_count; i++) {
+        if (Qt_Hash(config->tenants[i].name) == hash) {
+            return config->tenants[i].name;
+        }
+    }
+    return NULL;
+}
+
+static void
+agree(struct wo_work *work, int64_t window)
+{
+    struct ga_gate *gate = work->gate;
+    const struct ec_config *config = Fe_Config(gate->feed);
+    if (config == NULL) {
+        return;
+    }
+    struct us_count counts[Us_TENANTS_MAX];
+    size_t count = Us_Total(gate->usage, window, counts);
+    static struct du_usage usage;
+    memset(&usage, 0, sizeof(usage));
+    usage.window = window;
+    for (size_t i = 0; i < count && usage.count < Du_TENANTS_MAX; i++) {
+        const char *name = tenant_name(config, counts[i].tenant);
+        if (name != NULL) {
+            struct du_tenant *tenant = &usage.tenants[usage.count++];
+            strlcpy(tenant->name, name, sizeof(tenant->name));
+            tenant->count = counts[i].count;
+        }
+    }
+    if (Du_Agree(gate->duty, &usage)) {
+        Ln_Log(LN_STATE, "usage.agreed", "\"window\":%lld,\"tenants\":%zu",
+               (long long)window, usage.count);
+    }
+}
+
+/* Windows that are over, oldest first. */
+static void
+tick_usage(struct wo_work *work)
+{
+    struct ga_gate *gate = work->gate;
+    const struct nd_node *node = gate->options.node;
+    if (work->report_window != 0 || Ga_Now(gate) < work->retry_at) {
+        return;
+    }
+    int64_t now = Tt_Now(gate->time);
+    int64_t newest = Wo_Window(gate, now - Wo_SETTLE_USEC) - 1;
+    int64_t oldest = newest - node->usage_late_usec / node->usage_window_usec;
+    for (int64_t window = oldest; window <= newest; window++) {
+        struct du_usage *usage = Du_Usage(gate->duty, window);
+        if (usage == NULL) {
+            agree(work, window);
+            return;
+        }
+        if (!usage->reported) {
+            report(work, usage);
+            return;
+        }
+    }
+}
+
+static struct order *
+find_order(struct wo_work *work, const char *service, const char *zone,
+           bool spot)
+{
+    for (size_t i = 0; i < work->order_count; i++) {
+        struct order *order = &work->orders[i];
+        if (order->spot == spot && strcmp(order->service, service) == 0 &&
+            strcmp(order->zone, zone) == 0) {
+            return order;
+        }
+    }
+    if (work->order_count == Wo_ORDERS_MAX) {
+        return NULL;
+    }
+    struct order *order = &work->orders[work->order_count++];
+    strlcpy(order->service, service, sizeof(order->service));
+    strlcpy(order->zone, zone, sizeof(order->zone));
+    order->spot = spot;
+    order->confirmed = -1;
+    order->work = work;
+    return order;
+}
+
+static void
+on_ordered(void *arg, enum cl_status status)
+{
+    struct order *order = arg;
+    struct ga_gate *gate = order->work->gate;
+    int64_t now = Ga_Now(gate);
+    order->busy = false;
+    Ln_Log(LN_STATE, "order.answered",
+           "\"service\":\"%s\",\"zone\":\"%s\",\"spot\":%d,\"count\":%d,"
+           "\"status\":%d",
+           order->service, order->zone, order->spot, order->wanted,
+           (int)status);
+    if (status == CL_DONE) {
+        order->confirmed = order->wanted;
+    }
+    else if (status == CL_FENCED && order->spot) {
+        /* None to be had, most likely: a lost fence shows elsewhere too. */
+        order->dry_until = now + Wo_DRY_USEC;
+    }
+    else if (status == CL_FENCED) {
+        Du_Refused(gate->duty);
+    }
+}
+
+static void
+place_order(struct wo_work *work, struct order *order, int wanted)
+{
+    struct ga_gate *gate = work->gate;
+    int64_t now = Ga_Now(gate);
+    if (order->busy || now - order->asked_at < Wo_RETRY_USEC ||
+        (order->confirmed == wanted &&
+         now - order->asked_at < Wo_REPEAT_USEC)) {
+        return;
+    }
+    if (order->spot && now < order->dry_until && wanted > 0) {
+        return;
+    }
+    order->wanted = wanted;
+    order->asked_at = now;
+    order->busy = true;
+    struct cl_order request = {order->service, order->zone, order->spot,
+                               wanted};
+    gate->options.cloud->ops->order(gate->options.cloud, Du_Fence(gate->duty),
+                                    &request, on_ordered, order);
+}
+
+/* Usable endpoints of a kind in a data centre. */
+static int
+count_usable(const struct ga_gate *gate, const char *service, const char *zone,
+             bool spot)
+{
+    int count = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        count += Fl_Usable(endpoint) && endpoint->entry.spot == spot &&
+                 strcmp(endpoint->entry.service, service) == 0 &&
+                 strcmp(endpoint->entry.zone, zone) == 0;
+    }
+    return count;
+}
+
+/* What a service was given when this daemon first planned for it. */
+static int
+wanted_of(struct wo_work *work, const char *service, int now)
+{
+    for (size_t i = 0; i < work->base_count; i++) {
+        if (strcmp(work->bases[i].service, service) == 0) {
+            return work->bases[i].wanted;
+        }
+    }
+    if (work->base_count < sizeof(work->bases) / sizeof(work->bases[0])) {
+        struct base *base = &work->bases[work->base_count++];
+        strlcpy(base->service, service, sizeof(base->service));
+        base->wanted = now;
+    }
+    return now;
+}
+
+static void
+plan_service(struct wo_work *work, const struct ec_service *service)
+{
+    struct ga_gate *gate = work->gate;
+    int64_t now = Ga_Now(gate);
+    struct pn_zone zones[Ec_ZONES_MAX];
+    struct pn_wish wishes[Ec_ZONES_MAX];
+    int usable = 0;
+    for (size_t i = 0; i < service->zone_count; i++) {
+        struct pn_zone *zone = &zones[i];
+        strlcpy(zone->zone, service->zones[i].zone, sizeof(zone->zone));
+        zone->price = service->zones[i].price;
+        zone->lasting = count_usable(gate, service->name, zone->zone, false);
+        zone->spot = count_usable(gate, service->name, zone->zone, true);
+        const struct order *order =
+            find_order(work, service->name, zone->zone, true);
+        zone->dry = order != NULL && now < order->dry_until;
+        usable += zone->lasting + zone->spot;
+    }
+    struct pn_service wants = {
+        .min = service->min,
+        .max = service->max,
+        .spot_price = service->spot_price,
+        .wanted = wanted_of(work, service->name, usable),
+    };
+    Pn_Plan(&wants, zones, service->zone_count, wishes);
+    for (size_t i = 0; i < service->zone_count; i++) {
+        for (int spot = 0; spot <= 1; spot++) {
+            struct order *order =
+                find_order(work, service->name, zones[i].zone, spot);
+            int wish = spot ? wishes[i].spot : wishes[i].lasting;
+            bool known = order != NULL && order->confirmed >= 0;
+            int have = spot ? zones[i].spot : zones[i].lasting;
+            if (order != NULL && (known || wish != have)) {
+                place_order(work, order, wish);
+            }
+        }
+    }
+}
+
+static void
+tick_orders(struct wo_work *work)
+{
+    struct ga_gate *gate = work->gate;
+    int64_t now = Ga_Now(gate);
+    const struct ec_config *config = Fe_Config(gate->feed);
+    if (config == NULL || !Fl_Any(gate->fleet) ||
+        now - work->planned_at < Wo_PLAN_EVERY_USEC) {
+        return;
+    }
+    work->planned_at = now;
+    for (size_t i = 0; i < config->service_count; i++) {
+        if (config->services[i].ordered) {
+            plan_service(work, &config->services[i]);
+        }
+    }
+}
+
+void
+Wo_Tick(struct wo_work *work)
+{
+    struct ga_gate *gate = work->gate;
+    if (!Du_Holds(gate->duty) || gate->stopping_at != 0) {
+        return;
+    }
+    if (gate->options.node->report_usage) {
+        tick_usage(work);
+    }
+    if (gate->options.node->order_endpoints && Du_Holds(gate->duty)) {
+        tick_orders(work);
+    }
+}
--- /dev/null
+++ b/packages/web/http1.c
@@ -0,0 +1,489 @@
+#include "web/http1.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Far above any limit of ours, which is checked before the parser runs. */
+#define H1_LIBRARY_HEAD_MAX (1u << 24)
+#define H1_NUMBER_DIGITS_MAX 15
+
+enum h1_phase {
+    H1_HEAD,
+    H1_BODY,
+    H1_DONE,
+};
+
+struct h1_parser {
+    http_parser parser;
+    const struct h1_ops *ops;
+    void *arg;
+    enum h1_phase phase;
+    bool request;
+    bool no_body;
+    bool interim; /* a 1xx answer: skipped */
+    bool overflow;
+    size_t head_max;
+    char *raw; /* the head as it came */
+    size_t raw_len;
+    size_t raw_size;
+    struct h1_head head;
+};
+
+static struct h1_parser *
+self(http_parser *parser)
+{
+    return parser->data;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+    self(parser)->head.target = (struct h1_text){at, len};
+    return 0;
+}
+
+static int
+on_field(http_parser *parser, const char *at, size_t len)
+{
+    struct h1_head *head = &self(parser)->head;
+    if (head->count == H1_FIELDS_MAX) {
+        self(parser)->overflow = true;
+        return -1;
+    }
+    head->fields[head->count].name = (struct h1_text){at, len};
+    head->fields[head->count].value = (struct h1_text){at + len, 0};
+    head->count++;
+    return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+    struct h1_head *head = &self(parser)->head;
+    while (len > 0 && (at[len - 1] == ' ' || at[len - 1] == '\t')) {
+        len--;
+    }
+    head->fields[head->count - 1].value = (struct h1_text){at, len};
+    return 0;
+}
+
+static int
+on_head(http_parser *parser)
+{
+    struct h1_parser *self_ = self(parser);
+    struct h1_head *head = &self_->head;
+    head->status = (int)parser->status_code;
+    head->keep_alive = http_should_keep_alive(parser) != 0;
+    head->chunked = (parser->flags & F_CHUNKED) != 0;
+    head->has_body = head->chunked || (parser->content_length != 0 &&
+                                       parser->content_length != UINT64_MAX);
+    if (self_->request) {
+        const char *name = http_method_str((enum http_method)parser->method);
+        head->method = (struct h1_text){name, strlen(name)};
+        /* CONNECT and upgrades would turn the rest into a tunnel. */
+        return parser->upgrade ? -1 : 0;
+    }
+    self_->interim = head->status < 200;
+    if (self_->interim) {
+        return head->status == 101 ? -1 : 1;
+    }
+    self_->phase = H1_BODY;
+    self_->ops->head(self_->arg, head);
+    return self_->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    self(parser)->ops->body(self(parser)->arg, at, len);
+    return 0;
+}
+
+static int
+on_end(http_parser *parser)
+{
+    self(parser)->phase = H1_DONE;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings settings = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_end,
+};
+
+/* NULL without memory. */
+struct h1_parser *
+H1_Create(bool request, const struct h1_ops *ops, void *arg)
+{
+    struct h1_parser *parser = calloc(1, sizeof(*parser));
+    if (parser == NULL) {
+        return NULL;
+    }
+    http_parser_set_max_header_size(H1_LIBRARY_HEAD_MAX);
+    parser->request = request;
+    parser->ops = ops;
+    parser->arg = arg;
+    parser->head_max = H1_HEAD_MAX_DEFAULT;
+    H1_Reset(parser);
+    return parser;
+}
+
+void
+H1_Destroy(struct h1_parser *parser)
+{
+    if (parser != NULL) {
+        free(parser->raw);
+        free(parser);
+    }
+}
+
+void
+H1_SetHeadMax(struct h1_parser *parser, size_t bytes)
+{
+    parser->head_max = bytes;
+}
+
+/* The next answer has no body whatever its head says (HEAD requests). */
+void
+H1_ExpectNoBody(struct h1_parser *parser, bool none)
+{
+    parser->no_body = none;
+}
+
+void
+H1_Reset(struct h1_parser *parser)
+{
+    http_parser_init(&parser->parser,
+                     parser->request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser->parser.data = parser;
+    parser->phase = H1_HEAD;
+    parser->interim = false;
+    parser->overflow = false;
+    parser->raw_len = 0;
+    memset(&parser->head, 0, offsetof(struct h1_head, fields));
+    parser->head.count = 0;
+}
+
+static bool
+is_token(unsigned char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || strchr("!#$%&'*+-.^_`|~", c) != NULL;
+}
+
+/*
+ * A head that two programs could read differently carries a second request
+ * past the first of them.  http_parser takes lines that end in a bare LF,
+ * folded fields and spaces in names; they are refused, as RFC 9112 allows.
+ */
+static bool
+check_head(const char *raw, size_t len)
+{
+    bool first = true;
+    size_t start = 0;
+    for (size_t i = 0; i < len; i++) {
+        unsigned char c = (unsigned char)raw[i];
+        if (c == '\0' || (c == '\n' && (i == 0 || raw[i - 1] != '\r')) ||
+            (c == '\r' && (i + 1 >= len || raw[i + 1] != '\n'))) {
+            return false;
+        }
+        if (c != '\n') {
+            continue;
+        }
+        if (!first && i - start > 1) {
+            const char *colon = memchr(raw + start, ':', i - start);
+            if (colon == NULL || colon == raw + start) {
+                return false;
+            }
+            for (const char *at = raw + start; at < colon; at++) {
+                if (*at == '\0' || !is_token((unsigned char)*at)) {
+                    return false;
+                }
+            }
+        }
+        first = false;
+        start = i + 1;
+    }
+    return true;
+}
+
+static bool
+keep_raw(struct h1_parser *parser, const char *data, size_t len)
+{
+    if (parser->raw_len + len > parser->raw_size) {
+        size_t size = parser->raw_size == 0 ? 1024 : parser->raw_size;
+        while (size < parser->raw_len + len) {
+            size *= 2;
+        }
+        char *grown = realloc(parser->raw, size);
+        if (grown == NULL) {
+            return false;
+        }
+        parser->raw = grown;
+        parser->raw_size = size;
+    }
+    memcpy(parser->raw + parser->raw_len, data, len);
+    parser->raw_len += len;
+    return true;
+}
+
+static enum h1_error
+run(struct h1_parser *parser, const char *data, size_t len, size_t *used)
+{
+    *used = http_parser_execute(&parser->parser, &settings, data, len);
+    enum http_errno error = HTTP_PARSER_ERRNO(&parser->parser);
+    if (error == HPE_PAUSED) {
+        http_parser_pause(&parser->parser, 0);
+        return H1_FINE;
+    }
+    if (error != HPE_OK) {
+        return parser->overflow ? H1_TOO_LARGE : H1_MALFORMED;
+    }
+    return H1_FINE;
+}
+
+/* Looks for the end of the head; *used counts bytes taken from "data". */
+static enum h1_error
+feed_head(struct h1_parser *parser, const char *data, size_t len, size_t *used)
+{
+    size_t skip = 0;
+    /* Empty lines before a request are to be ignored. */
+    while (parser->request && parser->raw_len == 0 && skip + 1 < len &&
+           data[skip] == '\r' && data[skip + 1] == '\n') {
+        skip += 2;
+    }
+    size_t had = parser->raw_len;
+    size_t take = len - skip;
+    if (!keep_raw(parser, data + skip, take)) {
+        return H1_TOO_LARGE;
+    }
+    size_t from = had < 3 ? 0 : had - 3;
+    char *end =
+        memmem(parser->raw + from, parser->raw_len - from, "\r\n\r\n", 4);
+    if (end == NULL) {
+        *used = len;
+        if (parser->raw_len > parser->head_max) {
+            return H1_TOO_LARGE;
+        }
+        return check_head(parser->raw,
+                          parser->raw_len > 0 ? parser->raw_len - 1 : 0) ||
+                       parser->raw[parser->raw_len - 1] == '\r'
+                   ? H1_FINE
+                   : H1_MALFORMED;
+    }
+    size_t head_len = (size_t)(end - parser->raw) + 4;
+    *used = skip + head_len - had;
+    parser->raw_len = head_len;
+    if (head_len > parser->head_max) {
+        return H1_TOO_LARGE;
+    }
+    if (!check_head(parser->raw, head_len)) {
+        return H1_MALFORMED;
+    }
+    size_t eaten;
+    enum h1_error error = run(parser, parser->raw, head_len, &eaten);
+    if (error != H1_FINE) {
+        return error;
+    }
+    if (parser->interim) {
+        H1_Reset(parser);
+        return H1_FINE;
+    }
+    if (parser->request) {
+        bool done = parser->phase == H1_DONE;
+        parser->phase = done ? H1_DONE : H1_BODY;
+        parser->ops->head(parser->arg, &parser->head);
+    }
+    return H1_FINE;
+}
+
+enum h1_error
+H1_Feed(struct h1_parser *parser, const char *data, size_t len, size_t *used)
+{
+    *used = 0;
+    while (*used < len && parser->phase != H1_DONE) {
+        size_t took = 0;
+        enum h1_error error =
+            parser->phase == H1_HEAD
+                ? feed_head(parser, data + *used, len - *used, &took)
+                : run(parser, data + *used, len - *used, &took);
+        *used += took;
+        if (error != H1_FINE) {
+            return error;
+        }
+    }
+    if (parser->phase == H1_DONE) {
+        parser->ops->end(parser->arg);
+    }
+    return H1_FINE;
+}
+
+bool
+H1_Eof(struct h1_parser *parser)
+{
+    if (parser->phase != H1_BODY) {
+        return false;
+    }
+    size_t used;
+    return run(parser, "", 0, &used) == H1_FINE && parser->phase == H1_DONE;
+}
+
+/* Whether any byte of the message has come. */
+bool
+H1_Started(const struct h1_parser *parser)
+{
+    return parser->phase != H1_HEAD || parser->raw_len > 0;
+}
+
+bool
+H1_HeadDone(const struct h1_parser *parser)
+{
+    return parser->phase != H1_HEAD;
+}
+
+bool
+H1_Complete(const struct h1_parser *parser)
+{
+    return parser->phase == H1_DONE;
+}
+
+const struct h1_head *
+H1_Head(const struct h1_parser *parser)
+{
+    return &parser->head;
+}
+
+/* Compares without regard to case. */
+bool
+H1_Is(struct h1_text text, const char *word)
+{
+    return strlen(word) == text.len &&
+           strncasecmp(text.at, word, text.len) == 0;
+}
+
+const struct h1_field *
+H1_Find(const struct h1_head *head, const char *name)
+{
+    for (size_t i = 0; i < head->count; i++) {
+        if (H1_Is(head->fields[i].name, name)) {
+            return &head->fields[i];
+        }
+    }
+    return NULL;
+}
+
+size_t
+H1_CountOf(const struct h1_head *head, const char *name)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < head->count; i++) {
+        count += H1_Is(head->fields[i].name, name);
+    }
+    return count;
+}
+
+bool
+H1_Copy(const struct h1_head *head, const char *name, char *out, size_t size)
+{
+    const struct h1_field *field = H1_Find(head, name);
+    if (field == NULL || field->value.len >= size) {
+        return false;
+    }
+    memcpy(out, field->value.at, field->value.len);
+    out[field->value.len] = '\0';
+    return true;
+}
+
+int64_t
+H1_Number(const struct h1_head *head, const char *name)
+{
+    const struct h1_field *field = H1_Find(head, name);
+    if (field == NULL || field->value.len == 0 ||
+        field->value.len > H1_NUMBER_DIGITS_MAX) {
+        return -1;
+    }
+    int64_t number = 0;
+    for (size_t i = 0; i < field->value.len; i++) {
+        char c = field->value.at[i];
+        if (c < '0' || c > '9') {
+            return -1;
+        }
+        number = number * 10 + (c - '0');
+    }
+    return number;
+}
+
+/* Whether "Connection" names the field. */
+static bool
+named_by_connection(const struct h1_head *head, struct h1_text name)
+{
+    for (size_t i = 0; i < head->count; i++) {
+        if (!H1_Is(head->fields[i].name, "connection")) {
+            continue;
+        }
+        struct h1_text value = head->fields[i].value;
+        size_t at = 0;
+        while (at < value.len) {
+            while (at < value.len &&
+                   (value.at[at] == ' ' || value.at[at] == ',')) {
+                at++;
+            }
+            size_t start = at;
+            while (at < value.len && value.at[at] != ',' &&
+                   value.at[at] != ' ') {
+                at++;
+            }
+            if (at - start == name.len && name.len > 0 &&
+                strncasecmp(value.at + start, name.at, name.len) == 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* Fields that concern one connection only and are not forwarded. */
+bool
+H1_HopByHop(const struct h1_head *head, struct h1_text name)
+{
+    static const char *const fixed[] = {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "upgrade",
+        "transfer-encoding",
+        "proxy-authenticate",
+        "content-length",
+        "proxy-authorization",
+        "expect",
+    };
+    for (size_t i = 0; i < sizeof(fixed) / sizeof(fixed[0]); i++) {
+        if (H1_Is(name, fixed[i])) {
+            return true;
+        }
+    }
+    return named_by_connection(head, name);
+}
+
+const char *
+H1_Reason(int status)
+{
+    switch (status) {
+#define XX(num, name, string)                                                 \
+    case num:                                                                 \
+        return #string;
+        HTTP_STATUS_MAP(XX)
+#undef XX
+    default:
+        return "Other";
+    }
+}
--- /dev/null
+++ b/packages/web/serve.c
@@ -0,0 +1,632 @@
+#include "web/serve.h"
+
+#include <bsd/sys/queue.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "web/sock.h"
+
+#define Sv_AHEAD_MAX 65536 /* bytes of later requests that are kept */
+#define Sv_LINE_MAX 512
+#define Sv_HEAD_BYTES 16384
+#define Sv_BODY_BYTES (4u << 20)
+#define Sv_HEAD_USEC (3 * Ck_USEC_PER_SEC)
+#define Sv_IDLE_USEC (15 * Ck_USEC_PER_SEC)
+/*
+ * Connections are kept somewhat longer than callers were told, so that a
+ * request sent at the last moment does not meet our close.
+ */
+#define Sv_IDLE_EXTRA_USEC (1 * Ck_USEC_PER_SEC)
+
+enum phase {
+    READING,   /* a request, or nothing yet */
+    HANDLING,  /* the handler has it */
+    STREAMING, /* the answer has begun */
+    OVER,      /* Sk_Finish() was called */
+};
+
+struct sv_request {
+    TAILQ_ENTRY(sv_request) link;
+    struct sv_server *server;
+    struct sk_sock *sock;
+    struct h1_parser *parser;
+    enum phase phase;
+    int busy;
+    bool dead;
+    bool have_head;
+    bool have_all;
+    bool chunked;
+    bool no_body; /* the answer to HEAD */
+    bool keep;
+    int refuse;      /* status of a refusal decided while parsing; 0: none */
+    int64_t head_at; /* when the request's first byte came */
+    int64_t moved_at;
+    void *user;
+    char *body;
+    size_t body_len;
+    size_t body_size;
+    char *ahead;
+    size_t ahead_len;
+};
+
+struct sv_server {
+    struct lp_loop *loop;
+    const struct ck_clock *clock;
+    struct sk_listener *listener;
+    const struct sv_ops *ops;
+    void *arg;
+    struct sv_limits limits;
+    bool draining;
+    size_t count;
+    size_t open;
+    TAILQ_HEAD(sv_list, sv_request) connections;
+};
+
+static void feed(struct sv_request *request, const char *data, size_t len);
+
+/* Out of line: the compiler cannot see that "busy" keeps callers safe. */
+static void __attribute__((noinline)) release(struct sv_request *request)
+{
+    TAILQ_REMOVE(&request->server->connections, request, link);
+    request->server->count--;
+    Sk_Close(request->sock);
+    H1_Destroy(request->parser);
+    free(request->body);
+    free(request->ahead);
+    free(request);
+}
+
+static void
+leave(struct sv_request *request)
+{
+    request->busy--;
+    if (request->busy == 0 && request->dead) {
+        release(request);
+    }
+}
+
+static void
+bury(struct sv_request *request)
+{
+    if (request->dead) {
+        return;
+    }
+    request->dead = true;
+    if (request->busy == 0) {
+        release(request);
+    }
+}
+
+static void
+set_phase(struct sv_request *request, enum phase phase)
+{
+    bool was = request->phase == HANDLING || request->phase == STREAMING;
+    bool is = phase == HANDLING || phase == STREAMING;
+    request->server->open += (size_t)is - (size_t)was;
+    request->phase = phase;
+}
+
+/* Sends the rest and ends the connection; the request is freed. */
+static void
+finish(struct sv_request *request)
+{
+    set_phase(request, OVER);
+    Sk_Finish(request->sock);
+    request->sock = NULL;
+    bury(request);
+}
+
+static void
+refuse(struct sv_request *request, int status, const char *why)
+{
+    if (request->server->ops->refused != NULL) {
+        request->server->ops->refused(request->server->arg, status, why);
+    }
+    char body[Sv_LINE_MAX];
+    int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
+    set_phase(request, HANDLING);
+    request->keep = false;
+    request->have_all = false;
+    Sv_Reply(request, status, "Content-Type: application/json\r\n", body,
+             (size_t)len);
+}
+
+/* Callers that wait for leave to send their body get it. */
+static void
+answer_expectation(struct sv_request *request, const struct h1_head *head)
+{
+    static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (head->has_body && H1_Find(head, "expect") != NULL) {
+        Sk_Write(request->sock, go_on, sizeof(go_on) - 1);
+    }
+}
+
+static void
+on_head(void *arg, const struct h1_head *head)
+{
+    struct sv_request *request = arg;
+    request->have_head = true;
+    request->keep = head->keep_alive;
+    request->no_body = H1_Is(head->method, "HEAD");
+    int64_t length = H1_Number(head, "content-length");
+    if (length > (int64_t)request->server->limits.body_bytes) {
+        request->refuse = 413;
+        return;
+    }
+    answer_expectation(request, head);
+}
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+    struct sv_request *request = arg;
+    if (request->refuse != 0) {
+        return;
+    }
+    if (request->body_len + len > request->server->limits.body_bytes) {
+        request->refuse = 413;
+        return;
+    }
+    if (request->body_len + len > request->body_size) {
+        size_t size = request->body_size == 0 ? 2048 : request->body_size;
+        while (size < request->body_len + len) {
+            size *= 2;
+        }
+        char *grown = realloc(request->body, size);
+        if (grown == NULL) {
+            request->refuse = 503;
+            return;
+        }
+        request->body = grown;
+        request->body_size = size;
+    }
+    memcpy(request->body + request->body_len, data, len);
+    request->body_len += len;
+}
+
+static void
+on_end(void *arg)
+{
+    struct sv_request *request = arg;
+    request->have_all = true;
+}
+
+static const struct h1_ops parser_ops = {
+    .head = on_head,
+    .body = on_body,
+    .end = on_end,
+};
+
+static void
+keep_ahead(struct sv_request *request, const char *data, size_t len)
+{
+    if (len == 0) {
+        return;
+    }
+    char *grown = realloc(request->ahead, request->ahead_len + len);
+    if (grown == NULL) {
+        bury(request);
+        return;
+    }
+    memcpy(grown + request->ahead_len, data, len);
+    request->ahead = grown;
+    request->ahead_len += len;
+    if (request->ahead_len > Sv_AHEAD_MAX) {
+        Sk_Pause(request->sock, true);
+    }
+}
+
+static const char *
+reason_for(int status)
+{
+    switch (status) {
+    case 413:
+        return "the body is over the limit";
+    case 431:
+        return "the header fields are over the limit";
+    case 503:
+        return "no memory for the body; try again";
+    default:
+        return "the request is not valid HTTP/1.1";
+    }
+}
+
+static void
+feed(struct sv_request *request, const char *data, size_t len)
+{
+    if (request->phase != READING) {
+        keep_ahead(request, data, len);
+        return;
+    }
+    if (request->head_at == 0 && len > 0) {
+        request->head_at = request->moved_at;
+    }
+    size_t used = 0;
+    enum h1_error error = H1_Feed(request->parser, data, len, &used);
+    if (error != H1_FINE) {
+        request->refuse = error == H1_TOO_LARGE ? 431 : 400;
+    }
+    if (request->refuse != 0) {
+        refuse(request, request->refuse, reason_for(request->refuse));
+        return;
+    }
+    if (!request->have_all) {
+        return;
+    }
+    keep_ahead(request, data + used, len - used);
+    set_phase(request, HANDLING);
+    request->server->ops->request(request->server->arg, request);
+}
+
+static void
+on_data(void *arg, const char *data, size_t len)
+{
+    struct sv_request *request = arg;
+    request->busy++;
+    request->moved_at = Ck_Now(request->server->clock);
+    feed(request, data, len);
+    leave(request);
+}
+
+static void
+on_closed(void *arg, bool clean)
+{
+    struct sv_request *request = arg;
+    (void)clean;
+    request->busy++;
+    if (request->phase == HANDLING || request->phase == STREAMING) {
+        request->server->ops->gone(request->server->arg, request);
+        set_phase(request, OVER);
+    }
+    bury(request);
+    leave(request);
+}
+
+static void
+on_drained(void *arg)
+{
+    struct sv_request *request = arg;
+    if (request->phase == STREAMING && request->server->ops->drained != NULL) {
+        request->busy++;
+        request->server->ops->drained(request->server->arg, request);
+        leave(request);
+    }
+}
+
+static const struct sk_ops sock_ops = {
+    .data = on_data,
+    .closed = on_closed,
+    .drained = on_drained,
+};
+
+static void
+on_accept(void *arg, int fd)
+{
+    struct sv_server *server = arg;
+    struct sv_request *request = calloc(1, sizeof(*request));
+    if (request == NULL) {
+        close(fd);
+        return;
+    }
+    request->server = server;
+    request->parser = H1_Create(true, &parser_ops, request);
+    if (request->parser == NULL) {
+        close(fd);
+        free(request);
+        return;
+    }
+    if (Sk_Adopt(server->loop, fd, &sock_ops, request, &request->sock) !=
+        ST_OK) {
+        H1_Destroy(request->parser);
+        free(request);
+        return;
+    }
+    H1_SetHeadMax(request->parser, server->limits.head_bytes);
+    request->moved_at = Ck_Now(server->clock);
+    TAILQ_INSERT_TAIL(&server->connections, request, link);
+    server->count++;
+}
+
+/* Listens on "IP:PORT". */
+enum st_status
+Sv_Create(struct lp_loop *loop, const struct ck_clock *clock,
+          const char *address, const struct sv_ops *ops, void *arg,
+          struct sv_server **out)
+{
+    struct sv_server *server = calloc(1, sizeof(*server));
+    if (server == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for a server");
+    }
+    server->loop = loop;
+    server->clock = clock;
+    server->ops = ops;
+    server->arg = arg;
+    server->limits = (struct sv_limits){
+        .head_bytes = Sv_HEAD_BYTES,
+        .body_bytes = Sv_BODY_BYTES,
+        .head_usec = Sv_HEAD_USEC,
+        .idle_usec = Sv_IDLE_USEC,
+    };
+    TAILQ_INIT(&server->connections);
+    enum st_status status =
+        Sk_Listen(loop, address, on_accept, server, &server->listener);
+    if (status != ST_OK) {
+        free(server);
+        return status;
+    }
+    *out = server;
+    return ST_OK;
+}
+
+void
+Sv_SetLimits(struct sv_server *server, const struct sv_limits *limits)
+{
+    server->limits = *limits;
+}
+
+int
+Sv_Port(const struct sv_server *server)
+{
+    return Sk_ListenPort(server->listener);
+}
+
+size_t
+Sv_Connections(const struct sv_server *server)
+{
+    return server->count;
+}
+
+/* Requests that are being handled. */
+size_t
+Sv_Open(const struct sv_server *server)
+{
+    return server->open;
+}
+
+void
+Sv_Drain(struct sv_server *server)
+{
+    server->draining = true;
+}
+
+static bool
+idle(const struct sv_request *request)
+{
+    return request->phase == READING && request->head_at == 0 &&
+           !request->dead;
+}
+
+/* Ends connections that have been without a request for that long. */
+void
+Sv_CloseIdle(struct sv_server *server, int64_t idle_usec)
+{
+    int64_t now = Ck_Now(server->clock);
+    struct sv_request *request;
+    struct sv_request *next;
+    TAILQ_FOREACH_SAFE (request, &server->connections, link, next) {
+        if (idle(request) && now - request->moved_at >= idle_usec) {
+            finish(request);
+        }
+    }
+}
+
+/* Enforces the limits on time; to be called about ten times a second. */
+void
+Sv_Tick(struct sv_server *server)
+{
+    int64_t now = Ck_Now(server->clock);
+    Sv_CloseIdle(server, server->limits.idle_usec + Sv_IDLE_EXTRA_USEC);
+    struct sv_request *request;
+    struct sv_request *next;
+    TAILQ_FOREACH_SAFE (request, &server->connections, link, next) {
+        if (request->phase != READING || request->head_at == 0) {
+            continue;
+        }
+        bool slow_head = !request->have_head &&
+                         now - request->head_at > server->limits.head_usec;
+        bool slow_body = request->have_head &&
+                         now - request->moved_at > server->limits.idle_usec;
+        if (slow_head || slow_body) {
+            request->busy++;
+            refuse(request, 408, "the request came too slowly");
+            leave(request);
+        }
+    }
+}
+
+/* Closes everything. */
+void
+Sv_Destroy(struct sv_server *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    struct sv_request *request;
+    while ((request = TAILQ_FIRST(&server->connections)) != NULL) {
+        request->busy = 0;
+        release(request);
+    }
+    Sk_ListenClose(server->listener);
+    free(server);
+}
+
+const struct h1_head *
+Sv_Head(const struct sv_request *request)
+{
+    return H1_Head(request->parser);
+}
+
+const char *
+Sv_Body(const struct sv_request *request, size_t *len)
+{
+    *len = request->body_len;
+    return request->body;
+}
+
+void
+Sv_SetUser(struct sv_request *request, void *user)
+{
+    request->user = user;
+}
+
+void *
+Sv_User(const struct sv_request *request)
+{
+    return request->user;
+}
+
+static bool
+will_keep(const struct sv_request *request)
+{
+    return request->keep && request->have_all && !request->server->draining;
+}
+
+static bool
+bodiless(const struct sv_request *request, int status)
+{
+    return request->no_body || status == 204 || status == 304;
+}
+
+static void
+write_head(struct sv_request *request, int status, const char *fields,
+           int64_t length)
+{
+    char line[Sv_LINE_MAX];
+    int len = snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
+                       H1_Reason(status));
+    size_t fields_len = strlen(fields);
+    char *head = malloc((size_t)len + fields_len + Sv_LINE_MAX);
+    if (head == NULL) {
+        Sv_Abort(request);
+        return;
+    }
+    size_t at = (size_t)len;
+    memcpy(head, line, at);
+    memcpy(head + at, fields, fields_len);
+    at += fields_len;
+    if (length >= 0 && status != 204) {
+        at += (size_t)sprintf(head + at, "Content-Length: %lld\r\n",
+                              (long long)length);
+    }
+    else if (length < 0) {
+        at += (size_t)sprintf(head + at, "Transfer-Encoding: chunked\r\n");
+    }
+    at += will_keep(request)
+              ? (size_t)sprintf(head + at, "Keep-Alive: timeout=%lld\r\n\r\n",
+                                (long long)(request->server->limits.idle_usec /
+                                            Ck_USEC_PER_SEC))
+              : (size_t)sprintf(head + at, "Connection: close\r\n\r\n");
+    Sk_Write(request->sock, head, at);
+    free(head);
+}
+
+/* The answer is whole: the next request of the connection, or its end. */
+static void
+next(struct sv_request *request)
+{
+    if (!will_keep(request)) {
+        finish(request);
+        return;
+    }
+    set_phase(request, READING);
+    request->have_head = false;
+    request->have_all = false;
+    request->head_at = 0;
+    request->moved_at = Ck_Now(request->server->clock);
+    request->user = NULL;
+    free(request->body);
+    request->body = NULL;
+    request->body_len = 0;
+    request->body_size = 0;
+    H1_Reset(request->parser);
+    H1_SetHeadMax(request->parser, request->server->limits.head_bytes);
+    if (request->ahead_len > 0) {
+        char *ahead = request->ahead;
+        size_t len = request->ahead_len;
+        request->ahead = NULL;
+        request->ahead_len = 0;
+        Sk_Pause(request->sock, false);
+        feed(request, ahead, len);
+        free(ahead);
+    }
+}
+
+void
+Sv_Reply(struct sv_request *request, int status, const char *fields,
+         const void *body, size_t len)
+{
+    request->busy++;
+    write_head(request, status, fields, (int64_t)len);
+    if (!request->dead) {
+        if (!bodiless(request, status)) {
+            Sk_Write(request->sock, body, len);
+        }
+        next(request);
+    }
+    leave(request);
+}
+
+void
+Sv_Begin(struct sv_request *request, int status, const char *fields,
+         int64_t length)
+{
+    set_phase(request, STREAMING);
+    request->chunked = length < 0;
+    write_head(request, status, fields, length);
+}
+
+void
+Sv_Write(struct sv_request *request, const void *data, size_t len)
+{
+    if (len == 0 || request->dead || request->no_body) {
+        return;
+    }
+    if (!request->chunked) {
+        Sk_Write(request->sock, data, len);
+        return;
+    }
+    char *chunk = malloc(len + 32);
+    if (chunk == NULL) {
+        Sv_Abort(request);
+        return;
+    }
+    size_t at = (size_t)sprintf(chunk, "%zx\r\n", len);
+    memcpy(chunk + at, data, len);
+    memcpy(chunk + at + len, "\r\n", 2);
+    Sk_Write(request->sock, chunk, at + len + 2);
+    free(chunk);
+}
+
+void
+Sv_End(struct sv_request *request)
+{
+    request->busy++;
+    if (request->chunked && !request->no_body) {
+        Sk_Write(request->sock, "0\r\n\r\n", 5);
+    }
+    next(request);
+    leave(request);
+}
+
+size_t
+Sv_Pending(const struct sv_request *request)
+{
+    return Sk_Pending(request->sock);
+}
+
+void
+Sv_Abort(struct sv_request *request)
+{
+    request->busy++;
+    if (request->phase == STREAMING) {
+        /* What was passed on still arrives; the end is missing. */
+        finish(request);
+    }
+    else {
+        set_phase(request, OVER);
+        bury(request);
+    }
+    leave(request);
+}
--- /dev/null
+++ b/packages/web/sock.c
@@ -0,0 +1,508 @@
+#include "web/sock.h"
+
+#include <arpa/inet.h>
+#include <bsd/stdlib.h>
+#include <bsd/string.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+
+#define Sk_READ_BYTES 65536
+#define Sk_ADDRESS_MAX 64
+#define Sk_BACKLOG 1024
+/*
+ * A peer without power sends neither data nor a reset.  Probes after two
+ * seconds of silence, and a limit on unacknowledged data, end such a
+ * connection in four seconds; a request waiting on it could not be answered
+ * later than that in any case.
+ */
+#define Sk_PROBE_IDLE_SEC 2
+#define Sk_PROBE_EVERY_SEC 1
+#define Sk_PROBE_COUNT 2
+#define Sk_UNACKED_MSEC 4000
+/* How long a finished connection is read so that its end is not a reset. */
+#define Sk_LINGER_USEC (1 * Ck_USEC_PER_SEC)
+
+struct sk_sock {
+    struct lp_loop *loop;
+    struct lp_watch *watch;
+    struct lp_timer *linger;
+    const struct sk_ops *ops;
+    void *arg;
+    int fd;
+    int busy; /* callbacks on the stack; freed when it falls to zero */
+    bool connecting;
+    bool dead;     /* Sk_Close() was called */
+    bool broken;   /* "closed" was told */
+    bool finished; /* Sk_Finish() was called */
+    bool shut;     /* our direction is closed */
+    bool sent;
+    char *out;
+    size_t out_start;
+    size_t out_len;
+    size_t out_size;
+};
+
+struct sk_listener {
+    struct lp_watch *watch;
+    int fd;
+    int port;
+    sk_accept_fn fn;
+    void *arg;
+};
+
+/* Reads "IP:PORT".  ST_INVALID names the text. */
+enum st_status
+Sk_Address(const char *text, struct sockaddr_in *out)
+{
+    char ip[Sk_ADDRESS_MAX];
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(ip)) {
+        return St_Fail(ST_INVALID, "address '%s' is not IP:PORT", text);
+    }
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = '\0';
+    const char *problem = NULL;
+    long long port = strtonum(colon + 1, 0, UINT16_MAX, &problem);
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)port);
+    if (problem != NULL || inet_pton(AF_INET, ip, &out->sin_addr) != 1) {
+        return St_Fail(ST_INVALID, "address '%s' is not IP:PORT", text);
+    }
+    return ST_OK;
+}
+
+/* Out of line: the compiler cannot see that "busy" keeps callers safe. */
+static void __attribute__((noinline)) release(struct sk_sock *sock)
+{
+    if (sock->watch != NULL) {
+        Lp_WatchDestroy(sock->watch);
+    }
+    Lp_TimerDestroy(sock->linger);
+    free(sock->out);
+    free(sock);
+}
+
+static void
+leave(struct sk_sock *sock)
+{
+    sock->busy--;
+    if (sock->busy == 0 && sock->dead) {
+        release(sock);
+    }
+}
+
+static void
+tell_closed(struct sk_sock *sock, bool clean)
+{
+    if (sock->broken || sock->dead) {
+        return;
+    }
+    sock->broken = true;
+    if (sock->watch != NULL) {
+        Lp_WatchDestroy(sock->watch);
+        sock->watch = NULL;
+    }
+    if (sock->finished) {
+        Sk_Close(sock);
+        return;
+    }
+    sock->ops->closed(sock->arg, clean);
+}
+
+static void
+shut_when_empty(struct sk_sock *sock)
+{
+    if (sock->finished && !sock->shut && sock->out_len == 0) {
+        sock->shut = true;
+        shutdown(sock->fd, SHUT_WR);
+    }
+}
+
+static bool
+flush(struct sk_sock *sock)
+{
+    while (sock->out_len > 0) {
+        ssize_t n = send(sock->fd, sock->out + sock->out_start, sock->out_len,
+                         MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            Lp_WatchWritable(sock->watch);
+            return true;
+        }
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            return false;
+        }
+        sock->sent = true;
+        sock->out_start += (size_t)n;
+        sock->out_len -= (size_t)n;
+    }
+    sock->out_start = 0;
+    shut_when_empty(sock);
+    return true;
+}
+
+static void
+on_readable(void *arg)
+{
+    struct sk_sock *sock = arg;
+    static char buffer[Sk_READ_BYTES];
+    sock->busy++;
+    while (!sock->dead && !sock->broken) {
+        ssize_t n = recv(sock->fd, buffer, sizeof(buffer), 0);
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        if (n <= 0) {
+            tell_closed(sock, n == 0);
+            break;
+        }
+        if (!sock->finished) {
+            sock->ops->data(sock->arg, buffer, (size_t)n);
+        }
+        if ((size_t)n < sizeof(buffer)) {
+            break;
+        }
+    }
+    leave(sock);
+}
+
+static bool
+finish_connect(struct sk_sock *sock)
+{
+    int error = 0;
+    socklen_t len = sizeof(error);
+    getsockopt(sock->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+    if (error != 0) {
+        tell_closed(sock, false);
+        return false;
+    }
+    sock->connecting = false;
+    if (sock->ops->connected != NULL) {
+        sock->ops->connected(sock->arg);
+    }
+    return !sock->dead && !sock->broken;
+}
+
+static void
+on_writable(void *arg)
+{
+    struct sk_sock *sock = arg;
+    sock->busy++;
+    if (!sock->connecting || finish_connect(sock)) {
+        bool had = sock->out_len > 0;
+        if (!flush(sock)) {
+            tell_closed(sock, false);
+        }
+        else if (had && sock->out_len == 0 && sock->ops->drained != NULL &&
+                 !sock->finished) {
+            sock->ops->drained(sock->arg);
+        }
+    }
+    leave(sock);
+}
+
+/* The loop saw a hang-up; what is still unread is delivered first. */
+static void
+on_gone(void *arg)
+{
+    struct sk_sock *sock = arg;
+    sock->busy++;
+    Lp_WatchDestroy(sock->watch);
+    sock->watch = NULL;
+    if (!sock->dead && !sock->broken) {
+        tell_closed(sock, false);
+    }
+    leave(sock);
+}
+
+static const struct lp_watch_ops watch_ops = {
+    .readable = on_readable,
+    .writable = on_writable,
+    .closed = on_gone,
+};
+
+static void
+set_option(int fd, int level, int name, int value)
+{
+    setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+static void
+set_options(int fd)
+{
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, Sk_PROBE_IDLE_SEC);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, Sk_PROBE_EVERY_SEC);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, Sk_PROBE_COUNT);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, Sk_UNACKED_MSEC);
+}
+
+/* Takes over an established, non-blocking descriptor. */
+enum st_status
+Sk_Adopt(struct lp_loop *loop, int fd, const struct sk_ops *ops, void *arg,
+         struct sk_sock **out)
+{
+    struct sk_sock *sock = calloc(1, sizeof(*sock));
+    if (sock == NULL) {
+        close(fd);
+        return St_Fail(ST_NO_MEMORY, "no memory for a connection");
+    }
+    set_options(fd);
+    sock->loop = loop;
+    sock->fd = fd;
+    sock->ops = ops;
+    sock->arg = arg;
+    sock->watch = Lp_WatchCreate(loop, fd, &watch_ops, sock);
+    if (sock->watch == NULL) {
+        close(fd);
+        free(sock);
+        return St_Fail(ST_NO_MEMORY, "no memory for a connection");
+    }
+    *out = sock;
+    return ST_OK;
+}
+
+/* Starts to connect; "connected" or "closed" follows, never from here. */
+enum st_status
+Sk_Connect(struct lp_loop *loop, const char *address, const struct sk_ops *ops,
+           void *arg, struct sk_sock **out)
+{
+    struct sockaddr_in to;
+    if (Sk_Address(address, &to) != ST_OK) {
+        return ST_INVALID;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return St_Fail(ST_UNAVAILABLE, "no descriptor for a connection; "
+                                       "raise the limit of open files");
+    }
+    if (connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return St_Fail(ST_UNAVAILABLE, "connection to %s refused at once",
+                       address);
+    }
+    enum st_status status = Sk_Adopt(loop, fd, ops, arg, out);
+    if (status == ST_OK) {
+        (*out)->connecting = true;
+        Lp_WatchWritable((*out)->watch);
+    }
+    return status;
+}
+
+static bool
+reserve(struct sk_sock *sock, size_t len)
+{
+    if (sock->out_start + sock->out_len + len <= sock->out_size) {
+        return true;
+    }
+    if (sock->out_start > 0) {
+        memmove(sock->out, sock->out + sock->out_start, sock->out_len);
+        sock->out_start = 0;
+    }
+    size_t size = sock->out_size == 0 ? 1024 : sock->out_size;
+    while (size < sock->out_len + len) {
+        size *= 2;
+    }
+    char *grown = realloc(sock->out, size);
+    if (grown == NULL) {
+        return false;
+    }
+    sock->out = grown;
+    sock->out_size = size;
+    return true;
+}
+
+/* Sends what can be sent now and keeps the rest. */
+void
+Sk_Write(struct sk_sock *sock, const void *data, size_t len)
+{
+    if (sock->dead || sock->broken || sock->finished || len == 0) {
+        return;
+    }
+    if (sock->out_len == 0 && !sock->connecting) {
+        ssize_t n = send(sock->fd, data, len, MSG_NOSIGNAL);
+        if (n > 0) {
+            sock->sent = true;
+            data = (const char *)data + n;
+            len -= (size_t)n;
+        }
+        /* A failed send shows again as a hang-up in the loop. */
+    }
+    if (len == 0) {
+        return;
+    }
+    if (reserve(sock, len)) {
+        memcpy(sock->out + sock->out_start + sock->out_len, data, len);
+        sock->out_len += len;
+        Lp_WatchWritable(sock->watch);
+    }
+}
+
+/* Bytes written that have not left yet. */
+size_t
+Sk_Pending(const struct sk_sock *sock)
+{
+    return sock->out_len;
+}
+
+/* Whether any byte has left: only without one is "not run" certain. */
+bool
+Sk_Sent(const struct sk_sock *sock)
+{
+    return sock->sent;
+}
+
+/* Stops or resumes reading. */
+void
+Sk_Pause(struct sk_sock *sock, bool pause)
+{
+    if (sock->watch != NULL) {
+        Lp_WatchPause(sock->watch, pause);
+    }
+}
+
+/* Closes at once; no callback follows. */
+void
+Sk_Close(struct sk_sock *sock)
+{
+    if (sock == NULL || sock->dead) {
+        return;
+    }
+    sock->dead = true;
+    if (sock->busy == 0) {
+        release(sock);
+    }
+}
+
+static void
+linger_over(void *arg)
+{
+    struct sk_sock *sock = arg;
+    sock->busy++;
+    Sk_Close(sock);
+    leave(sock);
+}
+
+/*
+ * Sends what is buffered, then ends the connection by itself; no callback
+ * follows.  Closing with unread bytes would reset it, and the other side
+ * could lose the answer; so it is read for a while after our end.
+ */
+void
+Sk_Finish(struct sk_sock *sock)
+{
+    if (sock->dead || sock->finished) {
+        return;
+    }
+    if (sock->broken) {
+        Sk_Close(sock);
+        return;
+    }
+    sock->finished = true;
+    Lp_WatchPause(sock->watch, false);
+    shut_when_empty(sock);
+    sock->linger = Lp_TimerCreate(sock->loop, linger_over, sock);
+    if (sock->linger == NULL) {
+        Sk_Close(sock);
+        return;
+    }
+    Lp_TimerSet(sock->linger, Sk_LINGER_USEC);
+}
+
+static void
+on_accept(void *arg)
+{
+    struct sk_listener *listener = arg;
+    int fd;
+    while ((fd = accept4(listener->fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        listener->fn(listener->arg, fd);
+    }
+}
+
+static void
+on_listener_gone(void *arg)
+{
+    struct sk_listener *listener = arg;
+    listener->fd = -1;
+}
+
+static const struct lp_watch_ops listener_ops = {
+    .readable = on_accept,
+    .closed = on_listener_gone,
+};
+
+/* Listens on "IP:PORT"; port 0 picks one.  "fn" owns what it is given. */
+enum st_status
+Sk_Listen(struct lp_loop *loop, const char *address, sk_accept_fn fn,
+          void *arg, struct sk_listener **out)
+{
+    struct sockaddr_in at;
+    if (Sk_Address(address, &at) != ST_OK) {
+        return ST_INVALID;
+    }
+    struct sk_listener *listener = calloc(1, sizeof(*listener));
+    if (listener == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory to listen");
+    }
+    listener->fn = fn;
+    listener->arg = arg;
+    listener->fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    set_option(listener->fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    socklen_t len = sizeof(at);
+    if (listener->fd < 0 ||
+        bind(listener->fd, (struct sockaddr *)&at, len) != 0 ||
+        listen(listener->fd, Sk_BACKLOG) != 0 ||
+        getsockname(listener->fd, (struct sockaddr *)&at, &len) != 0) {
+        goto fail;
+    }
+    listener->port = ntohs(at.sin_port);
+    listener->watch =
+        Lp_WatchCreate(loop, listener->fd, &listener_ops, listener);
+    if (listener->watch == NULL) {
+        goto fail;
+    }
+    *out = listener;
+    return ST_OK;
+
+fail:
+    if (listener->fd >= 0) {
+        close(listener->fd);
+    }
+    free(listener);
+    return St_Fail(ST_UNAVAILABLE, "cannot listen on %s: %s", address,
+                   strerror(errno));
+}
+
+/* The port listened on. */
+int
+Sk_ListenPort(const struct sk_listener *listener)
+{
+    return listener->port;
+}
+
+/* Stops listening. */
+void
+Sk_ListenClose(struct sk_listener *listener)
+{
+    if (listener != NULL) {
+        Lp_WatchDestroy(listener->watch);
+        free(listener);
+    }
+}
--- /dev/null
+++ b/packages/web/sock.h
@@ -0,0 +1,63 @@
+/*
+ * A TCP connection over the loop: bytes in by callback, bytes out through a
+ * buffer.  Used on both sides, for callers, endpoints, peers and the store.
+ */
+#ifndef WEB_SOCK_H
+#define WEB_SOCK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "web/loop.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct sk_sock;
+
+struct sk_ops {
+    /* The connection is established.  Only after Sk_Connect(). */
+    void (*connected)(void *arg);
+    /* Bytes have come. */
+    void (*data)(void *arg, const char *data, size_t len);
+    /*
+     * The other side closed ("clean") or the connection broke.  Called once;
+     * the owner calls Sk_Close() then or later.
+     */
+    void (*closed)(void *arg, bool clean);
+    /* Everything written has left.  May be NULL. */
+    void (*drained)(void *arg);
+};
+
+struct sk_listener;
+typedef void (*sk_accept_fn)(void *arg, int fd);
+
+/* "address" is "IP:PORT". */
+enum st_status Sk_Connect(struct lp_loop *loop, const char *address,
+                          const struct sk_ops *ops, void *arg,
+                          struct sk_sock **out);
+enum st_status Sk_Adopt(struct lp_loop *loop, int fd, const struct sk_ops *ops,
+                        void *arg, struct sk_sock **out);
+void Sk_Write(struct sk_sock *sock, const void *data, size_t len);
+size_t Sk_Pending(const struct sk_sock *sock);
+bool Sk_Sent(const struct sk_sock *sock);
+void Sk_Pause(struct sk_sock *sock, bool pause);
+void Sk_Close(struct sk_sock *sock);
+void Sk_Finish(struct sk_sock *sock);
+
+enum st_status Sk_Listen(struct lp_loop *loop, const char *address,
+                         sk_accept_fn fn, void *arg, struct sk_listener **out);
+int Sk_ListenPort(const struct sk_listener *listener);
+void Sk_ListenClose(struct sk_listener *listener);
+
+struct sockaddr_in;
+enum st_status Sk_Address(const char *text, struct sockaddr_in *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
