Usage agreed before it is reported; endpoints ordered by load, reclaimable first

Cause: a recorded window was not kept by its writer, so it was recorded again and never reported; an order below the present number ends endpoints. Ruled out: late gossip of counts.

--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -31,6 +31,7 @@
     bool doubtful; /* an append may or may not be done */
     int64_t doubtful_sent_at;
     struct du_usage usages[Du_WINDOWS];
+    struct du_usage pending; /* being recorded; window 0: none */
 };
 
 struct du_duty *
@@ -180,6 +181,9 @@
         duty->end = result->offset + 1;
         duty->moved_at = now_of(duty);
         duty->at_end = true;
+        if (duty->pending.window != 0) {
+            keep_usage(duty, &duty->pending);
+        }
         win(duty, result->offset, duty->sent_at);
         break;
     case AG_CONFLICT:
@@ -209,6 +213,7 @@
         record.has_usage = true;
         record.usage = *usage;
     }
+    duty->pending = record.usage;
     char *data;
     size_t len = Dr_Encode(&record, &data);
     duty->busy = true;
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -56,6 +56,8 @@
         return;
     }
     attempt->endpoint->running--;
+    De_Ended(exchange->gate->demand, exchange->service->name,
+             Ga_Now(exchange->gate) - attempt->sent_at);
     attempt->endpoint->reading -= attempt->reading;
     if (attempt->channel != NULL) {
         Po_Give(exchange->gate, attempt->endpoint, attempt->channel);
@@ -320,6 +322,7 @@
         Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, now);
     endpoint->running++;
     endpoint->reading += attempt->reading;
+    De_Sent(gate->demand, exchange->service->name, attempt->reading);
     Px_Note(gate->prefixes, &exchange->ask, endpoint->hash, now);
     exchange->tried[exchange->tried_count++] = endpoint->hash;
     exchange->sends++;
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -246,10 +246,11 @@
                              node->retry_window_usec);
     gate->prefixes = Px_Create();
     gate->usage = Us_Create();
+    gate->demand = De_Create(clock);
     gate->time = Tt_Create(clock);
     if (gate->registry == NULL || gate->fleet == NULL || gate->quota == NULL ||
         gate->budget == NULL || gate->prefixes == NULL ||
-        gate->usage == NULL || gate->time == NULL) {
+        gate->usage == NULL || gate->demand == NULL || gate->time == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon's tables");
     }
     create_counters(gate);
@@ -375,6 +376,7 @@
     Bu_Destroy(gate->budget);
     Px_Destroy(gate->prefixes);
     Us_Destroy(gate->usage);
+    De_Destroy(gate->demand);
     Tt_Destroy(gate->time);
     Mt_Destroy(gate->registry);
     free(gate);
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -7,6 +7,7 @@
 #include "base/metric.h"
 #include "base/random.h"
 #include "edge/budget.h"
+#include "edge/demand.h"
 #include "edge/duty.h"
 #include "edge/feed.h"
 #include "edge/fleet.h"
@@ -44,6 +45,7 @@
     struct bu_budget *budget;
     struct px_table *prefixes;
     struct us_usage *usage;
+    struct de_demand *demand;
     struct tt_time *time;
     struct du_duty *duty;
     struct ms_mesh *mesh;
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -68,6 +68,8 @@
     memcpy(peer->loads, word.loads, sizeof(peer->loads));
     peer->spent_count = word.spent_count;
     memcpy(peer->spent, word.spent, sizeof(peer->spent));
+    peer->rate_count = word.rate_count;
+    memcpy(peer->rates, word.rates, sizeof(peer->rates));
     for (size_t i = 0; i < word.hint_count; i++) {
         Ms_Know(mesh, word.hints[i]);
     }
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "edge/demand.h"
 #include "edge/node.h"
 #include "web/loop.h"
 
@@ -24,6 +25,7 @@
 #define Ms_SPENT_MAX 64
 #define Ms_COUNTS_MAX 192
 #define Ms_HINTS_MAX 4
+#define Ms_RATES_MAX 16
 
 /* Requests of one daemon at one endpoint. */
 struct ms_load {
@@ -60,6 +62,8 @@
     struct ms_spent spent[Ms_SPENT_MAX];
     size_t counted_count;
     struct ms_counted counted[Ms_COUNTS_MAX];
+    size_t rate_count;
+    struct de_rate rates[Ms_RATES_MAX];
     size_t hint_count;
     char hints[Ms_HINTS_MAX][Nd_NAME_MAX]; /* addresses of other daemons */
 };
@@ -80,6 +84,8 @@
     struct ms_load loads[Ms_LOADS_MAX];
     size_t spent_count;
     struct ms_spent spent[Ms_SPENT_MAX];
+    size_t rate_count;
+    struct de_rate rates[Ms_RATES_MAX];
 };
 
 TAILQ_HEAD(ms_peers, ms_peer);
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -7,7 +7,8 @@
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 1
-#define Ms_FIELDS 14
+#define Ms_MILLI 1000
+#define Ms_FIELDS 15
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -37,6 +38,13 @@
         msgpack_pack_uint32(packer, word->counted[i].tenant);
         msgpack_pack_uint32(packer, word->counted[i].count);
     }
+    msgpack_pack_array(packer, word->rate_count * 3);
+    for (size_t i = 0; i < word->rate_count; i++) {
+        msgpack_pack_uint32(packer, word->rates[i].service);
+        msgpack_pack_int64(packer, (int64_t)word->rates[i].reading);
+        msgpack_pack_int64(packer,
+                           (int64_t)(word->rates[i].running * Ms_MILLI));
+    }
     msgpack_pack_array(packer, word->hint_count);
     for (size_t i = 0; i < word->hint_count; i++) {
         pack_text(packer, word->hints[i]);
@@ -123,9 +131,16 @@
         out->counted[i].tenant = (uint32_t)get_number(&row[1]);
         out->counted[i].count = (uint32_t)get_number(&row[2]);
     }
-    size_t hints = count_rows(&field[3], 1, Ms_HINTS_MAX);
+    out->rate_count = count_rows(&field[3], 3, Ms_RATES_MAX);
+    for (size_t i = 0; i < out->rate_count; i++) {
+        const msgpack_object *row = &field[3].via.array.ptr[i * 3];
+        out->rates[i].service = (uint32_t)get_number(&row[0]);
+        out->rates[i].reading = (double)get_number(&row[1]);
+        out->rates[i].running = (double)get_number(&row[2]) / Ms_MILLI;
+    }
+    size_t hints = count_rows(&field[4], 1, Ms_HINTS_MAX);
     for (size_t i = 0; i < hints; i++) {
-        if (get_text(&field[3].via.array.ptr[i], out->hints[out->hint_count],
+        if (get_text(&field[4].via.array.ptr[i], out->hints[out->hint_count],
                      Nd_NAME_MAX)) {
             out->hint_count++;
         }
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -88,6 +88,7 @@
     fill_loads(gate, word);
     Qt_Each(gate->quota, fill_spent, word);
     fill_counted(gate, word);
+    word->rate_count = De_Own(gate->demand, word->rates);
 }
 
 static void
--- a/packages/edge/place.c
+++ b/packages/edge/place.c
@@ -7,10 +7,11 @@
  * depends on most.  The weights order choices that differ little; they are
  * no measures of an engine.
  */
-#define Pl_RUNNING_COST 120.0 /* a running request slows each step a little   \
-                               */
-#define Pl_FAR_COST 150.0     /* two milliseconds of another data centre */
-#define Pl_HOME_GAIN 0.7      /* part of a prompt a group's home may keep */
+#define Pl_RUNNING_COST                                                       \
+    120.0                 /* a running request slows each step a little       \
+                           */
+#define Pl_FAR_COST 150.0 /* two milliseconds of another data centre */
+#define Pl_HOME_GAIN 0.7  /* part of a prompt a group's home may keep */
 #define Pl_FAILING_COST 20000.0
 #define Pl_SLOW_COST 4000.0
 /* Below this share of failures an endpoint is like any other. */
--- a/packages/edge/plan.c
+++ b/packages/edge/plan.c
@@ -89,7 +89,11 @@
 {
     for (size_t i = 0; i < count; i++) {
         wishes[i] = (struct pn_wish){0, 0};
-        if (service->spot_price <= 0 || zones[i].dry) {
+        if (zones[i].dry) {
+            /* Those that are there stay; an order below them ends them. */
+            wishes[i].spot = zones[i].spot;
+        }
+        else if (service->spot_price <= 0) {
             wishes[i].lasting = service->min;
         }
         else {
@@ -99,6 +103,11 @@
     if (service->spot_price > 0 && service->spot_price < 1) {
         spread(service, zones, wishes, count, true);
     }
+    for (size_t i = 0; i < count; i++) {
+        if (wishes[i].spot + wishes[i].lasting < service->min) {
+            wishes[i].lasting = service->min - wishes[i].spot;
+        }
+    }
     spread(service, zones, wishes, count, false);
     keep_until_replaced(service, zones, wishes, count);
 }
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -86,6 +86,10 @@
     attempt->status = head->status;
     attempt->fields = copy_fields(head);
     attempt->endpoint->reading -= attempt->reading;
+    if (!attempt->answer.not_run) {
+        De_First(exchange->gate->demand, exchange->service->name,
+                 attempt->reading, now - attempt->sent_at);
+    }
     attempt->reading = 0;
     if (!attempt->answer.not_run) {
         exchange->runs++;
--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -22,7 +22,9 @@
 /* An order that was answered is repeated, should it have been undone. */
 #define Wo_REPEAT_USEC (10 * Ck_USEC_PER_SEC)
 #define Wo_ORDERS_MAX 64
-#define Wo_LATE_WINDOWS 2
+#define Wo_SERVICES_MAX 16
+/* Endpoints take seconds to come, and load comes in waves of tens of them. */
+#define Wo_KEEP_USEC (25 * Ck_USEC_PER_SEC)
 
 struct order {
     char service[Ec_NAME_MAX];
@@ -36,9 +38,11 @@
     struct wo_work *work;
 };
 
+/* Endpoints a service was found to need, the most of the last while. */
 struct base {
     char service[Ec_NAME_MAX];
     int wanted;
+    int64_t since;
 };
 
 struct wo_work {
@@ -49,7 +53,7 @@
     size_t order_count;
     struct order orders[Wo_ORDERS_MAX];
     size_t base_count;
-    struct base bases[8];
+    struct base bases[Wo_SERVICES_MAX];
 };
 
 struct wo_work *
@@ -265,21 +269,77 @@
     return count;
 }
 
-/* What a service was given when this daemon first planned for it. */
+static void
+add_rates(struct de_load *load, uint32_t service, const struct de_rate *rates,
+          size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (rates[i].service == service) {
+            load->reading += rates[i].reading;
+            load->running += rates[i].running;
+        }
+    }
+}
+
+/* Endpoints that the load of all daemons needs. */
+static int
+needed_now(const struct wo_work *work, const struct ec_service *service)
+{
+    struct ga_gate *gate = work->gate;
+    uint32_t hash = De_Hash(service->name);
+    struct de_load load = {
+        .read_rate = De_ReadRate(gate->demand, service->name),
+        .slots = service->slots,
+    };
+    struct de_rate own[De_SERVICES_MAX];
+    add_rates(&load, hash, own, De_Own(gate->demand, own));
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (Ms_Alive(gate->mesh, peer)) {
+            add_rates(&load, hash, peer->rates, peer->rate_count);
+        }
+    }
+    if (load.read_rate <= 0) {
+        return 0;
+    }
+    int needed = De_Needed(&load);
+    Ln_Log(LN_ORDINARY, "load",
+           "\"service\":\"%s\",\"reading_per_sec\":%.0f,\"running\":%.1f,"
+           "\"read_rate\":%.0f,\"needed\":%d",
+           service->name, load.reading, load.running, load.read_rate, needed);
+    return needed;
+}
+
+/*
+ * Until a load has been seen, as many as there are: someone gave the service
+ * that many.  Then what the load needs, falling only after a while.
+ */
 static int
-wanted_of(struct wo_work *work, const char *service, int now)
+wanted_of(struct wo_work *work, const struct ec_service *service, int usable)
 {
+    int64_t now = Ga_Now(work->gate);
+    struct base *base = NULL;
     for (size_t i = 0; i < work->base_count; i++) {
-        if (strcmp(work->bases[i].service, service) == 0) {
-            return work->bases[i].wanted;
+        if (strcmp(work->bases[i].service, service->name) == 0) {
+            base = &work->bases[i];
         }
     }
-    if (work->base_count < sizeof(work->bases) / sizeof(work->bases[0])) {
-        struct base *base = &work->bases[work->base_count++];
-        strlcpy(base->service, service, sizeof(base->service));
-        base->wanted = now;
+    if (base == NULL) {
+        if (work->base_count == Wo_SERVICES_MAX) {
+            return usable;
+        }
+        base = &work->bases[work->base_count++];
+        strlcpy(base->service, service->name, sizeof(base->service));
+    }
+    int needed = needed_now(work, service);
+    if (needed == 0) {
+        needed = usable;
+    }
+    if (needed >= base->wanted || now - base->since > Wo_KEEP_USEC) {
+        base->wanted = needed;
+        base->since = now;
     }
-    return now;
+    return base->wanted;
 }
 
 static void
@@ -305,7 +365,7 @@
         .min = service->min,
         .max = service->max,
         .spot_price = service->spot_price,
-        .wanted = wanted_of(work, service->name, usable),
+        .wanted = wanted_of(work, service, usable),
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
     for (size_t i = 0; i < service->zone_count; i++) {
