--- a/packages/edge/admit.c
+++ b/packages/edge/admit.c
@@ -9,6 +9,8 @@
  * as long as it takes to read configuration and endpoints.
  */
 #define Ad_STARTING_USEC (500 * Ck_USEC_PER_MSEC)
+/* Another host takes the request at once. */
+#define Ad_LEAVING_USEC (20 * Ck_USEC_PER_MSEC)
 #define Ad_FIELDS_MAX 256
 #define Ad_BODY_MAX 256
 
@@ -95,6 +97,10 @@
             return false;
         }
     }
+    if (Ga_TooLate(gate, out->route)) {
+        *refusal = (struct refusal){503, Ad_LEAVING_USEC, "stopping"};
+        return false;
+    }
     const char *service = Ec_Pick(out->route, Rn_Unit(&gate->random));
     out->service = Ec_Service(config, service);
     if (out->service == NULL || Fl_CountUsable(gate->fleet, service) == 0) {
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -4,16 +4,9 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "base/line.h"
 
 #define Fl_HASH_SEED 0x666c6565
-/*
- * While the store was away entries lapse though their endpoints live; they
- * are written again within two seconds of its return.  A removal told in that
- * time is believed once this has passed without a new entry: shorter than the
- * shortest drain bound in use, so that an endpoint that did leave is not sent
- * anything past it.
- */
-#define Fl_VANISH_USEC (1500 * Ck_USEC_PER_MSEC)
 
 struct fl_fleet {
     const struct ck_clock *clock;
@@ -60,9 +53,20 @@
     }
 }
 
+static void
+log_change(const struct fl_endpoint *endpoint, const char *what)
+{
+    Ln_Log(LN_STATE, "endpoint.changed",
+           "\"id\":\"%s\",\"to\":\"%s\",\"service\":\"%s\",\"zone\":\"%s\","
+           "\"spot\":%d,\"running\":%d",
+           endpoint->entry.id, what, endpoint->entry.service,
+           endpoint->entry.zone, endpoint->entry.spot, endpoint->running);
+}
+
 static void
 remove_now(struct fl_fleet *fleet, struct fl_endpoint *endpoint)
 {
+    log_change(endpoint, "gone");
     endpoint->gone = true;
     close_idle(endpoint);
     TAILQ_REMOVE(&fleet->endpoints, endpoint, link);
@@ -140,11 +144,16 @@
         }
     }
     /* One that leaves does not come back under the same start. */
-    bool draining = endpoint->entry.draining || entry->draining;
+    bool was_draining = endpoint->entry.draining;
+    bool draining = was_draining || entry->draining;
+    bool fresh = endpoint->entry.id[0] == '\0';
     endpoint->entry = *entry;
     endpoint->entry.draining = draining;
     endpoint->vanished_at = 0;
     endpoint->refreshed_at = Ck_Now(fleet->clock);
+    if (fresh || was_draining != draining) {
+        log_change(endpoint, draining ? "draining" : "ready");
+    }
     if (draining) {
         close_idle(endpoint);
     }
@@ -162,6 +171,7 @@
     if (now < fleet->doubt_until && !endpoint->entry.draining) {
         if (endpoint->vanished_at == 0) {
             endpoint->vanished_at = now;
+            log_change(endpoint, "doubted");
         }
         return;
     }
@@ -174,7 +184,12 @@
     fleet->doubt_until = Ck_Now(fleet->clock) + usec;
 }
 
-/* Believes removals that were in doubt for long enough. */
+/*
+ * While the store was away entries lapse though their endpoints live; they
+ * are written again within two seconds of its return.  A removal told in that
+ * time is believed at its end, also one told late in it: an endpoint that did
+ * leave must not be sent anything past the drain bound.
+ */
 void
 Fl_Tick(struct fl_fleet *fleet)
 {
@@ -182,8 +197,7 @@
     struct fl_endpoint *endpoint;
     struct fl_endpoint *next;
     TAILQ_FOREACH_SAFE (endpoint, &fleet->endpoints, link, next) {
-        if (endpoint->vanished_at != 0 &&
-            now - endpoint->vanished_at > Fl_VANISH_USEC) {
+        if (endpoint->vanished_at != 0 && now >= fleet->doubt_until) {
             remove_now(fleet, endpoint);
         }
     }
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -11,11 +11,12 @@
 #define Ga_SWEEP_TICKS 5 /* twice a second */
 /*
  * A planned stop: readiness is asked once a second and two misses take a
- * host out, so callers come for some three seconds more; idle connections
- * are ended after that, and what still runs has until shortly before the
- * platform kills the process.
+ * host out, so callers come for some three seconds more, on connections they
+ * keep for as long as those are open.  Idle ones are ended before that, and
+ * what still runs has until shortly before the platform kills the process.
  */
-#define Ga_STOP_IDLE_USEC (3200 * Ck_USEC_PER_MSEC)
+#define Ga_STOP_IDLE_USEC (1500 * Ck_USEC_PER_MSEC)
+#define Ga_STOP_STREAMS_USEC (2700 * Ck_USEC_PER_MSEC)
 #define Ga_STOP_LEAST_USEC (3800 * Ck_USEC_PER_MSEC)
 #define Ga_STOP_MARGIN_USEC (300 * Ck_USEC_PER_MSEC)
 
@@ -343,6 +344,18 @@
     return ST_OK;
 }
 
+/*
+ * Whether a request that comes now may be cut by the end of the process.  A
+ * stream can last longer than what is left; refused at once it is served by
+ * another host.
+ */
+bool
+Ga_TooLate(const struct ga_gate *gate, const struct ec_route *route)
+{
+    return gate->stopping_at != 0 && route->kind == EC_STREAM &&
+           Ga_Now(gate) - gate->stopping_at > Ga_STOP_STREAMS_USEC;
+}
+
 void
 Ga_Stop(struct ga_gate *gate)
 {
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -61,6 +61,7 @@
 
 int64_t Ga_Now(const struct ga_gate *gate);
 bool Ga_Ready(const struct ga_gate *gate);
+bool Ga_TooLate(const struct ga_gate *gate, const struct ec_route *route);
 
 /* Admission: a whole request from a caller. */
 void Ad_Take(struct ga_gate *gate, struct sv_request *request);
