Doubt of removals only where nobody reached the store; bucket filled at start

Gossip now says who reaches the store. Ruled out: reading rounds (0.7 s), the listing. A unit test found that a new tenant's bucket was capped to nothing before its burst was known.

--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -252,7 +252,7 @@
     int64_t now = now_of(duty);
     int64_t wait = duty->options.lease_usec +
                    duty->options.rank(duty->options.arg) * Du_RANK_USEC;
-    if (duty->end >= 0 && now - duty->heard_at < wait) {
+    if (duty->heard_at != 0 && now - duty->heard_at < wait) {
         return;
     }
     bool free_now = duty->end == 0 || now - duty->moved_at > wait;
--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -16,7 +16,7 @@
 #define Fe_ENTRIES_EVERY_USEC (700 * Ck_USEC_PER_MSEC)
 #define Fe_RETRY_USEC (250 * Ck_USEC_PER_MSEC)
 /* Entries lapse while the store is away, and return in this time. */
-#define Fe_DOUBT_USEC (2200 * Ck_USEC_PER_MSEC)
+#define Fe_DOUBT_USEC (2000 * Ck_USEC_PER_MSEC)
 #define Fe_AWAY_USEC (1000 * Ck_USEC_PER_MSEC)
 /* A read that waits says nothing meanwhile; a second more is a lost one. */
 #define Fe_CURRENT_USEC (Fe_CONFIG_WAIT_USEC + 1 * Ck_USEC_PER_SEC)
@@ -191,7 +191,8 @@
     struct fe_feed *feed = follow->feed;
     int64_t now = Ck_Now(feed->options.clock);
     if (follow->failed_at != 0 && follow->topic == AG_ENDPOINTS &&
-        now - follow->failed_at > Fe_AWAY_USEC) {
+        now - follow->failed_at > Fe_AWAY_USEC &&
+        !feed->options.ops->others_reach(feed->options.arg)) {
         Fl_Doubt(feed->options.fleet, Fe_DOUBT_USEC);
     }
     follow->failed_at = 0;
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -25,6 +25,11 @@
 struct fe_ops {
     void (*config)(void *arg, struct ec_config *config);
     void (*store)(void *arg, bool reached);
+    /*
+     * Whether another daemon reaches the store.  Then it was not the store
+     * that was away, and no entries have lapsed.
+     */
+    bool (*others_reach)(void *arg);
 };
 
 struct fe_options {
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -148,9 +148,23 @@
            config == NULL ? -1LL : (long long)config->version);
 }
 
+static bool
+others_reach(void *arg)
+{
+    const struct ga_gate *gate = arg;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (Ms_Alive(gate->mesh, peer) && peer->store_reached) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static const struct fe_ops feed_ops = {
     .config = on_config,
     .store = on_store,
+    .others_reach = others_reach,
 };
 
 static void
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -61,6 +61,7 @@
     peer->run = word.run;
     peer->ready = word.ready;
     peer->stopping = word.stopping;
+    peer->store_reached = word.store_reached;
     peer->heard_at = Ck_Now(mesh->clock);
     peer->config_end = word.config_end;
     peer->entries_end = word.entries_end;
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -52,6 +52,7 @@
     uint64_t run; /* of the process: differs at each start */
     bool ready;
     bool stopping;
+    bool store_reached;
     int64_t wall_usec;
     int64_t config_end;
     int64_t entries_end;
@@ -75,6 +76,7 @@
     uint64_t run;
     bool ready;
     bool stopping;
+    bool store_reached;
     int64_t heard_at; /* 0: never */
     int64_t asked_at; /* last datagram sent */
     int64_t known_at;
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,7 +8,7 @@
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 1
 #define Ms_MILLI 1000
-#define Ms_FIELDS 15
+#define Ms_FIELDS 16
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -70,6 +70,7 @@
     msgpack_pack_int64(&packer, word->entries_end);
     msgpack_pack_int64(&packer, word->fence);
     pack_tables(&packer, word);
+    msgpack_pack_int(&packer, word->store_reached);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -169,6 +170,7 @@
     out->entries_end = get_number(&field[8]);
     out->fence = get_number(&field[9]);
     get_tables(&field[10], out);
+    out->store_reached = get_number(&field[15]) != 0;
     return true;
 }
 
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -82,6 +82,7 @@
     struct ga_gate *gate = arg;
     word->ready = Ga_Ready(gate);
     word->stopping = gate->stopping_at != 0;
+    word->store_reached = Fe_Reached(gate->feed);
     word->config_end = Fe_End(gate->feed, AG_CONFIG);
     word->entries_end = Fe_End(gate->feed, AG_ENDPOINTS);
     word->fence = Du_Fence(gate->duty);
--- a/packages/edge/quota.c
+++ b/packages/edge/quota.c
@@ -101,6 +101,7 @@
             memset(bucket, 0, sizeof(*bucket));
             strlcpy(bucket->tenant, tenant->name, sizeof(bucket->tenant));
             bucket->hash = Qt_Hash(tenant->name);
+            bucket->burst = tenant->burst;
             bucket->level = tenant->burst * quota->start_share;
             bucket->own_level = bucket->level * quota->share;
             bucket->filled_at = Ck_Now(quota->clock);
--- /dev/null
+++ b/packages/edge/test/duty_test.cc
@@ -0,0 +1,272 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "edge/duty.h"
+
+#include "../../state/test/fake_clock.h"
+#include "fake_store.h"
+
+namespace {
+
+constexpr int64_t kLeaseUsec = 3 * Ck_USEC_PER_SEC;
+constexpr int64_t kTickUsec = 100 * Ck_USEC_PER_MSEC;
+
+struct Daemon {
+    FakeStore::Client *client = nullptr;
+    struct du_duty *duty = nullptr;
+    unsigned rank = 0;
+};
+
+unsigned
+Rank(void *arg)
+{
+    return static_cast<Daemon *>(arg)->rank;
+}
+
+void
+Changed(void *arg, bool holder, int64_t fence)
+{
+    (void)arg;
+    (void)holder;
+    (void)fence;
+}
+
+class Duty : public testing::Test {
+  protected:
+    Daemon *
+    Start(unsigned rank)
+    {
+        daemons_.push_back(std::make_unique<Daemon>());
+        Daemon *daemon = daemons_.back().get();
+        daemon->client = store_.AddClient();
+        daemon->rank = rank;
+        struct du_options options = {};
+        options.clock = &clock_.clock;
+        options.store = &daemon->client->base;
+        options.name = "daemon";
+        options.run = 100 + rank;
+        options.lease_usec = kLeaseUsec;
+        options.rank = Rank;
+        options.changed = Changed;
+        options.arg = daemon;
+        daemon->duty = Du_Create(&options);
+        return daemon;
+    }
+
+    void
+    TearDown() override
+    {
+        for (auto &daemon : daemons_) {
+            Du_Destroy(daemon->duty);
+        }
+    }
+
+    int
+    Holders()
+    {
+        int holders = 0;
+        for (auto &daemon : daemons_) {
+            holders += Du_Holds(daemon->duty);
+        }
+        return holders;
+    }
+
+    void
+    Run(int64_t usec, const std::vector<Daemon *> &frozen = {})
+    {
+        for (int64_t passed = 0; passed < usec; passed += kTickUsec) {
+            for (auto &daemon : daemons_) {
+                bool still = false;
+                for (auto *other : frozen) {
+                    still |= other == daemon.get();
+                }
+                if (!still) {
+                    Du_Tick(daemon->duty);
+                }
+            }
+            store_.Answer();
+            clock_.Advance(kTickUsec);
+            EXPECT_LE(Holders(), 1);
+        }
+    }
+
+    FakeClock clock_;
+    FakeStore store_;
+    std::vector<std::unique_ptr<Daemon>> daemons_;
+};
+
+// Two daemons report the same window with different counts: both believe to
+// hold the duty after the first was cut off from the store.  The second may
+// take over only when the first one's term, as the first counts it, is over.
+TEST_F(Duty, ATermEndsBeforeAnotherBegins)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    Run(2 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    int64_t fence = Du_Fence(first->duty);
+    first->client->down = true;
+    Run(10 * Ck_USEC_PER_SEC);
+    EXPECT_FALSE(Du_Holds(first->duty));
+    ASSERT_TRUE(Du_Holds(second->duty));
+    EXPECT_GT(Du_Fence(second->duty), fence);
+}
+
+// A holder whose renewal is done but not answered gives its duty away, or
+// believes in a longer term than the log shows.  It finds its own record and
+// counts the term from when it sent it.
+TEST_F(Duty, ALostAnswerIsFoundInTheLog)
+{
+    Daemon *first = Start(0);
+    Run(1 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    int64_t fence = Du_Fence(first->duty);
+    first->client->lose_next = true;
+    Run(5 * Ck_USEC_PER_SEC);
+    EXPECT_TRUE(Du_Holds(first->duty));
+    EXPECT_EQ(Du_Fence(first->duty), fence);
+}
+
+// A frozen holder wakes after its term and still acts: another one has long
+// taken over, and the platform sees the old fence after the new one.
+TEST_F(Duty, AFrozenHolderWakesWithoutTheDuty)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    Run(2 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    Run(8 * Ck_USEC_PER_SEC, {first});
+    EXPECT_TRUE(Du_Holds(second->duty));
+    EXPECT_FALSE(Du_Holds(first->duty));
+    Run(2 * Ck_USEC_PER_SEC);
+    EXPECT_TRUE(Du_Holds(second->duty));
+}
+
+// A renewal that is executed seconds late, after a successor has written,
+// must not make the old holder's record the last one.
+TEST_F(Duty, ALateRenewalFailsItsCondition)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    Run(2 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    first->client->late_next = true;
+    Run(1200 * Ck_USEC_PER_MSEC);
+    first->client->down = true;
+    Run(10 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(second->duty));
+    size_t records = store_.Topic(AG_DUTY).size();
+    store_.RunLate();
+    EXPECT_EQ(store_.Topic(AG_DUTY).size(), records);
+}
+
+// Usage of a window is reported twice with different counts: a holder dies
+// after its report, and its successor adds up what it has heard itself.  The
+// record in the log is what both report.
+TEST_F(Duty, ASuccessorFindsTheAgreedUsage)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    Run(2 * Ck_USEC_PER_SEC);
+    struct du_usage usage = {};
+    usage.window = 77;
+    usage.count = 1;
+    strcpy(usage.tenants[0].name, "acme");
+    usage.tenants[0].count = 41;
+    while (!Du_Agree(first->duty, &usage)) {
+        Run(kTickUsec);
+    }
+    Run(1 * Ck_USEC_PER_SEC);
+    ASSERT_NE(Du_Usage(first->duty, 77), nullptr);
+    first->client->down = true;
+    Run(10 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(second->duty));
+    const struct du_usage *found = Du_Usage(second->duty, 77);
+    ASSERT_NE(found, nullptr);
+    EXPECT_EQ(found->count, 1u);
+    EXPECT_STREQ(found->tenants[0].name, "acme");
+    EXPECT_EQ(found->tenants[0].count, 41u);
+    usage.tenants[0].count = 43;
+    EXPECT_FALSE(Du_Agree(second->duty, &usage));
+}
+
+// One of the store's faults is chosen at each step, in every order of five
+// steps, for two daemons: at no time do both hold the duty, and no fence is
+// used by two.
+TEST_F(Duty, NoOrderOfFaultsMakesTwoHolders)
+{
+    enum { kFaults = 6, kSteps = 4 };
+    int orders = 1;
+    for (int i = 0; i < kSteps; i++) {
+        orders *= kFaults;
+    }
+    for (int order = 0; order < orders; order++) {
+        FakeStore store;
+        FakeClock clock;
+        Daemon pair[2];
+        std::set<int64_t> fences[2];
+        for (unsigned i = 0; i < 2; i++) {
+            pair[i].client = store.AddClient();
+            pair[i].rank = i;
+            struct du_options options = {};
+            options.clock = &clock.clock;
+            options.store = &pair[i].client->base;
+            options.name = "daemon";
+            options.run = 1 + i;
+            options.lease_usec = kLeaseUsec;
+            options.rank = Rank;
+            options.changed = Changed;
+            options.arg = &pair[i];
+            pair[i].duty = Du_Create(&options);
+        }
+        int left = order;
+        for (int step = 0; step < kSteps; step++) {
+            int fault = left % kFaults;
+            left /= kFaults;
+            Daemon &victim = pair[fault % 2];
+            pair[0].client->down = false;
+            pair[1].client->down = false;
+            switch (fault / 2) {
+            case 0:
+                victim.client->down = true;
+                break;
+            case 1:
+                victim.client->lose_next = true;
+                break;
+            default:
+                victim.client->late_next = true;
+                break;
+            }
+            for (int tick = 0; tick < 40; tick++) {
+                for (auto &daemon : pair) {
+                    Du_Tick(daemon.duty);
+                }
+                if (tick == 25) {
+                    store.RunLate();
+                }
+                store.Answer();
+                clock.Advance(kTickUsec);
+                ASSERT_FALSE(Du_Holds(pair[0].duty) &&
+                             Du_Holds(pair[1].duty))
+                    << "order " << order << " step " << step;
+                for (int i = 0; i < 2; i++) {
+                    if (Du_Fence(pair[i].duty) != 0) {
+                        fences[i].insert(Du_Fence(pair[i].duty));
+                        ASSERT_EQ(fences[1 - i].count(
+                                      Du_Fence(pair[i].duty)),
+                                  0u)
+                            << "order " << order;
+                    }
+                }
+            }
+        }
+        Du_Destroy(pair[0].duty);
+        Du_Destroy(pair[1].duty);
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/packages/edge/test/fake_store.h
@@ -0,0 +1,247 @@
+/*
+ * The store of the tests: real ordering and conditions in memory, answers on
+ * demand, and faults as the platform has them: an answer that is lost, an
+ * append that is done later, an outage.
+ */
+#ifndef EDGE_TEST_FAKE_STORE_H
+#define EDGE_TEST_FAKE_STORE_H
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "edge/store.h"
+
+class FakeStore {
+  public:
+    struct Record {
+        std::string key;
+        std::string value;
+        bool removed = false;
+    };
+
+    // One per daemon, so that faults can meet one of them only.
+    struct Client {
+        struct ag_store base;
+        FakeStore *store;
+        bool down = false;      // nothing is done
+        bool lose_next = false; // the next append is done, unanswered
+        bool late_next = false; // the next append waits for RunLate()
+    };
+
+    Client *
+    AddClient()
+    {
+        auto *client = new Client();
+        client->base.ops = &ops_;
+        client->store = this;
+        clients_.push_back(client);
+        return client;
+    }
+
+    ~FakeStore()
+    {
+        for (auto *client : clients_) {
+            delete client;
+        }
+    }
+
+    // Gives all answers that are waiting, and those they lead to.
+    void
+    Answer()
+    {
+        while (!answers_.empty()) {
+            auto answers = std::move(answers_);
+            answers_.clear();
+            for (auto &answer : answers) {
+                answer();
+            }
+        }
+    }
+
+    // Executes appends that were held up, if their condition still holds.
+    void
+    RunLate()
+    {
+        auto late = std::move(late_);
+        late_.clear();
+        for (auto &append : late) {
+            append();
+        }
+    }
+
+    int64_t
+    Put(enum ag_topic topic, const std::string &key, const std::string &value)
+    {
+        topics_[topic].push_back({key, value, false});
+        return static_cast<int64_t>(topics_[topic].size()) - 1;
+    }
+
+    void
+    Remove(enum ag_topic topic, const std::string &key)
+    {
+        topics_[topic].push_back({key, "", true});
+    }
+
+    // Drops the history; the newest of each key stays.
+    void
+    Forget(enum ag_topic topic)
+    {
+        first_[topic] = static_cast<int64_t>(topics_[topic].size());
+    }
+
+    std::vector<Record> &
+    Topic(enum ag_topic topic)
+    {
+        return topics_[topic];
+    }
+
+  private:
+    static Client *
+    Cast(struct ag_store *store)
+    {
+        return reinterpret_cast<Client *>(store);
+    }
+
+    void
+    Fail(ag_fn fn, void *arg, enum ag_status status)
+    {
+        answers_.push_back([fn, arg, status] {
+            struct ag_result result = {};
+            result.status = status;
+            fn(arg, &result);
+        });
+    }
+
+    static struct ag_record
+    View(const Record &record, int64_t offset)
+    {
+        struct ag_record view = {};
+        view.offset = offset;
+        view.key = record.key.data();
+        view.key_len = record.key.size();
+        view.value = record.removed ? nullptr : record.value.data();
+        view.len = record.value.size();
+        return view;
+    }
+
+    static void
+    Read(struct ag_store *base, enum ag_topic topic, int64_t from,
+         int64_t wait_usec, ag_fn fn, void *arg)
+    {
+        (void)wait_usec;
+        Client *client = Cast(base);
+        FakeStore *store = client->store;
+        if (client->down) {
+            store->Fail(fn, arg, AG_UNAVAILABLE);
+            return;
+        }
+        store->answers_.push_back([store, topic, from, fn, arg] {
+            struct ag_result result = {};
+            auto &records = store->topics_[topic];
+            if (from < store->first_[topic]) {
+                result.status = AG_EXPIRED;
+                result.offset = store->first_[topic];
+                fn(arg, &result);
+                return;
+            }
+            std::vector<struct ag_record> views;
+            for (size_t i = static_cast<size_t>(from); i < records.size();
+                 i++) {
+                views.push_back(View(records[i], static_cast<int64_t>(i)));
+            }
+            result.end = static_cast<int64_t>(records.size());
+            result.records = views.data();
+            result.count = views.size();
+            fn(arg, &result);
+        });
+    }
+
+    static void
+    Newest(struct ag_store *base, enum ag_topic topic, const char *after,
+           ag_fn fn, void *arg)
+    {
+        (void)after;
+        Client *client = Cast(base);
+        FakeStore *store = client->store;
+        if (client->down) {
+            store->Fail(fn, arg, AG_UNAVAILABLE);
+            return;
+        }
+        store->answers_.push_back([store, topic, fn, arg] {
+            auto &records = store->topics_[topic];
+            std::map<std::string, size_t> last;
+            for (size_t i = 0; i < records.size(); i++) {
+                last[records[i].key] = i;
+            }
+            std::vector<struct ag_record> views;
+            for (auto &entry : last) {
+                if (!records[entry.second].removed) {
+                    views.push_back(View(
+                        records[entry.second],
+                        static_cast<int64_t>(entry.second)));
+                }
+            }
+            struct ag_result result = {};
+            result.end = static_cast<int64_t>(records.size());
+            result.records = views.data();
+            result.count = views.size();
+            fn(arg, &result);
+        });
+    }
+
+    static void
+    Append(struct ag_store *base, enum ag_topic topic, int64_t at,
+           const char *key, const void *value, size_t len, ag_fn fn, void *arg)
+    {
+        Client *client = Cast(base);
+        FakeStore *store = client->store;
+        if (client->down) {
+            store->Fail(fn, arg, AG_UNAVAILABLE);
+            return;
+        }
+        Record record = {key == nullptr ? "" : key,
+                         std::string(static_cast<const char *>(value), len),
+                         false};
+        auto run = [store, topic, at, record](struct ag_result *result) {
+            auto &records = store->topics_[topic];
+            auto end = static_cast<int64_t>(records.size());
+            result->end = end;
+            if (at >= 0 && at != end) {
+                result->status = AG_CONFLICT;
+                return;
+            }
+            records.push_back(record);
+            result->offset = end;
+            result->end = end + 1;
+        };
+        if (client->late_next) {
+            client->late_next = false;
+            store->late_.push_back([run] {
+                struct ag_result ignored = {};
+                run(&ignored);
+            });
+            store->Fail(fn, arg, AG_UNKNOWN);
+            return;
+        }
+        struct ag_result result = {};
+        run(&result);
+        if (client->lose_next) {
+            client->lose_next = false;
+            store->Fail(fn, arg, AG_UNKNOWN);
+            return;
+        }
+        store->answers_.push_back([fn, arg, result] { fn(arg, &result); });
+    }
+
+    static constexpr struct ag_ops ops_ = {Read, Newest, Append};
+    std::map<int, std::vector<Record>> topics_;
+    std::map<int, int64_t> first_;
+    std::vector<std::function<void()>> answers_;
+    std::vector<std::function<void()>> late_;
+    std::vector<Client *> clients_;
+};
+
+#endif
--- /dev/null
+++ b/packages/edge/test/feed_test.cc
@@ -0,0 +1,201 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "edge/feed.h"
+#include "web/loop.h"
+
+#include "../../member/test/loop_util.h"
+#include "fake_store.h"
+
+namespace {
+
+// Configurations of the test are a version in digits, entries "draining" or
+// anything else.
+struct ec_config *
+DecodeConfig(const void *data, size_t len)
+{
+    struct ec_config *config = Ec_Create();
+    config->version =
+        strtoll(std::string(static_cast<const char *>(data), len).c_str(),
+                nullptr, 10);
+    return config;
+}
+
+bool
+IsConfig(const char *key, size_t key_len)
+{
+    return std::string(key, key_len) == "config";
+}
+
+bool
+DecodeEntry(const char *key, size_t key_len, const void *data, size_t len,
+            struct fl_entry *out)
+{
+    *out = {};
+    std::string text(static_cast<const char *>(data), len);
+    if (text == "rubbish") {
+        return false;
+    }
+    snprintf(out->id, sizeof(out->id), "%.*s", static_cast<int>(key_len), key);
+    snprintf(out->service, sizeof(out->service), "llm");
+    snprintf(out->address, sizeof(out->address), "127.0.0.1:1");
+    out->slots = 4;
+    out->draining = text == "draining";
+    return true;
+}
+
+const struct ag_codec codec = {DecodeConfig, IsConfig, DecodeEntry};
+
+void
+OnConfig(void *arg, struct ec_config *config)
+{
+    (void)arg;
+    (void)config;
+}
+
+void
+OnStore(void *arg, bool reached)
+{
+    (void)arg;
+    (void)reached;
+}
+
+bool
+OthersReach(void *arg)
+{
+    (void)arg;
+    return false;
+}
+
+const struct fe_ops ops = {OnConfig, OnStore, OthersReach};
+
+struct Node {
+    struct fl_fleet *fleet;
+    struct fe_feed *feed;
+    FakeStore::Client *client;
+};
+
+class Feed : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        ASSERT_EQ(Lp_Create(&loop_), ST_OK);
+        runner_ = new Runner(loop_);
+    }
+
+    void
+    TearDown() override
+    {
+        for (auto &node : nodes_) {
+            Fe_Destroy(node.feed);
+            Fl_Destroy(node.fleet);
+        }
+        delete runner_;
+        Lp_Destroy(loop_);
+    }
+
+    Node
+    Start()
+    {
+        Node node;
+        node.client = store_.AddClient();
+        node.fleet = Fl_Create(Ck_System());
+        struct fe_options options = {};
+        options.loop = loop_;
+        options.clock = Ck_System();
+        options.store = &node.client->base;
+        options.codec = &codec;
+        options.fleet = node.fleet;
+        options.ops = &ops;
+        node.feed = Fe_Create(&options);
+        nodes_.push_back(node);
+        return node;
+    }
+
+    bool
+    Until(const std::function<bool()> &done)
+    {
+        return runner_->Until([&] {
+            store_.Answer();
+            return done();
+        });
+    }
+
+    struct lp_loop *loop_ = nullptr;
+    Runner *runner_ = nullptr;
+    FakeStore store_;
+    std::vector<Node> nodes_;
+};
+
+int64_t
+Version(const Node &node)
+{
+    const struct ec_config *config = Fe_Config(node.feed);
+    return config == nullptr ? -1 : config->version;
+}
+
+// A host serves a dropped route again: it followed the configuration through
+// a peer, and then read an older one from a store that had lost its history.
+TEST_F(Feed, AnOlderReadingDoesNotReplaceANewerOne)
+{
+    store_.Put(AG_CONFIG, "config", "7");
+    store_.Put(AG_CONFIG, "config", "9");
+    Node reader = Start();
+    ASSERT_TRUE(Until([&] { return Version(reader) == 9; }));
+    Node other = Start();
+    other.client->down = true;
+    char *packed;
+    size_t len = Fe_Pack(reader.feed, 0, &packed);
+    Fe_Unpack(other.feed, packed, len);
+    free(packed);
+    EXPECT_EQ(Version(other), 9);
+    store_.Topic(AG_CONFIG).pop_back();
+    other.client->down = false;
+    runner_->For(600 * Ck_USEC_PER_MSEC);
+    store_.Answer();
+    EXPECT_EQ(Version(other), 9);
+}
+
+// Requests go on reaching an endpoint that has left: the store dropped its
+// history while a removal was written, and the records that are still there
+// do not tell of it.  Only a new listing does.
+TEST_F(Feed, ARemovalInForgottenHistoryIsSeen)
+{
+    store_.Put(AG_CONFIG, "config", "1");
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node node = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(node.fleet, "b") != nullptr; }));
+    node.client->down = true;
+    store_.Remove(AG_ENDPOINTS, "b");
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Forget(AG_ENDPOINTS);
+    node.client->down = false;
+    EXPECT_TRUE(Until([&] { return Fl_Find(node.fleet, "b") == nullptr; }));
+    EXPECT_NE(Fl_Find(node.fleet, "a"), nullptr);
+}
+
+// An entry that another writer left breaks the reading of all others.
+TEST_F(Feed, ABrokenEntryHidesNoOther)
+{
+    store_.Put(AG_ENDPOINTS, "a", "rubbish");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node node = Start();
+    EXPECT_TRUE(Until([&] { return Fl_Find(node.fleet, "b") != nullptr; }));
+    EXPECT_EQ(Fl_Find(node.fleet, "a"), nullptr);
+}
+
+// Bytes of a peer that make no sense stop a daemon.
+TEST_F(Feed, RubbishFromAPeerIsPassedOver)
+{
+    Node node = Start();
+    node.client->down = true;
+    const char rubbish[] = "\x92\x91\x93\xa1k\xff\xc0\x01";
+    Fe_Unpack(node.feed, rubbish, sizeof(rubbish) - 1);
+    EXPECT_EQ(Version(node), -1);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/edge/test/place_test.cc
@@ -0,0 +1,122 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "edge/place.h"
+#include "edge/prefix.h"
+
+namespace {
+
+struct pl_candidate
+Idle()
+{
+    struct pl_candidate candidate = {};
+    candidate.slots = 10;
+    candidate.near = true;
+    candidate.missing = 1000;
+    return candidate;
+}
+
+const struct pl_limits engine = {true, 1.25};
+
+size_t
+Choose(const std::vector<struct pl_candidate> &candidates)
+{
+    size_t chosen = candidates.size();
+    EXPECT_EQ(Pl_Choose(candidates.data(), candidates.size(), &engine,
+                        &chosen),
+              PL_CHOSEN);
+    return chosen;
+}
+
+// A short question waits behind a long prompt although another endpoint has
+// nothing to read.
+TEST(Place, GoesWhereLessIsWaitingToBeRead)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle()};
+    candidates[0].reading = 50000;
+    EXPECT_EQ(Choose(candidates), 1u);
+}
+
+// A shared prompt is read anew by each endpoint in turn.
+TEST(Place, GoesWhereThePromptIsKept)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle(), Idle()};
+    candidates[2].missing = 10;
+    EXPECT_EQ(Choose(candidates), 2u);
+}
+
+// Two hosts that know nothing of each other's choices send the first requests
+// of one group of prompts to two endpoints.
+TEST(Place, HostsAgreeOnAGroupsHome)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle(), Idle()};
+    candidates[0].draw = 5;
+    candidates[1].draw = 9;
+    candidates[2].draw = 7;
+    candidates[1].near = false;
+    EXPECT_EQ(Choose(candidates), 1u);
+}
+
+// The kept prompt draws every request of a hot group to one endpoint until
+// nothing there is on time.
+TEST(Place, AKeptPromptIsNotWorthAnyWait)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle()};
+    candidates[0].missing = 0;
+    candidates[0].running = 9;
+    candidates[0].reading = 20000;
+    EXPECT_EQ(Choose(candidates), 1u);
+}
+
+// Every endpoint is under suspicion, none of them rightly, and all callers
+// are turned away.
+TEST(Place, SuspicionOfAllIsSuspicionOfNone)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle()};
+    candidates[0].shunned = true;
+    EXPECT_EQ(Choose(candidates), 1u);
+    candidates[1].shunned = true;
+    candidates[1].reading = 5000;
+    EXPECT_EQ(Choose(candidates), 0u);
+}
+
+// "Busy" sends a caller away for a moment, "none" for longer; a caller must
+// not wait for an endpoint that does not exist.
+TEST(Place, TellsBusyFromNone)
+{
+    std::vector<struct pl_candidate> candidates = {Idle()};
+    size_t chosen;
+    candidates[0].running = 13;
+    EXPECT_EQ(Pl_Choose(candidates.data(), 1, &engine, &chosen), PL_BUSY);
+    candidates[0].tried = true;
+    EXPECT_EQ(Pl_Choose(candidates.data(), 1, &engine, &chosen), PL_NONE);
+    EXPECT_EQ(Pl_Choose(candidates.data(), 0, &engine, &chosen), PL_NONE);
+}
+
+// A part counts as kept although a part before it is not: engines keep
+// prompts from their beginning only.
+TEST(Prefix, PartsCountFromTheBeginning)
+{
+    struct px_table *table = Px_Create();
+    struct ak_ask ask = {};
+    ask.tokens_in = 600;
+    ask.part_count = 3;
+    ask.parts[0] = {1, 100};
+    ask.parts[1] = {2, 200};
+    ask.parts[2] = {3, 300};
+    EXPECT_EQ(Px_Missing(table, &ask, 7, 0), 600);
+    Px_Note(table, &ask, 7, 0);
+    EXPECT_EQ(Px_Missing(table, &ask, 7, 0), 0);
+    EXPECT_EQ(Px_Missing(table, &ask, 8, 0), 600);
+    struct ak_ask other = ask;
+    other.parts[0].id = 9;
+    EXPECT_EQ(Px_Missing(table, &other, 7, 0), 600);
+    other = ask;
+    other.parts[2].id = 9;
+    EXPECT_EQ(Px_Missing(table, &other, 7, 0), 300);
+    EXPECT_EQ(Px_Missing(table, &ask, 7, 60 * INT64_C(1000000)), 600);
+    Px_Destroy(table);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/edge/test/plan_test.cc
@@ -0,0 +1,138 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <vector>
+
+#include "edge/demand.h"
+#include "edge/plan.h"
+
+#include "../../state/test/fake_clock.h"
+
+namespace {
+
+struct Fixture {
+    struct pn_service service = {1, 6, 0.18, 8};
+    std::vector<struct pn_zone> zones;
+    std::vector<struct pn_wish> wishes;
+
+    Fixture()
+    {
+        const double prices[] = {1.0, 0.8, 1.25, 0.9};
+        for (int i = 0; i < 4; i++) {
+            struct pn_zone zone = {};
+            snprintf(zone.zone, sizeof(zone.zone), "z%d", i);
+            zone.price = prices[i];
+            zones.push_back(zone);
+        }
+    }
+
+    void
+    Plan()
+    {
+        wishes.resize(zones.size());
+        Pn_Plan(&service, zones.data(), zones.size(), wishes.data());
+    }
+
+    int
+    Sum(bool spot) const
+    {
+        int sum = 0;
+        for (const auto &wish : wishes) {
+            sum += spot ? wish.spot : wish.lasting;
+        }
+        return sum;
+    }
+};
+
+// Callers are refused for seconds: the lasting endpoints were given back
+// before the reclaimable ones that replace them had started.
+TEST(Plan, WhatIsThereStaysUntilItIsReplaced)
+{
+    Fixture f;
+    for (auto &zone : f.zones) {
+        zone.lasting = 2;
+    }
+    f.Plan();
+    EXPECT_EQ(f.Sum(true), 8);
+    EXPECT_EQ(f.Sum(false), 8);
+    for (auto &zone : f.zones) {
+        zone.spot = 2;
+    }
+    f.Plan();
+    EXPECT_EQ(f.Sum(false), 0);
+    EXPECT_EQ(f.Sum(true), 8);
+}
+
+// All endpoints of the other data centres end as well: while no reclaimable
+// ones are to be had, an order for none of them takes away those that run.
+TEST(Plan, ADryDataCentreKeepsWhatItHas)
+{
+    Fixture f;
+    for (auto &zone : f.zones) {
+        zone.spot = 2;
+        zone.dry = true;
+    }
+    f.zones[3].spot = 0;
+    f.Plan();
+    EXPECT_EQ(f.wishes[0].spot, 2);
+    EXPECT_EQ(f.wishes[1].spot, 2);
+    EXPECT_EQ(f.wishes[2].spot, 2);
+    EXPECT_EQ(f.wishes[3].spot, 0);
+    EXPECT_EQ(f.Sum(false), 2);
+}
+
+// The bounds of a data centre hold for both kinds together.
+TEST(Plan, StaysWithinTheBoundsOfADataCentre)
+{
+    Fixture f;
+    f.service.wanted = 100;
+    for (auto &zone : f.zones) {
+        zone.lasting = 4;
+    }
+    f.Plan();
+    for (const auto &wish : f.wishes) {
+        EXPECT_LE(wish.spot + wish.lasting, f.service.max);
+    }
+    f.service.wanted = 0;
+    f.Plan();
+    for (const auto &wish : f.wishes) {
+        EXPECT_GE(wish.spot + wish.lasting, f.service.min);
+    }
+}
+
+// The loss of one data centre takes most of the endpoints with it.
+TEST(Plan, EndpointsAreSpread)
+{
+    Fixture f;
+    f.Plan();
+    for (const auto &wish : f.wishes) {
+        EXPECT_EQ(wish.spot, 2);
+    }
+}
+
+// A load of long prompts needs more endpoints than its running requests
+// show; a load of many short ones more than its prompts do.
+TEST(Demand, NeedsFollowWhateverIsScarce)
+{
+    struct de_load prompts = {200000, 5, 80000, 64};
+    struct de_load places = {1000, 300, 80000, 12};
+    EXPECT_GE(De_Needed(&prompts), 8);
+    EXPECT_GE(De_Needed(&places), 50);
+}
+
+// One prompt that was kept already seems to be read a hundred times faster
+// than it is; the capacity ordered by that figure would be a hundredth.
+TEST(Demand, TheReadingRateIsNoMaximum)
+{
+    FakeClock clock;
+    struct de_demand *demand = De_Create(&clock.clock);
+    for (int i = 0; i < 400; i++) {
+        bool kept = i % 10 == 0;
+        De_First(demand, "llm", 8000, kept ? 1000 : 100000);
+    }
+    EXPECT_LT(De_ReadRate(demand, "llm"), 200000);
+    EXPECT_GT(De_ReadRate(demand, "llm"), 40000);
+    De_Destroy(demand);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/edge/test/quota_test.cc
@@ -0,0 +1,174 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "edge/budget.h"
+#include "edge/quota.h"
+
+#include "../../state/test/fake_clock.h"
+
+namespace {
+
+constexpr double kRate = 1000;
+constexpr double kBurst = 1000;
+
+struct Tenants {
+    struct ec_config *config = Ec_Create();
+
+    explicit Tenants(double rate)
+    {
+        config->tenants = static_cast<struct ec_tenant *>(
+            calloc(1, sizeof(struct ec_tenant)));
+        config->tenant_count = 1;
+        strcpy(config->tenants[0].name, "acme");
+        config->tenants[0].per_sec = rate;
+        config->tenants[0].burst = kBurst;
+    }
+
+    ~Tenants()
+    {
+        Ec_Release(config);
+    }
+};
+
+double
+TakeAll(struct qt_quota *quota, double step)
+{
+    double taken = 0;
+    int64_t wait;
+    while (Qt_Take(quota, "acme", step, &wait)) {
+        taken += step;
+    }
+    return taken;
+}
+
+struct Seen {
+    uint64_t total = 0;
+};
+
+void
+Note(void *arg, uint32_t tenant, uint64_t total)
+{
+    (void)tenant;
+    static_cast<Seen *>(arg)->total = total;
+}
+
+// A tenant gets its quota once for each host: what the other hosts have
+// admitted must leave the bucket here as well.
+TEST(Quota, WhatOthersAdmitIsNotAdmittedAgain)
+{
+    FakeClock clock;
+    Tenants tenants(kRate);
+    struct qt_quota *here = Qt_Create(&clock.clock, true);
+    struct qt_quota *there = Qt_Create(&clock.clock, true);
+    Qt_Configure(here, tenants.config);
+    Qt_Configure(there, tenants.config);
+    EXPECT_DOUBLE_EQ(TakeAll(here, 100), kBurst);
+    Seen seen;
+    Qt_Each(here, Note, &seen);
+    EXPECT_EQ(seen.total, 1000u);
+    Qt_Spent(there, Qt_Hash("acme"), static_cast<double>(seen.total));
+    EXPECT_DOUBLE_EQ(TakeAll(there, 100), 0);
+    clock.Advance(Ck_USEC_PER_SEC);
+    EXPECT_DOUBLE_EQ(TakeAll(there, 100), kRate);
+    Qt_Destroy(here);
+    Qt_Destroy(there);
+}
+
+// All hosts are killed and start again: each with a full bucket would admit
+// the burst anew, on top of what ran just before.
+TEST(Quota, ARestartDoesNotGrantTheBurstAgain)
+{
+    FakeClock clock;
+    Tenants tenants(kRate);
+    struct qt_quota *quota = Qt_Create(&clock.clock, false);
+    Qt_Configure(quota, tenants.config);
+    EXPECT_LT(TakeAll(quota, 50), kBurst / 2);
+    Qt_Destroy(quota);
+}
+
+// Hosts that are cut off from each other admit the whole rate on each side.
+TEST(Quota, AHostThatHearsFewKeepsToItsShare)
+{
+    FakeClock clock;
+    Tenants tenants(kRate);
+    struct qt_quota *quota = Qt_Create(&clock.clock, true);
+    Qt_Configure(quota, tenants.config);
+    TakeAll(quota, 10);
+    Qt_SetShare(quota, 0.25);
+    clock.Advance(Ck_USEC_PER_SEC);
+    EXPECT_NEAR(TakeAll(quota, 10), kRate / 4, 20);
+    Qt_Destroy(quota);
+}
+
+// A caller that is over its quota comes back at once, again and again: it was
+// not told how long it takes until its request fits.
+TEST(Quota, TheWaitIsWhatTheBucketNeeds)
+{
+    FakeClock clock;
+    Tenants tenants(kRate);
+    struct qt_quota *quota = Qt_Create(&clock.clock, true);
+    Qt_Configure(quota, tenants.config);
+    TakeAll(quota, 100);
+    int64_t wait = 0;
+    EXPECT_FALSE(Qt_Take(quota, "acme", 500, &wait));
+    EXPECT_NEAR(static_cast<double>(wait), 0.5 * Ck_USEC_PER_SEC, 1000);
+    clock.Advance(wait + 1000);
+    EXPECT_TRUE(Qt_Take(quota, "acme", 500, &wait));
+    Qt_Destroy(quota);
+}
+
+// A lower limit takes effect with the configuration that brings it; what was
+// admitted before stays admitted.
+TEST(Quota, ALowerLimitHoldsFromThenOn)
+{
+    FakeClock clock;
+    Tenants tenants(kRate);
+    Tenants lower(kRate / 10);
+    struct qt_quota *quota = Qt_Create(&clock.clock, true);
+    Qt_Configure(quota, tenants.config);
+    TakeAll(quota, 100);
+    Qt_Configure(quota, lower.config);
+    clock.Advance(Ck_USEC_PER_SEC);
+    EXPECT_LE(TakeAll(quota, 10), kRate / 10);
+    Qt_Destroy(quota);
+}
+
+// While all endpoints fail, every request is sent to a second one, and the
+// service gets twice the load it cannot carry.
+TEST(Budget, RepeatsAreAPartOfTheRequests)
+{
+    FakeClock clock;
+    struct bu_budget *budget =
+        Bu_Create(&clock.clock, 0.2, 0, 10 * Ck_USEC_PER_SEC);
+    int repeats = 0;
+    for (int i = 0; i < 1000; i++) {
+        Bu_First(budget, "llm");
+        repeats += Bu_Repeat(budget, "llm");
+        clock.Advance(5 * Ck_USEC_PER_MSEC);
+    }
+    EXPECT_GT(repeats, 50);
+    EXPECT_LE(repeats, 200);
+    Bu_Destroy(budget);
+}
+
+// The fixed allowance is one for all hosts: seven hosts that each use the
+// whole of it exceed the bound sevenfold.
+TEST(Budget, TheAllowanceIsDivided)
+{
+    FakeClock clock;
+    struct bu_budget *budget =
+        Bu_Create(&clock.clock, 0, 70, 10 * Ck_USEC_PER_SEC);
+    Bu_SetDaemons(budget, 7);
+    int repeats = 0;
+    while (Bu_Repeat(budget, "llm")) {
+        repeats++;
+    }
+    EXPECT_GT(repeats, 0);
+    EXPECT_LE(repeats, 10);
+    clock.Advance(11 * Ck_USEC_PER_SEC);
+    EXPECT_TRUE(Bu_Repeat(budget, "llm"));
+    Bu_Destroy(budget);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/edge/test/tables_test.cc
@@ -0,0 +1,173 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "edge/config.h"
+#include "edge/events.h"
+#include "edge/mesh.h"
+#include "edge/truetime.h"
+#include "edge/usage.h"
+
+#include "../../state/test/fake_clock.h"
+
+namespace {
+
+struct ec_config *
+Routes(const std::vector<std::pair<const char *, const char *>> &routes)
+{
+    struct ec_config *config = Ec_Create();
+    config->routes = static_cast<struct ec_route *>(
+        calloc(routes.size(), sizeof(struct ec_route)));
+    for (const auto &route : routes) {
+        struct ec_route *out = &config->routes[config->route_count++];
+        out->host = strdup(route.first);
+        out->prefix = strdup(route.second);
+    }
+    Ec_Seal(config);
+    return config;
+}
+
+std::string
+Match(const struct ec_config *config, const char *host, const char *target)
+{
+    const struct ec_route *route =
+        Ec_Match(config, host, strlen(host), target, strlen(target));
+    return route == nullptr ? "none" : route->prefix;
+}
+
+// A request goes to the service of a shorter prefix, or of another host, and
+// is billed and answered by the wrong one.
+TEST(Config, TheLongestPrefixOfTheHostWins)
+{
+    struct ec_config *config = Routes({{"b.example", "/"},
+                                       {"a.example", "/x/"},
+                                       {"a.example", "/x/yy/"},
+                                       {"aa.example", "/x/yy/z/"}});
+    EXPECT_EQ(Match(config, "a.example", "/x/yy/z/1"), "/x/yy/");
+    EXPECT_EQ(Match(config, "A.Example:8080", "/x/1?q=/x/yy/"), "/x/");
+    EXPECT_EQ(Match(config, "a.example", "/x"), "none");
+    EXPECT_EQ(Match(config, "a.example", "/y/"), "none");
+    EXPECT_EQ(Match(config, "b.example", "/anything"), "/");
+    EXPECT_EQ(Match(config, "c.example", "/x/"), "none");
+    Ec_Release(config);
+}
+
+struct Event {
+    std::string data;
+    int64_t id;
+};
+
+void
+Keep(void *arg, const struct es_event *event)
+{
+    static_cast<std::vector<Event> *>(arg)->push_back(
+        {std::string(event->data, event->len), event->id});
+}
+
+// A caller gets half an event, and then the whole of it from the endpoint
+// that goes on: bytes may be split anywhere.
+TEST(Events, AreWholeHoweverTheBytesCome)
+{
+    const std::string body = "id: 1\ndata: a\n\nx-weight-versions: 3\nid: 2\n"
+                             "data: b\n\nid:3\r\ndata: c\r\n\r\nid: 4\nda";
+    for (size_t step = 1; step <= body.size(); step++) {
+        struct es_events events = {};
+        std::vector<Event> seen;
+        for (size_t at = 0; at < body.size(); at += step) {
+            Es_Feed(&events, body.data() + at,
+                    std::min(step, body.size() - at), Keep, &seen);
+        }
+        ASSERT_EQ(seen.size(), 3u) << "step " << step;
+        EXPECT_EQ(seen[0].data, "id: 1\ndata: a\n\n");
+        EXPECT_EQ(seen[1].id, 2);
+        EXPECT_EQ(seen[2].id, 3);
+        EXPECT_EQ(Es_Left(&events), 8u);
+        Es_Clear(&events);
+    }
+}
+
+// The time of day of a host jumps, its requests are counted in a window that
+// is not theirs, and two windows are reported wrongly.
+TEST(TrueTime, OneClockThatJumpsMovesNothing)
+{
+    FakeClock clock;
+    struct tt_time *time = Tt_Create(&clock.clock);
+    int64_t before = Tt_Now(time);
+    for (uint64_t peer = 1; peer <= 4; peer++) {
+        Tt_Peer(time, peer, before + static_cast<int64_t>(peer) * 1000);
+    }
+    clock.wall += 5 * Ck_USEC_PER_SEC;
+    EXPECT_NEAR(static_cast<double>(Tt_Now(time)),
+                static_cast<double>(before), 10000.0);
+    Tt_Peer(time, 1, before - 60 * Ck_USEC_PER_SEC);
+    EXPECT_NEAR(static_cast<double>(Tt_Now(time)),
+                static_cast<double>(before), 10000.0);
+    Tt_Destroy(time);
+}
+
+uint32_t
+Total(const struct us_usage *usage, int64_t window)
+{
+    struct us_count counts[Us_TENANTS_MAX];
+    size_t count = Us_Total(usage, window, counts);
+    uint32_t sum = 0;
+    for (size_t i = 0; i < count; i++) {
+        sum += counts[i].count;
+    }
+    return sum;
+}
+
+// What a killed host had counted is missing from the report, or counted
+// twice when its words come late and out of order.
+TEST(Usage, TheDeadAreCountedOnce)
+{
+    struct us_usage *usage = Us_Create();
+    Us_Began(usage, 100, 1);
+    Us_Peer(usage, 55, 100, 1, 7);
+    Us_Peer(usage, 55, 100, 1, 5);
+    Us_Peer(usage, 55, 100, 2, 3);
+    EXPECT_EQ(Total(usage, 100), 11u);
+    Us_Peer(usage, 56, 100, 1, 2);
+    EXPECT_EQ(Total(usage, 100), 13u);
+    EXPECT_EQ(Total(usage, 101), 0u);
+    Us_Began(usage, 106, 1);
+    EXPECT_EQ(Total(usage, 106), 1u);
+    Us_Destroy(usage);
+}
+
+// A datagram of another version, cut short or made up, must change nothing.
+TEST(Mesh, OnlyWholeWordsAreRead)
+{
+    static struct ms_word word = {};
+    strcpy(word.name, "front-1");
+    strcpy(word.ip, "10.0.0.1");
+    word.run = 99;
+    word.load_count = 1;
+    word.loads[0] = {7, 3, 1200};
+    word.rate_count = 1;
+    word.rates[0] = {4, 5000, 2.5};
+    word.hint_count = 1;
+    strcpy(word.hints[0], "10.0.0.2");
+    char bytes[4096];
+    size_t len = Ms_Encode(&word, bytes, sizeof(bytes));
+    ASSERT_GT(len, 0u);
+    static struct ms_word read;
+    ASSERT_TRUE(Ms_Decode(bytes, len, &read));
+    EXPECT_EQ(read.run, 99u);
+    EXPECT_EQ(read.loads[0].reading, 1200);
+    EXPECT_DOUBLE_EQ(read.rates[0].running, 2.5);
+    EXPECT_STREQ(read.hints[0], "10.0.0.2");
+    for (size_t cut = 0; cut < len; cut++) {
+        EXPECT_FALSE(Ms_Decode(bytes, cut, &read));
+    }
+    for (size_t i = 0; i < len; i++) {
+        std::string bent(bytes, len);
+        bent[i] = static_cast<char>(bent[i] ^ 0x55);
+        Ms_Decode(bent.data(), bent.size(), &read);
+    }
+}
+
+} // namespace
