Three daemons read the store, the others learn from them

Changes that say something new are told apart from heartbeats, and fetched from whoever knows more. Ruled out: waiting reads of entries (one return for each heartbeat).

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -13,8 +13,12 @@
  * of a drain bound of two seconds.
  */
 #define Fe_CONFIG_WAIT_USEC (5 * Ck_USEC_PER_SEC)
-#define Fe_ENTRIES_EVERY_USEC (700 * Ck_USEC_PER_MSEC)
+#define Fe_ENTRIES_EVERY_USEC (600 * Ck_USEC_PER_MSEC)
 #define Fe_RETRY_USEC (250 * Ck_USEC_PER_MSEC)
+/* How often a daemon that does not read asks whether it should. */
+#define Fe_ROLE_USEC (100 * Ck_USEC_PER_MSEC)
+/* After such a pause a listing is shorter than what was missed. */
+#define Fe_RELIST_USEC (3 * Ck_USEC_PER_SEC)
 /* Entries lapse while the store is away, and return in this time. */
 #define Fe_DOUBT_USEC (2000 * Ck_USEC_PER_MSEC)
 #define Fe_AWAY_USEC (1000 * Ck_USEC_PER_MSEC)
@@ -25,7 +29,8 @@
     RB_ENTRY(known) link;
     char *key;
     int64_t offset;
-    char *value; /* NULL: removed */
+    int64_t changed; /* offset of the last record that said something new */
+    char *value;     /* NULL: removed */
     size_t len;
     bool listed;
 };
@@ -38,8 +43,10 @@
     struct lp_timer *timer;
     int64_t from;    /* next offset to read; -1: list first */
     int64_t highest; /* no reading that ends before it is believed */
+    int64_t changed; /* behind the last change */
     int64_t listing_end;
     int64_t answered_at;
+    bool waiting;      /* a read is under way */
     int64_t failed_at; /* since when it fails; 0: it does not */
     char after[Ec_NAME_MAX];
     struct known_tree known;
@@ -126,6 +133,31 @@
     }
 }
 
+/* Whether a record says the same as the one before it. */
+static bool
+says_the_same(const struct follow *follow, const struct known *known,
+              const void *value, size_t len)
+{
+    if (known->value == NULL || value == NULL) {
+        return known->value == NULL && value == NULL && known->offset >= 0;
+    }
+    if (follow->topic == AG_CONFIG) {
+        return false;
+    }
+    const struct ag_codec *codec = follow->feed->options.codec;
+    size_t key_len = strlen(known->key);
+    struct fl_entry before;
+    struct fl_entry after;
+    bool was =
+        codec->entry(known->key, key_len, known->value, known->len, &before);
+    bool is = codec->entry(known->key, key_len, value, len, &after);
+    if (!was || !is) {
+        return was == is;
+    }
+    before.cold_usec = after.cold_usec;
+    return memcmp(&before, &after, sizeof(before)) == 0;
+}
+
 static void
 take(struct follow *follow, const char *key, int64_t offset, const void *value,
      size_t len)
@@ -138,6 +170,12 @@
     if (offset <= known->offset) {
         return;
     }
+    if (!says_the_same(follow, known, value, len)) {
+        known->changed = offset;
+        if (offset + 1 > follow->changed) {
+            follow->changed = offset + 1;
+        }
+    }
     free(known->value);
     known->value = NULL;
     known->len = 0;
@@ -190,6 +228,7 @@
 {
     struct fe_feed *feed = follow->feed;
     int64_t now = Ck_Now(feed->options.clock);
+    follow->waiting = false;
     if (follow->failed_at != 0 && follow->topic == AG_ENDPOINTS &&
         now - follow->failed_at > Fe_AWAY_USEC &&
         !feed->options.ops->others_reach(feed->options.arg)) {
@@ -205,6 +244,7 @@
 note_failure(struct follow *follow)
 {
     int64_t now = Ck_Now(follow->feed->options.clock);
+    follow->waiting = false;
     if (follow->failed_at == 0) {
         follow->failed_at =
             follow->answered_at != 0 ? follow->answered_at : now;
@@ -218,6 +258,7 @@
 {
     struct follow *follow = arg;
     if (result->status == AG_EXPIRED) {
+        follow->waiting = false;
         follow->from = -1;
         Lp_TimerSet(follow->timer, 0);
         return;
@@ -248,6 +289,11 @@
             follow->topic == AG_ENDPOINTS) {
             free(known->value);
             known->value = NULL;
+            known->offset = follow->listing_end - 1;
+            known->changed = known->offset;
+            if (follow->changed < follow->listing_end) {
+                follow->changed = follow->listing_end;
+            }
             Fl_Remove(follow->feed->options.fleet, known->key);
         }
     }
@@ -302,7 +348,19 @@
 step(void *arg)
 {
     struct follow *follow = arg;
-    struct ag_store *store = follow->feed->options.store;
+    struct fe_feed *feed = follow->feed;
+    struct ag_store *store = feed->options.store;
+    int64_t now = Ck_Now(feed->options.clock);
+    if (follow->from >= 0 && follow->failed_at == 0 &&
+        feed->options.ops->others_read(feed->options.arg, follow->topic)) {
+        Lp_TimerSet(follow->timer, Fe_ROLE_USEC);
+        return;
+    }
+    if (now - follow->answered_at > Fe_RELIST_USEC &&
+        follow->topic == AG_ENDPOINTS) {
+        follow->from = -1;
+    }
+    follow->waiting = true;
     if (follow->from < 0) {
         store->ops->newest(store, follow->topic,
                            follow->after[0] == '\0' ? NULL : follow->after,
@@ -378,12 +436,22 @@
     return feed->config;
 }
 
+bool
+Fe_Reads(const struct fe_feed *feed, enum ag_topic topic)
+{
+    const struct follow *follow =
+        topic == AG_CONFIG ? &feed->config_follow : &feed->entry_follow;
+    int64_t patience =
+        topic == AG_CONFIG ? Fe_CURRENT_USEC : 2 * Fe_ENTRIES_EVERY_USEC;
+    return follow->failed_at == 0 && follow->answered_at != 0 &&
+           Ck_Now(feed->options.clock) - follow->answered_at < patience;
+}
+
 bool
 Fe_Current(const struct fe_feed *feed)
 {
-    return feed->config_follow.failed_at == 0 &&
-           Ck_Now(feed->options.clock) - feed->config_follow.answered_at <
-               Fe_CURRENT_USEC;
+    return Fe_Reads(feed, AG_CONFIG) ||
+           feed->options.ops->others_read(feed->options.arg, AG_CONFIG);
 }
 
 bool
@@ -393,10 +461,10 @@
 }
 
 int64_t
-Fe_End(const struct fe_feed *feed, enum ag_topic topic)
+Fe_Changed(const struct fe_feed *feed, enum ag_topic topic)
 {
-    return topic == AG_CONFIG ? feed->config_follow.highest
-                              : feed->entry_follow.highest;
+    return topic == AG_CONFIG ? feed->config_follow.changed
+                              : feed->entry_follow.changed;
 }
 
 static size_t
@@ -405,7 +473,7 @@
     size_t count = 0;
     struct known *known;
     RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
-        count += known->offset >= from;
+        count += known->changed >= from;
     }
     return count;
 }
@@ -416,14 +484,14 @@
     msgpack_pack_array(packer, count_known(follow, from));
     struct known *known;
     RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
-        if (known->offset < from) {
+        if (known->changed < from) {
             continue;
         }
         size_t key_len = strlen(known->key);
         msgpack_pack_array(packer, 3);
         msgpack_pack_str(packer, key_len);
         msgpack_pack_str_body(packer, known->key, key_len);
-        msgpack_pack_int64(packer, known->offset);
+        msgpack_pack_int64(packer, known->changed);
         if (known->value == NULL) {
             msgpack_pack_nil(packer);
         }
@@ -436,7 +504,8 @@
 
 /* [records of the configuration, records of the endpoints]. */
 size_t
-Fe_Pack(const struct fe_feed *feed, int64_t config_from, char **out)
+Fe_Pack(const struct fe_feed *feed, int64_t config_from, int64_t entries_from,
+        char **out)
 {
     msgpack_sbuffer buffer;
     msgpack_sbuffer_init(&buffer);
@@ -444,7 +513,7 @@
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
     msgpack_pack_array(&packer, 2);
     pack_follow(&packer, &feed->config_follow, config_from);
-    pack_follow(&packer, &feed->entry_follow, 0);
+    pack_follow(&packer, &feed->entry_follow, entries_from);
     size_t len = buffer.size;
     *out = msgpack_sbuffer_release(&buffer);
     return len;
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -30,6 +30,11 @@
      * that was away, and no entries have lapsed.
      */
     bool (*others_reach)(void *arg);
+    /*
+     * Whether enough other daemons read the topic.  Every read is a call to
+     * the store; what one daemon has read all others learn from it.
+     */
+    bool (*others_read)(void *arg, enum ag_topic topic);
 };
 
 struct fe_options {
@@ -48,10 +53,17 @@
 /* Whether the store was reached so recently that nothing newer is unread. */
 bool Fe_Current(const struct fe_feed *feed);
 bool Fe_Reached(const struct fe_feed *feed);
-int64_t Fe_End(const struct fe_feed *feed, enum ag_topic topic);
+/* Whether this daemon reads the topic itself, and is answered. */
+bool Fe_Reads(const struct fe_feed *feed, enum ag_topic topic);
+/*
+ * Offset behind the last change that is known; heartbeats that change
+ * nothing do not count.
+ */
+int64_t Fe_Changed(const struct fe_feed *feed, enum ag_topic topic);
 
-/* All that is known, packed for a peer that has less. */
-size_t Fe_Pack(const struct fe_feed *feed, int64_t config_from, char **out);
+/* What has changed since, packed for a peer that has less. */
+size_t Fe_Pack(const struct fe_feed *feed, int64_t config_from,
+               int64_t entries_from, char **out);
 void Fe_Unpack(struct fe_feed *feed, const char *data, size_t len);
 
 #ifdef __cplusplus
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -8,6 +8,7 @@
 #include "edge/gate_internal.h"
 
 #define Ga_TICK_USEC Ms_TICK_USEC
+#define Ga_READERS 3
 #define Ga_SWEEP_TICKS 5 /* twice a second */
 /*
  * A planned stop: readiness is asked once a second and two misses take a
@@ -161,10 +162,30 @@
     return false;
 }
 
+/*
+ * The first few daemons by name read, and whoever does not hear enough of
+ * them.  Two may fail at once before anything is learned late.
+ */
+static bool
+others_read(void *arg, enum ag_topic topic)
+{
+    const struct ga_gate *gate = arg;
+    size_t readers = 0;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        bool reads =
+            topic == AG_CONFIG ? peer->reads_config : peer->reads_entries;
+        readers += reads && !peer->stopping && Ms_Close(gate->mesh, peer) &&
+                   strcmp(peer->name, gate->options.node->name) < 0;
+    }
+    return readers >= Ga_READERS;
+}
+
 static const struct fe_ops feed_ops = {
     .config = on_config,
     .store = on_store,
     .others_reach = others_reach,
+    .others_read = others_read,
 };
 
 static void
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -20,6 +20,9 @@
 #define Ms_ALIVE_USEC (1500 * Ck_USEC_PER_MSEC)
 /* With many peers the gap between two words grows; so does the patience. */
 #define Ms_ALIVE_GAPS 5
+/* The same where another daemon stands in at once; two lost words are few. */
+#define Ms_CLOSE_USEC (500 * Ck_USEC_PER_MSEC)
+#define Ms_CLOSE_GAPS 3
 /* One that was not heard is still told, this often, and then forgotten. */
 #define Ms_QUIET_EVERY_USEC (500 * Ck_USEC_PER_MSEC)
 #define Ms_FORGET_USEC (60 * Ck_USEC_PER_SEC)
@@ -62,9 +65,11 @@
     peer->ready = word.ready;
     peer->stopping = word.stopping;
     peer->store_reached = word.store_reached;
+    peer->reads_config = word.reads_config;
+    peer->reads_entries = word.reads_entries;
     peer->heard_at = Ck_Now(mesh->clock);
-    peer->config_end = word.config_end;
-    peer->entries_end = word.entries_end;
+    peer->config_changed = word.config_changed;
+    peer->entries_changed = word.entries_changed;
     peer->load_count = word.load_count;
     memcpy(peer->loads, word.loads, sizeof(peer->loads));
     peer->spent_count = word.spent_count;
@@ -206,6 +211,17 @@
            Ck_Now(mesh->clock) - peer->heard_at < patience;
 }
 
+bool
+Ms_Close(const struct ms_mesh *mesh, const struct ms_peer *peer)
+{
+    int64_t patience = every(mesh) * Ms_CLOSE_GAPS;
+    if (patience < Ms_CLOSE_USEC) {
+        patience = Ms_CLOSE_USEC;
+    }
+    return peer->heard_at != 0 &&
+           Ck_Now(mesh->clock) - peer->heard_at < patience;
+}
+
 static void
 add_hints(struct ms_mesh *mesh, struct ms_word *word)
 {
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -53,9 +53,11 @@
     bool ready;
     bool stopping;
     bool store_reached;
+    bool reads_config;
+    bool reads_entries;
     int64_t wall_usec;
-    int64_t config_end;
-    int64_t entries_end;
+    int64_t config_changed;
+    int64_t entries_changed;
     int64_t fence; /* 0: does not hold the duty */
     size_t load_count;
     struct ms_load loads[Ms_LOADS_MAX];
@@ -77,11 +79,13 @@
     bool ready;
     bool stopping;
     bool store_reached;
+    bool reads_config;
+    bool reads_entries;
     int64_t heard_at; /* 0: never */
     int64_t asked_at; /* last datagram sent */
     int64_t known_at;
-    int64_t config_end;
-    int64_t entries_end;
+    int64_t config_changed;
+    int64_t entries_changed;
     size_t load_count;
     struct ms_load loads[Ms_LOADS_MAX];
     size_t spent_count;
@@ -113,6 +117,8 @@
 
 const struct ms_peers *Ms_Peers(const struct ms_mesh *mesh);
 bool Ms_Alive(const struct ms_mesh *mesh, const struct ms_peer *peer);
+/* Heard so lately that what it reads is passed on in time. */
+bool Ms_Close(const struct ms_mesh *mesh, const struct ms_peer *peer);
 size_t Ms_CountAlive(const struct ms_mesh *mesh); /* this one included */
 size_t Ms_CountKnown(const struct ms_mesh *mesh);
 /* Position of this daemon among those alive, by name. */
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,7 +8,7 @@
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 1
 #define Ms_MILLI 1000
-#define Ms_FIELDS 16
+#define Ms_FIELDS 18
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -66,11 +66,13 @@
     msgpack_pack_int(&packer, word->ready);
     msgpack_pack_int(&packer, word->stopping);
     msgpack_pack_int64(&packer, word->wall_usec);
-    msgpack_pack_int64(&packer, word->config_end);
-    msgpack_pack_int64(&packer, word->entries_end);
+    msgpack_pack_int64(&packer, word->config_changed);
+    msgpack_pack_int64(&packer, word->entries_changed);
     msgpack_pack_int64(&packer, word->fence);
     pack_tables(&packer, word);
     msgpack_pack_int(&packer, word->store_reached);
+    msgpack_pack_int(&packer, word->reads_config);
+    msgpack_pack_int(&packer, word->reads_entries);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -166,11 +168,13 @@
     out->ready = get_number(&field[4]) != 0;
     out->stopping = get_number(&field[5]) != 0;
     out->wall_usec = get_number(&field[6]);
-    out->config_end = get_number(&field[7]);
-    out->entries_end = get_number(&field[8]);
+    out->config_changed = get_number(&field[7]);
+    out->entries_changed = get_number(&field[8]);
     out->fence = get_number(&field[9]);
     get_tables(&field[10], out);
     out->store_reached = get_number(&field[15]) != 0;
+    out->reads_config = get_number(&field[16]) != 0;
+    out->reads_entries = get_number(&field[17]) != 0;
     return true;
 }
 
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -16,7 +16,7 @@
 #define Pe_STATE_PATH "/state?config="
 /* One fetch at a time, this long at the most, and not more often than so. */
 #define Pe_FETCH_USEC (1000 * Ck_USEC_PER_MSEC)
-#define Pe_FETCH_EVERY_USEC (300 * Ck_USEC_PER_MSEC)
+#define Pe_FETCH_EVERY_USEC (100 * Ck_USEC_PER_MSEC)
 /* When nobody is heard, the hosts' records in the store are read again. */
 #define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
 #define Pe_STATE_MAX (16u << 20)
@@ -83,8 +83,10 @@
     word->ready = Ga_Ready(gate);
     word->stopping = gate->stopping_at != 0;
     word->store_reached = Fe_Reached(gate->feed);
-    word->config_end = Fe_End(gate->feed, AG_CONFIG);
-    word->entries_end = Fe_End(gate->feed, AG_ENDPOINTS);
+    word->reads_config = Fe_Reads(gate->feed, AG_CONFIG);
+    word->reads_entries = Fe_Reads(gate->feed, AG_ENDPOINTS);
+    word->config_changed = Fe_Changed(gate->feed, AG_CONFIG);
+    word->entries_changed = Fe_Changed(gate->feed, AG_ENDPOINTS);
     word->fence = Du_Fence(gate->duty);
     fill_loads(gate, word);
     Qt_Each(gate->quota, fill_spent, word);
@@ -161,13 +163,20 @@
         Sv_Reply(request, 404, "", "", 0);
         return;
     }
-    int64_t from = 0;
-    for (size_t i = prefix; i < head->target.len; i++) {
+    /* "CONFIG,ENTRIES": what the peer knows already. */
+    int64_t from[2] = {0, 0};
+    size_t which = 0;
+    for (size_t i = prefix; i < head->target.len && which < 2; i++) {
         char c = head->target.at[i];
-        from = c >= '0' && c <= '9' ? from * 10 + (c - '0') : 0;
+        if (c == ',') {
+            which++;
+        }
+        else if (c >= '0' && c <= '9') {
+            from[which] = from[which] * 10 + (c - '0');
+        }
     }
     char *state;
-    size_t len = Fe_Pack(peers->gate->feed, from, &state);
+    size_t len = Fe_Pack(peers->gate->feed, from[0], from[1], &state);
     Sv_Reply(request, 200, "", state, len);
     free(state);
 }
@@ -247,12 +256,15 @@
         return;
     }
     char head[Pe_PATH_MAX * 2];
-    int len = snprintf(head, sizeof(head),
-                       "GET " Pe_STATE_PATH "%" PRId64 " HTTP/1.1\r\n"
-                       "Host: %s\r\n\r\n",
-                       Fe_End(gate->feed, AG_CONFIG), address);
-    Ln_Log(LN_STATE, "state.fetched", "\"peer\":\"%s\",\"config_end\":%lld",
-           peer->name, (long long)peer->config_end);
+    int len =
+        snprintf(head, sizeof(head),
+                 "GET " Pe_STATE_PATH "%" PRId64 ",%" PRId64 " HTTP/1.1\r\n"
+                 "Host: %s\r\n\r\n",
+                 Fe_Changed(gate->feed, AG_CONFIG),
+                 Fe_Changed(gate->feed, AG_ENDPOINTS), address);
+    Ln_Log(LN_STATE, "state.fetched",
+           "\"peer\":\"%s\",\"config\":%lld,\"entries\":%lld", peer->name,
+           (long long)peer->config_changed, (long long)peer->entries_changed);
     Cn_Send(peers->fetch, head, (size_t)len, NULL, 0, false, &fetch_ops,
             peers);
 }
@@ -275,15 +287,13 @@
     if (now - peers->fetch_at < Pe_FETCH_EVERY_USEC) {
         return;
     }
-    bool reached = Fe_Reached(gate->feed);
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
         if (!Ms_Alive(gate->mesh, peer)) {
             continue;
         }
-        if (peer->config_end > Fe_End(gate->feed, AG_CONFIG) ||
-            (!reached &&
-             peer->entries_end > Fe_End(gate->feed, AG_ENDPOINTS))) {
+        if (peer->config_changed > Fe_Changed(gate->feed, AG_CONFIG) ||
+            peer->entries_changed > Fe_Changed(gate->feed, AG_ENDPOINTS)) {
             start_fetch(peers, peer);
             return;
         }
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -69,7 +69,15 @@
     return false;
 }
 
-const struct fe_ops ops = {OnConfig, OnStore, OthersReach};
+bool
+OthersRead(void *arg, enum ag_topic topic)
+{
+    (void)arg;
+    (void)topic;
+    return false;
+}
+
+const struct fe_ops ops = {OnConfig, OnStore, OthersReach, OthersRead};
 
 struct Node {
     struct fl_fleet *fleet;
@@ -148,7 +156,7 @@
     Node other = Start();
     other.client->down = true;
     char *packed;
-    size_t len = Fe_Pack(reader.feed, 0, &packed);
+    size_t len = Fe_Pack(reader.feed, 0, 0, &packed);
     Fe_Unpack(other.feed, packed, len);
     free(packed);
     EXPECT_EQ(Version(other), 9);
