--- a/packages/web/http1.c
+++ b/packages/web/http1.c
@@ -214,6 +214,18 @@
     return true;
 }
 
+/* A head whose lines end so would never be complete. */
+static bool
+has_bare_newline(const char *raw, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (raw[i] == '\n' && (i == 0 || raw[i - 1] != '\r')) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 keep_raw(struct h1_parser *parser, const char *data, size_t len)
 {
@@ -272,11 +284,8 @@
         if (parser->raw_len > parser->head_max) {
             return H1_TOO_LARGE;
         }
-        return check_head(parser->raw,
-                          parser->raw_len > 0 ? parser->raw_len - 1 : 0) ||
-                       parser->raw[parser->raw_len - 1] == '\r'
-                   ? H1_FINE
-                   : H1_MALFORMED;
+        return has_bare_newline(parser->raw, parser->raw_len) ? H1_MALFORMED
+                                                              : H1_FINE;
     }
     size_t head_len = (size_t)(end - parser->raw) + 4;
     *used = skip + head_len - had;
