--- a/packages/edge/demand.c
+++ b/packages/edge/demand.c
@@ -137,6 +137,7 @@
             .reading =
                 service->reading / (De_SMOOTH_USEC / (double)Ck_USEC_PER_SEC),
             .running = service->running / De_SMOOTH_USEC,
+            .read_rate = service->read_rate,
         };
     }
     return demand->count;
--- a/packages/edge/demand.h
+++ b/packages/edge/demand.h
@@ -21,6 +21,7 @@
     uint32_t service; /* hash of the name */
     double reading;   /* prompt tokens a second */
     double running;   /* requests at endpoints, on average */
+    double read_rate; /* of one endpoint, as seen here; 0: not yet */
 };
 
 struct de_demand;
--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -31,6 +31,8 @@
     bool doubtful; /* an append may or may not be done */
     int64_t doubtful_sent_at;
     struct du_usage usages[Du_WINDOWS];
+    size_t need_count;
+    struct du_need needs[Du_NEEDS_MAX];
     struct du_usage pending; /* being recorded; window 0: none */
 };
 
@@ -113,12 +115,16 @@
 static void
 take(struct du_duty *duty, const struct ag_record *record)
 {
-    struct dr_record decoded;
+    static struct dr_record decoded;
     duty->end = record->offset + 1;
     duty->moved_at = now_of(duty);
     if (!Dr_Decode(record->value, record->len, &decoded)) {
         return;
     }
+    if (decoded.need_count > 0) {
+        duty->need_count = decoded.need_count;
+        memcpy(duty->needs, decoded.needs, sizeof(duty->needs));
+    }
     if (decoded.has_usage) {
         keep_usage(duty, &decoded.usage);
     }
@@ -208,7 +214,11 @@
 static void
 start_append(struct du_duty *duty, const struct du_usage *usage)
 {
-    struct dr_record record = {.run = duty->options.run};
+    static struct dr_record record;
+    memset(&record, 0, sizeof(record));
+    record.run = duty->options.run;
+    record.need_count = duty->need_count;
+    memcpy(record.needs, duty->needs, sizeof(record.needs));
     if (usage != NULL) {
         record.has_usage = true;
         record.usage = *usage;
@@ -312,6 +322,31 @@
     return true;
 }
 
+void
+Du_SetNeed(struct du_duty *duty, const struct du_need *need)
+{
+    for (size_t i = 0; i < duty->need_count; i++) {
+        if (duty->needs[i].service == need->service) {
+            duty->needs[i] = *need;
+            return;
+        }
+    }
+    if (duty->need_count < Du_NEEDS_MAX) {
+        duty->needs[duty->need_count++] = *need;
+    }
+}
+
+const struct du_need *
+Du_Need(const struct du_duty *duty, uint32_t service)
+{
+    for (size_t i = 0; i < duty->need_count; i++) {
+        if (duty->needs[i].service == service) {
+            return &duty->needs[i];
+        }
+    }
+    return NULL;
+}
+
 void
 Du_Refused(struct du_duty *duty)
 {
--- a/packages/edge/duty.h
+++ b/packages/edge/duty.h
@@ -22,6 +22,7 @@
 
 #define Du_WINDOWS 8
 #define Du_TENANTS_MAX 64
+#define Du_NEEDS_MAX 16
 
 struct du_tenant {
     char name[Ec_NAME_MAX];
@@ -36,6 +37,13 @@
     bool reported;
 };
 
+/* What the holder found a service to need; a successor starts from it. */
+struct du_need {
+    uint32_t service; /* hash of the name */
+    int endpoints;
+    double read_rate; /* prompt tokens a second that one endpoint reads */
+};
+
 struct du_duty;
 
 struct du_options {
@@ -64,6 +72,11 @@
 /* Gives the duty up without waiting for its end. */
 void Du_Resign(struct du_duty *duty);
 
+/* What is to be handed on with the next renewals. */
+void Du_SetNeed(struct du_duty *duty, const struct du_need *need);
+/* What was last handed on; NULL: nothing. */
+const struct du_need *Du_Need(const struct du_duty *duty, uint32_t service);
+
 bool Du_Holds(const struct du_duty *duty);
 int64_t Du_Fence(const struct du_duty *duty);
 /* The agreed usage; NULL while there is none. */
--- a/packages/edge/duty_record.c
+++ b/packages/edge/duty_record.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* [run, window, [[tenant, count]...]]; a bare renewal is [run]. */
+/* [run, [[service, endpoints, read rate]...], window, [[tenant, count]...]];
+   a bare renewal ends after the needs. */
 size_t
 Dr_Encode(const struct dr_record *record, char **out)
 {
@@ -12,8 +13,15 @@
     msgpack_sbuffer_init(&buffer);
     msgpack_packer packer;
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, record->has_usage ? 3 : 1);
+    msgpack_pack_array(&packer, record->has_usage ? 4 : 2);
     msgpack_pack_uint64(&packer, record->run);
+    msgpack_pack_array(&packer, record->need_count);
+    for (size_t i = 0; i < record->need_count; i++) {
+        msgpack_pack_array(&packer, 3);
+        msgpack_pack_uint32(&packer, record->needs[i].service);
+        msgpack_pack_int(&packer, record->needs[i].endpoints);
+        msgpack_pack_int64(&packer, (int64_t)record->needs[i].read_rate);
+    }
     if (record->has_usage) {
         msgpack_pack_int64(&packer, record->usage.window);
         msgpack_pack_array(&packer, record->usage.count);
@@ -58,6 +66,27 @@
     return true;
 }
 
+static void
+decode_needs(const msgpack_object *list, struct dr_record *out)
+{
+    if (list->type != MSGPACK_OBJECT_ARRAY) {
+        return;
+    }
+    for (size_t i = 0;
+         i < list->via.array.size && out->need_count < Du_NEEDS_MAX; i++) {
+        const msgpack_object *row = &list->via.array.ptr[i];
+        if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size != 3) {
+            continue;
+        }
+        const msgpack_object *part = row->via.array.ptr;
+        out->needs[out->need_count++] = (struct du_need){
+            .service = (uint32_t)part[0].via.u64,
+            .endpoints = (int)part[1].via.i64,
+            .read_rate = (double)part[2].via.i64,
+        };
+    }
+}
+
 static bool
 decode(const msgpack_object *object, struct dr_record *out)
 {
@@ -66,15 +95,19 @@
         return false;
     }
     out->run = object->via.array.ptr[0].via.u64;
-    if (object->via.array.size < 3) {
+    if (object->via.array.size < 2) {
+        return true;
+    }
+    decode_needs(&object->via.array.ptr[1], out);
+    if (object->via.array.size < 4) {
         return true;
     }
-    if (object->via.array.ptr[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+    if (object->via.array.ptr[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return false;
     }
     out->has_usage = true;
-    out->usage.window = (int64_t)object->via.array.ptr[1].via.u64;
-    return decode_tenants(&object->via.array.ptr[2], &out->usage);
+    out->usage.window = (int64_t)object->via.array.ptr[2].via.u64;
+    return decode_tenants(&object->via.array.ptr[3], &out->usage);
 }
 
 bool
--- a/packages/edge/duty_record.h
+++ b/packages/edge/duty_record.h
@@ -8,6 +8,8 @@
     uint64_t run; /* of the process that wrote it */
     bool has_usage;
     struct du_usage usage;
+    size_t need_count;
+    struct du_need needs[Du_NEEDS_MAX];
 };
 
 /* Returns the length; the caller frees *out. */
--- a/packages/edge/test/duty_test.cc
+++ b/packages/edge/test/duty_test.cc
@@ -194,6 +194,25 @@
     EXPECT_FALSE(Du_Agree(second->duty, &usage));
 }
 
+// After a restart of all hosts under load the successor believes that the
+// endpoints that happen to be left are all that is needed.
+TEST_F(Duty, ASuccessorFindsWhatWasNeeded)
+{
+    Daemon *first = Start(0);
+    Run(2 * Ck_USEC_PER_SEC);
+    struct du_need need = {5, 18, 70000};
+    Du_SetNeed(first->duty, &need);
+    Run(2 * Ck_USEC_PER_SEC);
+    first->client->down = true;
+    Daemon *second = Start(1);
+    Run(10 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(second->duty));
+    const struct du_need *found = Du_Need(second->duty, 5);
+    ASSERT_NE(found, nullptr);
+    EXPECT_EQ(found->endpoints, 18);
+    EXPECT_DOUBLE_EQ(found->read_rate, 70000);
+}
+
 // One of the store's faults is chosen at each step, in every order of five
 // steps, for two daemons: at no time do both hold the duty, and no fence is
 // used by two.
--- a/packages/edge/test/tables_test.cc
+++ b/packages/edge/test/tables_test.cc
@@ -148,7 +148,7 @@
     word.load_count = 1;
     word.loads[0] = {7, 3, 1200};
     word.rate_count = 1;
-    word.rates[0] = {4, 5000, 2.5};
+    word.rates[0] = {4, 5000, 2.5, 70000};
     word.hint_count = 1;
     strcpy(word.hints[0], "10.0.0.2");
     char bytes[4096];
--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -275,47 +275,87 @@
     return count;
 }
 
+/* The load of all daemons, and the reading rates that they have seen. */
+struct sum {
+    struct de_load load;
+    double rates;
+    int rate_count;
+};
+
 static void
-add_rates(struct de_load *load, uint32_t service, const struct de_rate *rates,
+add_rates(struct sum *sum, uint32_t service, const struct de_rate *rates,
           size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        if (rates[i].service == service) {
-            load->reading += rates[i].reading;
-            load->running += rates[i].running;
+        if (rates[i].service != service) {
+            continue;
         }
+        sum->load.reading += rates[i].reading;
+        sum->load.running += rates[i].running;
+        if (rates[i].read_rate > 0) {
+            sum->rates += rates[i].read_rate;
+            sum->rate_count++;
+        }
+    }
+}
+
+/*
+ * The mean of what daemons see; what the last holder saw where none has seen
+ * any, as after a restart of all under a load that leaves no endpoint idle.
+ */
+static double
+read_rate(const struct wo_work *work, const struct sum *sum, uint32_t service)
+{
+    const struct du_need *need = Du_Need(work->gate->duty, service);
+    if (sum->rate_count > 0) {
+        return sum->rates / sum->rate_count;
     }
+    return need == NULL ? 0 : need->read_rate;
 }
 
-/* Endpoints that the load of all daemons needs. */
+/* Endpoints that the load of all daemons needs; 0: not known. */
 static int
 needed_now(const struct wo_work *work, const struct ec_service *service)
 {
     struct ga_gate *gate = work->gate;
     uint32_t hash = De_Hash(service->name);
-    struct de_load load = {
-        .read_rate = De_ReadRate(gate->demand, service->name),
-        .slots = service->slots,
-    };
+    struct sum sum = {.load.slots = service->slots};
     struct de_rate own[De_SERVICES_MAX];
-    add_rates(&load, hash, own, De_Own(gate->demand, own));
+    add_rates(&sum, hash, own, De_Own(gate->demand, own));
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
         if (Ms_Alive(gate->mesh, peer)) {
-            add_rates(&load, hash, peer->rates, peer->rate_count);
+            add_rates(&sum, hash, peer->rates, peer->rate_count);
         }
     }
-    if (load.read_rate <= 0) {
+    sum.load.read_rate = read_rate(work, &sum, hash);
+    if (sum.load.read_rate <= 0) {
         return 0;
     }
-    int needed = De_Needed(&load);
+    int needed = De_Needed(&sum.load);
     Ln_Log(LN_ORDINARY, "load",
            "\"service\":\"%s\",\"reading_per_sec\":%.0f,\"running\":%.1f,"
            "\"read_rate\":%.0f,\"needed\":%d",
-           service->name, load.reading, load.running, load.read_rate, needed);
+           service->name, sum.load.reading, sum.load.running,
+           sum.load.read_rate, needed);
     return needed;
 }
 
+/* A successor that has seen no load yet starts from what was needed. */
+static void
+hand_on(struct wo_work *work, const struct ec_service *service, int wanted)
+{
+    uint32_t hash = De_Hash(service->name);
+    const struct du_need *before = Du_Need(work->gate->duty, hash);
+    struct du_need need = {hash, wanted,
+                           before == NULL ? 0 : before->read_rate};
+    double seen = De_ReadRate(work->gate->demand, service->name);
+    if (seen > 0) {
+        need.read_rate = seen;
+    }
+    Du_SetNeed(work->gate->duty, &need);
+}
+
 /*
  * Until a load has been seen, as many as there are: someone gave the service
  * that many.  Then what the load needs, falling only after a while.
@@ -336,6 +376,10 @@
         }
         base = &work->bases[work->base_count++];
         strlcpy(base->service, service->name, sizeof(base->service));
+        const struct du_need *need =
+            Du_Need(work->gate->duty, De_Hash(service->name));
+        base->wanted = need == NULL ? 0 : need->endpoints;
+        base->since = now;
     }
     int needed = needed_now(work, service);
     if (needed == 0) {
@@ -345,6 +389,7 @@
         base->wanted = needed;
         base->since = now;
     }
+    hand_on(work, service, base->wanted);
     return base->wanted;
 }
 
