--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -333,7 +333,7 @@
     exchange->sends++;
     exchange->silent_told = false;
     Cn_Send(channel, head, head_len, body, body_len,
-            H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &Xc_ChannelOps,
+            H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
             exchange);
     free(head);
     return true;
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -82,7 +82,7 @@
 void Xc_Release(struct xc_exchange *exchange);
 
 /* The endpoint's side of an attempt. */
-extern const struct cn_ops Xc_ChannelOps;
+extern const struct cn_ops xc_channel_ops;
 
 /* Connections to endpoints. */
 struct cn_channel *Po_Take(struct ga_gate *gate, struct fl_endpoint *endpoint,
--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -154,8 +154,7 @@
     if (!was || !is) {
         return was == is;
     }
-    before.cold_usec = after.cold_usec;
-    return memcmp(&before, &after, sizeof(before)) == 0;
+    return Fl_SameEntry(&before, &after);
 }
 
 static void
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -25,6 +25,17 @@
     return fleet;
 }
 
+bool
+Fl_SameEntry(const struct fl_entry *a, const struct fl_entry *b)
+{
+    return strcmp(a->id, b->id) == 0 && strcmp(a->service, b->service) == 0 &&
+           strcmp(a->address, b->address) == 0 &&
+           strcmp(a->zone, b->zone) == 0 &&
+           strcmp(a->version, b->version) == 0 && a->slots == b->slots &&
+           a->draining == b->draining && a->spot == b->spot &&
+           a->born == b->born;
+}
+
 static void
 close_idle(struct fl_endpoint *endpoint)
 {
@@ -80,7 +91,8 @@
         return;
     }
     struct fl_endpoint *endpoint;
-    while ((endpoint = TAILQ_FIRST(&fleet->endpoints)) != NULL) {
+    struct fl_endpoint *next;
+    TAILQ_FOREACH_SAFE (endpoint, &fleet->endpoints, link, next) {
         remove_now(fleet, endpoint);
     }
     free(fleet);
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -78,6 +78,9 @@
 struct fl_fleet *Fl_Create(const struct ck_clock *clock);
 void Fl_Destroy(struct fl_fleet *fleet);
 
+/* Whether two entries say the same; a warm-up that goes on is no news. */
+bool Fl_SameEntry(const struct fl_entry *a, const struct fl_entry *b);
+
 /* Changes. */
 void Fl_Apply(struct fl_fleet *fleet, const struct fl_entry *entry);
 void Fl_Remove(struct fl_fleet *fleet, const char *id);
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -162,8 +162,10 @@
     if (mesh == NULL) {
         return;
     }
-    while (!TAILQ_EMPTY(&mesh->peers)) {
-        forget(mesh, TAILQ_FIRST(&mesh->peers));
+    struct ms_peer *peer;
+    struct ms_peer *next;
+    TAILQ_FOREACH_SAFE (peer, &mesh->peers, link, next) {
+        forget(mesh, peer);
     }
     Lp_WatchDestroy(mesh->watch);
     free(mesh);
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -51,12 +51,12 @@
         }
         memcpy(out + at, field->name.at, field->name.len);
         at += field->name.len;
-        memcpy(out + at, ": ", 2);
-        at += 2;
+        out[at++] = ':';
+        out[at++] = ' ';
         memcpy(out + at, field->value.at, field->value.len);
         at += field->value.len;
-        memcpy(out + at, "\r\n", 2);
-        at += 2;
+        out[at++] = '\r';
+        out[at++] = '\n';
     }
     out[at] = '\0';
     return out;
@@ -324,7 +324,7 @@
     }
 }
 
-const struct cn_ops Xc_ChannelOps = {
+const struct cn_ops xc_channel_ops = {
     .head = on_head,
     .body = on_body,
     .done = on_done,
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -12,7 +12,8 @@
     void *idle_arg;
     const struct cn_ops *ops; /* of the exchange; NULL while idle */
     void *arg;
-    int busy;
+    struct lp_loop *loop;
+    struct lp_later later;
     bool dead;
     bool gone; /* the connection has ended */
     bool connected;
@@ -25,24 +26,14 @@
     int64_t idle_since;
 };
 
-/* Out of line: the compiler cannot see that "busy" keeps callers safe. */
-static void __attribute__((noinline)) release(struct cn_channel *channel)
+static void
+release(void *arg)
 {
-    Sk_Close(channel->sock);
+    struct cn_channel *channel = arg;
     H1_Destroy(channel->parser);
-    Lp_TimerDestroy(channel->deferred);
     free(channel);
 }
 
-static void
-leave(struct cn_channel *channel)
-{
-    channel->busy--;
-    if (channel->busy == 0 && channel->dead) {
-        release(channel);
-    }
-}
-
 static void
 finish(struct cn_channel *channel, enum cn_outcome outcome)
 {
@@ -155,7 +146,6 @@
 on_data(void *arg, const char *data, size_t len)
 {
     struct cn_channel *channel = arg;
-    channel->busy++;
     if (channel->ops == NULL) {
         /* Nobody asked: a second answer must not meet the next caller. */
         channel->spoiled = true;
@@ -164,14 +154,12 @@
     else {
         take_answer(channel, data, len);
     }
-    leave(channel);
 }
 
 static void
 on_closed(void *arg, bool clean)
 {
     struct cn_channel *channel = arg;
-    channel->busy++;
     channel->gone = true;
     if (channel->ops != NULL && clean && !channel->skipping &&
         H1_Eof(channel->parser)) {
@@ -181,7 +169,6 @@
     else {
         fail(channel);
     }
-    leave(channel);
 }
 
 static void
@@ -200,10 +187,7 @@
 static void
 on_deferred(void *arg)
 {
-    struct cn_channel *channel = arg;
-    channel->busy++;
-    fail(channel);
-    leave(channel);
+    fail(arg);
 }
 
 /*
@@ -218,6 +202,7 @@
     if (channel == NULL) {
         return NULL;
     }
+    channel->loop = loop;
     channel->clock = clock;
     channel->idle = idle;
     channel->idle_arg = arg;
@@ -308,7 +293,8 @@
     }
     channel->dead = true;
     channel->ops = NULL;
-    if (channel->busy == 0) {
-        release(channel);
-    }
+    Sk_Close(channel->sock);
+    Lp_TimerDestroy(channel->deferred);
+    channel->deferred = NULL;
+    Lp_Later(channel->loop, &channel->later, release, channel);
 }
--- a/packages/web/http1.c
+++ b/packages/web/http1.c
@@ -72,26 +72,26 @@
 static int
 on_head(http_parser *parser)
 {
-    struct h1_parser *self_ = self(parser);
-    struct h1_head *head = &self_->head;
+    struct h1_parser *owner = self(parser);
+    struct h1_head *head = &owner->head;
     head->status = (int)parser->status_code;
     head->keep_alive = http_should_keep_alive(parser) != 0;
     head->chunked = (parser->flags & F_CHUNKED) != 0;
     head->has_body = head->chunked || (parser->content_length != 0 &&
                                        parser->content_length != UINT64_MAX);
-    if (self_->request) {
+    if (owner->request) {
         const char *name = http_method_str((enum http_method)parser->method);
         head->method = (struct h1_text){name, strlen(name)};
         /* CONNECT and upgrades would turn the rest into a tunnel. */
         return parser->upgrade ? -1 : 0;
     }
-    self_->interim = head->status < 200;
-    if (self_->interim) {
+    owner->interim = head->status < 200;
+    if (owner->interim) {
         return head->status == 101 ? -1 : 1;
     }
-    self_->phase = H1_BODY;
-    self_->ops->head(self_->arg, head);
-    return self_->no_body ? 1 : 0;
+    owner->phase = H1_BODY;
+    owner->ops->head(owner->arg, head);
+    return owner->no_body ? 1 : 0;
 }
 
 static int
--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -36,6 +36,8 @@
     uint64_t next_number;
     struct lws_context *context;
     struct lws_vhost *client_vhost;
+    STAILQ_HEAD(later_list, lp_later) later;
+    int depth; /* callbacks on the stack */
     bool firing;
     bool stopping;
 };
@@ -51,11 +53,39 @@
 };
 
 struct lp_watch {
+    struct lp_loop *loop;
     struct lws *wsi;
     const struct lp_watch_ops *ops;
     void *arg;
 };
 
+static void
+enter(struct lp_loop *loop)
+{
+    loop->depth++;
+}
+
+static void
+leave(struct lp_loop *loop)
+{
+    struct lp_later *later;
+    while (loop->depth == 1 &&
+           (later = STAILQ_FIRST(&loop->later)) != NULL) {
+        STAILQ_REMOVE_HEAD(&loop->later, link);
+        later->fn(later->arg);
+    }
+    loop->depth--;
+}
+
+void
+Lp_Later(struct lp_loop *loop, struct lp_later *later, void (*fn)(void *arg),
+         void *arg)
+{
+    later->fn = fn;
+    later->arg = arg;
+    STAILQ_INSERT_TAIL(&loop->later, later, link);
+}
+
 static int
 timer_compare(const struct lp_timer *a, const struct lp_timer *b)
 {
@@ -105,6 +135,7 @@
         return;
     }
     loop->alarm_at = 0;
+    enter(loop);
     loop->firing = true;
     int64_t now = alarm_now();
     struct lp_timer *timer;
@@ -116,6 +147,7 @@
     }
     loop->firing = false;
     arm(loop);
+    leave(loop);
 }
 
 static void
@@ -160,6 +192,8 @@
                    ? -1
                    : 0;
     }
+    struct lp_loop *loop = watch->loop;
+    enter(loop);
     switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
         watch->ops->readable(watch->arg);
@@ -176,6 +210,7 @@
     default:
         break;
     }
+    leave(loop);
     /* The handler may have destroyed its watch. */
     return lws_get_opaque_user_data(wsi) == NULL ? -1 : 0;
 }
@@ -199,6 +234,7 @@
     if (loop == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the loop");
     }
+    STAILQ_INIT(&loop->later);
     struct lws_context_creation_info info = {0};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
@@ -241,7 +277,11 @@
     if (loop == NULL) {
         return;
     }
+    enter(loop);
+    leave(loop);
     lws_context_destroy(loop->context);
+    enter(loop);
+    leave(loop);
     free(loop->alarm);
     free(loop);
 }
@@ -340,6 +380,7 @@
     if (watch == NULL) {
         return NULL;
     }
+    watch->loop = loop;
     watch->ops = ops;
     watch->arg = arg;
     lws_sock_file_fd_type descriptor;
--- a/packages/web/loop.h
+++ b/packages/web/loop.h
@@ -5,6 +5,7 @@
 #ifndef WEB_LOOP_H
 #define WEB_LOOP_H
 
+#include <bsd/sys/queue.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -30,6 +31,19 @@
 enum st_status Lp_Create(struct lp_loop **out);
 void Lp_Destroy(struct lp_loop *loop);
 void Lp_Run(struct lp_loop *loop);
+
+/*
+ * Something to be done once no callback of the loop is on the stack.  An
+ * object that is closed inside its own callback is freed so: its callers on
+ * the stack may still look at it.
+ */
+struct lp_later {
+    STAILQ_ENTRY(lp_later) link;
+    void (*fn)(void *arg);
+    void *arg;
+};
+void Lp_Later(struct lp_loop *loop, struct lp_later *later,
+              void (*fn)(void *arg), void *arg);
 void Lp_Stop(struct lp_loop *loop);
 
 struct lp_timer *Lp_TimerCreate(struct lp_loop *loop, lp_timer_fn fn,
--- a/packages/web/serve.c
+++ b/packages/web/serve.c
@@ -33,7 +33,7 @@
     struct sk_sock *sock;
     struct h1_parser *parser;
     enum phase phase;
-    int busy;
+    struct lp_later later;
     bool dead;
     bool have_head;
     bool have_all;
@@ -66,27 +66,16 @@
 
 static void feed(struct sv_request *request, const char *data, size_t len);
 
-/* Out of line: the compiler cannot see that "busy" keeps callers safe. */
-static void __attribute__((noinline)) release(struct sv_request *request)
+static void
+release(void *arg)
 {
-    TAILQ_REMOVE(&request->server->connections, request, link);
-    request->server->count--;
-    Sk_Close(request->sock);
+    struct sv_request *request = arg;
     H1_Destroy(request->parser);
     free(request->body);
     free(request->ahead);
     free(request);
 }
 
-static void
-leave(struct sv_request *request)
-{
-    request->busy--;
-    if (request->busy == 0 && request->dead) {
-        release(request);
-    }
-}
-
 static void
 bury(struct sv_request *request)
 {
@@ -94,9 +83,10 @@
         return;
     }
     request->dead = true;
-    if (request->busy == 0) {
-        release(request);
-    }
+    TAILQ_REMOVE(&request->server->connections, request, link);
+    request->server->count--;
+    Sk_Close(request->sock);
+    Lp_Later(request->server->loop, &request->later, release, request);
 }
 
 static void
@@ -264,10 +254,8 @@
 on_data(void *arg, const char *data, size_t len)
 {
     struct sv_request *request = arg;
-    request->busy++;
     request->moved_at = Ck_Now(request->server->clock);
     feed(request, data, len);
-    leave(request);
 }
 
 static void
@@ -275,13 +263,11 @@
 {
     struct sv_request *request = arg;
     (void)clean;
-    request->busy++;
     if (request->phase == HANDLING || request->phase == STREAMING) {
         request->server->ops->gone(request->server->arg, request);
         set_phase(request, OVER);
     }
     bury(request);
-    leave(request);
 }
 
 static void
@@ -289,9 +275,7 @@
 {
     struct sv_request *request = arg;
     if (request->phase == STREAMING && request->server->ops->drained != NULL) {
-        request->busy++;
         request->server->ops->drained(request->server->arg, request);
-        leave(request);
     }
 }
 
@@ -429,9 +413,7 @@
         bool slow_body = request->have_head &&
                          now - request->moved_at > server->limits.idle_usec;
         if (slow_head || slow_body) {
-            request->busy++;
             refuse(request, 408, "the request came too slowly");
-            leave(request);
         }
     }
 }
@@ -445,8 +427,7 @@
     }
     struct sv_request *request;
     while ((request = TAILQ_FIRST(&server->connections)) != NULL) {
-        request->busy = 0;
-        release(request);
+        bury(request);
     }
     Sk_ListenClose(server->listener);
     free(server);
@@ -493,19 +474,14 @@
 write_head(struct sv_request *request, int status, const char *fields,
            int64_t length)
 {
-    char line[Sv_LINE_MAX];
-    int len = snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
-                       H1_Reason(status));
-    size_t fields_len = strlen(fields);
-    char *head = malloc((size_t)len + fields_len + Sv_LINE_MAX);
+    size_t size = strlen(fields) + Sv_LINE_MAX;
+    char *head = malloc(size);
     if (head == NULL) {
         Sv_Abort(request);
         return;
     }
-    size_t at = (size_t)len;
-    memcpy(head, line, at);
-    memcpy(head + at, fields, fields_len);
-    at += fields_len;
+    size_t at = (size_t)snprintf(head, size, "HTTP/1.1 %d %s\r\n%s", status,
+                                 H1_Reason(status), fields);
     if (length >= 0 && status != 204) {
         at += (size_t)sprintf(head + at, "Content-Length: %lld\r\n",
                               (long long)length);
@@ -557,7 +533,6 @@
 Sv_Reply(struct sv_request *request, int status, const char *fields,
          const void *body, size_t len)
 {
-    request->busy++;
     write_head(request, status, fields, (int64_t)len);
     if (!request->dead) {
         if (!bodiless(request, status)) {
@@ -565,7 +540,6 @@
         }
         next(request);
     }
-    leave(request);
 }
 
 void
@@ -594,7 +568,8 @@
     }
     size_t at = (size_t)sprintf(chunk, "%zx\r\n", len);
     memcpy(chunk + at, data, len);
-    memcpy(chunk + at + len, "\r\n", 2);
+    chunk[at + len] = '\r';
+    chunk[at + len + 1] = '\n';
     Sk_Write(request->sock, chunk, at + len + 2);
     free(chunk);
 }
@@ -602,24 +577,24 @@
 void
 Sv_End(struct sv_request *request)
 {
-    request->busy++;
+    if (request->dead) {
+        return;
+    }
     if (request->chunked && !request->no_body) {
         Sk_Write(request->sock, "0\r\n\r\n", 5);
     }
     next(request);
-    leave(request);
 }
 
 size_t
 Sv_Pending(const struct sv_request *request)
 {
-    return Sk_Pending(request->sock);
+    return request->dead ? 0 : Sk_Pending(request->sock);
 }
 
 void
 Sv_Abort(struct sv_request *request)
 {
-    request->busy++;
     if (request->phase == STREAMING) {
         /* What was passed on still arrives; the end is missing. */
         finish(request);
@@ -628,5 +603,4 @@
         set_phase(request, OVER);
         bury(request);
     }
-    leave(request);
 }
--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -36,7 +36,7 @@
     const struct sk_ops *ops;
     void *arg;
     int fd;
-    int busy; /* callbacks on the stack; freed when it falls to zero */
+    struct lp_later later;
     bool connecting;
     bool dead;     /* Sk_Close() was called */
     bool broken;   /* "closed" was told */
@@ -79,26 +79,14 @@
     return ST_OK;
 }
 
-/* Out of line: the compiler cannot see that "busy" keeps callers safe. */
-static void __attribute__((noinline)) release(struct sk_sock *sock)
+static void
+release(void *arg)
 {
-    if (sock->watch != NULL) {
-        Lp_WatchDestroy(sock->watch);
-    }
-    Lp_TimerDestroy(sock->linger);
+    struct sk_sock *sock = arg;
     free(sock->out);
     free(sock);
 }
 
-static void
-leave(struct sk_sock *sock)
-{
-    sock->busy--;
-    if (sock->busy == 0 && sock->dead) {
-        release(sock);
-    }
-}
-
 static void
 tell_closed(struct sk_sock *sock, bool clean)
 {
@@ -156,7 +144,6 @@
 {
     struct sk_sock *sock = arg;
     static char buffer[Sk_READ_BYTES];
-    sock->busy++;
     while (!sock->dead && !sock->broken) {
         ssize_t n = recv(sock->fd, buffer, sizeof(buffer), 0);
         if (n < 0 && errno == EINTR) {
@@ -176,7 +163,6 @@
             break;
         }
     }
-    leave(sock);
 }
 
 static bool
@@ -200,7 +186,6 @@
 on_writable(void *arg)
 {
     struct sk_sock *sock = arg;
-    sock->busy++;
     if (!sock->connecting || finish_connect(sock)) {
         bool had = sock->out_len > 0;
         if (!flush(sock)) {
@@ -211,7 +196,6 @@
             sock->ops->drained(sock->arg);
         }
     }
-    leave(sock);
 }
 
 /* The loop saw a hang-up; what is still unread is delivered first. */
@@ -219,13 +203,11 @@
 on_gone(void *arg)
 {
     struct sk_sock *sock = arg;
-    sock->busy++;
     Lp_WatchDestroy(sock->watch);
     sock->watch = NULL;
     if (!sock->dead && !sock->broken) {
         tell_closed(sock, false);
     }
-    leave(sock);
 }
 
 static const struct lp_watch_ops watch_ops = {
@@ -384,18 +366,19 @@
         return;
     }
     sock->dead = true;
-    if (sock->busy == 0) {
-        release(sock);
+    if (sock->watch != NULL) {
+        Lp_WatchDestroy(sock->watch);
+        sock->watch = NULL;
     }
+    Lp_TimerDestroy(sock->linger);
+    sock->linger = NULL;
+    Lp_Later(sock->loop, &sock->later, release, sock);
 }
 
 static void
 linger_over(void *arg)
 {
-    struct sk_sock *sock = arg;
-    sock->busy++;
-    Sk_Close(sock);
-    leave(sock);
+    Sk_Close(arg);
 }
 
 /*
@@ -452,7 +435,7 @@
 Sk_Listen(struct lp_loop *loop, const char *address, sk_accept_fn fn,
           void *arg, struct sk_listener **out)
 {
-    struct sockaddr_in at;
+    struct sockaddr_in at = {0};
     if (Sk_Address(address, &at) != ST_OK) {
         return ST_INVALID;
     }
