--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -501,7 +501,7 @@
     }
 }
 
-/* [records of the configuration, records of the endpoints]. */
+/* [changed, records] of the configuration and of the endpoints. */
 size_t
 Fe_Pack(const struct fe_feed *feed, int64_t config_from, int64_t entries_from,
         char **out)
@@ -510,8 +510,10 @@
     msgpack_sbuffer_init(&buffer);
     msgpack_packer packer;
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, 2);
+    msgpack_pack_array(&packer, 4);
+    msgpack_pack_int64(&packer, feed->config_follow.changed);
     pack_follow(&packer, &feed->config_follow, config_from);
+    msgpack_pack_int64(&packer, feed->entry_follow.changed);
     pack_follow(&packer, &feed->entry_follow, entries_from);
     size_t len = buffer.size;
     *out = msgpack_sbuffer_release(&buffer);
@@ -538,15 +540,25 @@
          has ? part[2].via.bin.ptr : NULL, has ? part[2].via.bin.size : 0);
 }
 
+/*
+ * A daemon that has just listed the entries takes their last heartbeats for
+ * changes.  Its records bring nothing new here, but its number is taken over:
+ * otherwise they would be fetched again with every tick.
+ */
 static void
-unpack_follow(struct follow *follow, const msgpack_object *records)
+unpack_follow(struct follow *follow, const msgpack_object *changed,
+              const msgpack_object *records)
 {
-    if (records->type != MSGPACK_OBJECT_ARRAY) {
+    if (changed->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        records->type != MSGPACK_OBJECT_ARRAY) {
         return;
     }
     for (size_t i = 0; i < records->via.array.size; i++) {
         unpack_record(follow, &records->via.array.ptr[i]);
     }
+    if (follow->changed < (int64_t)changed->via.u64) {
+        follow->changed = (int64_t)changed->via.u64;
+    }
 }
 
 /* Takes what a peer packed; bytes that make no sense are passed over. */
@@ -558,9 +570,10 @@
     if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
             MSGPACK_UNPACK_SUCCESS &&
         unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
-        unpacked.data.via.array.size == 2) {
-        unpack_follow(&feed->config_follow, &unpacked.data.via.array.ptr[0]);
-        unpack_follow(&feed->entry_follow, &unpacked.data.via.array.ptr[1]);
+        unpacked.data.via.array.size == 4) {
+        const msgpack_object *part = unpacked.data.via.array.ptr;
+        unpack_follow(&feed->config_follow, &part[0], &part[1]);
+        unpack_follow(&feed->entry_follow, &part[2], &part[3]);
     }
     msgpack_unpacked_destroy(&unpacked);
 }
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -23,6 +23,8 @@
 /* The same where another daemon stands in at once; two lost words are few. */
 #define Ms_CLOSE_USEC (500 * Ck_USEC_PER_MSEC)
 #define Ms_CLOSE_GAPS 3
+/* How long one that is only known of is expected to be heard. */
+#define Ms_HOPE_USEC (4 * Ck_USEC_PER_SEC)
 /* One that was not heard is still told, this often, and then forgotten. */
 #define Ms_QUIET_EVERY_USEC (500 * Ck_USEC_PER_MSEC)
 #define Ms_FORGET_USEC (60 * Ck_USEC_PER_SEC)
@@ -321,6 +323,19 @@
     return count;
 }
 
+size_t
+Ms_CountExpected(const struct ms_mesh *mesh)
+{
+    int64_t now = Ck_Now(mesh->clock);
+    size_t count = 1;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, &mesh->peers, link) {
+        count += peer->heard_at != 0 ? !peer->stopping
+                                     : now - peer->known_at < Ms_HOPE_USEC;
+    }
+    return count;
+}
+
 unsigned
 Ms_Rank(const struct ms_mesh *mesh)
 {
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -121,6 +121,11 @@
 bool Ms_Close(const struct ms_mesh *mesh, const struct ms_peer *peer);
 size_t Ms_CountAlive(const struct ms_mesh *mesh); /* this one included */
 size_t Ms_CountKnown(const struct ms_mesh *mesh);
+/*
+ * Daemons that may be admitting requests: those heard lately, and just after
+ * the start also those that are only known of.
+ */
+size_t Ms_CountExpected(const struct ms_mesh *mesh);
 /* Position of this daemon among those alive, by name. */
 unsigned Ms_Rank(const struct ms_mesh *mesh);
 
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -355,10 +355,10 @@
 share_quota(struct ga_gate *gate)
 {
     size_t alive = Ms_CountAlive(gate->mesh);
-    size_t known = Ms_CountKnown(gate->mesh);
+    size_t known = Ms_CountExpected(gate->mesh);
     bool cut = (double)alive < Pe_TOUCH_PART * (double)known;
     Qt_SetShare(gate->quota, cut ? (double)alive / (double)known : 1);
-    Bu_SetDaemons(gate->budget, known);
+    Bu_SetDaemons(gate->budget, Ms_CountKnown(gate->mesh));
 }
 
 static void
--- a/packages/edge/quota.c
+++ b/packages/edge/quota.c
@@ -1,6 +1,7 @@
 #include "edge/quota.h"
 
 #include <bsd/string.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,10 @@
  * full bucket, all daemons killed in a row would admit the burst anew.
  */
 #define Qt_RESTART_SHARE 0.25
+/* How long a word of others may take, and over how long their rate is taken.
+ */
+#define Qt_FORESEE_SEC 0.7
+#define Qt_OTHERS_SEC 1.5
 #define Qt_WAIT_MIN_USEC (100 * Ck_USEC_PER_MSEC)
 
 struct bucket {
@@ -23,6 +28,9 @@
     double level;
     double own_level; /* of the share alone, in use when cut off */
     double total;     /* admitted here since the start */
+    double others;    /* what others admit, tokens a second */
+    double foreseen;  /* taken out for others before they told of it */
+    int64_t told_at;  /* when others last told of any */
     int64_t filled_at;
     bool seen;
 };
@@ -71,13 +79,40 @@
     return NULL;
 }
 
+/*
+ * Others tell what they admitted some tenths of a second late, with many
+ * daemons up to a second; until then they are taken to go on as before.  When
+ * nothing more is told it is given back.
+ */
+static void
+foresee(struct bucket *bucket, int64_t now, double seconds)
+{
+    if (now - bucket->told_at > Qt_FORESEE_SEC * Ck_USEC_PER_SEC) {
+        bucket->level += bucket->foreseen;
+        bucket->foreseen = 0;
+        bucket->others = 0;
+        return;
+    }
+    double more = bucket->others * seconds;
+    double most = bucket->others * Qt_FORESEE_SEC;
+    if (bucket->foreseen + more > most) {
+        more = most > bucket->foreseen ? most - bucket->foreseen : 0;
+    }
+    bucket->foreseen += more;
+    bucket->level -= more;
+    bucket->others *= exp(-seconds / Qt_OTHERS_SEC);
+}
+
 static void
 fill(struct qt_quota *quota, struct bucket *bucket)
 {
     int64_t now = Ck_Now(quota->clock);
     double gain = bucket->per_sec * (double)(now - bucket->filled_at) /
                   (double)Ck_USEC_PER_SEC;
+    double seconds =
+        (double)(now - bucket->filled_at) / (double)Ck_USEC_PER_SEC;
     bucket->filled_at = now;
+    foresee(bucket, now, seconds);
     bucket->level += gain;
     if (bucket->level > bucket->burst) {
         bucket->level = bucket->burst;
@@ -188,8 +223,13 @@
 Qt_Spent(struct qt_quota *quota, uint32_t tenant, double cost)
 {
     struct bucket *bucket = find(quota, tenant);
-    if (bucket != NULL) {
-        fill(quota, bucket);
-        bucket->level -= cost;
+    if (bucket == NULL) {
+        return;
     }
+    fill(quota, bucket);
+    bucket->told_at = bucket->filled_at;
+    bucket->others += cost / Qt_OTHERS_SEC;
+    double known = cost < bucket->foreseen ? cost : bucket->foreseen;
+    bucket->foreseen -= known;
+    bucket->level -= cost - known;
 }
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -196,6 +196,29 @@
     EXPECT_EQ(Fl_Find(node.fleet, "a"), nullptr);
 }
 
+// Eighty hosts fetch the same records ten times a second, and what has really
+// changed comes seconds late: a host that had just started took heartbeats
+// for changes, and whoever fetched them was behind its number ever after.
+TEST_F(Feed, WhatBringsNothingNewIsFetchedOnce)
+{
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    Node old = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(old.fleet, "a") != nullptr; }));
+    old.client->down = true;
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    Node fresh = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "a") != nullptr; }));
+    int64_t behind = Fe_Changed(old.feed, AG_ENDPOINTS);
+    ASSERT_GT(Fe_Changed(fresh.feed, AG_ENDPOINTS), behind);
+    char *packed;
+    size_t len = Fe_Pack(fresh.feed, 0, behind, &packed);
+    Fe_Unpack(old.feed, packed, len);
+    free(packed);
+    EXPECT_EQ(Fe_Changed(old.feed, AG_ENDPOINTS),
+              Fe_Changed(fresh.feed, AG_ENDPOINTS));
+}
+
 // Bytes of a peer that make no sense stop a daemon.
 TEST_F(Feed, RubbishFromAPeerIsPassedOver)
 {
--- a/packages/edge/test/quota_test.cc
+++ b/packages/edge/test/quota_test.cc
@@ -75,6 +75,24 @@
     Qt_Destroy(there);
 }
 
+// A tenant sends many times its usual, and what the other hosts admit is
+// heard half a second late: in that time it gets its quota twice.
+TEST(Quota, OthersAreTakenToGoOn)
+{
+    FakeClock clock;
+    Tenants tenants(kRate);
+    struct qt_quota *quota = Qt_Create(&clock.clock, true);
+    Qt_Configure(quota, tenants.config);
+    for (int i = 0; i < 20; i++) {
+        Qt_Spent(quota, Qt_Hash("acme"), kRate / 10);
+        clock.Advance(100 * Ck_USEC_PER_MSEC);
+    }
+    TakeAll(quota, 10);
+    clock.Advance(500 * Ck_USEC_PER_MSEC);
+    EXPECT_LT(TakeAll(quota, 10), kRate * 0.25);
+    Qt_Destroy(quota);
+}
+
 // All hosts are killed and start again: each with a full bucket would admit
 // the burst anew, on top of what ran just before.
 TEST(Quota, ARestartDoesNotGrantTheBurstAgain)
