--- a/packages/edge/admit.c
+++ b/packages/edge/admit.c
@@ -18,6 +18,7 @@
     int status;
     int64_t retry_usec; /* 0: coming back would not help */
     const char *why;
+    const char *tenant; /* NULL: not known */
 };
 
 static void
@@ -35,11 +36,16 @@
     }
     int len =
         snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", refusal->why);
+    const struct ec_config *config = Fe_Config(gate->feed);
     Mt_Add(gate->count.refused, 1);
     Ln_Log(LN_FAILURE, "request.refused",
-           "\"id\":\"%s\",\"status\":%d,\"why\":\"%s\",\"retry_ms\":%lld", id,
-           refusal->status, refusal->why,
-           (long long)(refusal->retry_usec / Ck_USEC_PER_MSEC));
+           "\"id\":\"%s\",\"status\":%d,\"why\":\"%s\",\"retry_ms\":%lld,"
+           "\"tenant\":\"%s\",\"config\":%lld,\"daemons\":%zu",
+           id, refusal->status, refusal->why,
+           (long long)(refusal->retry_usec / Ck_USEC_PER_MSEC),
+           refusal->tenant == NULL ? "" : refusal->tenant,
+           config == NULL ? -1LL : (long long)config->version,
+           Ms_CountAlive(gate->mesh));
     Sv_Reply(request, refusal->status, fields, body, (size_t)len);
 }
 
@@ -53,9 +59,9 @@
 {
     if (!Fe_Current(gate->feed)) {
         return (struct refusal){503, Ad_STARTING_USEC,
-                                "the configuration may be out of date"};
+                                "the configuration may be out of date", NULL};
     }
-    return (struct refusal){status, 0, why};
+    return (struct refusal){status, 0, why, NULL};
 }
 
 static double
@@ -75,12 +81,13 @@
 {
     const struct ec_config *config = Fe_Config(gate->feed);
     if (config == NULL) {
-        *refusal = (struct refusal){503, Ad_STARTING_USEC, "starting"};
+        *refusal = (struct refusal){503, Ad_STARTING_USEC, "starting", NULL};
         return false;
     }
     const struct h1_field *host = H1_Find(head, "host");
     if (host == NULL || H1_CountOf(head, "host") != 1 || out->ask->two_keys) {
-        *refusal = (struct refusal){400, 0, "one host and one key, please"};
+        *refusal =
+            (struct refusal){400, 0, "one host and one key, please", NULL};
         return false;
     }
     out->route = Ec_Match(config, host->value.at, host->value.len,
@@ -98,13 +105,14 @@
         }
     }
     if (Ga_TooLate(gate, out->route)) {
-        *refusal = (struct refusal){503, Ad_LEAVING_USEC, "stopping"};
+        *refusal = (struct refusal){503, Ad_LEAVING_USEC, "stopping", NULL};
         return false;
     }
     const char *service = Ec_Pick(out->route, Rn_Unit(&gate->random));
     out->service = Ec_Service(config, service);
     if (out->service == NULL || Fl_CountUsable(gate->fleet, service) == 0) {
-        *refusal = (struct refusal){503, Ad_STARTING_USEC, "no endpoint"};
+        *refusal =
+            (struct refusal){503, Ad_STARTING_USEC, "no endpoint", NULL};
         return false;
     }
     return true;
@@ -128,7 +136,8 @@
         admitted.cost = cost_of(admitted.tenant, &ask);
         if (!Qt_Take(gate->quota, admitted.tenant->name, admitted.cost,
                      &wait_usec)) {
-            refusal = (struct refusal){429, wait_usec, "over the quota"};
+            refusal = (struct refusal){429, wait_usec, "over the quota",
+                                       admitted.tenant->name};
             refuse(gate, request, ask.id, &refusal);
             return;
         }
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -39,11 +39,16 @@
     Ln_Log(fine ? LN_ORDINARY : LN_FAILURE, "request.end",
            "\"id\":\"%s\",\"outcome\":\"%s\",\"route\":\"%s\","
            "\"config\":%lld,\"status\":%d,\"endpoint\":\"%s\",\"sends\":%d,"
-           "\"ran\":%d,\"last_event\":%lld,\"ms\":%lld,\"left_ms\":%lld",
+           "\"ran\":%d,\"last_event\":%lld,\"first_ms\":%lld,\"ms\":%lld,"
+           "\"left_ms\":%lld",
            exchange->ask.id, outcome, exchange->route->name,
            (long long)exchange->config->version, attempt->status,
            attempt->endpoint == NULL ? "" : attempt->endpoint->entry.id,
            exchange->sends, exchange->runs, (long long)exchange->last_event,
+           exchange->first_at == 0
+               ? -1LL
+               : (long long)((exchange->first_at - exchange->arrived) /
+                             Ck_USEC_PER_MSEC),
            (long long)((Ga_Now(exchange->gate) - exchange->arrived) /
                        Ck_USEC_PER_MSEC),
            (long long)((exchange->deadline - Ga_Now(exchange->gate)) /
@@ -291,6 +296,27 @@
                : exchange->route->rank;
 }
 
+/* Why this endpoint: what was known of it, and how old its entry is. */
+static void
+log_sent(const struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    const struct fl_endpoint *endpoint = attempt->endpoint;
+    Ln_Log(
+        exchange->sends == 1 ? LN_ORDINARY : LN_FAILURE, "attempt.sent",
+        "\"id\":\"%s\",\"endpoint\":\"%s\",\"tenant\":\"%s\",\"running\":%d,"
+        "\"others\":%d,\"reading\":%lld,\"missing\":%lld,\"kept_conn\":%d,"
+        "\"entry_age_ms\":%lld,\"config\":%lld",
+        exchange->ask.id, endpoint->entry.id,
+        exchange->tenant == NULL ? "" : exchange->tenant->name,
+        endpoint->running, endpoint->others_running,
+        (long long)(endpoint->reading + endpoint->others_reading),
+        (long long)attempt->reading, Cn_Used(attempt->channel),
+        (long long)((attempt->sent_at - endpoint->refreshed_at) /
+                    Ck_USEC_PER_MSEC),
+        (long long)exchange->config->version);
+}
+
 static bool
 send_to(struct xc_exchange *exchange, struct fl_endpoint *endpoint)
 {
@@ -332,6 +358,7 @@
     exchange->tried[exchange->tried_count++] = endpoint->hash;
     exchange->sends++;
     exchange->silent_told = false;
+    log_sent(exchange);
     Cn_Send(channel, head, head_len, body, body_len,
             H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
             exchange);
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -40,6 +40,7 @@
     struct ak_ask ask;
     struct lp_timer *timer;
     int64_t arrived;
+    int64_t first_at; /* first byte of an answer that counts; 0: none */
     int64_t deadline;
     double cost; /* of the tenant's quota */
     bool charged;
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -97,6 +97,8 @@
     }
     if (head->status == 200 && genuine(&attempt->answer)) {
         He_First(attempt->endpoint, now - attempt->sent_at, now);
+        exchange->first_at =
+            exchange->first_at == 0 ? now : exchange->first_at;
         Mt_Observe(exchange->gate->count.first, now - exchange->arrived);
         attempt->streaming = exchange->route->kind == EC_STREAM;
     }
--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -393,6 +393,32 @@
     return base->wanted;
 }
 
+static void
+log_plan(const struct pn_service *wants, const struct ec_service *service,
+         const struct pn_zone *zones, const struct pn_wish *wishes)
+{
+    int lasting = 0;
+    int spot = 0;
+    int coming = 0;
+    int dry = 0;
+    int wish_lasting = 0;
+    int wish_spot = 0;
+    for (size_t i = 0; i < service->zone_count; i++) {
+        lasting += zones[i].lasting;
+        spot += zones[i].spot;
+        coming += zones[i].spot_coming;
+        dry += zones[i].dry;
+        wish_lasting += wishes[i].lasting;
+        wish_spot += wishes[i].spot;
+    }
+    Ln_Log(LN_ORDINARY, "plan",
+           "\"service\":\"%s\",\"wanted\":%d,\"lasting\":%d,\"spot\":%d,"
+           "\"coming\":%d,\"dry_zones\":%d,\"wish_lasting\":%d,"
+           "\"wish_spot\":%d",
+           service->name, wants->wanted, lasting, spot, coming, dry,
+           wish_lasting, wish_spot);
+}
+
 static void
 plan_service(struct wo_work *work, const struct ec_service *service)
 {
@@ -427,6 +453,7 @@
         .wanted = wanted_of(work, service, usable),
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
+    log_plan(&wants, service, zones, wishes);
     for (size_t i = 0; i < service->zone_count; i++) {
         for (int spot = 0; spot <= 1; spot++) {
             struct order *order =
