--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -357,11 +357,12 @@
 }
 
 /*
- * Until a load has been seen, as many as there are: someone gave the service
- * that many.  Then what the load needs, falling only after a while.
+ * Until a load has been seen, as many as there are of the more frequent kind:
+ * someone gave the service that many, and while one kind replaces the other
+ * both are there.  Then what the load needs, falling only after a while.
  */
 static int
-wanted_of(struct wo_work *work, const struct ec_service *service, int usable)
+wanted_of(struct wo_work *work, const struct ec_service *service, int present)
 {
     int64_t now = Ga_Now(work->gate);
     struct base *base = NULL;
@@ -372,7 +373,7 @@
     }
     if (base == NULL) {
         if (work->base_count == Wo_SERVICES_MAX) {
-            return usable;
+            return present;
         }
         base = &work->bases[work->base_count++];
         strlcpy(base->service, service->name, sizeof(base->service));
@@ -383,7 +384,7 @@
     }
     int needed = needed_now(work, service);
     if (needed == 0) {
-        needed = usable;
+        needed = present;
     }
     if (needed >= base->wanted || now - base->since > Wo_KEEP_USEC) {
         base->wanted = needed;
@@ -426,7 +427,8 @@
     int64_t now = Ga_Now(gate);
     struct pn_zone zones[Ec_ZONES_MAX] = {0};
     struct pn_wish wishes[Ec_ZONES_MAX];
-    int usable = 0;
+    int lasting = 0;
+    int spot = 0;
     for (size_t i = 0; i < service->zone_count; i++) {
         struct pn_zone *zone = &zones[i];
         strlcpy(zone->zone, service->zones[i].zone, sizeof(zone->zone));
@@ -444,13 +446,14 @@
             find_order(work, service->name, zone->zone, false);
         zone->lasting_ordered =
             lasting != NULL && lasting->confirmed > 0 ? lasting->confirmed : 0;
-        usable += zone->lasting + zone->spot;
+        lasting += zone->lasting;
+        spot += zone->spot;
     }
     struct pn_service wants = {
         .min = service->min,
         .max = service->max,
         .spot_price = service->spot_price,
-        .wanted = wanted_of(work, service, usable),
+        .wanted = wanted_of(work, service, lasting > spot ? lasting : spot),
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
     log_plan(&wants, service, zones, wishes);
