--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -427,8 +427,8 @@
     int64_t now = Ga_Now(gate);
     struct pn_zone zones[Ec_ZONES_MAX] = {0};
     struct pn_wish wishes[Ec_ZONES_MAX];
-    int lasting = 0;
-    int spot = 0;
+    int lasting_there = 0;
+    int spot_there = 0;
     for (size_t i = 0; i < service->zone_count; i++) {
         struct pn_zone *zone = &zones[i];
         strlcpy(zone->zone, service->zones[i].zone, sizeof(zone->zone));
@@ -446,14 +446,16 @@
             find_order(work, service->name, zone->zone, false);
         zone->lasting_ordered =
             lasting != NULL && lasting->confirmed > 0 ? lasting->confirmed : 0;
-        lasting += zone->lasting;
-        spot += zone->spot;
+        lasting_there += zone->lasting;
+        spot_there += zone->spot;
     }
     struct pn_service wants = {
         .min = service->min,
         .max = service->max,
         .spot_price = service->spot_price,
-        .wanted = wanted_of(work, service, lasting > spot ? lasting : spot),
+        .wanted =
+            wanted_of(work, service,
+                      lasting_there > spot_there ? lasting_there : spot_there),
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
     log_plan(&wants, service, zones, wishes);
