--- a/packages/edge/demand.c
+++ b/packages/edge/demand.c
@@ -19,12 +19,15 @@
 #define De_READ_QUANTILE 0.7
 #define De_READ_STEP 0.08
 /*
- * How much of its reading and of its places an endpoint is planned to use.
- * A burst of 1.7 times the load together with the loss of a quarter of the
- * endpoints then still fits.
+ * Endpoints for a load of "busy" whole endpoints: the load spread over this
+ * part of each, and room that grows with its square root, as chance does.  A
+ * burst of 1.7 times the load together with the loss of a quarter of the
+ * endpoints then still fits; a small service needs more room for its size.
  */
-#define De_READING_USED 0.28
-#define De_PLACES_USED 0.45
+#define De_READING_USED 0.40
+#define De_READING_ROOM 2.5
+#define De_PLACES_USED 0.55
+#define De_PLACES_ROOM 2.0
 
 struct service {
     uint32_t hash;
@@ -155,15 +158,23 @@
     return 0;
 }
 
+static double
+staffing(double busy, double used, double room)
+{
+    return busy / used + room * sqrt(busy);
+}
+
 int
 De_Needed(const struct de_load *load)
 {
     double needed = 1;
     if (load->read_rate > 0) {
-        needed = load->reading / (load->read_rate * De_READING_USED);
+        needed = staffing(load->reading / load->read_rate, De_READING_USED,
+                          De_READING_ROOM);
     }
     if (load->slots > 0) {
-        double places = load->running / (load->slots * De_PLACES_USED);
+        double places = staffing(load->running / load->slots, De_PLACES_USED,
+                                 De_PLACES_ROOM);
         needed = places > needed ? places : needed;
     }
     return (int)ceil(needed);
