--- a/packages/edge/quota.c
+++ b/packages/edge/quota.c
@@ -13,7 +13,7 @@
  * A daemon that starts again does not know what was admitted before; with a
  * full bucket, all daemons killed in a row would admit the burst anew.
  */
-#define Qt_RESTART_SHARE 0.25
+#define Qt_RESTART_SHARE 0.05
 /* How long a word of others may take, and over how long their rate is taken.
  */
 #define Qt_FORESEE_SEC 0.7
@@ -38,6 +38,7 @@
 struct qt_quota {
     const struct ck_clock *clock;
     double share;
+    double part;
     double start_share;
     size_t count;
     struct bucket buckets[Qt_TENANTS_MAX];
@@ -51,6 +52,7 @@
     if (quota != NULL) {
         quota->clock = clock;
         quota->share = 1;
+        quota->part = 1;
         quota->start_share = first_start ? 1 : Qt_RESTART_SHARE;
     }
     return quota;
@@ -124,6 +126,12 @@
     }
 }
 
+void
+Qt_SetPart(struct qt_quota *quota, double part)
+{
+    quota->part = part;
+}
+
 /* Takes the limits of a configuration; levels are kept. */
 void
 Qt_Configure(struct qt_quota *quota, const struct ec_config *config)
@@ -145,7 +153,7 @@
             continue;
         }
         fill(quota, bucket);
-        bucket->per_sec = tenant->per_sec;
+        bucket->per_sec = tenant->per_sec * quota->part;
         bucket->burst = tenant->burst;
     }
 }
--- a/packages/edge/quota.h
+++ b/packages/edge/quota.h
@@ -24,6 +24,11 @@
 
 struct qt_quota *Qt_Create(const struct ck_clock *clock, bool first_start);
 void Qt_Destroy(struct qt_quota *quota);
+/*
+ * The part of every rate that is handed out from the next configuration on;
+ * 1 from the start.
+ */
+void Qt_SetPart(struct qt_quota *quota, double part);
 void Qt_Configure(struct qt_quota *quota, const struct ec_config *config);
 /* The share of the rate that this daemon may hand out, 0 to 1. */
 void Qt_SetShare(struct qt_quota *quota, double share);
