--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -302,6 +302,7 @@
 {
     const struct xc_attempt *attempt = &exchange->attempt;
     const struct fl_endpoint *endpoint = attempt->endpoint;
+    long long reading = endpoint->reading + endpoint->others_reading;
     Ln_Log(
         exchange->sends == 1 ? LN_ORDINARY : LN_FAILURE, "attempt.sent",
         "\"id\":\"%s\",\"endpoint\":\"%s\",\"tenant\":\"%s\",\"running\":%d,"
@@ -309,8 +310,7 @@
         "\"entry_age_ms\":%lld,\"config\":%lld",
         exchange->ask.id, endpoint->entry.id,
         exchange->tenant == NULL ? "" : exchange->tenant->name,
-        endpoint->running, endpoint->others_running,
-        (long long)(endpoint->reading + endpoint->others_reading),
+        endpoint->running, endpoint->others_running, reading,
         (long long)attempt->reading, Cn_Used(attempt->channel),
         (long long)((attempt->sent_at - endpoint->refreshed_at) /
                     Ck_USEC_PER_MSEC),
--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -69,8 +69,7 @@
 leave(struct lp_loop *loop)
 {
     struct lp_later *later;
-    while (loop->depth == 1 &&
-           (later = STAILQ_FIRST(&loop->later)) != NULL) {
+    while (loop->depth == 1 && (later = STAILQ_FIRST(&loop->later)) != NULL) {
         STAILQ_REMOVE_HEAD(&loop->later, link);
         later->fn(later->arg);
     }
