--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -269,6 +269,36 @@
             peers);
 }
 
+static bool
+knows_more(const struct ga_gate *gate, const struct ms_peer *peer)
+{
+    return Ms_Close(gate->mesh, peer) && !peer->stopping &&
+           (peer->config_changed > Fe_Changed(gate->feed, AG_CONFIG) ||
+            peer->entries_changed > Fe_Changed(gate->feed, AG_ENDPOINTS));
+}
+
+/*
+ * Any of those that know more.  The first of a list would be asked again and
+ * again when it died after its last word, by all daemons that heard it, for
+ * as long as they believe it alive.
+ */
+static const struct ms_peer *
+pick_newer(struct ga_gate *gate)
+{
+    uint32_t count = 0;
+    const struct ms_peer *picked = NULL;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (knows_more(gate, peer)) {
+            count++;
+            if (Rn_Below(&gate->random, count) == 0) {
+                picked = peer;
+            }
+        }
+    }
+    return picked;
+}
+
 /*
  * A daemon that the store turns away, or whose connection to it has fallen
  * silent, learns of what is newer from whoever has read it.
@@ -287,16 +317,9 @@
     if (now - peers->fetch_at < Pe_FETCH_EVERY_USEC) {
         return;
     }
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (!Ms_Alive(gate->mesh, peer)) {
-            continue;
-        }
-        if (peer->config_changed > Fe_Changed(gate->feed, AG_CONFIG) ||
-            peer->entries_changed > Fe_Changed(gate->feed, AG_ENDPOINTS)) {
-            start_fetch(peers, peer);
-            return;
-        }
+    const struct ms_peer *peer = pick_newer(gate);
+    if (peer != NULL) {
+        start_fetch(peers, peer);
     }
 }
 
