--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -15,7 +15,7 @@
 #define Pe_PATH_MAX 128
 #define Pe_STATE_PATH "/state?config="
 /* One fetch at a time, this long at the most, and not more often than so. */
-#define Pe_FETCH_USEC (1000 * Ck_USEC_PER_MSEC)
+#define Pe_FETCH_USEC (500 * Ck_USEC_PER_MSEC)
 #define Pe_FETCH_EVERY_USEC (100 * Ck_USEC_PER_MSEC)
 /* When nobody is heard, the hosts' records in the store are read again. */
 #define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -15,6 +15,8 @@
  * report is due only many seconds later.
  */
 #define Wo_SETTLE_USEC (2500 * Ck_USEC_PER_MSEC)
+/* Heartbeats without a new endpoint after which none is missing. */
+#define Wo_SETTLE_BEATS 2
 #define Wo_RETRY_USEC (700 * Ck_USEC_PER_MSEC)
 #define Wo_PLAN_EVERY_USEC (1000 * Ck_USEC_PER_MSEC)
 /* A kind refused in a data centre is asked for again after this. */
@@ -46,6 +48,7 @@
     char service[Ec_NAME_MAX];
     int wanted;
     int64_t since;
+    bool settled; /* its endpoints are all known */
 };
 
 struct wo_work {
@@ -394,6 +397,38 @@
     return base->wanted;
 }
 
+/*
+ * Whether all endpoints of a service are known.  Each writes its entry about
+ * every heartbeat, so just after their start, or ours, some are missing; an
+ * order for the number that is seen would end those that are not.
+ */
+static bool
+is_settled(struct wo_work *work, const char *service)
+{
+    struct ga_gate *gate = work->gate;
+    struct base *base = NULL;
+    for (size_t i = 0; i < work->base_count; i++) {
+        if (strcmp(work->bases[i].service, service) == 0) {
+            base = &work->bases[i];
+        }
+    }
+    if (base == NULL || base->settled) {
+        return base != NULL;
+    }
+    int64_t now = Ga_Now(gate);
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (!endpoint->entry.spot &&
+            strcmp(endpoint->entry.service, service) == 0 &&
+            now - endpoint->since <
+                Wo_SETTLE_BEATS * gate->options.node->heartbeat_usec) {
+            return false;
+        }
+    }
+    base->settled = true;
+    return true;
+}
+
 static void
 log_plan(const struct pn_service *wants, const struct ec_service *service,
          const struct pn_zone *zones, const struct pn_wish *wishes)
@@ -459,6 +494,7 @@
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
     log_plan(&wants, service, zones, wishes);
+    bool settled = is_settled(work, service->name);
     for (size_t i = 0; i < service->zone_count; i++) {
         for (int spot = 0; spot <= 1; spot++) {
             struct order *order =
@@ -466,7 +502,8 @@
             int wish = spot ? wishes[i].spot : wishes[i].lasting;
             bool known = order != NULL && order->confirmed >= 0;
             int have = spot ? zones[i].spot : zones[i].lasting;
-            if (order != NULL && (known || wish != have)) {
+            if (order != NULL && (known || wish != have) &&
+                (spot || settled)) {
                 place_order(work, order, wish);
             }
         }
@@ -495,13 +532,14 @@
 Wo_Tick(struct wo_work *work)
 {
     struct ga_gate *gate = work->gate;
-    if (!Du_Holds(gate->duty) || gate->stopping_at != 0) {
+    if (!Du_Holds(gate->duty)) {
         return;
     }
     if (gate->options.node->report_usage) {
         tick_usage(work);
     }
-    if (gate->options.node->order_endpoints && Du_Holds(gate->duty)) {
+    if (gate->options.node->order_endpoints && Du_Holds(gate->duty) &&
+        gate->stopping_at == 0) {
         tick_orders(work);
     }
 }
