--- a/packages/edge/duty_record.h
+++ b/packages/edge/duty_record.h
@@ -4,6 +4,10 @@
 
 #include "edge/duty.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 struct dr_record {
     uint64_t run; /* of the process that wrote it */
     bool has_usage;
@@ -16,4 +20,8 @@
 size_t Dr_Encode(const struct dr_record *record, char **out);
 bool Dr_Decode(const void *data, size_t len, struct dr_record *out);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
