A peer's number says nothing of removals that the peer never saw

A first listing is not numbered any more, and a pack for one who knows less than the sender's last listing is whole, so that what it lacks is removed.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -44,6 +44,8 @@
     int64_t from;    /* next offset to read; -1: list first */
     int64_t highest; /* no reading that ends before it is believed */
     int64_t changed; /* behind the last change */
+    int64_t base;    /* removals before it may be unknown */
+    bool listed;     /* a whole listing was read */
     int64_t listing_end;
     int64_t answered_at;
     bool waiting;      /* a read is under way */
@@ -157,6 +159,17 @@
     return Fl_SameEntry(&before, &after);
 }
 
+/*
+ * To a daemon that has just started every entry is new.  Its numbers would be
+ * those of the last heartbeats, ahead of everybody's; all others would fetch
+ * its records, and with its number pass over removals that it never saw.
+ */
+static bool
+first_listing(const struct follow *follow)
+{
+    return !follow->listed && follow->from < 0 && follow->waiting;
+}
+
 static void
 take(struct follow *follow, const char *key, int64_t offset, const void *value,
      size_t len)
@@ -169,7 +182,10 @@
     if (offset <= known->offset) {
         return;
     }
-    if (!says_the_same(follow, known, value, len)) {
+    if (first_listing(follow)) {
+        known->changed = 0;
+    }
+    else if (!says_the_same(follow, known, value, len)) {
         known->changed = offset;
         if (offset + 1 > follow->changed) {
             follow->changed = offset + 1;
@@ -297,6 +313,8 @@
         }
     }
     follow->from = follow->listing_end;
+    follow->base = follow->listing_end;
+    follow->listed = true;
     follow->after[0] = '\0';
 }
 
@@ -320,6 +338,7 @@
         return;
     }
     note_answer(follow);
+    follow->waiting = true;
     if (follow->after[0] == '\0') {
         if (result->end < follow->highest) {
             /* A reading from before what is known already. */
@@ -480,6 +499,11 @@
 static void
 pack_follow(msgpack_packer *packer, const struct follow *follow, int64_t from)
 {
+    bool full = from < follow->base;
+    from = full ? 0 : from;
+    msgpack_pack_int64(packer, follow->changed);
+    msgpack_pack_int64(packer, follow->base);
+    msgpack_pack_int(packer, full);
     msgpack_pack_array(packer, count_known(follow, from));
     struct known *known;
     RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
@@ -501,7 +525,11 @@
     }
 }
 
-/* [changed, records] of the configuration and of the endpoints. */
+/*
+ * [changed, base, full, records] of the configuration and of the endpoints.
+ * Whoever knows less than the last listing here gets all: a removal before it
+ * may not be known here, and shows only by what is missing.
+ */
 size_t
 Fe_Pack(const struct fe_feed *feed, int64_t config_from, int64_t entries_from,
         char **out)
@@ -510,10 +538,8 @@
     msgpack_sbuffer_init(&buffer);
     msgpack_packer packer;
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, 4);
-    msgpack_pack_int64(&packer, feed->config_follow.changed);
+    msgpack_pack_array(&packer, 8);
     pack_follow(&packer, &feed->config_follow, config_from);
-    msgpack_pack_int64(&packer, feed->entry_follow.changed);
     pack_follow(&packer, &feed->entry_follow, entries_from);
     size_t len = buffer.size;
     *out = msgpack_sbuffer_release(&buffer);
@@ -540,24 +566,54 @@
          has ? part[2].via.bin.ptr : NULL, has ? part[2].via.bin.size : 0);
 }
 
-/*
- * A daemon that has just listed the entries takes their last heartbeats for
- * changes.  Its records bring nothing new here, but its number is taken over:
- * otherwise they would be fetched again with every tick.
- */
+static int64_t
+get_number(const msgpack_object *object)
+{
+    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+               ? (int64_t)object->via.u64
+               : 0;
+}
+
+/* What a whole pack lacks was removed, unless it is newer than the pack. */
 static void
-unpack_follow(struct follow *follow, const msgpack_object *changed,
-              const msgpack_object *records)
+remove_unlisted(struct follow *follow, int64_t before)
 {
-    if (changed->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        records->type != MSGPACK_OBJECT_ARRAY) {
+    struct known *known;
+    RB_FOREACH (known, known_tree, &follow->known) {
+        if (known->listed || known->value == NULL || known->offset >= before ||
+            follow->topic != AG_ENDPOINTS) {
+            continue;
+        }
+        free(known->value);
+        known->value = NULL;
+        Fl_Remove(follow->feed->options.fleet, known->key);
+    }
+}
+
+static void
+unpack_follow(struct follow *follow, const msgpack_object *part)
+{
+    int64_t changed = get_number(&part[0]);
+    int64_t base = get_number(&part[1]);
+    bool full = get_number(&part[2]) != 0;
+    int64_t had = follow->changed;
+    const msgpack_object *records = &part[3];
+    if (records->type != MSGPACK_OBJECT_ARRAY) {
         return;
     }
+    struct known *known;
+    RB_FOREACH (known, known_tree, &follow->known) {
+        known->listed = false;
+    }
     for (size_t i = 0; i < records->via.array.size; i++) {
         unpack_record(follow, &records->via.array.ptr[i]);
     }
-    if (follow->changed < (int64_t)changed->via.u64) {
-        follow->changed = (int64_t)changed->via.u64;
+    if (full && had < base) {
+        remove_unlisted(follow, base);
+        follow->base = base;
+    }
+    if (follow->changed < changed) {
+        follow->changed = changed;
     }
 }
 
@@ -570,10 +626,10 @@
     if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
             MSGPACK_UNPACK_SUCCESS &&
         unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
-        unpacked.data.via.array.size == 4) {
+        unpacked.data.via.array.size == 8) {
         const msgpack_object *part = unpacked.data.via.array.ptr;
-        unpack_follow(&feed->config_follow, &part[0], &part[1]);
-        unpack_follow(&feed->entry_follow, &part[2], &part[3]);
+        unpack_follow(&feed->config_follow, &part[0]);
+        unpack_follow(&feed->entry_follow, &part[4]);
     }
     msgpack_unpacked_destroy(&unpacked);
 }
