--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -43,9 +43,10 @@
     struct lp_timer *timer;
     int64_t from;    /* next offset to read; -1: list first */
     int64_t highest; /* no reading that ends before it is believed */
-    int64_t changed; /* behind the last change */
+    int64_t changed; /* behind the last change; -1: nothing is known */
     int64_t base;    /* removals before it may be unknown */
     bool listed;     /* a whole listing was read */
+    int64_t listed_at;
     int64_t listing_end;
     int64_t answered_at;
     bool waiting;      /* a read is under way */
@@ -167,7 +168,8 @@
 static bool
 first_listing(const struct follow *follow)
 {
-    return !follow->listed && follow->from < 0 && follow->waiting;
+    return follow->topic == AG_ENDPOINTS && !follow->listed &&
+           follow->from < 0 && follow->waiting;
 }
 
 static void
@@ -315,6 +317,10 @@
     follow->from = follow->listing_end;
     follow->base = follow->listing_end;
     follow->listed = true;
+    follow->listed_at = Ck_Now(follow->feed->options.clock);
+    if (follow->changed < 0) {
+        follow->changed = 0;
+    }
     follow->after[0] = '\0';
 }
 
@@ -362,6 +368,19 @@
     Lp_TimerSet(follow->timer, 0);
 }
 
+/*
+ * Whoever still reads some seconds after its listing does so because nobody
+ * else does: then its listing is the newest that there is.
+ */
+static void
+number_listing(struct follow *follow, int64_t now)
+{
+    if (follow->from >= 0 && follow->changed < follow->base &&
+        now - follow->listed_at > Fe_RELIST_USEC) {
+        follow->changed = follow->base;
+    }
+}
+
 static void
 step(void *arg)
 {
@@ -378,6 +397,7 @@
         follow->topic == AG_ENDPOINTS) {
         follow->from = -1;
     }
+    number_listing(follow, now);
     follow->waiting = true;
     if (follow->from < 0) {
         store->ops->newest(store, follow->topic,
@@ -396,6 +416,7 @@
     follow->feed = feed;
     follow->topic = topic;
     follow->from = -1;
+    follow->changed = -1;
     RB_INIT(&follow->known);
     follow->timer = Lp_TimerCreate(feed->options.loop, step, follow);
     if (follow->timer == NULL) {
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -242,6 +242,12 @@
     .done = fetch_done,
 };
 
+static int64_t
+at_least_0(int64_t number)
+{
+    return number > 0 ? number : 0;
+}
+
 static void
 start_fetch(struct pe_peers *peers, const struct ms_peer *peer)
 {
@@ -260,8 +266,8 @@
         snprintf(head, sizeof(head),
                  "GET " Pe_STATE_PATH "%" PRId64 ",%" PRId64 " HTTP/1.1\r\n"
                  "Host: %s\r\n\r\n",
-                 Fe_Changed(gate->feed, AG_CONFIG),
-                 Fe_Changed(gate->feed, AG_ENDPOINTS), address);
+                 at_least_0(Fe_Changed(gate->feed, AG_CONFIG)),
+                 at_least_0(Fe_Changed(gate->feed, AG_ENDPOINTS)), address);
     Ln_Log(LN_STATE, "state.fetched",
            "\"peer\":\"%s\",\"config\":%lld,\"entries\":%lld", peer->name,
            (long long)peer->config_changed, (long long)peer->entries_changed);
