--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -1,8 +1,6 @@
-#include "edge/feed.h"
+#include "edge/feed_internal.h"
 
 #include <bsd/string.h>
-#include <bsd/sys/tree.h>
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,52 +23,13 @@
 /* A read that waits says nothing meanwhile; a second more is a lost one. */
 #define Fe_CURRENT_USEC (Fe_CONFIG_WAIT_USEC + 1 * Ck_USEC_PER_SEC)
 
-struct known {
-    RB_ENTRY(known) link;
-    char *key;
-    int64_t offset;
-    int64_t changed; /* offset of the last record that said something new */
-    char *value;     /* NULL: removed */
-    size_t len;
-    bool listed;
-};
-
-RB_HEAD(known_tree, known);
-
-struct follow {
-    struct fe_feed *feed;
-    enum ag_topic topic;
-    struct lp_timer *timer;
-    int64_t from;    /* next offset to read; -1: list first */
-    int64_t highest; /* no reading that ends before it is believed */
-    int64_t changed; /* behind the last change; -1: nothing is known */
-    int64_t base;    /* removals before it may be unknown */
-    bool listed;     /* a whole listing was read */
-    int64_t listed_at;
-    int64_t listing_end;
-    int64_t answered_at;
-    bool waiting;      /* a read is under way */
-    int64_t failed_at; /* since when it fails; 0: it does not */
-    char after[Ec_NAME_MAX];
-    struct known_tree known;
-};
-
-struct fe_feed {
-    struct fe_options options;
-    struct ec_config *config;
-    struct follow config_follow;
-    struct follow entry_follow;
-    bool reached;
-};
-
-static int
-known_compare(const struct known *a, const struct known *b)
+int
+fe_compare(const struct known *a, const struct known *b)
 {
     return strcmp(a->key, b->key);
 }
 
-RB_PROTOTYPE(known_tree, known, link, known_compare);
-RB_GENERATE(known_tree, known, link, known_compare);
+RB_GENERATE(known_tree, known, link, fe_compare);
 
 static void step(void *arg);
 
@@ -172,9 +131,9 @@
            follow->from < 0 && follow->waiting;
 }
 
-static void
-take(struct follow *follow, const char *key, int64_t offset, const void *value,
-     size_t len)
+void
+fe_take(struct follow *follow, const char *key, int64_t offset,
+        const void *value, size_t len)
 {
     struct known *known = find_or_add(follow, key);
     if (known == NULL) {
@@ -227,7 +186,7 @@
         }
         memcpy(key, record->key, record->key_len);
         key[record->key_len] = '\0';
-        take(follow, key, record->offset, record->value, record->len);
+        fe_take(follow, key, record->offset, record->value, record->len);
     }
 }
 
@@ -505,152 +464,3 @@
     return topic == AG_CONFIG ? feed->config_follow.changed
                               : feed->entry_follow.changed;
 }
-
-static size_t
-count_known(const struct follow *follow, int64_t from)
-{
-    size_t count = 0;
-    struct known *known;
-    RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
-        count += known->changed >= from;
-    }
-    return count;
-}
-
-static void
-pack_follow(msgpack_packer *packer, const struct follow *follow, int64_t from)
-{
-    bool full = from < follow->base;
-    from = full ? 0 : from;
-    msgpack_pack_int64(packer, follow->changed);
-    msgpack_pack_int64(packer, follow->base);
-    msgpack_pack_int(packer, full);
-    msgpack_pack_array(packer, count_known(follow, from));
-    struct known *known;
-    RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
-        if (known->changed < from) {
-            continue;
-        }
-        size_t key_len = strlen(known->key);
-        msgpack_pack_array(packer, 3);
-        msgpack_pack_str(packer, key_len);
-        msgpack_pack_str_body(packer, known->key, key_len);
-        msgpack_pack_int64(packer, known->changed);
-        if (known->value == NULL) {
-            msgpack_pack_nil(packer);
-        }
-        else {
-            msgpack_pack_bin(packer, known->len);
-            msgpack_pack_bin_body(packer, known->value, known->len);
-        }
-    }
-}
-
-/*
- * [changed, base, full, records] of the configuration and of the endpoints.
- * Whoever knows less than the last listing here gets all: a removal before it
- * may not be known here, and shows only by what is missing.
- */
-size_t
-Fe_Pack(const struct fe_feed *feed, int64_t config_from, int64_t entries_from,
-        char **out)
-{
-    msgpack_sbuffer buffer;
-    msgpack_sbuffer_init(&buffer);
-    msgpack_packer packer;
-    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, 8);
-    pack_follow(&packer, &feed->config_follow, config_from);
-    pack_follow(&packer, &feed->entry_follow, entries_from);
-    size_t len = buffer.size;
-    *out = msgpack_sbuffer_release(&buffer);
-    return len;
-}
-
-static void
-unpack_record(struct follow *follow, const msgpack_object *record)
-{
-    if (record->type != MSGPACK_OBJECT_ARRAY || record->via.array.size != 3) {
-        return;
-    }
-    const msgpack_object *part = record->via.array.ptr;
-    char key[Ec_NAME_MAX * 2];
-    if (part[0].type != MSGPACK_OBJECT_STR ||
-        part[0].via.str.size >= sizeof(key) ||
-        part[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
-        return;
-    }
-    memcpy(key, part[0].via.str.ptr, part[0].via.str.size);
-    key[part[0].via.str.size] = '\0';
-    bool has = part[2].type == MSGPACK_OBJECT_BIN;
-    take(follow, key, (int64_t)part[1].via.u64,
-         has ? part[2].via.bin.ptr : NULL, has ? part[2].via.bin.size : 0);
-}
-
-static int64_t
-get_number(const msgpack_object *object)
-{
-    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER
-               ? (int64_t)object->via.u64
-               : 0;
-}
-
-/* What a whole pack lacks was removed, unless it is newer than the pack. */
-static void
-remove_unlisted(struct follow *follow, int64_t before)
-{
-    struct known *known;
-    RB_FOREACH (known, known_tree, &follow->known) {
-        if (known->listed || known->value == NULL || known->offset >= before ||
-            follow->topic != AG_ENDPOINTS) {
-            continue;
-        }
-        free(known->value);
-        known->value = NULL;
-        Fl_Remove(follow->feed->options.fleet, known->key);
-    }
-}
-
-static void
-unpack_follow(struct follow *follow, const msgpack_object *part)
-{
-    int64_t changed = get_number(&part[0]);
-    int64_t base = get_number(&part[1]);
-    bool full = get_number(&part[2]) != 0;
-    int64_t had = follow->changed;
-    const msgpack_object *records = &part[3];
-    if (records->type != MSGPACK_OBJECT_ARRAY) {
-        return;
-    }
-    struct known *known;
-    RB_FOREACH (known, known_tree, &follow->known) {
-        known->listed = false;
-    }
-    for (size_t i = 0; i < records->via.array.size; i++) {
-        unpack_record(follow, &records->via.array.ptr[i]);
-    }
-    if (full && had < base) {
-        remove_unlisted(follow, base);
-        follow->base = base;
-    }
-    if (follow->changed < changed) {
-        follow->changed = changed;
-    }
-}
-
-/* Takes what a peer packed; bytes that make no sense are passed over. */
-void
-Fe_Unpack(struct fe_feed *feed, const char *data, size_t len)
-{
-    msgpack_unpacked unpacked;
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
-        unpacked.data.via.array.size == 8) {
-        const msgpack_object *part = unpacked.data.via.array.ptr;
-        unpack_follow(&feed->config_follow, &part[0]);
-        unpack_follow(&feed->entry_follow, &part[4]);
-    }
-    msgpack_unpacked_destroy(&unpacked);
-}
--- /dev/null
+++ b/packages/edge/feed_internal.h
@@ -0,0 +1,55 @@
+/* Shared by the files of the feed only. */
+#ifndef EDGE_FEED_INTERNAL_H
+#define EDGE_FEED_INTERNAL_H
+
+#include <bsd/sys/tree.h>
+#include <string.h>
+
+#include "edge/feed.h"
+
+struct known {
+    RB_ENTRY(known) link;
+    char *key;
+    int64_t offset;
+    int64_t changed; /* offset of the last record that said something new */
+    char *value;     /* NULL: removed */
+    size_t len;
+    bool listed;
+};
+
+RB_HEAD(known_tree, known);
+
+struct follow {
+    struct fe_feed *feed;
+    enum ag_topic topic;
+    struct lp_timer *timer;
+    int64_t from;    /* next offset to read; -1: list first */
+    int64_t highest; /* no reading that ends before it is believed */
+    int64_t changed; /* behind the last change; -1: nothing is known */
+    int64_t base;    /* removals before it may be unknown */
+    bool listed;     /* a whole listing was read */
+    int64_t listed_at;
+    int64_t listing_end;
+    int64_t answered_at;
+    bool waiting;      /* a read is under way */
+    int64_t failed_at; /* since when it fails; 0: it does not */
+    char after[Ec_NAME_MAX];
+    struct known_tree known;
+};
+
+struct fe_feed {
+    struct fe_options options;
+    struct ec_config *config;
+    struct follow config_follow;
+    struct follow entry_follow;
+    bool reached;
+};
+
+int fe_compare(const struct known *a, const struct known *b);
+RB_PROTOTYPE(known_tree, known, link, fe_compare);
+
+/* Takes a record, from the store or from a peer. */
+void fe_take(struct follow *follow, const char *key, int64_t offset,
+             const void *value, size_t len);
+
+#endif
--- /dev/null
+++ b/packages/edge/feed_pack.c
@@ -0,0 +1,155 @@
+/* What daemons fetch from each other, and how it is taken in. */
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/feed_internal.h"
+
+static size_t
+count_known(const struct follow *follow, int64_t from)
+{
+    size_t count = 0;
+    struct known *known;
+    RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
+        count += known->changed >= from;
+    }
+    return count;
+}
+
+static void
+pack_follow(msgpack_packer *packer, const struct follow *follow, int64_t from)
+{
+    bool full = from < follow->base;
+    from = full ? 0 : from;
+    msgpack_pack_int64(packer, follow->changed);
+    msgpack_pack_int64(packer, follow->base);
+    msgpack_pack_int(packer, full);
+    msgpack_pack_array(packer, count_known(follow, from));
+    struct known *known;
+    RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
+        if (known->changed < from) {
+            continue;
+        }
+        size_t key_len = strlen(known->key);
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_str(packer, key_len);
+        msgpack_pack_str_body(packer, known->key, key_len);
+        msgpack_pack_int64(packer, known->changed);
+        if (known->value == NULL) {
+            msgpack_pack_nil(packer);
+        }
+        else {
+            msgpack_pack_bin(packer, known->len);
+            msgpack_pack_bin_body(packer, known->value, known->len);
+        }
+    }
+}
+
+/*
+ * [changed, base, full, records] of the configuration and of the endpoints.
+ * Whoever knows less than the last listing here gets all: a removal before it
+ * may not be known here, and shows only by what is missing.
+ */
+size_t
+Fe_Pack(const struct fe_feed *feed, int64_t config_from, int64_t entries_from,
+        char **out)
+{
+    msgpack_sbuffer buffer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, 8);
+    pack_follow(&packer, &feed->config_follow, config_from);
+    pack_follow(&packer, &feed->entry_follow, entries_from);
+    size_t len = buffer.size;
+    *out = msgpack_sbuffer_release(&buffer);
+    return len;
+}
+
+static void
+unpack_record(struct follow *follow, const msgpack_object *record)
+{
+    if (record->type != MSGPACK_OBJECT_ARRAY || record->via.array.size != 3) {
+        return;
+    }
+    const msgpack_object *part = record->via.array.ptr;
+    char key[Ec_NAME_MAX * 2];
+    if (part[0].type != MSGPACK_OBJECT_STR ||
+        part[0].via.str.size >= sizeof(key) ||
+        part[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return;
+    }
+    memcpy(key, part[0].via.str.ptr, part[0].via.str.size);
+    key[part[0].via.str.size] = '\0';
+    bool has = part[2].type == MSGPACK_OBJECT_BIN;
+    fe_take(follow, key, (int64_t)part[1].via.u64,
+            has ? part[2].via.bin.ptr : NULL, has ? part[2].via.bin.size : 0);
+}
+
+static int64_t
+get_number(const msgpack_object *object)
+{
+    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+               ? (int64_t)object->via.u64
+               : 0;
+}
+
+/* What a whole pack lacks was removed, unless it is newer than the pack. */
+static void
+remove_unlisted(struct follow *follow, int64_t before)
+{
+    struct known *known;
+    RB_FOREACH (known, known_tree, &follow->known) {
+        if (known->listed || known->value == NULL || known->offset >= before ||
+            follow->topic != AG_ENDPOINTS) {
+            continue;
+        }
+        free(known->value);
+        known->value = NULL;
+        Fl_Remove(follow->feed->options.fleet, known->key);
+    }
+}
+
+static void
+unpack_follow(struct follow *follow, const msgpack_object *part)
+{
+    int64_t changed = get_number(&part[0]);
+    int64_t base = get_number(&part[1]);
+    bool full = get_number(&part[2]) != 0;
+    int64_t had = follow->changed;
+    const msgpack_object *records = &part[3];
+    if (records->type != MSGPACK_OBJECT_ARRAY) {
+        return;
+    }
+    struct known *known;
+    RB_FOREACH (known, known_tree, &follow->known) {
+        known->listed = false;
+    }
+    for (size_t i = 0; i < records->via.array.size; i++) {
+        unpack_record(follow, &records->via.array.ptr[i]);
+    }
+    if (full && had < base) {
+        remove_unlisted(follow, base);
+        follow->base = base;
+    }
+    if (follow->changed < changed) {
+        follow->changed = changed;
+    }
+}
+
+/* Takes what a peer packed; bytes that make no sense are passed over. */
+void
+Fe_Unpack(struct fe_feed *feed, const char *data, size_t len)
+{
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
+        unpacked.data.via.array.size == 8) {
+        const msgpack_object *part = unpacked.data.via.array.ptr;
+        unpack_follow(&feed->config_follow, &part[0]);
+        unpack_follow(&feed->entry_follow, &part[4]);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+}
--- /dev/null
+++ b/packages/edge/orders.c
@@ -0,0 +1,355 @@
+/* Endpoints: what each service should have, and the orders for it. */
+#include <bsd/string.h>
+#include <string.h>
+
+#include "edge/plan.h"
+#include "edge/work_internal.h"
+
+/* Heartbeats without a new endpoint after which none is missing. */
+#define Wo_SETTLE_BEATS 2
+#define Wo_PLAN_EVERY_USEC (1000 * Ck_USEC_PER_MSEC)
+/* An endpoint that has started says so some time later. */
+#define Wo_BOOT_USEC (2 * Ck_USEC_PER_SEC)
+/* A kind refused in a data centre is asked for again after this. */
+#define Wo_DRY_USEC (3 * Ck_USEC_PER_SEC)
+/* An order that was answered is repeated, should it have been undone. */
+#define Wo_REPEAT_USEC (10 * Ck_USEC_PER_SEC)
+/* Endpoints take seconds to come, and load comes in waves of tens of them. */
+#define Wo_KEEP_USEC (25 * Ck_USEC_PER_SEC)
+
+static struct order *
+find_order(struct wo_work *work, const char *service, const char *zone,
+           bool spot)
+{
+    for (size_t i = 0; i < work->order_count; i++) {
+        struct order *order = &work->orders[i];
+        if (order->spot == spot && strcmp(order->service, service) == 0 &&
+            strcmp(order->zone, zone) == 0) {
+            return order;
+        }
+    }
+    if (work->order_count == Wo_ORDERS_MAX) {
+        return NULL;
+    }
+    struct order *order = &work->orders[work->order_count++];
+    strlcpy(order->service, service, sizeof(order->service));
+    strlcpy(order->zone, zone, sizeof(order->zone));
+    order->spot = spot;
+    order->confirmed = -1;
+    order->work = work;
+    return order;
+}
+
+static void
+on_ordered(void *arg, enum cl_status status)
+{
+    struct order *order = arg;
+    struct ga_gate *gate = order->work->gate;
+    int64_t now = Ga_Now(gate);
+    order->busy = false;
+    Ln_Log(LN_STATE, "order.answered",
+           "\"service\":\"%s\",\"zone\":\"%s\",\"spot\":%d,\"count\":%d,"
+           "\"status\":%d",
+           order->service, order->zone, order->spot, order->wanted,
+           (int)status);
+    if (status == CL_DONE) {
+        if (order->wanted > order->confirmed) {
+            order->raised_at = now;
+        }
+        order->confirmed = order->wanted;
+    }
+    else if (status == CL_FENCED && order->spot) {
+        /* None to be had, most likely: a lost fence shows elsewhere too. */
+        order->dry_until = now + Wo_DRY_USEC;
+    }
+    else if (status == CL_FENCED) {
+        Du_Refused(gate->duty);
+    }
+}
+
+static void
+place_order(struct wo_work *work, struct order *order, int wanted)
+{
+    struct ga_gate *gate = work->gate;
+    int64_t now = Ga_Now(gate);
+    if (order->busy || now - order->asked_at < Wo_RETRY_USEC ||
+        (order->confirmed == wanted &&
+         now - order->asked_at < Wo_REPEAT_USEC)) {
+        return;
+    }
+    if (order->spot && now < order->dry_until && wanted > 0) {
+        return;
+    }
+    order->wanted = wanted;
+    order->asked_at = now;
+    order->busy = true;
+    struct cl_order request = {order->service, order->zone, order->spot,
+                               wanted};
+    gate->options.cloud->ops->order(gate->options.cloud, Du_Fence(gate->duty),
+                                    &request, on_ordered, order);
+}
+
+/* Usable endpoints of a kind in a data centre. */
+static int
+count_usable(const struct ga_gate *gate, const char *service, const char *zone,
+             bool spot)
+{
+    int count = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        count += Fl_Usable(endpoint) && endpoint->entry.spot == spot &&
+                 strcmp(endpoint->entry.service, service) == 0 &&
+                 strcmp(endpoint->entry.zone, zone) == 0;
+    }
+    return count;
+}
+
+/* The load of all daemons, and the reading rates that they have seen. */
+struct sum {
+    struct de_load load;
+    double rates;
+    int rate_count;
+};
+
+static void
+add_rates(struct sum *sum, uint32_t service, const struct de_rate *rates,
+          size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (rates[i].service != service) {
+            continue;
+        }
+        sum->load.reading += rates[i].reading;
+        sum->load.running += rates[i].running;
+        if (rates[i].read_rate > 0) {
+            sum->rates += rates[i].read_rate;
+            sum->rate_count++;
+        }
+    }
+}
+
+/*
+ * The mean of what daemons see; what the last holder saw where none has seen
+ * any, as after a restart of all under a load that leaves no endpoint idle.
+ */
+static double
+read_rate(const struct wo_work *work, const struct sum *sum, uint32_t service)
+{
+    const struct du_need *need = Du_Need(work->gate->duty, service);
+    if (sum->rate_count > 0) {
+        return sum->rates / sum->rate_count;
+    }
+    return need == NULL ? 0 : need->read_rate;
+}
+
+/* Endpoints that the load of all daemons needs; 0: not known. */
+static int
+needed_now(const struct wo_work *work, const struct ec_service *service)
+{
+    struct ga_gate *gate = work->gate;
+    uint32_t hash = De_Hash(service->name);
+    struct sum sum = {.load.slots = service->slots};
+    struct de_rate own[De_SERVICES_MAX];
+    add_rates(&sum, hash, own, De_Own(gate->demand, own));
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (Ms_Alive(gate->mesh, peer)) {
+            add_rates(&sum, hash, peer->rates, peer->rate_count);
+        }
+    }
+    sum.load.read_rate = read_rate(work, &sum, hash);
+    if (sum.load.read_rate <= 0) {
+        return 0;
+    }
+    int needed = De_Needed(&sum.load);
+    Ln_Log(LN_ORDINARY, "load",
+           "\"service\":\"%s\",\"reading_per_sec\":%.0f,\"running\":%.1f,"
+           "\"read_rate\":%.0f,\"needed\":%d",
+           service->name, sum.load.reading, sum.load.running,
+           sum.load.read_rate, needed);
+    return needed;
+}
+
+/* A successor that has seen no load yet starts from what was needed. */
+static void
+hand_on(struct wo_work *work, const struct ec_service *service, int wanted)
+{
+    uint32_t hash = De_Hash(service->name);
+    const struct du_need *before = Du_Need(work->gate->duty, hash);
+    struct du_need need = {hash, wanted,
+                           before == NULL ? 0 : before->read_rate};
+    double seen = De_ReadRate(work->gate->demand, service->name);
+    if (seen > 0) {
+        need.read_rate = seen;
+    }
+    Du_SetNeed(work->gate->duty, &need);
+}
+
+/*
+ * Until a load has been seen, as many as there are of the more frequent kind:
+ * someone gave the service that many, and while one kind replaces the other
+ * both are there.  Then what the load needs, falling only after a while.
+ */
+static int
+wanted_of(struct wo_work *work, const struct ec_service *service, int present)
+{
+    int64_t now = Ga_Now(work->gate);
+    struct base *base = NULL;
+    for (size_t i = 0; i < work->base_count; i++) {
+        if (strcmp(work->bases[i].service, service->name) == 0) {
+            base = &work->bases[i];
+        }
+    }
+    if (base == NULL) {
+        if (work->base_count == Wo_SERVICES_MAX) {
+            return present;
+        }
+        base = &work->bases[work->base_count++];
+        strlcpy(base->service, service->name, sizeof(base->service));
+        const struct du_need *need =
+            Du_Need(work->gate->duty, De_Hash(service->name));
+        base->wanted = need == NULL ? 0 : need->endpoints;
+        base->since = now;
+    }
+    int needed = needed_now(work, service);
+    if (needed == 0) {
+        needed = present;
+    }
+    if (needed >= base->wanted || now - base->since > Wo_KEEP_USEC) {
+        base->wanted = needed;
+        base->since = now;
+    }
+    hand_on(work, service, base->wanted);
+    return base->wanted;
+}
+
+/*
+ * Whether all endpoints of a service are known.  Each writes its entry about
+ * every heartbeat, so just after their start, or ours, some are missing; an
+ * order for the number that is seen would end those that are not.
+ */
+static bool
+is_settled(struct wo_work *work, const char *service)
+{
+    struct ga_gate *gate = work->gate;
+    struct base *base = NULL;
+    for (size_t i = 0; i < work->base_count; i++) {
+        if (strcmp(work->bases[i].service, service) == 0) {
+            base = &work->bases[i];
+        }
+    }
+    if (base == NULL || base->settled) {
+        return base != NULL;
+    }
+    int64_t now = Ga_Now(gate);
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (!endpoint->entry.spot &&
+            strcmp(endpoint->entry.service, service) == 0 &&
+            now - endpoint->since <
+                Wo_SETTLE_BEATS * gate->options.node->heartbeat_usec) {
+            return false;
+        }
+    }
+    base->settled = true;
+    return true;
+}
+
+static void
+log_plan(const struct pn_service *wants, const struct ec_service *service,
+         const struct pn_zone *zones, const struct pn_wish *wishes)
+{
+    int lasting = 0;
+    int spot = 0;
+    int coming = 0;
+    int dry = 0;
+    int wish_lasting = 0;
+    int wish_spot = 0;
+    for (size_t i = 0; i < service->zone_count; i++) {
+        lasting += zones[i].lasting;
+        spot += zones[i].spot;
+        coming += zones[i].spot_coming;
+        dry += zones[i].dry;
+        wish_lasting += wishes[i].lasting;
+        wish_spot += wishes[i].spot;
+    }
+    Ln_Log(LN_ORDINARY, "plan",
+           "\"service\":\"%s\",\"wanted\":%d,\"lasting\":%d,\"spot\":%d,"
+           "\"coming\":%d,\"dry_zones\":%d,\"wish_lasting\":%d,"
+           "\"wish_spot\":%d",
+           service->name, wants->wanted, lasting, spot, coming, dry,
+           wish_lasting, wish_spot);
+}
+
+static void
+plan_service(struct wo_work *work, const struct ec_service *service)
+{
+    struct ga_gate *gate = work->gate;
+    int64_t now = Ga_Now(gate);
+    struct pn_zone zones[Ec_ZONES_MAX] = {0};
+    struct pn_wish wishes[Ec_ZONES_MAX];
+    int lasting_there = 0;
+    int spot_there = 0;
+    for (size_t i = 0; i < service->zone_count; i++) {
+        struct pn_zone *zone = &zones[i];
+        strlcpy(zone->zone, service->zones[i].zone, sizeof(zone->zone));
+        zone->price = service->zones[i].price;
+        zone->lasting = count_usable(gate, service->name, zone->zone, false);
+        zone->spot = count_usable(gate, service->name, zone->zone, true);
+        const struct order *order =
+            find_order(work, service->name, zone->zone, true);
+        zone->dry = order != NULL && now < order->dry_until;
+        if (order != NULL && order->confirmed > zone->spot &&
+            now - order->raised_at < service->boot_usec + Wo_BOOT_USEC) {
+            zone->spot_coming = order->confirmed - zone->spot;
+        }
+        const struct order *lasting =
+            find_order(work, service->name, zone->zone, false);
+        zone->lasting_ordered =
+            lasting != NULL && lasting->confirmed > 0 ? lasting->confirmed : 0;
+        lasting_there += zone->lasting;
+        spot_there += zone->spot;
+    }
+    struct pn_service wants = {
+        .min = service->min,
+        .max = service->max,
+        .spot_price = service->spot_price,
+        .wanted =
+            wanted_of(work, service,
+                      lasting_there > spot_there ? lasting_there : spot_there),
+    };
+    Pn_Plan(&wants, zones, service->zone_count, wishes);
+    log_plan(&wants, service, zones, wishes);
+    bool settled = is_settled(work, service->name);
+    for (size_t i = 0; i < service->zone_count; i++) {
+        for (int spot = 0; spot <= 1; spot++) {
+            struct order *order =
+                find_order(work, service->name, zones[i].zone, spot);
+            int wish = spot ? wishes[i].spot : wishes[i].lasting;
+            bool known = order != NULL && order->confirmed >= 0;
+            int have = spot ? zones[i].spot : zones[i].lasting;
+            if (order != NULL && (known || wish != have) &&
+                (spot || settled)) {
+                place_order(work, order, wish);
+            }
+        }
+    }
+}
+
+void
+wo_tick_orders(struct wo_work *work)
+{
+    struct ga_gate *gate = work->gate;
+    int64_t now = Ga_Now(gate);
+    const struct ec_config *config = Fe_Config(gate->feed);
+    if (config == NULL || !Fl_Any(gate->fleet) ||
+        now - work->planned_at < Wo_PLAN_EVERY_USEC) {
+        return;
+    }
+    work->planned_at = now;
+    for (size_t i = 0; i < config->service_count; i++) {
+        if (config->services[i].ordered) {
+            plan_service(work, &config->services[i]);
+        }
+    }
+}
--- /dev/null
+++ b/packages/edge/work_internal.h
@@ -0,0 +1,47 @@
+/* Shared by the files of the holder's work only. */
+#ifndef EDGE_WORK_INTERNAL_H
+#define EDGE_WORK_INTERNAL_H
+
+#include "edge/gate_internal.h"
+
+#define Wo_ORDERS_MAX 64
+#define Wo_SERVICES_MAX 16
+/* A call that was not taken is made again after this. */
+#define Wo_RETRY_USEC (700 * Ck_USEC_PER_MSEC)
+
+struct order {
+    char service[Ec_NAME_MAX];
+    char zone[Ec_NAME_MAX];
+    bool spot;
+    int wanted;
+    int confirmed; /* -1: none under this fence */
+    int64_t asked_at;
+    int64_t raised_at; /* when a larger number was last confirmed */
+    int64_t dry_until;
+    bool busy;
+    struct wo_work *work;
+};
+
+/* Endpoints a service was found to need, the most of the last while. */
+struct base {
+    char service[Ec_NAME_MAX];
+    int wanted;
+    int64_t since;
+    bool settled; /* its endpoints are all known */
+};
+
+struct wo_work {
+    struct ga_gate *gate;
+    int64_t report_window; /* under way; 0: none */
+    int64_t retry_at;
+    int64_t planned_at;
+    size_t order_count;
+    struct order orders[Wo_ORDERS_MAX];
+    size_t base_count;
+    struct base bases[Wo_SERVICES_MAX];
+};
+
+/* Plans every service that may be ordered, and orders what differs. */
+void wo_tick_orders(struct wo_work *work);
+
+#endif
