--- a/packages/edge/node.c
+++ b/packages/edge/node.c
@@ -119,7 +119,8 @@
     if (out->peer_port <= 0) {
         return St_Fail(ST_INVALID, "setting 'ports' must be [FIRST, LAST]");
     }
-    out->metrics_port = out->peer_port + 1;
+    out->metrics_port =
+        (int)read_number(file, "metrics_port", out->peer_port + 1);
     out->first_start = json_is_true(json_object_get(file, "first_start"));
     const json_t *duties = json_object_get(file, "duties");
     out->report_usage = lists(duties, "usage_report");
