--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -33,8 +33,8 @@
 
 static void step(void *arg);
 
-static struct known *
-find(struct follow *follow, const char *key)
+struct known *
+fe_find(struct follow *follow, const char *key)
 {
     struct known wanted = {.key = (char *)key};
     return RB_FIND(known_tree, &follow->known, &wanted);
@@ -43,7 +43,7 @@
 static struct known *
 find_or_add(struct follow *follow, const char *key)
 {
-    struct known *known = find(follow, key);
+    struct known *known = fe_find(follow, key);
     if (known != NULL) {
         return known;
     }
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -48,6 +48,8 @@
 int fe_compare(const struct known *a, const struct known *b);
 RB_PROTOTYPE(known_tree, known, link, fe_compare);
 
+struct known *fe_find(struct follow *follow, const char *key);
+
 /* Takes a record, from the store or from a peer. */
 void fe_take(struct follow *follow, const char *key, int64_t offset,
              const void *value, size_t len);
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -81,9 +81,19 @@
     }
     memcpy(key, part[0].via.str.ptr, part[0].via.str.size);
     key[part[0].via.str.size] = '\0';
+    int64_t offset = (int64_t)part[1].via.u64;
+    const struct known *known = fe_find(follow, key);
+    if (follow->listed && offset < follow->base &&
+        (known == NULL || known->value == NULL)) {
+        /*
+         * The listing read here is newer and lacks it: it has gone, though
+         * the peer has not heard of that yet.
+         */
+        return;
+    }
     bool has = part[2].type == MSGPACK_OBJECT_BIN;
-    fe_take(follow, key, (int64_t)part[1].via.u64,
-            has ? part[2].via.bin.ptr : NULL, has ? part[2].via.bin.size : 0);
+    fe_take(follow, key, offset, has ? part[2].via.bin.ptr : NULL,
+            has ? part[2].via.bin.size : 0);
 }
 
 static int64_t
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -369,6 +369,7 @@
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
     }
     gate->options = *options;
+    gate->started_at = Ga_Now(gate);
     enum st_status status = create_tables(gate);
     if (status == ST_OK) {
         status = create_servers(gate);
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -55,6 +55,7 @@
     struct ga_counters count;
     struct lp_timer *tick;
     int64_t ticks;
+    int64_t started_at;
     int64_t stopping_at; /* 0: serving */
     bool was_ready;
 };
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -49,7 +49,8 @@
 struct ms_word {
     char name[Nd_NAME_MAX];
     char ip[Nd_NAME_MAX];
-    uint64_t run; /* of the process: differs at each start */
+    uint64_t run;    /* of the process: differs at each start */
+    int64_t up_usec; /* since that start */
     bool ready;
     bool stopping;
     bool store_reached;
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -6,9 +6,9 @@
 #include "edge/mesh.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
-#define Ms_FORMAT 2
+#define Ms_FORMAT 3
 #define Ms_MILLI 1000
-#define Ms_FIELDS 18
+#define Ms_FIELDS 19
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -74,6 +74,7 @@
     msgpack_pack_int(&packer, word->store_reached);
     msgpack_pack_int(&packer, word->reads_config);
     msgpack_pack_int(&packer, word->reads_entries);
+    msgpack_pack_int64(&packer, word->up_usec);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -177,6 +178,7 @@
     out->store_reached = get_number(&field[15]) != 0;
     out->reads_config = get_number(&field[16]) != 0;
     out->reads_entries = get_number(&field[17]) != 0;
+    out->up_usec = get_number(&field[18]);
     return true;
 }
 
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -25,6 +25,8 @@
  * admitting as well, unseen.
  */
 #define Pe_TOUCH_PART 0.6
+/* Daemons killed together are back within this of each other. */
+#define Pe_SAME_START_USEC (2 * Ck_USEC_PER_SEC)
 
 struct pe_peers {
     struct ga_gate *gate;
@@ -80,6 +82,7 @@
 fill(void *arg, struct ms_word *word)
 {
     struct ga_gate *gate = arg;
+    word->up_usec = Ga_Now(gate) - gate->started_at;
     word->ready = Ga_Ready(gate);
     word->stopping = gate->stopping_at != 0;
     word->store_reached = Fe_Reached(gate->feed);
@@ -114,8 +117,9 @@
            const struct ms_word *word)
 {
     bool same = peer->run == word->run;
-    if (!same && peer->run == 0 && word->spent_count > 0) {
-        /* Heard for the first time: what it did before counted for others. */
+    int64_t up_usec = Ga_Now(gate) - gate->started_at;
+    if (peer->run == 0 && word->up_usec > up_usec + Pe_SAME_START_USEC) {
+        /* It admitted most of that before this daemon was there. */
         return;
     }
     for (size_t i = 0; i < word->spent_count; i++) {
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -256,6 +256,27 @@
     EXPECT_NE(Fl_Find(far.fleet, "a"), nullptr);
 }
 
+// A request reaches an endpoint three seconds after it has left: a host that
+// had just started listed the entries without it, and then took it over from a
+// peer that had not yet heard of its end.
+TEST_F(Feed, APeerDoesNotBringBackWhatTheListingLacks)
+{
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node late = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(late.fleet, "b") != nullptr; }));
+    late.client->down = true;
+    store_.Remove(AG_ENDPOINTS, "b");
+    Node fresh = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "a") != nullptr; }));
+    char *packed;
+    size_t len = Fe_Pack(late.feed, 0, 0, &packed);
+    Fe_Unpack(fresh.feed, packed, len);
+    free(packed);
+    EXPECT_EQ(Fl_Find(fresh.fleet, "b"), nullptr);
+    EXPECT_NE(Fl_Find(fresh.fleet, "a"), nullptr);
+}
+
 // Bytes of a peer that make no sense stop a daemon.
 TEST_F(Feed, RubbishFromAPeerIsPassedOver)
 {
