--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -57,7 +57,12 @@
         free(known);
         return NULL;
     }
-    RB_INSERT(known_tree, &follow->known, known);
+    struct known *other = RB_INSERT(known_tree, &follow->known, known);
+    if (other != NULL) {
+        free(known->key);
+        free(known);
+        return other;
+    }
     return known;
 }
 
