--- a/packages/edge/ask.h
+++ b/packages/edge/ask.h
@@ -68,8 +68,7 @@
     bool (*reserved)(struct h1_text name);
     /* Writes the fields of "send"; returns the length. */
     size_t (*encode_send)(const struct ak_send *send, char *out, size_t size);
-    /* The id that an event's line announces; -1: none. */
-    const char *retry_after;
+    const char *retry_after; /* name of the field with the wait in seconds */
 };
 
 #ifdef __cplusplus
--- a/packages/web/http1.h
+++ b/packages/web/http1.h
@@ -45,7 +45,6 @@
     /* Valid until the next message begins. */
     void (*head)(void *arg, const struct h1_head *head);
     void (*body)(void *arg, const char *data, size_t len);
-    /* "whole" is false for a body that had no length and ended by close. */
     void (*end)(void *arg);
 };
 
--- a/packages/web/serve.c
+++ b/packages/web/serve.c
@@ -1,15 +1,11 @@
-#include "web/serve.h"
+#include "web/serve_internal.h"
 
-#include <bsd/sys/queue.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#include "web/sock.h"
-
 #define Sv_AHEAD_MAX 65536 /* bytes of later requests that are kept */
-#define Sv_LINE_MAX 512
 #define Sv_HEAD_BYTES 16384
 #define Sv_BODY_BYTES (4u << 20)
 #define Sv_HEAD_USEC (3 * Ck_USEC_PER_SEC)
@@ -20,52 +16,6 @@
  */
 #define Sv_IDLE_EXTRA_USEC (1 * Ck_USEC_PER_SEC)
 
-enum phase {
-    READING,   /* a request, or nothing yet */
-    HANDLING,  /* the handler has it */
-    STREAMING, /* the answer has begun */
-    OVER,      /* Sk_Finish() was called */
-};
-
-struct sv_request {
-    TAILQ_ENTRY(sv_request) link;
-    struct sv_server *server;
-    struct sk_sock *sock;
-    struct h1_parser *parser;
-    enum phase phase;
-    struct lp_later later;
-    bool dead;
-    bool have_head;
-    bool have_all;
-    bool chunked;
-    bool no_body; /* the answer to HEAD */
-    bool keep;
-    int refuse;      /* status of a refusal decided while parsing; 0: none */
-    int64_t head_at; /* when the request's first byte came */
-    int64_t moved_at;
-    void *user;
-    char *body;
-    size_t body_len;
-    size_t body_size;
-    char *ahead;
-    size_t ahead_len;
-};
-
-struct sv_server {
-    struct lp_loop *loop;
-    const struct ck_clock *clock;
-    struct sk_listener *listener;
-    const struct sv_ops *ops;
-    void *arg;
-    struct sv_limits limits;
-    bool draining;
-    size_t count;
-    size_t open;
-    TAILQ_HEAD(sv_list, sv_request) connections;
-};
-
-static void feed(struct sv_request *request, const char *data, size_t len);
-
 static void
 release(void *arg)
 {
@@ -76,8 +26,8 @@
     free(request);
 }
 
-static void
-bury(struct sv_request *request)
+void
+sv_bury(struct sv_request *request)
 {
     if (request->dead) {
         return;
@@ -89,8 +39,8 @@
     Lp_Later(request->server->loop, &request->later, release, request);
 }
 
-static void
-set_phase(struct sv_request *request, enum phase phase)
+void
+sv_set_phase(struct sv_request *request, enum sv_phase phase)
 {
     bool was = request->phase == HANDLING || request->phase == STREAMING;
     bool is = phase == HANDLING || phase == STREAMING;
@@ -99,13 +49,13 @@
 }
 
 /* Sends the rest and ends the connection; the request is freed. */
-static void
-finish(struct sv_request *request)
+void
+sv_finish(struct sv_request *request)
 {
-    set_phase(request, OVER);
+    sv_set_phase(request, OVER);
     Sk_Finish(request->sock);
     request->sock = NULL;
-    bury(request);
+    sv_bury(request);
 }
 
 static void
@@ -116,7 +66,7 @@
     }
     char body[Sv_LINE_MAX];
     int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
-    set_phase(request, HANDLING);
+    sv_set_phase(request, HANDLING);
     request->keep = false;
     request->have_all = false;
     Sv_Reply(request, status, "Content-Type: application/json\r\n", body,
@@ -197,7 +147,7 @@
     }
     char *grown = realloc(request->ahead, request->ahead_len + len);
     if (grown == NULL) {
-        bury(request);
+        sv_bury(request);
         return;
     }
     memcpy(grown + request->ahead_len, data, len);
@@ -223,8 +173,8 @@
     }
 }
 
-static void
-feed(struct sv_request *request, const char *data, size_t len)
+void
+sv_feed(struct sv_request *request, const char *data, size_t len)
 {
     if (request->phase != READING) {
         keep_ahead(request, data, len);
@@ -246,7 +196,7 @@
         return;
     }
     keep_ahead(request, data + used, len - used);
-    set_phase(request, HANDLING);
+    sv_set_phase(request, HANDLING);
     request->server->ops->request(request->server->arg, request);
 }
 
@@ -255,7 +205,7 @@
 {
     struct sv_request *request = arg;
     request->moved_at = Ck_Now(request->server->clock);
-    feed(request, data, len);
+    sv_feed(request, data, len);
 }
 
 static void
@@ -265,9 +215,9 @@
     (void)clean;
     if (request->phase == HANDLING || request->phase == STREAMING) {
         request->server->ops->gone(request->server->arg, request);
-        set_phase(request, OVER);
+        sv_set_phase(request, OVER);
     }
-    bury(request);
+    sv_bury(request);
 }
 
 static void
@@ -391,7 +341,7 @@
     struct sv_request *next;
     TAILQ_FOREACH_SAFE (request, &server->connections, link, next) {
         if (idle(request) && now - request->moved_at >= idle_usec) {
-            finish(request);
+            sv_finish(request);
         }
     }
 }
@@ -427,7 +377,7 @@
     }
     struct sv_request *request;
     while ((request = TAILQ_FIRST(&server->connections)) != NULL) {
-        bury(request);
+        sv_bury(request);
     }
     Sk_ListenClose(server->listener);
     free(server);
@@ -457,150 +407,3 @@
 {
     return request->user;
 }
-
-static bool
-will_keep(const struct sv_request *request)
-{
-    return request->keep && request->have_all && !request->server->draining;
-}
-
-static bool
-bodiless(const struct sv_request *request, int status)
-{
-    return request->no_body || status == 204 || status == 304;
-}
-
-static void
-write_head(struct sv_request *request, int status, const char *fields,
-           int64_t length)
-{
-    size_t size = strlen(fields) + Sv_LINE_MAX;
-    char *head = malloc(size);
-    if (head == NULL) {
-        Sv_Abort(request);
-        return;
-    }
-    size_t at = (size_t)snprintf(head, size, "HTTP/1.1 %d %s\r\n%s", status,
-                                 H1_Reason(status), fields);
-    if (length >= 0 && status != 204) {
-        at += (size_t)sprintf(head + at, "Content-Length: %lld\r\n",
-                              (long long)length);
-    }
-    else if (length < 0) {
-        at += (size_t)sprintf(head + at, "Transfer-Encoding: chunked\r\n");
-    }
-    at += will_keep(request)
-              ? (size_t)sprintf(head + at, "Keep-Alive: timeout=%lld\r\n\r\n",
-                                (long long)(request->server->limits.idle_usec /
-                                            Ck_USEC_PER_SEC))
-              : (size_t)sprintf(head + at, "Connection: close\r\n\r\n");
-    Sk_Write(request->sock, head, at);
-    free(head);
-}
-
-/* The answer is whole: the next request of the connection, or its end. */
-static void
-next(struct sv_request *request)
-{
-    if (!will_keep(request)) {
-        finish(request);
-        return;
-    }
-    set_phase(request, READING);
-    request->have_head = false;
-    request->have_all = false;
-    request->head_at = 0;
-    request->moved_at = Ck_Now(request->server->clock);
-    request->user = NULL;
-    free(request->body);
-    request->body = NULL;
-    request->body_len = 0;
-    request->body_size = 0;
-    H1_Reset(request->parser);
-    H1_SetHeadMax(request->parser, request->server->limits.head_bytes);
-    if (request->ahead_len > 0) {
-        char *ahead = request->ahead;
-        size_t len = request->ahead_len;
-        request->ahead = NULL;
-        request->ahead_len = 0;
-        Sk_Pause(request->sock, false);
-        feed(request, ahead, len);
-        free(ahead);
-    }
-}
-
-void
-Sv_Reply(struct sv_request *request, int status, const char *fields,
-         const void *body, size_t len)
-{
-    write_head(request, status, fields, (int64_t)len);
-    if (!request->dead) {
-        if (!bodiless(request, status)) {
-            Sk_Write(request->sock, body, len);
-        }
-        next(request);
-    }
-}
-
-void
-Sv_Begin(struct sv_request *request, int status, const char *fields,
-         int64_t length)
-{
-    set_phase(request, STREAMING);
-    request->chunked = length < 0;
-    write_head(request, status, fields, length);
-}
-
-void
-Sv_Write(struct sv_request *request, const void *data, size_t len)
-{
-    if (len == 0 || request->dead || request->no_body) {
-        return;
-    }
-    if (!request->chunked) {
-        Sk_Write(request->sock, data, len);
-        return;
-    }
-    char *chunk = malloc(len + 32);
-    if (chunk == NULL) {
-        Sv_Abort(request);
-        return;
-    }
-    size_t at = (size_t)sprintf(chunk, "%zx\r\n", len);
-    memcpy(chunk + at, data, len);
-    chunk[at + len] = '\r';
-    chunk[at + len + 1] = '\n';
-    Sk_Write(request->sock, chunk, at + len + 2);
-    free(chunk);
-}
-
-void
-Sv_End(struct sv_request *request)
-{
-    if (request->dead) {
-        return;
-    }
-    if (request->chunked && !request->no_body) {
-        Sk_Write(request->sock, "0\r\n\r\n", 5);
-    }
-    next(request);
-}
-
-size_t
-Sv_Pending(const struct sv_request *request)
-{
-    return request->dead ? 0 : Sk_Pending(request->sock);
-}
-
-void
-Sv_Abort(struct sv_request *request)
-{
-    if (request->phase == STREAMING) {
-        /* What was passed on still arrives; the end is missing. */
-        finish(request);
-    }
-    else {
-        set_phase(request, OVER);
-        bury(request);
-    }
-}
--- /dev/null
+++ b/packages/web/serve_internal.h
@@ -0,0 +1,64 @@
+/* Shared by the files of the HTTP server that keeps bytes as they are. */
+#ifndef WEB_SERVE_INTERNAL_H
+#define WEB_SERVE_INTERNAL_H
+
+#include <bsd/sys/queue.h>
+
+#include "web/serve.h"
+#include "web/sock.h"
+
+#define Sv_LINE_MAX 512
+
+enum sv_phase {
+    READING,   /* a request, or nothing yet */
+    HANDLING,  /* the handler has it */
+    STREAMING, /* the answer has begun */
+    OVER,      /* Sk_Finish() was called */
+};
+
+struct sv_request {
+    TAILQ_ENTRY(sv_request) link;
+    struct sv_server *server;
+    struct sk_sock *sock;
+    struct h1_parser *parser;
+    enum sv_phase phase;
+    struct lp_later later;
+    bool dead;
+    bool have_head;
+    bool have_all;
+    bool chunked;
+    bool no_body; /* the answer to HEAD */
+    bool keep;
+    int refuse;      /* status of a refusal decided while parsing; 0: none */
+    int64_t head_at; /* when the request's first byte came */
+    int64_t moved_at;
+    void *user;
+    char *body;
+    size_t body_len;
+    size_t body_size;
+    char *ahead;
+    size_t ahead_len;
+};
+
+struct sv_server {
+    struct lp_loop *loop;
+    const struct ck_clock *clock;
+    struct sk_listener *listener;
+    const struct sv_ops *ops;
+    void *arg;
+    struct sv_limits limits;
+    bool draining;
+    size_t count;
+    size_t open;
+    TAILQ_HEAD(sv_list, sv_request) connections;
+};
+
+void sv_set_phase(struct sv_request *request, enum sv_phase phase);
+/* Sends the rest and ends the connection; the request is freed. */
+void sv_finish(struct sv_request *request);
+/* Closes the connection; the request is freed. */
+void sv_bury(struct sv_request *request);
+/* Takes bytes of a request. */
+void sv_feed(struct sv_request *request, const char *data, size_t len);
+
+#endif
