--- a/packages/member/wire_scan.c
+++ b/packages/base/packscan.c
@@ -4,22 +4,22 @@
  * four billion made it ask for 256 GiB.  Every element takes a byte at
  * least, so no count may exceed the bytes that are left.
  */
-#include "member/wire.h"
+#include "base/packscan.h"
 
-#define Wr_FIX_ARRAY 0x90
-#define Wr_FIX_MAP 0x80
-#define Wr_FIX_STRING 0xa0
-#define Wr_FIRST_TYPED 0xc0
-#define Wr_NEGATIVE 0xe0
+#define Mp_FIX_ARRAY 0x90
+#define Mp_FIX_MAP 0x80
+#define Mp_FIX_STRING 0xa0
+#define Mp_FIRST_TYPED 0xc0
+#define Mp_NEGATIVE 0xe0
 
 /* Of the types 0xc0 to 0xdf: what follows the first byte. */
-struct wr_form {
+struct mp_form {
     uint8_t length_bytes; /* of a length or a count */
     uint8_t fixed;        /* bytes besides */
     uint8_t per_count;    /* elements for each of a count; 0: bytes */
 };
 
-static const struct wr_form forms[] = {
+static const struct mp_form forms[] = {
     {0, 0, 0},  {0, 0, 0}, {0, 0, 0}, {0, 0, 0}, /* nil, none, false, true */
     {1, 0, 0},  {2, 0, 0}, {4, 0, 0},            /* bytes */
     {1, 1, 0},  {2, 1, 0}, {4, 1, 0},            /* extension */
@@ -41,22 +41,22 @@
     uint8_t first = data[0];
     *size = 1;
     *elements = 0;
-    if (first < Wr_FIX_MAP || first >= Wr_NEGATIVE) {
+    if (first < Mp_FIX_MAP || first >= Mp_NEGATIVE) {
         return true;
     }
-    if (first < Wr_FIX_ARRAY) {
-        *elements = 2 * (uint64_t)(first - Wr_FIX_MAP);
+    if (first < Mp_FIX_ARRAY) {
+        *elements = 2 * (uint64_t)(first - Mp_FIX_MAP);
         return true;
     }
-    if (first < Wr_FIX_STRING) {
-        *elements = first - Wr_FIX_ARRAY;
+    if (first < Mp_FIX_STRING) {
+        *elements = first - Mp_FIX_ARRAY;
         return true;
     }
-    if (first < Wr_FIRST_TYPED) {
-        *size += first - Wr_FIX_STRING;
+    if (first < Mp_FIRST_TYPED) {
+        *size += first - Mp_FIX_STRING;
         return true;
     }
-    const struct wr_form *form = &forms[first - Wr_FIRST_TYPED];
+    const struct mp_form *form = &forms[first - Mp_FIRST_TYPED];
     uint64_t length = 0;
     if (left < 1U + form->length_bytes) {
         return false;
@@ -72,7 +72,7 @@
 
 /* True when all that the bytes declare can be in them. */
 bool
-Wr_CountsFit(const uint8_t *data, size_t len)
+Mp_CountsFit(const uint8_t *data, size_t len)
 {
     uint64_t due = 1; /* elements still to come */
     size_t at = 0;
--- /dev/null
+++ b/packages/base/packscan.h
@@ -0,0 +1,19 @@
+/* A look at msgpack before the library unpacks it. */
+#ifndef BASE_PACKSCAN_H
+#define BASE_PACKSCAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+bool Mp_CountsFit(const uint8_t *data, size_t len);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/edge/duty_record.c
+++ b/packages/edge/duty_record.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/packscan.h"
+#include "edge/packed.h"
+
 /* [run, [[service, endpoints, read rate]...], window, [[tenant, count]...]];
    a bare renewal ends after the needs. */
 size_t
@@ -53,15 +56,13 @@
         }
         const msgpack_object *name = &pair->via.array.ptr[0];
         const msgpack_object *count = &pair->via.array.ptr[1];
-        if (name->type != MSGPACK_OBJECT_STR ||
-            name->via.str.size >= Ec_NAME_MAX ||
+        struct du_tenant *tenant = &usage->tenants[usage->count];
+        if (!Pk_Text(name, tenant->name, sizeof(tenant->name)) ||
             count->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
             return false;
         }
-        struct du_tenant *tenant = &usage->tenants[usage->count++];
-        memcpy(tenant->name, name->via.str.ptr, name->via.str.size);
-        tenant->name[name->via.str.size] = '\0';
         tenant->count = (uint32_t)count->via.u64;
+        usage->count++;
     }
     return true;
 }
@@ -116,7 +117,8 @@
     memset(out, 0, sizeof(*out));
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
-    bool fine = msgpack_unpack_next(&unpacked, data, len, NULL) ==
+    bool fine = Mp_CountsFit((const uint8_t *)data, len) &&
+                msgpack_unpack_next(&unpacked, data, len, NULL) ==
                     MSGPACK_UNPACK_SUCCESS &&
                 decode(&unpacked.data, out);
     msgpack_unpacked_destroy(&unpacked);
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -3,7 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/packscan.h"
 #include "edge/feed_internal.h"
+#include "edge/packed.h"
 
 static size_t
 count_known(const struct follow *follow, int64_t from)
@@ -74,13 +76,10 @@
     }
     const msgpack_object *part = record->via.array.ptr;
     char key[Ec_NAME_MAX * 2];
-    if (part[0].type != MSGPACK_OBJECT_STR ||
-        part[0].via.str.size >= sizeof(key) ||
+    if (!Pk_Text(&part[0], key, sizeof(key)) ||
         part[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return;
     }
-    memcpy(key, part[0].via.str.ptr, part[0].via.str.size);
-    key[part[0].via.str.size] = '\0';
     int64_t offset = (int64_t)part[1].via.u64;
     const struct known *known = fe_find(follow, key);
     if (follow->listed && offset < follow->base &&
@@ -153,7 +152,8 @@
 {
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, len, NULL) ==
+    if (Mp_CountsFit((const uint8_t *)data, len) &&
+        msgpack_unpack_next(&unpacked, data, len, NULL) ==
             MSGPACK_UNPACK_SUCCESS &&
         unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
         unpacked.data.via.array.size == 8) {
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -3,7 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/packscan.h"
 #include "edge/mesh.h"
+#include "edge/packed.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 3
@@ -81,17 +83,6 @@
     return len;
 }
 
-static bool
-get_text(const msgpack_object *object, char *out, size_t size)
-{
-    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
-        return false;
-    }
-    memcpy(out, object->via.str.ptr, object->via.str.size);
-    out[object->via.str.size] = '\0';
-    return true;
-}
-
 static int64_t
 get_number(const msgpack_object *object)
 {
@@ -146,8 +137,8 @@
     }
     size_t hints = count_rows(&field[4], 1, Ms_HINTS_MAX);
     for (size_t i = 0; i < hints; i++) {
-        if (get_text(&field[4].via.array.ptr[i], out->hints[out->hint_count],
-                     Nd_NAME_MAX)) {
+        if (Pk_Text(&field[4].via.array.ptr[i], out->hints[out->hint_count],
+                    Nd_NAME_MAX)) {
             out->hint_count++;
         }
     }
@@ -162,8 +153,8 @@
     }
     const msgpack_object *field = object->via.array.ptr;
     if (get_number(&field[0]) != Ms_FORMAT ||
-        !get_text(&field[1], out->name, sizeof(out->name)) ||
-        !get_text(&field[2], out->ip, sizeof(out->ip)) ||
+        !Pk_Text(&field[1], out->name, sizeof(out->name)) ||
+        !Pk_Text(&field[2], out->ip, sizeof(out->ip)) ||
         field[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return false;
     }
@@ -188,7 +179,8 @@
     memset(out, 0, sizeof(*out));
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
-    bool fine = msgpack_unpack_next(&unpacked, data, len, NULL) ==
+    bool fine = Mp_CountsFit((const uint8_t *)data, len) &&
+                msgpack_unpack_next(&unpacked, data, len, NULL) ==
                     MSGPACK_UNPACK_SUCCESS &&
                 get_word(&unpacked.data, out);
     msgpack_unpacked_destroy(&unpacked);
--- /dev/null
+++ b/packages/edge/packed.c
@@ -0,0 +1,17 @@
+#include "edge/packed.h"
+
+#include <string.h>
+
+bool
+Pk_Text(const msgpack_object *object, char *out, size_t size)
+{
+    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
+        return false;
+    }
+    /* An empty text has no bytes to point at. */
+    if (object->via.str.size > 0) {
+        memcpy(out, object->via.str.ptr, object->via.str.size);
+    }
+    out[object->via.str.size] = '\0';
+    return true;
+}
--- a/packages/member/node_sync.c
+++ b/packages/member/node_sync.c
@@ -10,6 +10,7 @@
 #include <bsd/string.h>
 #include <string.h>
 
+#include "base/packscan.h"
 #include "member/node.h"
 #include "member/node_internal.h"
 
@@ -202,7 +203,7 @@
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
     size_t offset = 0;
-    bool good = Wr_CountsFit(payload, len) &&
+    bool good = Mp_CountsFit(payload, len) &&
                 msgpack_unpack_next(&unpacked, payload, len, &offset) ==
                     MSGPACK_UNPACK_SUCCESS &&
                 take(node, &unpacked.data, arg);
--- a/packages/member/wire.h
+++ b/packages/member/wire.h
@@ -98,8 +98,6 @@
                            const uint8_t *body, size_t len,
                            uint8_t out[Wr_MAC_BYTES]);
 
-bool Wr_CountsFit(const uint8_t *data, size_t len);
-
 /* Pieces shared with the exchange of full states. */
 void Wr_PackerInit(msgpack_packer *packer, struct wr_buffer *buffer);
 void Wr_PackRecord(msgpack_packer *packer, const struct mb_record *record);
