Placement: homes by rank, shared parts weighed, long and short prompts apart, others' reading fades

Cause: on sites of 80 hosts each host sees one request in eighty of a group of prompts, so it took every shared part for missing; overflow of a home went anywhere; what peers told to be waiting was counted for 0.7 s although it is read in 0.2 s, so that short questions were placed blindly beside long prompts. Ruled out: hosts' processors (0.009 of a core) and links.

Tests: Place.Overflow*, Place.LongAndShort*, Place.FewEndpoints*.

--- a/packages/edge/demand.c
+++ b/packages/edge/demand.c
@@ -8,7 +8,8 @@
 #define De_HASH_SEED 0x64656d61
 /* Rates follow the load with this time constant: a burst of a few seconds
    shows, a clump of requests does not. */
-#define De_SMOOTH_USEC (4.0 * (double)Ck_USEC_PER_SEC)
+#define De_SMOOTH_SEC 4.0
+#define De_SMOOTH_USEC (De_SMOOTH_SEC * (double)Ck_USEC_PER_SEC)
 /* Prompts below this tell more of the engine's step than of its reading. */
 #define De_READ_TOKENS_MIN 1500
 /*
@@ -32,6 +33,7 @@
 struct service {
     uint32_t hash;
     double reading; /* tokens in the smoothing window */
+    double in_long; /* of these, in long prompts */
     double running; /* microseconds of requests in it */
     double read_rate;
     int64_t faded_at;
@@ -72,6 +74,7 @@
     double part = exp(-(double)(now - service->faded_at) / De_SMOOTH_USEC);
     service->faded_at = now;
     service->reading *= part;
+    service->in_long *= part;
     service->running *= part;
 }
 
@@ -95,11 +98,13 @@
 }
 
 void
-De_Sent(struct de_demand *demand, const char *name, int64_t reading)
+De_Sent(struct de_demand *demand, const char *name, int64_t reading,
+        bool is_long)
 {
     struct service *service = find(demand, name);
     if (service != NULL) {
         service->reading += (double)reading;
+        service->in_long += is_long ? (double)reading : 0;
     }
 }
 
@@ -137,8 +142,8 @@
         fade(demand, service);
         out[i] = (struct de_rate){
             .service = service->hash,
-            .reading =
-                service->reading / (De_SMOOTH_USEC / (double)Ck_USEC_PER_SEC),
+            .reading = service->reading / De_SMOOTH_SEC,
+            .in_long = service->in_long / De_SMOOTH_SEC,
             .running = service->running / De_SMOOTH_USEC,
             .read_rate = service->read_rate,
         };
--- a/packages/edge/demand.h
+++ b/packages/edge/demand.h
@@ -6,6 +6,7 @@
 #ifndef EDGE_DEMAND_H
 #define EDGE_DEMAND_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -20,6 +21,7 @@
 struct de_rate {
     uint32_t service; /* hash of the name */
     double reading;   /* prompt tokens a second */
+    double in_long;   /* of these, in long prompts */
     double running;   /* requests at endpoints, on average */
     double read_rate; /* of one endpoint, as seen here; 0: not yet */
 };
@@ -30,7 +32,8 @@
 void De_Destroy(struct de_demand *demand);
 uint32_t De_Hash(const char *service);
 /* A request with so many tokens to be read was sent. */
-void De_Sent(struct de_demand *demand, const char *service, int64_t reading);
+void De_Sent(struct de_demand *demand, const char *service, int64_t reading,
+             bool is_long);
 /* A request ended that had been at an endpoint for so long. */
 void De_Ended(struct de_demand *demand, const char *service, int64_t usec);
 /* The first byte came after so long, where nothing else was being read. */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -7,9 +7,7 @@
 
 #include "base/hash.h"
 #include "edge/health.h"
-#include "edge/place.h"
 
-#define Xc_CANDIDATES_MAX 1024
 /* An endpoint with this part of its places in use reads at its own pace. */
 #define Xc_ALONE_PART 4
 /*
@@ -17,9 +15,6 @@
  * this many times the route's aim: others need well under one.
  */
 #define Xc_SILENT_AIMS 2
-/* Requests given to an endpoint, as a multiple of what it runs at once. */
-#define Xc_ENGINE_FILL 1.25
-#define Xc_PLAIN_FILL 3.0
 /* Time after which a place is likely to be free, where none is now. */
 #define Xc_BUSY_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
 #define Xc_NONE_RETRY_USEC (800 * Ck_USEC_PER_MSEC)
@@ -27,7 +22,6 @@
 #define Xc_REFUSALS_MAX 2
 #define Xc_FIELDS_MAX 512
 #define Xc_BODY_MAX 256
-#define Xc_SLOWNESS_FLOOR_USEC 5000.0
 
 static void on_timer(void *arg);
 
@@ -154,93 +148,6 @@
     return true;
 }
 
-/* The time the endpoint's first bytes take, against the whole service's. */
-static double
-mean_first(const struct ga_gate *gate, const char *service)
-{
-    double sum = 0;
-    size_t count = 0;
-    const struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        if (strcmp(endpoint->entry.service, service) == 0 &&
-            endpoint->first_usec > 0) {
-            sum += endpoint->first_usec;
-            count++;
-        }
-    }
-    return count == 0 ? 0 : sum / (double)count;
-}
-
-static bool
-was_tried(const struct xc_exchange *exchange, uint32_t hash)
-{
-    for (size_t i = 0; i < exchange->tried_count; i++) {
-        if (exchange->tried[i] == hash) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static struct pl_candidate
-describe(const struct xc_exchange *exchange,
-         const struct fl_endpoint *endpoint, double mean)
-{
-    const struct ga_gate *gate = exchange->gate;
-    int64_t now = Ga_Now(gate);
-    uint64_t group = Px_Group(&exchange->ask);
-    if (group == 0) {
-        group = Hash_String(exchange->ask.id, 0);
-    }
-    uint64_t both[2] = {group, endpoint->hash};
-    struct pl_candidate candidate = {
-        .slots = endpoint->entry.slots,
-        .running = endpoint->running + endpoint->others_running,
-        .reading = endpoint->reading + endpoint->others_reading,
-        .missing =
-            Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, now),
-        .near = strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
-        .shunned = He_Shunned(endpoint, now),
-        .tried = was_tried(exchange, endpoint->hash),
-        .full = Po_Full(gate, endpoint, exchange->service),
-        .failing = endpoint->failing,
-        .draw = Hash_Bytes(both, sizeof(both), 0),
-    };
-    if (mean > Xc_SLOWNESS_FLOOR_USEC) {
-        candidate.slowness = endpoint->first_usec / mean;
-    }
-    return candidate;
-}
-
-static enum pl_verdict
-choose(struct xc_exchange *exchange, struct fl_endpoint **out)
-{
-    static struct pl_candidate candidates[Xc_CANDIDATES_MAX];
-    static struct fl_endpoint *endpoints[Xc_CANDIDATES_MAX];
-    size_t count = 0;
-    const char *service = exchange->service->name;
-    double mean = mean_first(exchange->gate, service);
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(exchange->gate->fleet), link) {
-        if (count < Xc_CANDIDATES_MAX && Fl_Usable(endpoint) &&
-            strcmp(endpoint->entry.service, service) == 0) {
-            candidates[count] = describe(exchange, endpoint, mean);
-            endpoints[count++] = endpoint;
-        }
-    }
-    bool engine = exchange->service->engine;
-    struct pl_limits limits = {
-        .engine = engine,
-        .fill = engine ? Xc_ENGINE_FILL : Xc_PLAIN_FILL,
-    };
-    size_t chosen = 0;
-    enum pl_verdict verdict = Pl_Choose(candidates, count, &limits, &chosen);
-    if (verdict == PL_CHOSEN) {
-        *out = endpoints[chosen];
-    }
-    return verdict;
-}
-
 static size_t
 put(char *out, size_t at, struct h1_text text)
 {
@@ -318,9 +225,10 @@
 }
 
 static bool
-send_to(struct xc_exchange *exchange, struct fl_endpoint *endpoint)
+send_to(struct xc_exchange *exchange, const struct xc_target *target)
 {
     struct ga_gate *gate = exchange->gate;
+    struct fl_endpoint *endpoint = target->endpoint;
     int64_t now = Ga_Now(gate);
     struct xc_attempt *attempt = &exchange->attempt;
     struct ak_send send = {
@@ -346,14 +254,14 @@
     attempt->endpoint = Fl_Hold(endpoint);
     attempt->channel = channel;
     attempt->sent_at = now;
-    attempt->reading =
-        Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, now);
+    attempt->reading = target->reading;
     int running = endpoint->running + endpoint->others_running;
     attempt->alone = endpoint->reading + endpoint->others_reading == 0 &&
                      running * Xc_ALONE_PART <= endpoint->entry.slots;
     endpoint->running++;
     endpoint->reading += attempt->reading;
-    De_Sent(gate->demand, exchange->service->name, attempt->reading);
+    De_Sent(gate->demand, exchange->service->name, attempt->reading,
+            Pl_IsLong(exchange->ask.tokens_in));
     Px_Note(gate->prefixes, &exchange->ask, endpoint->hash, now);
     exchange->tried[exchange->tried_count++] = endpoint->hash;
     exchange->sends++;
@@ -369,8 +277,8 @@
 void
 Xc_Dispatch(struct xc_exchange *exchange)
 {
-    struct fl_endpoint *endpoint = NULL;
-    enum pl_verdict verdict = choose(exchange, &endpoint);
+    struct xc_target target;
+    enum pl_verdict verdict = Xc_Choose(exchange, &target);
     if (verdict != PL_CHOSEN) {
         bool unknown = exchange->may_have_run && !exchange->repeatable;
         Xc_Refuse(exchange, unknown ? 502 : 503,
@@ -389,7 +297,7 @@
     else {
         Mt_Add(exchange->gate->count.repeats, 1);
     }
-    if (!send_to(exchange, endpoint)) {
+    if (!send_to(exchange, &target)) {
         Xc_Refuse(exchange, 503, Xc_BUSY_RETRY_USEC, "no connection to spare");
         return;
     }
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -7,6 +7,7 @@
 
 #include "edge/events.h"
 #include "edge/gate_internal.h"
+#include "edge/place.h"
 
 #define Xc_TRIED_MAX 6
 
@@ -70,6 +71,13 @@
 void Xc_Start(struct ga_gate *gate, struct sv_request *request,
               const struct xc_admitted *admitted);
 
+/* Where a request goes, and what it is expected to have read there. */
+struct xc_target {
+    struct fl_endpoint *endpoint;
+    int64_t reading; /* prompt tokens */
+};
+
+enum pl_verdict Xc_Choose(struct xc_exchange *exchange, struct xc_target *out);
 /* Sends the request to an endpoint, or answers that it cannot. */
 void Xc_Dispatch(struct xc_exchange *exchange);
 /* Ends with an answer of our own. */
--- /dev/null
+++ b/packages/edge/exchange_choose.c
@@ -0,0 +1,138 @@
+/* What the placement of a request is told, and which endpoint follows. */
+#include <string.h>
+
+#include "base/hash.h"
+#include "edge/exchange.h"
+#include "edge/health.h"
+
+#define Xc_CANDIDATES_MAX 1024
+/* Requests given to an endpoint, as a multiple of what it runs at once. */
+#define Xc_ENGINE_FILL 1.25
+#define Xc_PLAIN_FILL 3.0
+#define Xc_SLOWNESS_FLOOR_USEC 5000.0
+
+/* The time the endpoint's first bytes take, against the whole service's. */
+static double
+mean_first(const struct ga_gate *gate, const char *service)
+{
+    double sum = 0;
+    size_t count = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (strcmp(endpoint->entry.service, service) == 0 &&
+            endpoint->first_usec > 0) {
+            sum += endpoint->first_usec;
+            count++;
+        }
+    }
+    return count == 0 ? 0 : sum / (double)count;
+}
+
+static bool
+was_tried(const struct xc_exchange *exchange, uint32_t hash)
+{
+    for (size_t i = 0; i < exchange->tried_count; i++) {
+        if (exchange->tried[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static struct pl_candidate
+describe(const struct xc_exchange *exchange,
+         const struct fl_endpoint *endpoint, double mean, double long_part)
+{
+    const struct ga_gate *gate = exchange->gate;
+    int64_t now = Ga_Now(gate);
+    uint64_t group = Px_Group(&exchange->ask);
+    if (group == 0) {
+        group = Hash_String(exchange->ask.id, 0);
+    }
+    uint64_t both[2] = {group, endpoint->hash};
+    struct px_missing missing =
+        Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, now);
+    struct pl_candidate candidate = {
+        .slots = endpoint->entry.slots,
+        .running = endpoint->running + endpoint->others_running,
+        .reading = endpoint->reading + endpoint->others_reading,
+        .missing = missing.tokens,
+        .shared = missing.shared,
+        .near = strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
+        .shunned = He_Shunned(endpoint, now),
+        .tried = was_tried(exchange, endpoint->hash),
+        .full = Po_Full(gate, endpoint, exchange->service),
+        .failing = endpoint->failing,
+        .draw = Hash_Bytes(both, sizeof(both), 0),
+        .long_lane = (double)endpoint->hash < long_part * (double)UINT32_MAX,
+    };
+    if (mean > Xc_SLOWNESS_FLOOR_USEC) {
+        candidate.slowness = endpoint->first_usec / mean;
+    }
+    return candidate;
+}
+
+static void
+add_rates(const struct de_rate *rates, size_t count, uint32_t service,
+          double *reading, double *in_long)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (rates[i].service == service) {
+            *reading += rates[i].reading;
+            *in_long += rates[i].in_long;
+        }
+    }
+}
+
+/* The part of all prompt tokens that long prompts bring, of all daemons. */
+static double
+long_share(const struct ga_gate *gate, const char *service)
+{
+    uint32_t hash = De_Hash(service);
+    double reading = 0;
+    double in_long = 0;
+    struct de_rate own[De_SERVICES_MAX];
+    add_rates(own, De_Own(gate->demand, own), hash, &reading, &in_long);
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        add_rates(peer->rates, peer->rate_count, hash, &reading, &in_long);
+    }
+    return reading > 0 ? in_long / reading : 0;
+}
+
+/* Picks an endpoint by what is known of all of them. */
+enum pl_verdict
+Xc_Choose(struct xc_exchange *exchange, struct xc_target *out)
+{
+    static struct pl_candidate candidates[Xc_CANDIDATES_MAX];
+    static struct fl_endpoint *endpoints[Xc_CANDIDATES_MAX];
+    size_t count = 0;
+    const char *service = exchange->service->name;
+    double mean = mean_first(exchange->gate, service);
+    bool engine = exchange->service->engine;
+    double long_part =
+        engine ? Pl_LongPart(Fl_CountUsable(exchange->gate->fleet, service),
+                             long_share(exchange->gate, service))
+               : 0;
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(exchange->gate->fleet), link) {
+        if (count < Xc_CANDIDATES_MAX && Fl_Usable(endpoint) &&
+            strcmp(endpoint->entry.service, service) == 0) {
+            candidates[count] = describe(exchange, endpoint, mean, long_part);
+            endpoints[count++] = endpoint;
+        }
+    }
+    struct pl_limits limits = {
+        .engine = engine,
+        .fill = engine ? Xc_ENGINE_FILL : Xc_PLAIN_FILL,
+        .lanes = long_part > 0,
+        .is_long = Pl_IsLong(exchange->ask.tokens_in),
+    };
+    struct pl_choice choice = {0, 0};
+    enum pl_verdict verdict = Pl_Choose(candidates, count, &limits, &choice);
+    if (verdict == PL_CHOSEN) {
+        out->endpoint = endpoints[choice.index];
+        out->reading = choice.reading;
+    }
+    return verdict;
+}
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,9 +8,10 @@
 #include "edge/packed.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
-#define Ms_FORMAT 3
+#define Ms_FORMAT 4
 #define Ms_MILLI 1000
 #define Ms_FIELDS 19
+#define Ms_RATE_FIELDS 5
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -40,10 +41,11 @@
         msgpack_pack_uint32(packer, word->counted[i].tenant);
         msgpack_pack_uint32(packer, word->counted[i].count);
     }
-    msgpack_pack_array(packer, word->rate_count * 4);
+    msgpack_pack_array(packer, word->rate_count * Ms_RATE_FIELDS);
     for (size_t i = 0; i < word->rate_count; i++) {
         msgpack_pack_uint32(packer, word->rates[i].service);
         msgpack_pack_int64(packer, (int64_t)word->rates[i].reading);
+        msgpack_pack_int64(packer, (int64_t)word->rates[i].in_long);
         msgpack_pack_int64(packer,
                            (int64_t)(word->rates[i].running * Ms_MILLI));
         msgpack_pack_int64(packer, (int64_t)word->rates[i].read_rate);
@@ -127,13 +129,15 @@
         out->counted[i].tenant = (uint32_t)get_number(&row[1]);
         out->counted[i].count = (uint32_t)get_number(&row[2]);
     }
-    out->rate_count = count_rows(&field[3], 4, Ms_RATES_MAX);
+    out->rate_count = count_rows(&field[3], Ms_RATE_FIELDS, Ms_RATES_MAX);
     for (size_t i = 0; i < out->rate_count; i++) {
-        const msgpack_object *row = &field[3].via.array.ptr[i * 4];
+        const msgpack_object *row =
+            &field[3].via.array.ptr[i * Ms_RATE_FIELDS];
         out->rates[i].service = (uint32_t)get_number(&row[0]);
         out->rates[i].reading = (double)get_number(&row[1]);
-        out->rates[i].running = (double)get_number(&row[2]) / Ms_MILLI;
-        out->rates[i].read_rate = (double)get_number(&row[3]);
+        out->rates[i].in_long = (double)get_number(&row[2]);
+        out->rates[i].running = (double)get_number(&row[3]) / Ms_MILLI;
+        out->rates[i].read_rate = (double)get_number(&row[4]);
     }
     size_t hints = count_rows(&field[4], 1, Ms_HINTS_MAX);
     for (size_t i = 0; i < hints; i++) {
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -97,16 +97,27 @@
     word->rate_count = De_Own(gate->demand, word->rates);
 }
 
+/*
+ * A word is some tenths of a second old, with many daemons most of one; what
+ * it told to be waiting has been read since, as far as the endpoint got.
+ * Taken as it stands, endpoints that have long been idle look busy, and those
+ * that are busy now cannot be told from them.
+ */
 static void
-add_loads(struct ga_gate *gate, const struct ms_load *loads, size_t count,
-          int sign)
+add_loads(struct ga_gate *gate, const struct ms_peer *peer)
 {
-    for (size_t i = 0; i < count; i++) {
-        struct fl_endpoint *endpoint =
-            Fl_ByHash(gate->fleet, loads[i].endpoint);
-        if (endpoint != NULL) {
-            endpoint->others_running += sign * loads[i].running;
-            endpoint->others_reading += sign * loads[i].reading;
+    double age =
+        (double)(Ga_Now(gate) - peer->heard_at) / (double)Ck_USEC_PER_SEC;
+    for (size_t i = 0; i < peer->load_count; i++) {
+        const struct ms_load *load = &peer->loads[i];
+        struct fl_endpoint *endpoint = Fl_ByHash(gate->fleet, load->endpoint);
+        if (endpoint == NULL) {
+            continue;
+        }
+        endpoint->others_running += load->running;
+        double read = De_ReadRate(gate->demand, endpoint->entry.service) * age;
+        if ((double)load->reading > read) {
+            endpoint->others_reading += load->reading - (int64_t)read;
         }
     }
 }
@@ -401,7 +412,7 @@
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
         if (Ms_Alive(gate->mesh, peer)) {
-            add_loads(gate, peer->loads, peer->load_count, 1);
+            add_loads(gate, peer);
         }
     }
 }
--- a/packages/edge/place.c
+++ b/packages/edge/place.c
@@ -11,7 +11,38 @@
     120.0                 /* a running request slows each step a little       \
                            */
 #define Pl_FAR_COST 150.0 /* two milliseconds of another data centre */
-#define Pl_HOME_GAIN 0.7  /* part of a prompt a group's home may keep */
+/*
+ * The endpoints that a group of prompts prefers, best first, and the part of
+ * what the group shares that each is likely to keep although this daemon did
+ * not send it there: with many daemons each sees few requests of a group.
+ * That overflow goes to the same few endpoints keeps the number of those that
+ * read the shared part small.
+ */
+#define Pl_HOMES 3
+/*
+ * A shared part that is read where another endpoint keeps it costs its time
+ * there and the place it takes from other parts.
+ */
+#define Pl_SHARED_WEIGHT 2.0
+/*
+ * A prompt from this size on holds up the first token of a short question
+ * behind it by a large part of what that may take: at 60,000 tokens a second
+ * 4,096 take 70 ms, and they come in pairs.
+ */
+#define Pl_LONG_TOKENS 4096
+/*
+ * What going to the endpoints of the other kind costs.  A short question at
+ * those for long prompts risks its own time, a long prompt at those for short
+ * ones the time of several others.
+ */
+#define Pl_SHORT_ASTRAY_COST 6000.0
+#define Pl_LONG_ASTRAY_COST 12000.0
+/* With fewer endpoints each kind would have too few to choose from. */
+#define Pl_LANES_LEAST 24
+/* Long prompts wait more patiently, so their endpoints are used more. */
+#define Pl_LONG_ROOM 0.8
+#define Pl_LANE_MIN 0.2
+#define Pl_LANE_MAX 0.75
 #define Pl_FAILING_COST 20000.0
 #define Pl_SLOW_COST 4000.0
 /* Below this share of failures an endpoint is like any other. */
@@ -31,14 +62,33 @@
     return cost;
 }
 
+static const double kept_part[Pl_HOMES] = {0.8, 0.5, 0.25};
+
+/* Tokens of shared parts that are likely to be read there. */
 static double
-engine_cost(const struct pl_candidate *candidate, bool home)
+shared_reading(const struct pl_candidate *candidate, size_t home)
 {
-    double missing = (double)candidate->missing;
-    if (home) {
-        missing *= 1 - Pl_HOME_GAIN;
+    double kept = home < Pl_HOMES ? kept_part[home] : 0;
+    return (double)candidate->shared * (1 - kept);
+}
+
+static double
+lane_cost(const struct pl_candidate *candidate, const struct pl_limits *limits)
+{
+    if (!limits->lanes || candidate->long_lane == limits->is_long) {
+        return 0;
     }
-    return (double)candidate->reading + missing +
+    return limits->is_long ? Pl_LONG_ASTRAY_COST : Pl_SHORT_ASTRAY_COST;
+}
+
+static double
+engine_cost(const struct pl_candidate *candidate,
+            const struct pl_limits *limits, size_t home)
+{
+    double own = (double)(candidate->missing - candidate->shared);
+    return (double)candidate->reading + own +
+           shared_reading(candidate, home) * Pl_SHARED_WEIGHT +
+           lane_cost(candidate, limits) +
            candidate->running * Pl_RUNNING_COST +
            (candidate->near ? 0 : Pl_FAR_COST);
 }
@@ -65,17 +115,39 @@
            candidate->running >= limits->fill * candidate->slots;
 }
 
-/* The endpoint that all daemons would give a group of prompts to. */
-static size_t
-find_home(const struct pl_candidate *candidates, size_t count)
+/* The endpoints that all daemons would give a group of prompts to. */
+static void
+find_homes(const struct pl_candidate *candidates, size_t count,
+           const struct pl_limits *limits, size_t homes[Pl_HOMES])
 {
-    size_t home = count;
+    for (size_t i = 0; i < Pl_HOMES; i++) {
+        homes[i] = count;
+    }
     for (size_t i = 0; i < count; i++) {
-        if (can_take(&candidates[i]) && !candidates[i].shunned &&
-            (home == count || candidates[i].draw > candidates[home].draw)) {
-            home = i;
+        const struct pl_candidate *candidate = &candidates[i];
+        if (!can_take(candidate) || candidate->shunned ||
+            lane_cost(candidate, limits) > 0) {
+            continue;
+        }
+        size_t moved = i;
+        for (size_t at = 0; at < Pl_HOMES && moved != count; at++) {
+            if (homes[at] == count ||
+                candidates[moved].draw > candidates[homes[at]].draw) {
+                size_t before = homes[at];
+                homes[at] = moved;
+                moved = before;
+            }
         }
     }
+}
+
+static size_t
+home_of(const size_t homes[Pl_HOMES], size_t index)
+{
+    size_t home = 0;
+    while (home < Pl_HOMES && homes[home] != index) {
+        home++;
+    }
     return home;
 }
 
@@ -85,9 +157,10 @@
  */
 enum pl_verdict
 Pl_Choose(const struct pl_candidate *candidates, size_t count,
-          const struct pl_limits *limits, size_t *chosen)
+          const struct pl_limits *limits, struct pl_choice *choice)
 {
-    size_t home = find_home(candidates, count);
+    size_t homes[Pl_HOMES];
+    find_homes(candidates, count, limits, homes);
     size_t best = count;
     double best_cost = DBL_MAX;
     bool best_shunned = true;
@@ -103,8 +176,9 @@
             continue;
         }
         double cost = trouble_cost(candidate);
-        cost += limits->engine ? engine_cost(candidate, i == home)
-                               : plain_cost(candidate);
+        cost += limits->engine
+                    ? engine_cost(candidate, limits, home_of(homes, i))
+                    : plain_cost(candidate);
         if (best == count || (best_shunned && !candidate->shunned) ||
             (best_shunned == candidate->shunned && cost < best_cost)) {
             best = i;
@@ -115,6 +189,26 @@
     if (best == count) {
         return any ? PL_BUSY : PL_NONE;
     }
-    *chosen = best;
+    const struct pl_candidate *chosen = &candidates[best];
+    choice->index = best;
+    choice->reading = chosen->missing - chosen->shared +
+                      (int64_t)shared_reading(chosen, home_of(homes, best));
     return PL_CHOSEN;
 }
+
+bool
+Pl_IsLong(int64_t tokens)
+{
+    return tokens >= Pl_LONG_TOKENS;
+}
+
+double
+Pl_LongPart(size_t endpoints, double long_share)
+{
+    if (endpoints < Pl_LANES_LEAST || long_share <= 0) {
+        return 0;
+    }
+    double part = long_share * Pl_LONG_ROOM;
+    part = part < Pl_LANE_MIN ? Pl_LANE_MIN : part;
+    return part > Pl_LANE_MAX ? Pl_LANE_MAX : part;
+}
--- a/packages/edge/place.h
+++ b/packages/edge/place.h
@@ -19,7 +19,8 @@
     int slots;
     int running;     /* requests there, of all daemons */
     int64_t reading; /* prompt tokens waiting there, of all daemons */
-    int64_t missing; /* prompt tokens it would have to read */
+    int64_t missing; /* prompt tokens it would have to read, as known here */
+    int64_t shared;  /* of these, in parts that other requests have too */
     bool near;       /* in the caller's data centre */
     bool shunned;
     bool tried;      /* by this request already */
@@ -27,6 +28,7 @@
     double failing;  /* 0 to 1 */
     double slowness; /* its time to the first byte against the others' */
     uint64_t draw;   /* the group's preference among endpoints */
+    bool long_lane;  /* one of those that long prompts go to */
 };
 
 enum pl_verdict {
@@ -38,10 +40,27 @@
 struct pl_limits {
     bool engine;
     double fill; /* requests an endpoint is given, as a multiple of slots */
+    bool lanes;  /* long and short prompts have endpoints of their own */
+    bool is_long;
+};
+
+struct pl_choice {
+    size_t index;
+    int64_t reading; /* prompt tokens that it is expected to read */
 };
 
 enum pl_verdict Pl_Choose(const struct pl_candidate *candidates, size_t count,
-                          const struct pl_limits *limits, size_t *chosen);
+                          const struct pl_limits *limits,
+                          struct pl_choice *choice);
+
+/*
+ * Which part of the endpoints, in order of their hashes, long prompts go to;
+ * 0: none are set apart.  "long_share" is the part of all prompt tokens that
+ * long prompts bring.
+ */
+double Pl_LongPart(size_t endpoints, double long_share);
+/* Whether a prompt of so many tokens is long. */
+bool Pl_IsLong(int64_t tokens);
 
 #ifdef __cplusplus
 }
--- a/packages/edge/prefix.c
+++ b/packages/edge/prefix.c
@@ -61,22 +61,38 @@
     }
 }
 
-int64_t
+static bool
+is_kept(const struct px_table *table, uint64_t mark, int64_t now)
+{
+    const struct slot *slot = &table->slots[mark & (Px_SLOTS - 1)];
+    return slot->mark == mark && now - slot->used_at <= Px_KEPT_USEC;
+}
+
+struct px_missing
 Px_Missing(const struct px_table *table, const struct ak_ask *ask,
            uint32_t endpoint, int64_t now)
 {
-    int64_t missing = ask->tokens_in;
+    struct px_missing missing = {.tokens = ask->tokens_in};
     uint64_t chain = 0;
+    bool kept = true;
     for (size_t i = 0; i < ask->part_count; i++) {
+        int tokens = ask->parts[i].tokens;
         chain = extend(chain, ask->parts[i].id);
-        uint64_t mark = mark_of(chain, endpoint);
-        const struct slot *slot = &table->slots[mark & (Px_SLOTS - 1)];
-        if (slot->mark != mark || now - slot->used_at > Px_KEPT_USEC) {
-            break;
+        kept = kept && is_kept(table, mark_of(chain, endpoint), now);
+        if (kept) {
+            missing.tokens -= tokens;
         }
-        missing -= ask->parts[i].tokens;
+        else if (i + 1 < ask->part_count) {
+            missing.shared += tokens;
+        }
+    }
+    if (missing.tokens < 0) {
+        missing.tokens = 0;
+    }
+    if (missing.shared > missing.tokens) {
+        missing.shared = missing.tokens;
     }
-    return missing > 0 ? missing : 0;
+    return missing;
 }
 
 /* The last part is the request's own, so the one before it is shared. */
--- a/packages/edge/prefix.h
+++ b/packages/edge/prefix.h
@@ -17,17 +17,21 @@
 
 struct px_table;
 
+/* Prompt tokens that an endpoint would have to read. */
+struct px_missing {
+    int64_t tokens;
+    int64_t shared; /* of these, in parts that other requests have too */
+};
+
 struct px_table *Px_Create(void);
 void Px_Destroy(struct px_table *table);
 /* The request's prompt was sent to the endpoint. */
 void Px_Note(struct px_table *table, const struct ak_ask *ask,
              uint32_t endpoint, int64_t now);
-/*
- * Prompt tokens that the endpoint would have to read.  Parts count as kept
- * only with all parts before them.
- */
-int64_t Px_Missing(const struct px_table *table, const struct ak_ask *ask,
-                   uint32_t endpoint, int64_t now);
+/* Parts count as kept only with all parts before them. */
+struct px_missing Px_Missing(const struct px_table *table,
+                             const struct ak_ask *ask, uint32_t endpoint,
+                             int64_t now);
 /* What requests that share this prompt have in common; 0: nothing. */
 uint64_t Px_Group(const struct ak_ask *ask);
 
--- a/packages/edge/test/place_test.cc
+++ b/packages/edge/test/place_test.cc
@@ -17,16 +17,16 @@
     return candidate;
 }
 
-const struct pl_limits engine = {true, 1.25};
+const struct pl_limits engine = {true, 1.25, false, false};
 
 size_t
 Choose(const std::vector<struct pl_candidate> &candidates)
 {
-    size_t chosen = candidates.size();
+    struct pl_choice choice = {candidates.size(), 0};
     EXPECT_EQ(
-        Pl_Choose(candidates.data(), candidates.size(), &engine, &chosen),
+        Pl_Choose(candidates.data(), candidates.size(), &engine, &choice),
         PL_CHOSEN);
-    return chosen;
+    return choice.index;
 }
 
 // A short question waits behind a long prompt although another endpoint has
@@ -51,6 +51,9 @@
 TEST(Place, HostsAgreeOnAGroupsHome)
 {
     std::vector<struct pl_candidate> candidates = {Idle(), Idle(), Idle()};
+    for (auto &candidate : candidates) {
+        candidate.shared = 600;
+    }
     candidates[0].draw = 5;
     candidates[1].draw = 9;
     candidates[2].draw = 7;
@@ -58,6 +61,53 @@
     EXPECT_EQ(Choose(candidates), 1u);
 }
 
+// While a group's home is busy each host picks an endpoint of its own liking,
+// and the shared part is read at all of them.
+TEST(Place, OverflowOfAGroupGoesToItsSecondHome)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle(), Idle(),
+                                                   Idle()};
+    for (size_t i = 0; i < candidates.size(); i++) {
+        candidates[i].shared = 800;
+        candidates[i].draw = i;
+    }
+    candidates[3].reading = 30000;
+    candidates[2].near = false;
+    EXPECT_EQ(Choose(candidates), 2u);
+}
+
+// Short questions are late by the time that a long prompt takes: hosts place
+// by reports of what waited half a second ago, and a long prompt was sent to
+// the same endpoint since.
+TEST(Place, LongAndShortPromptsHaveEndpointsOfTheirOwn)
+{
+    std::vector<struct pl_candidate> candidates = {Idle(), Idle()};
+    candidates[0].long_lane = true;
+    candidates[1].near = false;
+    struct pl_limits limits = {true, 1.25, true, false};
+    struct pl_choice choice;
+    ASSERT_EQ(Pl_Choose(candidates.data(), 2, &limits, &choice), PL_CHOSEN);
+    EXPECT_EQ(choice.index, 1u);
+    candidates[0].near = false;
+    candidates[1].near = true;
+    limits.is_long = true;
+    ASSERT_EQ(Pl_Choose(candidates.data(), 2, &limits, &choice), PL_CHOSEN);
+    EXPECT_EQ(choice.index, 0u);
+    // Neither waits where the other kind's endpoints are free.
+    candidates[0].reading = 50000;
+    ASSERT_EQ(Pl_Choose(candidates.data(), 2, &limits, &choice), PL_CHOSEN);
+    EXPECT_EQ(choice.index, 1u);
+}
+
+// A service of a few endpoints would have one or two for each kind.
+TEST(Place, FewEndpointsAreNotSetApart)
+{
+    EXPECT_EQ(Pl_LongPart(13, 0.7), 0);
+    EXPECT_EQ(Pl_LongPart(100, 0), 0);
+    EXPECT_GT(Pl_LongPart(100, 0.7), 0.4);
+    EXPECT_LT(Pl_LongPart(100, 1.0), 0.9);
+}
+
 // The kept prompt draws every request of a hot group to one endpoint until
 // nothing there is on time.
 TEST(Place, AKeptPromptIsNotWorthAnyWait)
@@ -86,12 +136,12 @@
 TEST(Place, TellsBusyFromNone)
 {
     std::vector<struct pl_candidate> candidates = {Idle()};
-    size_t chosen;
+    struct pl_choice choice;
     candidates[0].running = 13;
-    EXPECT_EQ(Pl_Choose(candidates.data(), 1, &engine, &chosen), PL_BUSY);
+    EXPECT_EQ(Pl_Choose(candidates.data(), 1, &engine, &choice), PL_BUSY);
     candidates[0].tried = true;
-    EXPECT_EQ(Pl_Choose(candidates.data(), 1, &engine, &chosen), PL_NONE);
-    EXPECT_EQ(Pl_Choose(candidates.data(), 0, &engine, &chosen), PL_NONE);
+    EXPECT_EQ(Pl_Choose(candidates.data(), 1, &engine, &choice), PL_NONE);
+    EXPECT_EQ(Pl_Choose(candidates.data(), 0, &engine, &choice), PL_NONE);
 }
 
 // A part counts as kept although a part before it is not: engines keep
@@ -105,17 +155,17 @@
     ask.parts[0] = {1, 100};
     ask.parts[1] = {2, 200};
     ask.parts[2] = {3, 300};
-    EXPECT_EQ(Px_Missing(table, &ask, 7, 0), 600);
+    EXPECT_EQ(Px_Missing(table, &ask, 7, 0).tokens, 600);
     Px_Note(table, &ask, 7, 0);
-    EXPECT_EQ(Px_Missing(table, &ask, 7, 0), 0);
-    EXPECT_EQ(Px_Missing(table, &ask, 8, 0), 600);
+    EXPECT_EQ(Px_Missing(table, &ask, 7, 0).tokens, 0);
+    EXPECT_EQ(Px_Missing(table, &ask, 8, 0).tokens, 600);
     struct ak_ask other = ask;
     other.parts[0].id = 9;
-    EXPECT_EQ(Px_Missing(table, &other, 7, 0), 600);
+    EXPECT_EQ(Px_Missing(table, &other, 7, 0).tokens, 600);
     other = ask;
     other.parts[2].id = 9;
-    EXPECT_EQ(Px_Missing(table, &other, 7, 0), 300);
-    EXPECT_EQ(Px_Missing(table, &ask, 7, 60 * INT64_C(1000000)), 600);
+    EXPECT_EQ(Px_Missing(table, &other, 7, 0).tokens, 300);
+    EXPECT_EQ(Px_Missing(table, &ask, 7, 60 * INT64_C(1000000)).tokens, 600);
     Px_Destroy(table);
 }
 
