Planner: steady load for lasting endpoints, ordered before the next reclaim; places without the wait

Ruled out: slow orders (answered in 40 ms), boot times. Lasting ones are now sized by the load without its short peaks, ordered when none reclaimable are to be had so that the next data centre's loss leaves enough, and a queue at an engine is no longer counted as places in use.

Tests: Plan.LastingOnesAreOrderedBefore*, Plan.PeaksAreLeftTo*.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -49,6 +49,22 @@
                        Ck_USEC_PER_MSEC));
 }
 
+/*
+ * How long a place of the endpoint was in use.  An engine gives a place with
+ * the first event; what waits there is counted by its tokens, and a queue is
+ * not a larger load.
+ */
+static int64_t
+used_usec(const struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    int64_t now = Ga_Now(exchange->gate);
+    if (!exchange->service->engine) {
+        return now - attempt->sent_at;
+    }
+    return attempt->head_at == 0 ? 0 : now - attempt->head_at;
+}
+
 void
 Xc_Release(struct xc_exchange *exchange)
 {
@@ -58,7 +74,7 @@
     }
     attempt->endpoint->running--;
     De_Ended(exchange->gate->demand, exchange->service->name,
-             Ga_Now(exchange->gate) - attempt->sent_at);
+             used_usec(exchange));
     attempt->endpoint->reading -= attempt->reading;
     if (attempt->channel != NULL) {
         Po_Give(exchange->gate, attempt->endpoint, attempt->channel);
@@ -122,7 +138,7 @@
     int64_t now = Ga_Now(exchange->gate);
     int64_t at = exchange->deadline;
     const struct xc_attempt *attempt = &exchange->attempt;
-    if (attempt->endpoint != NULL && !attempt->had_head &&
+    if (attempt->endpoint != NULL && attempt->head_at == 0 &&
         !exchange->silent_told) {
         int64_t silent =
             attempt->sent_at + Xc_SILENT_AIMS * exchange->route->aim_usec;
@@ -331,7 +347,7 @@
         return;
     }
     exchange->silent_told = true;
-    if (attempt->endpoint != NULL && !attempt->had_head &&
+    if (attempt->endpoint != NULL && attempt->head_at == 0 &&
         attempt->endpoint->answered_at < attempt->sent_at) {
         He_Note(attempt->endpoint, HE_SILENT, now);
         bool sent = Cn_Sent(attempt->channel);
--- a/packages/edge/orders.c
+++ b/packages/edge/orders.c
@@ -1,5 +1,6 @@
 /* Endpoints: what each service should have, and the orders for it. */
 #include <bsd/string.h>
+#include <math.h>
 #include <string.h>
 
 #include "edge/plan.h"
@@ -16,6 +17,8 @@
 #define Wo_REPEAT_USEC (10 * Ck_USEC_PER_SEC)
 /* Endpoints take seconds to come, and load comes in waves of tens of them. */
 #define Wo_KEEP_USEC (25 * Ck_USEC_PER_SEC)
+/* Time constant of the load without short peaks. */
+#define Wo_STEADY_USEC (12 * Ck_USEC_PER_SEC)
 
 static struct order *
 find_order(struct wo_work *work, const char *service, const char *zone,
@@ -186,31 +189,52 @@
 }
 
 /*
- * Until a load has been seen, as many as there are of the more frequent kind:
- * someone gave the service that many, and while one kind replaces the other
- * both are there.  Then what the load needs, falling only after a while.
+ * Retries and queues make a load seem larger for the seconds in which it is
+ * served badly; lasting endpoints ordered for that come when it is over, and
+ * cost the most.
  */
-static int
-wanted_of(struct wo_work *work, const struct ec_service *service, int present)
+static void
+note_steady(struct base *base, int needed, int64_t now)
+{
+    if (base->steady_at == 0) {
+        base->steady = needed;
+    }
+    double part =
+        exp(-(double)(now - base->steady_at) / (double)Wo_STEADY_USEC);
+    base->steady_at = now;
+    base->steady = part * base->steady + (1 - part) * needed;
+}
+
+static struct base *
+find_base(struct wo_work *work, const struct ec_service *service)
 {
-    int64_t now = Ga_Now(work->gate);
-    struct base *base = NULL;
     for (size_t i = 0; i < work->base_count; i++) {
         if (strcmp(work->bases[i].service, service->name) == 0) {
-            base = &work->bases[i];
+            return &work->bases[i];
         }
     }
-    if (base == NULL) {
-        if (work->base_count == Wo_SERVICES_MAX) {
-            return present;
-        }
-        base = &work->bases[work->base_count++];
-        strlcpy(base->service, service->name, sizeof(base->service));
-        const struct du_need *need =
-            Du_Need(work->gate->duty, De_Hash(service->name));
-        base->wanted = need == NULL ? 0 : need->endpoints;
-        base->since = now;
+    if (work->base_count == Wo_SERVICES_MAX) {
+        return NULL;
     }
+    struct base *base = &work->bases[work->base_count++];
+    strlcpy(base->service, service->name, sizeof(base->service));
+    const struct du_need *need =
+        Du_Need(work->gate->duty, De_Hash(service->name));
+    base->wanted = need == NULL ? 0 : need->endpoints;
+    base->since = Ga_Now(work->gate);
+    return base;
+}
+
+/*
+ * Until a load has been seen, as many as there are of the more frequent kind:
+ * someone gave the service that many, and while one kind replaces the other
+ * both are there.  Then what the load needs, falling only after a while.
+ */
+static void
+refresh_base(struct wo_work *work, struct base *base,
+             const struct ec_service *service, int present)
+{
+    int64_t now = Ga_Now(work->gate);
     int needed = needed_now(work, service);
     if (needed == 0) {
         needed = present;
@@ -219,8 +243,8 @@
         base->wanted = needed;
         base->since = now;
     }
+    note_steady(base, needed, now);
     hand_on(work, service, base->wanted);
-    return base->wanted;
 }
 
 /*
@@ -229,23 +253,16 @@
  * order for the number that is seen would end those that are not.
  */
 static bool
-is_settled(struct wo_work *work, const char *service)
+is_settled(const struct ga_gate *gate, struct base *base)
 {
-    struct ga_gate *gate = work->gate;
-    struct base *base = NULL;
-    for (size_t i = 0; i < work->base_count; i++) {
-        if (strcmp(work->bases[i].service, service) == 0) {
-            base = &work->bases[i];
-        }
-    }
-    if (base == NULL || base->settled) {
-        return base != NULL;
+    if (base->settled) {
+        return true;
     }
     int64_t now = Ga_Now(gate);
     const struct fl_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
         if (!endpoint->entry.spot &&
-            strcmp(endpoint->entry.service, service) == 0 &&
+            strcmp(endpoint->entry.service, base->service) == 0 &&
             now - endpoint->since <
                 Wo_SETTLE_BEATS * gate->options.node->heartbeat_usec) {
             return false;
@@ -274,11 +291,12 @@
         wish_spot += wishes[i].spot;
     }
     Ln_Log(LN_ORDINARY, "plan",
-           "\"service\":\"%s\",\"wanted\":%d,\"lasting\":%d,\"spot\":%d,"
+           "\"service\":\"%s\",\"wanted\":%d,\"steady\":%d,\"lasting\":%d,"
+           "\"spot\":%d,"
            "\"coming\":%d,\"dry_zones\":%d,\"wish_lasting\":%d,"
            "\"wish_spot\":%d",
-           service->name, wants->wanted, lasting, spot, coming, dry,
-           wish_lasting, wish_spot);
+           service->name, wants->wanted, wants->steady, lasting, spot, coming,
+           dry, wish_lasting, wish_spot);
 }
 
 static void
@@ -286,6 +304,10 @@
 {
     struct ga_gate *gate = work->gate;
     int64_t now = Ga_Now(gate);
+    struct base *base = find_base(work, service);
+    if (base == NULL) {
+        return;
+    }
     struct pn_zone zones[Ec_ZONES_MAX] = {0};
     struct pn_wish wishes[Ec_ZONES_MAX];
     int lasting_there = 0;
@@ -310,17 +332,18 @@
         lasting_there += zone->lasting;
         spot_there += zone->spot;
     }
+    refresh_base(work, base, service,
+                 lasting_there > spot_there ? lasting_there : spot_there);
     struct pn_service wants = {
         .min = service->min,
         .max = service->max,
         .spot_price = service->spot_price,
-        .wanted =
-            wanted_of(work, service,
-                      lasting_there > spot_there ? lasting_there : spot_there),
+        .wanted = base->wanted,
+        .steady = (int)ceil(base->steady),
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
     log_plan(&wants, service, zones, wishes);
-    bool settled = is_settled(work, service->name);
+    bool settled = is_settled(gate, base);
     for (size_t i = 0; i < service->zone_count; i++) {
         for (int spot = 0; spot <= 1; spot++) {
             struct order *order =
--- a/packages/edge/plan.c
+++ b/packages/edge/plan.c
@@ -66,6 +66,30 @@
     }
 }
 
+/* Endpoints below which answers come late. */
+static int
+least_of(const struct pn_service *service)
+{
+    return (int)ceil(service->steady * Pn_LEAST_PART);
+}
+
+/*
+ * While no reclaimable endpoints are to be had, the next data centre that is
+ * reclaimed is not made good, and lasting ones take seconds to start: they
+ * are ordered before it goes.
+ */
+static int
+at_risk(const struct pn_zone *zones, size_t count)
+{
+    int most = 0;
+    bool dry = false;
+    for (size_t i = 0; i < count; i++) {
+        dry |= zones[i].dry;
+        most = zones[i].spot > most ? zones[i].spot : most;
+    }
+    return dry ? most : 0;
+}
+
 /*
  * Lasting endpoints stand in for reclaimable ones that are not there: they
  * cost several times as much, so only up to the part of the load's endpoints
@@ -75,11 +99,11 @@
 stand_ins(const struct pn_service *service, const struct pn_zone *zones,
           size_t count)
 {
-    int there = 0;
+    int there = -at_risk(zones, count);
     for (size_t i = 0; i < count; i++) {
         there += zones[i].spot + zones[i].spot_coming;
     }
-    int least = (int)ceil(service->wanted * Pn_LEAST_PART);
+    int least = least_of(service);
     return least > there ? least - there : 0;
 }
 
@@ -90,9 +114,10 @@
 }
 
 /*
- * What serves, or is on its way, stays until what replaces it is usable: an
- * order taken back while its endpoints start leaves a service without either
- * kind, again and again while reclaimable ones are now offered, now not.
+ * What serves, or is on its way, stays until enough of what replaces it is
+ * usable: an order taken back while its endpoints start leaves a service
+ * without either kind, again and again while reclaimable ones are now
+ * offered, now not.
  */
 static void
 keep_until_replaced(const struct pn_service *service,
@@ -103,7 +128,7 @@
     for (size_t i = 0; i < count; i++) {
         usable += zones[i].spot + at_most(zones[i].lasting, wishes[i].lasting);
     }
-    int short_by = service->wanted - usable;
+    int short_by = service->steady - usable;
     for (size_t i = 0; i < count && short_by > 0; i++) {
         int have = more_of(zones[i].lasting, zones[i].lasting_ordered);
         int keep = at_most(more_of(have - wishes[i].lasting, 0), short_by);
--- a/packages/edge/plan.h
+++ b/packages/edge/plan.h
@@ -30,7 +30,8 @@
     int min; /* a data centre, both kinds together */
     int max;
     double spot_price; /* as a part of the zone's; 0: none are offered */
-    int wanted;        /* endpoints that carry the load */
+    int wanted;        /* endpoints that carry the load at its peaks */
+    int steady;        /* endpoints that carry it but for short peaks */
 };
 
 struct pn_wish {
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -82,7 +82,7 @@
         return false;
     }
     int64_t now = Ga_Now(exchange->gate);
-    attempt->had_head = true;
+    attempt->head_at = now;
     attempt->status = head->status;
     attempt->fields = copy_fields(head);
     attempt->endpoint->reading -= attempt->reading;
@@ -317,7 +317,7 @@
         break;
     case CN_BROKEN:
         He_Note(attempt->endpoint, HE_BROKE, now);
-        if (!attempt->had_head) {
+        if (attempt->head_at == 0) {
             exchange->runs++;
             exchange->may_have_run = true;
         }
--- a/packages/edge/test/plan_test.cc
+++ b/packages/edge/test/plan_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 struct Fixture {
-    struct pn_service service = {1, 6, 0.18, 8};
+    struct pn_service service = {1, 6, 0.18, 8, 8};
     std::vector<struct pn_zone> zones;
     std::vector<struct pn_wish> wishes;
 
@@ -106,6 +106,44 @@
     EXPECT_EQ(f.Sum(false), 0);
 }
 
+// Answers are late when the second of three data centres is reclaimed: none
+// are to be had since the first went, and the lasting ones that were ordered
+// then take seconds to start.
+TEST(Plan, LastingOnesAreOrderedBeforeTheNextDataCentreGoes)
+{
+    Fixture f;
+    f.service.wanted = f.service.steady = 24;
+    for (auto &zone : f.zones) {
+        zone.spot = 6;
+    }
+    f.service.max = 12;
+    f.Plan();
+    EXPECT_EQ(f.Sum(false), 0);
+    f.zones[0].spot = 0;
+    f.Plan();
+    EXPECT_EQ(f.Sum(false), 0);
+    f.zones[0].dry = true;
+    f.Plan();
+    // 15 carry the load but late; 18 are there and 6 of them may go.
+    EXPECT_EQ(f.Sum(false), 3);
+}
+
+// A peak of a few seconds, of callers that came back, is answered by lasting
+// endpoints that start when it is over and are paid for half a minute.
+TEST(Plan, PeaksAreLeftToReclaimableOnes)
+{
+    Fixture f;
+    f.service.wanted = 20;
+    f.service.steady = 8;
+    for (auto &zone : f.zones) {
+        zone.spot = 2;
+        zone.lasting = 3;
+    }
+    f.Plan();
+    EXPECT_EQ(f.Sum(true), 20);
+    EXPECT_EQ(f.Sum(false), 0);
+}
+
 // The bounds of a data centre hold for both kinds together.
 TEST(Plan, StaysWithinTheBoundsOfADataCentre)
 {
--- a/packages/edge/work_internal.h
+++ b/packages/edge/work_internal.h
@@ -27,6 +27,8 @@
     char service[Ec_NAME_MAX];
     int wanted;
     int64_t since;
+    double steady; /* the same without short peaks */
+    int64_t steady_at;
     bool settled; /* its endpoints are all known */
 };
 
