Plain services by two drawn endpoints; a store that turns a daemon away is left to others; terms are told

Ruled out: too few endpoints (35% in use), slow store.

Tests: Place.HostsDoNotAllGo*, Feed.ADaemonThatIsTurnedAway*, Feed.WhoLeavesTheStore*, Duty.ADeadHolders*, Duty.AStoppingHolder*, Duty.ARenewalAfter*, the search with words late, lost and resignations; with the end of the log ignored the search fails at order 81.

--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -20,12 +20,16 @@
     struct du_options options;
     int64_t end;      /* all records before it were read; -1: none */
     int64_t moved_at; /* when the end was first seen where it is */
-    int64_t heard_at; /* last word of a holder by a peer */
+    /* The term that a peer told of last. */
     int64_t heard_fence;
-    int64_t fence; /* ours; 0: not the holder */
+    int64_t heard_end;
+    int64_t heard_until;
+    struct du_told resigned; /* a term of ours that was given up */
+    int64_t fence;           /* ours; 0: not the holder */
     int64_t valid_until;
     int64_t sent_at; /* the append or read under way */
     int64_t retry_at;
+    bool left;   /* resigned for good */
     bool at_end; /* the last read reached the end */
     bool busy;
     bool doubtful; /* an append may or may not be done */
@@ -254,18 +258,34 @@
 
 /*
  * A term counts from before its renewal was sent; we saw the renewal later.
- * So a log that has stood still for a whole term, as we saw it, is free.
+ * So a log that has stood still for a whole term, as we saw it, is free.  So
+ * is one that still ends at the record of a term whose holder told when it
+ * ends: a later renewal would have moved the end, and ours is appended only
+ * where it has not moved.
  */
+static bool
+is_free(const struct du_duty *duty, int64_t patience)
+{
+    int64_t now = now_of(duty);
+    if (duty->end == 0) {
+        return true;
+    }
+    if (duty->heard_fence != 0 && duty->end == duty->heard_end) {
+        return now >= duty->heard_until + patience;
+    }
+    return now - duty->moved_at > duty->options.lease_usec + patience;
+}
+
 static void
 tick_other(struct du_duty *duty)
 {
     int64_t now = now_of(duty);
-    int64_t wait = duty->options.lease_usec +
-                   duty->options.rank(duty->options.arg) * Du_RANK_USEC;
-    if (duty->heard_at != 0 && now - duty->heard_at < wait) {
+    int64_t patience =
+        (int64_t)duty->options.rank(duty->options.arg) * Du_RANK_USEC;
+    if (duty->heard_fence != 0 && now < duty->heard_until + patience) {
         return;
     }
-    bool free_now = duty->end == 0 || now - duty->moved_at > wait;
+    bool free_now = is_free(duty, patience);
     if (duty->end >= 0 && duty->at_end && !free_now) {
         return;
     }
@@ -283,7 +303,7 @@
 Du_Tick(struct du_duty *duty)
 {
     int64_t now = now_of(duty);
-    if (duty->busy || now < duty->retry_at) {
+    if (duty->left || duty->busy || now < duty->retry_at) {
         return;
     }
     if (duty->fence != 0) {
@@ -295,16 +315,36 @@
 }
 
 void
-Du_Heard(struct du_duty *duty, int64_t fence)
+Du_Heard(struct du_duty *duty, const struct du_told *told)
 {
-    if (duty->fence != 0 && fence > duty->fence) {
+    if (duty->fence != 0 && told->fence > duty->fence) {
         lose(duty);
         duty->at_end = false;
     }
-    if (fence >= duty->heard_fence) {
-        duty->heard_fence = fence;
-        duty->heard_at = now_of(duty);
+    if (told->fence < duty->heard_fence) {
+        return;
+    }
+    /* Each word bounds the end of the same term; the earliest bound holds. */
+    int64_t until = now_of(duty) + told->left_usec;
+    if (told->fence != duty->heard_fence || told->end != duty->heard_end ||
+        until < duty->heard_until) {
+        duty->heard_until = until;
     }
+    duty->heard_fence = told->fence;
+    duty->heard_end = told->end;
+}
+
+struct du_told
+Du_Told(const struct du_duty *duty)
+{
+    if (!Du_Holds(duty)) {
+        return duty->resigned;
+    }
+    return (struct du_told){
+        .fence = duty->fence,
+        .end = duty->end,
+        .left_usec = duty->valid_until - now_of(duty),
+    };
 }
 
 bool
@@ -355,8 +395,18 @@
     duty->moved_at = now_of(duty);
 }
 
+/* To be called again while it still holds: an append may be under way. */
 void
 Du_Resign(struct du_duty *duty)
 {
+    bool holds = Du_Holds(duty);
+    if (holds && (duty->busy || !duty->at_end)) {
+        return;
+    }
+    if (holds) {
+        duty->resigned = Du_Told(duty);
+        duty->resigned.left_usec = 0;
+    }
+    duty->left = true;
     lose(duty);
 }
--- a/packages/edge/duty.h
+++ b/packages/edge/duty.h
@@ -44,6 +44,13 @@
     double read_rate; /* prompt tokens a second that one endpoint reads */
 };
 
+/* What a holder tells its peers of its term. */
+struct du_told {
+    int64_t fence;     /* 0: nothing to tell */
+    int64_t end;       /* of the log, behind the record that the term is of */
+    int64_t left_usec; /* of the term; 0: it was given up */
+};
+
 struct du_duty;
 
 struct du_options {
@@ -63,13 +70,15 @@
 
 /* To be called several times a second. */
 void Du_Tick(struct du_duty *duty);
-/* A peer says that it holds the duty by this fence. */
-void Du_Heard(struct du_duty *duty, int64_t fence);
+/* A peer tells of the term that it holds or held. */
+void Du_Heard(struct du_duty *duty, const struct du_told *told);
+/* What to tell of a term of our own. */
+struct du_told Du_Told(const struct du_duty *duty);
 /* Records a window's usage; false when that cannot be begun now. */
 bool Du_Agree(struct du_duty *duty, const struct du_usage *usage);
 /* The platform refused our fence: another has acted by a higher one. */
 void Du_Refused(struct du_duty *duty);
-/* Gives the duty up without waiting for its end. */
+/* Gives the duty up before its end; peers that are told take over at once. */
 void Du_Resign(struct du_duty *duty);
 
 /* What is to be handed on with the next renewals. */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -72,6 +72,14 @@
     if (attempt->endpoint == NULL) {
         return;
     }
+    /*
+     * A plain endpoint that had the request and does not answer has run it;
+     * an engine may have left it waiting.
+     */
+    if (!exchange->service->engine && attempt->head_at == 0 &&
+        attempt->channel != NULL && Cn_Sent(attempt->channel)) {
+        Xc_CountRun(exchange);
+    }
     attempt->endpoint->running--;
     De_Ended(exchange->gate->demand, exchange->service->name,
              used_usec(exchange));
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -90,6 +90,8 @@
 /* Lets go of the attempt; its connection is kept when it can be. */
 void Xc_Release(struct xc_exchange *exchange);
 
+void Xc_CountRun(struct xc_exchange *exchange);
+
 /* The endpoint's side of an attempt. */
 extern const struct cn_ops xc_channel_ops;
 
--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -12,7 +12,13 @@
  */
 #define Fe_CONFIG_WAIT_USEC (5 * Ck_USEC_PER_SEC)
 #define Fe_ENTRIES_EVERY_USEC (600 * Ck_USEC_PER_MSEC)
+/*
+ * A store that is away or turns this daemon away is asked again after this,
+ * twice as long after each failure: refused calls are paid for, and with many
+ * daemons they are most of what the store has to answer.
+ */
 #define Fe_RETRY_USEC (250 * Ck_USEC_PER_MSEC)
+#define Fe_RETRY_DOUBLINGS 3
 /* How often a daemon that does not read asks whether it should. */
 #define Fe_ROLE_USEC (100 * Ck_USEC_PER_MSEC)
 /* After such a pause a listing is shorter than what was missed. */
@@ -20,6 +26,9 @@
 /* Entries lapse while the store is away, and return in this time. */
 #define Fe_DOUBT_USEC (2000 * Ck_USEC_PER_MSEC)
 #define Fe_AWAY_USEC (1000 * Ck_USEC_PER_MSEC)
+/* A store that nobody reached so lately was away, and entries have lapsed. */
+#define Fe_DARK_USEC                                                          \
+    ((Fe_RETRY_USEC << Fe_RETRY_DOUBLINGS) + 500 * Ck_USEC_PER_MSEC)
 /* A read that waits says nothing meanwhile; a second more is a lost one. */
 #define Fe_CURRENT_USEC (Fe_CONFIG_WAIT_USEC + 1 * Ck_USEC_PER_SEC)
 
@@ -204,19 +213,28 @@
     }
 }
 
-static void
-note_answer(struct follow *follow)
+/* The store answers again, here or at a daemon that reads for this one. */
+void
+fe_end_failure(struct follow *follow)
 {
     struct fe_feed *feed = follow->feed;
     int64_t now = Ck_Now(feed->options.clock);
-    follow->waiting = false;
     if (follow->failed_at != 0 && follow->topic == AG_ENDPOINTS &&
-        now - follow->failed_at > Fe_AWAY_USEC &&
-        !feed->options.ops->others_reach(feed->options.arg)) {
+        now - follow->failed_at > Fe_AWAY_USEC && follow->dark_at != 0 &&
+        now - follow->dark_at < Fe_DARK_USEC) {
         Fl_Doubt(feed->options.fleet, Fe_DOUBT_USEC);
     }
     follow->failed_at = 0;
-    follow->answered_at = now;
+    follow->failures = 0;
+}
+
+static void
+note_answer(struct follow *follow)
+{
+    struct fe_feed *feed = follow->feed;
+    follow->waiting = false;
+    fe_end_failure(follow);
+    follow->answered_at = Ck_Now(feed->options.clock);
     set_reached(feed, feed->entry_follow.failed_at == 0 &&
                           feed->config_follow.failed_at == 0);
 }
@@ -230,8 +248,14 @@
         follow->failed_at =
             follow->answered_at != 0 ? follow->answered_at : now;
     }
+    if (!follow->feed->options.ops->others_reach(follow->feed->options.arg)) {
+        follow->dark_at = now;
+    }
     set_reached(follow->feed, false);
-    Lp_TimerSet(follow->timer, Fe_RETRY_USEC);
+    Lp_TimerSet(follow->timer, Fe_RETRY_USEC << follow->failures);
+    if (follow->failures < Fe_RETRY_DOUBLINGS) {
+        follow->failures++;
+    }
 }
 
 static void
@@ -352,8 +376,9 @@
     struct fe_feed *feed = follow->feed;
     struct ag_store *store = feed->options.store;
     int64_t now = Ck_Now(feed->options.clock);
-    if (follow->from >= 0 && follow->failed_at == 0 &&
+    if (follow->from >= 0 &&
         feed->options.ops->others_read(feed->options.arg, follow->topic)) {
+        fe_end_failure(follow);
         Lp_TimerSet(follow->timer, Fe_ROLE_USEC);
         return;
     }
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -33,6 +33,8 @@
     int64_t answered_at;
     bool waiting;      /* a read is under way */
     int64_t failed_at; /* since when it fails; 0: it does not */
+    int64_t dark_at;   /* last failure while no daemon reached the store */
+    int failures;      /* in a row */
     char after[Ec_NAME_MAX];
     struct known_tree known;
 };
@@ -50,6 +52,9 @@
 
 struct known *fe_find(struct follow *follow, const char *key);
 
+/* The store answers again, here or at a daemon that reads for this one. */
+void fe_end_failure(struct follow *follow);
+
 /* Takes a record, from the store or from a peer. */
 void fe_take(struct follow *follow, const char *key, int64_t offset,
              const void *value, size_t len);
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -146,6 +146,20 @@
     }
 }
 
+/*
+ * The peer may have reached the store again before this daemon asked; the
+ * removals that it tells of are in doubt here as well.
+ */
+static void
+note_peer(struct follow *follow)
+{
+    const struct fe_options *options = &follow->feed->options;
+    if (follow->failed_at != 0 &&
+        options->ops->others_read(options->arg, follow->topic)) {
+        fe_end_failure(follow);
+    }
+}
+
 /* Takes what a peer packed; bytes that make no sense are passed over. */
 void
 Fe_Unpack(struct fe_feed *feed, const char *data, size_t len)
@@ -158,6 +172,7 @@
         unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
         unpacked.data.via.array.size == 8) {
         const msgpack_object *part = unpacked.data.via.array.ptr;
+        note_peer(&feed->entry_follow);
         unpack_follow(&feed->config_follow, &part[0]);
         unpack_follow(&feed->entry_follow, &part[4]);
     }
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -194,10 +194,25 @@
     .others_read = others_read,
 };
 
+static bool
+others_serve(const struct ga_gate *gate)
+{
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (Ms_Alive(gate->mesh, peer) && !peer->stopping) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 step_stop(struct ga_gate *gate)
 {
     int64_t gone = Ga_Now(gate) - gate->stopping_at;
+    if (others_serve(gate)) {
+        Du_Resign(gate->duty);
+    }
     if (gone > Ga_STOP_IDLE_USEC) {
         Sv_CloseIdle(gate->callers, Ga_TICK_USEC);
     }
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "edge/demand.h"
+#include "edge/duty.h"
 #include "edge/node.h"
 #include "web/loop.h"
 
@@ -59,7 +60,7 @@
     int64_t wall_usec;
     int64_t config_changed;
     int64_t entries_changed;
-    int64_t fence; /* 0: does not hold the duty */
+    struct du_told lease; /* of the duty */
     size_t load_count;
     struct ms_load loads[Ms_LOADS_MAX];
     size_t spent_count;
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -10,7 +10,7 @@
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 4
 #define Ms_MILLI 1000
-#define Ms_FIELDS 19
+#define Ms_FIELDS 21
 #define Ms_RATE_FIELDS 5
 
 static void
@@ -73,12 +73,14 @@
     msgpack_pack_int64(&packer, word->wall_usec);
     msgpack_pack_int64(&packer, word->config_changed);
     msgpack_pack_int64(&packer, word->entries_changed);
-    msgpack_pack_int64(&packer, word->fence);
+    msgpack_pack_int64(&packer, word->lease.fence);
     pack_tables(&packer, word);
     msgpack_pack_int(&packer, word->store_reached);
     msgpack_pack_int(&packer, word->reads_config);
     msgpack_pack_int(&packer, word->reads_entries);
     msgpack_pack_int64(&packer, word->up_usec);
+    msgpack_pack_int64(&packer, word->lease.end);
+    msgpack_pack_int64(&packer, word->lease.left_usec);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -168,12 +170,14 @@
     out->wall_usec = get_number(&field[6]);
     out->config_changed = get_number(&field[7]);
     out->entries_changed = get_number(&field[8]);
-    out->fence = get_number(&field[9]);
+    out->lease.fence = get_number(&field[9]);
     get_tables(&field[10], out);
     out->store_reached = get_number(&field[15]) != 0;
     out->reads_config = get_number(&field[16]) != 0;
     out->reads_entries = get_number(&field[17]) != 0;
     out->up_usec = get_number(&field[18]);
+    out->lease.end = get_number(&field[19]);
+    out->lease.left_usec = get_number(&field[20]);
     return true;
 }
 
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -90,7 +90,7 @@
     word->reads_entries = Fe_Reads(gate->feed, AG_ENDPOINTS);
     word->config_changed = Fe_Changed(gate->feed, AG_CONFIG);
     word->entries_changed = Fe_Changed(gate->feed, AG_ENDPOINTS);
-    word->fence = Du_Fence(gate->duty);
+    word->lease = Du_Told(gate->duty);
     fill_loads(gate, word);
     Qt_Each(gate->quota, fill_spent, word);
     fill_counted(gate, word);
@@ -157,8 +157,8 @@
         Us_Peer(gate->usage, word->run, word->counted[i].window,
                 word->counted[i].tenant, word->counted[i].count);
     }
-    if (word->fence > 0) {
-        Du_Heard(gate->duty, word->fence);
+    if (word->lease.fence > 0) {
+        Du_Heard(gate->duty, &word->lease);
     }
 }
 
--- a/packages/edge/place.c
+++ b/packages/edge/place.c
@@ -45,6 +45,10 @@
 #define Pl_LANE_MAX 0.75
 #define Pl_FAILING_COST 20000.0
 #define Pl_SLOW_COST 4000.0
+/* All places of a plain service's endpoint in use. */
+#define Pl_FULL_COST 4000.0
+/* Endpoints of a plain service that a request chooses from at first. */
+#define Pl_DRAWN 2
 /* Below this share of failures an endpoint is like any other. */
 #define Pl_FAILING_NOTED 0.3
 #define Pl_SLOW_NOTED 2.0
@@ -93,13 +97,19 @@
            (candidate->near ? 0 : Pl_FAR_COST);
 }
 
-/* A plain service has no prompts: its places are what runs out. */
+/*
+ * A plain service has no prompts: its places are what runs out.  All daemons
+ * know the same of them, some tenths of a second late; by that alone they
+ * would all send to the one that was least in use then.  Each request draws
+ * two and takes the better.
+ */
 static double
-plain_cost(const struct pl_candidate *candidate)
+plain_cost(const struct pl_candidate *candidate, size_t home)
 {
     int slots = candidate->slots > 0 ? candidate->slots : 1;
     double used = (double)candidate->running / slots;
-    return used * Pl_SLOW_COST + (candidate->near ? 0 : Pl_FAR_COST);
+    return used * Pl_FULL_COST + (home < Pl_DRAWN ? 0 : Pl_FULL_COST) +
+           (candidate->near ? 0 : Pl_FAR_COST);
 }
 
 static bool
@@ -178,7 +188,7 @@
         double cost = trouble_cost(candidate);
         cost += limits->engine
                     ? engine_cost(candidate, limits, home_of(homes, i))
-                    : plain_cost(candidate);
+                    : plain_cost(candidate, home_of(homes, i));
         if (best == count || (best_shunned && !candidate->shunned) ||
             (best_shunned == candidate->shunned && cost < best_cost)) {
             best = i;
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -19,8 +19,9 @@
 #define Re_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
 #define Re_VERSION_FIELD "x-weight-versions:"
 
-static void
-count_run(struct xc_exchange *exchange)
+/* An endpoint began to work on the request, for all that is known. */
+void
+Xc_CountRun(struct xc_exchange *exchange)
 {
     exchange->may_have_run = true;
     if (!exchange->counted && exchange->tenant != NULL) {
@@ -93,7 +94,7 @@
     attempt->reading = 0;
     if (!attempt->answer.not_run) {
         exchange->runs++;
-        count_run(exchange);
+        Xc_CountRun(exchange);
     }
     if (head->status == 200 && genuine(&attempt->answer)) {
         He_First(attempt->endpoint, now - attempt->sent_at, now);
@@ -319,7 +320,7 @@
         He_Note(attempt->endpoint, HE_BROKE, now);
         if (attempt->head_at == 0) {
             exchange->runs++;
-            exchange->may_have_run = true;
+            Xc_CountRun(exchange);
         }
         go_on(exchange, true, 502, "connection broke");
         break;
--- a/packages/edge/test/duty_test.cc
+++ b/packages/edge/test/duty_test.cc
@@ -94,6 +94,27 @@
         }
     }
 
+    // The same, and what each daemon tells of its term reaches the others.
+    void
+    RunTelling(int64_t usec, const std::vector<Daemon *> &frozen = {})
+    {
+        for (int64_t passed = 0; passed < usec; passed += kTickUsec) {
+            Run(kTickUsec, frozen);
+            for (auto &from : daemons_) {
+                struct du_told told = Du_Told(from->duty);
+                bool still = false;
+                for (auto *other : frozen) {
+                    still |= other == from.get();
+                }
+                for (auto &to : daemons_) {
+                    if (to != from && told.fence > 0 && !still) {
+                        Du_Heard(to->duty, &told);
+                    }
+                }
+            }
+        }
+    }
+
     FakeClock clock_;
     FakeStore store_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
@@ -146,6 +167,51 @@
     EXPECT_TRUE(Du_Holds(second->duty));
 }
 
+// For six seconds nobody orders endpoints after the holder has died: its
+// successor counted a whole term from the moment when it first looked at the
+// log, although the holder had told when its term ends.
+TEST_F(Duty, ADeadHoldersTermEndsWhenItSaid)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    RunTelling(2 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    RunTelling(kLeaseUsec + 800 * Ck_USEC_PER_MSEC, {first});
+    EXPECT_TRUE(Du_Holds(second->duty));
+}
+
+// The same for three seconds after a planned stop: the holder was gone before
+// its term was over.
+TEST_F(Duty, AStoppingHolderHandsItsDutyOver)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    RunTelling(2 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    for (int tries = 0; Du_Holds(first->duty); tries++) {
+        ASSERT_LT(tries, 10);
+        Du_Resign(first->duty);
+        RunTelling(kTickUsec);
+    }
+    RunTelling(800 * Ck_USEC_PER_MSEC);
+    EXPECT_TRUE(Du_Holds(second->duty));
+    RunTelling(5 * Ck_USEC_PER_SEC);
+    EXPECT_FALSE(Du_Holds(first->duty));
+}
+
+// Two daemons hold the duty: a peer believed a term over that had been renewed
+// after the last word of it came.
+TEST_F(Duty, ARenewalAfterTheLastWordCounts)
+{
+    Daemon *first = Start(0);
+    Daemon *second = Start(1);
+    RunTelling(2 * Ck_USEC_PER_SEC);
+    ASSERT_TRUE(Du_Holds(first->duty));
+    Run(10 * Ck_USEC_PER_SEC);
+    EXPECT_TRUE(Du_Holds(first->duty));
+    EXPECT_FALSE(Du_Holds(second->duty));
+}
+
 // A renewal that is executed seconds late, after a successor has written,
 // must not make the old holder's record the last one.
 TEST_F(Duty, ALateRenewalFailsItsCondition)
@@ -213,12 +279,12 @@
     EXPECT_DOUBLE_EQ(found->read_rate, 70000);
 }
 
-// One of the store's faults is chosen at each step, in every order of five
-// steps, for two daemons: at no time do both hold the duty, and no fence is
-// used by two.
+// One of the faults is chosen at each step, in every order of four steps, for
+// two daemons whose words of their terms come at once, late or not at all: at
+// no time do both hold the duty, and no fence is used by two.
 TEST_F(Duty, NoOrderOfFaultsMakesTwoHolders)
 {
-    enum { kFaults = 6, kSteps = 4 };
+    enum { kFaults = 10, kSteps = 4, kLateTicks = 7 };
     int orders = 1;
     for (int i = 0; i < kSteps; i++) {
         orders *= kFaults;
@@ -242,6 +308,7 @@
             options.arg = &pair[i];
             pair[i].duty = Du_Create(&options);
         }
+        std::vector<struct du_told> words[2];
         int left = order;
         for (int step = 0; step < kSteps; step++) {
             int fault = left % kFaults;
@@ -256,9 +323,14 @@
             case 1:
                 victim.client->lose_next = true;
                 break;
-            default:
+            case 2:
                 victim.client->late_next = true;
                 break;
+            case 3:
+                Du_Resign(victim.duty);
+                break;
+            default:
+                break; // its words alone are lost
             }
             for (int tick = 0; tick < 40; tick++) {
                 for (auto &daemon : pair) {
@@ -267,6 +339,18 @@
                 if (tick == 25) {
                     store.RunLate();
                 }
+                for (int i = 0; i < 2; i++) {
+                    bool is_victim = &victim == &pair[i];
+                    words[i].push_back(Du_Told(pair[i].duty));
+                    size_t late = is_victim ? kLateTicks : 1;
+                    bool lost = is_victim && fault / 2 == 4;
+                    if (words[i].size() >= late && !lost) {
+                        struct du_told told = words[i][words[i].size() - late];
+                        if (told.fence > 0) {
+                            Du_Heard(pair[1 - i].duty, &told);
+                        }
+                    }
+                }
                 store.Answer();
                 clock.Advance(kTickUsec);
                 ASSERT_FALSE(Du_Holds(pair[0].duty) && Du_Holds(pair[1].duty))
--- a/packages/edge/test/fake_store.h
+++ b/packages/edge/test/fake_store.h
@@ -27,6 +27,7 @@
         struct ag_store base;
         FakeStore *store;
         bool down = false;      // nothing is done
+        int calls = 0;          // of this daemon
         bool lose_next = false; // the next append is done, unanswered
         bool late_next = false; // the next append waits for RunLate()
     };
@@ -133,6 +134,7 @@
     {
         (void)wait_usec;
         Client *client = Cast(base);
+        client->calls++;
         FakeStore *store = client->store;
         if (client->down) {
             store->Fail(fn, arg, AG_UNAVAILABLE);
@@ -165,6 +167,7 @@
     {
         (void)after;
         Client *client = Cast(base);
+        client->calls++;
         FakeStore *store = client->store;
         if (client->down) {
             store->Fail(fn, arg, AG_UNAVAILABLE);
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -62,11 +62,15 @@
     (void)reached;
 }
 
+// Whether the peers of a test's daemon reach the store and read it.
+bool others_reach;
+bool others_read;
+
 bool
 OthersReach(void *arg)
 {
     (void)arg;
-    return false;
+    return others_reach;
 }
 
 bool
@@ -74,7 +78,7 @@
 {
     (void)arg;
     (void)topic;
-    return false;
+    return others_read;
 }
 
 const struct fe_ops ops = {OnConfig, OnStore, OthersReach, OthersRead};
@@ -90,6 +94,7 @@
     void
     SetUp() override
     {
+        others_reach = others_read = false;
         ASSERT_EQ(Lp_Create(&loop_), ST_OK);
         runner_ = new Runner(loop_);
     }
@@ -186,6 +191,60 @@
     EXPECT_NE(Fl_Find(node.fleet, "a"), nullptr);
 }
 
+// A store that turns a third of eighty hosts away for nine seconds gets two
+// thousand calls from them, each of which is paid for, although the other
+// hosts read it and tell them all that is new.
+TEST_F(Feed, ADaemonThatIsTurnedAwayLeavesTheStoreToOthers)
+{
+    store_.Put(AG_CONFIG, "config", "1");
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    Node node = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(node.fleet, "a") != nullptr; }));
+    node.client->down = true;
+    ASSERT_TRUE(Until([&] { return !Fe_Reached(node.feed); }));
+    others_reach = others_read = true;
+    ASSERT_TRUE(Until([&] { return node.client->calls > 0; }));
+    runner_->For(600 * Ck_USEC_PER_MSEC);
+    store_.Answer();
+    int calls = node.client->calls;
+    for (int i = 0; i < 10; i++) {
+        runner_->For(100 * Ck_USEC_PER_MSEC);
+        store_.Answer();
+    }
+    EXPECT_EQ(node.client->calls, calls);
+    // When the others stop reading it asks again, and is answered.
+    others_read = false;
+    node.client->down = false;
+    EXPECT_TRUE(Until([&] { return Fe_Reached(node.feed); }));
+}
+
+// Live endpoints are taken for gone when the store comes back: their entries
+// had lapsed while nobody reached it, another host was answered first, and
+// this one no longer asks itself.
+TEST_F(Feed, WhoLeavesTheStoreToOthersStillDoubtsLapsedEntries)
+{
+    store_.Put(AG_CONFIG, "config", "1");
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    Node node = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(node.fleet, "a") != nullptr; }));
+    node.client->down = true;
+    ASSERT_TRUE(Until([&] { return !Fe_Reached(node.feed); }));
+    for (int i = 0; i < 16; i++) {
+        runner_->For(100 * Ck_USEC_PER_MSEC);
+        store_.Answer();
+    }
+    store_.Remove(AG_ENDPOINTS, "a");
+    Node reader = Start();
+    ASSERT_TRUE(
+        Until([&] { return Fe_Changed(reader.feed, AG_ENDPOINTS) >= 0; }));
+    others_reach = others_read = true;
+    char *packed;
+    size_t len = Fe_Pack(reader.feed, 0, 0, &packed);
+    Fe_Unpack(node.feed, packed, len);
+    free(packed);
+    EXPECT_NE(Fl_Find(node.fleet, "a"), nullptr);
+}
+
 // An entry that another writer left breaks the reading of all others.
 TEST_F(Feed, ABrokenEntryHidesNoOther)
 {
--- a/packages/edge/test/place_test.cc
+++ b/packages/edge/test/place_test.cc
@@ -108,6 +108,34 @@
     EXPECT_LT(Pl_LongPart(100, 1.0), 0.9);
 }
 
+// Answers of a plain service wait at one endpoint while others idle: all
+// hosts heard half a second ago that it had nothing to do.
+TEST(Place, HostsDoNotAllGoToTheSameIdleEndpoint)
+{
+    std::vector<struct pl_candidate> candidates(6, Idle());
+    const struct pl_limits plain = {false, 3, false, false};
+    std::vector<int> sent(6);
+    for (uint64_t request = 1; request <= 600; request++) {
+        for (size_t i = 0; i < candidates.size(); i++) {
+            candidates[i].running = i == 0 ? 0 : 1;
+            candidates[i].draw = (request * 7919 + i * 104729) % 1009;
+        }
+        struct pl_choice choice;
+        ASSERT_EQ(Pl_Choose(candidates.data(), 6, &plain, &choice), PL_CHOSEN);
+        sent[choice.index]++;
+    }
+    // Two of six are drawn, so the idle one is among them a third of the time.
+    EXPECT_LT(sent[0], 300);
+    // One that is full is passed over although it was drawn.
+    for (size_t i = 0; i < candidates.size(); i++) {
+        candidates[i].running = i == 5 ? 0 : 11;
+        candidates[i].draw = i == 5 ? 0 : i + 1;
+    }
+    struct pl_choice choice;
+    ASSERT_EQ(Pl_Choose(candidates.data(), 6, &plain, &choice), PL_CHOSEN);
+    EXPECT_EQ(choice.index, 5u);
+}
+
 // The kept prompt draws every request of a hot group to one endpoint until
 // nothing there is on time.
 TEST(Place, AKeptPromptIsNotWorthAnyWait)
