Version moves by the operator's order: judged by all daemons, bounded, told through the store

Missing until now: op/rollout was not read, a new version got requests as any endpoint did. Each daemon counts answers by route for both versions, gossip sums them, any daemon that finds the version worse beyond chance says so and all stop at once, also while the store is away. The holder decides the share (50, 150, 1000 thousandths), records each state before it tells operators, and says succeeded only when nothing runs at the old endpoints. A test by deviations was tried first and took a good version back in one of 40 moves where one answer in seven fails anyway; Chernoff's bound does not.

--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -37,6 +37,10 @@
     struct du_usage usages[Du_WINDOWS];
     size_t need_count;
     struct du_need needs[Du_NEEDS_MAX];
+    size_t move_count;
+    struct ro_standing moves[Du_MOVES_MAX];
+    bool moves_recorded;     /* as they stand here */
+    bool moves_sent;         /* with the append under way */
     struct du_usage pending; /* being recorded; window 0: none */
 };
 
@@ -129,6 +133,10 @@
         duty->need_count = decoded.need_count;
         memcpy(duty->needs, decoded.needs, sizeof(duty->needs));
     }
+    if (decoded.run != duty->options.run) {
+        duty->move_count = decoded.move_count;
+        memcpy(duty->moves, decoded.moves, sizeof(duty->moves));
+    }
     if (decoded.has_usage) {
         keep_usage(duty, &decoded.usage);
     }
@@ -191,6 +199,7 @@
         duty->end = result->offset + 1;
         duty->moved_at = now_of(duty);
         duty->at_end = true;
+        duty->moves_recorded |= duty->moves_sent;
         if (duty->pending.window != 0) {
             keep_usage(duty, &duty->pending);
         }
@@ -223,6 +232,9 @@
     record.run = duty->options.run;
     record.need_count = duty->need_count;
     memcpy(record.needs, duty->needs, sizeof(record.needs));
+    record.move_count = duty->move_count;
+    memcpy(record.moves, duty->moves, sizeof(record.moves));
+    duty->moves_sent = true;
     if (usage != NULL) {
         record.has_usage = true;
         record.usage = *usage;
@@ -387,6 +399,38 @@
     return NULL;
 }
 
+bool
+Du_SetMove(struct du_duty *duty, const struct ro_standing *standing)
+{
+    struct ro_standing *found = NULL;
+    for (size_t i = 0; i < duty->move_count; i++) {
+        if (duty->moves[i].service == standing->service) {
+            found = &duty->moves[i];
+        }
+    }
+    if (found == NULL) {
+        if (duty->move_count == Du_MOVES_MAX) {
+            return false;
+        }
+        found = &duty->moves[duty->move_count++];
+        memset(found, 0, sizeof(*found));
+    }
+    if (found->order != standing->order || found->state != standing->state ||
+        found->service != standing->service) {
+        *found = *standing;
+        duty->moves_recorded = false;
+        duty->moves_sent = false;
+    }
+    return duty->moves_recorded;
+}
+
+size_t
+Du_Moves(const struct du_duty *duty, const struct ro_standing **out)
+{
+    *out = duty->moves;
+    return duty->move_count;
+}
+
 void
 Du_Refused(struct du_duty *duty)
 {
--- a/packages/edge/duty.h
+++ b/packages/edge/duty.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "edge/rollout.h"
 #include "edge/store.h"
 
 #ifdef __cplusplus
@@ -23,6 +24,7 @@
 #define Du_WINDOWS 8
 #define Du_TENANTS_MAX 64
 #define Du_NEEDS_MAX 16
+#define Du_MOVES_MAX Ro_MOVES_MAX
 
 struct du_tenant {
     char name[Ec_NAME_MAX];
@@ -85,6 +87,10 @@
 void Du_SetNeed(struct du_duty *duty, const struct du_need *need);
 /* What was last handed on; NULL: nothing. */
 const struct du_need *Du_Need(const struct du_duty *duty, uint32_t service);
+/* The same for where moves stand; false: it is recorded only with the next
+   renewal, and nobody is to be told before. */
+bool Du_SetMove(struct du_duty *duty, const struct ro_standing *standing);
+size_t Du_Moves(const struct du_duty *duty, const struct ro_standing **out);
 
 bool Du_Holds(const struct du_duty *duty);
 int64_t Du_Fence(const struct du_duty *duty);
--- a/packages/edge/duty_record.c
+++ b/packages/edge/duty_record.c
@@ -7,36 +7,63 @@
 #include "base/packscan.h"
 #include "edge/packed.h"
 
-/* [run, [[service, endpoints, read rate]...], window, [[tenant, count]...]];
-   a bare renewal ends after the needs. */
+#define Dr_FIELDS 5
+
+static void
+pack_needs(msgpack_packer *packer, const struct dr_record *record)
+{
+    msgpack_pack_array(packer, record->need_count);
+    for (size_t i = 0; i < record->need_count; i++) {
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_uint32(packer, record->needs[i].service);
+        msgpack_pack_int(packer, record->needs[i].endpoints);
+        msgpack_pack_int64(packer, (int64_t)record->needs[i].read_rate);
+    }
+}
+
+static void
+pack_tenants(msgpack_packer *packer, const struct du_usage *usage)
+{
+    msgpack_pack_array(packer, usage->count);
+    for (size_t i = 0; i < usage->count; i++) {
+        const struct du_tenant *tenant = &usage->tenants[i];
+        size_t len = strlen(tenant->name);
+        msgpack_pack_array(packer, 2);
+        msgpack_pack_str(packer, len);
+        msgpack_pack_str_body(packer, tenant->name, len);
+        msgpack_pack_uint32(packer, tenant->count);
+    }
+}
+
+static void
+pack_moves(msgpack_packer *packer, const struct dr_record *record)
+{
+    msgpack_pack_array(packer, record->move_count);
+    for (size_t i = 0; i < record->move_count; i++) {
+        msgpack_pack_array(packer, 3);
+        msgpack_pack_uint32(packer, record->moves[i].service);
+        msgpack_pack_int64(packer, record->moves[i].order);
+        msgpack_pack_int(packer, record->moves[i].state);
+    }
+}
+
+/* [run, [[service, endpoints, read rate]...], window, [[tenant, count]...],
+   [[service, order, state]...]]; window 0: no usage. */
 size_t
 Dr_Encode(const struct dr_record *record, char **out)
 {
+    static const struct du_usage none;
+    const struct du_usage *usage = record->has_usage ? &record->usage : &none;
     msgpack_sbuffer buffer;
     msgpack_sbuffer_init(&buffer);
     msgpack_packer packer;
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, record->has_usage ? 4 : 2);
+    msgpack_pack_array(&packer, Dr_FIELDS);
     msgpack_pack_uint64(&packer, record->run);
-    msgpack_pack_array(&packer, record->need_count);
-    for (size_t i = 0; i < record->need_count; i++) {
-        msgpack_pack_array(&packer, 3);
-        msgpack_pack_uint32(&packer, record->needs[i].service);
-        msgpack_pack_int(&packer, record->needs[i].endpoints);
-        msgpack_pack_int64(&packer, (int64_t)record->needs[i].read_rate);
-    }
-    if (record->has_usage) {
-        msgpack_pack_int64(&packer, record->usage.window);
-        msgpack_pack_array(&packer, record->usage.count);
-        for (size_t i = 0; i < record->usage.count; i++) {
-            const struct du_tenant *tenant = &record->usage.tenants[i];
-            size_t len = strlen(tenant->name);
-            msgpack_pack_array(&packer, 2);
-            msgpack_pack_str(&packer, len);
-            msgpack_pack_str_body(&packer, tenant->name, len);
-            msgpack_pack_uint32(&packer, tenant->count);
-        }
-    }
+    pack_needs(&packer, record);
+    msgpack_pack_int64(&packer, usage->window);
+    pack_tenants(&packer, usage);
+    pack_moves(&packer, record);
     size_t len = buffer.size;
     *out = msgpack_sbuffer_release(&buffer);
     return len;
@@ -88,6 +115,30 @@
     }
 }
 
+static void
+decode_moves(const msgpack_object *list, struct dr_record *out)
+{
+    if (list->type != MSGPACK_OBJECT_ARRAY) {
+        return;
+    }
+    for (size_t i = 0;
+         i < list->via.array.size && out->move_count < Du_MOVES_MAX; i++) {
+        const msgpack_object *row = &list->via.array.ptr[i];
+        if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size != 3) {
+            continue;
+        }
+        const msgpack_object *part = row->via.array.ptr;
+        if (part[2].via.u64 > RO_SUCCEEDED) {
+            continue;
+        }
+        out->moves[out->move_count++] = (struct ro_standing){
+            .service = (uint32_t)part[0].via.u64,
+            .order = part[1].via.i64,
+            .state = (enum ro_state)part[2].via.u64,
+        };
+    }
+}
+
 static bool
 decode(const msgpack_object *object, struct dr_record *out)
 {
@@ -106,8 +157,11 @@
     if (object->via.array.ptr[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return false;
     }
-    out->has_usage = true;
     out->usage.window = (int64_t)object->via.array.ptr[2].via.u64;
+    out->has_usage = out->usage.window != 0;
+    if (object->via.array.size >= Dr_FIELDS) {
+        decode_moves(&object->via.array.ptr[4], out);
+    }
     return decode_tenants(&object->via.array.ptr[3], &out->usage);
 }
 
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -27,7 +27,8 @@
     size_t body_len;
     size_t body_size;
     bool overflow;
-    bool gap; /* events are missing */
+    bool gap;  /* events are missing */
+    bool slow; /* its first byte took several times as long as usual */
     struct es_events events;
 };
 
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -100,27 +100,58 @@
     return reading > 0 ? in_long / reading : 0;
 }
 
-/* Picks an endpoint by what is known of all of them. */
-enum pl_verdict
-Xc_Choose(struct xc_exchange *exchange, struct xc_target *out)
+/* Endpoints of a service that a pick allows. */
+struct selection {
+    size_t count;
+    struct fl_endpoint *endpoints[Xc_CANDIDATES_MAX];
+};
+
+static bool
+allowed(enum ro_pick pick, bool next)
+{
+    switch (pick) {
+    case RO_OLD:
+    case RO_OLD_ONLY:
+        return !next;
+    case RO_NEXT_FIRST:
+        return next;
+    default:
+        return true;
+    }
+}
+
+static void
+select_endpoints(const struct xc_exchange *exchange, enum ro_pick pick,
+                 struct selection *out)
+{
+    const struct ga_gate *gate = exchange->gate;
+    const char *service = exchange->service->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    out->count = 0;
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (out->count < Xc_CANDIDATES_MAX && Fl_Usable(endpoint) &&
+            strcmp(endpoint->entry.service, service) == 0 &&
+            allowed(pick, Ga_IsNext(move, endpoint))) {
+            out->endpoints[out->count++] = endpoint;
+        }
+    }
+}
+
+static enum pl_verdict
+choose_among(struct xc_exchange *exchange, const struct selection *from,
+             struct xc_target *out)
 {
     static struct pl_candidate candidates[Xc_CANDIDATES_MAX];
-    static struct fl_endpoint *endpoints[Xc_CANDIDATES_MAX];
-    size_t count = 0;
     const char *service = exchange->service->name;
     double mean = mean_first(exchange->gate, service);
     bool engine = exchange->service->engine;
     double long_part =
-        engine ? Pl_LongPart(Fl_CountUsable(exchange->gate->fleet, service),
-                             long_share(exchange->gate, service))
+        engine ? Pl_LongPart(from->count, long_share(exchange->gate, service))
                : 0;
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(exchange->gate->fleet), link) {
-        if (count < Xc_CANDIDATES_MAX && Fl_Usable(endpoint) &&
-            strcmp(endpoint->entry.service, service) == 0) {
-            candidates[count] = describe(exchange, endpoint, mean, long_part);
-            endpoints[count++] = endpoint;
-        }
+    for (size_t i = 0; i < from->count; i++) {
+        candidates[i] =
+            describe(exchange, from->endpoints[i], mean, long_part);
     }
     struct pl_limits limits = {
         .engine = engine,
@@ -129,10 +160,35 @@
         .is_long = Pl_IsLong(exchange->ask.tokens_in),
     };
     struct pl_choice choice = {0, 0};
-    enum pl_verdict verdict = Pl_Choose(candidates, count, &limits, &choice);
+    enum pl_verdict verdict =
+        Pl_Choose(candidates, from->count, &limits, &choice);
     if (verdict == PL_CHOSEN) {
-        out->endpoint = endpoints[choice.index];
+        out->endpoint = from->endpoints[choice.index];
         out->reading = choice.reading;
     }
     return verdict;
 }
+
+/*
+ * Picks an endpoint by what is known of all of them.  While a service moves
+ * to another version the draw comes first; the other version stands in when
+ * the drawn one has no room, but a version that was taken back never does.
+ */
+enum pl_verdict
+Xc_Choose(struct xc_exchange *exchange, struct xc_target *out)
+{
+    static struct selection selection;
+    struct ga_gate *gate = exchange->gate;
+    const struct ro_move *move = Ro_Find(gate->moves, exchange->service->name);
+    enum ro_pick pick =
+        Ro_Pick(move, exchange->sends > 0, Rn_Unit(&gate->random));
+    select_endpoints(exchange, pick, &selection);
+    enum pl_verdict verdict = choose_among(exchange, &selection, out);
+    if (verdict == PL_CHOSEN || pick == RO_ANY || pick == RO_OLD_ONLY ||
+        (pick == RO_OLD && selection.count > 0)) {
+        return verdict;
+    }
+    select_endpoints(exchange, pick == RO_OLD ? RO_NEXT_FIRST : RO_OLD_ONLY,
+                     &selection);
+    return choose_among(exchange, &selection, out);
+}
--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -75,11 +75,25 @@
     return known;
 }
 
+static void
+take_order(struct fe_feed *feed, const struct known *known)
+{
+    struct ro_order order;
+    if (feed->options.codec->order(known->key, strlen(known->key),
+                                   known->value, known->len, &order)) {
+        order.number = known->offset;
+        feed->options.ops->order(feed->options.arg, &order);
+    }
+}
+
 static void
 take_config(struct fe_feed *feed, const struct known *known)
 {
-    if (known->value == NULL ||
-        !feed->options.codec->is_config(known->key, strlen(known->key))) {
+    if (known->value == NULL) {
+        return;
+    }
+    if (!feed->options.codec->is_config(known->key, strlen(known->key))) {
+        take_order(feed, known);
         return;
     }
     struct ec_config *config =
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -24,6 +24,7 @@
 
 struct fe_ops {
     void (*config)(void *arg, struct ec_config *config);
+    void (*order)(void *arg, const struct ro_order *order);
     void (*store)(void *arg, bool reached);
     /*
      * Whether another daemon reaches the store.  Then it was not the store
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -41,6 +41,13 @@
            Fl_Any(gate->fleet);
 }
 
+bool
+Ga_IsNext(const struct ro_move *move, const struct fl_endpoint *endpoint)
+{
+    return move != NULL &&
+           strcmp(endpoint->entry.version, move->order.target) == 0;
+}
+
 static void
 on_request(void *arg, struct sv_request *request)
 {
@@ -145,6 +152,13 @@
            config->tenant_count, config->key_count);
 }
 
+static void
+on_order(void *arg, const struct ro_order *order)
+{
+    struct ga_gate *gate = arg;
+    Ro_Order(gate->moves, order);
+}
+
 static void
 on_store(void *arg, bool reached)
 {
@@ -189,6 +203,7 @@
 
 static const struct fe_ops feed_ops = {
     .config = on_config,
+    .order = on_order,
     .store = on_store,
     .others_reach = others_reach,
     .others_read = others_read,
@@ -245,6 +260,7 @@
     gate->ticks++;
     Fl_Tick(gate->fleet);
     Pe_Tick(gate->peers);
+    Ro_Tick(gate->moves);
     Du_Tick(gate->duty);
     Wo_Tick(gate->work);
     if (gate->ticks % Ga_SWEEP_TICKS == 0) {
@@ -303,11 +319,13 @@
                              node->retry_window_usec);
     gate->prefixes = Px_Create();
     gate->usage = Us_Create();
+    gate->moves = Ro_Create(clock);
     gate->demand = De_Create(clock);
     gate->time = Tt_Create(clock);
     if (gate->registry == NULL || gate->fleet == NULL || gate->quota == NULL ||
         gate->budget == NULL || gate->prefixes == NULL ||
-        gate->usage == NULL || gate->demand == NULL || gate->time == NULL) {
+        gate->usage == NULL || gate->moves == NULL || gate->demand == NULL ||
+        gate->time == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon's tables");
     }
     Qt_SetPart(gate->quota, Ga_QUOTA_PART);
@@ -447,6 +465,7 @@
     Bu_Destroy(gate->budget);
     Px_Destroy(gate->prefixes);
     Us_Destroy(gate->usage);
+    Ro_Destroy(gate->moves);
     De_Destroy(gate->demand);
     Tt_Destroy(gate->time);
     Mt_Destroy(gate->registry);
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -15,6 +15,7 @@
 #include "edge/mesh.h"
 #include "edge/prefix.h"
 #include "edge/quota.h"
+#include "edge/rollout.h"
 #include "edge/truetime.h"
 #include "edge/usage.h"
 #include "web/serve.h"
@@ -45,6 +46,7 @@
     struct bu_budget *budget;
     struct px_table *prefixes;
     struct us_usage *usage;
+    struct ro_table *moves;
     struct de_demand *demand;
     struct tt_time *time;
     struct du_duty *duty;
@@ -76,6 +78,8 @@
 struct wo_work *Wo_Create(struct ga_gate *gate);
 void Wo_Destroy(struct wo_work *work);
 void Wo_Tick(struct wo_work *work);
+/* Whether an endpoint has the version that its service is moved to. */
+bool Ga_IsNext(const struct ro_move *move, const struct fl_endpoint *endpoint);
 void Wo_Changed(void *arg, bool holder, int64_t fence);
 int64_t Wo_Window(const struct ga_gate *gate, int64_t true_usec);
 
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -78,6 +78,8 @@
     memcpy(peer->spent, word.spent, sizeof(peer->spent));
     peer->rate_count = word.rate_count;
     memcpy(peer->rates, word.rates, sizeof(peer->rates));
+    peer->evidence_count = word.evidence_count;
+    memcpy(peer->evidence, word.evidence, sizeof(peer->evidence));
     for (size_t i = 0; i < word.hint_count; i++) {
         Ms_Know(mesh, word.hints[i]);
     }
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -16,6 +16,7 @@
 #include "edge/demand.h"
 #include "edge/duty.h"
 #include "edge/node.h"
+#include "edge/rollout.h"
 #include "web/loop.h"
 
 #ifdef __cplusplus
@@ -27,6 +28,7 @@
 #define Ms_COUNTS_MAX 192
 #define Ms_HINTS_MAX 4
 #define Ms_RATES_MAX 16
+#define Ms_EVIDENCE_MAX 32
 
 /* Requests of one daemon at one endpoint. */
 struct ms_load {
@@ -69,6 +71,10 @@
     struct ms_counted counted[Ms_COUNTS_MAX];
     size_t rate_count;
     struct de_rate rates[Ms_RATES_MAX];
+    size_t evidence_count;
+    struct ro_evidence evidence[Ms_EVIDENCE_MAX];
+    size_t standing_count;
+    struct ro_standing standings[Ro_MOVES_MAX];
     size_t hint_count;
     char hints[Ms_HINTS_MAX][Nd_NAME_MAX]; /* addresses of other daemons */
 };
@@ -94,6 +100,8 @@
     struct ms_spent spent[Ms_SPENT_MAX];
     size_t rate_count;
     struct de_rate rates[Ms_RATES_MAX];
+    size_t evidence_count;
+    struct ro_evidence evidence[Ms_EVIDENCE_MAX];
 };
 
 TAILQ_HEAD(ms_peers, ms_peer);
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -10,7 +10,9 @@
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 4
 #define Ms_MILLI 1000
-#define Ms_FIELDS 21
+#define Ms_FIELDS 23
+#define Ms_EVIDENCE_FIELDS 7
+#define Ms_STANDING_FIELDS 4
 #define Ms_RATE_FIELDS 5
 
 static void
@@ -56,6 +58,30 @@
     }
 }
 
+static void
+pack_moves(msgpack_packer *packer, const struct ms_word *word)
+{
+    msgpack_pack_array(packer, word->evidence_count * Ms_EVIDENCE_FIELDS);
+    for (size_t i = 0; i < word->evidence_count; i++) {
+        const struct ro_evidence *row = &word->evidence[i];
+        msgpack_pack_uint32(packer, row->service);
+        msgpack_pack_uint32(packer, row->route);
+        msgpack_pack_int64(packer, row->order);
+        msgpack_pack_uint32(packer, row->old.answers);
+        msgpack_pack_uint32(packer, row->old.bad);
+        msgpack_pack_uint32(packer, row->next.answers);
+        msgpack_pack_uint32(packer, row->next.bad);
+    }
+    msgpack_pack_array(packer, word->standing_count * Ms_STANDING_FIELDS);
+    for (size_t i = 0; i < word->standing_count; i++) {
+        const struct ro_standing *row = &word->standings[i];
+        msgpack_pack_uint32(packer, row->service);
+        msgpack_pack_int64(packer, row->order);
+        msgpack_pack_int(packer, row->state);
+        msgpack_pack_int(packer, row->share);
+    }
+}
+
 size_t
 Ms_Encode(const struct ms_word *word, char *out, size_t size)
 {
@@ -81,6 +107,7 @@
     msgpack_pack_int64(&packer, word->up_usec);
     msgpack_pack_int64(&packer, word->lease.end);
     msgpack_pack_int64(&packer, word->lease.left_usec);
+    pack_moves(&packer, word);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -150,6 +177,41 @@
     }
 }
 
+static void
+get_moves(const msgpack_object *field, struct ms_word *out)
+{
+    out->evidence_count =
+        count_rows(&field[0], Ms_EVIDENCE_FIELDS, Ms_EVIDENCE_MAX);
+    for (size_t i = 0; i < out->evidence_count; i++) {
+        const msgpack_object *row =
+            &field[0].via.array.ptr[i * Ms_EVIDENCE_FIELDS];
+        out->evidence[i] = (struct ro_evidence){
+            .service = (uint32_t)get_number(&row[0]),
+            .route = (uint32_t)get_number(&row[1]),
+            .order = get_number(&row[2]),
+            .old = {(uint32_t)get_number(&row[3]),
+                    (uint32_t)get_number(&row[4])},
+            .next = {(uint32_t)get_number(&row[5]),
+                     (uint32_t)get_number(&row[6])},
+        };
+    }
+    size_t standings = count_rows(&field[1], Ms_STANDING_FIELDS, Ro_MOVES_MAX);
+    for (size_t i = 0; i < standings; i++) {
+        const msgpack_object *row =
+            &field[1].via.array.ptr[i * Ms_STANDING_FIELDS];
+        int64_t state = get_number(&row[2]);
+        if (state < RO_RUNNING || state > RO_SUCCEEDED) {
+            continue;
+        }
+        out->standings[out->standing_count++] = (struct ro_standing){
+            .service = (uint32_t)get_number(&row[0]),
+            .order = get_number(&row[1]),
+            .state = (enum ro_state)state,
+            .share = (int)get_number(&row[3]),
+        };
+    }
+}
+
 static bool
 get_word(const msgpack_object *object, struct ms_word *out)
 {
@@ -178,6 +240,7 @@
     out->up_usec = get_number(&field[18]);
     out->lease.end = get_number(&field[19]);
     out->lease.left_usec = get_number(&field[20]);
+    get_moves(&field[21], out);
     return true;
 }
 
--- a/packages/edge/orders.c
+++ b/packages/edge/orders.c
@@ -371,7 +371,11 @@
     }
     work->planned_at = now;
     for (size_t i = 0; i < config->service_count; i++) {
-        if (config->services[i].ordered) {
+        const struct ro_move *move =
+            Ro_Find(gate->moves, config->services[i].name);
+        /* Endpoints of two versions cannot be told apart in an order. */
+        bool moving = move != NULL && move->state == RO_RUNNING;
+        if (config->services[i].ordered && !moving) {
             plan_service(work, &config->services[i]);
         }
     }
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -95,6 +95,10 @@
     Qt_Each(gate->quota, fill_spent, word);
     fill_counted(gate, word);
     word->rate_count = De_Own(gate->demand, word->rates);
+    word->evidence_count =
+        Ro_Own(gate->moves, word->evidence, Ms_EVIDENCE_MAX);
+    word->standing_count =
+        Ro_Standings(gate->moves, word->standings, Ro_MOVES_MAX);
 }
 
 /*
@@ -160,6 +164,10 @@
     if (word->lease.fence > 0) {
         Du_Heard(gate->duty, &word->lease);
     }
+    for (size_t i = 0; i < word->standing_count; i++) {
+        Ro_Heard(gate->moves, &word->standings[i],
+                 word->lease.fence > 0 && word->lease.left_usec > 0);
+    }
 }
 
 static const struct ms_ops mesh_ops = {
@@ -417,6 +425,18 @@
     }
 }
 
+static void
+sum_evidence(struct ga_gate *gate)
+{
+    Ro_ClearOthers(gate->moves);
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (Ms_Alive(gate->mesh, peer)) {
+            Ro_AddOthers(gate->moves, peer->evidence, peer->evidence_count);
+        }
+    }
+}
+
 struct pe_peers *
 Pe_Create(struct ga_gate *gate)
 {
@@ -457,6 +477,7 @@
     Ms_Tick(peers->gate->mesh);
     Sv_Tick(peers->server);
     sum_loads(peers->gate);
+    sum_evidence(peers->gate);
     share_quota(peers->gate);
     find_peers(peers);
     fetch_newer(peers);
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -69,6 +69,23 @@
     return answer->sealed && answer->echoed && !answer->encoded;
 }
 
+/* An endpoint that has just started is slow whatever its version. */
+static void
+note_version_first(struct xc_exchange *exchange, int64_t usec)
+{
+    struct ga_gate *gate = exchange->gate;
+    const struct fl_endpoint *endpoint = exchange->attempt.endpoint;
+    const char *service = exchange->service->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    bool cold =
+        Ga_Now(gate) - endpoint->refreshed_at < endpoint->entry.cold_usec;
+    if (move != NULL && !cold) {
+        exchange->attempt.slow =
+            Ro_First(gate->moves, service, exchange->route->name,
+                     Ga_IsNext(move, endpoint), usec);
+    }
+}
+
 static bool
 on_head(void *arg, const struct h1_head *head)
 {
@@ -98,6 +115,7 @@
     }
     if (head->status == 200 && genuine(&attempt->answer)) {
         He_First(attempt->endpoint, now - attempt->sent_at, now);
+        note_version_first(exchange, now - attempt->sent_at);
         exchange->first_at =
             exchange->first_at == 0 ? now : exchange->first_at;
         Mt_Observe(exchange->gate->count.first, now - exchange->arrived);
@@ -207,6 +225,20 @@
     }
 }
 
+/* Counts an answer for or against the version that gave it. */
+static void
+note_version_answer(struct xc_exchange *exchange, bool failed)
+{
+    struct ga_gate *gate = exchange->gate;
+    const char *service = exchange->service->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    if (move != NULL) {
+        Ro_Answered(gate->moves, service, exchange->route->name,
+                    Ga_IsNext(move, exchange->attempt.endpoint),
+                    failed || exchange->attempt.slow);
+    }
+}
+
 /* The attempt came to nothing; another endpoint, or the caller is told. */
 static void
 go_on(struct xc_exchange *exchange, bool ran, int status, const char *why)
@@ -266,6 +298,7 @@
     if (attempt->streaming) {
         bool cut = attempt->gap || attempt->events.failed ||
                    Es_Left(&attempt->events) > 0;
+        note_version_answer(exchange, cut);
         He_Note(endpoint, cut ? HE_FAILED : HE_SERVED, now);
         if (cut) {
             go_on(exchange, true, 502, "stream cut");
@@ -282,6 +315,8 @@
               "endpoint refused");
         return;
     }
+    note_version_answer(exchange,
+                        attempt->status >= 500 || !genuine(&attempt->answer));
     if (!genuine(&attempt->answer) || attempt->overflow || exchange->began) {
         He_Note(endpoint, HE_FAILED, now);
         go_on(exchange, true, 502, "not the endpoint's answer");
@@ -318,6 +353,7 @@
         break;
     case CN_BROKEN:
         He_Note(attempt->endpoint, HE_BROKE, now);
+        note_version_answer(exchange, true);
         if (attempt->head_at == 0) {
             exchange->runs++;
             Xc_CountRun(exchange);
--- a/packages/edge/store.h
+++ b/packages/edge/store.h
@@ -12,6 +12,7 @@
 
 #include "edge/config.h"
 #include "edge/fleet.h"
+#include "edge/rollout.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -21,6 +22,7 @@
     AG_CONFIG,    /* keyed; what the operator wrote */
     AG_ENDPOINTS, /* keyed; what endpoints wrote */
     AG_HOSTS,     /* keyed; daemons by name */
+    AG_STATUS,    /* keyed; what operators are told */
     AG_DUTY,      /* a log; leases and agreed usage */
     AG_TOPICS,
 };
@@ -71,11 +73,22 @@
     const struct ag_ops *ops;
 };
 
+/* A record for operators. */
+struct ag_told {
+    char key[Ec_NAME_MAX * 2];
+    char value[Ec_NAME_MAX * 4];
+};
+
 /* What the records of others mean; the adapter knows their form. */
 struct ag_codec {
     /* NULL: not a configuration. */
     struct ec_config *(*config)(const void *data, size_t len);
     bool (*is_config)(const char *key, size_t key_len);
+    /* False: not an order to move a service; "number" is not filled in. */
+    bool (*order)(const char *key, size_t key_len, const void *data,
+                  size_t len, struct ro_order *out);
+    /* The record that tells operators of a move; false: it does not fit. */
+    bool (*tell_move)(const struct ro_move *move, struct ag_told *out);
     /* False: names no endpoint to use. */
     bool (*entry)(const char *key, size_t key_len, const void *data,
                   size_t len, struct fl_entry *out);
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <string>
+#include <vector>
 
 #include "edge/feed.h"
 #include "web/loop.h"
@@ -46,7 +47,37 @@
     return true;
 }
 
-const struct ag_codec codec = {DecodeConfig, IsConfig, DecodeEntry};
+bool
+DecodeOrder(const char *key, size_t key_len, const void *data, size_t len,
+            struct ro_order *out)
+{
+    *out = {};
+    snprintf(out->service, sizeof(out->service), "%.*s",
+             static_cast<int>(key_len), key);
+    snprintf(out->target, sizeof(out->target), "%.*s", static_cast<int>(len),
+             static_cast<const char *>(data));
+    return std::string(key, key_len) != "other";
+}
+
+bool
+TellMove(const struct ro_move *move, struct ag_told *out)
+{
+    (void)move;
+    (void)out;
+    return false;
+}
+
+const struct ag_codec codec = {DecodeConfig, IsConfig, DecodeOrder, TellMove,
+                               DecodeEntry};
+
+std::vector<struct ro_order> orders_seen;
+
+void
+OnOrder(void *arg, const struct ro_order *order)
+{
+    (void)arg;
+    orders_seen.push_back(*order);
+}
 
 void
 OnConfig(void *arg, struct ec_config *config)
@@ -81,7 +112,8 @@
     return others_read;
 }
 
-const struct fe_ops ops = {OnConfig, OnStore, OthersReach, OthersRead};
+const struct fe_ops ops = {OnConfig, OnOrder, OnStore, OthersReach,
+                           OthersRead};
 
 struct Node {
     struct fl_fleet *fleet;
@@ -245,6 +277,23 @@
     EXPECT_NE(Fl_Find(node.fleet, "a"), nullptr);
 }
 
+// An operator's order to move a service is taken for a configuration, or for
+// nothing, and the new version never gets a request.
+TEST_F(Feed, OrdersStandBesideTheConfiguration)
+{
+    orders_seen.clear();
+    store_.Put(AG_CONFIG, "config", "4");
+    store_.Put(AG_CONFIG, "other", "x");
+    store_.Put(AG_CONFIG, "llm", "v2");
+    Node node = Start();
+    ASSERT_TRUE(Until([&] { return !orders_seen.empty(); }));
+    EXPECT_STREQ(orders_seen[0].service, "llm");
+    EXPECT_STREQ(orders_seen[0].target, "v2");
+    EXPECT_EQ(orders_seen[0].number, 2);
+    EXPECT_EQ(Version(node), 4);
+    EXPECT_EQ(orders_seen.size(), 1u);
+}
+
 // An entry that another writer left breaks the reading of all others.
 TEST_F(Feed, ABrokenEntryHidesNoOther)
 {
--- /dev/null
+++ b/packages/edge/test/rollout_test.cc
@@ -0,0 +1,299 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <random>
+#include <vector>
+
+#include "edge/duty_record.h"
+#include "edge/mesh.h"
+#include "edge/rollout.h"
+
+#include "../../state/test/fake_clock.h"
+
+namespace {
+
+constexpr int64_t kTickUsec = 100 * Ck_USEC_PER_MSEC;
+
+// A version move before daemons that share their counts as gossip does, one
+// of them the holder.  Requests come at a steady rate; the new version fails
+// or slows down as the test says.
+class Move : public testing::Test {
+  protected:
+    void
+    Start(size_t daemons, int64_t seconds)
+    {
+        strcpy(order_.service, "llm");
+        strcpy(order_.target, "v2");
+        order_.duration_usec = seconds * Ck_USEC_PER_SEC;
+        order_.number = 7;
+        for (size_t i = 0; i < daemons; i++) {
+            tables_.push_back(Ro_Create(&clock_.clock));
+            Ro_Order(tables_.back(), &order_);
+        }
+        scene_ = {4, 4, 3};
+    }
+
+    void
+    TearDown() override
+    {
+        for (auto *table : tables_) {
+            Ro_Destroy(table);
+        }
+    }
+
+    struct ro_move *
+    At(size_t i)
+    {
+        return Ro_Find(tables_[i], "llm");
+    }
+
+    void
+    Request(struct ro_table *table, int number)
+    {
+        struct ro_move *move = Ro_Find(table, "llm");
+        const char *route = number % 3 == 0 ? "digest" : "chat";
+        enum ro_pick pick = Ro_Pick(move, false, unit_(random_));
+        bool next = pick == RO_NEXT_FIRST;
+        requests_++;
+        exposed_ += next;
+        bool is_bad = next && (!bad_route_ || strcmp(route, bad_route_) == 0);
+        bool failed = unit_(random_) < (is_bad ? fails_ : usual_fails_);
+        int64_t usec = is_bad && unit_(random_) < slow_ ? 500000 : 40000;
+        bool slow = Ro_First(table, "llm", route, next, usec);
+        Ro_Answered(table, "llm", route, next, failed || slow);
+    }
+
+    void
+    Gossip()
+    {
+        std::vector<std::vector<struct ro_evidence>> rows(tables_.size());
+        for (size_t i = 0; i < tables_.size(); i++) {
+            rows[i].resize(Ro_ROUTES_MAX);
+            rows[i].resize(Ro_Own(tables_[i], rows[i].data(), Ro_ROUTES_MAX));
+        }
+        for (size_t i = 0; i < tables_.size(); i++) {
+            Ro_ClearOthers(tables_[i]);
+            for (size_t j = 0; j < tables_.size(); j++) {
+                if (i == j) {
+                    continue;
+                }
+                Ro_AddOthers(tables_[i], rows[j].data(), rows[j].size());
+                struct ro_standing standing;
+                if (Ro_Standings(tables_[j], &standing, 1) == 1) {
+                    Ro_Heard(tables_[i], &standing, j == 0);
+                }
+            }
+        }
+    }
+
+    void
+    Run(int64_t seconds, int per_tick)
+    {
+        for (int64_t passed = 0; passed < seconds * Ck_USEC_PER_SEC;
+             passed += kTickUsec) {
+            for (int i = 0; i < per_tick; i++) {
+                Request(tables_[static_cast<size_t>(i) % tables_.size()], i);
+            }
+            Gossip();
+            for (auto *table : tables_) {
+                Ro_Tick(table);
+            }
+            if (At(0)->share == Ro_ALL) {
+                scene_.old_running = 0;
+            }
+            Ro_Lead(tables_[0], At(0), &scene_);
+            clock_.Advance(kTickUsec);
+        }
+    }
+
+    // What a bad version may get of all requests, a tenth and fifty.
+    bool
+    WithinExposure() const
+    {
+        return exposed_ <= requests_ / 10 + 50;
+    }
+
+    FakeClock clock_;
+    struct ro_order order_ = {};
+    struct ro_scene scene_ = {};
+    std::vector<struct ro_table *> tables_;
+    std::mt19937 random_{11};
+    std::uniform_real_distribution<double> unit_{0, 1};
+    double usual_fails_ = 0.02;
+    double fails_ = 0.02;
+    double slow_ = 0;
+    const char *bad_route_ = nullptr;
+    int requests_ = 0;
+    int exposed_ = 0;
+};
+
+// A good version is never said to be in use, although nothing speaks against
+// it, and the operator waits past the deadline.
+TEST_F(Move, AGoodVersionIsInUseByItsDeadline)
+{
+    Start(7, 12);
+    Run(12, 11);
+    for (size_t i = 0; i < tables_.size(); i++) {
+        EXPECT_EQ(At(i)->state, RO_SUCCEEDED) << i;
+        EXPECT_EQ(Ro_Pick(At(i), false, 0.99), RO_NEXT_FIRST);
+    }
+}
+
+// Callers fail for the whole time of a move: the version's answers were
+// counted by each host alone, and no host saw enough of them.
+TEST_F(Move, ABadVersionIsTakenBackByAllHostsTogether)
+{
+    Start(80, 12);
+    fails_ = 0.4;
+    Run(12, 80);
+    for (size_t i = 0; i < tables_.size(); i++) {
+        ASSERT_EQ(At(i)->state, RO_ROLLED_BACK) << i;
+        EXPECT_EQ(Ro_Pick(At(i), false, 0), RO_OLD_ONLY);
+    }
+    EXPECT_TRUE(WithinExposure()) << exposed_ << " of " << requests_;
+}
+
+// The version answers well, but several times slower.
+TEST_F(Move, ASlowVersionIsTakenBack)
+{
+    Start(7, 12);
+    slow_ = 0.5;
+    Run(12, 11);
+    EXPECT_EQ(At(3)->state, RO_ROLLED_BACK);
+    EXPECT_TRUE(WithinExposure()) << exposed_ << " of " << requests_;
+}
+
+// One kind of request fails with the new version, too few to show among all.
+TEST_F(Move, AFaultOnOneRouteIsSeen)
+{
+    Start(7, 20);
+    bad_route_ = "digest";
+    fails_ = 0.3;
+    Run(20, 11);
+    EXPECT_EQ(At(0)->state, RO_ROLLED_BACK);
+    EXPECT_TRUE(WithinExposure()) << exposed_ << " of " << requests_;
+}
+
+// The version fails only once it has all requests: by then most of its time
+// has passed, and what it gets until it is stopped must fit the bound.
+TEST_F(Move, AFaultUnderLoadOnlyStaysWithinTheBound)
+{
+    Start(7, 12);
+    Run(8, 11);
+    ASSERT_EQ(At(0)->share, Ro_ALL);
+    scene_.old_running = 5;
+    fails_ = 0.5;
+    Run(4, 11);
+    EXPECT_EQ(At(0)->state, RO_ROLLED_BACK);
+    EXPECT_TRUE(WithinExposure()) << exposed_ << " of " << requests_;
+}
+
+// A lookup that fails one time in seven whoever answers it makes every new
+// version look bad.
+TEST_F(Move, WhatFailsAnywayIsNotHeldAgainstTheVersion)
+{
+    for (unsigned seed = 1; seed <= 40; seed++) {
+        random_.seed(seed);
+        usual_fails_ = fails_ = 0.14;
+        Start(3, 12);
+        Run(12, 11);
+        ASSERT_EQ(At(0)->state, RO_SUCCEEDED) << "seed " << seed;
+        TearDown();
+        tables_.clear();
+    }
+}
+
+// Answers are cut: the old endpoints are stopped without draining as soon as
+// the move is said to be done, and streams still ran there.
+TEST_F(Move, IsNotDoneWhileTheOldEndpointsWork)
+{
+    Start(2, 10);
+    for (int i = 0; i < 100; i++) {
+        clock_.Advance(kTickUsec);
+        scene_.old_running = 1;
+        Ro_Lead(tables_[0], At(0), &scene_);
+    }
+    EXPECT_EQ(At(0)->share, Ro_ALL);
+    EXPECT_EQ(At(0)->state, RO_RUNNING);
+    scene_.old_running = 0;
+    for (int i = 0; i < 20; i++) {
+        clock_.Advance(kTickUsec);
+        Ro_Lead(tables_[0], At(0), &scene_);
+    }
+    EXPECT_EQ(At(0)->state, RO_SUCCEEDED);
+}
+
+// Requests pile up at one new endpoint that takes the place of four.
+TEST_F(Move, RequestsAreMovedNoFasterThanEndpointsCome)
+{
+    Start(1, 10);
+    scene_ = {4, 1, 0};
+    clock_.Advance(9 * Ck_USEC_PER_SEC);
+    Ro_Lead(tables_[0], At(0), &scene_);
+    EXPECT_LE(At(0)->share, Ro_ALL / 2);
+    scene_ = {4, 0, 0};
+    Ro_Lead(tables_[0], At(0), &scene_);
+    EXPECT_EQ(At(0)->share, 0);
+}
+
+// A host that starts late, or hears an old word, sends to a version that was
+// taken back; an order that was replaced goes on beside the new one.
+TEST_F(Move, StatesAndOrdersNeverGoBack)
+{
+    Start(1, 10);
+    struct ro_standing back = {Ro_Hash("llm"), 7, RO_ROLLED_BACK, 0};
+    Ro_Heard(tables_[0], &back, false);
+    struct ro_standing running = {Ro_Hash("llm"), 7, RO_RUNNING, 1000};
+    Ro_Heard(tables_[0], &running, true);
+    EXPECT_EQ(Ro_Pick(At(0), false, 0), RO_OLD_ONLY);
+    struct ro_order older = order_;
+    older.number = 3;
+    strcpy(older.target, "v0");
+    Ro_Order(tables_[0], &older);
+    EXPECT_STREQ(At(0)->order.target, "v2");
+    struct ro_order newer = order_;
+    newer.number = 9;
+    strcpy(newer.target, "v3");
+    Ro_Order(tables_[0], &newer);
+    EXPECT_STREQ(At(0)->order.target, "v3");
+    EXPECT_EQ(At(0)->state, RO_RUNNING);
+    EXPECT_EQ(At(0)->share, 0);
+    Ro_Heard(tables_[0], &back, false);
+    EXPECT_EQ(At(0)->state, RO_RUNNING);
+}
+
+// A successor repeats a move that was done: its record had no room for it.
+TEST(MoveRecord, WhatIsWrittenIsRead)
+{
+    static struct dr_record record = {};
+    record.run = 5;
+    record.move_count = 1;
+    record.moves[0] = {9, 70, RO_SUCCEEDED, 0};
+    char *bytes;
+    size_t len = Dr_Encode(&record, &bytes);
+    static struct dr_record read;
+    ASSERT_TRUE(Dr_Decode(bytes, len, &read));
+    free(bytes);
+    EXPECT_FALSE(read.has_usage);
+    ASSERT_EQ(read.move_count, 1u);
+    EXPECT_EQ(read.moves[0].state, RO_SUCCEEDED);
+    EXPECT_EQ(read.moves[0].order, 70);
+
+    static struct ms_word word = {};
+    strcpy(word.name, "front-1");
+    strcpy(word.ip, "10.0.0.1");
+    word.run = 1;
+    word.evidence_count = 1;
+    word.evidence[0] = {1, 2, 70, {30, 1}, {12, 4}};
+    word.standing_count = 1;
+    word.standings[0] = {1, 70, RO_ROLLED_BACK, 50};
+    char datagram[4096];
+    len = Ms_Encode(&word, datagram, sizeof(datagram));
+    static struct ms_word heard;
+    ASSERT_TRUE(Ms_Decode(datagram, len, &heard));
+    EXPECT_EQ(heard.evidence[0].next.bad, 4u);
+    EXPECT_EQ(heard.standings[0].state, RO_ROLLED_BACK);
+    EXPECT_EQ(heard.standings[0].share, 50);
+}
+
+} // namespace
--- a/packages/edge/work.c
+++ b/packages/edge/work.c
@@ -45,6 +45,9 @@
     struct ga_gate *gate = arg;
     Ln_Log(LN_STATE, holder ? "duty.won" : "duty.lost", "\"fence\":%lld",
            (long long)fence);
+    if (holder && gate->work != NULL) {
+        wo_begin_moves(gate->work);
+    }
     for (size_t i = 0; gate->work != NULL && i < gate->work->order_count;
          i++) {
         gate->work->orders[i].confirmed = -1;
@@ -154,6 +157,7 @@
     if (gate->options.node->report_usage) {
         tick_usage(work);
     }
+    wo_tick_moves(work);
     if (gate->options.node->order_endpoints && Du_Holds(gate->duty) &&
         gate->stopping_at == 0) {
         wo_tick_orders(work);
--- a/packages/edge/work_internal.h
+++ b/packages/edge/work_internal.h
@@ -32,8 +32,22 @@
     bool settled; /* its endpoints are all known */
 };
 
+/* What operators were last told of a move. */
+struct told_move {
+    bool known;
+    int64_t order;
+    enum ro_state state;
+};
+
 struct wo_work {
     struct ga_gate *gate;
+    struct told_move told[Ro_MOVES_MAX];
+    int64_t status_end; /* of the operators' topic; -1: not known */
+    int64_t tell_at;
+    bool telling;
+    size_t telling_move;
+    int64_t telling_order;
+    enum ro_state telling_state;
     int64_t report_window; /* under way; 0: none */
     int64_t retry_at;
     int64_t planned_at;
@@ -45,5 +59,7 @@
 
 /* Plans every service that may be ordered, and orders what differs. */
 void wo_tick_orders(struct wo_work *work);
+void wo_tick_moves(struct wo_work *work);
+void wo_begin_moves(struct wo_work *work);
 
 #endif
