--- a/packages/edge/events.c
+++ b/packages/edge/events.c
@@ -9,24 +9,8 @@
 static bool
 keep(struct es_events *events, const char *data, size_t len)
 {
-    if (events->len + len > Es_EVENT_MAX) {
-        return false;
-    }
-    if (events->len + len > events->size) {
-        size_t size = events->size == 0 ? 512 : events->size;
-        while (size < events->len + len) {
-            size *= 2;
-        }
-        char *grown = realloc(events->buffer, size);
-        if (grown == NULL) {
-            return false;
-        }
-        events->buffer = grown;
-        events->size = size;
-    }
-    memcpy(events->buffer + events->len, data, len);
-    events->len += len;
-    return true;
+    return events->kept.len + len <= Es_EVENT_MAX &&
+           Bf_Add(&events->kept, data, len);
 }
 
 static int64_t
@@ -79,23 +63,23 @@
 find_end(struct es_events *events, size_t from)
 {
     size_t at = events->scanned > from + 3 ? events->scanned - 3 : from;
-    while (at < events->len) {
+    while (at < events->kept.len) {
         const char *newline =
-            memchr(events->buffer + at, '\n', events->len - at);
+            memchr(events->kept.at + at, '\n', events->kept.len - at);
         if (newline == NULL) {
             break;
         }
-        size_t i = (size_t)(newline - events->buffer) + 1;
-        if (i < events->len && events->buffer[i] == '\n') {
+        size_t i = (size_t)(newline - events->kept.at) + 1;
+        if (i < events->kept.len && events->kept.at[i] == '\n') {
             return i + 1;
         }
-        if (i + 1 < events->len && events->buffer[i] == '\r' &&
-            events->buffer[i + 1] == '\n') {
+        if (i + 1 < events->kept.len && events->kept.at[i] == '\r' &&
+            events->kept.at[i + 1] == '\n') {
             return i + 2;
         }
         at = i;
     }
-    events->scanned = events->len;
+    events->scanned = events->kept.len;
     return 0;
 }
 
@@ -110,12 +94,12 @@
     size_t from = 0;
     size_t end;
     while (!events->failed && (end = find_end(events, from)) != 0) {
-        tell(events->buffer + from, end - from, fn, arg);
+        tell(events->kept.at + from, end - from, fn, arg);
         from = end;
     }
-    if (from > 0 && events->buffer != NULL) {
-        events->len -= from;
-        memmove(events->buffer, events->buffer + from, events->len);
+    if (from > 0 && events->kept.at != NULL) {
+        events->kept.len -= from;
+        memmove(events->kept.at, events->kept.at + from, events->kept.len);
         events->scanned = 0;
     }
 }
@@ -123,12 +107,12 @@
 size_t
 Es_Left(const struct es_events *events)
 {
-    return events->len;
+    return events->kept.len;
 }
 
 void
 Es_Clear(struct es_events *events)
 {
-    free(events->buffer);
+    Bf_Free(&events->kept);
     memset(events, 0, sizeof(*events));
 }
--- a/packages/edge/events.h
+++ b/packages/edge/events.h
@@ -9,14 +9,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/buffer.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 struct es_events {
-    char *buffer;
-    size_t len;
-    size_t size;
+    struct bf_buffer kept;
     size_t scanned;
     bool failed; /* without memory, or an event over the limit */
 };
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -89,7 +89,7 @@
     }
     Fl_Drop(attempt->endpoint);
     free(attempt->fields);
-    free(attempt->body);
+    Bf_Free(&attempt->body);
     Es_Clear(&attempt->events);
     memset(attempt, 0, sizeof(*attempt));
 }
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -23,9 +23,7 @@
     int status;
     struct ak_answer answer;
     char *fields; /* to be passed on with the answer */
-    char *body;
-    size_t body_len;
-    size_t body_size;
+    struct bf_buffer body;
     bool overflow;
     bool gap;  /* events are missing */
     bool slow; /* its first byte took several times as long as usual */
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/buffer.h"
 #include "edge/gate_internal.h"
 #include "web/channel.h"
 
@@ -33,8 +34,8 @@
     struct sv_server *server;
     struct cn_channel *fetch;
     int64_t fetch_at;
-    char *answer;
-    size_t answer_len;
+    struct bf_buffer answer;
+    bool answer_cut; /* the answer is not whole */
     int answer_status;
     int64_t listed_at;
     bool listing;
@@ -221,9 +222,8 @@
 {
     Cn_Close(peers->fetch);
     peers->fetch = NULL;
-    free(peers->answer);
-    peers->answer = NULL;
-    peers->answer_len = 0;
+    Bf_Free(&peers->answer);
+    peers->answer_cut = false;
 }
 
 static bool
@@ -238,14 +238,9 @@
 fetch_body(void *arg, const char *data, size_t len)
 {
     struct pe_peers *peers = arg;
-    if (peers->answer_len + len > Pe_STATE_MAX) {
-        return;
-    }
-    char *grown = realloc(peers->answer, peers->answer_len + len);
-    if (grown != NULL) {
-        memcpy(grown + peers->answer_len, data, len);
-        peers->answer = grown;
-        peers->answer_len += len;
+    if (peers->answer.len + len > Pe_STATE_MAX ||
+        !Bf_Add(&peers->answer, data, len)) {
+        peers->answer_cut = true;
     }
 }
 
@@ -253,8 +248,9 @@
 fetch_done(void *arg, enum cn_outcome outcome)
 {
     struct pe_peers *peers = arg;
-    if (outcome == CN_COMPLETE && peers->answer_status == 200) {
-        Fe_Unpack(peers->gate->feed, peers->answer, peers->answer_len);
+    if (outcome == CN_COMPLETE && peers->answer_status == 200 &&
+        !peers->answer_cut) {
+        Fe_Unpack(peers->gate->feed, peers->answer.at, peers->answer.len);
     }
     end_fetch(peers);
 }
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -127,27 +127,10 @@
 static void
 keep_body(struct xc_attempt *attempt, const char *data, size_t len)
 {
-    if (attempt->body_len + len > Re_WHOLE_MAX) {
+    if (attempt->body.len + len > Re_WHOLE_MAX ||
+        !Bf_Add(&attempt->body, data, len)) {
         attempt->overflow = true;
     }
-    if (attempt->overflow) {
-        return;
-    }
-    if (attempt->body_len + len > attempt->body_size) {
-        size_t size = attempt->body_size == 0 ? 2048 : attempt->body_size;
-        while (size < attempt->body_len + len) {
-            size *= 2;
-        }
-        char *grown = realloc(attempt->body, size);
-        if (grown == NULL) {
-            attempt->overflow = true;
-            return;
-        }
-        attempt->body = grown;
-        attempt->body_size = size;
-    }
-    memcpy(attempt->body + attempt->body_len, data, len);
-    attempt->body_len += len;
 }
 
 static void
@@ -266,17 +249,16 @@
     struct sv_request *request = exchange->request;
     struct xc_attempt *attempt = &exchange->attempt;
     char *fields = attempt->fields;
-    char *body = attempt->body;
-    size_t len = attempt->body_len;
+    struct bf_buffer body = attempt->body;
     int status = attempt->status;
     bool fine = status < 500;
     attempt->fields = NULL;
-    attempt->body = NULL;
+    attempt->body = (struct bf_buffer){0};
     Sv_SetUser(request, NULL);
     Xc_End(exchange, fine ? "served" : "endpoint failed");
-    Sv_Reply(request, status, fields == NULL ? "" : fields, body, len);
+    Sv_Reply(request, status, fields == NULL ? "" : fields, body.at, body.len);
     free(fields);
-    free(body);
+    Bf_Free(&body);
 }
 
 static void
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -240,12 +240,6 @@
     Sk_Write(channel->sock, body, body_len);
 }
 
-bool
-Cn_Connected(const struct cn_channel *channel)
-{
-    return channel->connected;
-}
-
 /* Whether any byte of the request may have left. */
 bool
 Cn_Sent(const struct cn_channel *channel)
--- a/packages/web/channel.h
+++ b/packages/web/channel.h
@@ -48,7 +48,6 @@
 void Cn_Send(struct cn_channel *channel, const void *head, size_t head_len,
              const void *body, size_t body_len, bool no_answer_body,
              const struct cn_ops *ops, void *arg);
-bool Cn_Connected(const struct cn_channel *channel);
 bool Cn_Sent(const struct cn_channel *channel);
 bool Cn_Used(const struct cn_channel *channel);
 bool Cn_Reusable(const struct cn_channel *channel);
--- a/packages/web/http1.c
+++ b/packages/web/http1.c
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
+
+#include "base/buffer.h"
 #include <strings.h>
 
 /* Far above any limit of ours, which is checked before the parser runs. */
@@ -25,9 +27,7 @@
     bool interim; /* a 1xx answer: skipped */
     bool overflow;
     size_t head_max;
-    char *raw; /* the head as it came */
-    size_t raw_len;
-    size_t raw_size;
+    struct bf_buffer raw; /* the head as it came */
     struct h1_head head;
 };
 
@@ -139,7 +139,7 @@
 H1_Destroy(struct h1_parser *parser)
 {
     if (parser != NULL) {
-        free(parser->raw);
+        Bf_Free(&parser->raw);
         free(parser);
     }
 }
@@ -166,7 +166,7 @@
     parser->phase = H1_HEAD;
     parser->interim = false;
     parser->overflow = false;
-    parser->raw_len = 0;
+    parser->raw.len = 0;
     memset(&parser->head, 0, offsetof(struct h1_head, fields));
     parser->head.count = 0;
 }
@@ -226,26 +226,6 @@
     return false;
 }
 
-static bool
-keep_raw(struct h1_parser *parser, const char *data, size_t len)
-{
-    if (parser->raw_len + len > parser->raw_size) {
-        size_t size = parser->raw_size == 0 ? 1024 : parser->raw_size;
-        while (size < parser->raw_len + len) {
-            size *= 2;
-        }
-        char *grown = realloc(parser->raw, size);
-        if (grown == NULL) {
-            return false;
-        }
-        parser->raw = grown;
-        parser->raw_size = size;
-    }
-    memcpy(parser->raw + parser->raw_len, data, len);
-    parser->raw_len += len;
-    return true;
-}
-
 static enum h1_error
 run(struct h1_parser *parser, const char *data, size_t len, size_t *used)
 {
@@ -267,37 +247,37 @@
 {
     size_t skip = 0;
     /* Empty lines before a request are to be ignored. */
-    while (parser->request && parser->raw_len == 0 && skip + 1 < len &&
+    while (parser->request && parser->raw.len == 0 && skip + 1 < len &&
            data[skip] == '\r' && data[skip + 1] == '\n') {
         skip += 2;
     }
-    size_t had = parser->raw_len;
+    size_t had = parser->raw.len;
     size_t take = len - skip;
-    if (!keep_raw(parser, data + skip, take)) {
+    if (!Bf_Add(&parser->raw, data + skip, take)) {
         return H1_TOO_LARGE;
     }
     size_t from = had < 3 ? 0 : had - 3;
     char *end =
-        memmem(parser->raw + from, parser->raw_len - from, "\r\n\r\n", 4);
+        memmem(parser->raw.at + from, parser->raw.len - from, "\r\n\r\n", 4);
     if (end == NULL) {
         *used = len;
-        if (parser->raw_len > parser->head_max) {
+        if (parser->raw.len > parser->head_max) {
             return H1_TOO_LARGE;
         }
-        return has_bare_newline(parser->raw, parser->raw_len) ? H1_MALFORMED
-                                                              : H1_FINE;
+        return has_bare_newline(parser->raw.at, parser->raw.len) ? H1_MALFORMED
+                                                                 : H1_FINE;
     }
-    size_t head_len = (size_t)(end - parser->raw) + 4;
+    size_t head_len = (size_t)(end - parser->raw.at) + 4;
     *used = skip + head_len - had;
-    parser->raw_len = head_len;
+    parser->raw.len = head_len;
     if (head_len > parser->head_max) {
         return H1_TOO_LARGE;
     }
-    if (!check_head(parser->raw, head_len)) {
+    if (!check_head(parser->raw.at, head_len)) {
         return H1_MALFORMED;
     }
     size_t eaten;
-    enum h1_error error = run(parser, parser->raw, head_len, &eaten);
+    enum h1_error error = run(parser, parser->raw.at, head_len, &eaten);
     if (error != H1_FINE) {
         return error;
     }
@@ -345,18 +325,6 @@
 }
 
 /* Whether any byte of the message has come. */
-bool
-H1_Started(const struct h1_parser *parser)
-{
-    return parser->phase != H1_HEAD || parser->raw_len > 0;
-}
-
-bool
-H1_HeadDone(const struct h1_parser *parser)
-{
-    return parser->phase != H1_HEAD;
-}
-
 bool
 H1_Complete(const struct h1_parser *parser)
 {
--- a/packages/web/http1.h
+++ b/packages/web/http1.h
@@ -67,8 +67,6 @@
                       size_t *used);
 /* The connection ended: true when that ends a message without length. */
 bool H1_Eof(struct h1_parser *parser);
-bool H1_Started(const struct h1_parser *parser);
-bool H1_HeadDone(const struct h1_parser *parser);
 bool H1_Complete(const struct h1_parser *parser);
 const struct h1_head *H1_Head(const struct h1_parser *parser);
 
--- a/packages/web/serve.c
+++ b/packages/web/serve.c
@@ -21,8 +21,8 @@
 {
     struct sv_request *request = arg;
     H1_Destroy(request->parser);
-    free(request->body);
-    free(request->ahead);
+    Bf_Free(&request->body);
+    Bf_Free(&request->ahead);
     free(request);
 }
 
@@ -105,25 +105,13 @@
     if (request->refuse != 0) {
         return;
     }
-    if (request->body_len + len > request->server->limits.body_bytes) {
+    if (request->body.len + len > request->server->limits.body_bytes) {
         request->refuse = 413;
         return;
     }
-    if (request->body_len + len > request->body_size) {
-        size_t size = request->body_size == 0 ? 2048 : request->body_size;
-        while (size < request->body_len + len) {
-            size *= 2;
-        }
-        char *grown = realloc(request->body, size);
-        if (grown == NULL) {
-            request->refuse = 503;
-            return;
-        }
-        request->body = grown;
-        request->body_size = size;
+    if (!Bf_Add(&request->body, data, len)) {
+        request->refuse = 503;
     }
-    memcpy(request->body + request->body_len, data, len);
-    request->body_len += len;
 }
 
 static void
@@ -142,18 +130,11 @@
 static void
 keep_ahead(struct sv_request *request, const char *data, size_t len)
 {
-    if (len == 0) {
-        return;
-    }
-    char *grown = realloc(request->ahead, request->ahead_len + len);
-    if (grown == NULL) {
+    if (!Bf_Add(&request->ahead, data, len)) {
         sv_bury(request);
         return;
     }
-    memcpy(grown + request->ahead_len, data, len);
-    request->ahead = grown;
-    request->ahead_len += len;
-    if (request->ahead_len > Sv_AHEAD_MAX) {
+    if (request->ahead.len > Sv_AHEAD_MAX) {
         Sk_Pause(request->sock, true);
     }
 }
@@ -392,8 +373,8 @@
 const char *
 Sv_Body(const struct sv_request *request, size_t *len)
 {
-    *len = request->body_len;
-    return request->body;
+    *len = request->body.len;
+    return request->body.at;
 }
 
 void
--- a/packages/web/serve_answer.c
+++ b/packages/web/serve_answer.c
@@ -59,20 +59,15 @@
     request->head_at = 0;
     request->moved_at = Ck_Now(request->server->clock);
     request->user = NULL;
-    free(request->body);
-    request->body = NULL;
-    request->body_len = 0;
-    request->body_size = 0;
+    Bf_Free(&request->body);
     H1_Reset(request->parser);
     H1_SetHeadMax(request->parser, request->server->limits.head_bytes);
-    if (request->ahead_len > 0) {
-        char *ahead = request->ahead;
-        size_t len = request->ahead_len;
-        request->ahead = NULL;
-        request->ahead_len = 0;
+    if (request->ahead.len > 0) {
+        struct bf_buffer ahead = request->ahead;
+        request->ahead = (struct bf_buffer){0};
         Sk_Pause(request->sock, false);
-        sv_feed(request, ahead, len);
-        free(ahead);
+        sv_feed(request, ahead.at, ahead.len);
+        Bf_Free(&ahead);
     }
 }
 
--- a/packages/web/serve_internal.h
+++ b/packages/web/serve_internal.h
@@ -4,6 +4,7 @@
 
 #include <bsd/sys/queue.h>
 
+#include "base/buffer.h"
 #include "web/serve.h"
 #include "web/sock.h"
 
@@ -33,11 +34,8 @@
     int64_t head_at; /* when the request's first byte came */
     int64_t moved_at;
     void *user;
-    char *body;
-    size_t body_len;
-    size_t body_size;
-    char *ahead;
-    size_t ahead_len;
+    struct bf_buffer body;
+    struct bf_buffer ahead; /* bytes behind the request */
 };
 
 struct sv_server {
