What no byte reached takes no repeat; what has run is never said not to have

A safe request that had run and failed was refused with 503, which promises that it has not run; now 502. An endpoint's own failure is passed on where there is no repeat left, instead of a refusal.

--- a/packages/edge/budget.c
+++ b/packages/edge/budget.c
@@ -104,23 +104,33 @@
     }
 }
 
-/* Takes one repeat; false when the budget is spent. */
-bool
-Bu_Repeat(struct bu_budget *budget, const char *service)
+static bool
+has_room(const struct bu_budget *budget, const struct service *service)
 {
-    struct service *found = advance(budget, service);
-    if (found == NULL) {
-        return false;
-    }
     int firsts = 0;
     int repeats = 0;
     for (size_t i = 0; i < Bu_STEPS; i++) {
-        firsts += found->firsts[i];
-        repeats += found->repeats[i];
+        firsts += service->firsts[i];
+        repeats += service->repeats[i];
     }
     double allowed = Bu_PART * (budget->ratio * firsts +
                                 budget->extra / (double)budget->daemons);
-    if (repeats + 1 > allowed) {
+    return repeats + 1 <= allowed;
+}
+
+bool
+Bu_CanRepeat(struct bu_budget *budget, const char *service)
+{
+    const struct service *found = advance(budget, service);
+    return found != NULL && has_room(budget, found);
+}
+
+/* Takes one repeat; false when the budget is spent. */
+bool
+Bu_Repeat(struct bu_budget *budget, const char *service)
+{
+    struct service *found = advance(budget, service);
+    if (found == NULL || !has_room(budget, found)) {
         return false;
     }
     found->repeats[found->step % Bu_STEPS]++;
--- a/packages/edge/budget.h
+++ b/packages/edge/budget.h
@@ -22,6 +22,8 @@
 void Bu_Destroy(struct bu_budget *budget);
 void Bu_SetDaemons(struct bu_budget *budget, size_t daemons);
 void Bu_First(struct bu_budget *budget, const char *service);
+/* Whether a repeat would be granted now. */
+bool Bu_CanRepeat(struct bu_budget *budget, const char *service);
 bool Bu_Repeat(struct bu_budget *budget, const char *service);
 
 #ifdef __cplusplus
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -18,7 +18,11 @@
 /* Time after which a place is likely to be free, where none is now. */
 #define Xc_BUSY_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
 #define Xc_NONE_RETRY_USEC (800 * Ck_USEC_PER_MSEC)
-/* Endpoints asked that did not run the request, beyond those that may. */
+/*
+ * Endpoints that were given the request and did not run it, beyond those that
+ * may run it.  One that could not be reached is no repeat for anybody, and is
+ * found out in a millisecond or two: Xc_TRIED_MAX alone limits those.
+ */
 #define Xc_REFUSALS_MAX 2
 #define Xc_FIELDS_MAX 512
 #define Xc_BODY_MAX 256
@@ -165,11 +169,19 @@
         return false;
     }
     int most = exchange->route->attempts + Xc_REFUSALS_MAX;
-    if (exchange->sends >= most || exchange->tried_count >= Xc_TRIED_MAX ||
+    if (exchange->delivered >= most || exchange->tried_count >= Xc_TRIED_MAX ||
         Ga_Now(exchange->gate) >= exchange->deadline) {
         return false;
     }
-    return true;
+    return exchange->delivered == 0 ||
+           Bu_CanRepeat(exchange->gate->budget, exchange->service->name);
+}
+
+/* A refusal that promises that nothing has run must be true. */
+int
+Xc_RefusalStatus(const struct xc_exchange *exchange)
+{
+    return exchange->may_have_run ? 502 : 503;
 }
 
 static size_t
@@ -304,8 +316,7 @@
     struct xc_target target;
     enum pl_verdict verdict = Xc_Choose(exchange, &target);
     if (verdict != PL_CHOSEN) {
-        bool unknown = exchange->may_have_run && !exchange->repeatable;
-        Xc_Refuse(exchange, unknown ? 502 : 503,
+        Xc_Refuse(exchange, Xc_RefusalStatus(exchange),
                   verdict == PL_BUSY ? Xc_BUSY_RETRY_USEC : Xc_NONE_RETRY_USEC,
                   verdict == PL_BUSY ? "all endpoints are busy"
                                      : "no endpoint");
@@ -314,15 +325,17 @@
     if (exchange->sends == 0) {
         Bu_First(exchange->gate->budget, exchange->service->name);
     }
-    else if (!Bu_Repeat(exchange->gate->budget, exchange->service->name)) {
-        Xc_Refuse(exchange, 503, Xc_BUSY_RETRY_USEC, "no repeat to spare");
-        return;
-    }
-    else {
+    else if (exchange->delivered > 0) {
+        if (!Bu_Repeat(exchange->gate->budget, exchange->service->name)) {
+            Xc_Refuse(exchange, Xc_RefusalStatus(exchange), Xc_BUSY_RETRY_USEC,
+                      "no repeat to spare");
+            return;
+        }
         Mt_Add(exchange->gate->count.repeats, 1);
     }
     if (!send_to(exchange, &target)) {
-        Xc_Refuse(exchange, 503, Xc_BUSY_RETRY_USEC, "no connection to spare");
+        Xc_Refuse(exchange, Xc_RefusalStatus(exchange), Xc_BUSY_RETRY_USEC,
+                  "no connection to spare");
         return;
     }
     set_timer(exchange);
@@ -361,12 +374,20 @@
         bool sent = Cn_Sent(attempt->channel);
         exchange->may_have_run |= sent;
         exchange->runs += sent;
+        exchange->delivered += sent;
         if (Xc_MayRepeat(exchange, sent)) {
+            Ln_Log(LN_FAILURE, "attempt.failed",
+                   "\"id\":\"%s\",\"endpoint\":\"%s\",\"why\":\"silent\","
+                   "\"ran\":%d,\"sends\":%d,\"ms\":%lld",
+                   exchange->ask.id, attempt->endpoint->entry.id, sent,
+                   exchange->sends,
+                   (long long)((now - attempt->sent_at) / Ck_USEC_PER_MSEC));
             Xc_Release(exchange);
             Xc_Dispatch(exchange);
             return;
         }
         exchange->runs -= sent;
+        exchange->delivered -= sent;
     }
     set_timer(exchange);
 }
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -9,7 +9,7 @@
 #include "edge/gate_internal.h"
 #include "edge/place.h"
 
-#define Xc_TRIED_MAX 6
+#define Xc_TRIED_MAX 8
 
 /* What an endpoint was sent and has answered so far. */
 struct xc_attempt {
@@ -50,7 +50,8 @@
     bool may_have_run;
     bool silent_told;
     int sends;
-    int runs; /* endpoints that did or may have run it */
+    int delivered; /* of these, such that a byte of them may have arrived */
+    int runs;      /* endpoints that did or may have run it */
     uint32_t tried[Xc_TRIED_MAX];
     size_t tried_count;
     int64_t last_event; /* passed on; -1: none */
@@ -86,6 +87,8 @@
 void Xc_End(struct xc_exchange *exchange, const char *outcome);
 /* Whether one more endpoint may be asked, the budget included. */
 bool Xc_MayRepeat(struct xc_exchange *exchange, bool ran);
+/* 503 where nothing can have run, else 502. */
+int Xc_RefusalStatus(const struct xc_exchange *exchange);
 /* Lets go of the attempt; its connection is kept when it can be. */
 void Xc_Release(struct xc_exchange *exchange);
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -292,9 +292,7 @@
     }
     if (attempt->answer.not_run) {
         He_Note(endpoint, attempt->status == 421 ? HE_BROKE : HE_REFUSED, now);
-        go_on(exchange, false,
-              exchange->may_have_run && !exchange->repeatable ? 502 : 503,
-              "endpoint refused");
+        go_on(exchange, false, Xc_RefusalStatus(exchange), "endpoint refused");
         return;
     }
     note_version_answer(exchange,
@@ -323,14 +321,14 @@
     struct xc_exchange *exchange = arg;
     struct xc_attempt *attempt = &exchange->attempt;
     int64_t now = Ga_Now(exchange->gate);
+    exchange->delivered += outcome != CN_NOT_SENT;
     switch (outcome) {
     case CN_COMPLETE:
         on_complete(exchange);
         break;
     case CN_NOT_SENT:
         He_Note(attempt->endpoint, HE_BROKE, now);
-        go_on(exchange, false,
-              exchange->may_have_run && !exchange->repeatable ? 502 : 503,
+        go_on(exchange, false, Xc_RefusalStatus(exchange),
               "endpoint not reached");
         break;
     case CN_BROKEN:
