Quota: hosts that do not hear each other hand out one rate together

Only a host that heard fewer than 0.6 of its peers kept to a share, and not the whole side together. Ruled out: lag of words (0.7 s is 3% of a window). The share is now that of the hosts heard, on every side, and what was left to the others is not charged again when the cut heals. Tests: Quota.TwoSidesOfACut*, Quota.WhatWasLeftToTheOtherSide*.

--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -23,6 +23,9 @@
 /* The same where another daemon stands in at once; two lost words are few. */
 #define Ms_CLOSE_USEC (500 * Ck_USEC_PER_MSEC)
 #define Ms_CLOSE_GAPS 3
+/* What an unheard peer spends counts at once; that a word was lost costs a
+   hundredth of the rate for a moment. */
+#define Ms_HEARD_GAPS 2
 /* How long one that is only known of is expected to be heard. */
 #define Ms_HOPE_USEC (4 * Ck_USEC_PER_SEC)
 /* One that was not heard is still told, this often, and then forgotten. */
@@ -206,26 +209,34 @@
     return usec < Ms_TICK_USEC ? Ms_TICK_USEC : usec;
 }
 
-bool
-Ms_Alive(const struct ms_mesh *mesh, const struct ms_peer *peer)
+static bool
+heard_within(const struct ms_mesh *mesh, const struct ms_peer *peer,
+             int64_t least_usec, int gaps)
 {
-    int64_t patience = every(mesh) * Ms_ALIVE_GAPS;
-    if (patience < Ms_ALIVE_USEC) {
-        patience = Ms_ALIVE_USEC;
+    int64_t patience = every(mesh) * gaps;
+    if (patience < least_usec) {
+        patience = least_usec;
     }
     return peer->heard_at != 0 &&
            Ck_Now(mesh->clock) - peer->heard_at < patience;
 }
 
+bool
+Ms_Alive(const struct ms_mesh *mesh, const struct ms_peer *peer)
+{
+    return heard_within(mesh, peer, Ms_ALIVE_USEC, Ms_ALIVE_GAPS);
+}
+
 bool
 Ms_Close(const struct ms_mesh *mesh, const struct ms_peer *peer)
 {
-    int64_t patience = every(mesh) * Ms_CLOSE_GAPS;
-    if (patience < Ms_CLOSE_USEC) {
-        patience = Ms_CLOSE_USEC;
-    }
-    return peer->heard_at != 0 &&
-           Ck_Now(mesh->clock) - peer->heard_at < patience;
+    return heard_within(mesh, peer, Ms_CLOSE_USEC, Ms_CLOSE_GAPS);
+}
+
+bool
+Ms_Heard(const struct ms_mesh *mesh, const struct ms_peer *peer)
+{
+    return heard_within(mesh, peer, Ms_CLOSE_USEC, Ms_HEARD_GAPS);
 }
 
 static void
@@ -302,6 +313,17 @@
     return &mesh->peers;
 }
 
+size_t
+Ms_CountHeard(const struct ms_mesh *mesh)
+{
+    size_t count = 1;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, &mesh->peers, link) {
+        count += !peer->stopping && Ms_Heard(mesh, peer);
+    }
+    return count;
+}
+
 size_t
 Ms_CountAlive(const struct ms_mesh *mesh)
 {
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -22,10 +22,10 @@
 #define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
 #define Pe_STATE_MAX (16u << 20)
 /*
- * With fewer than this part of the known daemons in touch, the others may be
- * admitting as well, unseen.
+ * What hosts that do not hear each other may hand out together, of the rate:
+ * within the bound's own allowance of a tenth.
  */
-#define Pe_TOUCH_PART 0.6
+#define Pe_APART_PART 1.05
 /* Daemons killed together are back within this of each other. */
 #define Pe_SAME_START_USEC (2 * Ck_USEC_PER_SEC)
 
@@ -133,6 +133,7 @@
            const struct ms_word *word)
 {
     bool same = peer->run == word->run;
+    bool apart = same && !Ms_Heard(gate->mesh, peer);
     int64_t up_usec = Ga_Now(gate) - gate->started_at;
     if (peer->run == 0 && word->up_usec > up_usec + Pe_SAME_START_USEC) {
         /* It admitted most of that before this daemon was there. */
@@ -147,7 +148,7 @@
         }
         if (word->spent[i].total > before) {
             Qt_Spent(gate->quota, word->spent[i].tenant,
-                     (double)(word->spent[i].total - before));
+                     (double)(word->spent[i].total - before), apart);
         }
     }
 }
@@ -399,13 +400,18 @@
     peers->listed_at = now;
 }
 
+/*
+ * Hosts that are not heard may be cut off from this one and serve callers all
+ * the same; were both sides to hand out the whole rate, a tenant at its limit
+ * would get it twice.  Hosts that said that they stop do not count.
+ */
 static void
 share_quota(struct ga_gate *gate)
 {
-    size_t alive = Ms_CountAlive(gate->mesh);
-    size_t known = Ms_CountExpected(gate->mesh);
-    bool cut = (double)alive < Pe_TOUCH_PART * (double)known;
-    Qt_SetShare(gate->quota, cut ? (double)alive / (double)known : 1);
+    double heard = (double)Ms_CountHeard(gate->mesh);
+    double known = (double)Ms_CountExpected(gate->mesh);
+    double share = Pe_APART_PART * heard / known;
+    Qt_SetShare(gate->quota, share < 1 ? share : 1);
     Bu_SetDaemons(gate->budget, Ms_CountKnown(gate->mesh));
 }
 
--- a/packages/edge/quota.c
+++ b/packages/edge/quota.c
@@ -18,6 +18,8 @@
  */
 #define Qt_FORESEE_SEC 0.7
 #define Qt_OTHERS_SEC 1.5
+/* How long what was left to unheard daemons waits for their word. */
+#define Qt_RESERVE_SEC 3.0
 #define Qt_WAIT_MIN_USEC (100 * Ck_USEC_PER_MSEC)
 
 struct bucket {
@@ -26,11 +28,11 @@
     double per_sec;
     double burst;
     double level;
-    double own_level; /* of the share alone, in use when cut off */
-    double total;     /* admitted here since the start */
-    double others;    /* what others admit, tokens a second */
-    double foreseen;  /* taken out for others before they told of it */
-    int64_t told_at;  /* when others last told of any */
+    double reserve;  /* left to daemons that were not heard */
+    double total;    /* admitted here since the start */
+    double others;   /* what others admit, tokens a second */
+    double foreseen; /* taken out for others before they told of it */
+    int64_t told_at; /* when others last told of any */
     int64_t filled_at;
     bool seen;
 };
@@ -115,14 +117,14 @@
         (double)(now - bucket->filled_at) / (double)Ck_USEC_PER_SEC;
     bucket->filled_at = now;
     foresee(bucket, now, seconds);
-    bucket->level += gain;
-    if (bucket->level > bucket->burst) {
-        bucket->level = bucket->burst;
+    double most = bucket->burst * quota->share;
+    bucket->level += gain * quota->share;
+    if (bucket->level > most) {
+        bucket->level = most;
     }
-    double own_burst = bucket->burst * quota->share;
-    bucket->own_level += gain * quota->share;
-    if (bucket->own_level > own_burst) {
-        bucket->own_level = own_burst;
+    bucket->reserve += gain * (1 - quota->share);
+    if (quota->share >= 1) {
+        bucket->reserve *= exp(-seconds / Qt_RESERVE_SEC);
     }
 }
 
@@ -146,7 +148,6 @@
             bucket->hash = Qt_Hash(tenant->name);
             bucket->burst = tenant->burst;
             bucket->level = tenant->burst * quota->start_share;
-            bucket->own_level = bucket->level * quota->share;
             bucket->filled_at = Ck_Now(quota->clock);
         }
         if (bucket == NULL) {
@@ -165,9 +166,11 @@
         return;
     }
     for (size_t i = 0; i < quota->count; i++) {
-        fill(quota, &quota->buckets[i]);
-        double own = quota->buckets[i].level * share;
-        quota->buckets[i].own_level = own > 0 ? own : 0;
+        struct bucket *bucket = &quota->buckets[i];
+        fill(quota, bucket);
+        if (share < quota->share && bucket->level > 0) {
+            bucket->level *= share / quota->share;
+        }
     }
     quota->share = share;
 }
@@ -182,16 +185,13 @@
     }
     fill(quota, bucket);
     double level = bucket->level;
-    double rate = bucket->per_sec;
-    if (quota->share < 1 && bucket->own_level < level) {
-        level = bucket->own_level;
-        rate *= quota->share;
-    }
+    double rate = bucket->per_sec * quota->share;
+    double most = bucket->burst * quota->share;
     /*
      * One request may exceed what a bucket can ever hold; it goes through
      * when the bucket is full and is paid for afterwards.
      */
-    double need = cost < bucket->burst ? cost : bucket->burst;
+    double need = cost < most ? cost : most;
     if (level < need) {
         *wait_usec =
             (int64_t)((need - level) / rate * (double)Ck_USEC_PER_SEC);
@@ -201,7 +201,6 @@
         return false;
     }
     bucket->level -= cost;
-    bucket->own_level -= cost;
     bucket->total += cost;
     return true;
 }
@@ -213,7 +212,6 @@
     struct bucket *bucket = find(quota, Qt_Hash(tenant));
     if (bucket != NULL && bucket->per_sec > 0) {
         bucket->level += cost;
-        bucket->own_level += cost;
     }
 }
 
@@ -228,13 +226,19 @@
 }
 
 void
-Qt_Spent(struct qt_quota *quota, uint32_t tenant, double cost)
+Qt_Spent(struct qt_quota *quota, uint32_t tenant, double cost, bool apart)
 {
     struct bucket *bucket = find(quota, tenant);
     if (bucket == NULL) {
         return;
     }
     fill(quota, bucket);
+    if (apart) {
+        double reserved = cost < bucket->reserve ? cost : bucket->reserve;
+        bucket->reserve -= reserved;
+        bucket->level -= cost - reserved;
+        return;
+    }
     bucket->told_at = bucket->filled_at;
     bucket->others += cost / Qt_OTHERS_SEC;
     double known = cost < bucket->foreseen ? cost : bucket->foreseen;
