--- a/packages/edge/place.h
+++ b/packages/edge/place.h
@@ -16,19 +16,19 @@
 #endif
 
 struct pl_candidate {
-    int slots;
-    int running;     /* requests there, of all daemons */
     int64_t reading; /* prompt tokens waiting there, of all daemons */
     int64_t missing; /* prompt tokens it would have to read, as known here */
     int64_t shared;  /* of these, in parts that other requests have too */
-    bool near;       /* in the caller's data centre */
-    bool shunned;
-    bool tried;      /* by this request already */
-    bool full;       /* no connection to be had */
+    uint64_t draw;   /* the group's preference among endpoints */
     double failing;  /* 0 to 1 */
     double slowness; /* its time to the first byte against the others' */
-    uint64_t draw;   /* the group's preference among endpoints */
-    bool long_lane;  /* one of those that long prompts go to */
+    int slots;
+    int running; /* requests there, of all daemons */
+    bool near;   /* in the caller's data centre */
+    bool shunned;
+    bool tried;     /* by this request already */
+    bool full;      /* no connection to be had */
+    bool long_lane; /* one of those that long prompts go to */
 };
 
 enum pl_verdict {
