Configuration: read from the store on a peer's word; a fetch may take long while bytes come

Ruled out: the store (answered at all times but for two hosts for a second), lost words. Test: Feed.ANewerConfigurationIsReadFromTheStore.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -19,6 +19,11 @@
  */
 #define Fe_RETRY_USEC (250 * Ck_USEC_PER_MSEC)
 #define Fe_RETRY_DOUBLINGS 3
+/*
+ * A read because of a peer's word is answered within this; a store that then
+ * still tells of something older lags behind.
+ */
+#define Fe_REFRESH_USEC (700 * Ck_USEC_PER_MSEC)
 /* How often a daemon that does not read asks whether it should. */
 #define Fe_ROLE_USEC (100 * Ck_USEC_PER_MSEC)
 /* After such a pause a listing is shorter than what was missed. */
@@ -393,6 +398,7 @@
     if (follow->from >= 0 &&
         feed->options.ops->others_read(feed->options.arg, follow->topic)) {
         fe_end_failure(follow);
+        follow->waiting = false;
         Lp_TimerSet(follow->timer, Fe_ROLE_USEC);
         return;
     }
@@ -413,6 +419,34 @@
                      on_read, follow);
 }
 
+/*
+ * A configuration may be hundreds of kilobytes, and the daemon that read it
+ * first is one of eighty: fetched from there by all others at once it takes
+ * seconds, in which requests are served by the older one, and removals of
+ * endpoints wait behind it.  The store has the bandwidth, for one call each.
+ */
+bool
+Fe_Refresh(struct fe_feed *feed)
+{
+    struct follow *follow = &feed->config_follow;
+    int64_t now = Ck_Now(feed->options.clock);
+    bool lately = now - follow->refreshed_at < Fe_REFRESH_USEC;
+    if (follow->failed_at != 0) {
+        return false;
+    }
+    if (follow->waiting || (lately && follow->from < 0)) {
+        return lately;
+    }
+    if (lately) {
+        return false;
+    }
+    follow->refreshed_at = now;
+    follow->from = -1;
+    follow->after[0] = '\0';
+    Lp_TimerSet(follow->timer, 0);
+    return true;
+}
+
 static bool
 follow_start(struct fe_feed *feed, struct follow *follow, enum ag_topic topic)
 {
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -54,6 +54,11 @@
 /* Whether the store was reached so recently that nothing newer is unread. */
 bool Fe_Current(const struct fe_feed *feed);
 bool Fe_Reached(const struct fe_feed *feed);
+/*
+ * Somebody knows a newer configuration.  True: it is being read from the
+ * store; false: it has to come from whoever knows it.
+ */
+bool Fe_Refresh(struct fe_feed *feed);
 /* Whether this daemon reads the topic itself, and is answered. */
 bool Fe_Reads(const struct fe_feed *feed, enum ag_topic topic);
 /*
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -31,10 +31,11 @@
     int64_t listed_at;
     int64_t listing_end;
     int64_t answered_at;
-    bool waiting;      /* a read is under way */
-    int64_t failed_at; /* since when it fails; 0: it does not */
-    int64_t dark_at;   /* last failure while no daemon reached the store */
-    int failures;      /* in a row */
+    bool waiting;         /* a read is under way */
+    int64_t failed_at;    /* since when it fails; 0: it does not */
+    int64_t dark_at;      /* last failure while no daemon reached the store */
+    int failures;         /* in a row */
+    int64_t refreshed_at; /* last read because a peer knew more */
     char after[Ec_NAME_MAX];
     struct known_tree known;
 };
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -17,6 +17,8 @@
 #define Pe_STATE_PATH "/state?config="
 /* One fetch at a time, this long at the most, and not more often than so. */
 #define Pe_FETCH_USEC (500 * Ck_USEC_PER_MSEC)
+/* A large state through a narrow link takes longer, as long as it comes. */
+#define Pe_FETCH_MOST_USEC (4 * Ck_USEC_PER_SEC)
 #define Pe_FETCH_EVERY_USEC (100 * Ck_USEC_PER_MSEC)
 /* When nobody is heard, the hosts' records in the store are read again. */
 #define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
@@ -34,6 +36,7 @@
     struct sv_server *server;
     struct cn_channel *fetch;
     int64_t fetch_at;
+    int64_t fetch_moved_at; /* last bytes of it */
     struct bf_buffer answer;
     bool answer_cut; /* the answer is not whole */
     int answer_status;
@@ -239,6 +242,7 @@
 fetch_body(void *arg, const char *data, size_t len)
 {
     struct pe_peers *peers = arg;
+    peers->fetch_moved_at = Ga_Now(peers->gate);
     if (peers->answer.len + len > Pe_STATE_MAX ||
         !Bf_Add(&peers->answer, data, len)) {
         peers->answer_cut = true;
@@ -269,13 +273,15 @@
 }
 
 static void
-start_fetch(struct pe_peers *peers, const struct ms_peer *peer)
+start_fetch(struct pe_peers *peers, const struct ms_peer *peer,
+            bool with_config)
 {
     struct ga_gate *gate = peers->gate;
     char address[Nd_NAME_MAX + 8];
     snprintf(address, sizeof(address), "%s:%d", peer->ip,
              gate->options.node->peer_port);
     peers->fetch_at = Ga_Now(gate);
+    peers->fetch_moved_at = peers->fetch_at;
     peers->fetch =
         Cn_Open(gate->options.loop, gate->options.clock, address, NULL, NULL);
     if (peers->fetch == NULL) {
@@ -286,7 +292,8 @@
         snprintf(head, sizeof(head),
                  "GET " Pe_STATE_PATH "%" PRId64 ",%" PRId64 " HTTP/1.1\r\n"
                  "Host: %s\r\n\r\n",
-                 at_least_0(Fe_Changed(gate->feed, AG_CONFIG)),
+                 with_config ? at_least_0(Fe_Changed(gate->feed, AG_CONFIG))
+                             : INT64_MAX,
                  at_least_0(Fe_Changed(gate->feed, AG_ENDPOINTS)), address);
     Ln_Log(LN_STATE, "state.fetched",
            "\"peer\":\"%s\",\"config\":%lld,\"entries\":%lld", peer->name,
@@ -296,26 +303,47 @@
 }
 
 static bool
-knows_more(const struct ga_gate *gate, const struct ms_peer *peer)
+knows_config(const struct ga_gate *gate, const struct ms_peer *peer)
 {
     return Ms_Close(gate->mesh, peer) && !peer->stopping &&
-           (peer->config_changed > Fe_Changed(gate->feed, AG_CONFIG) ||
+           peer->config_changed > Fe_Changed(gate->feed, AG_CONFIG);
+}
+
+static bool
+knows_more(const struct ga_gate *gate, const struct ms_peer *peer,
+           bool with_config)
+{
+    return (with_config && knows_config(gate, peer)) ||
+           (Ms_Close(gate->mesh, peer) && !peer->stopping &&
             peer->entries_changed > Fe_Changed(gate->feed, AG_ENDPOINTS));
 }
 
+/* Whether a newer configuration has to come from a peer. */
+static bool
+needs_config(struct ga_gate *gate)
+{
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (knows_config(gate, peer)) {
+            return !Fe_Refresh(gate->feed);
+        }
+    }
+    return false;
+}
+
 /*
  * Any of those that know more.  The first of a list would be asked again and
  * again when it died after its last word, by all daemons that heard it, for
  * as long as they believe it alive.
  */
 static const struct ms_peer *
-pick_newer(struct ga_gate *gate)
+pick_newer(struct ga_gate *gate, bool with_config)
 {
     uint32_t count = 0;
     const struct ms_peer *picked = NULL;
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (knows_more(gate, peer)) {
+        if (knows_more(gate, peer, with_config)) {
             count++;
             if (Rn_Below(&gate->random, count) == 0) {
                 picked = peer;
@@ -335,7 +363,8 @@
     struct ga_gate *gate = peers->gate;
     int64_t now = Ga_Now(gate);
     if (peers->fetch != NULL) {
-        if (now - peers->fetch_at > Pe_FETCH_USEC) {
+        if (now - peers->fetch_moved_at > Pe_FETCH_USEC ||
+            now - peers->fetch_at > Pe_FETCH_MOST_USEC) {
             end_fetch(peers);
         }
         return;
@@ -343,9 +372,10 @@
     if (now - peers->fetch_at < Pe_FETCH_EVERY_USEC) {
         return;
     }
-    const struct ms_peer *peer = pick_newer(gate);
+    bool with_config = needs_config(gate);
+    const struct ms_peer *peer = pick_newer(gate, with_config);
     if (peer != NULL) {
-        start_fetch(peers, peer);
+        start_fetch(peers, peer, with_config);
     }
 }
 
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -277,6 +277,35 @@
     EXPECT_NE(Fl_Find(node.fleet, "a"), nullptr);
 }
 
+// Eighty hosts fetch a large configuration from the one that read it first;
+// for three seconds they serve routes that were dropped, and removals of
+// endpoints wait behind it.  Each reads it from the store, once.
+TEST_F(Feed, ANewerConfigurationIsReadFromTheStore)
+{
+    others_reach = others_read = true;
+    store_.Put(AG_CONFIG, "config", "1");
+    Node node = Start();
+    ASSERT_TRUE(Until([&] { return Version(node) == 1; }));
+    store_.Put(AG_CONFIG, "config", "2");
+    runner_->For(300 * Ck_USEC_PER_MSEC);
+    store_.Answer();
+    EXPECT_EQ(Version(node), 1);
+    EXPECT_TRUE(Fe_Refresh(node.feed));
+    EXPECT_TRUE(Fe_Refresh(node.feed));
+    ASSERT_TRUE(Until([&] { return Version(node) == 2; }));
+    int calls = node.client->calls;
+    // It has just been read: what a peer still knows better is to be fetched.
+    EXPECT_FALSE(Fe_Refresh(node.feed));
+    runner_->For(300 * Ck_USEC_PER_MSEC);
+    store_.Answer();
+    EXPECT_EQ(node.client->calls, calls);
+    // So is everything while the store does not answer here.
+    others_read = false;
+    node.client->down = true;
+    ASSERT_TRUE(Until([&] { return !Fe_Reached(node.feed); }));
+    EXPECT_FALSE(Fe_Refresh(node.feed));
+}
+
 // An operator's order to move a service is taken for a configuration, or for
 // nothing, and the new version never gets a request.
 TEST_F(Feed, OrdersStandBesideTheConfiguration)
