--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -24,7 +24,7 @@
     bool full = from < follow->base;
     from = full ? 0 : from;
     /* What was not asked for is not told, and its number says nothing. */
-    msgpack_pack_int64(packer, from > follow->changed ? 0 : follow->changed);
+    msgpack_pack_int64(packer, from > follow->changed ? -1 : follow->changed);
     msgpack_pack_int64(packer, follow->base);
     msgpack_pack_int(packer, full);
     msgpack_pack_array(packer, count_known(follow, from));
@@ -123,7 +123,9 @@
 static void
 unpack_follow(struct follow *follow, const msgpack_object *part)
 {
-    int64_t changed = get_number(&part[0]);
+    int64_t changed = part[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER
+                          ? get_number(&part[0])
+                          : -1;
     int64_t base = get_number(&part[1]);
     bool full = get_number(&part[2]) != 0;
     int64_t had = follow->changed;
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -308,6 +308,14 @@
     free(packed);
     EXPECT_EQ(Version(node), 2);
     EXPECT_EQ(Fe_Changed(node.feed, AG_ENDPOINTS), entries);
+    // A host that knows nothing must not take nothing for all there is.
+    Node fresh = Start();
+    fresh.client->down = true;
+    len = Fe_Pack(reader.feed, 0, INT64_MAX, &packed);
+    Fe_Unpack(fresh.feed, packed, len);
+    free(packed);
+    EXPECT_EQ(Version(fresh), 2);
+    EXPECT_EQ(Fe_Changed(fresh.feed, AG_ENDPOINTS), -1);
 }
 
 // Eighty hosts fetch a large configuration from the one that read it first;
