--- a/packages/edge/orders.c
+++ b/packages/edge/orders.c
@@ -17,8 +17,6 @@
 #define Wo_REPEAT_USEC (10 * Ck_USEC_PER_SEC)
 /* Endpoints take seconds to come, and load comes in waves of tens of them. */
 #define Wo_KEEP_USEC (25 * Ck_USEC_PER_SEC)
-/* Time constant of the load without short peaks. */
-#define Wo_STEADY_USEC (12 * Ck_USEC_PER_SEC)
 
 static struct order *
 find_order(struct wo_work *work, const char *service, const char *zone,
@@ -192,21 +190,10 @@
     Du_SetNeed(work->gate->duty, &need);
 }
 
-/*
- * Retries and queues make a load seem larger for the seconds in which it is
- * served badly; lasting endpoints ordered for that come when it is over, and
- * cost the most.
- */
-static void
-note_steady(struct base *base, int needed, int64_t now)
+static int
+more_of(int a, int b)
 {
-    if (base->steady_at == 0) {
-        base->steady = needed;
-    }
-    double part =
-        exp(-(double)(now - base->steady_at) / (double)Wo_STEADY_USEC);
-    base->steady_at = now;
-    base->steady = part * base->steady + (1 - part) * needed;
+    return a > b ? a : b;
 }
 
 static struct base *
@@ -226,6 +213,9 @@
         Du_Need(work->gate->duty, De_Hash(service->name));
     base->wanted = need == NULL ? 0 : need->endpoints;
     base->since = Ga_Now(work->gate);
+    if (base->wanted > 0) {
+        Pn_StartSteady(&base->steady, base->wanted, base->since);
+    }
     return base;
 }
 
@@ -241,14 +231,14 @@
     int64_t now = Ga_Now(work->gate);
     int needed = needed_now(work, service);
     if (needed == 0) {
-        needed = present;
-        base->steady_at = 0;
+        needed = more_of(present, base->wanted);
+        Pn_StartSteady(&base->steady, needed, now);
     }
     if (needed >= base->wanted || now - base->since > Wo_KEEP_USEC) {
         base->wanted = needed;
         base->since = now;
     }
-    note_steady(base, needed, now);
+    Pn_NoteSteady(&base->steady, needed, now);
     hand_on(work, service, base->wanted);
 }
 
@@ -364,7 +354,7 @@
         .max = service->max,
         .spot_price = service->spot_price,
         .wanted = base->wanted,
-        .steady = (int)ceil(base->steady),
+        .steady = (int)ceil(base->steady.endpoints),
     };
     Pn_Plan(&wants, zones, service->zone_count, wishes);
     log_plan(&wants, service, zones, wishes);
--- a/packages/edge/plan.c
+++ b/packages/edge/plan.c
@@ -8,6 +8,36 @@
  */
 #define Pn_LEAST_PART 0.55
 
+/* Time constant of the load without short peaks. */
+#define Pn_STEADY_USEC (12 * Ck_USEC_PER_SEC)
+
+/*
+ * A successor has seen no load yet, and after a restart of all hosts callers
+ * come back one by one: what it sees at first is no measure.
+ */
+void
+Pn_StartSteady(struct pn_steady *steady, int endpoints, int64_t now)
+{
+    steady->endpoints = endpoints;
+    steady->at = now;
+}
+
+/*
+ * Retries and queues make a load seem larger for the seconds in which it is
+ * served badly; lasting endpoints ordered for that come when it is over, and
+ * cost the most.
+ */
+void
+Pn_NoteSteady(struct pn_steady *steady, int needed, int64_t now)
+{
+    if (steady->at == 0) {
+        Pn_StartSteady(steady, needed, now);
+    }
+    double part = exp(-(double)(now - steady->at) / (double)Pn_STEADY_USEC);
+    steady->at = now;
+    steady->endpoints = part * steady->endpoints + (1 - part) * needed;
+}
+
 static int
 at_most(int value, int limit)
 {
--- a/packages/edge/plan.h
+++ b/packages/edge/plan.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "base/clock.h"
 #include "edge/config.h"
 
 #ifdef __cplusplus
@@ -39,6 +40,16 @@
     int spot;
 };
 
+/* Endpoints that a load needs but for short peaks. */
+struct pn_steady {
+    double endpoints;
+    int64_t at; /* last noted; 0: never */
+};
+
+/* What a load was found to need, by this daemon or the holder before it. */
+void Pn_StartSteady(struct pn_steady *steady, int endpoints, int64_t now);
+void Pn_NoteSteady(struct pn_steady *steady, int needed, int64_t now);
+
 /* Fills one wish a data centre. */
 void Pn_Plan(const struct pn_service *service, const struct pn_zone *zones,
              size_t count, struct pn_wish *wishes);
--- a/packages/edge/test/plan_test.cc
+++ b/packages/edge/test/plan_test.cc
@@ -147,6 +147,26 @@
     EXPECT_EQ(f.wishes[0].spot, 4);
 }
 
+// All hosts were killed and all reclaimable endpoints taken away; for sixteen
+// seconds a quarter of the endpoints is ordered that the load needs, as the
+// successor went by the few callers that it had seen.
+TEST(Plan, ASuccessorStartsFromWhatWasNeeded)
+{
+    const int64_t start = 100 * Ck_USEC_PER_SEC;
+    struct pn_steady steady = {};
+    Pn_StartSteady(&steady, 20, start);
+    Pn_NoteSteady(&steady, 5, start + Ck_USEC_PER_SEC);
+    EXPECT_GT(steady.endpoints, 18);
+    Pn_NoteSteady(&steady, 5, start + 40 * Ck_USEC_PER_SEC);
+    EXPECT_LT(steady.endpoints, 6);
+    struct pn_steady fresh = {};
+    Pn_NoteSteady(&fresh, 7, start);
+    EXPECT_DOUBLE_EQ(fresh.endpoints, 7);
+    // A peak of two seconds is hardly seen.
+    Pn_NoteSteady(&fresh, 70, start + 2 * Ck_USEC_PER_SEC);
+    EXPECT_LT(fresh.endpoints, 20);
+}
+
 // A peak of a few seconds, of callers that came back, is answered by lasting
 // endpoints that start when it is over and are paid for half a minute.
 TEST(Plan, PeaksAreLeftToReclaimableOnes)
--- a/packages/edge/work_internal.h
+++ b/packages/edge/work_internal.h
@@ -3,6 +3,7 @@
 #define EDGE_WORK_INTERNAL_H
 
 #include "edge/gate_internal.h"
+#include "edge/plan.h"
 
 #define Wo_ORDERS_MAX 64
 #define Wo_SERVICES_MAX 16
@@ -28,8 +29,7 @@
     char service[Ec_NAME_MAX];
     int wanted;
     int64_t since;
-    double steady; /* the same without short peaks */
-    int64_t steady_at;
+    struct pn_steady steady;
     bool settled; /* its endpoints are all known */
 };
 
