One look-up of a move's route; which peer knows more said plainly

Found in the last reading: Ro_First and Ro_Answered looked a row up by the same steps, knows_more repeated its flag in both halves of one condition, an include was unused. Behaviour is the same.

--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -379,9 +379,11 @@
 knows_more(const struct ga_gate *gate, const struct ms_peer *peer,
            bool with_config)
 {
-    return (with_config && knows_config(gate, peer)) ||
-           (!with_config && Ms_Close(gate->mesh, peer) && !peer->stopping &&
-            peer->entries_changed > Fe_Changed(gate->feed, AG_ENDPOINTS));
+    if (with_config) {
+        return knows_config(gate, peer);
+    }
+    return Ms_Close(gate->mesh, peer) && !peer->stopping &&
+           peer->entries_changed > Fe_Changed(gate->feed, AG_ENDPOINTS);
 }
 
 /* Whether a newer configuration has to come from a peer. */
--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -117,6 +117,17 @@
     return added;
 }
 
+/* The counts of a route while its service moves; NULL: it does not. */
+static struct ro_route *
+judged_route(struct ro_table *table, const char *service, const char *route)
+{
+    struct ro_move *move = Ro_Find(table, service);
+    if (move == NULL || move->state != RO_RUNNING) {
+        return NULL;
+    }
+    return route_of(move, Ro_Hash(route));
+}
+
 static void
 set_state(struct ro_move *move, enum ro_state state, const char *why)
 {
@@ -176,10 +187,7 @@
 Ro_First(struct ro_table *table, const char *service, const char *route,
          bool next, int64_t usec)
 {
-    struct ro_move *move = Ro_Find(table, service);
-    struct ro_route *row = move == NULL || move->state != RO_RUNNING
-                               ? NULL
-                               : route_of(move, Ro_Hash(route));
+    struct ro_route *row = judged_route(table, service, route);
     if (row == NULL) {
         return false;
     }
@@ -196,10 +204,7 @@
 Ro_Answered(struct ro_table *table, const char *service, const char *route,
             bool next, bool bad)
 {
-    struct ro_move *move = Ro_Find(table, service);
-    struct ro_route *row = move == NULL || move->state != RO_RUNNING
-                               ? NULL
-                               : route_of(move, Ro_Hash(route));
+    struct ro_route *row = judged_route(table, service, route);
     if (row != NULL) {
         row->own[next ? NEXT : OLD].answers++;
         row->own[next ? NEXT : OLD].bad += bad;
--- a/packages/edge/work_moves.c
+++ b/packages/edge/work_moves.c
@@ -1,5 +1,4 @@
 /* Version moves: how far each may go, and what operators are told of it. */
-#include <stdio.h>
 #include <string.h>
 
 #include "edge/work_internal.h"
