Retries: an attempt that reached nobody costs none, and is not "unknown"

Cause: a refused connection was counted as an attempt that may have run. It took one of three attempts and a retry of the service's budget within a millisecond; an engine that refuses looks idle and is chosen first, and stays in where as many as may be are ejected. Then the caller was told "unknown" though no byte had left.

Evidence: a verdict to give up is logged with reason, stage, endpoint, attempts, time and retries left, and counted by reason; the soak prints them by daemon, those of ended processes too. With the decision as it was: request 35 of daemon 0 ends "attempts-spent" after two broken connections and one refused, 29.8 s and 43.8 retries left.

Why it works: a connection that was never made needs no budget and is bounded by itself (16 a request), as the entry hosts of the platform do it; "unknown" is told only where a byte left.

Changed in a test: Retry.RetriesArePaidForBySuccesses failed attempts as RT_NOT_SENT, which no longer load anybody; it fails them as RT_SENT now, the counts and bounds are the same, and RT_REFUSED is asked beside it.

--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -17,6 +17,7 @@
 #include "gate/events.h"
 
 #define Rl_ATTEMPTS 6
+#define Rl_UNREACHED_MAX 16
 #define Rl_EVENT_MAX ((size_t)64 << 10)
 #define Rl_TEXT_MAX ((size_t)4 << 20)
 #define Rl_PENDING_MAX ((size_t)256 << 10)
@@ -297,14 +298,33 @@
     Rq_Refuse(request, kind, Rl_RETRY_SOON_SEC, "%s", message);
 }
 
+/* True when an engine may have run any part of the request. */
+static bool
+may_have_run(const struct rl_engine *relay)
+{
+    int left = relay->attempts.all - relay->attempts.unreached;
+    if (relay->call != NULL && Hc_Stage(relay->call) == HC_CONNECTING) {
+        left--;
+    }
+    return left > 0;
+}
+
+/* How a failure is told: as "not run" where that is known. */
+static enum an_kind
+failure_told(const struct rl_engine *relay)
+{
+    return may_have_run(relay) ? AN_UNKNOWN : AN_UNAVAILABLE;
+}
+
 /* Goes on at another engine from the tokens given, or gives the request up. */
 void
 Re_NextAttempt(struct rl_engine *relay)
 {
     struct gt_gate *gate = relay->request->gate;
     Re_DropMove(relay);
-    if (relay->attempts >= Rl_ATTEMPTS) {
-        give_up(relay, AN_UNKNOWN,
+    int sent = relay->attempts.all - relay->attempts.unreached;
+    if (sent >= Rl_ATTEMPTS || relay->attempts.unreached >= Rl_UNREACHED_MAX) {
+        give_up(relay, failure_told(relay),
                 "several engines failed this request; it may be repeated");
         return;
     }
@@ -321,11 +341,13 @@
  * read is always tried; starting anew is a retry and is paid for.
  */
 static void
-attempt_failed(struct rl_engine *relay)
+attempt_failed(struct rl_engine *relay, enum hc_stage reached)
 {
+    enum rt_stage stage = reached == HC_CONNECTING ? RT_NOT_SENT : RT_SENT;
+    relay->attempts.unreached += stage == RT_NOT_SENT;
     if (relay->tokens == 0 &&
-        !Rq_MayRetry(relay->request, RT_SENT, relay->attempts)) {
-        give_up(relay, AN_UNKNOWN,
+        !Rq_MayRetry(relay->request, stage, &relay->attempts)) {
+        give_up(relay, failure_told(relay),
                 "the engines of this service fail; the request may be "
                 "repeated later");
         return;
@@ -354,7 +376,7 @@
      * a refusal among the tokens, after another engine has run it.
      */
     if (result->code >= 400 && result->code < 500 && result->code != 429 &&
-        relay->attempts == 1) {
+        relay->attempts.all - relay->attempts.unreached == 1) {
         Re_EndFlight(relay, CH_GOOD);
         Rq_Refuse(relay->request, AN_INVALID, 0,
                   "the engine refused the request with %d; check its fields",
@@ -362,7 +384,7 @@
         return;
     }
     Re_EndFlight(relay, failure_kind(result->code));
-    attempt_failed(relay);
+    attempt_failed(relay, result->stage);
 }
 
 static void
@@ -382,7 +404,7 @@
     else if (relay->broken) {
         Re_DropCall(relay);
         Re_EndFlight(relay, CH_FAILED);
-        attempt_failed(relay);
+        attempt_failed(relay, HC_ANSWERED);
     }
 }
 
@@ -449,16 +471,17 @@
 {
     Ss_Destroy(relay->parser);
     relay->parser = Ss_Create(Rl_EVENT_MAX);
-    relay->attempts++;
+    relay->attempts.all++;
     relay->broken = false;
     relay->paused = false;
     relay->code = 0;
     relay->sent_on = relay->tokens;
     relay->expected = -1;
     snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d",
-             relay->request->id, relay->attempts);
+             relay->request->id, relay->attempts.all);
     if (relay->parser == NULL || send_call(relay, kv) != ST_OK) {
-        give_up(relay, relay->attempts == 1 ? AN_OVERLOADED : AN_UNKNOWN,
+        relay->attempts.unreached++;
+        give_up(relay, may_have_run(relay) ? AN_UNKNOWN : AN_OVERLOADED,
                 "this host is out of memory; come back later");
     }
 }
@@ -471,7 +494,7 @@
     Re_FillAsk(relay, &ask);
     relay->table = Ep_Table(request->gate->endpoints, request->service->name);
     if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
-        give_up(relay, relay->attempts == 0 ? AN_UNAVAILABLE : AN_UNKNOWN,
+        give_up(relay, failure_told(relay),
                 "no engine of this service is free; come back later");
         return;
     }
@@ -499,9 +522,11 @@
     Lp_TimerSet(relay->stall_timer, Rl_STALL_CHECK);
     if (is_stalled(relay, Ck_Now(gate->clock))) {
         Gt_Count(gate, "cg_streams_stalled_total", NULL, NULL);
+        enum hc_stage reached =
+            relay->call != NULL ? Hc_Stage(relay->call) : HC_SENT;
         Re_DropCall(relay);
         Re_EndFlight(relay, CH_FAILED);
-        attempt_failed(relay);
+        attempt_failed(relay, reached);
     }
 }
 
@@ -558,7 +583,8 @@
 void
 Rl_EngineDeadline(struct rq_request *request)
 {
-    give_up(request->engine, AN_UNKNOWN,
+    give_up(request->engine,
+            may_have_run(request->engine) ? AN_UNKNOWN : AN_DEADLINE,
             "the answer was not whole when the deadline passed; allow more "
             "time");
 }
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -19,7 +19,7 @@
     struct ch_flight flight;
     struct ch_table *table;
     char attempt[Rl_ATTEMPT_MAX];
-    int attempts;
+    struct rq_attempts attempts;
     int code;
     bool paused;
     bool streaming; /* the caller's stream has begun */
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -29,7 +29,7 @@
     struct ch_flight flight;
     struct ch_table *table;
     char attempt[Rl_ATTEMPT_MAX];
-    int attempts;
+    struct rq_attempts attempts;
     char type[Rl_TYPE_MAX];
     bool matched; /* the answer carries this attempt's id */
     /*
@@ -158,7 +158,8 @@
     }
     bool left = result->stage != HC_CONNECTING;
     relay->left_before = relay->left_before || left;
-    if (Rq_MayRetry(request, left ? RT_SENT : RT_NOT_SENT, relay->attempts)) {
+    relay->attempts.unreached += !left;
+    if (Rq_MayRetry(request, left ? RT_SENT : RT_NOT_SENT, &relay->attempts)) {
         attempt(request);
         return;
     }
@@ -231,10 +232,10 @@
                   request->service->name);
         return;
     }
-    relay->attempts++;
+    relay->attempts.all++;
     relay->matched = false;
     snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d", request->id,
-             relay->attempts);
+             relay->attempts.all);
     if (send_call(request) != ST_OK) {
         end_flight(request, CH_CANCELLED);
         Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_INVALID, 0,
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -162,12 +162,34 @@
     return ST_OK;
 }
 
+static void
+note_retry_refused(const struct rq_request *request,
+                   const struct rt_attempt *attempt, const char *reason,
+                   double tokens)
+{
+    static const char *const stages[] = {"not-sent", "refused", "sent",
+                                         "answered"};
+    const char *last = request->tried_count > 0
+                           ? request->tried[request->tried_count - 1]
+                           : "none";
+    Ev_Log(&GT_RETRY_REFUSED,
+           "request=%s service=%s endpoint=%s stage=%s reason=%s sent=%d "
+           "unreached=%d left_ms=%lld retries_left=%.1f",
+           request->id, request->service->name, last, stages[attempt->stage],
+           reason, attempt->attempts, attempt->unreached,
+           (long long)(attempt->left / Ck_USEC_PER_MSEC), tokens);
+    Gt_Count(request->gate, "cg_retries_refused_total", NULL, NULL);
+    Gt_Count(request->gate, "cg_retries_refused_by_reason_total", "reason",
+             reason);
+}
+
 /*
  * Whether a failed attempt may be followed by another; takes from the
- * service's budget when it may.
+ * service's budget when it may and the attempt reached somebody.
  */
 bool
-Rq_MayRetry(struct rq_request *request, enum rt_stage stage, int attempts)
+Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
+            const struct rq_attempts *attempts)
 {
     struct gt_gate *gate = request->gate;
     struct rt_budget *budget =
@@ -176,14 +198,23 @@
         .stage = stage,
         .idempotent = request->repeatable,
         .keyed = request->keyed,
-        .attempts = attempts,
+        .attempts = attempts->all - attempts->unreached,
+        .unreached = attempts->unreached,
         .left = request->deadline - Ck_Now(gate->clock),
     };
-    bool may = request->http != NULL && budget != NULL &&
-               Rt_Decide(budget, &attempt) == RT_RETRY;
-    Gt_Count(gate, may ? "cg_retries_total" : "cg_retries_refused_total", NULL,
-             NULL);
-    return may;
+    if (request->http == NULL || budget == NULL) {
+        note_retry_refused(request, &attempt,
+                           budget == NULL ? "no-service" : "caller-gone", 0);
+        return false;
+    }
+    enum rt_reason why = Rt_Why(budget, &attempt);
+    if (Rt_Decide(budget, &attempt) != RT_RETRY) {
+        note_retry_refused(request, &attempt, Rt_ReasonName(why),
+                           budget->tokens);
+        return false;
+    }
+    Gt_Count(gate, "cg_retries_total", NULL, NULL);
+    return true;
 }
 
 /* An endpoint has answered well: it pays for a part of a later retry. */
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -20,7 +20,7 @@
 #endif
 
 #define Rq_ID_MAX 80
-#define Rq_TRIED_MAX 8
+#define Rq_TRIED_MAX 16
 
 struct rl_engine;
 struct rl_plain;
@@ -60,6 +60,12 @@
     struct rl_plain *plain;
 };
 
+/* The dispatches of a request so far. */
+struct rq_attempts {
+    int all;
+    int unreached; /* those of which no byte can have left */
+};
+
 void Rq_Accept(struct gt_gate *gate, struct hs_request *http);
 void Rq_Dispatch(struct rq_request *request);
 void Rq_CallerGone(struct gt_gate *gate, struct hs_request *http);
@@ -70,7 +76,7 @@
 enum st_status Rq_Choose(struct rq_request *request, struct ch_table *table,
                          struct ch_request *ask, struct ch_flight *flight);
 bool Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
-                 int attempts);
+                 const struct rq_attempts *attempts);
 void Rq_Succeeded(struct rq_request *request);
 void Rq_NoteVersion(struct rq_request *request, const struct ch_flight *flight,
                     enum ch_outcome outcome, int64_t first_token_usec);
--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -4,6 +4,7 @@
 #include "policy/retry.h"
 
 #define ATTEMPTS_MAX 3
+#define UNREACHED_MAX 16
 
 /* Starts a full budget: "ratio" of a retry per success, "most" at once. */
 void
@@ -44,22 +45,67 @@
 }
 
 /*
- * Decides on a dispatch that failed; RT_RETRY takes from the budget.  Work
- * that may have run is repeated only when it is idempotent: an idempotency
- * key does not make it so, as the endpoint need not know the key and a
- * charge would be made twice.  Without a budget an outage turns each
- * request into three and keeps the endpoints down.
+ * Why the attempt may not be followed by another; changes nothing.  Work that
+ * may have run is repeated only when it is idempotent: an idempotency key
+ * does not make it so, as the endpoint need not know the key and a charge
+ * would be made twice.  An attempt of which no byte left an endpoint has
+ * loaded nobody; it is bounded by itself and needs no budget.
+ */
+enum rt_reason
+Rt_Why(const struct rt_budget *budget, const struct rt_attempt *attempt)
+{
+    bool unreached = attempt->stage == RT_NOT_SENT;
+    if (!attempt->idempotent && !unreached && attempt->stage != RT_REFUSED) {
+        return RT_MAY_HAVE_RUN;
+    }
+    if (attempt->stage == RT_ANSWERED) {
+        return RT_ANSWER_BEGUN;
+    }
+    if (attempt->attempts >= ATTEMPTS_MAX) {
+        return RT_ATTEMPTS_SPENT;
+    }
+    if (attempt->unreached >= UNREACHED_MAX) {
+        return RT_NOBODY_REACHED;
+    }
+    if (attempt->left <= attempt->predicted) {
+        return RT_NO_TIME_LEFT;
+    }
+    if (!unreached && budget->tokens < 1) {
+        return RT_BUDGET_SPENT;
+    }
+    return RT_ALLOWED;
+}
+
+/* The reason as log lines and metrics name it. */
+const char *
+Rt_ReasonName(enum rt_reason reason)
+{
+    static const char *const names[] = {
+        [RT_ALLOWED] = "allowed",
+        [RT_MAY_HAVE_RUN] = "may-have-run",
+        [RT_ANSWER_BEGUN] = "answer-begun",
+        [RT_ATTEMPTS_SPENT] = "attempts-spent",
+        [RT_NOBODY_REACHED] = "nobody-reached",
+        [RT_NO_TIME_LEFT] = "no-time-left",
+        [RT_BUDGET_SPENT] = "budget-spent",
+    };
+    return names[reason];
+}
+
+/*
+ * Decides on a dispatch that failed; RT_RETRY takes from the budget unless
+ * nobody was reached.  Without a budget an outage turns each request into
+ * three and keeps the endpoints down.
  */
 enum rt_verdict
 Rt_Decide(struct rt_budget *budget, const struct rt_attempt *attempt)
 {
-    bool safe = attempt->idempotent || attempt->stage == RT_NOT_SENT ||
-                attempt->stage == RT_REFUSED;
-    if (!safe || attempt->stage == RT_ANSWERED ||
-        attempt->attempts >= ATTEMPTS_MAX ||
-        attempt->left <= attempt->predicted || !take(budget)) {
+    if (Rt_Why(budget, attempt) != RT_ALLOWED) {
         return give_up(attempt);
     }
+    if (attempt->stage != RT_NOT_SENT) {
+        (void)take(budget);
+    }
     return RT_RETRY;
 }
 
--- a/packages/policy/retry.h
+++ b/packages/policy/retry.h
@@ -24,11 +24,23 @@
     enum rt_stage stage;
     bool idempotent;   /* running it twice does no harm */
     bool keyed;        /* its outcome is kept under an idempotency key */
-    int attempts;      /* sent so far, this one included */
+    int attempts;      /* so far, this one included, that were sent */
+    int unreached;     /* so far, this one included, that were not */
     int64_t left;      /* until the deadline */
     int64_t predicted; /* time a further attempt takes */
 };
 
+/* Why a failed attempt may not be followed by another. */
+enum rt_reason {
+    RT_ALLOWED,
+    RT_MAY_HAVE_RUN,   /* and must not run twice */
+    RT_ANSWER_BEGUN,   /* the caller has part of an answer */
+    RT_ATTEMPTS_SPENT, /* endpoints failed it too often */
+    RT_NOBODY_REACHED, /* too many endpoints could not be reached */
+    RT_NO_TIME_LEFT,   /* a further attempt would end too late */
+    RT_BUDGET_SPENT,   /* the service's retries are used up */
+};
+
 enum rt_verdict {
     RT_RETRY,
     RT_NOT_RUN, /* give up; saying "not run" is true */
@@ -45,6 +57,9 @@
 
 void Rt_Init(struct rt_budget *budget, double ratio, double most);
 void Rt_Success(struct rt_budget *budget);
+enum rt_reason Rt_Why(const struct rt_budget *budget,
+                      const struct rt_attempt *attempt);
+const char *Rt_ReasonName(enum rt_reason reason);
 enum rt_verdict Rt_Decide(struct rt_budget *budget,
                           const struct rt_attempt *attempt);
 bool Rt_Hedge(struct rt_budget *budget, const struct rt_attempt *attempt,
--- a/packages/policy/test/queue_test.cc
+++ b/packages/policy/test/queue_test.cc
@@ -227,8 +227,8 @@
     for (const auto &c : cases) {
         struct rt_budget budget;
         Rt_Init(&budget, 0.1, 10);
-        struct rt_attempt attempt = {c.stage, c.idempotent, c.keyed,
-                                     1,       kSec,         1000};
+        struct rt_attempt attempt = {c.stage, c.idempotent, c.keyed, 1,
+                                     0,       kSec,         1000};
         EXPECT_EQ(c.verdict, Rt_Decide(&budget, &attempt))
             << c.stage << c.idempotent << c.keyed;
         if (c.verdict != RT_RETRY) {
@@ -250,12 +250,14 @@
 {
     struct rt_budget budget;
     Rt_Init(&budget, 0.1, 10);
-    struct rt_attempt attempt = {RT_NOT_SENT, true, false, 1, kSec, 0};
+    struct rt_attempt attempt = {RT_SENT, true, false, 1, 0, kSec, 0};
     int retried = 0;
     for (int i = 0; i < 1000; i++) {
         retried += Rt_Decide(&budget, &attempt) == RT_RETRY;
     }
     EXPECT_EQ(10, retried);
+    EXPECT_EQ(RT_FAILED, Rt_Decide(&budget, &attempt));
+    attempt.stage = RT_REFUSED;
     EXPECT_EQ(RT_NOT_RUN, Rt_Decide(&budget, &attempt));
     for (int i = 0; i < 100; i++) {
         Rt_Success(&budget);
@@ -263,11 +265,33 @@
     EXPECT_EQ(RT_RETRY, Rt_Decide(&budget, &attempt));
 }
 
+// Guards against endpoints that refuse connections using up the retries of
+// requests that an endpoint failed.
+TEST(Retry, WhatReachedNobodyIsBoundedByItself)
+{
+    const int kMost = 32;
+    struct rt_budget budget;
+    Rt_Init(&budget, 0.1, 1);
+    struct rt_attempt attempt = {RT_NOT_SENT, false, false, 0, 1, kSec, 0};
+    while (attempt.unreached < kMost &&
+           Rt_Decide(&budget, &attempt) == RT_RETRY) {
+        attempt.unreached++;
+    }
+    EXPECT_GT(attempt.unreached, 3);
+    EXPECT_LT(attempt.unreached, kMost);
+    EXPECT_EQ(RT_NOBODY_REACHED, Rt_Why(&budget, &attempt));
+    EXPECT_EQ(RT_NOT_RUN, Rt_Decide(&budget, &attempt));
+    EXPECT_EQ(1, budget.tokens);
+    attempt.left = 0;
+    attempt.unreached = 1;
+    EXPECT_EQ(RT_NO_TIME_LEFT, Rt_Why(&budget, &attempt));
+}
+
 TEST(Retry, HedgesOnlyIdempotentWorkWithoutAKey)
 {
     struct rt_budget budget;
     Rt_Init(&budget, 0.05, 2);
-    struct rt_attempt attempt = {RT_SENT, true, false, 1, kSec, 1000};
+    struct rt_attempt attempt = {RT_SENT, true, false, 1, 0, kSec, 1000};
     EXPECT_FALSE(Rt_Hedge(&budget, &attempt, 100, 300));
     EXPECT_TRUE(Rt_Hedge(&budget, &attempt, 300, 300));
     attempt.keyed = true;
--- a/test/refusal_test.cc
+++ b/test/refusal_test.cc
@@ -274,4 +274,35 @@
     EXPECT_GT(scene.Metric(0, "cg_retries_refused_total"), 0);
 }
 
+// Guards against refused connections using up a service's retries: callers
+// whose engine then fails are told "unknown" while others stand idle.
+TEST(Retries, RefusedConnectionsTakeNoRetry)
+{
+    cg::Scene scene;
+    const size_t kDead = 2;
+    const int kCompletions = 300;
+    for (size_t i = 0; i <= kDead; i++) {
+        scene.AddEngine();
+    }
+    scene.PublishDefaults();
+    scene.cluster.AddMany(1);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    for (size_t i = 0; i < kDead; i++) {
+        scene.engines[i]->process().Kill();
+    }
+    int refused = 0;
+    for (int i = 0; i < kCompletions; i++) {
+        std::string prompt = "listed " + std::to_string(i);
+        refused += cg::Http(scene.Complete(0, prompt, 2, false)).code != 200;
+    }
+    EXPECT_EQ(0, refused) << scene.cluster.process(0).Stderr();
+    int cut = 0;
+    for (int i = 0; i < 5; i++) {
+        scene.engines[kDead]->Fault("{\"mode\":\"reset_before\",\"count\":1}");
+        std::string prompt = "cut " + std::to_string(i);
+        cut += cg::Http(scene.Complete(0, prompt, 2, false)).code != 200;
+    }
+    EXPECT_EQ(0, cut) << scene.cluster.process(0).Stderr();
+}
+
 } // namespace
--- a/test/soak.cc
+++ b/test/soak.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
+#include <map>
+#include <sstream>
 #include <string>
 
 #include "test/soak_check.h"
@@ -98,6 +100,40 @@
         config.published, config.lost_races, config.slowest_sec);
 }
 
+// Why attempts were not followed by others, by daemon; with the lines of a
+// broken run, so that its cause can be told.
+void
+PrintRetriesRefused(cg::Scene &scene, const cg::SoakFaults &faults,
+                    bool broken)
+{
+    const size_t kLines = 40;
+    const std::string kReason = " reason=";
+    for (size_t i = 0; i < scene.cluster.Size(); i++) {
+        auto ended = faults.ended_logs.find(i);
+        std::istringstream log(
+            (ended == faults.ended_logs.end() ? "" : ended->second) +
+            scene.cluster.process(i).Stderr());
+        std::map<std::string, long long> reasons;
+        size_t lines = 0;
+        for (std::string line; std::getline(log, line);) {
+            size_t at = line.find(kReason);
+            if (line.find("GT_RETRY_REFUSED") == std::string::npos ||
+                at == std::string::npos) {
+                continue;
+            }
+            at += kReason.size();
+            reasons[line.substr(at, line.find(' ', at) - at)]++;
+            if (broken && lines++ < kLines) {
+                printf("    daemon %zu: %s\n", i, line.c_str());
+            }
+        }
+        for (const auto &[reason, count] : reasons) {
+            printf("retries refused at daemon %zu: %s %lld\n", i,
+                   reason.c_str(), count);
+        }
+    }
+}
+
 } // namespace
 
 int
@@ -136,6 +172,7 @@
     PrintTally(ledger.Calls());
     PrintFaults(faults, config);
     int bad = cg::ReportSoak(cg::CheckSoak(ledger, faults, config));
+    PrintRetriesRefused(scene, faults, bad > 0);
     if (bad > 0) {
         printf("repeat with: make soak SECONDS=%d SEED=%llu\n",
                options.seconds, (unsigned long long)options.seed);
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -303,6 +303,7 @@
 void
 SoakFaults::Revive(size_t daemon)
 {
+    ended_logs[daemon] += scene_.cluster.process(daemon).Stderr();
     scene_.cluster.Restart(daemon);
     Eventually([&] {
         Watch();
--- a/test/soak_faults.h
+++ b/test/soak_faults.h
@@ -44,6 +44,8 @@
     std::set<std::string> reclaimed_requests; // ran when the notice came
     std::set<std::string> late_work;          // begun long after a notice
     std::vector<std::string> bad_stops;
+    // What daemons wrote before they were started again, by daemon.
+    std::map<size_t, std::string> ended_logs;
     long long leavers_watched = 0;
     long long bad_runs = 0;        // of the bad version
     long long bad_runs_late = 0;   // begun long after it was taken back
