Choice: equal endpoints are taken by what is in flight, not by chance alone

Cause: a service with 64 slots predicts 5.0 ms for an idle endpoint and 5.6 ms with seven calls at it, within the 5 ms that count as a tie. Then data centre and price decide, and where they are equal the drawn order does: a coin for each call.

Why it works: behind data centre and price the endpoint with the smaller filled part of its slots wins, and own calls count in that at once.

Ruled out: that only the second endpoint was known; both come in the same host list, before the daemon says it is ready.

--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -292,7 +292,12 @@
     return ST_OK;
 }
 
-/* Whether one is the better choice; near, then cheap, decides a tie. */
+/*
+ * Whether one is the better choice; near, then cheap, then the less filled
+ * decides a tie.  Predictions of a service with many slots are all but equal
+ * until they are taken; drawn by chance alone, calls placed at once can all go
+ * to one endpoint.
+ */
 static bool
 is_better(const struct ch_candidate *one, const struct ch_candidate *other)
 {
@@ -303,7 +308,11 @@
     if (one->endpoint->near != other->endpoint->near) {
         return one->endpoint->near;
     }
-    return one->endpoint->info.price < other->endpoint->info.price;
+    if (one->endpoint->info.price != other->endpoint->info.price) {
+        return one->endpoint->info.price < other->endpoint->info.price;
+    }
+    return one->load * other->endpoint->info.slots <
+           other->load * one->endpoint->info.slots;
 }
 
 /* The better of two candidates drawn at random. */
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -117,6 +117,31 @@
     }
 }
 
+// Guards against calls placed at once that all go to one endpoint while
+// another, just as good, stands idle.
+TEST(Choose, CallsPlacedAtOnceUseEveryIdleEndpoint)
+{
+    const int kCalls = 8;
+    const uint64_t kSeeds = 2000;
+    for (uint64_t seed = 0; seed < kSeeds; seed++) {
+        Table t;
+        t.put("e0", "v1", "a", 1, 64);
+        t.put("e1", "v1", "a", 1, 64);
+        Rn_Seed(&t.random, seed);
+        struct ch_flight flights[kCalls];
+        for (auto &flight : flights) {
+            struct ch_request request = {};
+            ASSERT_EQ(ST_OK,
+                      Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+            Ch_Start(t.table, &flight, t.now);
+        }
+        EXPECT_EQ(kCalls / 2, Ch_InFlight(Ch_Find(t.table, "e0"))) << seed;
+        for (auto &flight : flights) {
+            Ch_End(t.table, &flight, CH_CANCELLED, t.now);
+        }
+    }
+}
+
 TEST(Choose, PrefixStaysAtOneEndpointUntilItIsLoaded)
 {
     Table t;
