Feed: a read waits for a configuration no longer than its bound allows

Cause: the read for the next configuration waited 5 s; a store that falls silent under it was noticed after that and 1.2 s more, the bound is 2 to 3 s, and the three hosts that read wait alike.

The new test asks what the feed asks the store: wait and answer limit together must end before the bound. It fails on 5 s (6.2 s against 2 and 3 s). The bound comes from the settings as the drain bound does; how soon an answer is missed stands with the store's interface, as the feed counts on it.

The same elsewhere: who counts as a reader was believed 6 s after its last answer; it follows the wait now.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -5,14 +5,17 @@
 #include <string.h>
 
 /*
- * Configurations are few and must be in force in two seconds: one read waits
- * for the next.  Entries change with every heartbeat, and a waiting read
+ * Configurations are few: one read waits for the next, for this part of the
+ * time in which it must be in force.  A store that falls silent under a read
+ * is noticed when the read and its answer are overdue; what is left is for
+ * asking again.  Entries change with every heartbeat, and a waiting read
  * would return for each; they are read in rounds, this part of the time in
  * which an endpoint that leaves must be known everywhere: after a round comes
  * a word to the others, a fetch, and one of each again where a host that was
  * to pass it on has frozen.
  */
-#define Fe_CONFIG_WAIT_USEC (5 * Ck_USEC_PER_SEC)
+#define Fe_CONFIG_PARTS 4
+#define Fe_CONFIG_WAIT_USEC (500 * Ck_USEC_PER_MSEC)
 #define Fe_ENTRIES_ROUNDS 5
 #define Fe_ENTRIES_MOST_USEC (600 * Ck_USEC_PER_MSEC)
 #define Fe_ENTRIES_LEAST_USEC (200 * Ck_USEC_PER_MSEC)
@@ -31,8 +34,8 @@
 /* A store that nobody reached so lately was away, and entries have lapsed. */
 #define Fe_DARK_USEC                                                          \
     ((Fe_RETRY_USEC << Fe_RETRY_DOUBLINGS) + 500 * Ck_USEC_PER_MSEC)
-/* A read that waits says nothing meanwhile; a second more is a lost one. */
-#define Fe_CURRENT_USEC (Fe_CONFIG_WAIT_USEC + 1 * Ck_USEC_PER_SEC)
+/* A read that waits says nothing meanwhile; so much more is a lost one. */
+#define Fe_OVERDUE_USEC (1 * Ck_USEC_PER_SEC)
 
 int
 fe_compare(const struct known *a, const struct known *b)
@@ -67,6 +70,13 @@
     return fe_later_of(every, Fe_ENTRIES_LEAST_USEC);
 }
 
+static int64_t
+config_wait(const struct fe_feed *feed)
+{
+    int64_t wait = feed->options.config_apply_usec / Fe_CONFIG_PARTS;
+    return wait > 0 ? wait : Fe_CONFIG_WAIT_USEC;
+}
+
 static struct known *
 find_or_add(struct follow *follow, const char *key)
 {
@@ -347,7 +357,7 @@
         return;
     }
     store->ops->read(store, follow->topic, follow->from,
-                     follow->topic == AG_CONFIG ? Fe_CONFIG_WAIT_USEC : 0,
+                     follow->topic == AG_CONFIG ? config_wait(feed) : 0,
                      on_read, follow);
 }
 
@@ -449,8 +459,8 @@
 {
     const struct follow *follow =
         topic == AG_CONFIG ? &feed->config_follow : &feed->entry_follow;
-    int64_t patience =
-        topic == AG_CONFIG ? Fe_CURRENT_USEC : 2 * Fe_ENTRIES_MOST_USEC;
+    int64_t patience = topic == AG_CONFIG ? config_wait(feed) + Fe_OVERDUE_USEC
+                                          : 2 * Fe_ENTRIES_MOST_USEC;
     return follow->failed_at == 0 && follow->answered_at != 0 &&
            Ck_Now(feed->options.clock) - follow->answered_at < patience;
 }
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -47,6 +47,8 @@
     /* Within this of its word nothing may be sent to an endpoint that leaves;
        0: not known. */
     int64_t drain_usec;
+    /* Within this a configuration must be in force; 0: not known. */
+    int64_t config_apply_usec;
     const struct fe_ops *ops;
     void *arg;
 };
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -363,6 +363,7 @@
         .codec = options->codec,
         .fleet = gate->fleet,
         .drain_usec = options->node->drain_usec,
+        .config_apply_usec = options->node->config_apply_usec,
         .ops = &feed_ops,
         .arg = gate,
     };
--- a/packages/edge/node.c
+++ b/packages/edge/node.c
@@ -85,6 +85,7 @@
         (int64_t)read_number(file, "memory_mb", 256) * Nd_BYTES_PER_MB;
     out->heartbeat_usec = read_msec(file, "heartbeat_ms", 1200);
     out->drain_usec = read_msec(file, "drain_ms", 2000);
+    out->config_apply_usec = read_msec(file, "config_apply_ms", 2000);
     out->grace_usec = read_sec(file, "grace_s", 8);
     out->retry_ratio = read_number(file, "retry_ratio", 0.1);
     out->retry_window_usec = read_sec(file, "retry_window_s", 10);
--- a/packages/edge/node.h
+++ b/packages/edge/node.h
@@ -32,6 +32,7 @@
     int64_t memory_bytes;
     int64_t heartbeat_usec; /* of an endpoint's entry */
     int64_t drain_usec;
+    int64_t config_apply_usec;
     int64_t grace_usec;
     double retry_ratio;
     int64_t retry_window_usec;
--- a/packages/edge/store.h
+++ b/packages/edge/store.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/clock.h"
 #include "edge/config.h"
 #include "edge/fleet.h"
 #include "edge/rollout.h"
@@ -56,6 +57,13 @@
 
 struct ag_store;
 
+/*
+ * A call is answered, or given up by the adapter, within this and the time
+ * that a read waits.  The store answers in a few milliseconds; slowed
+ * sixty-fold, in a quarter of a second.
+ */
+#define Ag_ANSWER_USEC (1200 * Ck_USEC_PER_MSEC)
+
 struct ag_ops {
     /* Records from an offset on; waits for one up to "wait_usec". */
     void (*read)(struct ag_store *store, enum ag_topic topic, int64_t from,
--- a/packages/edge/test/fake_store.h
+++ b/packages/edge/test/fake_store.h
@@ -6,6 +6,7 @@
 #ifndef EDGE_TEST_FAKE_STORE_H
 #define EDGE_TEST_FAKE_STORE_H
 
+#include <algorithm>
 #include <cstring>
 #include <functional>
 #include <map>
@@ -26,10 +27,11 @@
     struct Client {
         struct ag_store base;
         FakeStore *store;
-        bool down = false;      // nothing is done
-        int calls = 0;          // of this daemon
-        bool lose_next = false; // the next append is done, unanswered
-        bool late_next = false; // the next append waits for RunLate()
+        bool down = false;        // nothing is done
+        int calls = 0;            // of this daemon
+        int64_t longest_wait = 0; // of its reads, microseconds
+        bool lose_next = false;   // the next append is done, unanswered
+        bool late_next = false;   // the next append waits for RunLate()
     };
 
     Client *
@@ -145,9 +147,9 @@
     Read(struct ag_store *base, enum ag_topic topic, int64_t from,
          int64_t wait_usec, ag_fn fn, void *arg)
     {
-        (void)wait_usec;
         Client *client = Cast(base);
         client->calls++;
+        client->longest_wait = std::max(client->longest_wait, wait_usec);
         FakeStore *store = client->store;
         if (client->down) {
             store->Fail(fn, arg, AG_UNAVAILABLE);
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -143,7 +143,7 @@
     }
 
     Node
-    Start()
+    Start(int64_t config_apply_usec = 0)
     {
         Node node;
         node.client = store_.AddClient();
@@ -153,6 +153,7 @@
         options.clock = Ck_System();
         options.store = &node.client->base;
         options.codec = &codec;
+        options.config_apply_usec = config_apply_usec;
         options.fleet = node.fleet;
         options.ops = &ops;
         node.feed = Fe_Create(&options);
@@ -397,6 +398,21 @@
     EXPECT_FALSE(Fe_Refresh(node.feed));
 }
 
+// Guards against a dropped key that is served for seconds: a store that falls
+// silent under a waiting read is noticed only when the read is overdue.
+TEST_F(Feed, ASilentReadIsOverdueBeforeAConfigurationMustBeInForce)
+{
+    store_.Put(AG_CONFIG, "config", "1");
+    const int64_t bounds[] = {2 * Ck_USEC_PER_SEC, 3 * Ck_USEC_PER_SEC,
+                              11 * Ck_USEC_PER_SEC};
+    for (int64_t bound : bounds) {
+        Node node = Start(bound);
+        ASSERT_TRUE(Until([&] { return node.client->longest_wait > 0; }));
+        EXPECT_LT(node.client->longest_wait + Ag_ANSWER_USEC, bound);
+        node.client->down = true;
+    }
+}
+
 // An operator's order to move a service is taken for a configuration, or for
 // nothing, and the new version never gets a request.
 TEST_F(Feed, OrdersStandBesideTheConfiguration)
