Feed: what a started host has listed is not taken for old by others

Cause: a host that has just started does not know when the records of its first listing changed and keeps 0 for them. In a pack for a peer that 0 stood as the record's number: the peer dropped the record as older than its own, but took the pack's number, which says that nothing before it is missing. It never asked again. Any host that starts while endpoints leave hides their leaving from those who fetch from it first.

The new test has a listing that tells of a leaving, a pack from it, and a peer that knows the endpoint: it fails on the code before, at the peer and at whoever the peer tells. Why the mend works: the record listed is the newest of its key up to that offset, so its offset is a true number for it; the number of all the host knows is left as it was.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -176,9 +176,11 @@
 }
 
 /*
- * To a daemon that has just started every entry is new.  Its numbers would be
- * those of the last heartbeats, ahead of everybody's; all others would fetch
- * its records, and with its number pass over removals that it never saw.
+ * To a daemon that has just started every entry is new.  Its number would be
+ * that of the last heartbeat, ahead of everybody's; all others would fetch its
+ * records, and with its number pass over removals that it never saw.  When an
+ * entry last changed is not known, only that it was not after the record that
+ * is listed: with an older number others would take it for what they have.
  */
 static bool
 first_listing(const struct follow *follow)
@@ -197,11 +199,13 @@
     }
     known->listed = true;
     if (offset <= known->offset) {
-        return 0;
+        /* A change that a listing, or a peer, showed before its turn. */
+        bool in_turn = offset == known->offset && offset == known->changed;
+        return in_turn ? offset + 1 : 0;
     }
     int64_t news = 0;
     if (first_listing(follow)) {
-        known->changed = 0;
+        known->changed = offset;
     }
     else if (!says_the_same(follow, known, value, len)) {
         known->changed = offset;
--- a/packages/edge/feed_list.c
+++ b/packages/edge/feed_list.c
@@ -63,10 +63,14 @@
     }
     /*
      * The number stands for all that came before it; given before the last
-     * page, those who fetch from here would pass over what that page has.
+     * page, those who fetch from here would pass over what that page has.  A
+     * later page may show a record of after the listing's end; what came
+     * between is still to be read.
      */
-    follow->listing_changed =
-        fe_later_of(follow->listing_changed, fe_take_records(follow, result));
+    int64_t changed = fe_take_records(follow, result);
+    follow->listing_changed = fe_later_of(
+        follow->listing_changed,
+        changed < follow->listing_end ? changed : follow->listing_end);
     if (result->more && result->count > 0) {
         const struct ag_record *last = &result->records[result->count - 1];
         size_t len = last->key_len < sizeof(follow->after) - 1
--- a/packages/edge/test/fake_store.h
+++ b/packages/edge/test/fake_store.h
@@ -28,6 +28,7 @@
         struct ag_store base;
         FakeStore *store;
         bool down = false;        // nothing is done
+        int pages = 0;            // of listings asked for
         int calls = 0;            // of this daemon
         int64_t longest_wait = 0; // of its reads, microseconds
         bool lose_next = false;   // the next append is done, unanswered
@@ -182,6 +183,7 @@
     {
         Client *client = Cast(base);
         client->calls++;
+        client->pages += topic == AG_ENDPOINTS;
         FakeStore *store = client->store;
         if (client->down) {
             store->Fail(fn, arg, AG_UNAVAILABLE);
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -170,6 +170,29 @@
         });
     }
 
+    // Answers until the daemon has asked for so many pages of listings.
+    bool
+    UntilPage(const Node &node, int pages)
+    {
+        return runner_->Until([&] {
+            if (node.client->pages < pages) {
+                store_.AnswerOnce();
+            }
+            return node.client->pages >= pages;
+        });
+    }
+
+    // One fetch of what has changed at a peer.
+    void
+    Fetch(const Node &node, const Node &peer)
+    {
+        char *packed;
+        size_t len = Fe_Pack(peer.feed, INT64_MAX,
+                             Fe_Changed(node.feed, AG_ENDPOINTS), &packed);
+        Fe_Unpack(node.feed, packed, len);
+        free(packed);
+    }
+
     struct lp_loop *loop_ = nullptr;
     Runner *runner_ = nullptr;
     FakeStore store_;
@@ -463,6 +486,99 @@
               Fe_Changed(fresh.feed, AG_ENDPOINTS));
 }
 
+// Guards against requests to an endpoint that leaves: a host that has just
+// started knows of the leaving by its listing, and its word was taken for old.
+TEST_F(Feed, WhatAStartedHostListedIsNewsToOthers)
+{
+    store_.Put(AG_CONFIG, "config", "1");
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    Node old = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(old.fleet, "a") != nullptr; }));
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(old.fleet, "b") != nullptr; }));
+    old.client->down = true;
+    store_.Put(AG_ENDPOINTS, "a", "draining");
+    Node fresh = Start();
+    ASSERT_TRUE(Until([&] { return IsDraining(fresh, "a"); }));
+    store_.Put(AG_ENDPOINTS, "c", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "c") != nullptr; }));
+    int64_t known = Fe_Changed(old.feed, AG_ENDPOINTS);
+    ASSERT_GT(Fe_Changed(fresh.feed, AG_ENDPOINTS), known);
+    char *packed;
+    size_t len = Fe_Pack(fresh.feed, INT64_MAX, known, &packed);
+    Fe_Unpack(old.feed, packed, len);
+    free(packed);
+    EXPECT_TRUE(IsDraining(old, "a"));
+    EXPECT_NE(Fl_Find(old.fleet, "c"), nullptr);
+    // What it brings is passed on whole, and its number is nobody's change.
+    Node far = Start();
+    far.client->down = true;
+    len = Fe_Pack(old.feed, INT64_MAX, known, &packed);
+    Fe_Unpack(far.feed, packed, len);
+    free(packed);
+    EXPECT_TRUE(IsDraining(far, "a"));
+    EXPECT_EQ(Fe_Changed(old.feed, AG_ENDPOINTS),
+              Fe_Changed(fresh.feed, AG_ENDPOINTS));
+}
+
+// Guards against requests to an endpoint that leaves: its record came between
+// two pages of a started host's listing, and was told to nobody.
+TEST_F(Feed, WhatComesBetweenPagesOfAFirstListingIsToldToOthers)
+{
+    store_.page = 1;
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node old = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(old.fleet, "b") != nullptr; }));
+    store_.Put(AG_ENDPOINTS, "a", "draining");
+    ASSERT_TRUE(Until([&] { return IsDraining(old, "a"); }));
+    old.client->down = true;
+    Node fresh = Start();
+    ASSERT_TRUE(UntilPage(fresh, 2));
+    store_.Put(AG_ENDPOINTS, "b", "draining");
+    ASSERT_TRUE(Until([&] { return IsDraining(fresh, "b"); }));
+    store_.Put(AG_ENDPOINTS, "c", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "c") != nullptr; }));
+    Fetch(old, fresh);
+    EXPECT_NE(Fl_Find(old.fleet, "c"), nullptr);
+    EXPECT_TRUE(IsDraining(old, "b"));
+}
+
+// Guards against the same by a host that lists again: a later page showed a
+// newer record than one that the host had yet to read.
+TEST_F(Feed, ARecordOfALaterPageIsNotTheNumberOfTheListing)
+{
+    store_.page = 1;
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node reader = Start();
+    Node node = Start();
+    ASSERT_TRUE(Until([&] {
+        return Fl_Find(reader.fleet, "b") != nullptr &&
+               Fl_Find(node.fleet, "b") != nullptr &&
+               Fe_Changed(node.feed, AG_ENDPOINTS) >= 0;
+    }));
+    node.client->down = true;
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    store_.Forget(AG_ENDPOINTS);
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    ASSERT_TRUE(UntilPage(reader, reader.client->pages + 2));
+    store_.Put(AG_ENDPOINTS, "a", "draining");
+    store_.Put(AG_ENDPOINTS, "b", "draining");
+    ASSERT_TRUE(runner_->Until([&] {
+        if (!IsDraining(reader, "b")) {
+            store_.AnswerOnce();
+        }
+        return IsDraining(reader, "b");
+    }));
+    ASSERT_FALSE(IsDraining(reader, "a"));
+    Fetch(node, reader);
+    ASSERT_TRUE(Until([&] { return IsDraining(reader, "a"); }));
+    Fetch(node, reader);
+    EXPECT_TRUE(IsDraining(node, "a"));
+    EXPECT_TRUE(IsDraining(node, "b"));
+}
+
 // Requests go on reaching an endpoint that has left: the host learned from a
 // daemon that had read the store after a pause and never saw it come or go.
 // What that daemon does not list is gone, and its number says no more.
