Moves: a pause of an engine proves one pause, not its hundred requests

Cause: the sequential test takes first tokens for independent. An engine or host that pauses makes a run of them late together, and the product of likelihoods counted each: one pause proved a hundred requests' worth. Nor was any difference of lateness too small to count, as it is for failures.

Evidence: the model of a move with pauses of 0.2 to 2 s, drawn alike for both versions.

Why it works: however many first tokens a block of ten seconds holds, they count as 50, so that a pause moves the evidence by what a few requests prove; 1% more late ones are allowed.

The first test of a failing version, the trips and the failures' question are unchanged.

--- a/packages/policy/move_judge.c
+++ b/packages/policy/move_judge.c
@@ -23,6 +23,8 @@
 #define TOLERANCE 0.002 /* more failures by less than this are not judged */
 #define FADE 0.97       /* of the old version's history, a block */
 #define SLOW_QUANTILE 0.9
+#define LATE_TOLERANCE 0.01 /* the same of late first tokens */
+#define BLOCK_WORTH 50.0    /* requests that a block proves as much as */
 #define BAD_MIN 3
 #define PRIOR_COUNT 10.0
 #define RECENT_FADE 0.8 /* of the old version's recent share, a block */
@@ -145,7 +147,10 @@
 
 /*
  * Late first tokens: for the old version those above its usual 90 in 100,
- * for the new one those a bucket above that.
+ * for the new one those a bucket above that.  Requests of one block are not
+ * independent: a pause of an engine or host makes a run of them late
+ * together.  However many a block holds, they count as BLOCK_WORTH; counted
+ * singly, a pause on either side would prove what hundreds of requests prove.
  */
 static void
 sample_slow(const struct mv_state_cell *cell, struct sample *out)
@@ -162,7 +167,13 @@
             out->count[side] += seen;
             out->bad[side] += b >= first ? seen : 0;
         }
+        if (out->count[side] > BLOCK_WORTH) {
+            out->bad[side] *= BLOCK_WORTH / out->count[side];
+            out->count[side] = BLOCK_WORTH;
+        }
     }
+    out->bad[MV_OLD] +=
+        LATE_TOLERANCE * (out->count[MV_OLD] - out->bad[MV_OLD]);
 }
 
 static void
--- a/packages/policy/test/move_model.c
+++ b/packages/policy/test/move_model.c
@@ -13,6 +13,9 @@
 #define LOAD_PERIOD (1800 * SEC)
 #define ROUTES 4
 #define CLASSES 2
+#define ENGINES 2 /* of each version */
+#define STALL_LEAST (200 * 1000)
+#define STALL_MOST SEC * 2
 
 struct run {
     const struct move_model *model;
@@ -21,6 +24,7 @@
     struct mv_trip *trips;
     struct mv_cell (*cells)[ROUTES * CLASSES]; /* per router */
     int64_t now;
+    int64_t stalled_until[MV_SIDES][ENGINES];
     struct move_outcome *out;
 };
 
@@ -60,6 +64,31 @@
     return sqrt(-2 * log(u)) * cos(2 * M_PI * Rn_Unit(random));
 }
 
+/* Draws the pauses that begin in this second. */
+static void
+stall(struct run *run)
+{
+    double rate = run->model->stalls_per_min / 60;
+    if (Rn_Unit(&run->random) >= rate) {
+        return;
+    }
+    int side = (int)Rn_Below(&run->random, MV_SIDES);
+    int engine = (int)Rn_Below(&run->random, ENGINES);
+    int64_t lasts = STALL_LEAST +
+                    (int64_t)Rn_Below(&run->random, STALL_MOST - STALL_LEAST);
+    run->stalled_until[side][engine] = run->now + lasts;
+}
+
+/* What is left of the pause of the engine that a request has come to. */
+static int64_t
+stalled(struct run *run, enum mv_side side)
+{
+    int engine = (int)Rn_Below(&run->random, ENGINES);
+    int64_t arrives = run->now + (int64_t)Rn_Below(&run->random, SEC);
+    int64_t left = run->stalled_until[side][engine] - arrives;
+    return left > 0 ? left : 0;
+}
+
 static void
 request(struct run *run, struct mv_move *move)
 {
@@ -81,6 +110,9 @@
         middle *= 2;
     }
     int64_t first = (int64_t)(middle * exp(0.5 * normal(&run->random)));
+    if (run->model->stalls_per_min > 0) {
+        first += stalled(run, side);
+    }
     bool failed = Rn_Unit(&run->random) < failing(run, side, route);
     cell->count[side]++;
     cell->failed[side] += failed;
@@ -148,6 +180,9 @@
         due += per_sec;
         int arrivals = (int)due;
         due -= arrivals;
+        if (model->stalls_per_min > 0) {
+            stall(&run);
+        }
         for (int i = 0; i < arrivals; i++) {
             request(&run, &out->move);
         }
--- a/packages/policy/test/move_model.h
+++ b/packages/policy/test/move_model.h
@@ -32,6 +32,7 @@
     double old_failed; /* share of failures of a good version */
     enum move_fault fault;
     bool without_trip;
+    double stalls_per_min; /* pauses of an engine of one of the versions */
 };
 
 struct move_outcome {
