Version moves by order: answers that one pause made late count as one

What callers saw: the platform's move of a good version is taken back after an endpoint or host paused for a moment.

Cause: late answers were summed with failed ones, each for itself. Four late of ten, all of one pause, were beyond chance.

Mend: what fails and what is late are rows of evidence of their own, the key of a row says which, so the word to peers keeps its form. Failures are judged as before, at every tick. Lateness is taken in windows of 2 s, and a window proves no more than 4 answers, so that a pause proves one.

The slow version of ASlowVersionIsTakenBack is still taken back within the bound of what a bad version may get.

--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -217,8 +217,8 @@
     const struct ro_move *move = Ro_Find(gate->moves, service);
     if (move != NULL) {
         Ro_Answered(gate->moves, service, exchange->route->name,
-                    Ga_IsNext(move, exchange->attempt.endpoint),
-                    failed || exchange->attempt.slow);
+                    Ga_IsNext(move, exchange->attempt.endpoint), failed,
+                    exchange->attempt.slow);
     }
 }
 
--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -28,6 +28,9 @@
    other daemons are some tenths of a second old. */
 #define Ro_EMPTY_USEC (1200 * Ck_USEC_PER_MSEC)
 
+/* A pause of an endpoint or host is over within a window. */
+#define Ro_WINDOW_USEC (2 * Ck_USEC_PER_SEC)
+
 enum { OLD, NEXT };
 
 struct ro_table {
@@ -58,6 +61,19 @@
     return (uint32_t)Hash_String(name, Ro_HASH_SEED);
 }
 
+/* Lateness has keys of its own: a row more to those that know of none. */
+uint32_t
+Ro_RowKey(const char *route, bool late)
+{
+    return (Ro_Hash(route) & ~UINT32_C(1)) | late;
+}
+
+bool
+Ro_IsLate(uint32_t key)
+{
+    return (key & 1) != 0;
+}
+
 const char *
 Ro_StateName(enum ro_state state)
 {
@@ -100,32 +116,33 @@
     return NULL;
 }
 
-static struct ro_route *
-route_of(struct ro_move *move, uint32_t route)
+static struct ro_row *
+row_of(struct ro_move *move, uint32_t key)
 {
-    for (size_t i = 0; i < move->route_count; i++) {
-        if (move->routes[i].route == route) {
-            return &move->routes[i];
+    for (size_t i = 0; i < move->row_count; i++) {
+        if (move->rows[i].key == key) {
+            return &move->rows[i];
         }
     }
-    if (move->route_count == Ro_ROUTES_MAX) {
+    if (move->row_count == Ro_ROWS_MAX) {
         return NULL;
     }
-    struct ro_route *added = &move->routes[move->route_count++];
+    struct ro_row *added = &move->rows[move->row_count++];
     memset(added, 0, sizeof(*added));
-    added->route = route;
+    added->key = key;
     return added;
 }
 
 /* The counts of a route while its service moves; NULL: it does not. */
-static struct ro_route *
-judged_route(struct ro_table *table, const char *service, const char *route)
+static struct ro_row *
+judged_row(struct ro_table *table, const char *service, const char *route,
+           bool late)
 {
     struct ro_move *move = Ro_Find(table, service);
     if (move == NULL || move->state != RO_RUNNING) {
         return NULL;
     }
-    return route_of(move, Ro_Hash(route));
+    return row_of(move, Ro_RowKey(route, late));
 }
 
 static void
@@ -176,6 +193,7 @@
     move->order = *order;
     move->hash = Ro_Hash(order->service);
     move->seen_at = Ck_Now(table->clock);
+    move->window_at = move->seen_at;
     Ln_Log(LN_STATE, "move.ordered",
            "\"service\":\"%s\",\"target\":\"%s\",\"order\":%lld,"
            "\"seconds\":%lld",
@@ -187,7 +205,7 @@
 Ro_First(struct ro_table *table, const char *service, const char *route,
          bool next, int64_t usec)
 {
-    struct ro_route *row = judged_route(table, service, route);
+    struct ro_row *row = judged_row(table, service, route, true);
     if (row == NULL) {
         return false;
     }
@@ -200,23 +218,29 @@
     return slow;
 }
 
-void
-Ro_Answered(struct ro_table *table, const char *service, const char *route,
-            bool next, bool bad)
+static void
+count_answer(struct ro_row *row, bool next, bool bad)
 {
-    struct ro_route *row = judged_route(table, service, route);
     if (row != NULL) {
         row->own[next ? NEXT : OLD].answers++;
         row->own[next ? NEXT : OLD].bad += bad;
     }
 }
 
+void
+Ro_Answered(struct ro_table *table, const char *service, const char *route,
+            bool next, bool failed, bool late)
+{
+    count_answer(judged_row(table, service, route, false), next, failed);
+    count_answer(judged_row(table, service, route, true), next, late);
+}
+
 void
 Ro_ClearOthers(struct ro_table *table)
 {
     for (size_t i = 0; i < table->count; i++) {
-        for (size_t j = 0; j < table->moves[i].route_count; j++) {
-            struct ro_route *row = &table->moves[i].routes[j];
+        for (size_t j = 0; j < table->moves[i].row_count; j++) {
+            struct ro_row *row = &table->moves[i].rows[j];
             memset(row->others, 0, sizeof(row->others));
         }
     }
@@ -236,8 +260,7 @@
     for (size_t i = 0; i < count; i++) {
         struct ro_move *move =
             find_hash(table, rows[i].service, rows[i].order);
-        struct ro_route *row =
-            move == NULL ? NULL : route_of(move, rows[i].route);
+        struct ro_row *row = move == NULL ? NULL : row_of(move, rows[i].route);
         if (row != NULL) {
             add(&row->others[OLD], &rows[i].old);
             add(&row->others[NEXT], &rows[i].next);
@@ -261,7 +284,7 @@
 }
 
 static void
-sum_route(const struct ro_route *row, struct ro_count sums[2])
+sum_row(const struct ro_row *row, struct ro_count sums[2])
 {
     for (int version = OLD; version <= NEXT; version++) {
         add(&sums[version], &row->own[version]);
@@ -286,13 +309,16 @@
  * together, for one that is rare on each.
  */
 static void
-judge(struct ro_move *move)
+judge_failures(struct ro_move *move)
 {
     struct ro_count all[2] = {{0, 0}, {0, 0}};
-    for (size_t i = 0; i < move->route_count; i++) {
+    for (size_t i = 0; i < move->row_count; i++) {
+        if (Ro_IsLate(move->rows[i].key)) {
+            continue;
+        }
         struct ro_count sums[2] = {{0, 0}, {0, 0}};
-        sum_route(&move->routes[i], sums);
-        sum_route(&move->routes[i], all);
+        sum_row(&move->rows[i], sums);
+        sum_row(&move->rows[i], all);
         if (Ro_IsWorse(&sums[OLD], &sums[NEXT])) {
             trip(move, sums);
             return;
@@ -303,12 +329,51 @@
     }
 }
 
+static void
+add_weight(struct ro_weight *to, const struct ro_weight *more)
+{
+    to->answers += more->answers;
+    to->bad += more->bad;
+}
+
+/* The same of what is late, at the end of a window. */
+static void
+judge_lateness(struct ro_move *move)
+{
+    struct ro_count all[2] = {{0, 0}, {0, 0}};
+    struct ro_weight judged[2] = {{0, 0}, {0, 0}};
+    bool later = false;
+    for (size_t i = 0; i < move->row_count; i++) {
+        struct ro_row *row = &move->rows[i];
+        if (!Ro_IsLate(row->key)) {
+            continue;
+        }
+        struct ro_count sums[2] = {{0, 0}, {0, 0}};
+        sum_row(row, sums);
+        sum_row(row, all);
+        Ro_CloseWindow(&row->late, sums);
+        add_weight(&judged[OLD], &row->late.judged[OLD]);
+        add_weight(&judged[NEXT], &row->late.judged[NEXT]);
+        later |= Ro_IsLater(&row->late.judged[OLD], &row->late.judged[NEXT]);
+    }
+    if (later || Ro_IsLater(&judged[OLD], &judged[NEXT])) {
+        trip(move, all);
+    }
+}
+
 void
 Ro_Tick(struct ro_table *table)
 {
+    int64_t now = Ck_Now(table->clock);
     for (size_t i = 0; i < table->count; i++) {
-        if (table->moves[i].state == RO_RUNNING) {
-            judge(&table->moves[i]);
+        struct ro_move *move = &table->moves[i];
+        if (move->state != RO_RUNNING) {
+            continue;
+        }
+        judge_failures(move);
+        if (now - move->window_at >= Ro_WINDOW_USEC) {
+            move->window_at = now;
+            judge_lateness(move);
         }
     }
 }
@@ -317,8 +382,10 @@
 answers_of(const struct ro_move *move)
 {
     struct ro_count all[2] = {{0, 0}, {0, 0}};
-    for (size_t i = 0; i < move->route_count; i++) {
-        sum_route(&move->routes[i], all);
+    for (size_t i = 0; i < move->row_count; i++) {
+        if (!Ro_IsLate(move->rows[i].key)) {
+            sum_row(&move->rows[i], all);
+        }
     }
     return all[NEXT].answers;
 }
@@ -409,11 +476,11 @@
         if (move->state != RO_RUNNING) {
             continue;
         }
-        for (size_t j = 0; j < move->route_count && count < size; j++) {
-            const struct ro_route *row = &move->routes[j];
+        for (size_t j = 0; j < move->row_count && count < size; j++) {
+            const struct ro_row *row = &move->rows[j];
             out[count++] = (struct ro_evidence){
                 .service = move->hash,
-                .route = row->route,
+                .route = row->key,
                 .order = move->order.number,
                 .old = row->own[OLD],
                 .next = row->own[NEXT],
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -26,7 +26,8 @@
 
 #define Ro_MOVES_MAX 16
 #define Ro_ROUTES_MAX 16
-#define Ro_ALL 1000 /* a share, in thousandths */
+#define Ro_ROWS_MAX (2 * Ro_ROUTES_MAX) /* failures and lateness of each */
+#define Ro_ALL 1000                     /* a share, in thousandths */
 
 /* Ordered by finality: a later one replaces an earlier one, never back. */
 enum ro_state {
@@ -45,13 +46,16 @@
 
 struct ro_count {
     uint32_t answers;
-    uint32_t bad; /* failed, or took several times as long as usual */
+    uint32_t bad; /* failed, or late: several times as long as usual */
 };
 
-/* Answers of both versions on a route, counted by one daemon. */
+/*
+ * Answers of both versions on a route, counted by one daemon: how many of
+ * them failed, or how many were late.
+ */
 struct ro_evidence {
     uint32_t service; /* hashes of the names */
-    uint32_t route;
+    uint32_t route;   /* with what is counted, see Ro_RowKey() */
     int64_t order;
     struct ro_count old;
     struct ro_count next;
@@ -73,11 +77,25 @@
     RO_NEXT_FIRST /* the new version, others when it has no room */
 };
 
-struct ro_route {
-    uint32_t route;
+/* Answers as they are judged: those of one pause are one. */
+struct ro_weight {
+    double answers;
+    double bad;
+};
+
+/* What was late of both versions, taken in a window at a time. */
+struct ro_late {
+    struct ro_count seen[2]; /* up to the last window */
+    struct ro_weight judged[2];
+};
+
+/* A row of evidence: a route's failures, or what was late on it. */
+struct ro_row {
+    uint32_t key;
     double usual_usec; /* first byte from the old version, here */
     struct ro_count own[2];
     struct ro_count others[2];
+    struct ro_late late;
 };
 
 struct ro_move {
@@ -86,10 +104,11 @@
     enum ro_state state;
     int share;
     int64_t seen_at;
-    int64_t all_at;   /* since when all requests go to the new version */
-    int64_t empty_at; /* since when nothing runs at the old one */
-    size_t route_count;
-    struct ro_route routes[Ro_ROUTES_MAX];
+    int64_t all_at;    /* since when all requests go to the new version */
+    int64_t empty_at;  /* since when nothing runs at the old one */
+    int64_t window_at; /* when the window of what is late began */
+    size_t row_count;
+    struct ro_row rows[Ro_ROWS_MAX];
 };
 
 struct ro_table;
@@ -100,11 +119,14 @@
 
 /* Changes. */
 void Ro_Order(struct ro_table *table, const struct ro_order *order);
+uint32_t Ro_RowKey(const char *route, bool late);
+bool Ro_IsLate(uint32_t key);
+
 /* A first byte came; true when it took several times as long as usual. */
 bool Ro_First(struct ro_table *table, const char *service, const char *route,
               bool next, int64_t usec);
 void Ro_Answered(struct ro_table *table, const char *service,
-                 const char *route, bool next, bool bad);
+                 const char *route, bool next, bool failed, bool late);
 void Ro_ClearOthers(struct ro_table *table);
 void Ro_AddOthers(struct ro_table *table, const struct ro_evidence *rows,
                   size_t count);
@@ -138,6 +160,9 @@
 
 /* Whether the new version is worse beyond chance. */
 bool Ro_IsWorse(const struct ro_count *old, const struct ro_count *next);
+/* Takes in what has come since the last window. */
+void Ro_CloseWindow(struct ro_late *late, const struct ro_count sums[2]);
+bool Ro_IsLater(const struct ro_weight *old, const struct ro_weight *next);
 
 #ifdef __cplusplus
 }
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -16,6 +16,11 @@
  * prompts kept at first.
  */
 #define Ro_DIFFERENCE_LEAST 0.1
+/*
+ * The answers of a window prove no more than so many.  A pause of an endpoint
+ * makes a run of them late; counted singly, one pause takes a move back.
+ */
+#define Ro_WINDOW_WORTH 4.0
 
 /* How surprising the new share is where the old one is the truth. */
 static double
@@ -33,14 +38,48 @@
  * so that no failure among few answers is no proof of perfection.
  */
 bool
-Ro_IsWorse(const struct ro_count *old, const struct ro_count *next)
+Ro_IsLater(const struct ro_weight *old, const struct ro_weight *next)
 {
     if (next->bad < Ro_BAD_LEAST) {
         return false;
     }
-    double old_share = ((double)old->bad + 1) / ((double)old->answers + 2);
-    double next_share = (double)next->bad / (double)next->answers;
+    double old_share = (old->bad + 1) / (old->answers + 2);
+    double next_share = next->bad / next->answers;
     return next_share - old_share >= Ro_DIFFERENCE_LEAST &&
-           (double)next->answers * divergence(next_share, old_share) >
-               Ro_EVIDENCE;
+           next->answers * divergence(next_share, old_share) > Ro_EVIDENCE;
+}
+
+static struct ro_weight
+whole(const struct ro_count *count)
+{
+    return (struct ro_weight){count->answers, count->bad};
+}
+
+bool
+Ro_IsWorse(const struct ro_count *old, const struct ro_count *next)
+{
+    struct ro_weight weights[2] = {whole(old), whole(next)};
+    return Ro_IsLater(&weights[0], &weights[1]);
+}
+
+/* The counts of a peer that is no longer heard are missing from the sums. */
+static double
+grown(uint32_t now, uint32_t before)
+{
+    return now > before ? now - before : 0;
+}
+
+void
+Ro_CloseWindow(struct ro_late *late, const struct ro_count sums[2])
+{
+    for (int version = 0; version < 2; version++) {
+        struct ro_count *seen = &late->seen[version];
+        double answers = grown(sums[version].answers, seen->answers);
+        double bad = fmin(grown(sums[version].bad, seen->bad), answers);
+        double worth =
+            answers > Ro_WINDOW_WORTH ? Ro_WINDOW_WORTH / answers : 1;
+        late->judged[version].answers += answers * worth;
+        late->judged[version].bad += bad * worth;
+        *seen = sums[version];
+    }
 }
--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -59,8 +59,34 @@
         bool is_bad = next && (!bad_route_ || strcmp(route, bad_route_) == 0);
         bool failed = unit_(random_) < (is_bad ? fails_ : usual_fails_);
         int64_t usec = is_bad && unit_(random_) < slow_ ? 500000 : 40000;
+        usec += PauseLeft(next);
         bool slow = Ro_First(table, "llm", route, next, usec);
-        Ro_Answered(table, "llm", route, next, failed || slow);
+        Ro_Answered(table, "llm", route, next, failed, slow);
+    }
+
+    // What is left of the pause of the endpoint that a request has come to.
+    int64_t
+    PauseLeft(bool next)
+    {
+        size_t endpoint = static_cast<size_t>(unit_(random_) * kEndpoints);
+        int64_t left = paused_until_[next][endpoint] - Ck_Now(&clock_.clock);
+        return left > 0 ? left : 0;
+    }
+
+    // Draws the pauses of this tick, alike for both versions.
+    void
+    Pause()
+    {
+        for (auto &version : paused_until_) {
+            for (auto &until : version) {
+                if (unit_(random_) <
+                    pauses_per_min_ / 600 / (2 * kEndpoints)) {
+                    until = Ck_Now(&clock_.clock) +
+                            static_cast<int64_t>((0.2 + 1.8 * unit_(random_)) *
+                                                 Ck_USEC_PER_SEC);
+                }
+            }
+        }
     }
 
     void
@@ -68,8 +94,8 @@
     {
         std::vector<std::vector<struct ro_evidence>> rows(tables_.size());
         for (size_t i = 0; i < tables_.size(); i++) {
-            rows[i].resize(Ro_ROUTES_MAX);
-            rows[i].resize(Ro_Own(tables_[i], rows[i].data(), Ro_ROUTES_MAX));
+            rows[i].resize(Ro_ROWS_MAX);
+            rows[i].resize(Ro_Own(tables_[i], rows[i].data(), Ro_ROWS_MAX));
         }
         for (size_t i = 0; i < tables_.size(); i++) {
             Ro_ClearOthers(tables_[i]);
@@ -91,6 +117,7 @@
     {
         for (int64_t passed = 0; passed < seconds * Ck_USEC_PER_SEC;
              passed += kTickUsec) {
+            Pause();
             for (int i = 0; i < per_tick; i++) {
                 Request(tables_[static_cast<size_t>(i) % tables_.size()], i);
             }
@@ -122,6 +149,9 @@
     double usual_fails_ = 0.02;
     double fails_ = 0.02;
     double slow_ = 0;
+    double pauses_per_min_ = 0;
+    static const size_t kEndpoints = 3; // of each version
+    int64_t paused_until_[2][kEndpoints] = {};
     const char *bad_route_ = nullptr;
     int requests_ = 0;
     int exposed_ = 0;
@@ -203,6 +233,27 @@
     }
 }
 
+// Guards against a good version taken back since endpoints of either version
+// paused for a moment: the answers of one pause are late together.
+TEST_F(Move, PausesOfEndpointsTakeNoGoodVersionBack)
+{
+    const int kMoves = 100;
+    const int kMost = 1;
+    pauses_per_min_ = 12;
+    for (int per_tick : {4, 11, 40}) {
+        int back = 0;
+        for (int i = 0; i < kMoves; i++) {
+            memset(paused_until_, 0, sizeof(paused_until_));
+            Start(7, 12);
+            Run(12, per_tick);
+            back += At(0)->state == RO_ROLLED_BACK;
+            TearDown();
+            tables_.clear();
+        }
+        EXPECT_LE(back, kMost) << per_tick;
+    }
+}
+
 // Answers are cut: the old endpoints are stopped without draining as soon as
 // the move is said to be done, and streams still ran there.
 TEST_F(Move, IsNotDoneWhileTheOldEndpointsWork)
