--- a/packages/policy/test/move_model.c
+++ b/packages/policy/test/move_model.c
@@ -15,7 +15,7 @@
 #define CLASSES 2
 #define ENGINES 2 /* of each version */
 #define STALL_LEAST (200 * 1000)
-#define STALL_MOST SEC * 2
+#define STALL_MOST (2 * SEC)
 
 struct run {
     const struct move_model *model;
