Moves: one failure of the old version does not excuse a bad new one

Cause: a router stops sending to a new version that fails, unless the old one fails too. What the old one's case excuses was reckoned from its successes in a row (old_good), which each outcome of the new version sets to 0, in place of those since the evidence was last void (old_well), which was counted and never read. With one failure of the old version in that time everything was excused. In a small share one daemon sends up to every other request to the new version; each failed there, took a retry, and when the fifty were spent the next callers were told 502.

The new test: 1,000 failures of the new version between good answers of the old one, after one bad one, trip nothing on the code before; now at most 15 do, the bound that stood for a router that sees no old version.

--- a/packages/policy/move_trip.c
+++ b/packages/policy/move_trip.c
@@ -33,7 +33,7 @@
     double usual = fmax(GOOD_BAD_SHARE, 2 * trip->old_bad);
     if (trip->old_failed > 0) {
         double here =
-            (double)trip->old_failed / (trip->old_failed + trip->old_good);
+            (double)trip->old_failed / (trip->old_failed + trip->old_well);
         usual = fmax(usual, 2 * here);
     }
     return usual;
--- a/packages/policy/test/move_test.cc
+++ b/packages/policy/test/move_test.cc
@@ -119,6 +119,29 @@
     EXPECT_LE(failures, 15);
 }
 
+// Guards against a router that goes on sending to a version that fails every
+// request, since the old version failed one of its own before.
+TEST(Move, OneFailureOfTheOldVersionDoesNotBlindARouter)
+{
+    const int kMost = 15;
+    for (int good_between : {1, 2, 5}) {
+        struct mv_trip trip;
+        Mv_TripInit(&trip);
+        for (int i = 0; i < 100; i++) {
+            EXPECT_FALSE(Mv_TripNote(&trip, MV_OLD, MV_GOOD));
+        }
+        EXPECT_FALSE(Mv_TripNote(&trip, MV_OLD, MV_FAILED));
+        int failures = 1;
+        while (failures < 1000 && !Mv_TripNote(&trip, MV_NEW, MV_FAILED)) {
+            failures++;
+            for (int i = 0; i < good_between; i++) {
+                Mv_TripNote(&trip, MV_OLD, MV_GOOD);
+            }
+        }
+        EXPECT_LE(failures, kMost) << good_between;
+    }
+}
+
 /*
  * A good version is given up because the database behind both versions was
  * away for a minute.
