Feed: what a peer tells is not what the store has listed

And live endpoints are dropped.

Cause: a host that starts reads a listing, page by page, and fetches from peers meanwhile. Both set the same mark. What a peer told counted as listed, so what had gone from the store but was still known to that peer stayed for good, with a number that says all is known. And a pack wiped the marks of the pages read before it: at the listing's end live endpoints were taken for gone until their next change.

Why it works: the listing and the pack have marks of their own.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -197,7 +197,6 @@
     if (known == NULL) {
         return 0;
     }
-    known->listed = true;
     if (offset <= known->offset) {
         /* A change that a listing, or a peer, showed before its turn. */
         bool in_turn = offset == known->offset && offset == known->changed;
@@ -250,6 +249,10 @@
         key[record->key_len] = '\0';
         news = fe_later_of(news, fe_take(follow, key, record->offset,
                                          record->value, record->len));
+        struct known *known = fe_find(follow, key);
+        if (known != NULL) {
+            known->listed = true;
+        }
     }
     return news;
 }
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -23,7 +23,8 @@
     int64_t changed; /* offset of the last record that said something new */
     char *value;     /* NULL: removed */
     size_t len;
-    bool listed;
+    bool listed; /* by the listing that is being read */
+    bool told;   /* by the pack that is being taken in */
 };
 
 RB_HEAD(known_tree, known);
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -94,6 +94,10 @@
     bool has = part[2].type == MSGPACK_OBJECT_BIN;
     fe_take(follow, key, offset, has ? part[2].via.bin.ptr : NULL,
             has ? part[2].via.bin.size : 0);
+    struct known *taken = fe_find(follow, key);
+    if (taken != NULL) {
+        taken->told = true;
+    }
 }
 
 static int64_t
@@ -110,7 +114,7 @@
 {
     struct known *known;
     RB_FOREACH (known, known_tree, &follow->known) {
-        if (known->listed || known->value == NULL || known->offset >= before ||
+        if (known->told || known->value == NULL || known->offset >= before ||
             follow->topic != AG_ENDPOINTS) {
             continue;
         }
@@ -135,7 +139,7 @@
     }
     struct known *known;
     RB_FOREACH (known, known_tree, &follow->known) {
-        known->listed = false;
+        known->told = false;
     }
     for (size_t i = 0; i < records->via.array.size; i++) {
         unpack_record(follow, &records->via.array.ptr[i]);
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -579,6 +579,60 @@
     EXPECT_TRUE(IsDraining(node, "b"));
 }
 
+// Guards against requests to an endpoint that has gone: a peer that had not
+// heard of that told of it while this host was listing.
+TEST_F(Feed, AListingIsNotFilledUpByAPeer)
+{
+    store_.page = 1;
+    for (const char *id : {"a", "b", "c"}) {
+        store_.Put(AG_ENDPOINTS, id, "ready");
+    }
+    Node peer = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(peer.fleet, "c") != nullptr; }));
+    store_.Put(AG_ENDPOINTS, "d", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(peer.fleet, "d") != nullptr; }));
+    peer.client->down = true;
+    store_.Remove(AG_ENDPOINTS, "a");
+    Node fresh = Start();
+    ASSERT_TRUE(UntilPage(fresh, 2));
+    Fetch(fresh, peer);
+    ASSERT_NE(Fl_Find(fresh.fleet, "a"), nullptr);
+    store_.Put(AG_ENDPOINTS, "e", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "e") != nullptr; }));
+    EXPECT_EQ(Fl_Find(fresh.fleet, "a"), nullptr);
+    EXPECT_NE(Fl_Find(fresh.fleet, "b"), nullptr);
+}
+
+// Guards against a live endpoint that is taken for gone: what a peer tells
+// between two pages is not all that was listed before.
+TEST_F(Feed, APeersWordForgetsNoPageOfAListing)
+{
+    store_.page = 1;
+    for (const char *id : {"a", "b", "c"}) {
+        store_.Put(AG_ENDPOINTS, id, "ready");
+    }
+    Node reader = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(reader.fleet, "c") != nullptr; }));
+    Node peer = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(peer.fleet, "c") != nullptr; }));
+    store_.Put(AG_ENDPOINTS, "d", "ready");
+    ASSERT_TRUE(Until([&] {
+        return Fl_Find(reader.fleet, "d") != nullptr &&
+               Fl_Find(peer.fleet, "d") != nullptr;
+    }));
+    reader.client->down = true;
+    store_.Put(AG_ENDPOINTS, "c", "draining");
+    ASSERT_TRUE(Until([&] { return IsDraining(peer, "c"); }));
+    store_.Forget(AG_ENDPOINTS);
+    reader.client->down = false;
+    ASSERT_TRUE(UntilPage(reader, reader.client->pages + 2));
+    Fetch(reader, peer);
+    ASSERT_TRUE(Until([&] { return IsDraining(reader, "c"); }));
+    store_.Put(AG_ENDPOINTS, "e", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(reader.fleet, "e") != nullptr; }));
+    EXPECT_NE(Fl_Find(reader.fleet, "a"), nullptr);
+}
+
 // Requests go on reaching an endpoint that has left: the host learned from a
 // daemon that had read the store after a pause and never saw it come or go.
 // What that daemon does not list is gone, and its number says no more.
