Host list: a read under way ends with the daemon

What was seen: a daemon that has stopped in order, nothing cut, ends by SIGSEGV (soak_short, "a planned stop cuts off nothing", 2 of 14 runs beside load; once before, with the status not recorded), and exit status 1 under the sanitizers (refusal_test, the last line of AnEndpointUnlistedInMidCall, 4 of 100 and 4 of 64 runs).

Cause: the adapter of the host list kept no hold of its calls. One under way at the end was completed as the loop closed its connection, after the watch that waits for it was freed.

Evidence: the sanitizer's reports of four runs (ASAN_OPTIONS=log_path), all of them heap-use-after-free in list_done, freed by Hw_Destroy.

Every other user of calls keeps and cancels them.

--- a/packages/platform/hostlist.c
+++ b/packages/platform/hostlist.c
@@ -1,16 +1,22 @@
 #include "platform/hostlist.h"
 
 #include <bsd/string.h>
+#include <bsd/sys/queue.h>
 #include <stdlib.h>
 #include <string.h>
 
+struct fetch;
+
 struct http_list {
     struct hl_list base;
     struct lp_loop *loop;
     struct jc_target target;
+    LIST_HEAD(fetches, fetch) fetches;
 };
 
 struct fetch {
+    LIST_ENTRY(fetch) link;
+    struct jc_call *call;
     void (*done)(void *arg, enum st_status status, const struct hl_host *hosts,
                  size_t count);
     void *arg;
@@ -101,6 +107,7 @@
             status = St_Fail(ST_NO_MEMORY, "no memory for the host list");
         }
     }
+    LIST_REMOVE(fetch, link);
     fetch->done(fetch->arg, status, hosts, count);
     free(hosts);
     free(fetch);
@@ -121,17 +128,27 @@
     fetch->arg = arg;
     enum st_status status =
         Jc_Start(http->loop, &http->target, "GET", "/hosts/v1", NULL,
-                 timeout_usec, fetch_done, fetch, NULL);
+                 timeout_usec, fetch_done, fetch, &fetch->call);
     if (status != ST_OK) {
         free(fetch);
+        return status;
     }
-    return status;
+    LIST_INSERT_HEAD(&http->fetches, fetch, link);
+    return ST_OK;
 }
 
+/* Fetches under way are given up: whoever waits for them is going too. */
 static void
 http_destroy(struct hl_list *list)
 {
-    free(list);
+    struct http_list *http = (struct http_list *)list;
+    struct fetch *fetch;
+    while ((fetch = LIST_FIRST(&http->fetches)) != NULL) {
+        LIST_REMOVE(fetch, link);
+        Jc_Cancel(fetch->call);
+        free(fetch);
+    }
+    free(http);
 }
 
 static const struct hl_ops http_ops = {
@@ -151,6 +168,7 @@
     http->base.ops = &http_ops;
     http->loop = loop;
     http->target = *target;
+    LIST_INIT(&http->fetches);
     *out = &http->base;
     return ST_OK;
 }
