Known red: a limit over daemons that do not know each other yet

The case prints the daemons' logs when it fails; check and bound are as they were. Both failures that have logs: the first daemon has the configuration in force 80 and 160 ms before it knows of the third one, divides by two, and the three together take 3 + 2 + 2 places. Not mended: words would have to tell by how many their daemon divides.

The other hypothesis, two daemons that raise into the same free places, is ruled out on the decision: 40 seeds of restless demands and words up to 1.3 s late, no sum over the limit.

--- a/packages/policy/test/admit_test.cc
+++ b/packages/policy/test/admit_test.cc
@@ -235,6 +235,34 @@
     }
 }
 
+// Guards against two daemons that take the same free places at once: a
+// customer has seven requests running where six are allowed.
+TEST(Admit, PlacesThatAreFreeAreTakenOnce)
+{
+    const int kLimit = 6;
+    const int kSteps = 200;
+    const uint64_t kSeeds = 40;
+    const int64_t delays[] = {50000, 700000, 1300000};
+    for (uint64_t seed = 1; seed <= kSeeds; seed++) {
+        struct rn_random random;
+        Rn_Seed(&random, seed);
+        Fleet f(3, 0, kLimit);
+        std::vector<int> arrivals(3, 0);
+        int most = 0;
+        for (int i = 0; i < kSteps; i++) {
+            for (auto &n : arrivals) {
+                if (Rn_Below(&random, 6) == 0) {
+                    n = Rn_Below(&random, 2) == 0 ? 10 : 0;
+                }
+            }
+            f.delay = delays[Rn_Below(&random, 3)];
+            f.step(arrivals);
+            most = std::max(most, f.sum_places());
+        }
+        EXPECT_LE(most, kLimit) << "seed " << seed;
+    }
+}
+
 /* The same once they have heard of it: it gets what they can spare. */
 TEST(Admit, PlacesMoveToWhereTheyAreWanted)
 {
--- a/test/limits_test.cc
+++ b/test/limits_test.cc
@@ -138,7 +138,11 @@
         }
         EXPECT_GT(admitted, 0);
     }
-    EXPECT_LE(MostAtOnce(scene.plains[0]->Runs()), kAtOnce);
+    std::string logs;
+    for (size_t i = 0; i < kDaemons; i++) {
+        logs += scene.cluster.process(i).Stderr();
+    }
+    EXPECT_LE(MostAtOnce(scene.plains[0]->Runs()), kAtOnce) << logs;
 }
 
 } // namespace
