Feed: a removal and a listing keep their numbers from host to host

Cause, two of a kind. What a peer's whole word lacks is removed, but the removal kept the number of the old record; the next host dropped it as old and took the endpoint for told. And a peer's listing, however old, took the place of the newer one that a host had read itself: it then told others only what had changed since the older one.

Why it works: a removal seen by what is missing gets the last number that the listing stands for; a base never goes back.

--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -120,6 +120,8 @@
         }
         free(known->value);
         known->value = NULL;
+        known->offset = before - 1;
+        known->changed = known->offset;
         Fl_Remove(follow->feed->options.fleet, known->key);
     }
 }
@@ -144,7 +146,8 @@
     for (size_t i = 0; i < records->via.array.size; i++) {
         unpack_record(follow, &records->via.array.ptr[i]);
     }
-    if (full && had < base) {
+    /* A listing read here since then is newer, and stands for more. */
+    if (full && had < base && follow->base < base) {
         remove_unlisted(follow, base);
         follow->base = base;
     }
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -9,67 +9,10 @@
 
 #include "../../member/test/loop_util.h"
 #include "fake_store.h"
+#include "feed_codec.h"
 
 namespace {
 
-// Configurations of the test are a version in digits, entries "draining" or
-// anything else.
-struct ec_config *
-DecodeConfig(const void *data, size_t len)
-{
-    struct ec_config *config = Ec_Create();
-    config->version =
-        strtoll(std::string(static_cast<const char *>(data), len).c_str(),
-                nullptr, 10);
-    return config;
-}
-
-bool
-IsConfig(const char *key, size_t key_len)
-{
-    return std::string(key, key_len) == "config";
-}
-
-bool
-DecodeEntry(const char *key, size_t key_len, const void *data, size_t len,
-            struct fl_entry *out)
-{
-    *out = {};
-    std::string text(static_cast<const char *>(data), len);
-    if (text == "rubbish") {
-        return false;
-    }
-    snprintf(out->id, sizeof(out->id), "%.*s", static_cast<int>(key_len), key);
-    snprintf(out->service, sizeof(out->service), "llm");
-    snprintf(out->address, sizeof(out->address), "127.0.0.1:1");
-    out->slots = 4;
-    out->draining = text == "draining";
-    return true;
-}
-
-bool
-DecodeOrder(const char *key, size_t key_len, const void *data, size_t len,
-            struct ro_order *out)
-{
-    *out = {};
-    snprintf(out->service, sizeof(out->service), "%.*s",
-             static_cast<int>(key_len), key);
-    snprintf(out->target, sizeof(out->target), "%.*s", static_cast<int>(len),
-             static_cast<const char *>(data));
-    return std::string(key, key_len) != "other";
-}
-
-bool
-TellMove(const struct ro_move *move, struct ag_told *out)
-{
-    (void)move;
-    (void)out;
-    return false;
-}
-
-const struct ag_codec codec = {DecodeConfig, IsConfig, DecodeOrder, TellMove,
-                               DecodeEntry};
-
 std::vector<struct ro_order> orders_seen;
 
 void
@@ -579,6 +522,59 @@
     EXPECT_TRUE(IsDraining(node, "b"));
 }
 
+// Guards against requests to an endpoint that has gone: what a host saw
+// missing from a peer's whole word it passed on as an old removal.
+TEST_F(Feed, WhatAPackLacksIsPassedOnAsRemoved)
+{
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node reader = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(reader.fleet, "b") != nullptr; }));
+    Node near = Start();
+    Node far = Start();
+    near.client->down = far.client->down = true;
+    Fetch(near, reader);
+    Fetch(far, reader);
+    ASSERT_NE(Fl_Find(far.fleet, "a"), nullptr);
+    reader.client->down = true;
+    store_.Remove(AG_ENDPOINTS, "a");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    store_.Forget(AG_ENDPOINTS);
+    Node fresh = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "b") != nullptr; }));
+    store_.Put(AG_ENDPOINTS, "c", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "c") != nullptr; }));
+    Fetch(near, fresh);
+    ASSERT_EQ(Fl_Find(near.fleet, "a"), nullptr);
+    Fetch(far, near);
+    EXPECT_NE(Fl_Find(far.fleet, "c"), nullptr);
+    EXPECT_EQ(Fl_Find(far.fleet, "a"), nullptr);
+}
+
+// Guards against requests to an endpoint that has gone: a host that had just
+// listed the store fetched from one that had listed it long before.
+TEST_F(Feed, AnOlderListingOfAPeerReplacesNoNewerOne)
+{
+    store_.Put(AG_ENDPOINTS, "a", "ready");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node peer = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(peer.fleet, "b") != nullptr; }));
+    store_.Put(AG_ENDPOINTS, "c", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(peer.fleet, "c") != nullptr; }));
+    peer.client->down = true;
+    store_.Remove(AG_ENDPOINTS, "a");
+    store_.Put(AG_ENDPOINTS, "b", "ready");
+    Node fresh = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "b") != nullptr; }));
+    Fetch(fresh, peer);
+    EXPECT_EQ(Fl_Find(fresh.fleet, "a"), nullptr);
+    store_.Put(AG_ENDPOINTS, "d", "ready");
+    ASSERT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "d") != nullptr; }));
+    Fetch(peer, fresh);
+    EXPECT_NE(Fl_Find(peer.fleet, "d"), nullptr);
+    EXPECT_EQ(Fl_Find(peer.fleet, "a"), nullptr);
+}
+
 // Guards against requests to an endpoint that has gone: a peer that had not
 // heard of that told of it while this host was listing.
 TEST_F(Feed, AListingIsNotFilledUpByAPeer)
