--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -48,7 +48,7 @@
  * Why the attempt may not be followed by another; changes nothing.  Work that
  * may have run is repeated only when it is idempotent: an idempotency key
  * does not make it so, as the endpoint need not know the key and a charge
- * would be made twice.  An attempt of which no byte left an endpoint has
+ * would be made twice.  An attempt of which no byte left this host has
  * loaded nobody; it is bounded by itself and needs no budget.
  */
 enum rt_reason
