--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -320,16 +320,9 @@
         return IsDraining(reader, "a");
     }));
     ASSERT_FALSE(IsDraining(reader, "b"));
-    auto fetch = [&] {
-        char *packed;
-        size_t len = Fe_Pack(reader.feed, INT64_MAX,
-                             Fe_Changed(node.feed, AG_ENDPOINTS), &packed);
-        Fe_Unpack(node.feed, packed, len);
-        free(packed);
-    };
-    fetch();
+    Fetch(node, reader);
     ASSERT_TRUE(Until([&] { return IsDraining(reader, "b"); }));
-    fetch();
+    Fetch(node, reader);
     EXPECT_TRUE(IsDraining(node, "a"));
     EXPECT_TRUE(IsDraining(node, "b"));
 }
