--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -302,7 +302,7 @@
 static bool
 may_have_run(const struct rl_engine *relay)
 {
-    int left = relay->attempts.all - relay->attempts.unreached;
+    int left = Rq_Sent(&relay->attempts);
     if (relay->call != NULL && Hc_Stage(relay->call) == HC_CONNECTING) {
         left--;
     }
@@ -322,8 +322,8 @@
 {
     struct gt_gate *gate = relay->request->gate;
     Re_DropMove(relay);
-    int sent = relay->attempts.all - relay->attempts.unreached;
-    if (sent >= Rl_ATTEMPTS || relay->attempts.unreached >= Rl_UNREACHED_MAX) {
+    if (Rq_Sent(&relay->attempts) >= Rl_ATTEMPTS ||
+        relay->attempts.unreached >= Rl_UNREACHED_MAX) {
         give_up(relay, failure_told(relay),
                 "several engines failed this request; it may be repeated");
         return;
@@ -376,7 +376,7 @@
      * a refusal among the tokens, after another engine has run it.
      */
     if (result->code >= 400 && result->code < 500 && result->code != 429 &&
-        relay->attempts.all - relay->attempts.unreached == 1) {
+        Rq_Sent(&relay->attempts) == 1) {
         Re_EndFlight(relay, CH_GOOD);
         Rq_Refuse(relay->request, AN_INVALID, 0,
                   "the engine refused the request with %d; check its fields",
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -162,6 +162,13 @@
     return ST_OK;
 }
 
+/* The dispatches that an endpoint may have run. */
+int
+Rq_Sent(const struct rq_attempts *attempts)
+{
+    return attempts->all - attempts->unreached;
+}
+
 static void
 note_retry_refused(const struct rq_request *request,
                    const struct rt_attempt *attempt, const char *reason,
@@ -198,7 +205,7 @@
         .stage = stage,
         .idempotent = request->repeatable,
         .keyed = request->keyed,
-        .attempts = attempts->all - attempts->unreached,
+        .attempts = Rq_Sent(attempts),
         .unreached = attempts->unreached,
         .left = request->deadline - Ck_Now(gate->clock),
     };
