Limits: a daemon that joins others takes no places until they count it

Cause, from the logs of two of them: a daemon that has the limit before it knows of a third one divides it by two, the others by three. A word now tells by how many daemons its sender divides; a daemon that starts among others takes no places until all that it knows count it and no more became known for an interval, two seconds at most.

--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -22,7 +22,6 @@
 #define Dm_BEHIND_USEC (1 * Ck_USEC_PER_SEC)
 #define Dm_SHARING_PERIOD (1 * Ck_USEC_PER_SEC)
 #define Dm_PULL_PERIOD (200 * Ck_USEC_PER_MSEC)
-#define Dm_DEMANDS_MAX 32
 /* A daemon is taken for silent after four intervals without a word. */
 #define Dm_DEMANDS_SKIPPED 2
 /* Appends a second of one daemon; the keeper sets those for claims. */
@@ -190,26 +189,29 @@
 static void
 tell_demand(struct dm_daemon *daemon, int64_t now)
 {
-    struct am_demand demands[Dm_DEMANDS_MAX];
+    struct pf_demands demands;
     if (now < daemon->next_demand) {
         return;
     }
     daemon->next_demand = now + In_PublishInterval(daemon->gate.intake);
     /*
      * A daemon without callers has nothing new to say; it says so often
-     * enough that the others do not take it for silent.
+     * enough that the others do not take it for silent.  One that has just
+     * started waits to hear that it is counted.
      */
     bool idle = daemon->demands_told == 0 &&
-                daemon->requests_told == daemon->gate.next_request;
+                daemon->requests_told == daemon->gate.next_request &&
+                daemon->daemons_told == In_Daemons(daemon->gate.intake);
     if (idle && daemon->demands_skipped < Dm_DEMANDS_SKIPPED) {
         daemon->demands_skipped++;
         return;
     }
     daemon->demands_skipped = 0;
     daemon->requests_told = daemon->gate.next_request;
-    size_t count = In_Publish(daemon->gate.intake, demands, Dm_DEMANDS_MAX);
-    daemon->demands_told = count;
-    Pe_Demand(daemon->peers, demands, count);
+    In_Publish(daemon->gate.intake, &demands);
+    daemon->demands_told = demands.count;
+    daemon->daemons_told = demands.daemons;
+    Pe_Demand(daemon->peers, &demands);
 }
 
 /* What the others know of this daemon is told again before it expires. */
--- a/packages/gate/daemon_internal.h
+++ b/packages/gate/daemon_internal.h
@@ -25,6 +25,7 @@
     int64_t next_demand;
     uint64_t requests_told; /* requests taken when demand was last told */
     size_t demands_told;
+    size_t daemons_told; /* by how many limits are divided */
     int demands_skipped;
     int64_t next_pull;
     int64_t behind_since; /* others know of a later offset */
--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -43,8 +43,11 @@
 take_hosts(void *arg, const struct hl_host *hosts, size_t count)
 {
     struct dm_daemon *daemon = arg;
-    daemon->hosts_seen = true;
     note_others(daemon, hosts, count);
+    if (!daemon->hosts_seen && daemon->others_listed) {
+        In_Join(daemon->gate.intake);
+    }
+    daemon->hosts_seen = true;
     Ep_Sync(daemon->gate.endpoints, hosts, count);
     Pe_Seed(daemon->peers, hosts, count);
 }
@@ -170,11 +173,10 @@
 }
 
 static void
-peer_demand(void *arg, const char *node, const struct am_demand *demands,
-            size_t count)
+peer_demand(void *arg, const char *node, const struct pf_demands *demands)
 {
     struct dm_daemon *daemon = arg;
-    In_Hear(daemon->gate.intake, node, demands, count);
+    In_Hear(daemon->gate.intake, node, demands);
 }
 
 static void
--- a/packages/gate/intake.c
+++ b/packages/gate/intake.c
@@ -140,16 +140,34 @@
 /* What another daemon's callers ask for. */
 void
 In_Hear(struct in_intake *intake, const char *node,
-        const struct am_demand *demands, size_t count)
+        const struct pf_demands *demands)
 {
-    Am_Hear(intake->limits, node, demands, count, Ck_Now(intake->gate->clock));
+    Am_Hear(intake->limits, node, demands->rows, demands->count,
+            Ck_Now(intake->gate->clock));
+    Am_HearCount(intake->limits, node, demands->daemons);
+}
+
+/* There are other daemons, and they do not know of this one yet. */
+void
+In_Join(struct in_intake *intake)
+{
+    Am_Join(intake->limits, Ck_Now(intake->gate->clock));
 }
 
 /* What this daemon's callers ask for, to be told to the others. */
+void
+In_Publish(struct in_intake *intake, struct pf_demands *out)
+{
+    out->count = Am_Publish(intake->limits, Ck_Now(intake->gate->clock),
+                            out->rows, Pf_DEMANDS_MAX);
+    out->daemons = Am_Daemons(intake->limits);
+}
+
+/* Daemons that the limits are divided by. */
 size_t
-In_Publish(struct in_intake *intake, struct am_demand *out, size_t size)
+In_Daemons(const struct in_intake *intake)
 {
-    return Am_Publish(intake->limits, Ck_Now(intake->gate->clock), out, size);
+    return Am_Daemons(intake->limits);
 }
 
 /* How often to tell the others, in microseconds. */
--- a/packages/gate/intake.h
+++ b/packages/gate/intake.h
@@ -6,6 +6,7 @@
 #define GATE_INTAKE_H
 
 #include "gate/gate.h"
+#include "gate/peer_facts.h"
 #include "policy/admit.h"
 #include "policy/queue.h"
 
@@ -27,14 +28,15 @@
 void In_Configure(struct in_intake *intake, const struct cf_config *config);
 void In_Member(struct in_intake *intake, const char *node, bool present);
 void In_Hear(struct in_intake *intake, const char *node,
-             const struct am_demand *demands, size_t count);
-size_t In_Publish(struct in_intake *intake, struct am_demand *out,
-                  size_t size);
+             const struct pf_demands *demands);
+void In_Join(struct in_intake *intake);
+void In_Publish(struct in_intake *intake, struct pf_demands *out);
 void In_Submit(struct in_intake *intake, struct rq_request *request);
 void In_Leave(struct in_intake *intake, struct rq_request *request);
 void In_Pump(struct in_intake *intake);
 
 /* Queries. */
+size_t In_Daemons(const struct in_intake *intake);
 int64_t In_PublishInterval(const struct in_intake *intake);
 int In_Queued(const struct in_intake *intake);
 
--- a/packages/gate/peer_facts.c
+++ b/packages/gate/peer_facts.c
@@ -160,22 +160,25 @@
 }
 
 static size_t
-write_demands(const struct am_demand *demands, size_t count, char *out,
+write_demands(const struct pf_demands *demands, size_t count, char *out,
               size_t size)
 {
     msgpack_sbuffer buffer;
     msgpack_packer packer;
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, count);
+    msgpack_pack_array(&packer, count + 1);
+    /* Daemons that do not know it skip what is no row. */
+    msgpack_pack_uint64(&packer, demands->daemons);
     for (size_t i = 0; i < count; i++) {
-        size_t len = strlen(demands[i].customer);
+        const struct am_demand *row = &demands->rows[i];
+        size_t len = strlen(row->customer);
         msgpack_pack_array(&packer, Pf_DEMAND_FIELDS);
         msgpack_pack_str(&packer, len);
-        msgpack_pack_str_body(&packer, demands[i].customer, len);
-        msgpack_pack_float(&packer, (float)demands[i].per_sec);
-        msgpack_pack_float(&packer, (float)demands[i].in_flight);
-        msgpack_pack_int(&packer, demands[i].places);
+        msgpack_pack_str_body(&packer, row->customer, len);
+        msgpack_pack_float(&packer, (float)row->per_sec);
+        msgpack_pack_float(&packer, (float)row->in_flight);
+        msgpack_pack_int(&packer, row->places);
     }
     size_t len = copy_out(&buffer, out, size);
     msgpack_sbuffer_destroy(&buffer);
@@ -184,12 +187,9 @@
 
 /* Writes as many demands, from the first, as fit. */
 size_t
-Pf_WriteDemands(const struct am_demand *demands, size_t count, char *out,
-                size_t size)
+Pf_WriteDemands(const struct pf_demands *demands, char *out, size_t size)
 {
-    if (count > Pf_DEMANDS_MAX) {
-        count = Pf_DEMANDS_MAX;
-    }
+    size_t count = demands->count;
     size_t len = write_demands(demands, count, out, size);
     while (len == 0 && count > 0) {
         count--;
@@ -220,20 +220,23 @@
 
 /* Reads at most Pf_DEMANDS_MAX demands. */
 bool
-Pf_ReadDemands(const void *value, size_t len, struct am_demand *out,
-               size_t *count)
+Pf_ReadDemands(const void *value, size_t len, struct pf_demands *out)
 {
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
-    *count = 0;
+    out->daemons = 0;
+    out->count = 0;
     bool good = msgpack_unpack_next(&unpacked, value, len, NULL) ==
                     MSGPACK_UNPACK_SUCCESS &&
                 unpacked.data.type == MSGPACK_OBJECT_ARRAY;
-    for (size_t i = 0;
-         good && i < unpacked.data.via.array.size && *count < Pf_DEMANDS_MAX;
-         i++) {
-        if (read_demand(&unpacked.data.via.array.ptr[i], &out[*count])) {
-            (*count)++;
+    size_t size = good ? unpacked.data.via.array.size : 0;
+    for (size_t i = 0; i < size && out->count < Pf_DEMANDS_MAX; i++) {
+        const msgpack_object *item = &unpacked.data.via.array.ptr[i];
+        if (i == 0 && item->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            out->daemons = (size_t)item->via.u64;
+        }
+        else if (read_demand(item, &out->rows[out->count])) {
+            out->count++;
         }
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/packages/gate/peer_facts.h
+++ b/packages/gate/peer_facts.h
@@ -40,9 +40,15 @@
 size_t Pf_WriteLoad(const struct lw_report *report, int64_t age_usec,
                     char *out, size_t size);
 bool Pf_ReadLoad(const void *value, size_t len, struct lw_report *out);
-size_t Pf_WriteDemands(const struct am_demand *demands, size_t count,
-                       char *out, size_t size);
-bool Pf_ReadDemands(const void *value, size_t len, struct am_demand *out,
-                    size_t *count);
+/* What a daemon's callers ask for. */
+struct pf_demands {
+    size_t daemons; /* that it divides the limits by; 0: not told */
+    size_t count;
+    struct am_demand rows[Pf_DEMANDS_MAX];
+};
+
+size_t Pf_WriteDemands(const struct pf_demands *demands, char *out,
+                       size_t size);
+bool Pf_ReadDemands(const void *value, size_t len, struct pf_demands *out);
 
 #endif
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -121,11 +121,10 @@
 demand_fact(void *arg, const struct fc_fact *fact)
 {
     struct pe_peers *peers = arg;
-    struct am_demand demands[Pf_DEMANDS_MAX];
-    size_t count = 0;
+    struct pf_demands demands;
     if (strcmp(fact->owner, Nd_Id(peers->node)) != 0 &&
-        Pf_ReadDemands(fact->value, fact->len, demands, &count)) {
-        peers->ops->demand(peers->arg, fact->owner, demands, count);
+        Pf_ReadDemands(fact->value, fact->len, &demands)) {
+        peers->ops->demand(peers->arg, fact->owner, &demands);
     }
 }
 
@@ -521,8 +520,7 @@
 
 /* Tells the others what this daemon's callers ask for. */
 void
-Pe_Demand(struct pe_peers *peers, const struct am_demand *demands,
-          size_t count)
+Pe_Demand(struct pe_peers *peers, const struct pf_demands *demands)
 {
     char value[Fc_VALUE_MAX];
     struct fc_post post = {
@@ -533,7 +531,7 @@
         .ttl_usec = Pe_DEMAND_TTL,
         .value = value,
     };
-    post.len = Pf_WriteDemands(demands, count, value, sizeof(value));
+    post.len = Pf_WriteDemands(demands, value, sizeof(value));
     publish(peers, &post);
 }
 
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -11,6 +11,7 @@
 #include "gate/claims.h"
 #include "gate/gate.h"
 #include "gate/loadwatch.h"
+#include "gate/peer_facts.h"
 #include "member/node.h"
 #include "platform/hostlist.h"
 #include "policy/admit.h"
@@ -34,7 +35,7 @@
     /* Another daemon got a host list with this digest. */
     void (*hosts)(void *arg, uint64_t digest);
     void (*demand)(void *arg, const char *node,
-                   const struct am_demand *demands, size_t count);
+                   const struct pf_demands *demands);
     /*
      * A daemon came, or has left.  One that is only out of reach has not
      * left: on its side of a cut it goes on serving its part of the limits.
@@ -63,8 +64,7 @@
                     int64_t left_usec);
 void Pe_Distrust(struct pe_peers *peers, const char *service,
                  const char *version);
-void Pe_Demand(struct pe_peers *peers, const struct am_demand *demands,
-               size_t count);
+void Pe_Demand(struct pe_peers *peers, const struct pf_demands *demands);
 void Pe_SendEvidence(struct pe_peers *peers, const char *node,
                      const char *text, size_t len);
 enum st_status Pe_AskClaim(struct pe_peers *peers, const char *node,
--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -150,6 +150,9 @@
     struct am_left left =
         am_leave(customer->max_in_flight, limits->parts, count);
     int most = told ? left.free : at_most(left.free, left.even);
+    if (am_is_joining(limits, now)) {
+        most = 0;
+    }
     customer->granted =
         at_most((int)held_value(&customer->flight_share), most);
     return customer->granted > customer->in_flight ? customer->granted
@@ -217,6 +220,9 @@
 granted_places(struct am_limits *limits, const struct am_customer *customer,
                int64_t now)
 {
+    if (am_is_joining(limits, now)) {
+        return 0;
+    }
     if (customer->granted >= 0) {
         return customer->granted;
     }
--- a/packages/policy/admit.h
+++ b/packages/policy/admit.h
@@ -48,6 +48,8 @@
 enum st_status Am_Hear(struct am_limits *limits, const char *peer,
                        const struct am_demand *demands, size_t count,
                        int64_t now);
+void Am_HearCount(struct am_limits *limits, const char *peer, size_t daemons);
+void Am_Join(struct am_limits *limits, int64_t now);
 size_t Am_Publish(struct am_limits *limits, int64_t now, struct am_demand *out,
                   size_t size);
 enum st_status Am_Admit(struct am_limits *limits, const char *customer,
@@ -56,6 +58,7 @@
 
 /* Queries. */
 int64_t Am_Interval(const struct am_limits *limits);
+size_t Am_Daemons(const struct am_limits *limits);
 enum st_status Am_Share(struct am_limits *limits, const char *customer,
                         int64_t now, struct am_share *out);
 int Am_InFlight(const struct am_limits *limits, const char *customer);
--- a/packages/policy/admit_internal.h
+++ b/packages/policy/admit_internal.h
@@ -23,6 +23,7 @@
     uint64_t rank;
     bool heard;
     int64_t heard_at;
+    size_t counts; /* daemons that it divides by; 0: not told */
     TAILQ_HEAD(am_demand_list, am_peer_demand) demands;
 };
 
@@ -57,6 +58,9 @@
     uint64_t rank;
     TAILQ_HEAD(am_peer_list, am_peer) peers;
     size_t peer_count;
+    int64_t join_until;  /* 0: this daemon has joined the others */
+    size_t joined_count; /* peers known when that was last looked at */
+    int64_t joined_at;   /* when that number last changed */
     TAILQ_HEAD(am_customer_list, am_customer) customers;
     struct am_part *parts; /* scratch, peer_count + 1 long */
     size_t parts_size;
@@ -73,6 +77,7 @@
 
 struct am_customer *am_find_customer(const struct am_limits *limits,
                                      const char *name);
+bool am_is_joining(struct am_limits *limits, int64_t now);
 double am_divide(double limit, const struct am_part *parts, size_t count);
 int am_divide_whole(int limit, struct am_part *parts, size_t count);
 /* Places that the others leave, and this daemon's even part of all. */
--- a/packages/policy/admit_table.c
+++ b/packages/policy/admit_table.c
@@ -14,6 +14,7 @@
 #define INTERVAL_MIN (500 * Ck_USEC_PER_MSEC)
 /* Every daemon hears every other: 40 demands a second, however many. */
 #define INTERVAL_PER_PEER (25 * Ck_USEC_PER_MSEC)
+#define JOIN_MAX (2 * Ck_USEC_PER_SEC)
 
 /* Makes the limits of the daemon named; NULL when there is no memory. */
 struct am_limits *
@@ -183,6 +184,69 @@
     }
 }
 
+/* Takes in by how many daemons a peer divides the limits. */
+void
+Am_HearCount(struct am_limits *limits, const char *id, size_t daemons)
+{
+    struct am_peer *peer = find_peer(limits, id);
+    if (peer != NULL) {
+        peer->counts = daemons;
+    }
+}
+
+/*
+ * This daemon starts among others that divide the limits without it.  Until
+ * they count it, and for JOIN_MAX at most, it takes no places.
+ */
+void
+Am_Join(struct am_limits *limits, int64_t now)
+{
+    limits->join_until = now + JOIN_MAX;
+    limits->joined_count = limits->peer_count;
+    limits->joined_at = now;
+}
+
+static bool
+is_counted(const struct am_limits *limits)
+{
+    const struct am_peer *peer;
+    TAILQ_FOREACH (peer, &limits->peers, entry) {
+        if (peer->counts < Am_Daemons(limits)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Whether others may still be dividing without this daemon.  That all have
+ * told as many as are known here is no proof while more become known.
+ */
+bool
+am_is_joining(struct am_limits *limits, int64_t now)
+{
+    if (limits->join_until == 0) {
+        return false;
+    }
+    if (limits->joined_count != limits->peer_count) {
+        limits->joined_count = limits->peer_count;
+        limits->joined_at = now;
+    }
+    bool settled = limits->peer_count > 0 && is_counted(limits) &&
+                   now - limits->joined_at >= Am_Interval(limits);
+    if (settled || now >= limits->join_until) {
+        limits->join_until = 0;
+    }
+    return limits->join_until != 0;
+}
+
+/* Daemons that a limit is divided by, this one included. */
+size_t
+Am_Daemons(const struct am_limits *limits)
+{
+    return limits->peer_count + 1;
+}
+
 /* How often to publish: the more daemons, the less often. */
 int64_t
 Am_Interval(const struct am_limits *limits)
--- a/packages/policy/test/admit_test.cc
+++ b/packages/policy/test/admit_test.cc
@@ -263,6 +263,173 @@
     }
 }
 
+// Daemons that start one after the other, each known to the others only some
+// time after it knows of them.
+struct Starting {
+    static constexpr size_t kDaemons = 3;
+    static constexpr int64_t kTick = 10000;
+    static constexpr int64_t kInterval = 500000;
+    struct Word {
+        int64_t at;
+        size_t to;
+        size_t from;
+        size_t daemons;
+        std::vector<struct am_demand> demands;
+    };
+    struct am_limits *daemons[kDaemons];
+    int64_t starts[kDaemons];
+    int64_t knows[kDaemons][kDaemons];
+    int64_t publishes[kDaemons];
+    std::vector<Word> words;
+    struct rn_random random;
+    int64_t now = 1000 * kSec;
+
+    explicit Starting(uint64_t seed)
+    {
+        Rn_Seed(&random, seed);
+        for (size_t i = 0; i < kDaemons; i++) {
+            daemons[i] = Am_Create(Fleet::name(i).c_str());
+            starts[i] = now + (i > 0 ? Draw(1500000) : 0);
+            publishes[i] = starts[i] + Draw(kInterval);
+        }
+        for (size_t i = 0; i < kDaemons; i++) {
+            for (size_t k = 0; k < kDaemons; k++) {
+                knows[i][k] = std::max(starts[i], starts[k]) + Draw(400000);
+            }
+        }
+    }
+
+    ~Starting()
+    {
+        for (auto *daemon : daemons) {
+            Am_Destroy(daemon);
+        }
+    }
+
+    int64_t
+    Draw(int64_t most)
+    {
+        return Rn_Below(&random, (uint32_t)most);
+    }
+
+    void
+    Begin(size_t i)
+    {
+        Am_SetCustomer(daemons[i], "c", 0, 6);
+        bool others = false;
+        for (size_t k = 0; k < kDaemons; k++) {
+            others |= k != i && starts[k] < starts[i];
+        }
+        if (others) {
+            Am_Join(daemons[i], now);
+        }
+    }
+
+    void
+    Publish(size_t i)
+    {
+        struct am_demand out[4];
+        publishes[i] += kInterval;
+        size_t n = Am_Publish(daemons[i], now, out, 4);
+        for (size_t to = 0; to < kDaemons; to++) {
+            if (to != i && now >= knows[i][to]) {
+                words.push_back({now + Draw(100000),
+                                 to,
+                                 i,
+                                 Am_Daemons(daemons[i]),
+                                 {out, out + n}});
+            }
+        }
+    }
+
+    void
+    Deliver()
+    {
+        for (const Word &word : words) {
+            if (word.at > now || now < starts[word.to]) {
+                continue;
+            }
+            std::string from = Fleet::name(word.from);
+            Am_Hear(daemons[word.to], from.c_str(), word.demands.data(),
+                    word.demands.size(), now);
+            Am_HearCount(daemons[word.to], from.c_str(), word.daemons);
+        }
+        words.erase(
+            std::remove_if(words.begin(), words.end(),
+                           [&](const Word &word) { return word.at <= now; }),
+            words.end());
+    }
+
+    // Every daemon is asked for more than it may give, and nothing ends.
+    void
+    Tick()
+    {
+        now += kTick;
+        Deliver();
+        for (size_t i = 0; i < kDaemons; i++) {
+            if (now < starts[i]) {
+                continue;
+            }
+            if (now - kTick < starts[i]) {
+                Begin(i);
+            }
+            for (size_t k = 0; k < kDaemons; k++) {
+                if (k != i && now >= knows[i][k]) {
+                    Am_AddPeer(daemons[i], Fleet::name(k).c_str());
+                }
+            }
+            if (now >= publishes[i]) {
+                Publish(i);
+            }
+            int64_t retry;
+            Am_Admit(daemons[i], "c", now, &retry);
+        }
+    }
+
+    int
+    InFlight() const
+    {
+        int sum = 0;
+        for (const auto *daemon : daemons) {
+            sum += Am_InFlight(daemon, "c");
+        }
+        return sum;
+    }
+};
+
+// Guards against a daemon that divides a limit before it knows of one that
+// has started: together they run more than the customer is allowed.
+TEST(Admit, ADaemonThatJoinsTakesOnlyWhatTheOthersLeave)
+{
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        Starting start(seed);
+        // The first is alone and may hold the whole limit already.
+        for (int64_t at = 0; at < 6 * kSec; at += Starting::kTick) {
+            start.Tick();
+        }
+        EXPECT_LE(start.InFlight(), 6) << "seed " << seed;
+    }
+}
+
+// Guards against daemons that start together and wait for each other's word
+// for good.
+TEST(Admit, DaemonsThatStartTogetherServeWithinSeconds)
+{
+    Starting start(1);
+    for (size_t i = 0; i < Starting::kDaemons; i++) {
+        start.starts[i] = start.now;
+        for (size_t k = 0; k < Starting::kDaemons; k++) {
+            Am_AddPeer(start.daemons[i], Fleet::name(k).c_str());
+        }
+        Am_SetCustomer(start.daemons[i], "c", 0, 6);
+        Am_Join(start.daemons[i], start.now);
+    }
+    for (int64_t at = 0; at < 4 * kSec; at += Starting::kTick) {
+        start.Tick();
+    }
+    EXPECT_EQ(6, start.InFlight());
+}
+
 /* The same once they have heard of it: it gets what they can spare. */
 TEST(Admit, PlacesMoveToWhereTheyAreWanted)
 {
