Quota: what one daemon lets in stands for the others by what they are asked for

What callers saw: with hundreds of hosts, 429 at half of the limit. Cause: each admission was counted half for every other daemon until their words could have come; with few requests a host one prompt stood for a whole window. Words now tell what was asked for as well. An admission stands for what the others are asked for against what is asked here, and only while all ask for more than the limit's rate.

Four times the limit: within the bound with callers at 40 and at all of them.

--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -40,6 +40,7 @@
 struct ms_spent {
     uint32_t tenant;
     uint64_t total; /* admitted since the daemon's start */
+    uint64_t asked; /* the same and what was refused */
 };
 
 struct ms_counted {
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,12 +8,13 @@
 #include "edge/packed.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
-#define Ms_FORMAT 4
+#define Ms_FORMAT 5
 #define Ms_MILLI 1000
 #define Ms_FIELDS 23
 #define Ms_EVIDENCE_FIELDS 7
 #define Ms_STANDING_FIELDS 4
 #define Ms_RATE_FIELDS 5
+#define Ms_SPENT_FIELDS 3
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -32,10 +33,11 @@
         msgpack_pack_int64(packer, word->loads[i].running);
         msgpack_pack_int64(packer, word->loads[i].reading);
     }
-    msgpack_pack_array(packer, word->spent_count * 2);
+    msgpack_pack_array(packer, word->spent_count * Ms_SPENT_FIELDS);
     for (size_t i = 0; i < word->spent_count; i++) {
         msgpack_pack_uint32(packer, word->spent[i].tenant);
         msgpack_pack_uint64(packer, word->spent[i].total);
+        msgpack_pack_uint64(packer, word->spent[i].asked);
     }
     msgpack_pack_array(packer, word->counted_count * 3);
     for (size_t i = 0; i < word->counted_count; i++) {
@@ -145,11 +147,13 @@
         out->loads[i].running = (int)get_number(&row[1]);
         out->loads[i].reading = get_number(&row[2]);
     }
-    out->spent_count = count_rows(&field[1], 2, Ms_SPENT_MAX);
+    out->spent_count = count_rows(&field[1], Ms_SPENT_FIELDS, Ms_SPENT_MAX);
     for (size_t i = 0; i < out->spent_count; i++) {
-        const msgpack_object *row = &field[1].via.array.ptr[i * 2];
+        const msgpack_object *row =
+            &field[1].via.array.ptr[i * Ms_SPENT_FIELDS];
         out->spent[i].tenant = (uint32_t)get_number(&row[0]);
         out->spent[i].total = (uint64_t)get_number(&row[1]);
+        out->spent[i].asked = (uint64_t)get_number(&row[2]);
     }
     out->counted_count = count_rows(&field[2], 3, Ms_COUNTS_MAX);
     for (size_t i = 0; i < out->counted_count; i++) {
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -30,11 +30,12 @@
 }
 
 static void
-fill_spent(void *arg, uint32_t tenant, uint64_t total)
+fill_spent(void *arg, uint32_t tenant, uint64_t total, uint64_t asked)
 {
     struct ms_word *word = arg;
     if (word->spent_count < Ms_SPENT_MAX) {
-        word->spent[word->spent_count++] = (struct ms_spent){tenant, total};
+        word->spent[word->spent_count++] =
+            (struct ms_spent){tenant, total, asked};
     }
 }
 
@@ -101,6 +102,17 @@
     }
 }
 
+static struct ms_spent
+spent_before(const struct ms_peer *peer, uint32_t tenant)
+{
+    for (size_t i = 0; i < peer->spent_count; i++) {
+        if (peer->spent[i].tenant == tenant) {
+            return peer->spent[i];
+        }
+    }
+    return (struct ms_spent){tenant, 0, 0};
+}
+
 /* What a peer admitted since its last word, or since its start. */
 static void
 take_spent(struct ga_gate *gate, const struct ms_peer *peer,
@@ -118,15 +130,16 @@
         Qt_Returned(gate->quota);
     }
     for (size_t i = 0; i < word->spent_count; i++) {
-        uint64_t before = 0;
-        for (size_t j = 0; same && j < peer->spent_count; j++) {
-            if (peer->spent[j].tenant == word->spent[i].tenant) {
-                before = peer->spent[j].total;
-            }
+        const struct ms_spent *now = &word->spent[i];
+        struct ms_spent before =
+            same ? spent_before(peer, now->tenant) : (struct ms_spent){0};
+        if (now->asked > before.asked) {
+            Qt_Asked(gate->quota, now->tenant,
+                     (double)(now->asked - before.asked));
         }
-        if (word->spent[i].total > before) {
-            Qt_Spent(gate->quota, word->spent[i].tenant,
-                     (double)(word->spent[i].total - before), apart);
+        if (now->total > before.total) {
+            Qt_Spent(gate->quota, now->tenant,
+                     (double)(now->total - before.total), apart);
         }
     }
 }
@@ -218,7 +231,7 @@
     size_t expected = Ms_CountExpected(gate->mesh);
     double share = (double)heard / (double)expected;
     Qt_SetShare(gate->quota, share < Pe_ALMOST_ALL ? share : 1);
-    Qt_SetPeers(gate->quota, heard, expected - heard, Ms_Gap(gate->mesh));
+    Qt_SetPeers(gate->quota, expected - heard, Ms_Gap(gate->mesh));
     Bu_SetDaemons(gate->budget, Ms_CountKnown(gate->mesh));
 }
 
--- a/packages/edge/quota.c
+++ b/packages/edge/quota.c
@@ -32,7 +32,6 @@
         quota->clock = clock;
         quota->share = 1;
         quota->foresee_sec = Qt_FORESEE_SEC;
-        quota->daemons = 1;
         quota->start_share = first_start ? 1 : Qt_RESTART_SHARE;
         quota->started_at = Ck_Now(clock);
     }
@@ -205,8 +204,10 @@
 Qt_Each(const struct qt_quota *quota, qt_each_fn fn, void *arg)
 {
     for (size_t i = 0; i < quota->count; i++) {
-        if (quota->buckets[i].total > 0) {
-            fn(arg, quota->buckets[i].hash, (uint64_t)quota->buckets[i].total);
+        const struct qt_bucket *bucket = &quota->buckets[i];
+        if (bucket->asked > 0) {
+            fn(arg, bucket->hash, (uint64_t)bucket->total,
+               (uint64_t)bucket->asked);
         }
     }
 }
--- a/packages/edge/quota.h
+++ b/packages/edge/quota.h
@@ -41,10 +41,9 @@
  * configuration.  0: a limit is its bucket alone.
  */
 void Qt_SetWindow(struct qt_quota *quota, int64_t usec);
-/* How many daemons hear each other, how many others may be admitting as well,
-   and how often they tell what they admitted. */
-void Qt_SetPeers(struct qt_quota *quota, size_t daemons, size_t missing,
-                 int64_t gap_usec);
+/* How many daemons that are not heard may be admitting as well, and how often
+   those that are tell what they admitted. */
+void Qt_SetPeers(struct qt_quota *quota, size_t missing, int64_t gap_usec);
 /* One that was missing is heard again; before what it spent. */
 void Qt_Returned(struct qt_quota *quota);
 void Qt_Configure(struct qt_quota *quota, const struct ec_config *config);
@@ -61,8 +60,11 @@
 };
 struct qt_use Qt_Use(struct qt_quota *quota, const char *tenant);
 /* What this daemon admitted since its start, and what a peer admitted. */
-typedef void (*qt_each_fn)(void *arg, uint32_t tenant, uint64_t total);
+typedef void (*qt_each_fn)(void *arg, uint32_t tenant, uint64_t total,
+                           uint64_t asked);
 void Qt_Each(const struct qt_quota *quota, qt_each_fn fn, void *arg);
+/* What callers asked of a peer, whether it was admitted or not. */
+void Qt_Asked(struct qt_quota *quota, uint32_t tenant, double cost);
 /* "apart": in a time in which the peer was not heard; that share of the rate
    was left to it. */
 void Qt_Spent(struct qt_quota *quota, uint32_t tenant, double cost,
--- a/packages/edge/quota_bucket.c
+++ b/packages/edge/quota_bucket.c
@@ -88,6 +88,9 @@
     bucket->filled_at = now;
     foresee(quota, bucket, now, seconds);
     bucket->echo *= exp(-seconds / quota->foresee_sec);
+    double part = exp(-seconds / Qt_OTHERS_SEC);
+    bucket->own_asked *= part;
+    bucket->others_asked *= part;
     if (bucket->window.step_usec > 0) {
         Wn_Advance(&bucket->window, bucket->per_sec * quota->share,
                    bucket->burst * quota->share, now);
--- a/packages/edge/quota_internal.h
+++ b/packages/edge/quota_internal.h
@@ -14,13 +14,16 @@
     double per_sec;
     double burst;
     double level;
-    double reserve;  /* left to daemons that were not heard */
-    double aside;    /* the same of the window */
-    double total;    /* admitted here since the start */
-    double others;   /* what others admit, tokens a second */
-    double foreseen; /* taken out for others before they told of it */
-    double echo;     /* the same by what was admitted here a moment ago */
-    int64_t told_at; /* when others last told of any */
+    double reserve;      /* left to daemons that were not heard */
+    double aside;        /* the same of the window */
+    double total;        /* admitted here since the start */
+    double asked;        /* asked for here since the start */
+    double others;       /* what others admit, tokens a second */
+    double own_asked;    /* what callers ask of this daemon, a second */
+    double others_asked; /* the same of the others */
+    double foreseen;     /* taken out for others before they told of it */
+    double echo;         /* the same by what was admitted here a moment ago */
+    int64_t told_at;     /* when others last told of any */
     int64_t filled_at;
     double usual;  /* mean cost of a request; 0: none yet */
     double spread; /* mean distance from it */
@@ -31,7 +34,6 @@
     const struct ck_clock *clock;
     double share;
     double foresee_sec;
-    size_t daemons; /* heard, this one included */
     size_t missing; /* expected and not heard */
     double start_share;
     int64_t started_at;
--- a/packages/edge/quota_peers.c
+++ b/packages/edge/quota_peers.c
@@ -11,11 +11,9 @@
 /* With seven daemons words come ten times a second; to foresee more than what
    they leave untold would leave a tenth of a limit unused. */
 void
-Qt_SetPeers(struct qt_quota *quota, size_t daemons, size_t missing,
-            int64_t gap_usec)
+Qt_SetPeers(struct qt_quota *quota, size_t missing, int64_t gap_usec)
 {
     double gap = (double)gap_usec / (double)Ck_USEC_PER_SEC;
-    quota->daemons = daemons > 0 ? daemons : 1;
     quota->missing = missing;
     quota->foresee_sec = gap * Qt_FORESEE_GAPS + Qt_FORESEE_MIN_SEC;
 }
@@ -75,6 +73,16 @@
     quota->missing = missing - 1;
 }
 
+void
+Qt_Asked(struct qt_quota *quota, uint32_t tenant, double cost)
+{
+    struct qt_bucket *bucket = qt_find(quota, tenant);
+    if (bucket != NULL) {
+        qt_fill(quota, bucket);
+        bucket->others_asked += cost / Qt_OTHERS_SEC;
+    }
+}
+
 void
 Qt_Spent(struct qt_quota *quota, uint32_t tenant, double cost, bool apart)
 {
--- a/packages/edge/quota_take.c
+++ b/packages/edge/quota_take.c
@@ -18,14 +18,6 @@
 #define Qt_SMALL_SPREADS 16.0
 /* Weight of the newest request in the usual cost; about the last 64 count. */
 #define Qt_USUAL_WEIGHT (1.0 / 64)
-/*
- * When there is room again at a customer's limit all daemons see it at once,
- * and each lets in what comes until it hears of the others.  What one lets in
- * is a sample of what all do; counted for this part of all others until their
- * words can have come, it keeps a flood over ninety daemons at 1.02 of the
- * limit, against 1.11 without (replay of twenty seconds at three times the
- * limit).
- */
 #define Qt_ECHO_PART 0.5
 
 static void
@@ -37,6 +29,8 @@
     double off = fabs(cost - bucket->usual);
     bucket->spread += (off - bucket->spread) * Qt_USUAL_WEIGHT;
     bucket->usual += (cost - bucket->usual) * Qt_USUAL_WEIGHT;
+    bucket->asked += cost;
+    bucket->own_asked += cost / Qt_OTHERS_SEC;
 }
 
 /*
@@ -81,6 +75,25 @@
     return wait;
 }
 
+/*
+ * When there is room again at a customer's limit all daemons see it at once,
+ * and each lets in what comes until it hears of the others.  What one lets in
+ * is a sample of what all do, as large a one as its part of what they are
+ * asked for.  A customer that asks for less than its limit has no such herd:
+ * with few requests a daemon each would stand for hundreds that never came.
+ */
+static double
+echo_of(const struct qt_quota *quota, const struct qt_bucket *bucket,
+        double cost)
+{
+    double asked = bucket->own_asked + bucket->others_asked;
+    if (bucket->window.step_usec == 0 ||
+        asked < bucket->per_sec * quota->share) {
+        return 0;
+    }
+    return cost * bucket->others_asked / bucket->own_asked * Qt_ECHO_PART;
+}
+
 bool
 Qt_Take(struct qt_quota *quota, const char *tenant, double cost,
         int64_t *wait_usec)
@@ -98,7 +111,7 @@
         return false;
     }
     bucket->total += cost;
-    bucket->echo += cost * (double)(quota->daemons - 1) * Qt_ECHO_PART;
+    bucket->echo += echo_of(quota, bucket, cost);
     qt_spend(bucket, cost);
     return true;
 }
--- a/packages/edge/test/quota_replay_test.cc
+++ b/packages/edge/test/quota_replay_test.cc
@@ -58,6 +58,7 @@
         : rate_(rate), every_(every_usec), tenants_(rate, rate),
           quotas_(daemons, nullptr),
           told_(daemons, std::vector<uint64_t>(daemons, 0)),
+          asked_(daemons, std::vector<uint64_t>(daemons, 0)),
           missed_(daemons, std::vector<bool>(daemons, false))
     {
         Start(true);
@@ -77,11 +78,12 @@
             Qt_Destroy(quotas_[i]);
             quotas_[i] = Qt_Create(&clock_.clock, first);
             Qt_SetWindow(quotas_[i], kWindow);
-            Qt_SetPeers(quotas_[i], quotas_.size(), 0, every_);
+            Qt_SetPeers(quotas_[i], 0, every_);
             if (first) {
                 Qt_Configure(quotas_[i], tenants_.config);
             }
             told_[i].assign(told_[i].size(), 0);
+            asked_[i].assign(asked_[i].size(), 0);
         }
     }
 
@@ -202,8 +204,15 @@
     std::vector<Admitted> log;
     int asked[kKindCount] = {};
     int served[kKindCount] = {};
+    // Daemons that the customer's callers are connected to; 0: all.
+    size_t callers = 0;
 
   private:
+    struct Totals {
+        uint64_t admitted;
+        uint64_t asked;
+    };
+
     void
     Ask()
     {
@@ -212,7 +221,8 @@
         while (kind + 1 < kKindCount && draw > kKinds[kind].part) {
             draw -= kKinds[kind++].part;
         }
-        size_t daemon = (size_t)(unit_(random_) * (double)quotas_.size());
+        size_t reached = callers > 0 ? callers : quotas_.size();
+        size_t daemon = (size_t)(unit_(random_) * (double)reached);
         int64_t wait;
         asked[kind]++;
         if (Qt_Take(quotas_[daemon], "acme", kKinds[kind].cost, &wait)) {
@@ -228,7 +238,7 @@
         for (size_t i = 0; i < quotas_.size(); i++) {
             double share = i < cut_at_ ? first : 1 - first;
             size_t heard = (size_t)(share * (double)quotas_.size() + 0.5);
-            Qt_SetPeers(quotas_[i], heard, quotas_.size() - heard, every_);
+            Qt_SetPeers(quotas_[i], quotas_.size() - heard, every_);
             Qt_SetShare(quotas_[i], share);
         }
     }
@@ -242,15 +252,21 @@
             if ((step + (int64_t)i * 7) % (every_ / kStep) != 0) {
                 continue;
             }
-            uint64_t total = 0;
+            Totals now{0, 0};
             Qt_Each(
                 quotas_[i],
-                [](void *arg, uint32_t, uint64_t value) {
-                    *static_cast<uint64_t *>(arg) = value;
+                [](void *arg, uint32_t, uint64_t all, uint64_t wanted) {
+                    *static_cast<Totals *>(arg) = {all, wanted};
                 },
-                &total);
+                &now);
+            uint64_t total = now.admitted;
             for (size_t j = 0; j < quotas_.size(); j++) {
                 bool heard = (i < cut_at_) == (j < cut_at_);
+                if (j != i && heard && now.asked > asked_[i][j]) {
+                    Qt_Asked(quotas_[j], Qt_Hash("acme"),
+                             (double)(now.asked - asked_[i][j]));
+                    asked_[i][j] = now.asked;
+                }
                 if (j == i || !heard || total <= told_[i][j]) {
                     continue;
                 }
@@ -273,6 +289,7 @@
     Tenants tenants_;
     std::vector<struct qt_quota *> quotas_;
     std::vector<std::vector<uint64_t>> told_;
+    std::vector<std::vector<uint64_t>> asked_;
     std::vector<std::vector<bool>> missed_;
     size_t cut_at_ = 0;
     int64_t shares_at_ = 0;
@@ -422,4 +439,41 @@
     }
 }
 
+// Guards against a customer well within its limit that is refused because
+// what one of hundreds of daemons lets in is taken for what all do.
+TEST(QuotaReplay, FewCallersOverHundredsOfDaemonsAreNotRefused)
+{
+    for (double rate : {40000.0, 100000.0, 300000.0}) {
+        Replay replay(295, 800 * Ck_USEC_PER_MSEC, rate);
+        replay.callers = 15;
+        replay.Run(10 * Ck_USEC_PER_SEC, 0.55);
+        replay.Recount();
+        replay.Run(20 * Ck_USEC_PER_SEC, 0.55);
+        EXPECT_GE(replay.ServedPart(), 0.99) << rate;
+    }
+}
+
+// Guards against a flood that is let in at each of hundreds of daemons before
+// they hear of each other, and against one that is held far below its limit.
+TEST(QuotaReplay, TheBoundHoldsOverHundredsOfDaemons)
+{
+    for (size_t callers : {40, 295}) {
+        for (double rate : {40000.0, 100000.0, 300000.0}) {
+            Replay replay(295, 800 * Ck_USEC_PER_MSEC, rate);
+            replay.callers = callers;
+            replay.Run(10 * Ck_USEC_PER_SEC, 0.55);
+            replay.Run(2 * kWindow, 4);
+            const int kTimes = 9;
+            double sum = 0;
+            for (int i = 0; i < kTimes; i++) {
+                replay.Run(kWindow / 3, 4);
+                sum += replay.Lately();
+            }
+            EXPECT_LE(replay.Most(), Bound(rate)) << callers << " " << rate;
+            EXPECT_GE(sum / kTimes, Limit(rate) * 0.75)
+                << callers << " " << rate;
+        }
+    }
+}
+
 } // namespace
--- a/packages/edge/test/quota_test.cc
+++ b/packages/edge/test/quota_test.cc
@@ -27,7 +27,7 @@
 };
 
 void
-Note(void *arg, uint32_t tenant, uint64_t total)
+Note(void *arg, uint32_t tenant, uint64_t total, uint64_t)
 {
     (void)tenant;
     static_cast<Seen *>(arg)->total = total;
