Store: calls counted by topic; few hosts announce themselves; small configurations go round

They are now a metric and a log line, by topic. Every host wrote its address at each start, and read every configuration change: now the first sixteen hosts by name have theirs in the store, and a configuration of up to 64 KB goes from host to host where there are 32 or more; one that does not come within 0.8 s is read from the store as before. An endpoint is found by its hash in a tree.

--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -158,9 +158,8 @@
 {
     duty->busy = true;
     duty->sent_at = now_of(duty);
-    duty->options.store->ops->read(duty->options.store, AG_DUTY,
-                                   duty->end < 0 ? 0 : duty->end, 0, on_read,
-                                   duty);
+    Ag_Read(duty->options.store, AG_DUTY, duty->end < 0 ? 0 : duty->end, 0,
+            on_read, duty);
 }
 
 static void
@@ -223,8 +222,8 @@
     size_t len = Dr_Encode(&record, &data);
     duty->busy = true;
     duty->sent_at = now_of(duty);
-    duty->options.store->ops->append(duty->options.store, AG_DUTY, duty->end,
-                                     NULL, data, len, on_append, duty);
+    Ag_Append(duty->options.store, AG_DUTY, duty->end, NULL, data, len,
+              on_append, duty);
     free(data);
 }
 
--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -358,19 +358,19 @@
     fe_number_listing(follow, now);
     follow->waiting = true;
     if (follow->from < 0) {
-        store->ops->newest(store, follow->topic,
-                           follow->after[0] == '\0' ? NULL : follow->after,
-                           fe_on_listed, follow);
+        Ag_Newest(store, follow->topic,
+                  follow->after[0] == '\0' ? NULL : follow->after,
+                  fe_on_listed, follow);
         return;
     }
-    store->ops->read(store, follow->topic, follow->from,
-                     follow->topic == AG_CONFIG ? config_wait(feed) : 0,
-                     on_read, follow);
+    Ag_Read(store, follow->topic, follow->from,
+            follow->topic == AG_CONFIG ? config_wait(feed) : 0, on_read,
+            follow);
 }
 
 /*
  * A configuration may be hundreds of kilobytes, and the daemon that read it
- * first is one of eighty: fetched from there by all others at once it takes
+ * first is one of hundreds: fetched from there by all others at once it takes
  * seconds, in which requests are served by the older one, and removals of
  * endpoints wait behind it.  The store has the bandwidth, for one call each.
  */
@@ -461,6 +461,18 @@
     return feed->config;
 }
 
+size_t
+Fe_ConfigBytes(const struct fe_feed *feed)
+{
+    const struct follow *follow = &feed->config_follow;
+    size_t most = 0;
+    struct known *known;
+    RB_FOREACH (known, known_tree, (struct known_tree *)&follow->known) {
+        most = known->len > most ? known->len : most;
+    }
+    return feed->config == NULL ? 0 : most;
+}
+
 bool
 Fe_Reads(const struct fe_feed *feed, enum ag_topic topic)
 {
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -8,12 +8,24 @@
 
 #define Fl_HASH_SEED 0x666c6565
 
+RB_HEAD(fl_tree, fl_endpoint);
+
 struct fl_fleet {
     const struct ck_clock *clock;
     struct fl_list endpoints;
+    struct fl_tree by_hash;
     int64_t doubt_until;
 };
 
+static int
+compare_hashes(const struct fl_endpoint *a, const struct fl_endpoint *b)
+{
+    return (a->hash > b->hash) - (a->hash < b->hash);
+}
+
+RB_PROTOTYPE(fl_tree, fl_endpoint, by_hash, compare_hashes);
+RB_GENERATE(fl_tree, fl_endpoint, by_hash, compare_hashes);
+
 struct fl_fleet *
 Fl_Create(const struct ck_clock *clock)
 {
@@ -21,6 +33,7 @@
     if (fleet != NULL) {
         fleet->clock = clock;
         TAILQ_INIT(&fleet->endpoints);
+        RB_INIT(&fleet->by_hash);
     }
     return fleet;
 }
@@ -81,6 +94,7 @@
     endpoint->gone = true;
     close_idle(endpoint);
     TAILQ_REMOVE(&fleet->endpoints, endpoint, link);
+    RB_REMOVE(fl_tree, &fleet->by_hash, endpoint);
     Fl_Drop(endpoint);
 }
 
@@ -98,28 +112,25 @@
     free(fleet);
 }
 
-struct fl_endpoint *
-Fl_Find(const struct fl_fleet *fleet, const char *id)
+static uint32_t
+hash_of(const char *id)
 {
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
-        if (strcmp(endpoint->entry.id, id) == 0) {
-            return endpoint;
-        }
-    }
-    return NULL;
+    return (uint32_t)Hash_String(id, Fl_HASH_SEED);
 }
 
 struct fl_endpoint *
 Fl_ByHash(const struct fl_fleet *fleet, uint32_t hash)
 {
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
-        if (endpoint->hash == hash) {
-            return endpoint;
-        }
-    }
-    return NULL;
+    struct fl_endpoint wanted = {.hash = hash};
+    return RB_FIND(fl_tree, (struct fl_tree *)&fleet->by_hash, &wanted);
+}
+
+struct fl_endpoint *
+Fl_Find(const struct fl_fleet *fleet, const char *id)
+{
+    struct fl_endpoint *endpoint = Fl_ByHash(fleet, hash_of(id));
+    return endpoint != NULL && strcmp(endpoint->entry.id, id) == 0 ? endpoint
+                                                                   : NULL;
 }
 
 static struct fl_endpoint *
@@ -130,9 +141,15 @@
         return NULL;
     }
     endpoint->refs = 1;
-    endpoint->hash = (uint32_t)Hash_String(entry->id, Fl_HASH_SEED);
+    endpoint->hash = hash_of(entry->id);
     endpoint->since = Ck_Now(fleet->clock);
     TAILQ_INIT(&endpoint->idle);
+    if (RB_INSERT(fl_tree, &fleet->by_hash, endpoint) != NULL) {
+        /* Daemons name endpoints to each other by this. */
+        Ln_Log(LN_FAILURE, "endpoint.unnamable", "\"id\":\"%s\"", entry->id);
+        free(endpoint);
+        return NULL;
+    }
     TAILQ_INSERT_TAIL(&fleet->endpoints, endpoint, link);
     return endpoint;
 }
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -8,6 +8,7 @@
 #define EDGE_FLEET_H
 
 #include <bsd/sys/queue.h>
+#include <bsd/sys/tree.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -38,6 +39,7 @@
 
 struct fl_endpoint {
     TAILQ_ENTRY(fl_endpoint) link;
+    RB_ENTRY(fl_endpoint) by_hash;
     int refs;
     struct fl_entry entry;
     uint32_t hash;        /* of the identity; names it between daemons */
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -9,7 +9,8 @@
 
 #define Ga_TICK_USEC Ms_TICK_USEC
 #define Ga_READERS 3
-#define Ga_SWEEP_TICKS 5 /* twice a second */
+#define Ga_SWEEP_TICKS 5   /* twice a second */
+#define Ga_CALLS_TICKS 100 /* each ten seconds */
 /*
  * A planned stop: readiness is asked once a second and two misses take a
  * host out, so callers come for some three seconds more, on connections they
@@ -97,6 +98,22 @@
     Sv_Reply(request, Ga_Ready(gate) ? 200 : 503, "", "", 0);
 }
 
+static void
+show_store_calls(struct ga_gate *gate)
+{
+    const struct ag_store *store = gate->options.store;
+    for (enum ag_topic topic = 0; topic < AG_TOPICS; topic++) {
+        for (enum ag_call call = 0; call < AG_CALLS; call++) {
+            char labels[64];
+            snprintf(labels, sizeof(labels), "topic=\"%s\",call=\"%s\"",
+                     Ag_TopicName(topic), Ag_CallName(call));
+            Mt_Set(Mt_Get(gate->registry, MT_COUNTER,
+                          "cornelgate_store_calls_total", labels),
+                   store->calls[topic][call]);
+        }
+    }
+}
+
 static void
 on_metrics_asked(void *arg, struct sv_request *request)
 {
@@ -105,6 +122,7 @@
         Sv_Reply(request, 404, "", "", 0);
         return;
     }
+    show_store_calls(gate);
     char *text = Mt_Print(gate->registry);
     Sv_Reply(request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
              text == NULL ? "" : text, text == NULL ? 0 : strlen(text));
@@ -254,6 +272,33 @@
     }
 }
 
+static int64_t
+sum_calls(const struct ag_store *store, enum ag_topic topic)
+{
+    int64_t sum = 0;
+    for (enum ag_call call = 0; call < AG_CALLS; call++) {
+        sum += store->calls[topic][call];
+    }
+    return sum;
+}
+
+/* What the store was asked for, since each call is paid for. */
+static void
+log_store_calls(const struct ga_gate *gate)
+{
+    const struct ag_store *store = gate->options.store;
+    Ln_Log(LN_STATE, "store.calls",
+           "\"config\":%lld,\"endpoints_listed\":%lld,"
+           "\"endpoints_read\":%lld,\"hosts\":%lld,\"duty\":%lld,"
+           "\"status\":%lld",
+           (long long)sum_calls(store, AG_CONFIG),
+           (long long)store->calls[AG_ENDPOINTS][AG_NEWEST],
+           (long long)store->calls[AG_ENDPOINTS][AG_READ],
+           (long long)sum_calls(store, AG_HOSTS),
+           (long long)sum_calls(store, AG_DUTY),
+           (long long)sum_calls(store, AG_STATUS));
+}
+
 static void
 on_tick(void *arg)
 {
@@ -272,6 +317,9 @@
         Po_Sweep(gate);
     }
     note_readiness(gate);
+    if (gate->ticks % Ga_CALLS_TICKS == 0) {
+        log_store_calls(gate);
+    }
     Ln_Flush();
     if (gate->stopping_at != 0) {
         step_stop(gate);
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -6,6 +6,8 @@
 
 #include "edge/peers_internal.h"
 
+/* Hosts whose addresses stand in the store. */
+#define Pe_ANNOUNCED 16
 /* When nobody is heard, the hosts' records in the store are read again. */
 #define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
 /*
@@ -238,6 +240,26 @@
     .word = on_word,
 };
 
+static void
+on_announced(void *arg, const struct ag_result *result)
+{
+    struct pe_peers *peers = arg;
+    peers->announcing = false;
+    peers->announced = result->status == AG_OK;
+}
+
+static void
+announce(struct pe_peers *peers)
+{
+    struct ga_gate *gate = peers->gate;
+    const struct nd_node *node = gate->options.node;
+    if (!peers->announced && !peers->announcing) {
+        peers->announcing = true;
+        Ag_Append(gate->options.store, AG_HOSTS, -1, node->name, node->ip,
+                  strlen(node->ip), on_announced, peers);
+    }
+}
+
 static void
 on_listed(void *arg, const struct ag_result *result)
 {
@@ -246,6 +268,7 @@
     if (result->status != AG_OK) {
         return;
     }
+    peers->listed = true;
     for (size_t i = 0; i < result->count; i++) {
         const struct ag_record *record = &result->records[i];
         char ip[Nd_NAME_MAX];
@@ -255,36 +278,31 @@
             Ms_Know(peers->gate->mesh, ip);
         }
     }
+    if (result->count < Pe_ANNOUNCED) {
+        announce(peers);
+    }
 }
 
-static void
-on_announced(void *arg, const struct ag_result *result)
-{
-    struct pe_peers *peers = arg;
-    peers->announcing = false;
-    peers->announced = result->status == AG_OK;
-}
-
-/* Seeds may all be down or gone; the store knows who has been there. */
+/*
+ * Seeds may all be down or gone; the store knows who has been there.  Some
+ * addresses are enough to find all others by: the first hosts by name have
+ * theirs there, and when one of them goes the next one follows.
+ */
 static void
 find_peers(struct pe_peers *peers)
 {
     struct ga_gate *gate = peers->gate;
-    struct ag_store *store = gate->options.store;
-    const struct nd_node *node = gate->options.node;
     int64_t now = Ga_Now(gate);
-    if (now - peers->listed_at < Pe_LIST_EVERY_USEC) {
+    if (peers->listed_at != 0 && now - peers->listed_at < Pe_LIST_EVERY_USEC) {
         return;
     }
-    if (!peers->announced && !peers->announcing) {
-        peers->announcing = true;
-        store->ops->append(store, AG_HOSTS, -1, node->name, node->ip,
-                           strlen(node->ip), on_announced, peers);
-    }
     bool alone = Ms_CountAlive(gate->mesh) <= 1;
-    if ((peers->listed_at == 0 || alone) && !peers->listing) {
+    if (peers->listed && (alone || Ms_Rank(gate->mesh) < Pe_ANNOUNCED)) {
+        announce(peers);
+    }
+    if ((!peers->listed || alone) && !peers->listing) {
         peers->listing = true;
-        store->ops->newest(store, AG_HOSTS, NULL, on_listed, peers);
+        Ag_Newest(gate->options.store, AG_HOSTS, NULL, on_listed, peers);
     }
     peers->listed_at = now;
 }
--- a/packages/edge/peers_internal.h
+++ b/packages/edge/peers_internal.h
@@ -23,9 +23,12 @@
     struct bf_buffer answer;
     bool answer_cut; /* the answer is not whole */
     bool fetch_config;
+    int64_t
+        config_wanted_at; /* since when a peer knows a newer one; 0: none */
     int answer_status;
     int64_t listed_at;
     bool listing;
+    bool listed; /* once, whatever the listing held */
     bool announced;
     bool announcing;
 };
--- a/packages/edge/peers_state.c
+++ b/packages/edge/peers_state.c
@@ -18,6 +18,11 @@
 #define Pe_FETCH_MOST_USEC (4 * Ck_USEC_PER_SEC)
 #define Pe_FETCH_EVERY_USEC (100 * Ck_USEC_PER_MSEC)
 #define Pe_STATE_MAX (16u << 20)
+/* With fewer hosts the store is quicker, and asked little. */
+#define Pe_MANY_HOSTS 32
+/* Packed it is a quarter of that, some milliseconds of a narrow link. */
+#define Pe_SMALL_CONFIG ((size_t)64 << 10)
+#define Pe_CONFIG_PATIENCE_USEC (800 * Ck_USEC_PER_MSEC)
 /* An offset behind all: that part of the state is not wanted. */
 #define Pe_NOT_ASKED INT64_MAX
 
@@ -207,19 +212,48 @@
            changed > Fe_Changed(gate->feed, topic);
 }
 
-/* Whether a newer configuration has to come from a peer. */
 static bool
-needs_config(struct ga_gate *gate)
+others_know_more(const struct ga_gate *gate, enum ag_topic topic)
 {
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (knows_more(gate, peer, AG_CONFIG)) {
-            return !Fe_Refresh(gate->feed);
+        if (knows_more(gate, peer, topic)) {
+            return true;
         }
     }
     return false;
 }
 
+/*
+ * Hundreds of hosts that each read a change from the store are most of what it
+ * is asked for.  A small configuration goes from host to host: each that has
+ * it passes it on.  One that does not come in time is read from the store.
+ */
+static bool
+goes_round(struct pe_peers *peers)
+{
+    struct ga_gate *gate = peers->gate;
+    size_t bytes = Fe_ConfigBytes(gate->feed);
+    return Ms_CountAlive(gate->mesh) >= Pe_MANY_HOSTS && bytes > 0 &&
+           bytes <= Pe_SMALL_CONFIG &&
+           Ga_Now(gate) - peers->config_wanted_at < Pe_CONFIG_PATIENCE_USEC;
+}
+
+/* Whether a newer configuration has to come from a peer. */
+static bool
+needs_config(struct pe_peers *peers)
+{
+    struct ga_gate *gate = peers->gate;
+    if (!others_know_more(gate, AG_CONFIG)) {
+        peers->config_wanted_at = 0;
+        return false;
+    }
+    if (peers->config_wanted_at == 0) {
+        peers->config_wanted_at = Ga_Now(gate);
+    }
+    return goes_round(peers) || !Fe_Refresh(gate->feed);
+}
+
 /*
  * Any of those that know more.  The first of a list would be asked again and
  * again when it died after its last word, by all daemons that heard it, for
@@ -261,7 +295,7 @@
     if (now - peers->fetch_at < Pe_FETCH_EVERY_USEC) {
         return;
     }
-    bool with_config = needs_config(gate);
+    bool with_config = needs_config(peers);
     const struct ms_peer *peer =
         pick_newer(gate, with_config ? AG_CONFIG : AG_ENDPOINTS);
     if (peer != NULL) {
--- a/packages/edge/store.h
+++ b/packages/edge/store.h
@@ -77,10 +77,29 @@
                    void *arg);
 };
 
+enum ag_call {
+    AG_READ,
+    AG_NEWEST,
+    AG_APPEND,
+    AG_CALLS,
+};
+
 struct ag_store {
     const struct ag_ops *ops;
+    int64_t calls[AG_TOPICS][AG_CALLS]; /* made so far */
 };
 
+/* The calls of "ops", counted. */
+void Ag_Read(struct ag_store *store, enum ag_topic topic, int64_t from,
+             int64_t wait_usec, ag_fn fn, void *arg);
+void Ag_Newest(struct ag_store *store, enum ag_topic topic, const char *after,
+               ag_fn fn, void *arg);
+void Ag_Append(struct ag_store *store, enum ag_topic topic, int64_t at,
+               const char *key, const void *value, size_t len, ag_fn fn,
+               void *arg);
+const char *Ag_TopicName(enum ag_topic topic);
+const char *Ag_CallName(enum ag_call call);
+
 /* A record for operators. */
 struct ag_told {
     char key[Ec_NAME_MAX * 2];
--- a/packages/edge/work_moves.c
+++ b/packages/edge/work_moves.c
@@ -68,7 +68,7 @@
     }
     if (work->status_end < 0) {
         work->telling = true;
-        store->ops->newest(store, AG_STATUS, NULL, on_status_end, work);
+        Ag_Newest(store, AG_STATUS, NULL, on_status_end, work);
         return;
     }
     if (!work->gate->options.codec->tell_move(move, &told)) {
@@ -78,8 +78,8 @@
     work->telling_move = index;
     work->telling_order = move->order.number;
     work->telling_state = move->state;
-    store->ops->append(store, AG_STATUS, work->status_end, told.key,
-                       told.value, strlen(told.value), on_told, work);
+    Ag_Append(store, AG_STATUS, work->status_end, told.key, told.value,
+              strlen(told.value), on_told, work);
 }
 
 /*
