Placement: hundreds of hosts no longer take the same idle engine

What callers saw with 295 hosts: one answer in twenty late on calm seconds, first tokens after 1.2 to 2.4 s, while 250 engines were 13 in 100 busy. Cause, from attempt.sent of one data centre: each host took the engine that cost least by what it had heard, and all had heard the same; one engine got 26 requests in a second, a few had 70 to 109 in 18 s against a median of 10, and five of 250 had 45 of 101 late answers.

A request now looks at its group's homes and at a drawn part of the other endpoints, the smaller the more requests of all hosts go out before they hear of each other; with few hosts that is all of them.

--- a/packages/edge/demand.c
+++ b/packages/edge/demand.c
@@ -32,7 +32,8 @@
 
 struct service {
     uint32_t hash;
-    double reading; /* tokens in the smoothing window */
+    double sent;    /* requests in the smoothing window */
+    double reading; /* tokens in it */
     double in_long; /* of these, in long prompts */
     double running; /* microseconds of requests in it */
     double read_rate;
@@ -73,6 +74,7 @@
     int64_t now = Ck_Now(demand->clock);
     double part = exp(-(double)(now - service->faded_at) / De_SMOOTH_USEC);
     service->faded_at = now;
+    service->sent *= part;
     service->reading *= part;
     service->in_long *= part;
     service->running *= part;
@@ -103,6 +105,7 @@
 {
     struct service *service = find(demand, name);
     if (service != NULL) {
+        service->sent += 1;
         service->reading += (double)reading;
         service->in_long += is_long ? (double)reading : 0;
     }
@@ -142,6 +145,7 @@
         fade(demand, service);
         out[i] = (struct de_rate){
             .service = service->hash,
+            .sent = service->sent / De_SMOOTH_SEC,
             .reading = service->reading / De_SMOOTH_SEC,
             .in_long = service->in_long / De_SMOOTH_SEC,
             .running = service->running / De_SMOOTH_USEC,
--- a/packages/edge/demand.h
+++ b/packages/edge/demand.h
@@ -20,6 +20,7 @@
 
 struct de_rate {
     uint32_t service; /* hash of the name */
+    double sent;      /* requests a second */
     double reading;   /* prompt tokens a second */
     double in_long;   /* of these, in long prompts */
     double running;   /* requests at endpoints, on average */
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -51,6 +51,7 @@
 struct scene {
     int64_t now;
     uint64_t group;
+    uint64_t request;
     double mean_first;
     double long_part;
 };
@@ -61,6 +62,7 @@
 {
     const struct ga_gate *gate = exchange->gate;
     uint64_t both[2] = {scene->group, endpoint->hash};
+    uint64_t lot[2] = {scene->request, endpoint->hash};
     struct px_missing missing =
         Px_Missing(gate->prefixes, &exchange->ask, endpoint->hash, scene->now);
     struct pl_candidate candidate = {
@@ -75,6 +77,7 @@
         .full = Po_Full(gate, endpoint, exchange->service),
         .failing = endpoint->failing,
         .draw = Hash_Bytes(both, sizeof(both), 0),
+        .lot = (double)Hash_Bytes(lot, sizeof(lot), 0) / (double)UINT64_MAX,
         .long_lane =
             (double)endpoint->hash < scene->long_part * (double)UINT32_MAX,
     };
@@ -84,32 +87,45 @@
     return candidate;
 }
 
+/* What all daemons ask of a service in a second. */
+struct load {
+    double sent;
+    double reading;
+    double in_long;
+};
+
 static void
 add_rates(const struct de_rate *rates, size_t count, uint32_t service,
-          double *reading, double *in_long)
+          struct load *load)
 {
     for (size_t i = 0; i < count; i++) {
         if (rates[i].service == service) {
-            *reading += rates[i].reading;
-            *in_long += rates[i].in_long;
+            load->sent += rates[i].sent;
+            load->reading += rates[i].reading;
+            load->in_long += rates[i].in_long;
         }
     }
 }
 
-/* The part of all prompt tokens that long prompts bring, of all daemons. */
-static double
-long_share(const struct ga_gate *gate, const char *service)
+static struct load
+load_of(const struct ga_gate *gate, const char *service)
 {
     uint32_t hash = De_Hash(service);
-    double reading = 0;
-    double in_long = 0;
+    struct load load = {0, 0, 0};
     struct de_rate own[De_SERVICES_MAX];
-    add_rates(own, De_Own(gate->demand, own), hash, &reading, &in_long);
+    add_rates(own, De_Own(gate->demand, own), hash, &load);
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        add_rates(peer->rates, peer->rate_count, hash, &reading, &in_long);
+        add_rates(peer->rates, peer->rate_count, hash, &load);
     }
-    return reading > 0 ? in_long / reading : 0;
+    return load;
+}
+
+/* The part of all prompt tokens that long prompts bring. */
+static double
+long_share(const struct load *load)
+{
+    return load->reading > 0 ? load->in_long / load->reading : 0;
 }
 
 /* Endpoints of a service that a pick allows. */
@@ -161,10 +177,15 @@
     struct scene scene = {
         .now = Ga_Now(gate),
         .group = group_of(&exchange->ask),
+        .request = Hash_String(exchange->ask.id, 0),
         .mean_first = mean_first(gate, service),
     };
+    double drawn_part = 1;
     if (engine) {
-        scene.long_part = Pl_LongPart(from->count, long_share(gate, service));
+        struct load load = load_of(gate, service);
+        double lag = (double)Ms_Lag(gate->mesh) / (double)Ck_USEC_PER_SEC;
+        scene.long_part = Pl_LongPart(from->count, long_share(&load));
+        drawn_part = Pl_DrawnPart(from->count, load.sent * lag);
     }
     for (size_t i = 0; i < from->count; i++) {
         candidates[i] = describe(exchange, &scene, from->endpoints[i]);
@@ -174,6 +195,7 @@
         .fill = engine ? Xc_ENGINE_FILL : Xc_PLAIN_FILL,
         .lanes = scene.long_part > 0,
         .is_long = Pl_IsLong(exchange->ask.tokens_in),
+        .drawn_part = drawn_part,
     };
     struct pl_choice choice = {0, 0};
     enum pl_verdict verdict =
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -13,7 +13,7 @@
 #define Ms_FIELDS 25
 #define Ms_EVIDENCE_FIELDS 7
 #define Ms_STANDING_FIELDS 4
-#define Ms_RATE_FIELDS 5
+#define Ms_RATE_FIELDS 6
 #define Ms_SPENT_FIELDS 3
 
 static void
@@ -53,6 +53,7 @@
         msgpack_pack_int64(packer,
                            (int64_t)(word->rates[i].running * Ms_MILLI));
         msgpack_pack_int64(packer, (int64_t)word->rates[i].read_rate);
+        msgpack_pack_int64(packer, (int64_t)(word->rates[i].sent * Ms_MILLI));
     }
     msgpack_pack_array(packer, word->hint_count);
     for (size_t i = 0; i < word->hint_count; i++) {
@@ -173,6 +174,7 @@
         out->rates[i].in_long = (double)get_number(&row[2]);
         out->rates[i].running = (double)get_number(&row[3]) / Ms_MILLI;
         out->rates[i].read_rate = (double)get_number(&row[4]);
+        out->rates[i].sent = (double)get_number(&row[5]) / Ms_MILLI;
     }
     size_t hints = count_rows(&field[4], 1, Ms_HINTS_MAX);
     for (size_t i = 0; i < hints; i++) {
--- a/packages/edge/place.c
+++ b/packages/edge/place.c
@@ -7,9 +7,8 @@
  * depends on most.  The weights order choices that differ little; they are
  * no measures of an engine.
  */
-#define Pl_RUNNING_COST                                                       \
-    120.0                 /* a running request slows each step a little       \
-                           */
+/* A running request slows each step a little. */
+#define Pl_RUNNING_COST 120.0
 #define Pl_FAR_COST 150.0 /* two milliseconds of another data centre */
 /*
  * The endpoints that a group of prompts prefers, best first, and the part of
@@ -47,8 +46,11 @@
 #define Pl_SLOW_COST 4000.0
 /* All places of a plain service's endpoint in use. */
 #define Pl_FULL_COST 4000.0
-/* Endpoints of a plain service that a request chooses from at first. */
+/* Endpoints that a request chooses from at the least. */
 #define Pl_DRAWN 2
+/* Requests of all daemons that look at one endpoint before they hear of each
+   other's. */
+#define Pl_SAME_CHOICE 16.0
 /* Below this share of failures an endpoint is like any other. */
 #define Pl_FAILING_NOTED 0.3
 #define Pl_SLOW_NOTED 2.0
@@ -161,51 +163,82 @@
     return home;
 }
 
-/*
- * Shunned endpoints are taken only when there is no other: a wrong suspicion
- * of all of them must not turn every caller away.
- */
-enum pl_verdict
-Pl_Choose(const struct pl_candidate *candidates, size_t count,
-          const struct pl_limits *limits, struct pl_choice *choice)
+/* The best of those looked at; "any": one may have room later. */
+struct best {
+    size_t index;
+    double cost;
+    bool shunned;
+    bool any;
+};
+
+static struct best
+find_best(const struct pl_candidate *candidates, size_t count,
+          const struct pl_limits *limits, const size_t homes[Pl_HOMES],
+          double drawn_part)
 {
-    size_t homes[Pl_HOMES];
-    find_homes(candidates, count, limits, homes);
-    size_t best = count;
-    double best_cost = DBL_MAX;
-    bool best_shunned = true;
-    bool any = false;
+    struct best best = {count, DBL_MAX, true, false};
     for (size_t i = 0; i < count; i++) {
         const struct pl_candidate *candidate = &candidates[i];
         if (!can_take(candidate)) {
-            any |= candidate->full && !candidate->tried;
+            best.any |= candidate->full && !candidate->tried;
             continue;
         }
-        any = true;
-        if (at_limit(candidate, limits)) {
+        best.any = true;
+        size_t home = home_of(homes, i);
+        bool drawn = home < Pl_HOMES || candidate->lot <= drawn_part;
+        if (!drawn || at_limit(candidate, limits)) {
             continue;
         }
         double cost = trouble_cost(candidate);
-        cost += limits->engine
-                    ? engine_cost(candidate, limits, home_of(homes, i))
-                    : plain_cost(candidate, home_of(homes, i));
-        if (best == count || (best_shunned && !candidate->shunned) ||
-            (best_shunned == candidate->shunned && cost < best_cost)) {
-            best = i;
-            best_cost = cost;
-            best_shunned = candidate->shunned;
+        cost += limits->engine ? engine_cost(candidate, limits, home)
+                               : plain_cost(candidate, home);
+        if (best.index == count || (best.shunned && !candidate->shunned) ||
+            (best.shunned == candidate->shunned && cost < best.cost)) {
+            best.index = i;
+            best.cost = cost;
+            best.shunned = candidate->shunned;
         }
     }
-    if (best == count) {
-        return any ? PL_BUSY : PL_NONE;
+    return best;
+}
+
+/*
+ * Shunned endpoints are taken only when there is no other: a wrong suspicion
+ * of all of them must not turn every caller away.
+ */
+enum pl_verdict
+Pl_Choose(const struct pl_candidate *candidates, size_t count,
+          const struct pl_limits *limits, struct pl_choice *choice)
+{
+    size_t homes[Pl_HOMES];
+    find_homes(candidates, count, limits, homes);
+    struct best best =
+        find_best(candidates, count, limits, homes, limits->drawn_part);
+    if ((best.index == count || best.shunned) && limits->drawn_part < 1) {
+        best = find_best(candidates, count, limits, homes, 1);
+    }
+    if (best.index == count) {
+        return best.any ? PL_BUSY : PL_NONE;
     }
-    const struct pl_candidate *chosen = &candidates[best];
-    choice->index = best;
-    choice->reading = chosen->missing - chosen->shared +
-                      (int64_t)shared_reading(chosen, home_of(homes, best));
+    const struct pl_candidate *chosen = &candidates[best.index];
+    choice->index = best.index;
+    choice->reading =
+        chosen->missing - chosen->shared +
+        (int64_t)shared_reading(chosen, home_of(homes, best.index));
     return PL_CHOSEN;
 }
 
+double
+Pl_DrawnPart(size_t endpoints, double unheard)
+{
+    if (endpoints <= Pl_DRAWN || unheard <= Pl_SAME_CHOICE) {
+        return 1;
+    }
+    double part = Pl_SAME_CHOICE / unheard;
+    double least = (double)Pl_DRAWN / (double)endpoints;
+    return part > least ? part : least;
+}
+
 bool
 Pl_IsLong(int64_t tokens)
 {
--- a/packages/edge/place.h
+++ b/packages/edge/place.h
@@ -20,6 +20,7 @@
     int64_t missing; /* prompt tokens it would have to read, as known here */
     int64_t shared;  /* of these, in parts that other requests have too */
     uint64_t draw;   /* the group's preference among endpoints */
+    double lot;      /* the request's own draw, 0 to 1 */
     double failing;  /* 0 to 1 */
     double slowness; /* its time to the first byte against the others' */
     int slots;
@@ -42,6 +43,9 @@
     double fill; /* requests an endpoint is given, as a multiple of slots */
     bool lanes;  /* long and short prompts have endpoints of their own */
     bool is_long;
+    /* The part of the endpoints that is looked at besides the group's homes;
+       1: all. */
+    double drawn_part;
 };
 
 struct pl_choice {
@@ -59,6 +63,13 @@
  * long prompts bring.
  */
 double Pl_LongPart(size_t endpoints, double long_share);
+/*
+ * The part of the endpoints that each request looks at, where "unheard"
+ * requests are sent in the time that daemons hear of each other's late.  All
+ * see the same endpoint idle; were all to take it, it would get a second's
+ * requests of the whole service before anyone knows.
+ */
+double Pl_DrawnPart(size_t endpoints, double unheard);
 /* Whether a prompt of so many tokens is long. */
 bool Pl_IsLong(int64_t tokens);
 
--- /dev/null
+++ b/packages/edge/test/place_replay_test.cc
@@ -0,0 +1,198 @@
+/*
+ * Hundreds of hosts that place requests at hundreds of engines, each by what
+ * it heard of the others some tenths of a second ago.
+ */
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include "base/hash.h"
+#include "edge/place.h"
+
+namespace {
+
+constexpr int kSlots = 16;
+// Prompt tokens an engine reads in a second, others' steps between.
+constexpr double kReadRate = 60000;
+
+struct Kind {
+    int64_t own;
+    int64_t shared;
+    size_t groups;
+    double runs_sec;
+    double aim_sec;
+    double part;
+};
+
+constexpr Kind kKinds[] = {
+    {6610, 5382, 1125, 1.1, 0.8, 0.22},
+    {628, 198, 2438, 0.9, 0.4, 0.33},
+    {1800, 568, 5134, 0.1, 0.5, 0.45},
+};
+
+struct Engine {
+    double read_until = 0;
+    std::vector<double> ends; // of what runs
+    std::vector<double> firsts;
+    std::vector<int64_t> tokens;
+};
+
+// What a host knows of an engine.
+struct View {
+    int running = 0;
+    int64_t reading = 0;
+};
+
+class Replay {
+  public:
+    Replay(size_t hosts, size_t engines, double per_sec, double lag_sec)
+        : hosts_(hosts), per_sec_(per_sec), lag_sec_(lag_sec),
+          engines_(engines), seen_(engines), before_(engines),
+          own_(hosts, std::vector<View>(engines))
+    {
+    }
+
+    // The part of requests whose first token came within the aim.
+    double
+    Run(double seconds)
+    {
+        std::exponential_distribution<double> gap(per_sec_);
+        double heard = 0;
+        size_t all = 0;
+        size_t fine = 0;
+        for (double now = gap(random_); now < seconds; now += gap(random_)) {
+            if (now - heard > lag_sec_) {
+                heard = now;
+                Hear(now);
+            }
+            size_t kind = Draw();
+            double first = Place(kind, now) - now;
+            all++;
+            fine += first <= kKinds[kind].aim_sec;
+        }
+        return (double)fine / (double)all;
+    }
+
+  private:
+    size_t
+    Draw()
+    {
+        double draw = unit_(random_);
+        size_t kind = 0;
+        while (draw > kKinds[kind].part) {
+            draw -= kKinds[kind++].part;
+        }
+        return kind;
+    }
+
+    static View
+    Look(const Engine &engine, double now)
+    {
+        View view;
+        for (size_t i = 0; i < engine.ends.size(); i++) {
+            view.running += engine.ends[i] > now;
+            view.reading += engine.firsts[i] > now ? engine.tokens[i] : 0;
+        }
+        return view;
+    }
+
+    // All hear how it stood when they last told each other.
+    void
+    Hear(double now)
+    {
+        seen_ = before_;
+        for (size_t i = 0; i < engines_.size(); i++) {
+            before_[i] = Look(engines_[i], now);
+        }
+        for (auto &views : own_) {
+            std::fill(views.begin(), views.end(), View());
+        }
+    }
+
+    double
+    Place(size_t kind_index, double now)
+    {
+        const Kind &kind = kKinds[kind_index];
+        uint64_t group[2] = {kind_index, random_() % kind.groups};
+        uint64_t group_hash = Hash_Bytes(group, sizeof(group), 0);
+        auto &own = own_[random_() % hosts_];
+        std::vector<struct pl_candidate> candidates(engines_.size());
+        for (size_t i = 0; i < engines_.size(); i++) {
+            uint64_t both[2] = {group_hash, i};
+            struct pl_candidate &candidate = candidates[i];
+            candidate.slots = kSlots;
+            candidate.running = seen_[i].running + own[i].running;
+            candidate.reading = seen_[i].reading + own[i].reading;
+            candidate.missing = kind.own + kind.shared;
+            candidate.shared = kind.shared;
+            candidate.draw = Hash_Bytes(both, sizeof(both), 0);
+            candidate.lot = unit_(random_);
+            candidate.near = i % 6 == 0;
+        }
+        struct pl_limits limits = {true, 1.25, false, false, 1};
+        limits.drawn_part = Pl_DrawnPart(engines_.size(), per_sec_ * lag_sec_);
+        struct pl_choice choice = {0, 0};
+        if (Pl_Choose(candidates.data(), candidates.size(), &limits,
+                      &choice) != PL_CHOSEN) {
+            return now + 1e9;
+        }
+        own[choice.index].running++;
+        own[choice.index].reading += kind.own;
+        return Serve(&engines_[choice.index], kind, now);
+    }
+
+    // The moment of the first token.
+    static double
+    Serve(Engine *engine, const Kind &kind, double now)
+    {
+        double start = std::max(now, engine->read_until);
+        std::vector<double> running;
+        for (double end : engine->ends) {
+            if (end > start) {
+                running.push_back(end);
+            }
+        }
+        std::sort(running.begin(), running.end());
+        if (running.size() >= kSlots) {
+            start = running[running.size() - kSlots];
+        }
+        double first = start + (double)kind.own / kReadRate;
+        engine->read_until = first;
+        engine->firsts.push_back(first);
+        engine->ends.push_back(first + kind.runs_sec);
+        engine->tokens.push_back(kind.own);
+        return first;
+    }
+
+    size_t hosts_;
+    double per_sec_;
+    double lag_sec_;
+    std::vector<Engine> engines_;
+    std::vector<View> seen_;
+    std::vector<View> before_;
+    std::vector<std::vector<View>> own_;
+    std::mt19937_64 random_{7};
+    std::uniform_real_distribution<double> unit_{0, 1};
+};
+
+// Guards against hundreds of hosts that all take the endpoint they heard to be
+// idle: short questions wait there while most endpoints have nothing to do.
+TEST(PlaceReplay, HundredsOfHostsSpreadWhatTheyCannotSeeYet)
+{
+    Replay hundreds(295, 250, 1131, 0.6);
+    EXPECT_GE(hundreds.Run(12), 0.95);
+    Replay ninety(91, 70, 316, 0.4);
+    EXPECT_GE(ninety.Run(20), 0.95);
+}
+
+// Guards against few hosts that no longer take the best endpoint they know.
+TEST(PlaceReplay, FewHostsLookAtAllEndpoints)
+{
+    EXPECT_EQ(1, Pl_DrawnPart(9, 80 * 0.1));
+    EXPECT_LT(Pl_DrawnPart(250, 1131 * 0.6), 0.05);
+    EXPECT_GE(Pl_DrawnPart(250, 1e6), 2.0 / 250);
+}
+
+} // namespace
--- a/packages/edge/test/place_test.cc
+++ b/packages/edge/test/place_test.cc
@@ -17,7 +17,7 @@
     return candidate;
 }
 
-const struct pl_limits engine = {true, 1.25, false, false};
+const struct pl_limits engine = {true, 1.25, false, false, 1};
 
 size_t
 Choose(const std::vector<struct pl_candidate> &candidates)
@@ -84,7 +84,7 @@
     std::vector<struct pl_candidate> candidates = {Idle(), Idle()};
     candidates[0].long_lane = true;
     candidates[1].near = false;
-    struct pl_limits limits = {true, 1.25, true, false};
+    struct pl_limits limits = {true, 1.25, true, false, 1};
     struct pl_choice choice;
     ASSERT_EQ(Pl_Choose(candidates.data(), 2, &limits, &choice), PL_CHOSEN);
     EXPECT_EQ(choice.index, 1u);
@@ -113,7 +113,7 @@
 TEST(Place, HostsDoNotAllGoToTheSameIdleEndpoint)
 {
     std::vector<struct pl_candidate> candidates(6, Idle());
-    const struct pl_limits plain = {false, 3, false, false};
+    const struct pl_limits plain = {false, 3, false, false, 1};
     std::vector<int> sent(6);
     for (uint64_t request = 1; request <= 600; request++) {
         for (size_t i = 0; i < candidates.size(); i++) {
--- a/packages/edge/test/tables_test.cc
+++ b/packages/edge/test/tables_test.cc
@@ -148,7 +148,7 @@
     word.load_count = 1;
     word.loads[0] = {7, 3, 1200};
     word.rate_count = 1;
-    word.rates[0] = {4, 5000, 3000, 2.5, 70000};
+    word.rates[0] = {4, 12.5, 5000, 3000, 2.5, 70000};
     word.hint_count = 1;
     strcpy(word.hints[0], "10.0.0.2");
     char bytes[4096];
@@ -158,6 +158,7 @@
     ASSERT_TRUE(Ms_Decode(bytes, len, &read));
     EXPECT_EQ(read.run, 99u);
     EXPECT_EQ(read.loads[0].reading, 1200);
+    EXPECT_DOUBLE_EQ(read.rates[0].sent, 12.5);
     EXPECT_DOUBLE_EQ(read.rates[0].in_long, 3000);
     EXPECT_DOUBLE_EQ(read.rates[0].running, 2.5);
     EXPECT_STREQ(read.hints[0], "10.0.0.2");
--- a/packages/edge/test/zones_test.cc
+++ b/packages/edge/test/zones_test.cc
@@ -3,7 +3,6 @@
 
 #include <cstring>
 
-
 #include "edge/zones.h"
 
 #include "../../state/test/fake_clock.h"
