Operations: which version answered, and which versions each data centre has

Operators could not tell which version had answered a caller, nor when every data centre had the new one. request.end names the version; answers are counted by service and version, endpoints by service, data centre, version and state, each in the metrics of any host.

--- a/packages/base/metric.c
+++ b/packages/base/metric.c
@@ -200,6 +200,17 @@
             (long long)metric->count);
 }
 
+void
+Mt_Clear(struct mt_registry *registry, const char *name)
+{
+    struct mt_metric *metric;
+    TAILQ_FOREACH (metric, &registry->metrics, link) {
+        if (strcmp(metric->name, name) == 0) {
+            metric->value = 0;
+        }
+    }
+}
+
 /* Prints every metric; the caller frees the text.  NULL without memory. */
 char *
 Mt_Print(const struct mt_registry *registry)
--- a/packages/base/metric.h
+++ b/packages/base/metric.h
@@ -28,6 +28,8 @@
                          const char *name, const char *labels);
 void Mt_Add(struct mt_metric *metric, int64_t amount);
 void Mt_Set(struct mt_metric *metric, int64_t value);
+/* Sets every metric of a name to 0, whatever its labels. */
+void Mt_Clear(struct mt_registry *registry, const char *name);
 void Mt_Observe(struct mt_metric *metric, int64_t usec);
 int64_t Mt_Value(const struct mt_metric *metric);
 int64_t Mt_Quantile(const struct mt_metric *metric, double quantile);
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "edge/health.h"
+#include "edge/versions.h"
 
 /* An endpoint with this part of its places in use reads at its own pace. */
 #define Xc_ALONE_PART 4
@@ -34,12 +35,14 @@
     bool fine = strcmp(outcome, "served") == 0;
     Ln_Log(fine ? LN_ORDINARY : LN_FAILURE, "request.end",
            "\"id\":\"%s\",\"outcome\":\"%s\",\"route\":\"%s\","
-           "\"config\":%lld,\"status\":%d,\"endpoint\":\"%s\",\"sends\":%d,"
+           "\"config\":%lld,\"status\":%d,\"endpoint\":\"%s\","
+           "\"version\":\"%s\",\"sends\":%d,"
            "\"ran\":%d,\"last_event\":%lld,\"first_ms\":%lld,"
            "\"aim_ms\":%lld,\"ms\":%lld,\"left_ms\":%lld",
            exchange->ask.id, outcome, exchange->route->name,
            (long long)exchange->config->version, attempt->status,
            attempt->endpoint == NULL ? "" : attempt->endpoint->entry.id,
+           attempt->endpoint == NULL ? "" : attempt->endpoint->entry.version,
            exchange->sends, exchange->runs, (long long)exchange->last_event,
            exchange->first_at == 0
                ? -1LL
@@ -101,9 +104,14 @@
 Xc_End(struct xc_exchange *exchange, const char *outcome)
 {
     log_end(exchange, outcome);
-    Mt_Add(strcmp(outcome, "served") == 0 ? exchange->gate->count.served
-                                          : exchange->gate->count.failed,
+    bool served = strcmp(outcome, "served") == 0;
+    Mt_Add(served ? exchange->gate->count.served
+                  : exchange->gate->count.failed,
            1);
+    if (served && exchange->attempt.endpoint != NULL) {
+        Vs_CountAnswer(exchange->gate->registry,
+                       &exchange->attempt.endpoint->entry);
+    }
     Mt_Observe(exchange->gate->count.whole,
                Ga_Now(exchange->gate) - exchange->arrived);
     if (exchange->charged && !exchange->may_have_run) {
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -6,6 +6,7 @@
 
 #include "edge/exchange.h"
 #include "edge/gate_internal.h"
+#include "edge/versions.h"
 
 #define Ga_TICK_USEC Ms_TICK_USEC
 #define Ga_READERS 3
@@ -123,6 +124,7 @@
         return;
     }
     show_store_calls(gate);
+    Vs_ShowEndpoints(gate->registry, gate->fleet);
     char *text = Mt_Print(gate->registry);
     Sv_Reply(request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
              text == NULL ? "" : text, text == NULL ? 0 : strlen(text));
--- /dev/null
+++ b/packages/edge/versions.c
@@ -0,0 +1,32 @@
+#include "edge/versions.h"
+
+#include <stdio.h>
+
+#define Vs_LABELS_MAX (4 * Ec_NAME_MAX + 64)
+
+void
+Vs_CountAnswer(struct mt_registry *registry, const struct fl_entry *entry)
+{
+    char labels[Vs_LABELS_MAX];
+    snprintf(labels, sizeof(labels), "service=\"%s\",version=\"%s\"",
+             entry->service, entry->version);
+    Mt_Add(Mt_Get(registry, MT_COUNTER, "cornelgate_answers_total", labels),
+           1);
+}
+
+void
+Vs_ShowEndpoints(struct mt_registry *registry, const struct fl_fleet *fleet)
+{
+    static const char name[] = "cornelgate_endpoints";
+    Mt_Clear(registry, name);
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(fleet), link) {
+        const struct fl_entry *entry = &endpoint->entry;
+        char labels[Vs_LABELS_MAX];
+        snprintf(labels, sizeof(labels),
+                 "service=\"%s\",zone=\"%s\",version=\"%s\",state=\"%s\"",
+                 entry->service, entry->zone, entry->version,
+                 Fl_Usable(endpoint) ? "serving" : "draining");
+        Mt_Add(Mt_Get(registry, MT_GAUGE, name, labels), 1);
+    }
+}
