--- a/test/soak.cc
+++ b/test/soak.cc
@@ -1,9 +1,13 @@
 // cg_soak: daemons and stand-ins under mixed load and seeded faults, held
 // against each promise of the system at the end.  Exit status 1: a promise
 // was broken or could not be tried.
+#include <unistd.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <sstream>
 #include <string>
@@ -100,6 +104,32 @@
         config.published, config.lost_races, config.slowest_sec);
 }
 
+// All that a daemon has written, by its processes that ended as well.
+std::string
+LogOf(cg::Scene &scene, const cg::SoakFaults &faults, size_t daemon)
+{
+    auto ended = faults.ended_logs.find(daemon);
+    return (ended == faults.ended_logs.end() ? "" : ended->second) +
+           scene.cluster.process(daemon).Stderr();
+}
+
+// A failure may come once in many runs: its logs must be there then.
+void
+KeepLogs(cg::Scene &scene, const cg::SoakFaults &faults, uint64_t seed)
+{
+    std::filesystem::path folder =
+        std::filesystem::path("soak-logs") /
+        (std::to_string(seed) + "-" + std::to_string(getpid()));
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    for (size_t i = 0; i < scene.cluster.Size() && !error; i++) {
+        std::ofstream(folder / ("daemon-" + std::to_string(i) + ".log"))
+            << LogOf(scene, faults, i);
+    }
+    printf("logs: %s%s\n", folder.c_str(),
+           error ? ", not kept: the folder cannot be made" : "");
+}
+
 // Why attempts were not followed by others, by daemon; with the lines of a
 // broken run, so that its cause can be told.
 void
@@ -109,10 +139,7 @@
     const size_t kLines = 40;
     const std::string kReason = " reason=";
     for (size_t i = 0; i < scene.cluster.Size(); i++) {
-        auto ended = faults.ended_logs.find(i);
-        std::istringstream log(
-            (ended == faults.ended_logs.end() ? "" : ended->second) +
-            scene.cluster.process(i).Stderr());
+        std::istringstream log(LogOf(scene, faults, i));
         std::map<std::string, long long> reasons;
         size_t lines = 0;
         for (std::string line; std::getline(log, line);) {
@@ -174,6 +201,7 @@
     PrintFaults(faults, config);
     int bad = cg::ReportSoak(cg::CheckSoak(ledger, faults, config));
     PrintRetriesRefused(scene, faults, bad > 0);
+    KeepLogs(scene, faults, options.seed);
     if (bad > 0) {
         printf("repeat with: make soak SECONDS=%d SEED=%llu\n",
                options.seconds, (unsigned long long)options.seed);
