Feed: a start among many reads one page and takes the rest from a peer

After the first page, with which it can serve, it waits 0.4 s for a peer's whole pack when it knows of sixteen hosts or more; the pack stands for the listing, and a host that has to read later reads what came since. When nobody has a pack, all pages are listed as before. The model of the feed draws it as well.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -28,6 +28,8 @@
 #define Fe_REFRESH_USEC (700 * Ck_USEC_PER_MSEC)
 /* How often a daemon that does not read asks whether it should. */
 #define Fe_ROLE_USEC (100 * Ck_USEC_PER_MSEC)
+/* How long the second page of a first listing waits for a peer's pack. */
+#define Fe_PACK_USEC (400 * Ck_USEC_PER_MSEC)
 /* Entries lapse while the store is away, and return in this time. */
 #define Fe_DOUBT_USEC (2000 * Ck_USEC_PER_MSEC)
 #define Fe_AWAY_USEC (1000 * Ck_USEC_PER_MSEC)
@@ -337,6 +339,36 @@
                                    : entries_every(follow->feed));
 }
 
+/*
+ * A daemon that starts among others gets from one of them, in one piece, what
+ * the store lists in many pages.  From then on it stands where that peer did:
+ * should it have to read, what came later is still to be read.
+ */
+static void
+take_pack_for_listing(struct follow *follow, int64_t now)
+{
+    const struct fe_options *options = &follow->feed->options;
+    if (follow->listed || !follow->packed || follow->topic != AG_ENDPOINTS ||
+        !options->ops->others_read(options->arg, follow->topic)) {
+        return;
+    }
+    follow->from = follow->changed;
+    follow->listed = true;
+    follow->listed_at = now;
+    follow->after[0] = '\0';
+}
+
+/* With the first page a daemon can serve; others may be about to be heard. */
+static bool
+awaits_pack(const struct follow *follow, int64_t now)
+{
+    const struct fe_options *options = &follow->feed->options;
+    return !follow->listed && follow->after[0] != '\0' &&
+           follow->topic == AG_ENDPOINTS &&
+           now - follow->paged_at < Fe_PACK_USEC &&
+           options->ops->others_known(options->arg);
+}
+
 static void
 step(void *arg)
 {
@@ -344,6 +376,11 @@
     struct fe_feed *feed = follow->feed;
     struct ag_store *store = feed->options.store;
     int64_t now = Ck_Now(feed->options.clock);
+    take_pack_for_listing(follow, now);
+    if (awaits_pack(follow, now)) {
+        Lp_TimerSet(follow->timer, Fe_ROLE_USEC);
+        return;
+    }
     if (follow->from >= 0 &&
         feed->options.ops->others_read(feed->options.arg, follow->topic)) {
         fe_end_failure(follow);
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -36,6 +36,8 @@
      * the store; what one daemon has read all others learn from it.
      */
     bool (*others_read)(void *arg, enum ag_topic topic);
+    /* Whether there are so many daemons that some may soon be heard. */
+    bool (*others_known)(void *arg);
 };
 
 struct fe_options {
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -33,11 +33,13 @@
     struct fe_feed *feed;
     enum ag_topic topic;
     struct lp_timer *timer;
-    int64_t from;    /* next offset to read; -1: list first */
-    int64_t highest; /* no reading that ends before it is believed */
-    int64_t changed; /* behind the last change; -1: nothing is known */
-    int64_t base;    /* removals before it may be unknown */
-    bool listed;     /* a whole listing was read */
+    int64_t from;     /* next offset to read; -1: list first */
+    int64_t highest;  /* no reading that ends before it is believed */
+    int64_t changed;  /* behind the last change; -1: nothing is known */
+    int64_t base;     /* removals before it may be unknown */
+    bool listed;      /* a whole listing was read, or a peer's whole pack */
+    bool packed;      /* a peer's whole pack was taken */
+    int64_t paged_at; /* when the first page of the first listing came */
     int64_t listed_at;
     int64_t listing_end;
     int64_t listing_changed; /* behind the newest change in the listing */
--- a/packages/edge/feed_list.c
+++ b/packages/edge/feed_list.c
@@ -4,6 +4,8 @@
 
 #include "edge/feed_internal.h"
 
+#define Fe_HOSTS_USEC (30 * Ck_USEC_PER_MSEC)
+
 /* What a whole listing lacks was removed, unless it is newer than that. */
 static void
 end_listing(struct follow *follow)
@@ -82,7 +84,12 @@
     else {
         end_listing(follow);
     }
-    Lp_TimerSet(follow->timer, 0);
+    /* The addresses of other hosts are on their way with the first page. */
+    bool first = follow->paged_at == 0;
+    if (first) {
+        follow->paged_at = follow->answered_at;
+    }
+    Lp_TimerSet(follow->timer, first && !follow->listed ? Fe_HOSTS_USEC : 0);
 }
 
 /*
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -146,6 +146,7 @@
     for (size_t i = 0; i < records->via.array.size; i++) {
         unpack_record(follow, &records->via.array.ptr[i]);
     }
+    follow->packed |= full && changed > 0;
     /* A listing read here since then is newer, and stands for more. */
     if (full && had < base && follow->base < base) {
         remove_unlisted(follow, base);
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -10,6 +10,7 @@
 
 #define Ga_TICK_USEC Ms_TICK_USEC
 #define Ga_READERS 3
+#define Ga_MANY_DAEMONS 16
 #define Ga_SWEEP_TICKS 5   /* twice a second */
 #define Ga_CALLS_TICKS 100 /* each ten seconds */
 /*
@@ -215,12 +216,20 @@
     return readers >= Ga_READERS;
 }
 
+static bool
+others_known(void *arg)
+{
+    const struct ga_gate *gate = arg;
+    return Ms_CountExpected(gate->mesh) >= Ga_MANY_DAEMONS;
+}
+
 static const struct fe_ops feed_ops = {
     .config = on_config,
     .order = on_order,
     .store = on_store,
     .others_reach = others_reach,
     .others_read = others_read,
+    .others_known = others_known,
 };
 
 static bool
--- a/packages/edge/test/feed_model_test.cc
+++ b/packages/edge/test/feed_model_test.cc
@@ -56,6 +56,7 @@
     struct fl_fleet *fleet;
     struct fe_feed *feed = nullptr;
     bool others_read = false;
+    bool others_known = false;
 
   private:
     static void
@@ -81,8 +82,14 @@
         return static_cast<Host *>(arg)->others_read;
     }
 
-    static constexpr struct fe_ops kOps = {OnConfig, OnOrder, OnStore,
-                                           OthersReach, OthersRead};
+    static bool
+    OthersKnown(void *arg)
+    {
+        return static_cast<Host *>(arg)->others_known;
+    }
+
+    static constexpr struct fe_ops kOps = {
+        OnConfig, OnOrder, OnStore, OthersReach, OthersRead, OthersKnown};
 };
 
 class FeedModel : public testing::TestWithParam<uint64_t> {
@@ -180,6 +187,7 @@
         hosts_[i]->others_read = true;
         store_.Answer();
         hosts_[i] = std::make_unique<Host>(loop_, &store_);
+        hosts_[i]->others_known = Below(2) == 0;
     }
 
     void
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -55,8 +55,16 @@
     return others_read;
 }
 
-const struct fe_ops ops = {OnConfig, OnOrder, OnStore, OthersReach,
-                           OthersRead};
+bool others_known;
+
+bool
+OthersKnown(void *)
+{
+    return others_known;
+}
+
+const struct fe_ops ops = {OnConfig,    OnOrder,    OnStore,
+                           OthersReach, OthersRead, OthersKnown};
 
 struct Node {
     struct fl_fleet *fleet;
@@ -69,7 +77,7 @@
     void
     SetUp() override
     {
-        others_reach = others_read = false;
+        others_reach = others_read = others_known = false;
         ASSERT_EQ(Lp_Create(&loop_), ST_OK);
         runner_ = new Runner(loop_);
     }
@@ -680,6 +688,47 @@
     EXPECT_NE(Fl_Find(fresh.fleet, "a"), nullptr);
 }
 
+// Guards against hundreds of daemons that each list every endpoint when they
+// start, though the first one heard could tell them all of it.
+TEST_F(Feed, AStartAmongManyReadsOnePage)
+{
+    store_.page = 2;
+    for (int i = 0; i < 9; i++) {
+        store_.Put(AG_ENDPOINTS, "k" + std::to_string(i), "ready");
+    }
+    Node old = Start();
+    ASSERT_TRUE(Until([&] { return Fe_Changed(old.feed, AG_ENDPOINTS) > 0; }));
+    others_known = others_read = true;
+    Node fresh = Start();
+    ASSERT_TRUE(Until([&] { return Fl_Any(fresh.fleet); }));
+    Fetch(fresh, old);
+    runner_->For(600 * Ck_USEC_PER_MSEC);
+    store_.Answer();
+    EXPECT_EQ(fresh.client->pages, 1);
+    for (int i = 0; i < 9; i++) {
+        std::string key = "k" + std::to_string(i);
+        EXPECT_NE(Fl_Find(fresh.fleet, key.c_str()), nullptr) << key;
+    }
+    // Those who read are gone: what came since the pack is read.
+    store_.Remove(AG_ENDPOINTS, "k0");
+    others_read = false;
+    EXPECT_TRUE(Until([&] { return Fl_Find(fresh.fleet, "k0") == nullptr; }));
+    EXPECT_EQ(fresh.client->pages, 1);
+}
+
+// Guards against a start among many that are all starting: nobody has a pack,
+// and the daemon would serve with one page for good.
+TEST_F(Feed, AStartOfAllListsEveryPage)
+{
+    store_.page = 2;
+    for (int i = 0; i < 9; i++) {
+        store_.Put(AG_ENDPOINTS, "k" + std::to_string(i), "ready");
+    }
+    others_known = others_read = true;
+    Node node = Start();
+    EXPECT_TRUE(Until([&] { return Fl_Find(node.fleet, "k8") != nullptr; }));
+}
+
 // Bytes of a peer that make no sense stop a daemon.
 TEST_F(Feed, RubbishFromAPeerIsPassedOver)
 {
