--- a/packages/edge/mesh_pace.c
+++ b/packages/edge/mesh_pace.c
@@ -45,7 +45,7 @@
     return more_of(ms_gap(mesh, true), Ms_SUMMARY_LEAST_USEC);
 }
 
-/* A word of another data centre reaches its teller first. */
+/* A word of another data centre reaches its reporter first. */
 int64_t
 Ms_Lag(const struct ms_mesh *mesh)
 {
@@ -79,9 +79,9 @@
 }
 
 static uint64_t
-claim_on(const struct ms_peer *peer, uint64_t teller)
+claim_on(const struct ms_peer *peer, uint64_t reporter)
 {
-    uint64_t both[2] = {peer->hash, teller};
+    uint64_t both[2] = {peer->hash, reporter};
     return Hash_Bytes(both, sizeof(both), 0);
 }
 
@@ -91,7 +91,7 @@
  * that is no longer heard.
  */
 static bool
-tells(const struct ms_mesh *mesh, const struct ms_peer *peer)
+reports_to(const struct ms_mesh *mesh, const struct ms_peer *peer)
 {
     uint64_t own = claim_on(peer, mesh->hash);
     const struct ms_peer *other;
@@ -142,5 +142,5 @@
         return false;
     }
     peer->summary_due_at = next_due(mesh, summary_gap(mesh));
-    return tells(mesh, peer);
+    return reports_to(mesh, peer);
 }
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -191,7 +191,7 @@
         Qt_Returned(gate->quota);
     }
     bool near = strcmp(word->zone, gate->options.node->zone) == 0;
-    bool told = !near && Zn_Tells(gate->zones, word->zone);
+    bool told = !near && Zn_IsReported(gate->zones, word->zone);
     for (size_t i = 0; i < word->spent_count && !told; i++) {
         const struct ms_spent *now = &word->spent[i];
         struct ms_spent before =
@@ -335,7 +335,7 @@
         if (peer->near) {
             add_near_loads(gate, peer);
         }
-        else if (!Zn_Tells(gate->zones, peer->zone)) {
+        else if (!Zn_IsReported(gate->zones, peer->zone)) {
             add_far_loads(gate, peer);
         }
     }
--- a/packages/edge/test/zones_test.cc
+++ b/packages/edge/test/zones_test.cc
@@ -28,16 +28,16 @@
     }
 
     void
-    Summary(uint64_t teller, uint64_t total, int64_t up_usec)
+    Summary(uint64_t reporter, uint64_t total, int64_t up_usec)
     {
         memset(&word_, 0, sizeof(word_));
         strcpy(word_.zone, "dc-b");
-        word_.run = teller;
+        word_.run = reporter;
         word_.up_usec = up_usec;
         word_.spent_count = 1;
         word_.spent[0] = {kTenant, total, 2 * total};
         word_.load_count = 1;
-        word_.loads[0] = {1, (int)teller, 0};
+        word_.loads[0] = {1, (int)reporter, 0};
         Zn_Take(zones_, &word_, Note, &heard_);
     }
 
@@ -57,7 +57,7 @@
 
 // Guards against a data centre's spending that counts from its start for a
 // daemon that has just come.
-TEST_F(Zones, WhatATellerSaysFirstIsNotNew)
+TEST_F(Zones, WhatAReporterSaysFirstIsNotNew)
 {
     Summary(1, 1000, 10);
     EXPECT_EQ(0u, heard_.total);
@@ -68,7 +68,7 @@
 
 // Guards against spending that counts twice when two daemons tell of one data
 // centre.
-TEST_F(Zones, OneTellerCountsAtATime)
+TEST_F(Zones, OneReporterCountsAtATime)
 {
     Summary(1, 1000, 10);
     Summary(2, 5000, 10);
@@ -78,15 +78,15 @@
 }
 
 // Guards against a limit that nobody of another data centre counts against
-// once its teller has died.
-TEST_F(Zones, AnotherTellerTakesOver)
+// once its reporter has died.
+TEST_F(Zones, AnotherReporterTakesOver)
 {
     Summary(1, 1000, 10);
     Summary(2, 5000, 10);
     clock_.Advance(2 * Ck_USEC_PER_SEC);
-    EXPECT_FALSE(Zn_Tells(zones_, "dc-b"));
+    EXPECT_FALSE(Zn_IsReported(zones_, "dc-b"));
     Summary(2, 5300, 20);
-    EXPECT_TRUE(Zn_Tells(zones_, "dc-b"));
+    EXPECT_TRUE(Zn_IsReported(zones_, "dc-b"));
     EXPECT_EQ(300u, heard_.total);
     Summary(3, 9000, 10);
     Summary(2, 5400, 30);
@@ -105,7 +105,7 @@
 }
 
 // Guards against loads of a data centre that has fallen silent.
-TEST_F(Zones, LoadsAreThoseOfTheTellerThatCounts)
+TEST_F(Zones, LoadsAreThoseOfTheReporterThatCounts)
 {
     Summary(1, 1000, 10);
     Summary(2, 1000, 10);
--- a/packages/edge/zones.c
+++ b/packages/edge/zones.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 /* One that stopped, and the one that stands in for it. */
-#define Zn_TELLERS 2
-/* A teller not heard for this long has stopped. */
+#define Zn_REPORTERS 2
+/* A reporter not heard for this long has stopped. */
 #define Zn_SILENT_USEC (1500 * Ck_USEC_PER_MSEC)
 
-struct teller {
+struct reporter {
     uint64_t run;    /* 0: none */
     int64_t up_usec; /* of the process, as it last said */
     int64_t heard_at;
@@ -22,8 +22,8 @@
 struct zone {
     TAILQ_ENTRY(zone) link;
     char name[Nd_NAME_MAX];
-    size_t current; /* the teller whose word counts */
-    struct teller tellers[Zn_TELLERS];
+    size_t current; /* the reporter whose word counts */
+    struct reporter reporters[Zn_REPORTERS];
 };
 
 TAILQ_HEAD(zone_list, zone);
@@ -102,10 +102,10 @@
 }
 
 static bool
-is_heard(const struct zn_zones *zones, const struct teller *teller)
+is_heard(const struct zn_zones *zones, const struct reporter *reporter)
 {
-    return teller->run != 0 &&
-           Ck_Now(zones->clock) - teller->heard_at < Zn_SILENT_USEC;
+    return reporter->run != 0 &&
+           Ck_Now(zones->clock) - reporter->heard_at < Zn_SILENT_USEC;
 }
 
 static struct zone *
@@ -134,57 +134,57 @@
     return zone;
 }
 
-/* The entry of a teller; a new one takes that of one whose word does not
+/* The entry of a reporter; a new one takes that of one whose word does not
    count. */
-static struct teller *
-find_teller(struct zone *zone, uint64_t run)
+static struct reporter *
+find_reporter(struct zone *zone, uint64_t run)
 {
-    for (size_t i = 0; i < Zn_TELLERS; i++) {
-        if (zone->tellers[i].run == run) {
-            return &zone->tellers[i];
+    for (size_t i = 0; i < Zn_REPORTERS; i++) {
+        if (zone->reporters[i].run == run) {
+            return &zone->reporters[i];
         }
     }
-    return &zone->tellers[(zone->current + 1) % Zn_TELLERS];
+    return &zone->reporters[(zone->current + 1) % Zn_REPORTERS];
 }
 
 static const struct ms_spent *
-spent_before(const struct teller *teller, uint32_t tenant)
+spent_before(const struct reporter *reporter, uint32_t tenant)
 {
     static const struct ms_spent nothing = {0, 0, 0};
-    for (size_t i = 0; i < teller->spent_count; i++) {
-        if (teller->spent[i].tenant == tenant) {
-            return &teller->spent[i];
+    for (size_t i = 0; i < reporter->spent_count; i++) {
+        if (reporter->spent[i].tenant == tenant) {
+            return &reporter->spent[i];
         }
     }
     return &nothing;
 }
 
 static void
-tell_more(const struct teller *teller, const struct ms_word *summary,
+tell_more(const struct reporter *reporter, const struct ms_word *summary,
           zn_spent_fn fn, void *arg)
 {
     for (size_t i = 0; i < summary->spent_count; i++) {
         const struct ms_spent *now = &summary->spent[i];
         struct ms_spent more =
-            Ms_SpentMore(now, spent_before(teller, now->tenant));
+            Ms_SpentMore(now, spent_before(reporter, now->tenant));
         fn(arg, &more);
     }
 }
 
 static void
-keep(struct teller *teller, const struct ms_word *summary, int64_t now)
+keep(struct reporter *reporter, const struct ms_word *summary, int64_t now)
 {
-    teller->run = summary->run;
-    teller->up_usec = summary->up_usec;
-    teller->heard_at = now;
-    teller->spent_count = summary->spent_count;
-    memcpy(teller->spent, summary->spent, sizeof(teller->spent));
-    teller->load_count = summary->load_count;
-    memcpy(teller->loads, summary->loads, sizeof(teller->loads));
+    reporter->run = summary->run;
+    reporter->up_usec = summary->up_usec;
+    reporter->heard_at = now;
+    reporter->spent_count = summary->spent_count;
+    memcpy(reporter->spent, summary->spent, sizeof(reporter->spent));
+    reporter->load_count = summary->load_count;
+    memcpy(reporter->loads, summary->loads, sizeof(reporter->loads));
 }
 
 /*
- * Two tellers have counted from different moments on, so one counts at a
+ * Two reporters have counted from different moments on, so one counts at a
  * time.  What a new one says first is where it stands; only then is it known
  * what is more.
  */
@@ -196,26 +196,27 @@
     if (zone == NULL || summary->run == 0) {
         return;
     }
-    struct teller *teller = find_teller(zone, summary->run);
-    size_t index = (size_t)(teller - zone->tellers);
-    if (teller->run == summary->run && teller->up_usec > summary->up_usec) {
+    struct reporter *reporter = find_reporter(zone, summary->run);
+    size_t index = (size_t)(reporter - zone->reporters);
+    if (reporter->run == summary->run &&
+        reporter->up_usec > summary->up_usec) {
         /* It was overtaken on the way. */
         return;
     }
-    if (!is_heard(zones, &zone->tellers[zone->current])) {
+    if (!is_heard(zones, &zone->reporters[zone->current])) {
         zone->current = index;
     }
-    if (zone->current == index && teller->run == summary->run) {
-        tell_more(teller, summary, fn, arg);
+    if (zone->current == index && reporter->run == summary->run) {
+        tell_more(reporter, summary, fn, arg);
     }
-    keep(teller, summary, Ck_Now(zones->clock));
+    keep(reporter, summary, Ck_Now(zones->clock));
 }
 
 bool
-Zn_Tells(const struct zn_zones *zones, const char *name)
+Zn_IsReported(const struct zn_zones *zones, const char *name)
 {
     const struct zone *zone = find_zone(zones, name);
-    return zone != NULL && is_heard(zones, &zone->tellers[zone->current]);
+    return zone != NULL && is_heard(zones, &zone->reporters[zone->current]);
 }
 
 void
@@ -223,13 +224,13 @@
 {
     const struct zone *zone;
     TAILQ_FOREACH (zone, &zones->zones, link) {
-        const struct teller *teller = &zone->tellers[zone->current];
-        if (!is_heard(zones, teller)) {
+        const struct reporter *reporter = &zone->reporters[zone->current];
+        if (!is_heard(zones, reporter)) {
             continue;
         }
-        int64_t age = Ck_Now(zones->clock) - teller->heard_at;
-        for (size_t i = 0; i < teller->load_count; i++) {
-            fn(arg, &teller->loads[i], age);
+        int64_t age = Ck_Now(zones->clock) - reporter->heard_at;
+        for (size_t i = 0; i < reporter->load_count; i++) {
+            fn(arg, &reporter->loads[i], age);
         }
     }
 }
--- a/packages/edge/zones.h
+++ b/packages/edge/zones.h
@@ -2,7 +2,8 @@
  * What the daemons of each data centre have admitted and sent, as sums.  Own
  * sums are made of what the daemons of this data centre tell; those of another
  * come from one daemon there at a time.  Each daemon's sums start from zero at
- * its own start, so what counts is how much more one and the same teller says.
+ * its own start, so what counts is how much more one and the same reporter
+ * says.
  */
 #ifndef EDGE_ZONES_H
 #define EDGE_ZONES_H
@@ -28,7 +29,7 @@
 void Zn_Take(struct zn_zones *zones, const struct ms_word *summary,
              zn_spent_fn fn, void *arg);
 /* Whether a data centre's sums are being told. */
-bool Zn_Tells(const struct zn_zones *zones, const char *zone);
+bool Zn_IsReported(const struct zn_zones *zones, const char *zone);
 /* The requests sent from data centres whose sums are being told. */
 typedef void (*zn_load_fn)(void *arg, const struct ms_load *load,
                            int64_t age_usec);
