Start of many: the duty is not contended by all, and nobody reads before it has heard who does

At a start of 295 hosts each read the duty's log, tried to append to it, since an empty log was free to anybody at once, and read it again; and each read configuration and endpoints until it had heard three others that do. An empty log is now taken half a second after the start in the order of names, and a host that knows of sixteen others or more leaves reading for its first second, in which it hears of those who read.

--- a/packages/edge/duty.c
+++ b/packages/edge/duty.c
@@ -16,6 +16,8 @@
 /* Daemons further back wait this much longer each, so that few collide. */
 #define Du_RANK_USEC (300 * Ck_USEC_PER_MSEC)
 #define Du_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
+/* Daemons that start know of each other, and their order, after this. */
+#define Du_MEET_USEC (500 * Ck_USEC_PER_MSEC)
 
 struct du_duty *
 Du_Create(const struct du_options *options)
@@ -23,6 +25,7 @@
     struct du_duty *duty = calloc(1, sizeof(*duty));
     if (duty != NULL) {
         duty->options = *options;
+        duty->started_at = Ck_Now(options->clock);
         duty->end = -1;
     }
     return duty;
@@ -258,7 +261,8 @@
 {
     int64_t now = now_of(duty);
     if (duty->end == 0) {
-        return true;
+        /* All start at once, and each takes itself for the first. */
+        return now >= duty->started_at + Du_MEET_USEC + patience;
     }
     if (duty->heard_fence != 0 && duty->end == duty->heard_end) {
         return now >= duty->heard_until + patience;
--- a/packages/edge/duty_internal.h
+++ b/packages/edge/duty_internal.h
@@ -6,6 +6,7 @@
 
 struct du_duty {
     struct du_options options;
+    int64_t started_at;
     int64_t end;      /* all records before it were read; -1: none */
     int64_t moved_at; /* when the end was first seen where it is */
     /* The term that a peer told of last. */
--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -28,6 +28,8 @@
 #define Fe_REFRESH_USEC (700 * Ck_USEC_PER_MSEC)
 /* How often a daemon that does not read asks whether it should. */
 #define Fe_ROLE_USEC (100 * Ck_USEC_PER_MSEC)
+/* Within this a daemon that starts among others has heard of them. */
+#define Fe_JOIN_USEC (1 * Ck_USEC_PER_SEC)
 /* How long the second page of a first listing waits for a peer's pack. */
 #define Fe_PACK_USEC (400 * Ck_USEC_PER_MSEC)
 /* Entries lapse while the store is away, and return in this time. */
@@ -369,6 +371,19 @@
            options->ops->others_known(options->arg);
 }
 
+/*
+ * Enough others read; or this daemon has just started and has yet to hear of
+ * those who do.
+ */
+static bool
+leaves_reading(const struct follow *follow, int64_t now)
+{
+    const struct fe_options *options = &follow->feed->options;
+    bool starting = now - follow->feed->started_at < Fe_JOIN_USEC;
+    return options->ops->others_read(options->arg, follow->topic) ||
+           (starting && options->ops->others_known(options->arg));
+}
+
 static void
 step(void *arg)
 {
@@ -381,8 +396,7 @@
         Lp_TimerSet(follow->timer, Fe_ROLE_USEC);
         return;
     }
-    if (follow->from >= 0 &&
-        feed->options.ops->others_read(feed->options.arg, follow->topic)) {
+    if (follow->from >= 0 && leaves_reading(follow, now)) {
         fe_end_failure(follow);
         follow->waiting = false;
         Lp_TimerSet(follow->timer, Fe_ROLE_USEC);
@@ -457,6 +471,7 @@
         return NULL;
     }
     feed->options = *options;
+    feed->started_at = Ck_Now(options->clock);
     if (!follow_start(feed, &feed->config_follow, AG_CONFIG) ||
         !follow_start(feed, &feed->entry_follow, AG_ENDPOINTS)) {
         Fe_Destroy(feed);
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -59,6 +59,7 @@
     struct follow config_follow;
     struct follow entry_follow;
     bool reached;
+    int64_t started_at;
 };
 
 int fe_compare(const struct known *a, const struct known *b);
--- a/packages/edge/test/duty_test.cc
+++ b/packages/edge/test/duty_test.cc
@@ -279,6 +279,21 @@
     EXPECT_DOUBLE_EQ(found->read_rate, 70000);
 }
 
+// Guards against hundreds of daemons that start together and all try to take
+// the duty, three calls each.
+TEST_F(Duty, ThoseThatStartTogetherDoNotAllAppend)
+{
+    std::vector<Daemon *> all;
+    for (unsigned rank = 0; rank < 20; rank++) {
+        all.push_back(Start(rank));
+    }
+    RunTelling(2 * Ck_USEC_PER_SEC);
+    EXPECT_EQ(Holders(), 1);
+    for (unsigned rank = 1; rank < 20; rank++) {
+        EXPECT_LE(all[rank]->client->calls, 2) << rank;
+    }
+}
+
 // One of the faults is chosen at each step, in every order of four steps, for
 // two daemons whose words of their terms come at once, late or not at all: at
 // no time do both hold the duty, and no fence is used by two.
