Mesh: words are read and sent in each tick, many by one call

Each word was a wake-up and three calls, a linear search for its sender and each of its hints, and a reading of the clock for each peer and question.

--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -10,7 +10,27 @@
 
 #include "base/hash.h"
 
-#define Ms_DATAGRAM_MAX 16384
+static int
+compare_addresses(const struct ms_peer *a, const struct ms_peer *b)
+{
+    return (a->address > b->address) - (a->address < b->address);
+}
+
+RB_PROTOTYPE(ms_addresses, ms_peer, by_address, compare_addresses);
+RB_GENERATE(ms_addresses, ms_peer, by_address, compare_addresses);
+
+static struct ms_peer *
+find_peer(const struct ms_mesh *mesh, const char *ip)
+{
+    struct ms_peer wanted;
+    struct in_addr address;
+    if (inet_pton(AF_INET, ip, &address) != 1) {
+        return NULL;
+    }
+    wanted.address = address.s_addr;
+    return RB_FIND(ms_addresses, (struct ms_addresses *)&mesh->addresses,
+                   &wanted);
+}
 
 void
 ms_take_word(struct ms_mesh *mesh, struct ms_peer *peer,
@@ -24,7 +44,7 @@
     peer->store_reached = word->store_reached;
     peer->reads_config = word->reads_config;
     peer->reads_entries = word->reads_entries;
-    peer->heard_at = Ck_Now(mesh->clock);
+    peer->heard_at = mesh->now;
     peer->config_changed = word->config_changed;
     peer->entries_changed = word->entries_changed;
     if (word->summary) {
@@ -40,11 +60,14 @@
     memcpy(peer->loads, word->loads,
            peer->load_count * sizeof(word->loads[0]));
     peer->spent_count = word->spent_count;
-    memcpy(peer->spent, word->spent, sizeof(peer->spent));
+    memcpy(peer->spent, word->spent,
+           word->spent_count * sizeof(word->spent[0]));
     peer->rate_count = word->rate_count;
-    memcpy(peer->rates, word->rates, sizeof(peer->rates));
+    memcpy(peer->rates, word->rates,
+           word->rate_count * sizeof(word->rates[0]));
     peer->evidence_count = word->evidence_count;
-    memcpy(peer->evidence, word->evidence, sizeof(peer->evidence));
+    memcpy(peer->evidence, word->evidence,
+           word->evidence_count * sizeof(word->evidence[0]));
 }
 
 static void
@@ -56,12 +79,7 @@
         return;
     }
     Ms_Know(mesh, word.ip);
-    struct ms_peer *peer;
-    TAILQ_FOREACH (peer, &mesh->peers, link) {
-        if (strcmp(peer->ip, word.ip) == 0) {
-            break;
-        }
-    }
+    struct ms_peer *peer = find_peer(mesh, word.ip);
     if (peer == NULL) {
         return;
     }
@@ -72,29 +90,31 @@
     }
 }
 
-static void
-on_readable(void *arg)
-{
-    struct ms_mesh *mesh = arg;
-    static char datagram[Ms_DATAGRAM_MAX];
-    ssize_t n;
-    while ((n = recv(mesh->fd, datagram, sizeof(datagram), 0)) > 0) {
-        take_datagram(mesh, datagram, (size_t)n);
-    }
-}
-
-static void
-on_gone(void *arg)
+/*
+ * Words come by the hundred a second, and none is so urgent that a wake-up
+ * for each would pay: they are read in each tick, many by one call.
+ */
+void
+ms_receive(struct ms_mesh *mesh)
 {
-    struct ms_mesh *mesh = arg;
-    mesh->fd = -1;
+    static char data[Ms_BATCH][Ms_DATAGRAM_MAX];
+    struct mmsghdr messages[Ms_BATCH];
+    struct iovec parts[Ms_BATCH];
+    int count;
+    do {
+        memset(messages, 0, sizeof(messages));
+        for (int i = 0; i < Ms_BATCH; i++) {
+            parts[i] = (struct iovec){data[i], sizeof(data[i])};
+            messages[i].msg_hdr.msg_iov = &parts[i];
+            messages[i].msg_hdr.msg_iovlen = 1;
+        }
+        count = recvmmsg(mesh->fd, messages, Ms_BATCH, MSG_DONTWAIT, NULL);
+        for (int i = 0; i < count; i++) {
+            take_datagram(mesh, data[i], messages[i].msg_len);
+        }
+    } while (count == Ms_BATCH);
 }
 
-static const struct lp_watch_ops watch_ops = {
-    .readable = on_readable,
-    .closed = on_gone,
-};
-
 /* NULL when the port cannot be had; the message says why. */
 struct ms_mesh *
 Ms_Create(struct lp_loop *loop, const struct ck_clock *clock,
@@ -114,6 +134,9 @@
     mesh->hash = Hash_String(node->ip, 0);
     Rn_Seed(&mesh->random, run);
     TAILQ_INIT(&mesh->peers);
+    RB_INIT(&mesh->addresses);
+    mesh->now = Ck_Now(clock);
+    mesh->heard_count = mesh->expected_count = mesh->known_count = 1;
     mesh->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     struct sockaddr_in at = {.sin_family = AF_INET};
     at.sin_port = htons((uint16_t)node->peer_port);
@@ -123,10 +146,6 @@
                 node->peer_port);
         goto fail;
     }
-    mesh->watch = Lp_WatchCreate(loop, mesh->fd, &watch_ops, mesh);
-    if (mesh->watch == NULL) {
-        goto fail;
-    }
     for (size_t i = 0; i < node->seed_count; i++) {
         Ms_Know(mesh, node->seeds[i]);
     }
@@ -144,6 +163,7 @@
 ms_forget(struct ms_mesh *mesh, struct ms_peer *peer)
 {
     TAILQ_REMOVE(&mesh->peers, peer, link);
+    RB_REMOVE(ms_addresses, &mesh->addresses, peer);
     mesh->count--;
     free(peer);
 }
@@ -159,7 +179,7 @@
     TAILQ_FOREACH_SAFE (peer, &mesh->peers, link, next) {
         ms_forget(mesh, peer);
     }
-    Lp_WatchDestroy(mesh->watch);
+    close(mesh->fd);
     free(mesh);
 }
 
@@ -169,21 +189,17 @@
 {
     struct in_addr address;
     if (strcmp(ip, mesh->node->ip) == 0 ||
-        inet_pton(AF_INET, ip, &address) != 1) {
+        inet_pton(AF_INET, ip, &address) != 1 || find_peer(mesh, ip) != NULL) {
         return;
     }
-    struct ms_peer *peer;
-    TAILQ_FOREACH (peer, &mesh->peers, link) {
-        if (strcmp(peer->ip, ip) == 0) {
-            return;
-        }
-    }
-    peer = calloc(1, sizeof(*peer));
+    struct ms_peer *peer = calloc(1, sizeof(*peer));
     if (peer != NULL) {
         strlcpy(peer->ip, ip, sizeof(peer->ip));
+        peer->address = address.s_addr;
         peer->hash = Hash_String(ip, 0);
         peer->known_at = Ck_Now(mesh->clock);
         TAILQ_INSERT_TAIL(&mesh->peers, peer, link);
+        RB_INSERT(ms_addresses, &mesh->addresses, peer);
         mesh->count++;
     }
 }
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -13,6 +13,7 @@
 #define EDGE_MESH_H
 
 #include <bsd/sys/queue.h>
+#include <bsd/sys/tree.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -95,6 +96,8 @@
 
 struct ms_peer {
     TAILQ_ENTRY(ms_peer) link;
+    RB_ENTRY(ms_peer) by_address;
+    uint32_t address;
     char ip[Nd_NAME_MAX];
     char name[Nd_NAME_MAX];
     char zone[Nd_NAME_MAX];
--- a/packages/edge/mesh_pace.c
+++ b/packages/edge/mesh_pace.c
@@ -16,6 +16,8 @@
 /* One that was not heard is still told, this often, and then forgotten. */
 #define Ms_QUIET_EVERY_USEC (500 * Ck_USEC_PER_MSEC)
 #define Ms_FORGET_USEC (60 * Ck_USEC_PER_SEC)
+/* How long one that is only known of is expected to be heard. */
+#define Ms_HOPE_USEC (4 * Ck_USEC_PER_SEC)
 /* A gap is drawn from this part of it up to as much more. */
 #define Ms_GAP_DRAWN_PART 0.8
 
@@ -62,7 +64,7 @@
 static int64_t
 next_due(struct ms_mesh *mesh, int64_t gap)
 {
-    int64_t now = Ck_Now(mesh->clock);
+    int64_t now = mesh->now;
     if (gap <= 2 * Ms_TICK_USEC) {
         return now + gap;
     }
@@ -75,7 +77,7 @@
 static bool
 is_due(const struct ms_mesh *mesh, int64_t due_at)
 {
-    return Ck_Now(mesh->clock) >= due_at - Ms_TICK_USEC / 2;
+    return mesh->now >= due_at - Ms_TICK_USEC / 2;
 }
 
 static uint64_t
@@ -105,12 +107,22 @@
 }
 
 void
-ms_count_near(struct ms_mesh *mesh)
+ms_begin_tick(struct ms_mesh *mesh)
 {
+    mesh->now = Ck_Now(mesh->clock);
     mesh->near_count = 0;
+    mesh->heard_count = 1;
+    mesh->expected_count = 1;
+    mesh->known_count = 1;
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, &mesh->peers, link) {
+        bool stays = !peer->stopping;
+        bool ever = peer->heard_at != 0;
+        bool hoped = !ever && mesh->now - peer->known_at < Ms_HOPE_USEC;
         mesh->near_count += peer->near;
+        mesh->heard_count += stays && Ms_Heard(mesh, peer);
+        mesh->expected_count += ever ? stays : hoped;
+        mesh->known_count += ever && stays;
     }
 }
 
@@ -118,8 +130,7 @@
 ms_is_forgotten(const struct ms_mesh *mesh, const struct ms_peer *peer)
 {
     int64_t last = peer->heard_at != 0 ? peer->heard_at : peer->known_at;
-    return !Ms_Alive(mesh, peer) &&
-           Ck_Now(mesh->clock) - last > Ms_FORGET_USEC;
+    return !Ms_Alive(mesh, peer) && mesh->now - last > Ms_FORGET_USEC;
 }
 
 bool
--- a/packages/edge/mesh_query.c
+++ b/packages/edge/mesh_query.c
@@ -13,9 +13,6 @@
 /* What an unheard peer spends counts at once; that a word was lost costs a
    hundredth of the rate for a moment. */
 #define Ms_HEARD_GAPS 2
-/* How long one that is only known of is expected to be heard. */
-#define Ms_HOPE_USEC (4 * Ck_USEC_PER_SEC)
-
 struct ms_spent
 Ms_SpentMore(const struct ms_spent *now, const struct ms_spent *before)
 {
@@ -34,8 +31,7 @@
     if (patience < least_usec) {
         patience = least_usec;
     }
-    return peer->heard_at != 0 &&
-           Ck_Now(mesh->clock) - peer->heard_at < patience;
+    return peer->heard_at != 0 && mesh->now - peer->heard_at < patience;
 }
 
 bool
@@ -65,12 +61,7 @@
 size_t
 Ms_CountHeard(const struct ms_mesh *mesh)
 {
-    size_t count = 1;
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, &mesh->peers, link) {
-        count += !peer->stopping && Ms_Heard(mesh, peer);
-    }
-    return count;
+    return mesh->heard_count;
 }
 
 size_t
@@ -88,25 +79,13 @@
 size_t
 Ms_CountKnown(const struct ms_mesh *mesh)
 {
-    size_t count = 1;
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, &mesh->peers, link) {
-        count += peer->heard_at != 0 && !peer->stopping;
-    }
-    return count;
+    return mesh->known_count;
 }
 
 size_t
 Ms_CountExpected(const struct ms_mesh *mesh)
 {
-    int64_t now = Ck_Now(mesh->clock);
-    size_t count = 1;
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, &mesh->peers, link) {
-        count += peer->heard_at != 0 ? !peer->stopping
-                                     : now - peer->known_at < Ms_HOPE_USEC;
-    }
-    return count;
+    return mesh->expected_count;
 }
 
 unsigned
--- a/packages/edge/mesh_send.c
+++ b/packages/edge/mesh_send.c
@@ -1,5 +1,4 @@
 /* Words as datagrams to those to whom one is due. */
-#include <arpa/inet.h>
 #include <bsd/string.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -7,8 +6,6 @@
 
 #include "edge/mesh_internal.h"
 
-#define Ms_DATAGRAM_MAX 16384
-
 static void
 add_hints(struct ms_mesh *mesh, struct ms_word *word)
 {
@@ -28,14 +25,17 @@
     }
 }
 
-/* A datagram that is made when the first peer is due. */
-struct datagram {
+/* One datagram, made when the first peer is due, and whom it goes to. */
+struct outgoing {
+    bool summary;
     size_t len;
     char data[Ms_DATAGRAM_MAX];
+    int count;
+    struct sockaddr_in to[Ms_BATCH];
 };
 
 static void
-make(struct ms_mesh *mesh, bool summary, struct datagram *out)
+make(struct ms_mesh *mesh, struct outgoing *out)
 {
     static struct ms_word word;
     memset(&word, 0, sizeof(word));
@@ -45,7 +45,7 @@
     word.run = mesh->run;
     word.wall_usec = Ck_Wall(mesh->clock);
     mesh->ops->fill(mesh->arg, &word);
-    if (summary) {
+    if (out->summary) {
         word.summary = true;
         mesh->ops->summarize(mesh->arg, &word);
     }
@@ -53,30 +53,51 @@
     out->len = Ms_Encode(&word, out->data, sizeof(out->data));
 }
 
+/* A lost datagram is made good by the next, and so is one not taken. */
+static void
+flush(struct ms_mesh *mesh, struct outgoing *out)
+{
+    struct mmsghdr messages[Ms_BATCH];
+    struct iovec part = {out->data, out->len};
+    memset(messages, 0, sizeof(messages));
+    for (int i = 0; i < out->count; i++) {
+        messages[i].msg_hdr.msg_name = &out->to[i];
+        messages[i].msg_hdr.msg_namelen = sizeof(out->to[i]);
+        messages[i].msg_hdr.msg_iov = &part;
+        messages[i].msg_hdr.msg_iovlen = 1;
+    }
+    if (out->count > 0) {
+        (void)sendmmsg(mesh->fd, messages, (unsigned)out->count, MSG_NOSIGNAL);
+    }
+    out->count = 0;
+}
+
 static void
-send_to(struct ms_mesh *mesh, const struct ms_peer *peer, bool summary,
-        struct datagram *datagram)
+send_to(struct ms_mesh *mesh, const struct ms_peer *peer, struct outgoing *out)
 {
-    struct sockaddr_in to = {.sin_family = AF_INET};
-    to.sin_port = htons((uint16_t)mesh->node->peer_port);
-    if (datagram->len == 0) {
-        make(mesh, summary, datagram);
+    if (out->len == 0) {
+        make(mesh, out);
     }
-    if (inet_pton(AF_INET, peer->ip, &to.sin_addr) == 1) {
-        /* A lost datagram is made good by the next. */
-        (void)sendto(mesh->fd, datagram->data, datagram->len, MSG_NOSIGNAL,
-                     (struct sockaddr *)&to, sizeof(to));
+    out->to[out->count++] = (struct sockaddr_in){
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)mesh->node->peer_port),
+        .sin_addr.s_addr = peer->address,
+    };
+    if (out->count == Ms_BATCH) {
+        flush(mesh, out);
     }
 }
 
 void
 Ms_Tick(struct ms_mesh *mesh)
 {
-    static struct datagram word;
-    static struct datagram summary;
+    static struct outgoing word;
+    static struct outgoing summary;
     word.len = 0;
     summary.len = 0;
-    ms_count_near(mesh);
+    summary.summary = true;
+    ms_begin_tick(mesh);
+    ms_receive(mesh);
     struct ms_peer *peer;
     struct ms_peer *next;
     TAILQ_FOREACH_SAFE (peer, &mesh->peers, link, next) {
@@ -85,10 +106,12 @@
             continue;
         }
         if (ms_word_due(mesh, peer)) {
-            send_to(mesh, peer, false, &word);
+            send_to(mesh, peer, &word);
         }
         if (ms_summary_due(mesh, peer)) {
-            send_to(mesh, peer, true, &summary);
+            send_to(mesh, peer, &summary);
         }
     }
+    flush(mesh, &word);
+    flush(mesh, &summary);
 }
--- a/packages/edge/peers_state.c
+++ b/packages/edge/peers_state.c
@@ -208,8 +208,8 @@
 {
     int64_t changed =
         topic == AG_CONFIG ? peer->config_changed : peer->entries_changed;
-    return Ms_Close(gate->mesh, peer) && !peer->stopping &&
-           changed > Fe_Changed(gate->feed, topic);
+    return changed > Fe_Changed(gate->feed, topic) && !peer->stopping &&
+           Ms_Close(gate->mesh, peer);
 }
 
 static bool
--- a/packages/edge/test/mesh_test.cc
+++ b/packages/edge/test/mesh_test.cc
@@ -167,7 +167,7 @@
     Send(size_t i)
     {
         Host &host = hosts_[i];
-        ms_count_near(&host.mesh);
+        ms_begin_tick(&host.mesh);
         size_t before = sent_.size();
         for (size_t k = 0; k < hosts_.size(); k++) {
             if (k == i) {
