Readers: those of a data centre that has fallen silent do not count

The three hosts that read the store are the first by name, and may all be in one data centre. Its words come 2.46 s apart beyond it, and three are missed before a host is no longer counted on: 7.4 s in which nobody reads that an endpoint leaves. A data centre whose sums are missed for 1.5 s has no readers.

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -28,6 +28,8 @@
 #define Fe_REFRESH_USEC (700 * Ck_USEC_PER_MSEC)
 /* How often a daemon that does not read asks whether it should. */
 #define Fe_ROLE_USEC (100 * Ck_USEC_PER_MSEC)
+/* Within this it has read which others there are. */
+#define Fe_MEET_USEC (100 * Ck_USEC_PER_MSEC)
 /* Within this a daemon that starts among others has heard of them. */
 #define Fe_JOIN_USEC (1 * Ck_USEC_PER_SEC)
 /* How long the second page of a first listing waits for a peer's pack. */
@@ -379,9 +381,10 @@
 leaves_reading(const struct follow *follow, int64_t now)
 {
     const struct fe_options *options = &follow->feed->options;
-    bool starting = now - follow->feed->started_at < Fe_JOIN_USEC;
+    int64_t up = now - follow->feed->started_at;
     return options->ops->others_read(options->arg, follow->topic) ||
-           (starting && options->ops->others_known(options->arg));
+           up < Fe_MEET_USEC ||
+           (up < Fe_JOIN_USEC && options->ops->others_known(options->arg));
 }
 
 static void
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -197,6 +197,18 @@
     return false;
 }
 
+/*
+ * Words from another data centre are seconds apart, and those who read may all
+ * be in one that has gone; its sums are missed sooner.
+ */
+static bool
+is_close(const struct ga_gate *gate, const struct ms_peer *peer)
+{
+    return Ms_Close(gate->mesh, peer) &&
+           (peer->near || !Ms_Summarizes(gate->mesh) ||
+            Zn_IsReported(gate->zones, peer->zone));
+}
+
 /*
  * The first few daemons by name read, and whoever does not hear enough of
  * them.  Two may fail at once before anything is learned late.
@@ -210,7 +222,7 @@
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
         bool reads =
             topic == AG_CONFIG ? peer->reads_config : peer->reads_entries;
-        readers += reads && !peer->stopping && Ms_Close(gate->mesh, peer) &&
+        readers += reads && !peer->stopping && is_close(gate, peer) &&
                    strcmp(peer->name, gate->options.node->name) < 0;
     }
     return readers >= Ga_READERS;
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -152,6 +152,8 @@
 bool Ms_Alive(const struct ms_mesh *mesh, const struct ms_peer *peer);
 /* Heard so lately that what it reads is passed on in time. */
 bool Ms_Close(const struct ms_mesh *mesh, const struct ms_peer *peer);
+/* Whether data centres are told of each other's sums. */
+bool Ms_Summarizes(const struct ms_mesh *mesh);
 /* How late the admissions of others are heard of. */
 int64_t Ms_Lag(const struct ms_mesh *mesh);
 /* Heard so lately that what it spends is known; this one included. */
--- a/packages/edge/mesh_internal.h
+++ b/packages/edge/mesh_internal.h
@@ -50,8 +50,6 @@
 
 /* Time between two words to a peer: the shorter inside a data centre. */
 int64_t ms_gap(const struct ms_mesh *mesh, bool near);
-/* Whether data centres are told of each other's sums. */
-bool ms_summarizes(const struct ms_mesh *mesh);
 /* Takes the time and counts who is there, for all of a tick. */
 void ms_begin_tick(struct ms_mesh *mesh);
 /* Takes in what has come since the last tick. */
--- a/packages/edge/mesh_pace.c
+++ b/packages/edge/mesh_pace.c
@@ -10,7 +10,8 @@
  * centre, and to those beyond: with few peers each hears it ten times a
  * second, with many less often, and the cost stays the same.
  */
-#define Ms_SENDS_PER_SEC 120
+#define Ms_NEAR_SENDS_PER_SEC 120
+#define Ms_FAR_SENDS_PER_SEC 100
 /* A summary is several times as long as a word, and each hop waits for one. */
 #define Ms_SUMMARY_LEAST_USEC (200 * Ck_USEC_PER_MSEC)
 /* One that was not heard is still told, this often, and then forgotten. */
@@ -31,12 +32,13 @@
 ms_gap(const struct ms_mesh *mesh, bool near)
 {
     size_t count = near ? mesh->near_count : mesh->count - mesh->near_count;
-    return more_of((int64_t)count * Ck_USEC_PER_SEC / Ms_SENDS_PER_SEC,
+    int64_t per_sec = near ? Ms_NEAR_SENDS_PER_SEC : Ms_FAR_SENDS_PER_SEC;
+    return more_of((int64_t)count * Ck_USEC_PER_SEC / per_sec,
                    Ms_GAP_LEAST_USEC);
 }
 
 bool
-ms_summarizes(const struct ms_mesh *mesh)
+Ms_Summarizes(const struct ms_mesh *mesh)
 {
     return mesh->count >= Ms_SUMMARIES_LEAST && mesh->near_count < mesh->count;
 }
@@ -51,7 +53,7 @@
 int64_t
 Ms_Lag(const struct ms_mesh *mesh)
 {
-    if (!ms_summarizes(mesh)) {
+    if (!Ms_Summarizes(mesh)) {
         return more_of(ms_gap(mesh, true), ms_gap(mesh, false));
     }
     return ms_gap(mesh, true) + summary_gap(mesh);
@@ -148,7 +150,7 @@
 bool
 ms_summary_due(struct ms_mesh *mesh, struct ms_peer *peer)
 {
-    if (!ms_summarizes(mesh) || peer->near ||
+    if (!Ms_Summarizes(mesh) || peer->near ||
         !is_due(mesh, peer->summary_due_at) || !Ms_Alive(mesh, peer)) {
         return false;
     }
