--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -66,7 +66,7 @@
  * store; false: it has to come from whoever knows it.
  */
 bool Fe_Refresh(struct fe_feed *feed);
-/* Bytes of the configuration in force; 0: none. */
+/* Bytes of the largest record of the configuration; 0: none is in force. */
 size_t Fe_ConfigBytes(const struct fe_feed *feed);
 /* Whether this daemon reads the topic itself, and is answered. */
 bool Fe_Reads(const struct fe_feed *feed, enum ag_topic topic);
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -100,22 +100,6 @@
     Sv_Reply(request, Ga_Ready(gate) ? 200 : 503, "", "", 0);
 }
 
-static void
-show_store_calls(struct ga_gate *gate)
-{
-    const struct ag_store *store = gate->options.store;
-    for (enum ag_topic topic = 0; topic < AG_TOPICS; topic++) {
-        for (enum ag_call call = 0; call < AG_CALLS; call++) {
-            char labels[64];
-            snprintf(labels, sizeof(labels), "topic=\"%s\",call=\"%s\"",
-                     Ag_TopicName(topic), Ag_CallName(call));
-            Mt_Set(Mt_Get(gate->registry, MT_COUNTER,
-                          "cornelgate_store_calls_total", labels),
-                   store->calls[topic][call]);
-        }
-    }
-}
-
 static void
 on_metrics_asked(void *arg, struct sv_request *request)
 {
@@ -124,7 +108,7 @@
         Sv_Reply(request, 404, "", "", 0);
         return;
     }
-    show_store_calls(gate);
+    Ag_ShowCalls(gate->options.store, gate->registry);
     Vs_ShowEndpoints(gate->registry, gate->fleet);
     char *text = Mt_Print(gate->registry);
     Sv_Reply(request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
@@ -295,33 +279,6 @@
     }
 }
 
-static int64_t
-sum_calls(const struct ag_store *store, enum ag_topic topic)
-{
-    int64_t sum = 0;
-    for (enum ag_call call = 0; call < AG_CALLS; call++) {
-        sum += store->calls[topic][call];
-    }
-    return sum;
-}
-
-/* What the store was asked for, since each call is paid for. */
-static void
-log_store_calls(const struct ga_gate *gate)
-{
-    const struct ag_store *store = gate->options.store;
-    Ln_Log(LN_STATE, "store.calls",
-           "\"config\":%lld,\"endpoints_listed\":%lld,"
-           "\"endpoints_read\":%lld,\"hosts\":%lld,\"duty\":%lld,"
-           "\"status\":%lld",
-           (long long)sum_calls(store, AG_CONFIG),
-           (long long)store->calls[AG_ENDPOINTS][AG_NEWEST],
-           (long long)store->calls[AG_ENDPOINTS][AG_READ],
-           (long long)sum_calls(store, AG_HOSTS),
-           (long long)sum_calls(store, AG_DUTY),
-           (long long)sum_calls(store, AG_STATUS));
-}
-
 static void
 on_tick(void *arg)
 {
@@ -341,7 +298,7 @@
     }
     note_readiness(gate);
     if (gate->ticks % Ga_CALLS_TICKS == 0) {
-        log_store_calls(gate);
+        Ag_LogCalls(gate->options.store);
     }
     Ln_Flush();
     if (gate->stopping_at != 0) {
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -117,15 +117,13 @@
 
 /* NULL when the port cannot be had; the message says why. */
 struct ms_mesh *
-Ms_Create(struct lp_loop *loop, const struct ck_clock *clock,
-          const struct nd_node *node, uint64_t run, const struct ms_ops *ops,
-          void *arg)
+Ms_Create(const struct ck_clock *clock, const struct nd_node *node,
+          uint64_t run, const struct ms_ops *ops, void *arg)
 {
     struct ms_mesh *mesh = calloc(1, sizeof(*mesh));
     if (mesh == NULL) {
         return NULL;
     }
-    mesh->loop = loop;
     mesh->clock = clock;
     mesh->node = node;
     mesh->ops = ops;
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -23,7 +23,6 @@
 #include "edge/duty.h"
 #include "edge/node.h"
 #include "edge/rollout.h"
-#include "web/loop.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -139,7 +138,7 @@
 
 struct ms_mesh;
 
-struct ms_mesh *Ms_Create(struct lp_loop *loop, const struct ck_clock *clock,
+struct ms_mesh *Ms_Create(const struct ck_clock *clock,
                           const struct nd_node *node, uint64_t run,
                           const struct ms_ops *ops, void *arg);
 void Ms_Destroy(struct ms_mesh *mesh);
--- a/packages/edge/mesh_internal.h
+++ b/packages/edge/mesh_internal.h
@@ -9,14 +9,6 @@
 extern "C" {
 #endif
 
-#ifdef __cplusplus
-extern "C" {
-#ifdef __cplusplus
-}
-#endif
-
-#endif
-
 #define Ms_DATAGRAM_MAX 16384
 /* Datagrams read or sent by one call. */
 #define Ms_BATCH 32
@@ -28,7 +20,6 @@
 RB_HEAD(ms_addresses, ms_peer);
 
 struct ms_mesh {
-    struct lp_loop *loop;
     const struct ck_clock *clock;
     const struct nd_node *node;
     const struct ms_ops *ops;
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -370,8 +370,8 @@
     peers->gate = gate;
     char address[Nd_NAME_MAX + 8];
     snprintf(address, sizeof(address), "%s:%d", node->ip, node->peer_port);
-    gate->mesh = Ms_Create(gate->options.loop, gate->options.clock, node,
-                           gate->options.run, &mesh_ops, gate);
+    gate->mesh = Ms_Create(gate->options.clock, node, gate->options.run,
+                           &mesh_ops, gate);
     if (gate->mesh == NULL ||
         Sv_Create(gate->options.loop, gate->options.clock, address,
                   &pe_state_ops, peers, &peers->server) != ST_OK) {
--- a/packages/edge/store.h
+++ b/packages/edge/store.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "base/metric.h"
 #include "edge/config.h"
 #include "edge/fleet.h"
 #include "edge/rollout.h"
@@ -97,8 +98,9 @@
 void Ag_Append(struct ag_store *store, enum ag_topic topic, int64_t at,
                const char *key, const void *value, size_t len, ag_fn fn,
                void *arg);
-const char *Ag_TopicName(enum ag_topic topic);
-const char *Ag_CallName(enum ag_call call);
+/* How many there were, as metrics and as a line of the log. */
+void Ag_ShowCalls(const struct ag_store *store, struct mt_registry *registry);
+void Ag_LogCalls(const struct ag_store *store);
 
 /* A record for operators. */
 struct ag_told {
