--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -57,6 +57,9 @@
         Ck_Now(daemon->gate.clock) - daemon->started < Dm_HEAR_USEC) {
         return "no other daemon has been heard of yet";
     }
+    if (In_IsJoining(daemon->gate.intake)) {
+        return "the others do not count this daemon yet";
+    }
     if (Sc_Offset(Cs_State(daemon->config)) <
         Pe_HighestOffset(daemon->peers)) {
         return "the configuration is behind that of other daemons";
--- a/packages/gate/intake.c
+++ b/packages/gate/intake.c
@@ -163,6 +163,13 @@
     out->daemons = Am_Daemons(intake->limits);
 }
 
+/* Whether others may still be dividing the limits without this daemon. */
+bool
+In_IsJoining(const struct in_intake *intake)
+{
+    return Am_IsJoining(intake->limits, Ck_Now(intake->gate->clock));
+}
+
 /* Daemons that the limits are divided by. */
 size_t
 In_Daemons(const struct in_intake *intake)
--- a/packages/gate/intake.h
+++ b/packages/gate/intake.h
@@ -37,6 +37,7 @@
 
 /* Queries. */
 size_t In_Daemons(const struct in_intake *intake);
+bool In_IsJoining(const struct in_intake *intake);
 int64_t In_PublishInterval(const struct in_intake *intake);
 int In_Queued(const struct in_intake *intake);
 
--- a/packages/policy/admit.c
+++ b/packages/policy/admit.c
@@ -150,7 +150,7 @@
     struct am_left left =
         am_leave(customer->max_in_flight, limits->parts, count);
     int most = told ? left.free : at_most(left.free, left.even);
-    if (am_is_joining(limits, now)) {
+    if (Am_IsJoining(limits, now)) {
         most = 0;
     }
     customer->granted =
@@ -220,7 +220,7 @@
 granted_places(struct am_limits *limits, const struct am_customer *customer,
                int64_t now)
 {
-    if (am_is_joining(limits, now)) {
+    if (Am_IsJoining(limits, now)) {
         return 0;
     }
     if (customer->granted >= 0) {
--- a/packages/policy/admit.h
+++ b/packages/policy/admit.h
@@ -59,6 +59,7 @@
 /* Queries. */
 int64_t Am_Interval(const struct am_limits *limits);
 size_t Am_Daemons(const struct am_limits *limits);
+bool Am_IsJoining(struct am_limits *limits, int64_t now);
 enum st_status Am_Share(struct am_limits *limits, const char *customer,
                         int64_t now, struct am_share *out);
 int Am_InFlight(const struct am_limits *limits, const char *customer);
--- a/packages/policy/admit_internal.h
+++ b/packages/policy/admit_internal.h
@@ -77,7 +77,6 @@
 
 struct am_customer *am_find_customer(const struct am_limits *limits,
                                      const char *name);
-bool am_is_joining(struct am_limits *limits, int64_t now);
 double am_divide(double limit, const struct am_part *parts, size_t count);
 int am_divide_whole(int limit, struct am_part *parts, size_t count);
 /* Places that the others leave, and this daemon's even part of all. */
--- a/packages/policy/admit_table.c
+++ b/packages/policy/admit_table.c
@@ -223,7 +223,7 @@
  * told as many as are known here is no proof while more become known.
  */
 bool
-am_is_joining(struct am_limits *limits, int64_t now)
+Am_IsJoining(struct am_limits *limits, int64_t now)
 {
     if (limits->join_until == 0) {
         return false;
