--- a/packages/edge/test/mesh_test.cc
+++ b/packages/edge/test/mesh_test.cc
@@ -259,7 +259,7 @@
 {
     Model model(295);
     model.Run(5 * Ck_USEC_PER_SEC);
-    for (size_t i = 0; i < 295; i += 2) {
+    for (size_t i = 0; i + 1 < 295; i += 2) {
         model.Kill(i + i / kZones % 2);
     }
     model.Run(3 * Ck_USEC_PER_SEC);
