--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -6,10 +6,6 @@
 
 #include "edge/peers_internal.h"
 
-/* Hosts whose addresses stand in the store. */
-#define Pe_ANNOUNCED 16
-/* When nobody is heard, the hosts' records in the store are read again. */
-#define Pe_LIST_EVERY_USEC (2 * Ck_USEC_PER_SEC)
 /*
  * Hosts that do not hear each other hand out one rate together.  That a few
  * of many are not heard is no cut but a word that came late; what they may
@@ -100,55 +96,6 @@
     }
 }
 
-/*
- * A word is some tenths of a second old, with many daemons most of one; what
- * it told to be waiting has been read since, as far as the endpoint got.
- * Taken as it stands, endpoints that have long been idle look busy, and those
- * that are busy now cannot be told from them.
- */
-static int64_t
-still_waiting(const struct ga_gate *gate, const struct fl_endpoint *endpoint,
-              int64_t reading, int64_t age_usec)
-{
-    double read = De_ReadRate(gate->demand, endpoint->entry.service) *
-                  (double)age_usec / (double)Ck_USEC_PER_SEC;
-    return (double)reading > read ? reading - (int64_t)read : 0;
-}
-
-static void
-add_near_loads(struct ga_gate *gate, const struct ms_peer *peer)
-{
-    for (size_t i = 0; i < peer->load_count; i++) {
-        const struct ms_load *load = &peer->loads[i];
-        struct fl_endpoint *endpoint = Fl_ByHash(gate->fleet, load->endpoint);
-        if (endpoint != NULL) {
-            endpoint->near_running += load->running;
-            endpoint->near_reading += still_waiting(
-                gate, endpoint, load->reading, Ga_Now(gate) - peer->heard_at);
-        }
-    }
-}
-
-static void
-add_far_load(void *arg, const struct ms_load *load, int64_t age_usec)
-{
-    struct ga_gate *gate = arg;
-    struct fl_endpoint *endpoint = Fl_ByHash(gate->fleet, load->endpoint);
-    if (endpoint != NULL) {
-        endpoint->others_running += load->running;
-        endpoint->others_reading +=
-            still_waiting(gate, endpoint, load->reading, age_usec);
-    }
-}
-
-static void
-add_far_loads(struct ga_gate *gate, const struct ms_peer *peer)
-{
-    for (size_t i = 0; i < peer->load_count; i++) {
-        add_far_load(gate, &peer->loads[i], Ga_Now(gate) - peer->heard_at);
-    }
-}
-
 static struct ms_spent
 spent_before(const struct ms_peer *peer, uint32_t tenant)
 {
@@ -240,73 +187,6 @@
     .word = on_word,
 };
 
-static void
-on_announced(void *arg, const struct ag_result *result)
-{
-    struct pe_peers *peers = arg;
-    peers->announcing = false;
-    peers->announced = result->status == AG_OK;
-}
-
-static void
-announce(struct pe_peers *peers)
-{
-    struct ga_gate *gate = peers->gate;
-    const struct nd_node *node = gate->options.node;
-    if (!peers->announced && !peers->announcing) {
-        peers->announcing = true;
-        Ag_Append(gate->options.store, AG_HOSTS, -1, node->name, node->ip,
-                  strlen(node->ip), on_announced, peers);
-    }
-}
-
-static void
-on_listed(void *arg, const struct ag_result *result)
-{
-    struct pe_peers *peers = arg;
-    peers->listing = false;
-    if (result->status != AG_OK) {
-        return;
-    }
-    peers->listed = true;
-    for (size_t i = 0; i < result->count; i++) {
-        const struct ag_record *record = &result->records[i];
-        char ip[Nd_NAME_MAX];
-        if (record->value != NULL && record->len < sizeof(ip)) {
-            memcpy(ip, record->value, record->len);
-            ip[record->len] = '\0';
-            Ms_Know(peers->gate->mesh, ip);
-        }
-    }
-    if (result->count < Pe_ANNOUNCED) {
-        announce(peers);
-    }
-}
-
-/*
- * Seeds may all be down or gone; the store knows who has been there.  Some
- * addresses are enough to find all others by: the first hosts by name have
- * theirs there, and when one of them goes the next one follows.
- */
-static void
-find_peers(struct pe_peers *peers)
-{
-    struct ga_gate *gate = peers->gate;
-    int64_t now = Ga_Now(gate);
-    if (peers->listed_at != 0 && now - peers->listed_at < Pe_LIST_EVERY_USEC) {
-        return;
-    }
-    bool alone = Ms_CountAlive(gate->mesh) <= 1;
-    if (peers->listed && (alone || Ms_Rank(gate->mesh) < Pe_ANNOUNCED)) {
-        announce(peers);
-    }
-    if ((!peers->listed || alone) && !peers->listing) {
-        peers->listing = true;
-        Ag_Newest(gate->options.store, AG_HOSTS, NULL, on_listed, peers);
-    }
-    peers->listed_at = now;
-}
-
 /*
  * Hosts that are not heard may be cut off from this one and serve callers all
  * the same; were both sides to hand out the whole rate, a tenant at its limit
@@ -323,30 +203,6 @@
     Bu_SetDaemons(gate->budget, Ms_CountKnown(gate->mesh));
 }
 
-static void
-sum_loads(struct ga_gate *gate)
-{
-    Fl_ClearOthers(gate->fleet);
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (!Ms_Alive(gate->mesh, peer)) {
-            continue;
-        }
-        if (peer->near) {
-            add_near_loads(gate, peer);
-        }
-        else if (!Zn_IsReported(gate->zones, peer->zone)) {
-            add_far_loads(gate, peer);
-        }
-    }
-    Zn_EachLoad(gate->zones, add_far_load, gate);
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        endpoint->others_running += endpoint->near_running;
-        endpoint->others_reading += endpoint->near_reading;
-    }
-}
-
 static void
 sum_evidence(struct ga_gate *gate)
 {
@@ -399,9 +255,9 @@
 {
     Ms_Tick(peers->gate->mesh);
     Sv_Tick(peers->server);
-    sum_loads(peers->gate);
+    pe_sum_loads(peers->gate);
     sum_evidence(peers->gate);
     share_quota(peers->gate);
-    find_peers(peers);
+    pe_find_peers(peers);
     pe_fetch_newer(peers);
 }
--- a/packages/edge/peers_internal.h
+++ b/packages/edge/peers_internal.h
@@ -33,6 +33,10 @@
     bool announcing;
 };
 
+/* Looks for other daemons, and lets itself be found. */
+void pe_find_peers(struct pe_peers *peers);
+/* Sums the requests of the others, by endpoint. */
+void pe_sum_loads(struct ga_gate *gate);
 /* What is served to peers: the configuration and the endpoints known here. */
 extern const struct sv_ops pe_state_ops;
 /* Fetches what peers know more of, one fetch at a time. */
