Mesh: a sender is looked up once, a tenant's row in one place, loads added once

No change of behaviour. Each word parsed its sender's address three times and looked it up twice; the row that a tenant had in an earlier word was searched for by two copies of one function; loads of the own data centre were summed apart and added again in a second walk over all endpoints.

Lint clean; edge_mesh, zones, tables, quota, quota_replay and fleet tests and platform_test (plain), the same edge tests and edge_feed_test under the sanitizers.

--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -19,17 +19,31 @@
 RB_PROTOTYPE(ms_addresses, ms_peer, by_address, compare_addresses);
 RB_GENERATE(ms_addresses, ms_peer, by_address, compare_addresses);
 
+/* The peer at an address, known from now on; NULL: it is no other daemon's. */
 static struct ms_peer *
-find_peer(const struct ms_mesh *mesh, const char *ip)
+find_or_add(struct ms_mesh *mesh, const char *ip)
 {
-    struct ms_peer wanted;
     struct in_addr address;
-    if (inet_pton(AF_INET, ip, &address) != 1) {
+    if (strcmp(ip, mesh->node->ip) == 0 ||
+        inet_pton(AF_INET, ip, &address) != 1) {
         return NULL;
     }
-    wanted.address = address.s_addr;
-    return RB_FIND(ms_addresses, (struct ms_addresses *)&mesh->addresses,
-                   &wanted);
+    struct ms_peer wanted = {.address = address.s_addr};
+    struct ms_peer *peer = RB_FIND(ms_addresses, &mesh->addresses, &wanted);
+    if (peer != NULL) {
+        return peer;
+    }
+    peer = calloc(1, sizeof(*peer));
+    if (peer != NULL) {
+        strlcpy(peer->ip, ip, sizeof(peer->ip));
+        peer->address = address.s_addr;
+        peer->hash = Hash_String(ip, 0);
+        peer->known_at = Ck_Now(mesh->clock);
+        TAILQ_INSERT_TAIL(&mesh->peers, peer, link);
+        RB_INSERT(ms_addresses, &mesh->addresses, peer);
+        mesh->count++;
+    }
+    return peer;
 }
 
 void
@@ -74,12 +88,10 @@
 take_datagram(struct ms_mesh *mesh, const char *data, size_t len)
 {
     static struct ms_word word;
-    if (!Ms_Decode(data, len, &word) || word.run == mesh->run ||
-        strcmp(word.ip, mesh->node->ip) == 0) {
+    if (!Ms_Decode(data, len, &word) || word.run == mesh->run) {
         return;
     }
-    Ms_Know(mesh, word.ip);
-    struct ms_peer *peer = find_peer(mesh, word.ip);
+    struct ms_peer *peer = find_or_add(mesh, word.ip);
     if (peer == NULL) {
         return;
     }
@@ -185,19 +197,5 @@
 void
 Ms_Know(struct ms_mesh *mesh, const char *ip)
 {
-    struct in_addr address;
-    if (strcmp(ip, mesh->node->ip) == 0 ||
-        inet_pton(AF_INET, ip, &address) != 1 || find_peer(mesh, ip) != NULL) {
-        return;
-    }
-    struct ms_peer *peer = calloc(1, sizeof(*peer));
-    if (peer != NULL) {
-        strlcpy(peer->ip, ip, sizeof(peer->ip));
-        peer->address = address.s_addr;
-        peer->hash = Hash_String(ip, 0);
-        peer->known_at = Ck_Now(mesh->clock);
-        TAILQ_INSERT_TAIL(&mesh->peers, peer, link);
-        RB_INSERT(ms_addresses, &mesh->addresses, peer);
-        mesh->count++;
-    }
+    (void)find_or_add(mesh, ip);
 }
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -49,9 +49,10 @@
     uint64_t asked; /* the same and what was refused */
 };
 
-/* How much more a later word says than an earlier one; never less than 0. */
+/* How much more a row says than that of its tenant in an earlier word; never
+   less than 0. */
 struct ms_spent Ms_SpentMore(const struct ms_spent *now,
-                             const struct ms_spent *before);
+                             const struct ms_spent *before, size_t count);
 
 struct ms_counted {
     int64_t window;
--- a/packages/edge/mesh_query.c
+++ b/packages/edge/mesh_query.c
@@ -14,13 +14,19 @@
    hundredth of the rate for a moment. */
 #define Ms_HEARD_GAPS 2
 struct ms_spent
-Ms_SpentMore(const struct ms_spent *now, const struct ms_spent *before)
+Ms_SpentMore(const struct ms_spent *now, const struct ms_spent *before,
+             size_t count)
 {
-    return (struct ms_spent){
-        .tenant = now->tenant,
-        .total = now->total > before->total ? now->total - before->total : 0,
-        .asked = now->asked > before->asked ? now->asked - before->asked : 0,
-    };
+    struct ms_spent more = *now;
+    for (size_t i = 0; i < count; i++) {
+        const struct ms_spent *row = &before[i];
+        if (row->tenant == now->tenant) {
+            more.total = now->total > row->total ? now->total - row->total : 0;
+            more.asked = now->asked > row->asked ? now->asked - row->asked : 0;
+            break;
+        }
+    }
+    return more;
 }
 
 static bool
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -96,17 +96,6 @@
     }
 }
 
-static struct ms_spent
-spent_before(const struct ms_peer *peer, uint32_t tenant)
-{
-    for (size_t i = 0; i < peer->spent_count; i++) {
-        if (peer->spent[i].tenant == tenant) {
-            return peer->spent[i];
-        }
-    }
-    return (struct ms_spent){tenant, 0, 0};
-}
-
 static void
 spend(struct ga_gate *gate, const struct ms_spent *more, bool apart)
 {
@@ -140,10 +129,8 @@
     bool near = strcmp(word->zone, gate->options.node->zone) == 0;
     bool told = !near && Zn_IsReported(gate->zones, word->zone);
     for (size_t i = 0; i < word->spent_count && !told; i++) {
-        const struct ms_spent *now = &word->spent[i];
-        struct ms_spent before =
-            same ? spent_before(peer, now->tenant) : (struct ms_spent){0};
-        struct ms_spent more = Ms_SpentMore(now, &before);
+        struct ms_spent more = Ms_SpentMore(&word->spent[i], peer->spent,
+                                            same ? peer->spent_count : 0);
         spend(gate, &more, apart);
         if (near) {
             Zn_AddNear(gate->zones, &more);
--- a/packages/edge/peers_loads.c
+++ b/packages/edge/peers_loads.c
@@ -17,59 +17,43 @@
 }
 
 static void
-add_near_loads(struct ga_gate *gate, const struct ms_peer *peer)
+add_load(struct ga_gate *gate, const struct ms_load *load, int64_t age_usec,
+         bool near)
 {
-    for (size_t i = 0; i < peer->load_count; i++) {
-        const struct ms_load *load = &peer->loads[i];
-        struct fl_endpoint *endpoint = Fl_ByHash(gate->fleet, load->endpoint);
-        if (endpoint != NULL) {
-            endpoint->near_running += load->running;
-            endpoint->near_reading += still_waiting(
-                gate, endpoint, load->reading, Ga_Now(gate) - peer->heard_at);
-        }
-    }
-}
-
-static void
-add_far_load(void *arg, const struct ms_load *load, int64_t age_usec)
-{
-    struct ga_gate *gate = arg;
     struct fl_endpoint *endpoint = Fl_ByHash(gate->fleet, load->endpoint);
-    if (endpoint != NULL) {
-        endpoint->others_running += load->running;
-        endpoint->others_reading +=
-            still_waiting(gate, endpoint, load->reading, age_usec);
+    if (endpoint == NULL) {
+        return;
+    }
+    int64_t reading = still_waiting(gate, endpoint, load->reading, age_usec);
+    endpoint->others_running += load->running;
+    endpoint->others_reading += reading;
+    if (near) {
+        endpoint->near_running += load->running;
+        endpoint->near_reading += reading;
     }
 }
 
 static void
-add_far_loads(struct ga_gate *gate, const struct ms_peer *peer)
+add_summed_load(void *arg, const struct ms_load *load, int64_t age_usec)
 {
-    for (size_t i = 0; i < peer->load_count; i++) {
-        add_far_load(gate, &peer->loads[i], Ga_Now(gate) - peer->heard_at);
-    }
+    add_load(arg, load, age_usec, false);
 }
 
+/* The loads of another data centre are in its sums while those are told. */
 void
 pe_sum_loads(struct ga_gate *gate)
 {
     Fl_ClearOthers(gate->fleet);
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (!Ms_Alive(gate->mesh, peer)) {
+        if (!Ms_Alive(gate->mesh, peer) ||
+            (!peer->near && Zn_IsReported(gate->zones, peer->zone))) {
             continue;
         }
-        if (peer->near) {
-            add_near_loads(gate, peer);
+        int64_t age = Ga_Now(gate) - peer->heard_at;
+        for (size_t i = 0; i < peer->load_count; i++) {
+            add_load(gate, &peer->loads[i], age, peer->near);
         }
-        else if (!Zn_IsReported(gate->zones, peer->zone)) {
-            add_far_loads(gate, peer);
-        }
-    }
-    Zn_EachLoad(gate->zones, add_far_load, gate);
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        endpoint->others_running += endpoint->near_running;
-        endpoint->others_reading += endpoint->near_reading;
     }
+    Zn_EachLoad(gate->zones, add_summed_load, gate);
 }
--- a/packages/edge/zones.c
+++ b/packages/edge/zones.c
@@ -147,18 +147,6 @@
     return &zone->reporters[(zone->current + 1) % Zn_REPORTERS];
 }
 
-static const struct ms_spent *
-spent_before(const struct reporter *reporter, uint32_t tenant)
-{
-    static const struct ms_spent nothing = {0, 0, 0};
-    for (size_t i = 0; i < reporter->spent_count; i++) {
-        if (reporter->spent[i].tenant == tenant) {
-            return &reporter->spent[i];
-        }
-    }
-    return &nothing;
-}
-
 static void
 tell_more(const struct reporter *reporter, const struct ms_word *summary,
           zn_spent_fn fn, void *arg)
@@ -166,7 +154,7 @@
     for (size_t i = 0; i < summary->spent_count; i++) {
         const struct ms_spent *now = &summary->spent[i];
         struct ms_spent more =
-            Ms_SpentMore(now, spent_before(reporter, now->tenant));
+            Ms_SpentMore(now, reporter->spent, reporter->spent_count);
         fn(arg, &more);
     }
 }
