Tests: a daemon's port stays its own until the test ends; a cut call says where

drain_test and the soak go on calling a daemon that has ended, and take whatever answers for it. Their ports came from the range that the system gives out, so another test's process may listen there by then: in 1 of 96 runs of AStopUnderLoadCutsNothing, 24 at a time beside 24 busy loops, a caller got the answer of a plain endpoint's first run to its completion; and with a process that listens on each port as it becomes free, callers see "Failure when receiving data from the peer" (5 to 62 a series of 6 runs), the sight of the listed entry.

HeldPort keeps a port bound without listening: the system passes it over when it picks one (Harness.AHeldPortIsGivenToNobodyElse), and the daemon that it was chosen for can listen there. The check of the case is as it was.

--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -70,6 +70,13 @@
     if (daemon.options.id.empty()) {
         daemon.options.id = "entry-" + std::to_string(daemons_.size());
     }
+    for (int *port : {&daemon.options.port, &daemon.options.admin_port,
+                      &daemon.options.peer_port}) {
+        if (*port == 0) {
+            daemon.ports.push_back(std::make_unique<HeldPort>());
+            *port = daemon.ports.back()->number();
+        }
+    }
     daemon.process = Launch(daemon.options);
     daemons_.push_back(std::move(daemon));
     PublishHosts();
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -21,12 +21,12 @@
     std::string hosts;
     std::string cloud;
     std::string weights;
-    // Ports to use; 0: any free one.
+    // Ports to use; 0: one that stays this daemon's, also while it is down.
     int port = 0;
     int admin_port = 0;
     int peer_port = 0;
     // Shown in the host list instead of the real one, e.g. of a fault proxy
-    // before a "peer_port" from FreePort(); 0: the real one.
+    // before a "peer_port" of a HeldPort; 0: the real one.
     int listed_peer_port = 0;
     std::vector<std::string> args; // further flags
     std::map<std::string, std::string> env;
@@ -81,6 +81,7 @@
   private:
     struct Daemon {
         DaemonOptions options;
+        std::vector<std::unique_ptr<HeldPort>> ports;
         std::unique_ptr<Process> process;
     };
 
--- a/test/cornelctl_test.cc
+++ b/test/cornelctl_test.cc
@@ -235,7 +235,8 @@
 TEST_F(Cornelctl, GoesOnToTheNextDaemon)
 {
     StartDaemons({"--daemons=2"});
-    std::string dead = "127.0.0.1:" + std::to_string(FreePort());
+    cg::HeldPort nobodys;
+    std::string dead = "127.0.0.1:" + std::to_string(nobodys.number());
     Publish(kFirstKey, Admin(1));
     Outcome publish = Publish(kTeamKey, dead + "," + Admin(2));
     EXPECT_EQ(0, publish.status) << publish.text;
--- a/test/faultproxy_test.cc
+++ b/test/faultproxy_test.cc
@@ -203,7 +203,8 @@
 
 TEST_F(Proxy, ATargetThatIsDownShowsAsAReset)
 {
-    FaultProxy lost("127.0.0.1:" + std::to_string(cg::FreePort()));
+    cg::HeldPort nobodys;
+    FaultProxy lost("127.0.0.1:" + std::to_string(nobodys.number()));
     Socket client(SOCK_STREAM);
     EXPECT_TRUE(client.Connect(lost.ListenPort()));
     EXPECT_EQ("", client.Receive(1));
--- a/test/harness_test.cc
+++ b/test/harness_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <stdexcept>
+#include <vector>
 
 #include "test/harness.h"
 
@@ -24,6 +26,27 @@
     EXPECT_EQ(0, platform.process().WaitExit());
 }
 
+// Guards against callers of a daemon that has ended who meet a process of
+// another test in its place.
+TEST(Harness, AHeldPortIsGivenToNobodyElse)
+{
+    const int kTries = 30000; // more than there are ports to be given
+    cg::HeldPort held;
+    std::vector<std::unique_ptr<cg::HeldPort>> others;
+    for (int i = 0; i < 64; i++) {
+        others.push_back(std::make_unique<cg::HeldPort>());
+    }
+    int taken = 0;
+    for (int i = 0; i < kTries; i++) {
+        cg::HeldPort other;
+        taken += other.number() == held.number();
+    }
+    EXPECT_EQ(0, taken);
+    std::string url = "127.0.0.1:" + std::to_string(held.number());
+    EXPECT_NE(std::string::npos,
+              cg::Http("GET", url).error.find("connect to server"));
+}
+
 TEST(Harness, AProgramThatDoesNotStartIsAnError)
 {
     cg::ProcessOptions options;
--- a/test/http.cc
+++ b/test/http.cc
@@ -73,6 +73,12 @@
         curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
         result_.code = (int)status;
         result_.complete = code == CURLE_OK;
+        long port = 0;
+        curl_easy_getinfo(easy_, CURLINFO_LOCAL_PORT, &port);
+        result_.local_port = (int)port;
+        curl_easy_getinfo(easy_, CURLINFO_PRIMARY_PORT, &port);
+        result_.remote_port = (int)port;
+        result_.ended = std::chrono::system_clock::now();
         if (code != CURLE_OK) {
             result_.error = curl_easy_strerror(code);
         }
--- a/test/http.h
+++ b/test/http.h
@@ -34,6 +34,10 @@
     std::string error;     // why it is not complete
     Headers headers;       // names in lower case
     std::string body;
+    // The connection: 0 when there was none.
+    int local_port = 0;
+    int remote_port = 0;
+    std::chrono::system_clock::time_point ended;
 
     Json
     json() const
--- a/test/process.cc
+++ b/test/process.cc
@@ -82,22 +82,28 @@
     return true;
 }
 
-int
-FreePort()
+// Bound and not listened on: the system passes over the port when it picks
+// one, and a program that also sets SO_REUSEADDR can listen on it.
+HeldPort::HeldPort()
 {
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
     struct sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t len = sizeof(address);
     auto *generic = reinterpret_cast<struct sockaddr *>(&address);
-    bool bound =
-        bind(fd, generic, len) == 0 && getsockname(fd, generic, &len) == 0;
-    close(fd);
-    if (!bound) {
+    if (setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+        bind(fd_, generic, len) != 0 || getsockname(fd_, generic, &len) != 0) {
+        close(fd_);
         throw std::runtime_error("no free port on loopback");
     }
-    return ntohs(address.sin_port);
+    number_ = ntohs(address.sin_port);
+}
+
+HeldPort::~HeldPort()
+{
+    close(fd_);
 }
 
 std::string
--- a/test/process.h
+++ b/test/process.h
@@ -18,8 +18,26 @@
 bool Eventually(const std::function<bool()> &condition,
                 Millis limit = Millis(20000));
 
-// A port that nobody listened on a moment ago.
-int FreePort();
+// A port that no other process is given while this lives, whether or not
+// somebody listens on it: who calls it meets the program it was chosen for,
+// or nobody.
+class HeldPort {
+  public:
+    HeldPort();
+    ~HeldPort();
+    HeldPort(const HeldPort &) = delete;
+    HeldPort &operator=(const HeldPort &) = delete;
+
+    int
+    number() const
+    {
+        return number_;
+    }
+
+  private:
+    int fd_ = -1;
+    int number_ = 0;
+};
 
 // The path of a program of this build, e.g. "standins/standin_engine".
 std::string Program(const std::string &name);
--- a/test/soak.cc
+++ b/test/soak.cc
@@ -54,9 +54,6 @@
     std::vector<std::string> urls;
     for (size_t i = 0; i < kDaemons; i++) {
         cg::DaemonOptions options;
-        options.port = cg::FreePort();
-        options.admin_port = cg::FreePort();
-        options.peer_port = cg::FreePort();
         options.data_centre = i % 2 == 0 ? "dc-1" : "dc-2";
         scene.cluster.Add(options);
         urls.push_back(scene.cluster.Url(i));
