Servers: a caller whose connection is half open at a planned stop is served

What callers saw: at a planned stop on a busy machine a call ended with a reset, "Failure when receiving data from the peer" or "Failed sending data to the peer".

Both daemons dropped openings, emptied the queue and closed the socket in one go, so what completed just then, or later, was reset.

Change: one listener for both servers (web/listening.c) whose end takes steps, the loop running between them: drop openings; go on taking; stop when the kernel's table shows no half-open connection of this address, or after the time of a second answer to an opening. A forced stop begins these steps before its limit; until now it never ended listening. accept() that fails for another reason than an empty queue no longer counts as its end. The end of listening is logged with half_open, taken_late and lost.

--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -240,6 +240,31 @@
     return false;
 }
 
+/* Ends listening once nobody is connected, and before the limit at any rate.
+ */
+static void
+end_listening(struct ga_gate *gate, int64_t gone, int64_t limit)
+{
+    bool due =
+        (gone > Ga_STOP_LEAST_USEC && Sv_Connections(gate->callers) == 0) ||
+        gone > limit - Ls_ENDING_MOST - Ga_TICK_USEC;
+    if (gate->listening == GA_LISTENING && due) {
+        gate->listening = GA_CLOSING;
+    }
+    struct ls_ending ending;
+    if (gate->listening != GA_CLOSING ||
+        !Sv_StopListening(gate->callers, &ending)) {
+        return;
+    }
+    gate->listening = GA_CLOSED;
+    Ln_Log(LN_STATE, "listening.ended",
+           "\"took_ms\":%lld,\"half_open\":%d,\"taken_late\":%zu,"
+           "\"lost\":%zu,\"filtered\":%s,\"accept_error\":%d",
+           (long long)(ending.took / Ck_USEC_PER_MSEC), ending.half_open,
+           ending.taken_late, ending.lost, ending.filtered ? "true" : "false",
+           ending.error);
+}
+
 static void
 step_stop(struct ga_gate *gate)
 {
@@ -250,17 +275,11 @@
     if (gone > Ga_STOP_IDLE_USEC) {
         Sv_CloseIdle(gate->callers, Ga_TICK_USEC);
     }
-    bool done =
-        gone > Ga_STOP_LEAST_USEC && Sv_Connections(gate->callers) == 0;
-    if (done) {
-        if (Sv_StopListening(gate->callers) != ST_OK) {
-            Ln_Log(LN_FAILURE, "listening.cut", "\"why\":\"%s\"",
-                   St_Message());
-        }
-        /* Who had connected already is answered first. */
-        done = Sv_Connections(gate->callers) == 0;
-    }
-    if (done || gone > gate->options.node->grace_usec - Ga_STOP_MARGIN_USEC) {
+    int64_t limit = gate->options.node->grace_usec - Ga_STOP_MARGIN_USEC;
+    end_listening(gate, gone, limit);
+    /* Who had connected already is answered first. */
+    if ((gate->listening == GA_CLOSED && Sv_Connections(gate->callers) == 0) ||
+        gone > limit) {
         Ln_Log(LN_STATE, "process.stopped", "\"open\":%zu",
                Sv_Open(gate->callers));
         Ln_Flush();
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -35,6 +35,12 @@
     struct mt_metric *whole;  /* time to the end of an answer */
 };
 
+enum ga_listening {
+    GA_LISTENING,
+    GA_CLOSING, /* connections that have begun are still taken */
+    GA_CLOSED,
+};
+
 struct ga_gate {
     struct ga_options options;
     struct rn_random random;
@@ -61,6 +67,7 @@
     int64_t ticks;
     int64_t started_at;
     int64_t stopping_at; /* 0: serving */
+    enum ga_listening listening;
     bool was_ready;
 };
 
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -111,13 +111,25 @@
     daemon->gate.draining = true;
 }
 
-static void
-stop_closing(void *arg)
+static bool
+stop_closed(void *arg, int64_t now)
 {
     struct dm_daemon *daemon = arg;
-    if (Hs_StopListening(daemon->callers) != ST_OK) {
-        Ev_Log(&GT_CLOSED_ROUGHLY, "reason=\"%s\"", St_Message());
-    }
+    struct ls_ending ending;
+    if (!Hs_StopListening(daemon->callers, now, &ending)) {
+        return false;
+    }
+    Ev_Log(&GT_LISTENING_ENDED,
+           "took_ms=%lld half_open=%d taken_late=%zu lost=%zu",
+           (long long)(ending.took / Ck_USEC_PER_MSEC), ending.half_open,
+           ending.taken_late, ending.lost);
+    if (!ending.filtered || ending.half_open < 0 || ending.error != 0) {
+        Ev_Log(&GT_CLOSED_ROUGHLY,
+               "filtered=%d half_open=%d accept_error=\"%s\"", ending.filtered,
+               ending.half_open,
+               ending.error != 0 ? strerror(ending.error) : "");
+    }
+    return true;
 }
 
 static bool
@@ -153,7 +165,7 @@
 static const struct sp_ops stop_ops = {
     .leaving = stop_leaving,
     .refusing = stop_refusing,
-    .closing = stop_closing,
+    .closed = stop_closed,
     .quiet = stop_quiet,
     .idle = stop_idle,
     .finished = stop_finished,
--- a/packages/gate/stop.c
+++ b/packages/gate/stop.c
@@ -7,6 +7,7 @@
 
 #include "base/event.h"
 #include "gate/events.h"
+#include "web/listening.h"
 
 /*
  * How long new requests are still taken after readiness went false: the
@@ -14,19 +15,24 @@
  */
 #define Sp_SETTLE (2 * Ck_USEC_PER_SEC)
 /*
- * How long connections made before the listener closed have to send their
+ * How long connections made before listening ended have to send their
  * request, which is then refused in words rather than by a reset: the least,
  * and the most for those that are still silent.
  */
-#define Sp_CLOSING (500 * Ck_USEC_PER_MSEC)
-#define Sp_CLOSING_MOST (5 * Ck_USEC_PER_SEC)
+#define Sp_CLOSED (500 * Ck_USEC_PER_MSEC)
+#define Sp_CLOSED_MOST (5 * Ck_USEC_PER_SEC)
 #define Sp_POLL (50 * Ck_USEC_PER_MSEC)
+/* Before the limit, so that a forced stop resets nobody who connects then. */
+#define Sp_CLOSING_MOST (Ls_ENDING_MOST + Sp_CLOSED)
+/* While listening ends, a caller's attempt to connect is left unanswered. */
+#define Sp_POLL_CLOSING (10 * Ck_USEC_PER_MSEC)
 
 enum sp_phase {
     SP_SERVING,
     SP_SETTLING,
     SP_DRAINING,
     SP_CLOSING,
+    SP_CLOSED,
 };
 
 struct sp_stop {
@@ -55,16 +61,22 @@
         }
         return;
     case SP_DRAINING:
-        if (stop->ops->idle(stop->arg)) {
+        if (stop->ops->idle(stop->arg) ||
+            now >= stop->limit - Sp_CLOSING_MOST) {
             stop->phase = SP_CLOSING;
-            stop->phase_end = now + Sp_CLOSING;
-            stop->ops->closing(stop->arg);
+            stop->ops->closed(stop->arg, now);
         }
         return;
     case SP_CLOSING:
+        if (stop->ops->closed(stop->arg, now)) {
+            stop->phase = SP_CLOSED;
+            stop->phase_end = now + Sp_CLOSED;
+        }
+        return;
+    case SP_CLOSED:
         stop->over = now >= stop->phase_end && stop->ops->idle(stop->arg) &&
                      (stop->ops->quiet(stop->arg) ||
-                      now >= stop->phase_end + Sp_CLOSING_MOST);
+                      now >= stop->phase_end + Sp_CLOSED_MOST);
         return;
     }
 }
@@ -79,7 +91,8 @@
         stop->ops->finished(stop->arg, !stop->over);
         return;
     }
-    Lp_TimerSet(stop->timer, Sp_POLL);
+    Lp_TimerSet(stop->timer,
+                stop->phase == SP_CLOSING ? Sp_POLL_CLOSING : Sp_POLL);
 }
 
 /* Begins the stop; a second call forces it. */
--- a/packages/gate/stop.h
+++ b/packages/gate/stop.h
@@ -18,8 +18,11 @@
     void (*leaving)(void *arg);
     /* Readiness has been false for a while: refuse new requests. */
     void (*refusing)(void *arg);
-    /* Nothing runs any more: refuse new connections. */
-    void (*closing)(void *arg);
+    /*
+     * Nothing runs any more, or the limit is near: refuse new connections, in
+     * steps; true once nobody listens.
+     */
+    bool (*closed)(void *arg, int64_t now);
     /* True when every connection has sent a request, or is closed. */
     bool (*quiet)(void *arg);
     /* True when nothing is left that a stop would cut or lose. */
--- a/packages/web/serve.c
+++ b/packages/web/serve.c
@@ -216,32 +216,33 @@
     .drained = on_drained,
 };
 
-static void
+static bool
 on_accept(void *arg, int fd)
 {
     struct sv_server *server = arg;
     struct sv_request *request = calloc(1, sizeof(*request));
     if (request == NULL) {
         close(fd);
-        return;
+        return false;
     }
     request->server = server;
     request->parser = H1_Create(true, &parser_ops, request);
     if (request->parser == NULL) {
         close(fd);
         free(request);
-        return;
+        return false;
     }
     if (Sk_Adopt(server->loop, fd, &sock_ops, request, &request->sock) !=
         ST_OK) {
         H1_Destroy(request->parser);
         free(request);
-        return;
+        return false;
     }
     H1_SetHeadMax(request->parser, server->limits.head_bytes);
     request->moved_at = Ck_Now(server->clock);
     TAILQ_INSERT_TAIL(&server->connections, request, link);
     server->count++;
+    return true;
 }
 
 /* Listens on "IP:PORT". */
@@ -250,6 +251,11 @@
           const char *address, const struct sv_ops *ops, void *arg,
           struct sv_server **out)
 {
+    struct sockaddr_in at;
+    enum st_status status = Sk_Address(address, &at);
+    if (status != ST_OK) {
+        return status;
+    }
     struct sv_server *server = calloc(1, sizeof(*server));
     if (server == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for a server");
@@ -265,8 +271,7 @@
         .idle_usec = Sv_IDLE_USEC,
     };
     TAILQ_INIT(&server->connections);
-    enum st_status status =
-        Sk_Listen(loop, address, on_accept, server, &server->listener);
+    status = Ls_Open(loop, &at, on_accept, server, &server->listener);
     if (status != ST_OK) {
         free(server);
         return status;
@@ -284,7 +289,7 @@
 int
 Sv_Port(const struct sv_server *server)
 {
-    return Sk_ListenPort(server->listener);
+    return Ls_Port(server->listener);
 }
 
 size_t
@@ -349,11 +354,14 @@
     }
 }
 
-/* Takes what has connected and lets nothing more connect. */
-enum st_status
-Sv_StopListening(struct sv_server *server)
+/*
+ * Refuses new connections, in steps: to be called until it is true.  Those
+ * that have begun are taken meanwhile.
+ */
+bool
+Sv_StopListening(struct sv_server *server, struct ls_ending *ending)
 {
-    return Sk_ListenStop(server->listener);
+    return Ls_End(server->listener, Ck_Now(server->clock), ending);
 }
 
 /* Closes everything. */
@@ -367,7 +375,7 @@
     while ((request = TAILQ_FIRST(&server->connections)) != NULL) {
         sv_bury(request);
     }
-    Sk_ListenClose(server->listener);
+    Ls_Destroy(server->listener);
     free(server);
 }
 
--- a/packages/web/serve.h
+++ b/packages/web/serve.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "web/http1.h"
+#include "web/listening.h"
 #include "web/loop.h"
 
 #ifdef __cplusplus
@@ -49,7 +50,7 @@
 void Sv_Drain(struct sv_server *server);
 void Sv_CloseIdle(struct sv_server *server, int64_t idle_usec);
 void Sv_Tick(struct sv_server *server);
-enum st_status Sv_StopListening(struct sv_server *server);
+bool Sv_StopListening(struct sv_server *server, struct ls_ending *ending);
 void Sv_Destroy(struct sv_server *server);
 
 const struct h1_head *Sv_Head(const struct sv_request *request);
--- a/packages/web/serve_internal.h
+++ b/packages/web/serve_internal.h
@@ -41,7 +41,7 @@
 struct sv_server {
     struct lp_loop *loop;
     const struct ck_clock *clock;
-    struct sk_listener *listener;
+    struct ls_listener *listener;
     const struct sv_ops *ops;
     void *arg;
     struct sv_limits limits;
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -3,15 +3,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
-#include "web/listening.h"
 #include "web/server_internal.h"
 
 #define Hs_KEEPALIVE_SECS 60
 #define Hs_RECEIVE_SECS 20
-#define Hs_BACKLOG 1024
-#define Hs_ACCEPTS_AT_ONCE 64
 
 /* Every server of this process; see server_of(). */
 static struct hs_servers servers = TAILQ_HEAD_INITIALIZER(servers);
@@ -151,46 +147,20 @@
     }
 }
 
-/* Takes up to Hs_ACCEPTS_AT_ONCE connections; returns how many. */
-static int
-accept_some(struct hs_server *server)
-{
-    int count;
-    for (count = 0; count < Hs_ACCEPTS_AT_ONCE; count++) {
-        int fd = accept4(server->listen_fd, NULL, NULL,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            break;
-        }
-        /* On failure the library has closed the descriptor. */
-        struct lws *wsi = lws_adopt_socket_vhost(server->vhost, fd);
-        if (wsi != NULL) {
-            lws_set_opaque_user_data(wsi, &server->mark);
-            server->fresh++;
-        }
-    }
-    return count;
-}
-
-static void
-listener_readable(void *arg)
-{
-    accept_some(arg);
-}
-
-static void
-listener_closed(void *arg)
+static bool
+on_accept(void *arg, int fd)
 {
     struct hs_server *server = arg;
-    Lp_WatchDestroy(server->listener);
-    server->listener = NULL;
+    /* On failure the library has closed the descriptor. */
+    struct lws *wsi = lws_adopt_socket_vhost(server->vhost, fd);
+    if (wsi == NULL) {
+        return false;
+    }
+    lws_set_opaque_user_data(wsi, &server->mark);
+    server->fresh++;
+    return true;
 }
 
-static const struct lp_watch_ops listener_ops = {
-    .readable = listener_readable,
-    .closed = listener_closed,
-};
-
 /*
  * Listens on a socket of our own: the library cannot close its listener
  * without its connections, and a planned stop needs just that.
@@ -202,32 +172,17 @@
         .sin_family = AF_INET,
         .sin_port = htons((uint16_t)options->port),
     };
-    socklen_t at_len = sizeof(at);
-    int on = 1;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return St_Fail(ST_UNAVAILABLE, "no socket; allow more descriptors");
+    if (inet_pton(AF_INET, options->address, &at.sin_addr) != 1) {
+        return St_Fail(ST_INVALID, "'%s' is no IP address to listen on",
+                       options->address);
     }
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (inet_pton(AF_INET, options->address, &at.sin_addr) != 1 ||
-        bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
-        listen(fd, Hs_BACKLOG) != 0 ||
-        getsockname(fd, (struct sockaddr *)&at, &at_len) != 0) {
-        close(fd);
-        return St_Fail(ST_INVALID,
-                       "cannot listen on %s port %d; choose a free port and "
-                       "an address of this host",
-                       options->address, options->port);
-    }
-    server->listen_fd = fd;
-    server->port = ntohs(at.sin_port);
-    server->address = at.sin_addr;
-    server->listener = Lp_WatchCreate(server->loop, fd, &listener_ops, server);
-    if (server->listener == NULL) {
-        close(fd);
-        return St_Fail(ST_NO_MEMORY, "no memory to listen");
+    enum st_status status =
+        Ls_Open(server->loop, &at, on_accept, server, &server->listener);
+    if (status == ST_OK) {
+        server->port = Ls_Port(server->listener);
+        server->address = at.sin_addr;
     }
-    return ST_OK;
+    return status;
 }
 
 static enum st_status
@@ -308,26 +263,15 @@
 }
 
 /*
- * Refuses new connections.  Those that have connected already are taken
- * first, so that they are answered rather than reset.  The socket stops
- * listening here and now: the loop closes it only at its next turn, and what
- * connected until then would be reset.  ST_UNAVAILABLE: it stopped, but a
- * connection that came at that moment may be reset.
+ * Refuses new connections, in steps: to be called until it is true.  Those
+ * that have begun are taken meanwhile, so that they are answered rather than
+ * reset.
  */
-enum st_status
-Hs_StopListening(struct hs_server *server)
+bool
+Hs_StopListening(struct hs_server *server, int64_t now,
+                 struct ls_ending *ending)
 {
-    if (server->listener == NULL) {
-        return ST_OK;
-    }
-    enum st_status status = Ls_DropOpenings(server->listen_fd);
-    while (accept_some(server) == Hs_ACCEPTS_AT_ONCE) {
-        continue;
-    }
-    shutdown(server->listen_fd, SHUT_RDWR);
-    Lp_WatchDestroy(server->listener);
-    server->listener = NULL;
-    return status;
+    return Ls_End(server->listener, now, ending);
 }
 
 /* Connections that have not sent their first request yet. */
@@ -350,6 +294,7 @@
 {
     if (server != NULL) {
         TAILQ_REMOVE(&servers, server, link);
+        Ls_Destroy(server->listener);
         free(server);
     }
 }
--- a/packages/web/server.h
+++ b/packages/web/server.h
@@ -11,6 +11,7 @@
 
 #include "base/status.h"
 #include "web/header.h"
+#include "web/listening.h"
 #include "web/loop.h"
 
 #ifdef __cplusplus
@@ -48,7 +49,8 @@
                          struct hs_server **out);
 int Hs_Port(const struct hs_server *server);
 void Hs_CloseConnections(struct hs_server *server);
-enum st_status Hs_StopListening(struct hs_server *server);
+bool Hs_StopListening(struct hs_server *server, int64_t now,
+                      struct ls_ending *ending);
 size_t Hs_Fresh(const struct hs_server *server);
 size_t Hs_OpenRequests(const struct hs_server *server);
 void Hs_Destroy(struct hs_server *server);
--- a/packages/web/server_internal.h
+++ b/packages/web/server_internal.h
@@ -17,8 +17,7 @@
     TAILQ_ENTRY(hs_server) link;
     struct lp_loop *loop;
     struct lws_vhost *vhost;
-    struct lp_watch *listener;
-    int listen_fd;
+    struct ls_listener *listener;
     int port;
     struct in_addr address;
     bool closing; /* every answer ends its connection */
--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -12,11 +12,9 @@
 #include <unistd.h>
 
 #include "base/clock.h"
-#include "web/listening.h"
 
 #define Sk_READ_BYTES 65536
 #define Sk_ADDRESS_MAX 64
-#define Sk_BACKLOG 1024
 /*
  * A peer without power sends neither data nor a reset.  Probes after two
  * seconds of silence, and a limit on unacknowledged data, end such a
@@ -50,14 +48,6 @@
     size_t out_size;
 };
 
-struct sk_listener {
-    struct lp_watch *watch;
-    int fd;
-    int port;
-    sk_accept_fn fn;
-    void *arg;
-};
-
 /* Reads "IP:PORT".  ST_INVALID names the text. */
 enum st_status
 Sk_Address(const char *text, struct sockaddr_in *out)
@@ -407,106 +397,3 @@
     }
     Lp_TimerSet(sock->linger, Sk_LINGER_USEC);
 }
-
-static void
-on_accept(void *arg)
-{
-    struct sk_listener *listener = arg;
-    int fd;
-    while ((fd = accept4(listener->fd, NULL, NULL,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        listener->fn(listener->arg, fd);
-    }
-}
-
-static void
-on_listener_gone(void *arg)
-{
-    struct sk_listener *listener = arg;
-    listener->fd = -1;
-}
-
-static const struct lp_watch_ops listener_ops = {
-    .readable = on_accept,
-    .closed = on_listener_gone,
-};
-
-/* Listens on "IP:PORT"; port 0 picks one.  "fn" owns what it is given. */
-enum st_status
-Sk_Listen(struct lp_loop *loop, const char *address, sk_accept_fn fn,
-          void *arg, struct sk_listener **out)
-{
-    struct sockaddr_in at = {0};
-    if (Sk_Address(address, &at) != ST_OK) {
-        return ST_INVALID;
-    }
-    struct sk_listener *listener = calloc(1, sizeof(*listener));
-    if (listener == NULL) {
-        return St_Fail(ST_NO_MEMORY, "no memory to listen");
-    }
-    listener->fn = fn;
-    listener->arg = arg;
-    listener->fd =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    set_option(listener->fd, SOL_SOCKET, SO_REUSEADDR, 1);
-    socklen_t len = sizeof(at);
-    if (listener->fd < 0 ||
-        bind(listener->fd, (struct sockaddr *)&at, len) != 0 ||
-        listen(listener->fd, Sk_BACKLOG) != 0 ||
-        getsockname(listener->fd, (struct sockaddr *)&at, &len) != 0) {
-        goto fail;
-    }
-    listener->port = ntohs(at.sin_port);
-    listener->watch =
-        Lp_WatchCreate(loop, listener->fd, &listener_ops, listener);
-    if (listener->watch == NULL) {
-        goto fail;
-    }
-    *out = listener;
-    return ST_OK;
-
-fail:
-    if (listener->fd >= 0) {
-        close(listener->fd);
-    }
-    free(listener);
-    return St_Fail(ST_UNAVAILABLE, "cannot listen on %s: %s", address,
-                   strerror(errno));
-}
-
-/* The port listened on. */
-int
-Sk_ListenPort(const struct sk_listener *listener)
-{
-    return listener->port;
-}
-
-/*
- * Refuses new connections; those that have connected already are taken first.
- * ST_UNAVAILABLE: one that came at that moment may be reset.
- */
-enum st_status
-Sk_ListenStop(struct sk_listener *listener)
-{
-    if (listener->watch == NULL) {
-        return ST_OK;
-    }
-    enum st_status status = Ls_DropOpenings(listener->fd);
-    on_accept(listener);
-    shutdown(listener->fd, SHUT_RDWR);
-    Lp_WatchDestroy(listener->watch);
-    listener->watch = NULL;
-    return status;
-}
-
-/* Stops listening at once; what has connected and was not taken is reset. */
-void
-Sk_ListenClose(struct sk_listener *listener)
-{
-    if (listener != NULL) {
-        if (listener->watch != NULL) {
-            Lp_WatchDestroy(listener->watch);
-        }
-        free(listener);
-    }
-}
--- a/packages/web/sock.h
+++ b/packages/web/sock.h
@@ -32,9 +32,6 @@
     void (*drained)(void *arg);
 };
 
-struct sk_listener;
-typedef void (*sk_accept_fn)(void *arg, int fd);
-
 /* "address" is "IP:PORT". */
 enum st_status Sk_Connect(struct lp_loop *loop, const char *address,
                           const struct sk_ops *ops, void *arg,
@@ -48,12 +45,6 @@
 void Sk_Close(struct sk_sock *sock);
 void Sk_Finish(struct sk_sock *sock);
 
-enum st_status Sk_Listen(struct lp_loop *loop, const char *address,
-                         sk_accept_fn fn, void *arg, struct sk_listener **out);
-int Sk_ListenPort(const struct sk_listener *listener);
-enum st_status Sk_ListenStop(struct sk_listener *listener);
-void Sk_ListenClose(struct sk_listener *listener);
-
 struct sockaddr_in;
 enum st_status Sk_Address(const char *text, struct sockaddr_in *out);
 
