Drain test: a stop while the host list is read ends in order

Guards what a planned stop in the soak showed: "daemon 2, GT_STOPPED forced=0" and a broken promise, the exit status not recorded then.

--- a/test/drain_test.cc
+++ b/test/drain_test.cc
@@ -122,6 +122,23 @@
     EXPECT_EQ(0, scene.cluster.process(0).WaitExit());
 }
 
+// Guards against a daemon that has stopped in order, nothing cut, and then
+// crashes since a read of the host list was under way.
+TEST(Drain, AStopDuringAReadOfTheHostListEndsInOrder)
+{
+    cg::Scene scene;
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(1);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    scene.platform.Fault("{\"target\":\"hosts\",\"mode\":\"delay\","
+                         "\"count\":-1,\"delay_ms\":60000}");
+    cg::Process &daemon = scene.cluster.process(0);
+    daemon.Term();
+    EXPECT_EQ(0, daemon.WaitExit()) << daemon.Stderr();
+    EXPECT_NE(std::string::npos, daemon.Stderr().find("GT_STOPPED forced=0"));
+}
+
 /* A second signal ends a stop by force, with an event for each request. */
 TEST(Drain, ASecondSignalForces)
 {
