Moves test: failures of the old version do not hide those of a bad new one

Guards what callers saw in the soak: 19, 23 and 36 completions at one daemon end 502 "unknown" within seconds.

--- a/test/moves_test.cc
+++ b/test/moves_test.cc
@@ -122,6 +122,22 @@
     EXPECT_EQ(bad, Runs(2, 2)) << "new work after it was taken back";
 }
 
+// Guards against callers who are told "unknown" since failures of the old
+// version hide those of a bad new one, until no retries are left.
+TEST_F(Moves, AFailureOfTheOldVersionDoesNotHideABadNewOne)
+{
+    Start(120);
+    for (size_t i = 0; i < 2; i++) {
+        scene.engines[i]->Fault("{\"mode\":\"error_500\",\"count\":4}");
+    }
+    for (size_t i = 2; i < 4; i++) {
+        scene.engines[i]->Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    }
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("taken back"); }, Millis(60000)))
+        << Move(0).Dump();
+    EXPECT_EQ(asked, whole);
+}
+
 /*
  * The daemon that holds the move is killed while the new version carries its
  * small share. Another goes on from what the log says; the bad version is
