Soak: what tells a late configuration, and where a call was cut

A configuration counts as late when a daemon refuses its key or does not answer: a daemon that is starved read like one with an old configuration. The breach now says the last answer, the offset it was accepted as, and what the daemon says of itself; its status gives the age of the last read that came to the log's end (read_age_ms). A call that was cut is shown with its time and its port, as drain_test's are. The checks are as they were.

--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -234,15 +234,23 @@
     return stream->writer;
 }
 
-/* True while this daemon can read the log to its end. */
-bool
-Cs_Reading(const struct cs_stream *stream)
+/* How long ago the log was asked, in the last read that came to its end. */
+int64_t
+Cs_ReadAge(const struct cs_stream *stream)
 {
     int64_t asked;
     if (!Sn_AtTail(stream->replica, &asked)) {
-        return false;
+        return -1;
     }
-    return Ck_Now(stream->options.gate->clock) - asked < Cs_FRESH;
+    return Ck_Now(stream->options.gate->clock) - asked;
+}
+
+/* True while this daemon can read the log to its end. */
+bool
+Cs_Reading(const struct cs_stream *stream)
+{
+    int64_t age = Cs_ReadAge(stream);
+    return age >= 0 && age < Cs_FRESH;
 }
 
 /* The state for a peer, as JSON text to be freed; NULL before it is known. */
--- a/packages/gate/daemon_admin.c
+++ b/packages/gate/daemon_admin.c
@@ -65,16 +65,19 @@
     uint64_t offset = Sc_Offset(Cs_State(daemon->config));
     uint64_t in_force =
         daemon->gate.config != NULL ? daemon->gate.config->offset : 0;
-    return json_pack("{s:s,s:b,s:{s:I,s:I},s:o,s:o,s:o,s:{s:i,s:i,s:b}}",
-                     "node", daemon->gate.options->node_id, "ready",
-                     Dm_NotReady(daemon) == NULL, "config", "offset",
-                     (json_int_t)offset, "in_force", (json_int_t)in_force,
-                     "daemons", Pe_Status(daemon->peers, offset), "services",
-                     Sd_Services(&daemon->gate), "moves",
-                     Mo_Status(daemon->gate.moves), "work", "queued",
-                     In_Queued(daemon->gate.intake), "claim_slots",
-                     Gc_SlotsKept(daemon->gate.claims), "log_in_reach",
-                     Cs_Reading(daemon->config));
+    int64_t read_age = Cs_ReadAge(daemon->config);
+    int64_t read_age_ms =
+        read_age < 0 ? read_age : read_age / Ck_USEC_PER_MSEC;
+    return json_pack(
+        "{s:s,s:b,s:{s:I,s:I,s:I},s:o,s:o,s:o,s:{s:i,s:i,s:b}}", "node",
+        daemon->gate.options->node_id, "ready", Dm_NotReady(daemon) == NULL,
+        "config", "offset", (json_int_t)offset, "in_force",
+        (json_int_t)in_force, "read_age_ms", (json_int_t)read_age_ms,
+        "daemons", Pe_Status(daemon->peers, offset), "services",
+        Sd_Services(&daemon->gate), "moves", Mo_Status(daemon->gate.moves),
+        "work", "queued", In_Queued(daemon->gate.intake), "claim_slots",
+        Gc_SlotsKept(daemon->gate.claims), "log_in_reach",
+        Cs_Reading(daemon->config));
 }
 
 static void
--- a/test/drain_test.cc
+++ b/test/drain_test.cc
@@ -2,7 +2,6 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <ctime>
 #include <thread>
 
 #include "test/scene.h"
@@ -11,21 +10,6 @@
 
 using cg::HttpResult;
 
-// Time of day, UTC, as the daemons' logs show it.
-std::string
-ClockTime(std::chrono::system_clock::time_point at)
-{
-    time_t seconds = std::chrono::system_clock::to_time_t(at);
-    auto millis =
-        std::chrono::duration_cast<cg::Millis>(at.time_since_epoch()) % 1000;
-    struct tm parts = {};
-    gmtime_r(&seconds, &parts);
-    char text[32];
-    size_t len = strftime(text, sizeof(text), "%H:%M:%S", &parts);
-    snprintf(text + len, sizeof(text) - len, ".%03d", (int)millis.count());
-    return text;
-}
-
 // How the requests of a run ended.
 struct Tally {
     std::atomic<int> whole{0};
@@ -50,9 +34,9 @@
         else {
             cut++;
             ADD_FAILURE() << result.code << " " << result.error << " "
-                          << result.body << " at " << ClockTime(result.ended)
-                          << ", port " << result.local_port << " to "
-                          << result.remote_port;
+                          << result.body << " at "
+                          << cg::ClockTime(result.ended) << ", port "
+                          << result.local_port << " to " << result.remote_port;
         }
     }
 };
--- a/test/http.cc
+++ b/test/http.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <cctype>
+#include <ctime>
 #include <memory>
 #include <sstream>
 #include <stdexcept>
@@ -177,6 +178,20 @@
 
 } // namespace
 
+std::string
+ClockTime(std::chrono::system_clock::time_point at)
+{
+    time_t seconds = std::chrono::system_clock::to_time_t(at);
+    auto millis =
+        std::chrono::duration_cast<Millis>(at.time_since_epoch()) % 1000;
+    struct tm parts = {};
+    gmtime_r(&seconds, &parts);
+    char text[32];
+    size_t len = strftime(text, sizeof(text), "%H:%M:%S", &parts);
+    snprintf(text + len, sizeof(text) - len, ".%03d", (int)millis.count());
+    return text;
+}
+
 HttpResult
 Http(const HttpCall &call)
 {
--- a/test/http.h
+++ b/test/http.h
@@ -52,6 +52,9 @@
     }
 };
 
+// Time of day, UTC, as the daemons' logs show it.
+std::string ClockTime(std::chrono::system_clock::time_point at);
+
 HttpResult Http(const HttpCall &call);
 HttpResult Http(const std::string &method, const std::string &url,
                 const Headers &headers = {}, const std::string &body = "",
--- a/test/soak_check.cc
+++ b/test/soak_check.cc
@@ -44,7 +44,9 @@
 {
     return call.name + " at daemon " + std::to_string(call.daemon) + ": " +
            std::to_string(call.code) + " " + call.outcome + " " +
-           call.request_id + " " + call.error + " " + call.detail;
+           call.request_id + " " + call.error + " " + call.detail + " at " +
+           ClockTime(call.ended_at) + " from port " +
+           std::to_string(call.local_port);
 }
 
 // A completion that was taken must end whole; other refusals are true.
--- a/test/soak_config.cc
+++ b/test/soak_config.cc
@@ -19,6 +19,9 @@
     : scene_(scene), ledger_(ledger), urls_(std::move(urls)),
       fields_(std::move(fields)), log_out_(log_out)
 {
+    for (size_t i = 0; i < urls_.size(); i++) {
+        admins_.push_back(scene.cluster.Admin(i));
+    }
 }
 
 void
@@ -58,14 +61,25 @@
     return Scene::DefaultTeam(fields_, list);
 }
 
-// 200: in force; 401: not; anything else says nothing.
-bool
-SoakConfig::InForce(size_t daemon, const std::string &key) const
+// 401: not in force; 0: no answer; anything else: it is.
+int
+SoakConfig::Ask(size_t daemon, const std::string &key) const
+{
+    return Http("GET", urls_[daemon] + "/seats/config",
+                {{"authorization", "Bearer " + key}}, "", Millis(3000))
+        .code;
+}
+
+// What tells a daemon that has not read of a change from one that is starved.
+std::string
+SoakConfig::WhatIsKnown(size_t daemon, int code) const
 {
-    HttpResult result =
-        Http("GET", urls_[daemon] + "/seats/config",
-             {{"authorization", "Bearer " + key}}, "", Millis(3000));
-    return result.code != 401 && result.code != 0;
+    return "last answer " + std::to_string(code) + ", accepted as " +
+           std::to_string(base_) + ", daemon says " +
+           Http("GET", admins_[daemon] + "/admin/v1/status",
+                {{"authorization", "Bearer ops-key"}}, "", Millis(3000))
+               .json()["config"]
+               .Dump();
 }
 
 // Waits for every daemon that nobody touches meanwhile.
@@ -75,7 +89,8 @@
     Instant from = std::chrono::steady_clock::now();
     Instant since = from;
     for (size_t i = 0; i < urls_.size(); i++) {
-        while (!InForce(i, key)) {
+        int code;
+        while ((code = Ask(i, key)) == 401 || code == 0) {
             Instant now = std::chrono::steady_clock::now();
             if (log_out_) {
                 since = now;
@@ -85,7 +100,8 @@
             }
             if (now - since > kInForceLimit) {
                 breaches.push_back(key + " is not in force at daemon " +
-                                   std::to_string(i));
+                                   std::to_string(i) + ": " +
+                                   WhatIsKnown(i, code));
                 return false;
             }
             std::this_thread::sleep_for(Millis(kStepMs));
@@ -103,10 +119,7 @@
     for (size_t i = 0; i < urls_.size(); i++) {
         for (const std::string &key : accepted_) {
             Instant from = std::chrono::steady_clock::now();
-            HttpResult result =
-                Http("GET", urls_[i] + "/seats/config",
-                     {{"authorization", "Bearer " + key}}, "", Millis(3000));
-            if (result.code == 401 &&
+            if (Ask(i, key) == 401 &&
                 ledger_.Untouched(i, from, std::chrono::steady_clock::now())) {
                 breaches.push_back(key + " was taken back at daemon " +
                                    std::to_string(i));
@@ -154,11 +167,7 @@
     published++;
     if (InForceEverywhere(names[winner])) {
         for (size_t i = 0; i < urls_.size(); i++) {
-            HttpResult other =
-                Http("GET", urls_[i] + "/seats/config",
-                     {{"authorization", "Bearer " + names[1 - winner]}}, "",
-                     Millis(3000));
-            if (other.code == 200) {
+            if (Ask(i, names[1 - winner]) == 200) {
                 breaches.push_back(names[1 - winner] +
                                    " lost the race and is in force");
             }
--- a/test/soak_config.h
+++ b/test/soak_config.h
@@ -29,13 +29,15 @@
     void Work();
     void Round(int round);
     std::string Team(const std::string &extra) const;
-    bool InForce(size_t daemon, const std::string &key) const;
+    int Ask(size_t daemon, const std::string &key) const;
+    std::string WhatIsKnown(size_t daemon, int code) const;
     bool InForceEverywhere(const std::string &key);
     void CheckNothingReverted();
 
     Scene &scene_;
     SoakLedger &ledger_;
     std::vector<std::string> urls_;
+    std::vector<std::string> admins_; // a restart keeps its ports
     std::string fields_; // of the service, the same in every change
     const std::atomic<bool> &log_out_;
     std::atomic<bool> stop_{false};
--- a/test/soak_ledger.h
+++ b/test/soak_ledger.h
@@ -32,8 +32,10 @@
     Instant end;
     int code = 0;
     bool complete = false;
-    std::string error;   // why it is not complete
-    std::string outcome; // header
+    std::string error;  // why it is not complete
+    int local_port = 0; // of its connection; 0: it had none
+    std::chrono::system_clock::time_point ended_at; // as logs show it
+    std::string outcome;                            // header
     std::string request_id;
     std::string detail; // type of the error, for reports
     bool whole = false; // an answer, and it ended in order
--- a/test/soak_load.cc
+++ b/test/soak_load.cc
@@ -121,6 +121,8 @@
     call->code = result.code;
     call->complete = result.complete;
     call->error = result.error;
+    call->local_port = result.local_port;
+    call->ended_at = result.ended;
     call->outcome = result.Header("cornelgate-outcome");
     call->request_id = result.Header("cornelgate-request-id");
     Json body = result.json();
