Config stream: in force within 11 s without word and with two reads lost

A daemon that hears no word of a change reads the stream by itself. With two reads in a row that get no answer it came into force after 11.2 s (5 s until the next read, two reads of 2 s, 0.1 s before each is made again, 2 s for the answer); 11 s are promised.

--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -8,8 +8,6 @@
 #include "state/snapshot.h"
 
 #define Cs_POLL (250 * Ck_USEC_PER_MSEC)
-/* Without word of a change; a net below gossip. */
-#define Cs_POLL_SLOW (5 * Ck_USEC_PER_SEC)
 /* A tail seen longer ago than this says nothing about the log's state now. */
 #define Cs_FRESH (3 * Cs_POLL_SLOW)
 /* A piece of the sections' snapshot that fits one record of the log. */
--- a/packages/gate/confstream.h
+++ b/packages/gate/confstream.h
@@ -15,6 +15,9 @@
 extern "C" {
 #endif
 
+/* Without word of a change; a net below gossip. */
+#define Cs_POLL_SLOW (4 * Ck_USEC_PER_SEC)
+
 struct cs_stream;
 
 struct cs_options {
--- a/packages/platform/plog.h
+++ b/packages/platform/plog.h
@@ -19,6 +19,7 @@
 #define Pl_STREAM_MAX 32
 #define Pl_RECORD_MAX ((size_t)64 << 10) /* bytes of one record */
 #define Pl_FIRST_OFFSET UINT64_C(1)
+#define Pl_LIMIT_USEC INT64_C(2000000) /* for an answer of the log's */
 
 enum pl_append_kind {
     PL_WRITTEN, /* the records stand at offset to offset + count - 1 */
@@ -86,8 +87,8 @@
 struct pl_http_options {
     const char *address; /* IP number of the log service */
     int port;
-    int64_t append_usec; /* limit for an append; 0: 2 s */
-    int64_t read_usec;   /* limit for a read; 0: 2 s */
+    int64_t append_usec; /* limit for an append; 0: Pl_LIMIT_USEC */
+    int64_t read_usec;   /* limit for a read; 0: Pl_LIMIT_USEC */
 };
 
 enum st_status Pl_HttpCreate(struct lp_loop *loop,
--- a/packages/platform/plog_http.c
+++ b/packages/platform/plog_http.c
@@ -8,7 +8,6 @@
 #include "platform/plog.h"
 #include "web/client.h"
 
-#define Pl_DEFAULT_USEC (2 * Ck_USEC_PER_SEC)
 #define Pl_PATH_MAX 128
 #define Pl_ADDRESS_MAX 64
 #define Pl_ANSWER_MAX ((size_t)32 << 20)
@@ -263,9 +262,9 @@
     snprintf(http->address, sizeof(http->address), "%s", options->address);
     http->port = options->port;
     http->append_usec =
-        options->append_usec > 0 ? options->append_usec : Pl_DEFAULT_USEC;
+        options->append_usec > 0 ? options->append_usec : Pl_LIMIT_USEC;
     http->read_usec =
-        options->read_usec > 0 ? options->read_usec : Pl_DEFAULT_USEC;
+        options->read_usec > 0 ? options->read_usec : Pl_LIMIT_USEC;
     http->log.ops = &http_ops;
     http->log.context = http;
     *out = &http->log;
