--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -240,7 +240,9 @@
     return false;
 }
 
-/* Ends listening once nobody is connected, and before the limit at any rate.
+/*
+ * Ends listening once nobody is connected, and before the limit at any rate:
+ * who connects as the process exits would be reset.
  */
 static void
 end_listening(struct ga_gate *gate, int64_t gone, int64_t limit)
--- a/packages/web/listening.h
+++ b/packages/web/listening.h
@@ -38,7 +38,10 @@
 enum st_status Ls_Open(struct lp_loop *loop, const struct sockaddr_in *at,
                        ls_accept_fn fn, void *arg, struct ls_listener **out);
 int Ls_Port(const struct ls_listener *listener);
-/* One step towards the end; to be called until it is true. */
+/*
+ * One step towards the end; to be called until it is true, which fills in
+ * "ending".
+ */
 bool Ls_End(struct ls_listener *listener, int64_t now,
             struct ls_ending *ending);
 /* Whether listening may end now; "half_open" is -1 when it is not known. */
