Listening: the system is asked for half-open connections only

At the end of listening the daemon read the kernel's table of all sockets, up to twice, in its loop.

--- a/packages/web/listening.c
+++ b/packages/web/listening.c
@@ -4,13 +4,13 @@
 #include <errno.h>
 #include <linux/filter.h>
 #include <netinet/tcp.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "web/halfopen.h"
 
 #define Ls_BACKLOG 1024
 #define Ls_ACCEPTS_AT_ONCE 64
@@ -18,8 +18,6 @@
 #define Ls_TCP_FLAGS_OFFSET 13
 /* An opening that was under way when openings were dropped shows by then. */
 #define Ls_LEAST (10 * Ck_USEC_PER_MSEC)
-#define Ls_SOCKETS "/proc/net/tcp"
-#define Ls_LINE_MAX 256
 
 struct ls_listener {
     struct lp_watch *watch;
@@ -165,36 +163,6 @@
                       sizeof(filter)) == 0;
 }
 
-/*
- * Counts the connections to this address whose opening was answered and whose
- * caller's last word has not come (proc_net_tcp.txt of the kernel); -1 when
- * the table cannot be read.
- */
-static int
-count_half_open(const struct ls_listener *listener)
-{
-    FILE *table = fopen(Ls_SOCKETS, "re");
-    if (table == NULL) {
-        return -1;
-    }
-    char line[Ls_LINE_MAX];
-    bool any = listener->at.sin_addr.s_addr == htonl(INADDR_ANY);
-    int count = 0;
-    while (fgets(line, sizeof(line), table) != NULL) {
-        unsigned ip;
-        unsigned port;
-        unsigned state;
-        if (sscanf(line, " %*u: %8x:%4x %*8x:%*4x %2x", &ip, &port, &state) ==
-                3 &&
-            state == TCP_SYN_RECV && port == ntohs(listener->at.sin_port) &&
-            (any || ip == listener->at.sin_addr.s_addr)) {
-            count++;
-        }
-    }
-    fclose(table);
-    return count;
-}
-
 /*
  * Listening may end when nobody is left whose connection is half open: such a
  * caller may hold it for made and have sent its request, and would be reset.
@@ -218,7 +186,6 @@
     listener->end.filtered = drop_openings(listener);
     bool empty;
     take(listener, SIZE_MAX, &empty);
-    listener->end.half_open = count_half_open(listener);
 }
 
 /*
@@ -237,11 +204,12 @@
         return false;
     }
     /* Counted before the queue is emptied: none can come after that. */
-    int half_open = count_half_open(listener);
+    int half_open = Ho_Count(&listener->at);
     bool empty;
     struct ls_ending *end = &listener->end;
     end->taken_late += take(listener, SIZE_MAX, &empty);
-    end->half_open = half_open > end->half_open ? half_open : end->half_open;
+    bool is_more = half_open < 0 || half_open > end->half_open;
+    end->half_open = is_more ? half_open : end->half_open;
     int64_t waited = now - listener->ending_since;
     if (!Ls_MayEnd(waited, half_open, empty)) {
         return false;
