--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -253,7 +253,7 @@
     if (gate->listening == GA_LISTENING && due) {
         gate->listening = GA_CLOSING;
     }
-    struct ls_ending ending;
+    struct ls_ending ending = {0};
     if (gate->listening != GA_CLOSING ||
         !Sv_StopListening(gate->callers, &ending)) {
         return;
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -115,7 +115,7 @@
 stop_closed(void *arg, int64_t now)
 {
     struct dm_daemon *daemon = arg;
-    struct ls_ending ending;
+    struct ls_ending ending = {0};
     if (!Hs_StopListening(daemon->callers, now, &ending)) {
         return false;
     }
--- a/packages/web/listening.c
+++ b/packages/web/listening.c
@@ -208,8 +208,9 @@
     bool empty;
     struct ls_ending *end = &listener->end;
     end->taken_late += take(listener, SIZE_MAX, &empty);
-    bool is_more = half_open < 0 || half_open > end->half_open;
-    end->half_open = is_more ? half_open : end->half_open;
+    if (half_open < 0 || half_open > end->half_open) {
+        end->half_open = half_open;
+    }
     int64_t waited = now - listener->ending_since;
     if (!Ls_MayEnd(waited, half_open, empty)) {
         return false;
--- a/packages/web/test/stop_listening_test.cc
+++ b/packages/web/test/stop_listening_test.cc
@@ -281,25 +281,28 @@
     return got > 0 ? std::string(buffer, (size_t)got) : "";
 }
 
+// The caller was counted as half open, taken late and answered.
+void
+ExpectServed(struct lp_loop *loop, int caller, const struct ls_ending &ending)
+{
+    EXPECT_EQ("HTTP/1.1 200", Answer(loop, caller).substr(0, 12));
+    EXPECT_EQ(1, ending.half_open);
+    EXPECT_EQ(1u, ending.taken_late);
+}
+
 // Guards against a caller reset at a planned stop whose connection was half
 // open when the server began to refuse new ones.
 TEST_F(StopListening, AHalfOpenConnectionIsServed)
 {
     int caller = HalfOpen(Hs_Port(server));
-    struct ls_ending ending = EndServer();
-    EXPECT_EQ("HTTP/1.1 200", Answer(loop, caller).substr(0, 12));
-    EXPECT_EQ(1, ending.half_open);
-    EXPECT_EQ(1u, ending.taken_late);
+    ExpectServed(loop, caller, EndServer());
 }
 
 // Guards against the same at the entry hosts' server.
 TEST_F(StopListening, AHalfOpenConnectionIsServedByTheEntryHosts)
 {
     int caller = HalfOpen(Sv_Port(entry));
-    struct ls_ending ending = EndEntry();
-    EXPECT_EQ("HTTP/1.1 200", Answer(loop, caller).substr(0, 12));
-    EXPECT_EQ(1, ending.half_open);
-    EXPECT_EQ(1u, ending.taken_late);
+    ExpectServed(loop, caller, EndEntry());
 }
 
 // Guards against an end that waits for a caller who never completes, and
