Engine relay: a request that may have run waits for an engine, and is not tried on a version on trial again

Cause: the next try follows at once. Where the host list is a second old, the engines that a daemon knows are leaving, one is dead and still listed, and one of a version on trial fails all; sixteen unreached or six sent attempts are over within 30 ms. The logs show both (GT_RETRY_REFUSED unreached=16; endpoint=engine-5 sent=3).

Change: a connection refused shuns the endpoint for a second or until it reports; tries that reached nobody are spaced, 10 ms and growing, where "not run" can no longer be told; what failed once is drawn for the main version.

--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -316,18 +316,55 @@
     return may_have_run(relay) ? AN_UNKNOWN : AN_UNAVAILABLE;
 }
 
+/* Whether as many tries in a row as may be have reached nobody. */
+static bool
+reached_nobody(const struct rl_engine *relay)
+{
+    int tries =
+        may_have_run(relay) ? relay->astray : relay->attempts.unreached;
+    return tries >= Rl_UNREACHED_MAX;
+}
+
+/*
+ * Whether to wait before the next try: a request that may have run can no
+ * longer be refused as "not run", so that its caller is better off when it
+ * goes on a little later at an engine that this host does not know of yet.
+ */
+static bool
+should_wait(const struct rl_engine *relay)
+{
+    return relay->astray > 0 && may_have_run(relay) && !reached_nobody(relay);
+}
+
+static void
+wait_for_engine(struct rl_engine *relay)
+{
+    Gt_Count(relay->request->gate, "cg_streams_waiting_total", NULL, NULL);
+    Lp_TimerSet(relay->again_timer, Rt_Gap(relay->astray));
+}
+
+static void
+again_due(void *arg)
+{
+    struct rl_engine *relay = arg;
+    attempt(relay);
+}
+
 /* Goes on at another engine from the tokens given, or gives the request up. */
 void
 Re_NextAttempt(struct rl_engine *relay)
 {
     struct gt_gate *gate = relay->request->gate;
     Re_DropMove(relay);
-    if (Rq_Sent(&relay->attempts) >= Rl_ATTEMPTS ||
-        relay->attempts.unreached >= Rl_UNREACHED_MAX) {
+    if (Rq_Sent(&relay->attempts) >= Rl_ATTEMPTS || reached_nobody(relay)) {
         give_up(relay, failure_told(relay),
                 "several engines failed this request; it may be repeated");
         return;
     }
+    if (should_wait(relay)) {
+        wait_for_engine(relay);
+        return;
+    }
     if (relay->tokens > 0) {
         Ev_Log(&GT_STREAM_MOVED, "request=%s tokens=%d", relay->request->id,
                relay->tokens);
@@ -345,6 +382,7 @@
 {
     enum rt_stage stage = reached == HC_CONNECTING ? RT_NOT_SENT : RT_SENT;
     relay->attempts.unreached += stage == RT_NOT_SENT;
+    relay->astray = stage == RT_NOT_SENT ? relay->astray + 1 : 0;
     if (relay->tokens == 0 &&
         !Rq_MayRetry(relay->request, stage, &relay->attempts)) {
         give_up(relay, failure_told(relay),
@@ -356,8 +394,11 @@
 }
 
 static enum ch_outcome
-failure_kind(int code)
+failure_kind(enum hc_stage reached, int code)
 {
+    if (reached == HC_CONNECTING) {
+        return CH_UNREACHED;
+    }
     return code == 429 || code == 503 ? CH_OVERLOADED : CH_FAILED;
 }
 
@@ -383,7 +424,7 @@
                   result->code);
         return;
     }
-    Re_EndFlight(relay, failure_kind(result->code));
+    Re_EndFlight(relay, failure_kind(result->stage, result->code));
     attempt_failed(relay, result->stage);
 }
 
@@ -463,6 +504,7 @@
                                ? request->prompt.max_tokens
                                : Rl_EXPECTED_TOKENS;
     ask->budget = request->deadline - Ck_Now(request->gate->clock);
+    ask->again = relay->attempts.all > 0;
 }
 
 /* Sends the request to the engine of the flight that has been started. */
@@ -494,6 +536,11 @@
     Re_FillAsk(relay, &ask);
     relay->table = Ep_Table(request->gate->endpoints, request->service->name);
     if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
+        relay->astray++;
+        if (should_wait(relay)) {
+            wait_for_engine(relay);
+            return;
+        }
         give_up(relay, failure_told(relay),
                 "no engine of this service is free; come back later");
         return;
@@ -558,7 +605,9 @@
     relay->plan_timer = Lp_TimerCreate(request->gate->loop, Re_PlanDue, relay);
     relay->stall_timer =
         Lp_TimerCreate(request->gate->loop, stall_check, relay);
-    if (relay->plan_timer == NULL || relay->stall_timer == NULL) {
+    relay->again_timer = Lp_TimerCreate(request->gate->loop, again_due, relay);
+    if (relay->plan_timer == NULL || relay->stall_timer == NULL ||
+        relay->again_timer == NULL) {
         give_up(relay, AN_OVERLOADED,
                 "this host is out of memory; come back later");
         return;
@@ -613,6 +662,7 @@
     }
     Lp_TimerDestroy(relay->plan_timer);
     Lp_TimerDestroy(relay->stall_timer);
+    Lp_TimerDestroy(relay->again_timer);
     Ss_Destroy(relay->parser);
     free(relay->text);
     free(relay);
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -40,6 +40,8 @@
     enum sm_plan plan; /* what the timer will do about it */
     struct lp_timer *plan_timer;
     struct lp_timer *stall_timer;
+    struct lp_timer *again_timer; /* for a stream that found no engine */
+    int astray;                   /* attempts in a row that reached nobody */
     struct kv_move *move;    /* on its way to the target */
     struct ch_flight target; /* reserved while the cache moves */
     struct mt_metric *first_token_time;
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -146,7 +146,8 @@
         answer_caller(request, call, result->code);
         return;
     }
-    end_flight(request, CH_FAILED);
+    bool left = result->stage != HC_CONNECTING;
+    end_flight(request, left ? CH_FAILED : CH_UNREACHED);
     if (complete && !relay->matched) {
         /*
          * The endpoint mixed up two answers.  This one belongs to somebody
@@ -156,7 +157,6 @@
                request->service->name);
         Gt_Count(request->gate, "cg_crossed_answers_total", NULL, NULL);
     }
-    bool left = result->stage != HC_CONNECTING;
     relay->left_before = relay->left_before || left;
     relay->attempts.unreached += !left;
     if (Rq_MayRetry(request, left ? RT_SENT : RT_NOT_SENT, &relay->attempts)) {
@@ -223,6 +223,7 @@
     int64_t now = Ck_Now(gate->clock);
     struct ch_request ask = {
         .budget = request->deadline - now,
+        .again = relay->attempts.all > 0,
     };
     relay->table = Ep_Table(gate->endpoints, request->service->name);
     if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -253,7 +253,8 @@
 Rq_NoteVersion(struct rq_request *request, const struct ch_flight *flight,
                enum ch_outcome outcome, int64_t first_token_usec)
 {
-    if (outcome != CH_GOOD && outcome != CH_FAILED) {
+    if (outcome != CH_GOOD && outcome != CH_FAILED &&
+        outcome != CH_UNREACHED) {
         return;
     }
     struct mo_outcome note = {
@@ -261,7 +262,7 @@
         .version = Ch_Info(flight->endpoint)->version,
         .route = route_name(request),
         .patient = request->patient,
-        .failed = outcome == CH_FAILED,
+        .failed = outcome != CH_GOOD,
         .first_token_usec = first_token_usec,
         .target_usec = request->service->first_token_usec,
     };
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -58,6 +58,7 @@
     const struct ch_request *request;
     const char *version; /* NULL: any that is trusted */
     bool panic;          /* suspect and ejected ones are let in */
+    bool shunned;        /* those that gave no connection are let in */
     int64_t now;
     bool full; /* set: one was left out only for its limit */
 };
@@ -79,6 +80,9 @@
         (endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, filter->now))) {
         return false;
     }
+    if (!filter->shunned && endpoint->shunned_until > filter->now) {
+        return false;
+    }
     if (endpoint->in_flight >= (int)endpoint->limit) {
         filter->full = true;
         return false;
@@ -119,7 +123,7 @@
 }
 
 static size_t
-collect(struct ch_table *table, struct filter *filter)
+collect_usable(struct ch_table *table, struct filter *filter)
 {
     size_t count = 0;
     struct ch_endpoint *endpoint;
@@ -139,6 +143,22 @@
     return count;
 }
 
+/*
+ * The endpoints that may take the request; those that just gave no connection
+ * only where there is no other, as nobody may listen there any more.
+ */
+static size_t
+collect(struct ch_table *table, struct filter *filter)
+{
+    filter->shunned = false;
+    size_t count = collect_usable(table, filter);
+    if (count == 0 && !filter->full) {
+        filter->shunned = true;
+        count = collect_usable(table, filter);
+    }
+    return count;
+}
+
 static int
 version_in_flight(const struct ch_table *table, const char *version)
 {
@@ -225,8 +245,10 @@
     if (table->share_count == 0) {
         return collect(table, filter);
     }
-    const struct ch_share *share = draw_version(table, random);
     const struct ch_share *main = main_version(table);
+    /* What has failed once is not tried on a version that is on trial. */
+    const struct ch_share *share =
+        filter->request->again ? main : draw_version(table, random);
     if (share == NULL) {
         share = warm_version(table);
     }
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -68,6 +68,7 @@
     int prompt_tokens;        /* 0 for a plain service */
     int expected_tokens;      /* of the answer */
     int64_t budget;           /* until the first token is of use; 0: none */
+    bool again;               /* an attempt before has failed */
     const char *const *tried; /* ids already tried */
     size_t tried_count;
 };
@@ -87,6 +88,7 @@
 enum ch_outcome {
     CH_GOOD,
     CH_FAILED,     /* connection lost, 5xx, cut stream, timed out */
+    CH_UNREACHED,  /* no connection: no byte of the request left */
     CH_OVERLOADED, /* the endpoint refused for load */
     CH_CANCELLED,  /* nobody waits any more; says nothing about it */
 };
--- a/packages/policy/choose_flight.c
+++ b/packages/policy/choose_flight.c
@@ -16,6 +16,7 @@
 #define SLOW_MIN 10             /* first tokens before slowness is judged */
 #define EJECT_USEC (5 * Ck_USEC_PER_SEC)
 #define EJECT_DOUBLINGS 6
+#define SHUN_USEC Ck_USEC_PER_SEC
 #define SLOWNESS_GAIN 0.2
 #define SLOWNESS_LOW 0.25
 #define SLOWNESS_HIGH 16.0
@@ -340,6 +341,11 @@
     if (outcome == CH_OVERLOADED) {
         limit_cut(endpoint, now);
     }
+    if (outcome == CH_UNREACHED) {
+        endpoint->shunned_at = now;
+        endpoint->shunned_until = now + SHUN_USEC;
+        ch_judge(endpoint, CH_FAILED, now);
+    }
     if (outcome == CH_GOOD || outcome == CH_FAILED) {
         double took = (double)(now - flight->started);
         table->service += (took - table->service) * SERVICE_GAIN;
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -46,6 +46,8 @@
     int consecutive;
     int ejections;
     int64_t ejected_until;
+    int64_t shunned_at; /* no connection was had; a later report ends it */
+    int64_t shunned_until;
     int64_t returned_at;
 };
 
--- a/packages/policy/choose_table.c
+++ b/packages/policy/choose_table.c
@@ -222,6 +222,9 @@
     if (!endpoint->reported || sample->taken > endpoint->sample.taken) {
         endpoint->sample = *sample;
         endpoint->reported = true;
+        if (sample->taken > endpoint->shunned_at) {
+            endpoint->shunned_until = 0;
+        }
     }
     return ST_OK;
 }
--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -3,8 +3,12 @@
  */
 #include "policy/retry.h"
 
+#include "base/clock.h"
+
 #define ATTEMPTS_MAX 3
 #define UNREACHED_MAX 16
+#define GAP_FIRST_USEC (INT64_C(10) * Ck_USEC_PER_MSEC)
+#define GAP_DOUBLINGS 5
 
 /* Starts a full budget: "ratio" of a retry per success, "most" at once. */
 void
@@ -109,6 +113,25 @@
     return RT_RETRY;
 }
 
+/*
+ * How long work that is not given up waits before its next attempt, in
+ * microseconds, after "unreached" attempts in a row that reached nobody:
+ * nothing at first, then longer each time.  Without gaps any number of tries
+ * is spent in a millisecond where the one endpoint left refuses connections.
+ */
+int64_t
+Rt_Gap(int unreached)
+{
+    if (unreached <= 1) {
+        return 0;
+    }
+    int doublings = unreached - 2;
+    if (doublings > GAP_DOUBLINGS) {
+        doublings = GAP_DOUBLINGS;
+    }
+    return GAP_FIRST_USEC << doublings;
+}
+
 /*
  * Whether to send a second copy of a request that has waited longer than
  * "usual" (the time within which 95 in 100 begin to answer); true takes from
--- a/packages/policy/retry.h
+++ b/packages/policy/retry.h
@@ -62,6 +62,7 @@
 const char *Rt_ReasonName(enum rt_reason reason);
 enum rt_verdict Rt_Decide(struct rt_budget *budget,
                           const struct rt_attempt *attempt);
+int64_t Rt_Gap(int unreached);
 bool Rt_Hedge(struct rt_budget *budget, const struct rt_attempt *attempt,
               int64_t waited, int64_t usual);
 
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -203,6 +203,44 @@
     EXPECT_LE(failures, 12);
 }
 
+// Guards against retries spent on an endpoint that has just refused one.
+TEST(Choose, OneRefusedConnectionShunsUntilAReport)
+{
+    Table t;
+    t.put("gone");
+    t.put("busy", "v1", "a", 1, 64);
+    struct ch_flight load[16];
+    for (auto &flight : load) {
+        flight = {};
+        flight.endpoint = Ch_Find(t.table, "busy");
+        Ch_Start(t.table, &flight, t.now);
+    }
+    struct ch_flight flight = {};
+    flight.endpoint = Ch_Find(t.table, "gone");
+    Ch_Start(t.table, &flight, t.now);
+    Ch_End(t.table, &flight, CH_UNREACHED, t.now);
+    for (int i = 0; i < 20; i++) {
+        ASSERT_EQ(ST_OK, t.choose(&flight));
+        EXPECT_STREQ("busy", Ch_Info(flight.endpoint)->id);
+    }
+    struct ch_sample sample = {0, 0, 0, t.now + 1};
+    Ch_Report(t.table, "gone", &sample);
+    ASSERT_EQ(ST_OK, t.choose(&flight));
+    EXPECT_STREQ("gone", Ch_Info(flight.endpoint)->id);
+    for (auto &started : load) {
+        Ch_End(t.table, &started, CH_CANCELLED, t.now);
+    }
+}
+
+// Guards against a refusal while the only endpoint left is back already.
+TEST(Choose, ShunnedEndpointsAreUsedWhereThereIsNoOther)
+{
+    Table t;
+    t.put("e0");
+    EXPECT_EQ("e0", t.run(CH_UNREACHED));
+    EXPECT_EQ("e0", t.run());
+}
+
 /*
  * The whole service is refused although its endpoints run.  A fault of the
  * router's own network made all of them fail, and each was ejected in turn.
@@ -292,6 +330,24 @@
     }
 }
 
+// Guards against all attempts being spent on a bad version on trial.
+TEST(Choose, RetriesGoToTheMainVersion)
+{
+    Table t;
+    t.put("old", "v1");
+    t.put("new", "v2");
+    struct ch_share shares[2] = {{"v1", 0.6, 0}, {"v2", 0.4, 0}};
+    ASSERT_EQ(ST_OK, Ch_SetShares(t.table, shares, 2));
+    struct ch_request request = {};
+    request.again = true;
+    for (int i = 0; i < 100; i++) {
+        struct ch_flight flight;
+        ASSERT_EQ(ST_OK,
+                  Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+        EXPECT_STREQ("old", Ch_Info(flight.endpoint)->id);
+    }
+}
+
 /*
  * Callers go on failing after a version was found bad.  The old version had
  * no share left, so the router kept to the only one listed with a share.
--- a/packages/policy/test/queue_test.cc
+++ b/packages/policy/test/queue_test.cc
@@ -265,6 +265,25 @@
     EXPECT_EQ(RT_RETRY, Rt_Decide(&budget, &attempt));
 }
 
+// Guards against all tries of an accepted stream being spent within a
+// millisecond on an endpoint that refuses connections.
+TEST(Retry, GapsBetweenUnreachedTriesGrow)
+{
+    EXPECT_EQ(0, Rt_Gap(0));
+    EXPECT_EQ(0, Rt_Gap(1));
+    int64_t before = 0;
+    int64_t sum = 0;
+    for (int unreached = 2; unreached <= 16; unreached++) {
+        int64_t gap = Rt_Gap(unreached);
+        EXPECT_GT(gap, 0);
+        EXPECT_GE(gap, before);
+        before = gap;
+        sum += gap;
+    }
+    EXPECT_GT(sum, 2 * kSec);
+    EXPECT_EQ(Rt_Gap(100), Rt_Gap(1000));
+}
+
 // Guards against endpoints that refuse connections using up the retries of
 // requests that an endpoint failed.
 TEST(Retry, WhatReachedNobodyIsBoundedByItself)
--- a/test/streams_test.cc
+++ b/test/streams_test.cc
@@ -86,6 +86,22 @@
     }
 }
 
+// Guards against an accepted stream that is cut since the only engines left
+// refuse connections for a moment.
+TEST_F(Streams, WaitsWhileNoEngineCanBeReached)
+{
+    Start(2, {"--token-us", "5000"});
+    auto answer = cg::HttpAsync(scene.Complete(0, "tell me a lot", 200, true));
+    int busy = -1;
+    ASSERT_TRUE(cg::Eventually([&] { return (busy = Busy()) >= 0; }));
+    scene.engines[(size_t)(1 - busy)]->process().Kill();
+    scene.engines[(size_t)busy]->process().Kill();
+    EXPECT_TRUE(cg::Eventually(
+        [&] { return scene.Metric(0, "cg_streams_waiting_total") > 2; }));
+    scene.AddEngine({"--token-us", "200"});
+    ExpectWhole(answer.get(), "tell me a lot", 200);
+}
+
 /*
  * The cloud announces that a host will be taken. Streams on it go on
  * elsewhere before it is gone, and it gets no new work.
