Warm-up: a cold endpoint is served by the first hosts by claim

Change: what an endpoint says of its warm-up, and the configuration of its rate, is part of where a request goes (packages/policy/warmup). Of all hosts known in the last minute the first 16 by claim (a hash of host and endpoint) serve it, one request a second each; the others pass it by. No word between hosts is needed, so the sum holds behind a cut; hosts that have just started give none until they have heard the others, and half as much for a minute. An endpoint that breaks off may have started again and is treated so where there is another. An entry whose warm-up begins anew is news to all hosts.

--- a/packages/edge/config.h
+++ b/packages/edge/config.h
@@ -58,8 +58,10 @@
     bool engine;
     int slots;
     int64_t kv_tokens;
-    bool ordered; /* endpoints of it may be ordered */
-    int min;      /* a data centre */
+    int64_t cold_usec;   /* an endpoint is cold after its start; 0: none is */
+    double cold_per_sec; /* requests a cold one bears; 0: as many as others */
+    bool ordered;        /* endpoints of it may be ordered */
+    int min;             /* a data centre */
     int max;
     int64_t boot_usec;
     double spot_price; /* 0: none are offered */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -8,6 +8,7 @@
 #include "base/hash.h"
 #include "edge/health.h"
 #include "edge/versions.h"
+#include "edge/warming.h"
 
 /* An endpoint with this part of its places in use reads at its own pace. */
 #define Xc_ALONE_PART 4
@@ -297,6 +298,7 @@
                      running * Xc_ALONE_PART <= endpoint->entry.slots;
     endpoint->running++;
     endpoint->reading += attempt->reading;
+    Wa_Sent(gate, endpoint, exchange->service);
     /*
      * Once for a request: while endpoints crash each is sent several times,
      * and endpoints would be ordered for a load several times as large.
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -4,6 +4,7 @@
 #include "base/hash.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
+#include "edge/warming.h"
 
 #define Xc_CANDIDATES_MAX 1024
 /* Requests given to an endpoint, as a multiple of what it runs at once. */
@@ -58,9 +59,10 @@
 
 static struct pl_candidate
 describe(const struct xc_exchange *exchange, const struct scene *scene,
-         const struct fl_endpoint *endpoint)
+         struct fl_endpoint *endpoint)
 {
     const struct ga_gate *gate = exchange->gate;
+    enum wa_state warming = Wa_State(gate, endpoint, exchange->service);
     uint64_t both[2] = {scene->group, endpoint->hash};
     uint64_t lot[2] = {scene->request, endpoint->hash};
     struct px_missing missing =
@@ -72,9 +74,10 @@
         .missing = missing.tokens,
         .shared = missing.shared,
         .near = strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
-        .shunned = He_Shunned(endpoint, scene->now),
+        .shunned = He_Shunned(endpoint, scene->now) || warming == WA_DOUBTED,
         .tried = was_tried(exchange, endpoint->hash),
-        .full = Po_Full(gate, endpoint, exchange->service),
+        .full =
+            warming == WA_CLOSED || Po_Full(gate, endpoint, exchange->service),
         .failing = endpoint->failing,
         .draw = Hash_Bytes(both, sizeof(both), 0),
         .lot = (double)Hash_Bytes(lot, sizeof(lot), 0) / (double)UINT64_MAX,
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -39,14 +39,16 @@
 }
 
 bool
-Fl_SameEntry(const struct fl_entry *a, const struct fl_entry *b)
+Fl_SameEntry(const struct fl_entry *before, const struct fl_entry *now)
 {
-    return strcmp(a->id, b->id) == 0 && strcmp(a->service, b->service) == 0 &&
-           strcmp(a->address, b->address) == 0 &&
-           strcmp(a->zone, b->zone) == 0 &&
-           strcmp(a->version, b->version) == 0 && a->slots == b->slots &&
-           a->draining == b->draining && a->spot == b->spot &&
-           a->born == b->born;
+    return strcmp(before->id, now->id) == 0 &&
+           strcmp(before->service, now->service) == 0 &&
+           strcmp(before->address, now->address) == 0 &&
+           strcmp(before->zone, now->zone) == 0 &&
+           strcmp(before->version, now->version) == 0 &&
+           before->slots == now->slots && before->draining == now->draining &&
+           before->spot == now->spot && before->born == now->born &&
+           now->cold_usec <= before->cold_usec;
 }
 
 static void
@@ -180,6 +182,7 @@
     endpoint->entry.draining = draining;
     endpoint->vanished_at = 0;
     endpoint->refreshed_at = Ck_Now(fleet->clock);
+    Wu_Told(&endpoint->warmup, entry->cold_usec, endpoint->refreshed_at);
     if (fresh || was_draining != draining) {
         log_change(endpoint, draining ? "draining" : "ready");
     }
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "edge/config.h"
+#include "policy/warmup.h"
 #include "web/channel.h"
 
 #ifdef __cplusplus
@@ -47,6 +48,7 @@
     int64_t vanished_at;  /* removed while that may be false; 0: no */
     int64_t refreshed_at; /* last entry seen */
     int64_t since;        /* first entry seen */
+    struct wu_warmup warmup;
 
     /* What this daemon has sent and not yet seen the end of. */
     int running;
@@ -83,8 +85,11 @@
 struct fl_fleet *Fl_Create(const struct ck_clock *clock);
 void Fl_Destroy(struct fl_fleet *fleet);
 
-/* Whether two entries say the same; a warm-up that goes on is no news. */
-bool Fl_SameEntry(const struct fl_entry *a, const struct fl_entry *b);
+/*
+ * Whether an entry says the same as the one before it.  A warm-up that goes on
+ * is no news, but one that has begun anew is.
+ */
+bool Fl_SameEntry(const struct fl_entry *before, const struct fl_entry *now);
 
 /* Changes. */
 void Fl_Apply(struct fl_fleet *fleet, const struct fl_entry *entry);
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -166,6 +166,14 @@
  * the start also those that are only known of.
  */
 size_t Ms_CountExpected(const struct ms_mesh *mesh);
+/*
+ * Whether this daemon is one of the first "most" by their claims on a key, of
+ * all that were heard, or only known of, in the last minute.
+ */
+bool Ms_IsFirst(const struct ms_mesh *mesh, uint64_t key, size_t most);
+/* All of these, this one included, and of these the heard ones. */
+size_t Ms_CountAll(const struct ms_mesh *mesh);
+size_t Ms_CountEverHeard(const struct ms_mesh *mesh);
 /* Position of this daemon among those alive, by name. */
 unsigned Ms_Rank(const struct ms_mesh *mesh);
 
--- a/packages/edge/mesh_query.c
+++ b/packages/edge/mesh_query.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "edge/mesh_internal.h"
+#include "policy/warmup.h"
 
 /* A peer that is not heard for this long is not counted on. */
 #define Ms_ALIVE_USEC (1500 * Ck_USEC_PER_MSEC)
@@ -94,6 +95,35 @@
     return mesh->expected_count;
 }
 
+size_t
+Ms_CountAll(const struct ms_mesh *mesh)
+{
+    return mesh->count + 1;
+}
+
+size_t
+Ms_CountEverHeard(const struct ms_mesh *mesh)
+{
+    size_t count = 1;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, &mesh->peers, link) {
+        count += peer->heard_at != 0;
+    }
+    return count;
+}
+
+bool
+Ms_IsFirst(const struct ms_mesh *mesh, uint64_t key, size_t most)
+{
+    uint64_t own = Wu_Claim(mesh->hash, key);
+    size_t before = 0;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, &mesh->peers, link) {
+        before += Wu_Claim(peer->hash, key) > own;
+    }
+    return before < most;
+}
+
 unsigned
 Ms_Rank(const struct ms_mesh *mesh)
 {
--- a/packages/edge/place.h
+++ b/packages/edge/place.h
@@ -28,7 +28,7 @@
     bool near;   /* in the caller's data centre */
     bool shunned;
     bool tried;     /* by this request already */
-    bool full;      /* no connection to be had */
+    bool full;      /* no connection to be had, or cold and left to others */
     bool long_lane; /* one of those that long prompts go to */
 };
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -10,6 +10,7 @@
 
 #include "edge/exchange.h"
 #include "edge/health.h"
+#include "edge/warming.h"
 
 /* Answers up to this size are complete before the caller gets any of it. */
 #define Re_WHOLE_MAX (2u << 20)
@@ -76,8 +77,7 @@
     const struct fl_endpoint *endpoint = exchange->attempt.endpoint;
     const char *service = exchange->service->name;
     const struct ro_move *move = Ro_Find(gate->moves, service);
-    bool cold =
-        Ga_Now(gate) - endpoint->refreshed_at < endpoint->entry.cold_usec;
+    bool cold = Wu_IsCold(&endpoint->warmup, Ga_Now(gate));
     if (move != NULL && !cold) {
         exchange->attempt.slow =
             Ro_First(gate->moves, service, exchange->route->name,
@@ -315,24 +315,33 @@
     pass_on(exchange);
 }
 
+/* The connection could not be made, or ended too early. */
+static void
+note_broke(struct xc_exchange *exchange)
+{
+    struct ga_gate *gate = exchange->gate;
+    struct fl_endpoint *endpoint = exchange->attempt.endpoint;
+    He_Note(endpoint, HE_BROKE, Ga_Now(gate));
+    Wa_Broke(gate, endpoint, exchange->service);
+}
+
 static void
 on_done(void *arg, enum cn_outcome outcome)
 {
     struct xc_exchange *exchange = arg;
-    struct xc_attempt *attempt = &exchange->attempt;
-    int64_t now = Ga_Now(exchange->gate);
+    const struct xc_attempt *attempt = &exchange->attempt;
     exchange->delivered += outcome != CN_NOT_SENT;
     switch (outcome) {
     case CN_COMPLETE:
         on_complete(exchange);
         break;
     case CN_NOT_SENT:
-        He_Note(attempt->endpoint, HE_BROKE, now);
+        note_broke(exchange);
         go_on(exchange, false, Xc_RefusalStatus(exchange),
               "endpoint not reached");
         break;
     case CN_BROKEN:
-        He_Note(attempt->endpoint, HE_BROKE, now);
+        note_broke(exchange);
         note_version_answer(exchange, true);
         if (attempt->head_at == 0) {
             exchange->runs++;
