Evacuation: an operator's word for a data centre is read and kept

Change: the word is a record of the configuration's topic, followed as that is: from the store, from peers, from whole listings and packs, where a record that is missing has been taken back. Endpoints there are not usable: no new request, no retry, no resumed stream; what runs there ends there. They are neither counted nor ordered for; what serves elsewhere is planned anew at once. Taken back, they are cold, whatever their entries said before.

Tests: Feed.AnEvacuationIsLearnedAndTakenBack, APeerTellsOfAnEvacuation..., Fleet.AnEvacuatedDataCentreIsNotUsed (they do not build without the change).

--- a/packages/edge/feed.c
+++ b/packages/edge/feed.c
@@ -123,6 +123,13 @@
 static void
 take_config(struct fe_feed *feed, const struct known *known)
 {
+    char zone[Ec_NAME_MAX];
+    if (feed->options.codec->evacuation(known->key, strlen(known->key),
+                                        zone)) {
+        feed->options.ops->evacuation(feed->options.arg, zone,
+                                      known->value != NULL);
+        return;
+    }
     if (known->value == NULL) {
         return;
     }
@@ -240,6 +247,39 @@
     return news;
 }
 
+/*
+ * A configuration stays in force whatever a listing lacks; an endpoint, or the
+ * evacuation of a data centre, that it lacks has been taken back.
+ */
+static bool
+may_vanish(const struct follow *follow, const struct known *known)
+{
+    char zone[Ec_NAME_MAX];
+    return follow->topic == AG_ENDPOINTS ||
+           follow->feed->options.codec->evacuation(known->key,
+                                                   strlen(known->key), zone);
+}
+
+bool
+fe_forget(struct follow *follow, struct known *known, int64_t before)
+{
+    if (known->value == NULL || known->offset >= before ||
+        !may_vanish(follow, known)) {
+        return false;
+    }
+    free(known->value);
+    known->value = NULL;
+    known->offset = before - 1;
+    known->changed = known->offset;
+    if (follow->topic == AG_ENDPOINTS) {
+        Fl_Remove(follow->feed->options.fleet, known->key);
+    }
+    else {
+        take_config(follow->feed, known);
+    }
+    return true;
+}
+
 /* Returns the offset behind the last record that says something new, or 0. */
 int64_t
 fe_take_records(struct follow *follow, const struct ag_result *result)
--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -25,6 +25,8 @@
 struct fe_ops {
     void (*config)(void *arg, struct ec_config *config);
     void (*order)(void *arg, const struct ro_order *order);
+    /* A data centre is to be sent nothing more, or that is taken back. */
+    void (*evacuation)(void *arg, const char *zone, bool asked);
     void (*store)(void *arg, bool reached);
     /*
      * Whether another daemon reaches the store.  Then it was not the store
--- a/packages/edge/feed_internal.h
+++ b/packages/edge/feed_internal.h
@@ -77,6 +77,12 @@
 int64_t fe_take(struct follow *follow, const char *key, int64_t offset,
                 const void *value, size_t len);
 
+/*
+ * Takes a record as removed where a whole listing of what stood before an
+ * offset lacks it; false: it stays.
+ */
+bool fe_forget(struct follow *follow, struct known *known, int64_t before);
+
 /* All records of a reading; what fe_take() returns for the last news. */
 int64_t fe_take_records(struct follow *follow, const struct ag_result *result);
 int64_t fe_later_of(int64_t a, int64_t b);
--- a/packages/edge/feed_list.c
+++ b/packages/edge/feed_list.c
@@ -12,17 +12,9 @@
 {
     struct known *known;
     RB_FOREACH (known, known_tree, &follow->known) {
-        if (!known->listed && known->value != NULL &&
-            known->offset < follow->listing_end &&
-            follow->topic == AG_ENDPOINTS) {
-            free(known->value);
-            known->value = NULL;
-            known->offset = follow->listing_end - 1;
-            known->changed = known->offset;
-            if (follow->changed < follow->listing_end) {
-                follow->changed = follow->listing_end;
-            }
-            Fl_Remove(follow->feed->options.fleet, known->key);
+        if (!known->listed && fe_forget(follow, known, follow->listing_end) &&
+            follow->changed < follow->listing_end) {
+            follow->changed = follow->listing_end;
         }
     }
     follow->from = follow->listing_end;
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -114,15 +114,9 @@
 {
     struct known *known;
     RB_FOREACH (known, known_tree, &follow->known) {
-        if (known->told || known->value == NULL || known->offset >= before ||
-            follow->topic != AG_ENDPOINTS) {
-            continue;
+        if (!known->told) {
+            (void)fe_forget(follow, known, before);
         }
-        free(known->value);
-        known->value = NULL;
-        known->offset = before - 1;
-        known->changed = known->offset;
-        Fl_Remove(follow->feed->options.fleet, known->key);
     }
 }
 
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -1,5 +1,6 @@
 #include "edge/fleet.h"
 
+#include <bsd/string.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,8 @@
     struct fl_list endpoints;
     struct fl_tree by_hash;
     int64_t doubt_until;
+    size_t evacuated_count;
+    char evacuated[Fl_EVACUATED_MAX][Ec_NAME_MAX];
 };
 
 static int
@@ -182,6 +185,7 @@
     endpoint->entry.draining = draining;
     endpoint->vanished_at = 0;
     endpoint->refreshed_at = Ck_Now(fleet->clock);
+    endpoint->evacuated = Fl_IsEvacuated(fleet, entry->zone);
     Wu_Told(&endpoint->warmup, entry->cold_usec, endpoint->refreshed_at);
     if (fresh || was_draining != draining) {
         log_change(endpoint, draining ? "draining" : "ready");
@@ -247,6 +251,85 @@
     }
 }
 
+/* Its index; the count where it is none of them. */
+static size_t
+find_evacuated(const struct fl_fleet *fleet, const char *zone)
+{
+    size_t i = 0;
+    while (i < fleet->evacuated_count &&
+           strcmp(fleet->evacuated[i], zone) != 0) {
+        i++;
+    }
+    return i;
+}
+
+bool
+Fl_IsEvacuated(const struct fl_fleet *fleet, const char *zone)
+{
+    return find_evacuated(fleet, zone) < fleet->evacuated_count;
+}
+
+/* False: it was so before, or there are too many. */
+static bool
+note_evacuated(struct fl_fleet *fleet, const char *zone, bool asked)
+{
+    size_t at = find_evacuated(fleet, zone);
+    size_t count = fleet->evacuated_count;
+    if (asked == (at < count) || zone[0] == '\0') {
+        return false;
+    }
+    if (!asked) {
+        fleet->evacuated_count--;
+        memmove(fleet->evacuated[at], fleet->evacuated[count - 1],
+                sizeof(fleet->evacuated[at]));
+        return true;
+    }
+    if (count == Fl_EVACUATED_MAX) {
+        Ln_Log(LN_FAILURE, "evacuation.unknown", "\"zone\":\"%s\"", zone);
+        return false;
+    }
+    fleet->evacuated_count++;
+    return strlcpy(fleet->evacuated[at], zone, Ec_NAME_MAX) < Ec_NAME_MAX;
+}
+
+bool
+Fl_Evacuate(struct fl_fleet *fleet, const char *zone, bool asked)
+{
+    if (!note_evacuated(fleet, zone, asked)) {
+        return false;
+    }
+    int running = 0;
+    size_t count = 0;
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
+        if (strcmp(endpoint->entry.zone, zone) != 0) {
+            continue;
+        }
+        count++;
+        running += endpoint->running;
+        endpoint->evacuated = asked;
+        if (asked) {
+            close_idle(endpoint);
+        }
+        endpoint->returned_at = asked ? 0 : Ck_Now(fleet->clock);
+    }
+    Ln_Log(LN_STATE, asked ? "zone.evacuated" : "zone.returned",
+           "\"zone\":\"%s\",\"endpoints\":%zu,\"running\":%d", zone, count,
+           running);
+    return true;
+}
+
+int
+Fl_CountEvacuated(const struct fl_fleet *fleet)
+{
+    int running = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
+        running += endpoint->evacuated ? endpoint->running : 0;
+    }
+    return running;
+}
+
 const struct fl_list *
 Fl_All(const struct fl_fleet *fleet)
 {
@@ -257,7 +340,8 @@
 bool
 Fl_Usable(const struct fl_endpoint *endpoint)
 {
-    return !endpoint->gone && !endpoint->entry.draining;
+    return !endpoint->gone && !endpoint->entry.draining &&
+           !endpoint->evacuated;
 }
 
 size_t
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -36,6 +36,9 @@
     int64_t cold_usec; /* how much longer it is slow after its start */
 };
 
+/* Data centres that can be evacuated at the same time. */
+#define Fl_EVACUATED_MAX 64
+
 TAILQ_HEAD(fl_idle_list, fl_idle);
 
 struct fl_endpoint {
@@ -45,9 +48,11 @@
     struct fl_entry entry;
     uint32_t hash;        /* of the identity; names it between daemons */
     bool gone;            /* the entry was removed */
+    bool evacuated;       /* its data centre is to be sent nothing */
     int64_t vanished_at;  /* removed while that may be false; 0: no */
     int64_t refreshed_at; /* last entry seen */
     int64_t since;        /* first entry seen */
+    int64_t returned_at;  /* its data centre was taken back; 0: never */
     struct wu_warmup warmup;
 
     /* What this daemon has sent and not yet seen the end of. */
@@ -97,6 +102,11 @@
 /* Removals told from now on may be false for "usec" (the store was away). */
 void Fl_Doubt(struct fl_fleet *fleet, int64_t usec);
 void Fl_Tick(struct fl_fleet *fleet);
+/*
+ * An operator wants nothing more to be sent to a data centre, or takes that
+ * back; true when that is new.
+ */
+bool Fl_Evacuate(struct fl_fleet *fleet, const char *zone, bool asked);
 void Fl_ClearOthers(struct fl_fleet *fleet);
 
 /* Queries. */
@@ -106,6 +116,9 @@
 bool Fl_Usable(const struct fl_endpoint *endpoint);
 size_t Fl_CountUsable(const struct fl_fleet *fleet, const char *service);
 bool Fl_Any(const struct fl_fleet *fleet);
+bool Fl_IsEvacuated(const struct fl_fleet *fleet, const char *zone);
+/* Requests under way in evacuated data centres. */
+int Fl_CountEvacuated(const struct fl_fleet *fleet);
 
 struct fl_endpoint *Fl_Hold(struct fl_endpoint *endpoint);
 void Fl_Drop(struct fl_endpoint *endpoint);
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -110,6 +110,9 @@
     }
     Ag_ShowCalls(gate->options.store, gate->registry);
     Vs_ShowEndpoints(gate->registry, gate->fleet);
+    Mt_Set(
+        Mt_Get(gate->registry, MT_GAUGE, "cornelgate_evacuated_running", ""),
+        Fl_CountEvacuated(gate->fleet));
     char *text = Mt_Print(gate->registry);
     Sv_Reply(request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
              text == NULL ? "" : text, text == NULL ? 0 : strlen(text));
@@ -158,6 +161,16 @@
     Ro_Order(gate->moves, order);
 }
 
+static void
+on_evacuation(void *arg, const char *zone, bool asked)
+{
+    struct ga_gate *gate = arg;
+    if (Fl_Evacuate(gate->fleet, zone, asked)) {
+        /* What serves elsewhere has to carry more, or less, from now on. */
+        Wo_PlanSoon(gate->work);
+    }
+}
+
 static void
 on_store(void *arg, bool reached)
 {
@@ -222,6 +235,7 @@
 static const struct fe_ops feed_ops = {
     .config = on_config,
     .order = on_order,
+    .evacuation = on_evacuation,
     .store = on_store,
     .others_reach = others_reach,
     .others_read = others_read,
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -98,6 +98,8 @@
 struct wo_work *Wo_Create(struct ga_gate *gate);
 void Wo_Destroy(struct wo_work *work);
 void Wo_Tick(struct wo_work *work);
+/* Endpoints are ordered anew at the next tick. */
+void Wo_PlanSoon(struct wo_work *work);
 /* Whether an endpoint has the version that its service is moved to. */
 bool Ga_IsNext(const struct ro_move *move, const struct fl_endpoint *endpoint);
 void Wo_Changed(void *arg, bool holder, int64_t fence);
--- a/packages/edge/orders.c
+++ b/packages/edge/orders.c
@@ -21,6 +21,13 @@
  */
 #define Wo_RECLAIMED_USEC (30 * Ck_USEC_PER_SEC)
 
+/* What is there in each data centre that is not evacuated. */
+struct look {
+    struct pn_zone zones[Ec_ZONES_MAX];
+    size_t count;
+    int reclaimed; /* data centres */
+};
+
 static struct order *
 find_order(struct wo_work *work, const char *service, const char *zone,
            bool spot)
@@ -247,15 +254,16 @@
 
 static void
 log_plan(const struct pn_service *wants, const struct ec_service *service,
-         const struct pn_zone *zones, const struct pn_wish *wishes)
+         const struct look *look, const struct pn_wish *wishes)
 {
+    const struct pn_zone *zones = look->zones;
     int lasting = 0;
     int spot = 0;
     int coming = 0;
     int dry = 0;
     int wish_lasting = 0;
     int wish_spot = 0;
-    for (size_t i = 0; i < service->zone_count; i++) {
+    for (size_t i = 0; i < look->count; i++) {
         lasting += zones[i].lasting;
         spot += zones[i].spot;
         coming += zones[i].spot_coming;
@@ -317,26 +325,30 @@
     }
 }
 
-/* Fills what there is in each data centre; returns how many were reclaimed. */
-static int
+/*
+ * An evacuated data centre is left as it is: what serves there comes back
+ * with it, sooner than what would have to be ordered.
+ */
+static void
 look_at_zones(struct wo_work *work, const struct ec_service *service,
-              struct pn_zone *zones)
+              struct look *look)
 {
     struct ga_gate *gate = work->gate;
     int64_t now = Ga_Now(gate);
-    int reclaimed = 0;
     for (size_t i = 0; i < service->zone_count; i++) {
-        struct pn_zone *zone = &zones[i];
+        if (Fl_IsEvacuated(gate->fleet, service->zones[i].zone)) {
+            continue;
+        }
+        struct pn_zone *zone = &look->zones[look->count++];
         strlcpy(zone->zone, service->zones[i].zone, sizeof(zone->zone));
         zone->price = service->zones[i].price;
         zone->lasting = count_usable(gate, service->name, zone->zone, false);
         zone->spot = count_usable(gate, service->name, zone->zone, true);
         struct order *spot = find_order(work, service->name, zone->zone, true);
-        reclaimed += look_at_spot(service, spot, zone, now);
+        look->reclaimed += look_at_spot(service, spot, zone, now);
         look_at_lasting(find_order(work, service->name, zone->zone, false),
                         zone);
     }
-    return reclaimed;
 }
 
 /* All that are there, of the kind of which there are more. */
@@ -354,10 +366,11 @@
 
 static void
 place_orders(struct wo_work *work, const struct ec_service *service,
-             const struct pn_zone *zones, const struct pn_wish *wishes,
+             const struct look *look, const struct pn_wish *wishes,
              bool settled)
 {
-    for (size_t i = 0; i < service->zone_count; i++) {
+    const struct pn_zone *zones = look->zones;
+    for (size_t i = 0; i < look->count; i++) {
         for (int spot = 0; spot <= 1; spot++) {
             struct order *order =
                 find_order(work, service->name, zones[i].zone, spot);
@@ -380,11 +393,11 @@
     if (base == NULL) {
         return;
     }
-    struct pn_zone zones[Ec_ZONES_MAX] = {0};
+    struct look look = {0};
     struct pn_wish wishes[Ec_ZONES_MAX];
-    int reclaimed = look_at_zones(work, service, zones);
+    look_at_zones(work, service, &look);
     Pn_NoteBase(&base->found, needed_now(work, service),
-                present_of(zones, service->zone_count), Ga_Now(gate));
+                present_of(look.zones, look.count), Ga_Now(gate));
     hand_on(work, service, base->found.wanted);
     struct pn_service wants = {
         .min = service->min,
@@ -392,11 +405,19 @@
         .spot_price = service->spot_price,
         .wanted = base->found.wanted,
         .steady = (int)ceil(base->found.steady.endpoints),
-        .reclaimed = reclaimed,
+        .reclaimed = look.reclaimed,
     };
-    Pn_Plan(&wants, zones, service->zone_count, wishes);
-    log_plan(&wants, service, zones, wishes);
-    place_orders(work, service, zones, wishes, is_settled(gate, base));
+    Pn_Plan(&wants, look.zones, look.count, wishes);
+    log_plan(&wants, service, &look, wishes);
+    place_orders(work, service, &look, wishes, is_settled(gate, base));
+}
+
+void
+Wo_PlanSoon(struct wo_work *work)
+{
+    if (work != NULL) {
+        work->planned_at = 0;
+    }
 }
 
 void
--- a/packages/edge/store.h
+++ b/packages/edge/store.h
@@ -116,6 +116,9 @@
     /* False: not an order to move a service; "number" is not filled in. */
     bool (*order)(const char *key, size_t key_len, const void *data,
                   size_t len, struct ro_order *out);
+    /* Whether the key is that of a data centre's evacuation, and of which. */
+    bool (*evacuation)(const char *key, size_t key_len,
+                       char zone[Ec_NAME_MAX]);
     /* The record that tells operators of a move; false: it does not fit. */
     bool (*tell_move)(const struct ro_move *move, struct ag_told *out);
     /* False: names no endpoint to use. */
--- a/packages/edge/test/feed_codec.h
+++ b/packages/edge/test/feed_codec.h
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <string>
 
 #include "edge/store.h"
@@ -54,6 +55,17 @@
     return std::string(key, key_len) != "other";
 }
 
+inline bool
+DecodeEvacuation(const char *key, size_t key_len, char zone[Ec_NAME_MAX])
+{
+    std::string text(key, key_len);
+    if (text.rfind("evacuate/", 0) != 0) {
+        return false;
+    }
+    snprintf(zone, Ec_NAME_MAX, "%s", text.c_str() + strlen("evacuate/"));
+    return true;
+}
+
 inline bool
 TellMove(const struct ro_move *move, struct ag_told *out)
 {
@@ -62,7 +74,7 @@
     return false;
 }
 
-static const struct ag_codec codec = {DecodeConfig, IsConfig, DecodeOrder,
-                                      TellMove, DecodeEntry};
+static const struct ag_codec codec = {DecodeConfig,     IsConfig, DecodeOrder,
+                                      DecodeEvacuation, TellMove, DecodeEntry};
 
 #endif
--- a/packages/edge/test/feed_model_test.cc
+++ b/packages/edge/test/feed_model_test.cc
@@ -82,6 +82,11 @@
         return static_cast<Host *>(arg)->others_read;
     }
 
+    static void
+    OnEvacuation(void *, const char *, bool)
+    {
+    }
+
     static bool
     OthersKnown(void *arg)
     {
@@ -89,7 +94,8 @@
     }
 
     static constexpr struct fe_ops kOps = {
-        OnConfig, OnOrder, OnStore, OthersReach, OthersRead, OthersKnown};
+        OnConfig,    OnOrder,    OnEvacuation, OnStore,
+        OthersReach, OthersRead, OthersKnown};
 };
 
 class FeedModel : public testing::TestWithParam<uint64_t> {
--- a/packages/edge/test/feed_test.cc
+++ b/packages/edge/test/feed_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -63,7 +64,16 @@
     return others_known;
 }
 
-const struct fe_ops ops = {OnConfig,    OnOrder,    OnStore,
+// Data centres evacuated as the daemons of a test were last told.
+std::map<std::string, bool> evacuated;
+
+void
+OnEvacuation(void *, const char *zone, bool asked)
+{
+    evacuated[zone] = asked;
+}
+
+const struct fe_ops ops = {OnConfig,    OnOrder,    OnEvacuation, OnStore,
                            OthersReach, OthersRead, OthersKnown};
 
 struct Node {
@@ -198,6 +208,60 @@
     EXPECT_NE(Fl_Find(node.fleet, "a"), nullptr);
 }
 
+// Guards against requests that go on reaching an evacuated data centre, and
+// against one that is never used again: the word came, or was taken back,
+// while the daemon did not read; the history is forgotten, or a peer tells.
+TEST_F(Feed, AnEvacuationIsLearnedAndTakenBack)
+{
+    evacuated.clear();
+    store_.Put(AG_CONFIG, "config", "1");
+    Node node = Start();
+    ASSERT_TRUE(Until([&] { return Version(node) == 1; }));
+    EXPECT_TRUE(evacuated.empty());
+    store_.Put(AG_CONFIG, "evacuate/a", "{}");
+    store_.Put(AG_CONFIG, "evacuate/b", "no word at all");
+    ASSERT_TRUE(Until([&] { return evacuated["a"] && evacuated["b"]; }));
+    store_.Remove(AG_CONFIG, "evacuate/a");
+    ASSERT_TRUE(Until([&] { return !evacuated["a"]; }));
+    EXPECT_TRUE(evacuated["b"]);
+    node.client->down = true;
+    store_.Remove(AG_CONFIG, "evacuate/b");
+    store_.Put(AG_CONFIG, "evacuate/c", "{}");
+    store_.Put(AG_CONFIG, "config", "2");
+    store_.Forget(AG_CONFIG);
+    node.client->down = false;
+    EXPECT_TRUE(Until([&] { return evacuated["c"] && !evacuated["b"]; }));
+    EXPECT_EQ(Version(node), 2);
+}
+
+// The same for a daemon that hears of it from a peer alone.
+TEST_F(Feed, APeerTellsOfAnEvacuationAndItsEnd)
+{
+    evacuated.clear();
+    store_.Put(AG_CONFIG, "config", "1");
+    store_.Put(AG_CONFIG, "evacuate/a", "{}");
+    Node reader = Start();
+    Node other = Start();
+    other.client->down = true;
+    ASSERT_TRUE(Until([&] { return Version(reader) == 1; }));
+    ASSERT_TRUE(evacuated["a"]);
+    auto tell = [&] {
+        char *packed;
+        size_t len = Fe_Pack(reader.feed, Fe_Changed(other.feed, AG_CONFIG),
+                             INT64_MAX, &packed);
+        Fe_Unpack(other.feed, packed, len);
+        free(packed);
+    };
+    evacuated.clear();
+    tell();
+    EXPECT_TRUE(evacuated["a"]);
+    store_.Remove(AG_CONFIG, "evacuate/a");
+    ASSERT_TRUE(Until([&] { return !evacuated["a"]; }));
+    evacuated["a"] = true;
+    tell();
+    EXPECT_FALSE(evacuated["a"]);
+}
+
 // A store that turns a third of eighty hosts away for nine seconds gets two
 // thousand calls from them, each of which is paid for, although the other
 // hosts read it and tell them all that is new.
--- a/packages/edge/test/fleet_test.cc
+++ b/packages/edge/test/fleet_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <string>
 
 #include "edge/fleet.h"
 #include "edge/health.h"
@@ -120,4 +121,68 @@
     EXPECT_FALSE(He_Shunned(endpoint, 401 * Ck_USEC_PER_MSEC));
 }
 
+// Guards against requests to an evacuated data centre, also at an endpoint
+// that comes there later, and against one that stays unused when it is back.
+TEST_F(Fleet, AnEvacuatedDataCentreIsNotUsed)
+{
+    struct fl_entry a = Entry("a");
+    struct fl_entry b = Entry("b");
+    snprintf(a.zone, sizeof(a.zone), "east");
+    snprintf(b.zone, sizeof(b.zone), "west");
+    Fl_Apply(fleet_, &a);
+    Fl_Apply(fleet_, &b);
+    EXPECT_TRUE(Fl_Evacuate(fleet_, "east", true));
+    EXPECT_FALSE(Fl_Evacuate(fleet_, "east", true));
+    EXPECT_FALSE(Usable("a"));
+    EXPECT_TRUE(Usable("b"));
+    struct fl_entry late = Entry("late");
+    snprintf(late.zone, sizeof(late.zone), "east");
+    Fl_Apply(fleet_, &late);
+    EXPECT_FALSE(Usable("late"));
+    EXPECT_EQ(Fl_CountUsable(fleet_, "llm"), 1u);
+    Fl_Find(fleet_, "a")->running = 3;
+    EXPECT_EQ(Fl_CountEvacuated(fleet_), 3);
+    EXPECT_TRUE(Fl_Evacuate(fleet_, "east", false));
+    EXPECT_FALSE(Fl_Evacuate(fleet_, "east", false));
+    EXPECT_TRUE(Usable("a") && Usable("late"));
+    EXPECT_NE(Fl_Find(fleet_, "a")->returned_at, 0);
+    EXPECT_EQ(Fl_CountEvacuated(fleet_), 0);
+}
+
+// Guards against a word for data centres that do not exist taking up room
+// without end, or pushing out one that does.
+TEST_F(Fleet, EvacuationsAreBounded)
+{
+    EXPECT_TRUE(Fl_Evacuate(fleet_, "east", true));
+    for (int i = 0; i < 1000; i++) {
+        Fl_Evacuate(fleet_, ("nowhere-" + std::to_string(i)).c_str(), true);
+    }
+    EXPECT_FALSE(Fl_Evacuate(fleet_, "", true));
+    EXPECT_TRUE(Fl_IsEvacuated(fleet_, "east"));
+    EXPECT_FALSE(Fl_IsEvacuated(fleet_, "nowhere-999"));
+    EXPECT_TRUE(Fl_Evacuate(fleet_, "nowhere-1", false));
+    EXPECT_TRUE(Fl_Evacuate(fleet_, "east", false));
+    EXPECT_FALSE(Fl_IsEvacuated(fleet_, "east"));
+    EXPECT_TRUE(Fl_IsEvacuated(fleet_, "nowhere-2"));
+}
+
+// Guards against requests at their usual rate to an endpoint that says that it
+// is cold again without having started again.
+TEST_F(Fleet, AWarmUpThatBeginsAnewIsNews)
+{
+    struct fl_entry before = Entry("a");
+    struct fl_entry now = Entry("a");
+    now.cold_usec = 3 * Ck_USEC_PER_SEC;
+    EXPECT_FALSE(Fl_SameEntry(&before, &now));
+    EXPECT_TRUE(Fl_SameEntry(&now, &before));
+    clock_.Advance(Ck_USEC_PER_SEC);
+    Fl_Apply(fleet_, &before);
+    const struct wu_warmup *warmup = &Fl_Find(fleet_, "a")->warmup;
+    EXPECT_FALSE(Wu_IsCold(warmup, Ck_Now(&clock_.clock)));
+    Fl_Apply(fleet_, &now);
+    EXPECT_TRUE(Wu_IsCold(warmup, Ck_Now(&clock_.clock)));
+    clock_.Advance(4 * Ck_USEC_PER_SEC);
+    EXPECT_FALSE(Wu_IsCold(warmup, Ck_Now(&clock_.clock)));
+}
+
 } // namespace
--- a/packages/edge/versions.c
+++ b/packages/edge/versions.c
@@ -14,6 +14,15 @@
            1);
 }
 
+static const char *
+state_of(const struct fl_endpoint *endpoint)
+{
+    if (Fl_Usable(endpoint)) {
+        return "serving";
+    }
+    return endpoint->evacuated ? "evacuated" : "draining";
+}
+
 void
 Vs_ShowEndpoints(struct mt_registry *registry, const struct fl_fleet *fleet)
 {
@@ -26,7 +35,7 @@
         snprintf(labels, sizeof(labels),
                  "service=\"%s\",zone=\"%s\",version=\"%s\",state=\"%s\"",
                  entry->service, entry->zone, entry->version,
-                 Fl_Usable(endpoint) ? "serving" : "draining");
+                 state_of(endpoint));
         Mt_Add(Mt_Get(registry, MT_GAUGE, name, labels), 1);
     }
 }
--- a/packages/edge/warming.c
+++ b/packages/edge/warming.c
@@ -35,13 +35,25 @@
         Ms_IsFirst(gate->mesh, endpoint->hash, Wu_Places(&part, &view));
 }
 
+/*
+ * An endpoint that was sent nothing for a while is cold when requests come
+ * back, whatever its entry said before.
+ */
+static bool
+has_returned(const struct fl_endpoint *endpoint,
+             const struct ec_service *service, int64_t now)
+{
+    return endpoint->returned_at != 0 &&
+           now - endpoint->returned_at < service->cold_usec;
+}
+
 enum wa_state
 Wa_State(const struct ga_gate *gate, struct fl_endpoint *endpoint,
          const struct ec_service *service)
 {
     int64_t now = Ga_Now(gate);
     struct wu_warmup *warmup = &endpoint->warmup;
-    bool cold = Wu_IsCold(warmup, now);
+    bool cold = Wu_IsCold(warmup, now) || has_returned(endpoint, service, now);
     if (!is_limited(service) || (!cold && !Wu_IsDoubted(warmup, now))) {
         return WA_OPEN;
     }
@@ -57,8 +69,7 @@
         const struct ec_service *service)
 {
     int64_t now = Ga_Now(gate);
-    if (is_limited(service) && (Wu_IsCold(&endpoint->warmup, now) ||
-                                Wu_IsDoubted(&endpoint->warmup, now))) {
+    if (is_limited(service)) {
         struct wu_part part = part_of(gate, service);
         Wu_Sent(&endpoint->warmup, &part, now);
     }
