Limits: what a stand-in reporter told before it is believed counts

Callers saw: a customer at six times its usual gets 6.058 M tokens in eight seconds where 6.012 M are allowed, and in the same seconds others of its requests are refused that were owed.

Cause: a data centre's sums come from one daemon there at a time. Where that daemon dies its stand-in's words are not counted for a second and a half, and then only what is more than its last word: what the data centre spent meanwhile was never counted. With 12 of 69 daemons killed in the first second of the flood, four in ten hosts lose 1.5 s of a data centre's spending, go on letting requests in (spent 0.77 of the limit as they know, 1.0 as others do), and use up what hosts that know it all then refuse.

Change: what a reporter told and what of it was counted are two sets of rows; what was told since the other was last heard counts when it is believed.

Test: Zones.WhatTheStandInToldMeanwhileCounts (300 of 500 counted before).

--- a/packages/edge/test/zones_test.cc
+++ b/packages/edge/test/zones_test.cc
@@ -93,6 +93,21 @@
     EXPECT_EQ(400u, heard_.total);
 }
 
+// Guards against a limit that is granted again since what a data centre spent
+// between two reporters is never counted.
+TEST_F(Zones, WhatTheStandInToldMeanwhileCounts)
+{
+    Summary(1, 1000, 10);
+    Summary(2, 5000, 10);
+    Summary(1, 1100, 20);
+    EXPECT_EQ(100u, heard_.total);
+    for (int i = 1; i <= 4; i++) {
+        clock_.Advance(Ck_USEC_PER_SEC / 2);
+        Summary(2, 5000 + 100 * (uint64_t)i, 10 + i);
+    }
+    EXPECT_EQ(500u, heard_.total);
+}
+
 // Guards against a datagram that was overtaken: what came before it would
 // count again.
 TEST_F(Zones, ALateSummaryIsDropped)
--- a/packages/edge/zones.c
+++ b/packages/edge/zones.c
@@ -9,12 +9,17 @@
 /* A reporter not heard for this long has stopped. */
 #define Zn_SILENT_USEC (1500 * Ck_USEC_PER_MSEC)
 
+struct spent_rows {
+    size_t count;
+    struct ms_spent rows[Ms_SPENT_MAX];
+};
+
 struct reporter {
     uint64_t run;    /* 0: none */
     int64_t up_usec; /* of the process, as it last said */
     int64_t heard_at;
-    size_t spent_count;
-    struct ms_spent spent[Ms_SPENT_MAX];
+    struct spent_rows told;    /* last */
+    struct spent_rows counted; /* what of that has been counted */
     size_t load_count;
     struct ms_load loads[Ms_SUMMARY_LOADS_MAX];
 };
@@ -147,26 +152,30 @@
     return &zone->reporters[(zone->current + 1) % Zn_REPORTERS];
 }
 
+/* Counts what the reporter has told and was not counted yet. */
 static void
-tell_more(const struct reporter *reporter, const struct ms_word *summary,
-          zn_spent_fn fn, void *arg)
+count_more(struct reporter *reporter, zn_spent_fn fn, void *arg)
 {
-    for (size_t i = 0; i < summary->spent_count; i++) {
-        const struct ms_spent *now = &summary->spent[i];
-        struct ms_spent more =
-            Ms_SpentMore(now, reporter->spent, reporter->spent_count);
+    const struct spent_rows *counted = &reporter->counted;
+    for (size_t i = 0; i < reporter->told.count; i++) {
+        struct ms_spent more = Ms_SpentMore(&reporter->told.rows[i],
+                                            counted->rows, counted->count);
         fn(arg, &more);
     }
+    reporter->counted = reporter->told;
 }
 
 static void
 keep(struct reporter *reporter, const struct ms_word *summary, int64_t now)
 {
+    reporter->told.count = summary->spent_count;
+    memcpy(reporter->told.rows, summary->spent, sizeof(summary->spent));
+    if (reporter->run != summary->run) {
+        reporter->counted = reporter->told;
+    }
     reporter->run = summary->run;
     reporter->up_usec = summary->up_usec;
     reporter->heard_at = now;
-    reporter->spent_count = summary->spent_count;
-    memcpy(reporter->spent, summary->spent, sizeof(reporter->spent));
     reporter->load_count = summary->load_count;
     memcpy(reporter->loads, summary->loads, sizeof(reporter->loads));
 }
@@ -174,7 +183,9 @@
 /*
  * Two reporters have counted from different moments on, so one counts at a
  * time.  What a new one says first is where it stands; only then is it known
- * what is more.
+ * what is more.  What one that stands in has told since the other was last
+ * heard counts when it is believed, a second and a half later: a customer at
+ * its limit would get that much of a data centre again.
  */
 void
 Zn_Take(struct zn_zones *zones, const struct ms_word *summary, zn_spent_fn fn,
@@ -194,10 +205,14 @@
     if (!is_heard(zones, &zone->reporters[zone->current])) {
         zone->current = index;
     }
-    if (zone->current == index && reporter->run == summary->run) {
-        tell_more(reporter, summary, fn, arg);
-    }
     keep(reporter, summary, Ck_Now(zones->clock));
+    if (zone->current != index) {
+        return;
+    }
+    count_more(reporter, fn, arg);
+    for (size_t i = 0; i < Zn_REPORTERS; i++) {
+        zone->reporters[i].counted = zone->reporters[i].told;
+    }
 }
 
 bool
