Homes: a route's and a customer's allowed regions bind the endpoint

Now endpoints elsewhere are no candidates, at the first try, at a repeat and at a resumed stream; where none is left the caller gets 503 with "no endpoint in an allowed region" and a time, and the refusal is logged with route and customer. A list without a name that can be read allows nothing. Which region a data centre is in comes from the settings ("regions"), which are checked.

--- a/packages/edge/admit.c
+++ b/packages/edge/admit.c
@@ -68,6 +68,27 @@
                         : (double)tenant->plain;
 }
 
+/* Whether any endpoint may take the request; else why none may. */
+static bool
+has_endpoint(const struct ga_gate *gate, const struct xc_admitted *admitted,
+             const char *service, const char **why)
+{
+    bool any = false;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (!Fl_Usable(endpoint) ||
+            strcmp(endpoint->entry.service, service) != 0) {
+            continue;
+        }
+        any = true;
+        if (Ga_MayRunAt(gate, admitted->route, admitted->tenant, endpoint)) {
+            return true;
+        }
+    }
+    *why = any ? "no endpoint in an allowed region" : "no endpoint";
+    return false;
+}
+
 /* Finds route, tenant and service; false with the refusal. */
 static bool
 admit(struct ga_gate *gate, const struct h1_head *head,
@@ -103,8 +124,9 @@
     }
     const char *service = Ec_Pick(out->route, Rn_Unit(&gate->random));
     out->service = Ec_Service(config, service);
-    if (out->service == NULL || Fl_CountUsable(gate->fleet, service) == 0) {
-        *refusal = (struct refusal){503, Ad_STARTING_USEC, "no endpoint"};
+    const char *why = "no such service";
+    if (out->service == NULL || !has_endpoint(gate, out, service, &why)) {
+        *refusal = (struct refusal){503, Ad_STARTING_USEC, why};
         return false;
     }
     return true;
--- a/packages/edge/config.c
+++ b/packages/edge/config.c
@@ -66,6 +66,10 @@
     for (size_t i = 0; i < config->route_count; i++) {
         free(config->routes[i].host);
         free(config->routes[i].prefix);
+        free(config->routes[i].homes);
+    }
+    for (size_t i = 0; i < config->tenant_count; i++) {
+        free(config->tenants[i].homes);
     }
     for (size_t i = 0; i < config->key_count; i++) {
         free(config->keys[i].key);
@@ -152,6 +156,25 @@
     return found == NULL ? NULL : &config->tenants[found->tenant];
 }
 
+static bool
+is_home(const struct ec_homes *homes, const char *region)
+{
+    for (size_t i = 0; homes != NULL && i < homes->count; i++) {
+        if (strcmp(homes->regions[i], region) == 0) {
+            return true;
+        }
+    }
+    return homes == NULL;
+}
+
+bool
+Ec_MayRunIn(const struct ec_route *route, const struct ec_tenant *tenant,
+            const char *region)
+{
+    return is_home(route->homes, region) &&
+           (tenant == NULL || is_home(tenant->homes, region));
+}
+
 /* The service that takes a request, by weight; "unit" is in [0, 1). */
 const char *
 Ec_Pick(const struct ec_route *route, double unit)
--- a/packages/edge/config.h
+++ b/packages/edge/config.h
@@ -19,6 +19,7 @@
 #define Ec_NAME_MAX 96
 #define Ec_ZONES_MAX 16
 #define Ec_SPLIT_MAX 8
+#define Ec_HOMES_MAX 16
 
 enum ec_kind {
     EC_SAFE,   /* may run any number of times */
@@ -26,6 +27,12 @@
     EC_STREAM, /* events; once at most unless it may be resumed */
 };
 
+/* Regions that a route or a tenant is bound to. */
+struct ec_homes {
+    size_t count;
+    char regions[Ec_HOMES_MAX][Ec_NAME_MAX];
+};
+
 struct ec_share {
     char service[Ec_NAME_MAX];
     int weight;
@@ -45,6 +52,7 @@
     int64_t gap_usec; /* longest pause between events that is on time */
     struct ec_share shares[Ec_SPLIT_MAX];
     size_t share_count;
+    struct ec_homes *homes; /* NULL: any region will do */
 };
 
 struct ec_zone_price {
@@ -76,6 +84,7 @@
     int64_t plain;  /* tokens a request without counts stands for */
     double per_sec; /* 0: no limit */
     double burst;
+    struct ec_homes *homes; /* NULL: any region will do */
 };
 
 struct ec_key {
@@ -116,6 +125,12 @@
                                     const char *name);
 const struct ec_tenant *Ec_Holder(const struct ec_config *config,
                                   const char *key);
+/*
+ * Whether a request may run in a region; where route and tenant both have
+ * homes, both bind.  "tenant": NULL where the route needs none.
+ */
+bool Ec_MayRunIn(const struct ec_route *route, const struct ec_tenant *tenant,
+                 const char *region);
 const char *Ec_Pick(const struct ec_route *route, double unit);
 
 #ifdef __cplusplus
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -151,6 +151,14 @@
     }
 }
 
+static bool
+is_at_home(const struct xc_exchange *exchange,
+           const struct fl_endpoint *endpoint)
+{
+    return Ga_MayRunAt(exchange->gate, exchange->route, exchange->tenant,
+                       endpoint);
+}
+
 static void
 select_endpoints(const struct xc_exchange *exchange, enum ro_pick pick,
                  struct selection *out)
@@ -163,7 +171,8 @@
     TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
         if (out->count < Xc_CANDIDATES_MAX && Fl_Usable(endpoint) &&
             strcmp(endpoint->entry.service, service) == 0 &&
-            allowed(pick, Ga_IsNext(move, endpoint))) {
+            allowed(pick, Ga_IsNext(move, endpoint)) &&
+            is_at_home(exchange, endpoint)) {
             out->endpoints[out->count++] = endpoint;
         }
     }
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -45,6 +45,17 @@
            strcmp(endpoint->entry.version, move->order.target) == 0;
 }
 
+bool
+Ga_MayRunAt(const struct ga_gate *gate, const struct ec_route *route,
+            const struct ec_tenant *tenant, const struct fl_endpoint *endpoint)
+{
+    if (route->homes == NULL && (tenant == NULL || tenant->homes == NULL)) {
+        return true;
+    }
+    return Ec_MayRunIn(route, tenant,
+                       Nd_Region(gate->options.node, endpoint->entry.zone));
+}
+
 static void
 on_request(void *arg, struct sv_request *request)
 {
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -75,6 +75,11 @@
 bool Ga_Ready(const struct ga_gate *gate);
 bool Ga_TooLate(const struct ga_gate *gate, const struct ec_route *route);
 
+/* Whether a request may run in the region of an endpoint. */
+bool Ga_MayRunAt(const struct ga_gate *gate, const struct ec_route *route,
+                 const struct ec_tenant *tenant,
+                 const struct fl_endpoint *endpoint);
+
 /* An answer of the daemon's own. */
 struct rf_refusal {
     int status;
--- a/packages/edge/node.c
+++ b/packages/edge/node.c
@@ -62,6 +62,27 @@
     }
 }
 
+static enum st_status
+read_regions(const json_t *table, struct nd_node *out)
+{
+    const char *zone;
+    json_t *region;
+    json_object_foreach ((json_t *)table, zone, region) {
+        struct nd_region *entry = &out->regions[out->region_count];
+        const char *text = json_string_value(region);
+        if (out->region_count == Nd_ZONES_MAX || text == NULL ||
+            strlcpy(entry->zone, zone, Nd_NAME_MAX) >= Nd_NAME_MAX ||
+            strlcpy(entry->region, text, Nd_NAME_MAX) >= Nd_NAME_MAX) {
+            return St_Fail(ST_INVALID,
+                           "setting 'regions' must name the region of each "
+                           "data centre, %d at most; '%s' does not fit",
+                           Nd_ZONES_MAX, zone);
+        }
+        out->region_count++;
+    }
+    return ST_OK;
+}
+
 static bool
 lists(const json_t *list, const char *word)
 {
@@ -128,7 +149,18 @@
     out->order_endpoints = lists(duties, "autoscale");
     read_seeds(json_object_get(file, "seeds"), out);
     read_bounds(file, out);
-    return ST_OK;
+    return read_regions(json_object_get(file, "regions"), out);
+}
+
+const char *
+Nd_Region(const struct nd_node *node, const char *zone)
+{
+    for (size_t i = 0; i < node->region_count; i++) {
+        if (strcmp(node->regions[i].zone, zone) == 0) {
+            return node->regions[i].region;
+        }
+    }
+    return "";
 }
 
 enum st_status
--- a/packages/edge/node.h
+++ b/packages/edge/node.h
@@ -14,6 +14,13 @@
 
 #define Nd_NAME_MAX 96
 #define Nd_SEEDS_MAX 8
+#define Nd_ZONES_MAX 64
+
+/* Which region a data centre is in. */
+struct nd_region {
+    char zone[Nd_NAME_MAX];
+    char region[Nd_NAME_MAX];
+};
 
 struct nd_node {
     char name[Nd_NAME_MAX];
@@ -27,6 +34,8 @@
     int metrics_port;
     char seeds[Nd_SEEDS_MAX][Nd_NAME_MAX]; /* IP numbers of other hosts */
     size_t seed_count;
+    size_t region_count;
+    struct nd_region regions[Nd_ZONES_MAX];
     bool first_start; /* the whole system starts for the first time */
     int max_fds;
     int64_t memory_bytes;
@@ -52,6 +61,9 @@
  */
 enum st_status Nd_Read(const char *path, struct nd_node *out);
 
+/* The region of a data centre; empty where the settings do not say. */
+const char *Nd_Region(const struct nd_node *node, const char *zone);
+
 #ifdef __cplusplus
 }
 #endif
