Limits: a daemon that starts is told what was spent in the window

Change: while a daemon younger than a window is heard, the words to it say what each customer spent in both halves of the window; it takes them where they tell of a twentieth of the limit more than it knows. In calm times nothing is sent.

--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -59,6 +59,7 @@
     peer->reads_config = word->reads_config;
     peer->reads_entries = word->reads_entries;
     peer->heard_at = mesh->now;
+    peer->started_at = mesh->now - word->up_usec;
     peer->config_changed = word->config_changed;
     peer->entries_changed = word->entries_changed;
     if (word->summary) {
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -54,6 +54,13 @@
 struct ms_spent Ms_SpentMore(const struct ms_spent *now,
                              const struct ms_spent *before, size_t count);
 
+/* What a tenant has spent in the window that ends now, as the sender knows. */
+struct ms_past {
+    uint32_t tenant;
+    uint64_t older; /* in the older half of the window */
+    uint64_t newer;
+};
+
 struct ms_counted {
     int64_t window;
     uint32_t tenant;
@@ -82,6 +89,8 @@
     struct ms_load loads[Ms_SUMMARY_LOADS_MAX];
     size_t spent_count;
     struct ms_spent spent[Ms_SPENT_MAX];
+    size_t past_count; /* 0: no daemon has just started */
+    struct ms_past pasts[Ms_SPENT_MAX];
     size_t counted_count;
     struct ms_counted counted[Ms_COUNTS_MAX];
     size_t rate_count;
@@ -109,6 +118,7 @@
     bool store_reached;
     bool reads_config;
     bool reads_entries;
+    int64_t started_at;
     int64_t heard_at; /* 0: never */
     int64_t due_at;   /* of the next word to it */
     int64_t summary_due_at;
@@ -174,6 +184,8 @@
 /* All of these, this one included, and of these the heard ones. */
 size_t Ms_CountAll(const struct ms_mesh *mesh);
 size_t Ms_CountEverHeard(const struct ms_mesh *mesh);
+/* Whether a daemon that is alive started less than "usec" ago. */
+bool Ms_AnyYounger(const struct ms_mesh *mesh, int64_t usec);
 /* Position of this daemon among those alive, by name. */
 unsigned Ms_Rank(const struct ms_mesh *mesh);
 
--- a/packages/edge/mesh_query.c
+++ b/packages/edge/mesh_query.c
@@ -124,6 +124,18 @@
     return before < most;
 }
 
+bool
+Ms_AnyYounger(const struct ms_mesh *mesh, int64_t usec)
+{
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, &mesh->peers, link) {
+        if (Ms_Alive(mesh, peer) && mesh->now - peer->started_at < usec) {
+            return true;
+        }
+    }
+    return false;
+}
+
 unsigned
 Ms_Rank(const struct ms_mesh *mesh)
 {
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,13 +8,14 @@
 #include "edge/packed.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
-#define Ms_FORMAT 5
+#define Ms_FORMAT 6
 #define Ms_MILLI 1000
-#define Ms_FIELDS 25
+#define Ms_FIELDS 26
 #define Ms_EVIDENCE_FIELDS 7
 #define Ms_STANDING_FIELDS 4
 #define Ms_RATE_FIELDS 6
 #define Ms_SPENT_FIELDS 3
+#define Ms_PAST_FIELDS 3
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -61,6 +62,17 @@
     }
 }
 
+static void
+pack_pasts(msgpack_packer *packer, const struct ms_word *word)
+{
+    msgpack_pack_array(packer, word->past_count * Ms_PAST_FIELDS);
+    for (size_t i = 0; i < word->past_count; i++) {
+        msgpack_pack_uint32(packer, word->pasts[i].tenant);
+        msgpack_pack_uint64(packer, word->pasts[i].older);
+        msgpack_pack_uint64(packer, word->pasts[i].newer);
+    }
+}
+
 static void
 pack_moves(msgpack_packer *packer, const struct ms_word *word)
 {
@@ -113,6 +125,7 @@
     pack_moves(&packer, word);
     pack_text(&packer, word->zone);
     msgpack_pack_int(&packer, word->summary);
+    pack_pasts(&packer, word);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -185,6 +198,18 @@
     }
 }
 
+static void
+get_pasts(const msgpack_object *field, struct ms_word *out)
+{
+    out->past_count = count_rows(field, Ms_PAST_FIELDS, Ms_SPENT_MAX);
+    for (size_t i = 0; i < out->past_count; i++) {
+        const msgpack_object *row = &field->via.array.ptr[i * Ms_PAST_FIELDS];
+        out->pasts[i].tenant = (uint32_t)get_number(&row[0]);
+        out->pasts[i].older = (uint64_t)get_number(&row[1]);
+        out->pasts[i].newer = (uint64_t)get_number(&row[2]);
+    }
+}
+
 static void
 get_moves(const msgpack_object *field, struct ms_word *out)
 {
@@ -250,6 +275,7 @@
     out->lease.left_usec = get_number(&field[20]);
     get_moves(&field[21], out);
     out->summary = get_number(&field[24]) != 0;
+    get_pasts(&field[25], out);
     return Pk_Text(&field[23], out->zone, sizeof(out->zone));
 }
 
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -37,6 +37,24 @@
     }
 }
 
+/* Daemons that have just started know of no spending before. */
+static void
+fill_pasts(struct ga_gate *gate, struct ms_word *word)
+{
+    struct qt_recent rows[Qt_RECENT_MAX];
+    size_t count = 0;
+    if (Ms_AnyYounger(gate->mesh, gate->options.node->quota_window_usec)) {
+        count = Qt_Recent(gate->quota, rows);
+    }
+    for (size_t i = 0; i < count && word->past_count < Ms_SPENT_MAX; i++) {
+        const struct wn_past *past = &rows[i].past;
+        if (past->older + past->newer >= 1) {
+            word->pasts[word->past_count++] = (struct ms_past){
+                rows[i].tenant, (uint64_t)past->older, (uint64_t)past->newer};
+        }
+    }
+}
+
 static void
 fill_counted(const struct ga_gate *gate, struct ms_word *word)
 {
@@ -67,6 +85,7 @@
     word->lease = Du_Told(gate->duty);
     fill_loads(gate, word);
     Qt_Each(gate->quota, fill_spent, word);
+    fill_pasts(gate, word);
     fill_counted(gate, word);
     word->rate_count = De_Own(gate->demand, word->rates);
     word->evidence_count =
@@ -138,6 +157,20 @@
     }
 }
 
+/* Only of a daemon that has seen a whole window. */
+static void
+take_pasts(struct ga_gate *gate, const struct ms_word *word)
+{
+    if (word->up_usec < gate->options.node->quota_window_usec) {
+        return;
+    }
+    for (size_t i = 0; i < word->past_count; i++) {
+        struct wn_past past = {(double)word->pasts[i].older,
+                               (double)word->pasts[i].newer};
+        Qt_ToldPast(gate->quota, word->pasts[i].tenant, &past);
+    }
+}
+
 static void
 on_zone_spent(void *arg, const struct ms_spent *more)
 {
@@ -155,6 +188,7 @@
     else {
         take_spent(gate, peer, word);
     }
+    take_pasts(gate, word);
     for (size_t i = 0; i < word->counted_count; i++) {
         Us_Peer(gate->usage, word->run, word->counted[i].window,
                 word->counted[i].tenant, word->counted[i].count);
--- a/packages/edge/quota.h
+++ b/packages/edge/quota.h
@@ -77,6 +77,12 @@
 size_t Qt_Recent(struct qt_quota *quota, struct qt_recent out[Qt_RECENT_MAX]);
 void Qt_Recall(struct qt_quota *quota, const struct qt_recent *rows,
                size_t count);
+/*
+ * What a tenant spent in the window that ends now, as a daemon says that was
+ * there all the while.  A daemon that has just started has counted none of it.
+ */
+void Qt_ToldPast(struct qt_quota *quota, uint32_t tenant,
+                 const struct wn_past *past);
 uint32_t Qt_Hash(const char *tenant);
 
 #ifdef __cplusplus
--- a/packages/edge/quota_peers.c
+++ b/packages/edge/quota_peers.c
@@ -7,6 +7,10 @@
    at each end. */
 #define Qt_FORESEE_MIN_SEC 0.15
 #define Qt_FORESEE_GAPS 1.5
+/* Nobody spends this multiple of a limit in a window. */
+#define Qt_PAST_MOST 4.0
+/* Words differ by this part of a limit as they come at different times. */
+#define Qt_PAST_LEAST 0.05
 
 /* With seven daemons words come ten times a second; to foresee more than what
    they leave untold would leave a tenth of a limit unused. */
@@ -106,3 +110,23 @@
     qt_spend(bucket, cost);
     bucket->level += known;
 }
+
+void
+Qt_ToldPast(struct qt_quota *quota, uint32_t tenant,
+            const struct wn_past *past)
+{
+    struct qt_bucket *bucket = qt_find(quota, tenant);
+    if (bucket == NULL || bucket->window.step_usec == 0 ||
+        Ck_Now(quota->clock) - quota->started_at >= quota->window_usec) {
+        return;
+    }
+    qt_fill(quota, bucket);
+    struct wn_past known = Wn_Past(&bucket->window);
+    double more = past->older + past->newer - known.older - known.newer;
+    double limit = qt_limit(quota, bucket);
+    if (more > limit * Qt_PAST_LEAST &&
+        past->older + past->newer < limit * Qt_PAST_MOST) {
+        Wn_SetPast(&bucket->window, past);
+        bucket->level -= more;
+    }
+}
--- a/packages/edge/test/quota_replay_test.cc
+++ b/packages/edge/test/quota_replay_test.cc
@@ -111,6 +111,28 @@
         }
     }
 
+    // Some die and start again after "down"; the last record is left, and
+    // what the others know is told them or not.
+    void
+    RestartSome(double part, int64_t down, double load, bool told)
+    {
+        size_t some = (size_t)((double)quotas_.size() * part);
+        Run(down, load);
+        for (size_t i = 0; i < some; i++) {
+            Qt_Destroy(quotas_[i]);
+            quotas_[i] = Qt_Create(&clock_.clock, false);
+            Qt_SetWindow(quotas_[i], kWindow);
+            Qt_SetPeers(quotas_[i], 0, every_);
+            Qt_Configure(quotas_[i], tenants_.config);
+            Qt_Recall(quotas_[i], record_, recorded_);
+            for (size_t j = 0; j < quotas_.size(); j++) {
+                told_[i][j] = 0;
+                asked_[i][j] = 0;
+            }
+        }
+        tell_past_to_ = told ? some : 0;
+    }
+
     // The first "part" of the daemons hear nothing of the others any more;
     // each side notices when words have been missing for a while.
     void
@@ -243,6 +265,19 @@
         }
     }
 
+    // One that was there all the while tells those that have just started.
+    void
+    TellPast(size_t from)
+    {
+        struct qt_recent rows[Qt_RECENT_MAX];
+        size_t count = Qt_Recent(quotas_[from], rows);
+        for (size_t j = 0; j < tell_past_to_ && from >= tell_past_to_; j++) {
+            for (size_t k = 0; k < count; k++) {
+                Qt_ToldPast(quotas_[j], rows[k].tenant, &rows[k].past);
+            }
+        }
+    }
+
     // Each daemon tells all others its total, each at its own moments.
     void
     Tell()
@@ -252,6 +287,7 @@
             if ((step + (int64_t)i * 7) % (every_ / kStep) != 0) {
                 continue;
             }
+            TellPast(i);
             Totals now{0, 0};
             Qt_Each(
                 quotas_[i],
@@ -292,6 +328,7 @@
     std::vector<std::vector<uint64_t>> asked_;
     std::vector<std::vector<bool>> missed_;
     size_t cut_at_ = 0;
+    size_t tell_past_to_ = 0;
     int64_t shares_at_ = 0;
     std::mt19937 random_{11};
     std::uniform_real_distribution<double> unit_{0, 1};
@@ -476,4 +513,32 @@
     }
 }
 
+// Guards against a limit granted again by daemons that were killed in the
+// middle of a flood and know only what was recorded before it.
+TEST(QuotaReplay, DaemonsThatComeBackInAFloodKnowWhatWasSpent)
+{
+    for (double part : {0.18, 0.35, 0.6}) {
+        for (int64_t before : {500, 1500}) {
+            double most[2];
+            double served[2];
+            for (bool told : {false, true}) {
+                Replay replay(69, 500 * Ck_USEC_PER_MSEC, kLargeRate);
+                replay.Run(10 * Ck_USEC_PER_SEC, 0.4);
+                replay.Record();
+                replay.Run(before * Ck_USEC_PER_MSEC, 3);
+                replay.RestartSome(part, 500 * Ck_USEC_PER_MSEC, 3, told);
+                replay.Recount();
+                replay.Run(11 * Ck_USEC_PER_SEC, 3);
+                most[told] = replay.Most() / Bound(kLargeRate);
+                served[told] = replay.ServedPart();
+            }
+            printf("%.2f of 69 killed after %lld ms: %.3f of the bound and "
+                   "%.3f served, told %.3f and %.3f\n",
+                   part, (long long)before, most[0], served[0], most[1],
+                   served[1]);
+            EXPECT_LE(most[1], 1) << part << " " << before;
+        }
+    }
+}
+
 } // namespace
