--- a/apps/cornelctl/command.h
+++ b/apps/cornelctl/command.h
@@ -36,6 +36,7 @@
     int64_t wait_usec;
     int count; /* watch: how often to look; 0: for ever */
     bool json;
+    bool back; /* evacuate: take it back */
     bool tls;
 };
 
@@ -48,6 +49,13 @@
 int Ct_Status(const struct ct_options *options);
 int Ct_Watch(const struct ct_options *options);
 
+int Ct_Evacuate(const struct ct_options *options);
+
+struct am_session;
+/* Waits until every daemon that serves has read the offset. */
+int Ct_WaitEverywhere(struct am_session *session, int64_t began,
+                      int64_t deadline, uint64_t offset);
+
 int Ct_Report(enum st_status status);
 
 /* Writes to an open file; false: it took not all. */
--- a/apps/cornelctl/command_publish.c
+++ b/apps/cornelctl/command_publish.c
@@ -212,10 +212,9 @@
     }
 }
 
-/* Waits until every daemon that serves has read the offset. */
-static int
-wait_everywhere(struct am_session *session, int64_t began, int64_t deadline,
-                uint64_t offset)
+int
+Ct_WaitEverywhere(struct am_session *session, int64_t began, int64_t deadline,
+                  uint64_t offset)
 {
     for (;;) {
         json_t *document;
@@ -281,5 +280,5 @@
     if (status != ST_OK) {
         return Ct_Report(status);
     }
-    return wait_everywhere(&session, began, deadline, offset);
+    return Ct_WaitEverywhere(&session, began, deadline, offset);
 }
--- a/apps/cornelctl/main.c
+++ b/apps/cornelctl/main.c
@@ -11,6 +11,7 @@
 
 enum key {
     KEY_ADMIN = 256,
+    KEY_BACK,
     KEY_COUNT,
     KEY_JSON,
     KEY_OUT,
@@ -29,6 +30,7 @@
 static const struct command commands[] = {
     {"check", "FILE", false, Ct_Check},
     {"diff", "FILE", false, Ct_Diff},
+    {"evacuate", "DATA-CENTRE", false, Ct_Evacuate},
     {"explain", "FILE", true, Ct_Explain},
     {"generate", "FILE", false, Ct_Generate},
     {"key", "NAME", false, Ct_Key},
@@ -45,20 +47,23 @@
 static const struct argp_option option_list[] = {
     {"admin", KEY_ADMIN, "IP:PORT[,...]", 0,
      "administration addresses of daemons; the first that answers is used", 0},
+    {"back", KEY_BACK, NULL, 0, "evacuate: use the data centre again", 0},
     {"count", KEY_COUNT, "N", 0, "watch: look N times, then end", 0},
     {"json", KEY_JSON, NULL, 0, "status, explain: print JSON", 0},
     {"out", KEY_OUT, "DIR", 0, "generate: write one file a section", 0},
     {"svg", KEY_SVG, "FILE", 0, "explain: write a timeline into FILE", 0},
     {"tls", KEY_TLS, NULL, 0, "speak TLS to the daemons", 0},
     {"wait", KEY_WAIT, "SECONDS", 0,
-     "publish: wait so long for every daemon (15)", 0},
+     "publish, evacuate: wait so long for every daemon (15)", 0},
     {0},
 };
 
 static const char description[] =
     "Checks, generates, compares and publishes the configuration of "
-    "cornelgate, shows what its daemons report, and explains their logs."
-    "\vCommands: check FILE, generate FILE, diff FILE, publish FILE, status, "
+    "cornelgate, evacuates data centres, shows what its daemons report, and "
+    "explains their logs."
+    "\vCommands: check FILE, generate FILE, diff FILE, publish FILE, "
+    "evacuate DATA-CENTRE, status, "
     "watch, key NAME, explain FILE... The key of your team is taken from the "
     "environment "
     "variable CORNELGATE_ADMIN_KEY.";
@@ -128,6 +133,9 @@
     case KEY_ADMIN:
         line->options.admins = text;
         break;
+    case KEY_BACK:
+        line->options.back = true;
+        break;
     case KEY_COUNT:
         line->options.count = (int)positive(text, state, "--count");
         break;
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -19,6 +19,7 @@
 
 #define Cf_NAME_MAX 48
 #define Cf_PATH_MAX 128
+#define Cf_REGIONS_MAX 16
 #define Cf_SECTION_MAX 64          /* name of a section, with its NUL */
 #define Cf_SECTION_BYTES_MAX 60000 /* so that it fits one log record */
 #define Cf_PLATFORM "platform"     /* the section of all teams */
@@ -40,6 +41,13 @@
 struct cf_data_centre {
     char name[Cf_NAME_MAX];
     char region[Cf_NAME_MAX];
+    bool evacuated; /* its endpoints get nothing new */
+};
+
+/* Regions that requests are bound to; none: any will do. */
+struct cf_regions {
+    size_t count;
+    char names[Cf_REGIONS_MAX][Cf_NAME_MAX];
 };
 
 struct cf_team {
@@ -56,6 +64,7 @@
     double requests_per_sec; /* over all daemons together; 0: no limit */
     int max_in_flight;       /* over all daemons together; 0: no limit */
     size_t body_max;         /* bytes */
+    struct cf_regions regions;
 };
 
 /* The intended version of a service, and by when. */
@@ -83,6 +92,9 @@
     double headroom;        /* share of capacity kept free */
     bool survive_dc_loss;   /* plan for losing the largest data centre */
     double reclaimable_max; /* highest share on reclaimable hosts */
+    int64_t cold_usec;      /* an endpoint is cold after its start */
+    double cold_per_sec;    /* requests a cold one bears; 0: no limit */
+    struct cf_regions regions;
     struct cf_move move;
 };
 
@@ -120,6 +132,9 @@
 struct cf_config *Cf_Ref(struct cf_config *config);
 void Cf_Destroy(struct cf_config *config);
 
+bool Cf_IsEvacuated(const struct cf_config *config, const char *data_centre);
+/* Whether a region is one of those, or there are none. */
+bool Cf_IsIn(const struct cf_regions *regions, const char *region);
 const struct cf_customer *Cf_CustomerByKey(const struct cf_config *config,
                                            const char *key_digest);
 const struct cf_service *Cf_ServiceByName(const struct cf_config *config,
--- a/packages/config/field.c
+++ b/packages/config/field.c
@@ -159,6 +159,28 @@
     return refuse(where, field, value);
 }
 
+static enum st_status
+read_regions(const char *where, const struct fd_field *field,
+             const json_t *value, char *out)
+{
+    struct cf_regions *regions = (struct cf_regions *)(void *)out;
+    size_t size = json_array_size(value);
+    if (size == 0 || size > Cf_REGIONS_MAX) {
+        return refuse(where, field, value);
+    }
+    size_t i;
+    const json_t *entry;
+    json_array_foreach (value, i, entry) {
+        const char *text = json_string_value(entry);
+        if (text == NULL || !Cf_IsName(text)) {
+            return refuse(where, field, value);
+        }
+        strlcpy(regions->names[i], text, Cf_NAME_MAX);
+    }
+    regions->count = size;
+    return ST_OK;
+}
+
 static enum st_status
 read_field(const char *where, const struct fd_field *field,
            const json_t *value, char *out)
@@ -173,6 +195,8 @@
     case FD_KIND:
     case FD_ROLE:
         return read_word(where, field, value, out);
+    case FD_REGIONS:
+        return read_regions(where, field, value, out);
     default:
         return read_number(where, field, value, out);
     }
--- a/packages/config/field.h
+++ b/packages/config/field.h
@@ -20,8 +20,9 @@
     FD_INT64,
     FD_SIZE,
     FD_BOOL,
-    FD_KIND, /* enum cf_kind */
-    FD_ROLE, /* enum cf_role */
+    FD_KIND,    /* enum cf_kind */
+    FD_ROLE,    /* enum cf_role */
+    FD_REGIONS, /* struct cf_regions */
 };
 
 struct fd_field {
--- a/packages/config/part.c
+++ b/packages/config/part.c
@@ -13,6 +13,9 @@
 #define Cf_REMEDY_DIGEST                                                      \
     "give the 32 hex digits that 'cornelctl key NAME' prints as the digest"
 #define Cf_BODY_MAX (16.0 * 1024 * 1024)
+#define Cf_REMEDY_REGIONS                                                     \
+    "give a list of 1 to 16 names of regions, or leave it out for any"
+#define Cf_MINUTE_USEC 6e7
 #define Cf_TEN_MINUTES_USEC 6e8
 #define Cf_DAY_USEC 8.64e10
 
@@ -21,6 +24,8 @@
 static const struct fd_field data_centre_fields[] = {
     {"region", AT(cf_data_centre, region), 0, 0, 0, Cf_REMEDY_NAME, FD_NAME,
      true},
+    {"evacuated", AT(cf_data_centre, evacuated), 0, 0, 0,
+     "write true or false", FD_BOOL, false},
 };
 
 static const struct fd_field team_fields[] = {
@@ -41,6 +46,8 @@
      "give a whole number up to 1000000, 0 for no limit", FD_INT, false},
     {"body_max", AT(cf_customer, body_max), 1, Cf_BODY_MAX, 1024.0 * 1024,
      "give bytes from 1 to 16777216", FD_SIZE, false},
+    {"regions", AT(cf_customer, regions), 0, 0, 0, Cf_REMEDY_REGIONS,
+     FD_REGIONS, false},
 };
 
 static const struct fd_field service_fields[] = {
@@ -73,6 +80,12 @@
      "write true or false", FD_BOOL, false},
     {"reclaimable_max", AT(cf_service, reclaimable_max), 0, 1, 1,
      "give a share from 0 to 1", FD_DOUBLE, false},
+    {"cold_usec", AT(cf_service, cold_usec), 0, Cf_MINUTE_USEC, 0,
+     "give microseconds up to 60000000, 0 for none", FD_INT64, false},
+    {"cold_per_sec", AT(cf_service, cold_per_sec), 0, 1e6, 0,
+     "give requests a second up to 1000000, 0 for no limit", FD_DOUBLE, false},
+    {"regions", AT(cf_service, regions), 0, 0, 0, Cf_REMEDY_REGIONS,
+     FD_REGIONS, false},
 };
 
 static const struct fd_field move_fields[] = {
--- a/packages/config/query.c
+++ b/packages/config/query.c
@@ -115,3 +115,27 @@
     }
     return entry->role == CF_OPERATOR || owns(team, section);
 }
+
+/* True when an operator wants nothing new to go to a data centre. */
+bool
+Cf_IsEvacuated(const struct cf_config *config, const char *data_centre)
+{
+    for (size_t i = 0; i < config->data_centre_count; i++) {
+        const struct cf_data_centre *entry = &config->data_centres[i];
+        if (entry->evacuated && strcmp(entry->name, data_centre) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+Cf_IsIn(const struct cf_regions *regions, const char *region)
+{
+    for (size_t i = 0; i < regions->count; i++) {
+        if (strcmp(regions->names[i], region) == 0) {
+            return true;
+        }
+    }
+    return regions->count == 0;
+}
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -21,6 +21,7 @@
 #define Dm_HEAR_USEC (5 * Ck_USEC_PER_SEC)
 #define Dm_BEHIND_USEC (1 * Ck_USEC_PER_SEC)
 #define Dm_SHARING_PERIOD (1 * Ck_USEC_PER_SEC)
+#define Dm_HOSTS_PERIOD (500 * Ck_USEC_PER_MSEC)
 #define Dm_PULL_PERIOD (200 * Ck_USEC_PER_MSEC)
 /* A daemon is taken for silent after four intervals without a word. */
 #define Dm_DEMANDS_SKIPPED 2
@@ -239,6 +240,35 @@
     }
 }
 
+/*
+ * The others by their claims on cold endpoints, the dead ones too: they may
+ * be cut off from here and serve all the same.
+ */
+static void
+note_hosts(struct dm_daemon *daemon, int64_t now)
+{
+    struct wu_hosts *hosts = Ep_Hosts(daemon->gate.endpoints);
+    const struct mb_table *members = Nd_Members(Pe_Node(daemon->peers));
+    const char *own = daemon->gate.options->node_id;
+    if (now < daemon->next_hosts) {
+        return;
+    }
+    daemon->next_hosts = now + Dm_HOSTS_PERIOD;
+    hosts->own = Hash_String(own, 0);
+    hosts->count = 0;
+    hosts->view =
+        (struct wu_view){.up_usec = now - daemon->started, .heard = 1};
+    const struct mb_record *member = Mb_First(members);
+    for (; member != NULL; member = Mb_Next(member)) {
+        if (strcmp(member->id, own) == 0 || hosts->count == Wu_HOSTS_MAX) {
+            continue;
+        }
+        hosts->others[hosts->count++] = Hash_String(member->id, 0);
+        hosts->view.heard += member->state != MB_DEAD;
+    }
+    hosts->view.known = hosts->count + 1;
+}
+
 static void
 tick(void *arg)
 {
@@ -257,6 +287,7 @@
     share_reading(daemon, now);
     tell_demand(daemon, now);
     tell_offset(daemon, now);
+    note_hosts(daemon, now);
     if (!daemon->was_ready && Dm_NotReady(daemon) == NULL) {
         daemon->was_ready = true;
         Ev_Log(&GT_READY, "node=%s", daemon->gate.options->node_id);
--- a/packages/gate/daemon_internal.h
+++ b/packages/gate/daemon_internal.h
@@ -31,6 +31,7 @@
     int64_t behind_since; /* others know of a later offset */
     int64_t next_sharing;
     int64_t next_offset;
+    int64_t next_hosts; /* counted for claims on cold endpoints */
     struct pl_log *log;
     struct bg_budget *budget;
     struct cs_stream *config;
--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -152,6 +152,10 @@
     struct dm_daemon *daemon = arg;
     Ep_Report(daemon->gate.endpoints, report->service, report->endpoint,
               &report->sample);
+    if (report->tells_cold) {
+        Ep_Cold(daemon->gate.endpoints, report->service, report->endpoint,
+                report->cold_usec, report->sample.taken);
+    }
     if (report->leaving) {
         Ep_Leaving(daemon->gate.endpoints, report->endpoint,
                    report->left_usec);
--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -18,6 +18,8 @@
  */
 #define Ep_RETRY_RATIO 0.2
 #define Ep_RETRY_MOST 50
+/* Data centres evacuated at the same time that are remembered. */
+#define Ep_EVACUATED_MAX 64
 
 struct known {
     TAILQ_ENTRY(known) link;
@@ -59,6 +61,9 @@
     ep_leaving_fn leaving;
     struct service_list services;
     struct told_list told;
+    struct wu_hosts hosts;
+    size_t evacuated_count;
+    char evacuated[Ep_EVACUATED_MAX][Cf_NAME_MAX];
 };
 
 /* Creates an empty pool; "leaving" gets the gate as its argument. */
@@ -184,6 +189,74 @@
     return service;
 }
 
+/*
+ * Endpoints that were sent nothing for a while are cold when their data
+ * centre is taken back.
+ */
+static void
+warm_up(struct ep_pool *pool, const struct cf_config *config,
+        const char *data_centre)
+{
+    int64_t now = Ck_Now(pool->gate->clock);
+    struct service *service;
+    TAILQ_FOREACH (service, &pool->services, link) {
+        const struct cf_service *wanted =
+            Cf_ServiceByName(config, service->name);
+        struct ch_endpoint *endpoint = Ch_First(service->table);
+        for (; wanted != NULL && endpoint != NULL;
+             endpoint = Ch_Next(endpoint)) {
+            const struct ch_info *info = Ch_Info(endpoint);
+            if (strcmp(info->data_centre, data_centre) == 0) {
+                Ch_Cold(service->table, info->id, wanted->cold_usec, now);
+            }
+        }
+    }
+}
+
+static bool
+was_evacuated(const struct ep_pool *pool, const char *data_centre)
+{
+    for (size_t i = 0; i < pool->evacuated_count; i++) {
+        if (strcmp(pool->evacuated[i], data_centre) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Notes which data centres get nothing new, and which do so again. */
+static void
+note_evacuated(struct ep_pool *pool, const struct cf_config *config)
+{
+    for (size_t i = 0; i < pool->evacuated_count; i++) {
+        if (!Cf_IsEvacuated(config, pool->evacuated[i])) {
+            Ev_Log(&GT_RETURNED, "data_centre=%s", pool->evacuated[i]);
+            warm_up(pool, config, pool->evacuated[i]);
+        }
+    }
+    size_t count = 0;
+    char now[Ep_EVACUATED_MAX][Cf_NAME_MAX];
+    for (size_t i = 0; i < config->data_centre_count; i++) {
+        const struct cf_data_centre *centre = &config->data_centres[i];
+        if (!centre->evacuated || count == Ep_EVACUATED_MAX) {
+            continue;
+        }
+        if (!was_evacuated(pool, centre->name)) {
+            Ev_Log(&GT_EVACUATED, "data_centre=%s", centre->name);
+        }
+        strlcpy(now[count++], centre->name, Cf_NAME_MAX);
+    }
+    memcpy(pool->evacuated, now, sizeof(now[0]) * count);
+    pool->evacuated_count = count;
+}
+
+/* Who the other hosts are; decides which of them serve a cold endpoint. */
+struct wu_hosts *
+Ep_Hosts(struct ep_pool *pool)
+{
+    return &pool->hosts;
+}
+
 /*
  * Makes a table for each service of a configuration.  Without a move in
  * flight the intended version carries everything.
@@ -194,6 +267,10 @@
     for (size_t i = 0; i < config->service_count; i++) {
         const struct cf_service *wanted = &config->services[i];
         struct service *service = add_service(pool, wanted->name);
+        if (service != NULL) {
+            Ch_SetWarmup(service->table, wanted->cold_per_sec,
+                         wanted->cold_usec, &pool->hosts);
+        }
         if (service == NULL || service->shares_set ||
             wanted->move.to[0] == '\0' || wanted->move.from[0] != '\0') {
             continue;
@@ -202,6 +279,7 @@
         strlcpy(share.version, wanted->move.to, sizeof(share.version));
         Ch_SetShares(service->table, &share, 1);
     }
+    note_evacuated(pool, config);
 }
 
 static struct known *
@@ -240,7 +318,8 @@
         return;
     }
     struct known *known = find_known(service, host->id);
-    if (known == NULL) {
+    bool fresh = known == NULL;
+    if (fresh) {
         known = calloc(1, sizeof(*known));
         if (known == NULL) {
             return;
@@ -259,9 +338,15 @@
     strlcpy(info.id, host->id, sizeof(info.id));
     strlcpy(info.address, host->address, sizeof(info.address));
     strlcpy(info.data_centre, host->data_centre, sizeof(info.data_centre));
+    strlcpy(info.region, host->region, sizeof(info.region));
     strlcpy(info.version, host->version, sizeof(info.version));
     strlcpy(info.host_class, host->host_class, sizeof(info.host_class));
     Ch_Put(service->table, &info);
+    if (fresh) {
+        /* The list lags: only its first word of a warm-up is news. */
+        Ch_Cold(service->table, host->id, host->cold_usec,
+                Ck_Now(pool->gate->clock));
+    }
     /*
      * A list that lags may still say "live" after a notice has come: an
      * endpoint once known to leave stays leaving.
@@ -350,6 +435,18 @@
     }
 }
 
+void
+Ep_Cold(struct ep_pool *pool, const char *service, const char *endpoint,
+        int64_t left_usec, int64_t taken)
+{
+    struct service *at;
+    TAILQ_FOREACH (at, &pool->services, link) {
+        if (service == NULL || strcmp(at->name, service) == 0) {
+            Ch_Cold(at->table, endpoint, left_usec, taken);
+        }
+    }
+}
+
 /* A version gets no new work from now on. */
 void
 Ep_Distrust(struct ep_pool *pool, const char *service, const char *version)
--- a/packages/gate/endpoints.h
+++ b/packages/gate/endpoints.h
@@ -25,9 +25,13 @@
 void Ep_Destroy(struct ep_pool *pool);
 void Ep_Configure(struct ep_pool *pool, const struct cf_config *config);
 void Ep_Sync(struct ep_pool *pool, const struct hl_host *hosts, size_t count);
+struct wu_hosts *Ep_Hosts(struct ep_pool *pool);
 void Ep_Leaving(struct ep_pool *pool, const char *host, int64_t left_usec);
 void Ep_Report(struct ep_pool *pool, const char *service, const char *endpoint,
                const struct ch_sample *sample);
+/* How much longer an endpoint was cold, at "taken". */
+void Ep_Cold(struct ep_pool *pool, const char *service, const char *endpoint,
+             int64_t left_usec, int64_t taken);
 void Ep_Distrust(struct ep_pool *pool, const char *service,
                  const char *version);
 void Ep_SetShares(struct ep_pool *pool, const char *service,
--- a/packages/gate/loadwatch.c
+++ b/packages/gate/loadwatch.c
@@ -133,6 +133,8 @@
             },
         .leaving = state != NULL && strcmp(state, "leaving") == 0,
         .left_usec = number(body, "left_ms") * Ck_USEC_PER_MSEC,
+        .tells_cold = json_is_integer(json_object_get(body, "cold_ms")),
+        .cold_usec = number(body, "cold_ms") * Ck_USEC_PER_MSEC,
         .spread_usec = spread(watch),
     };
     strlcpy(report.version, version != NULL ? version : "",
--- a/packages/gate/peer_facts.c
+++ b/packages/gate/peer_facts.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 #define Pf_CONFIG_FIELDS 2
-#define Pf_LOAD_FIELDS 6
+#define Pf_LOAD_FIELDS 7
+/* What daemons before the seventh field wrote. */
+#define Pf_LOAD_LEAST 6
 #define Pf_DEMAND_FIELDS 4
 /* What daemons before the fourth field wrote. */
 #define Pf_DEMAND_LEAST 3
@@ -116,6 +118,8 @@
         msgpack_pack_false(&packer);
     }
     msgpack_pack_int64(&packer, report->left_usec / Pf_AGE_UNIT);
+    msgpack_pack_int64(
+        &packer, report->tells_cold ? report->cold_usec / Pf_AGE_UNIT : -1);
     size_t len = copy_out(&buffer, out, size);
     msgpack_sbuffer_destroy(&buffer);
     return len;
@@ -144,7 +148,7 @@
     bool good = msgpack_unpack_next(&unpacked, value, len, NULL) ==
                     MSGPACK_UNPACK_SUCCESS &&
                 unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
-                unpacked.data.via.array.size >= Pf_LOAD_FIELDS;
+                unpacked.data.via.array.size >= Pf_LOAD_LEAST;
     if (good) {
         const msgpack_object *field = unpacked.data.via.array.ptr;
         out->sample.running = (int)read_int(&field[0]);
@@ -154,6 +158,11 @@
         out->leaving =
             field[4].type == MSGPACK_OBJECT_BOOLEAN && field[4].via.boolean;
         out->left_usec = read_int(&field[5]) * Pf_AGE_UNIT;
+        int64_t cold = unpacked.data.via.array.size >= Pf_LOAD_FIELDS
+                           ? read_int(&field[6])
+                           : -1;
+        out->tells_cold = cold >= 0;
+        out->cold_usec = cold >= 0 ? cold * Pf_AGE_UNIT : 0;
     }
     msgpack_unpacked_destroy(&unpacked);
     return good;
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -436,7 +436,8 @@
 
 /*
  * True when a sample of this endpoint was passed on a moment ago, by this
- * daemon or the other that watches it.  That a host leaves never waits.
+ * daemon or the other that watches it.  That a host leaves, or is cold, never
+ * waits.
  */
 static bool
 told_lately(const struct pe_peers *peers, const struct lw_report *report,
@@ -446,7 +447,8 @@
     struct lw_report last;
     if (!Fc_Get(Nd_Facts(peers->node), "", key, &known) ||
         !Pf_ReadLoad(known.value, known.len, &last) ||
-        last.leaving != report->leaving) {
+        last.leaving != report->leaving ||
+        (last.cold_usec > 0) != (report->cold_usec > 0)) {
         return false;
     }
     int64_t age = Ck_Wall(peers->gate->clock) - (int64_t)known.version;
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -33,6 +33,7 @@
 #define Rl_URGENT_PRIORITY 10
 #define Rl_PATIENT_PRIORITY 1
 #define Rl_LABELS_MAX 200
+#define Rl_MESSAGE_MAX 160
 
 static void attempt(struct rl_engine *relay);
 
@@ -505,6 +506,7 @@
                                : Rl_EXPECTED_TOKENS;
     ask->budget = request->deadline - Ck_Now(request->gate->clock);
     ask->again = relay->attempts.all > 0;
+    Rq_Constrain(request, ask);
 }
 
 /* Sends the request to the engine of the flight that has been started. */
@@ -541,8 +543,11 @@
             wait_for_engine(relay);
             return;
         }
-        give_up(relay, failure_told(relay),
-                "no engine of this service is free; come back later");
+        char message[Rl_MESSAGE_MAX];
+        snprintf(message, sizeof(message),
+                 "no engine of this service %s; come back later",
+                 Rq_WhyNone(request, relay->table));
+        give_up(relay, failure_told(relay), message);
         return;
     }
     Re_Launch(relay, NULL);
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -42,8 +42,8 @@
     struct lp_timer *stall_timer;
     struct lp_timer *again_timer; /* for a stream that found no engine */
     int astray;                   /* attempts in a row that reached nobody */
-    struct kv_move *move;    /* on its way to the target */
-    struct ch_flight target; /* reserved while the cache moves */
+    struct kv_move *move;         /* on its way to the target */
+    struct ch_flight target;      /* reserved while the cache moves */
     struct mt_metric *first_token_time;
     struct mt_metric *token_time;
 };
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -228,9 +228,8 @@
     relay->table = Ep_Table(gate->endpoints, request->service->name);
     if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
         Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_UNAVAILABLE,
-                  Rl_RETRY_SOON_SEC,
-                  "no endpoint of %s is free; come back later",
-                  request->service->name);
+                  Rl_RETRY_SOON_SEC, "no endpoint of %s %s; come back later",
+                  request->service->name, Rq_WhyNone(request, relay->table));
         return;
     }
     relay->attempts.all++;
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -131,6 +131,39 @@
     }
 }
 
+/* Not where an operator wants nothing new, nor outside of its regions. */
+static bool
+may_run_at(const void *arg, const struct ch_info *info)
+{
+    const struct rq_request *request = arg;
+    return !Cf_IsEvacuated(request->gate->config, info->data_centre) &&
+           Cf_IsIn(&request->service->regions, info->region) &&
+           Cf_IsIn(&request->customer->regions, info->region);
+}
+
+/* Sets where the request may run. */
+void
+Rq_Constrain(const struct rq_request *request, struct ch_request *ask)
+{
+    ask->allowed = may_run_at;
+    ask->allowed_arg = request;
+}
+
+/* Says why no endpoint was chosen, and logs where none may be. */
+const char *
+Rq_WhyNone(const struct rq_request *request, const struct ch_table *table)
+{
+    struct ch_request ask = {0};
+    Rq_Constrain(request, &ask);
+    if (table == NULL || Ch_First(table) == NULL ||
+        Ch_AnyAllowed(table, &ask)) {
+        return "is free";
+    }
+    Ev_Log(&GT_NOWHERE, "request=%s service=%s customer=%s", request->id,
+           request->service->name, request->customer->name);
+    return "is in an allowed region outside of evacuated data centres";
+}
+
 /*
  * Chooses an endpoint for the next attempt and starts the flight on it.  An
  * endpoint that failed this request is taken again only when no other is
@@ -143,6 +176,7 @@
     struct gt_gate *gate = request->gate;
     int64_t now = Ck_Now(gate->clock);
     enum st_status status = ST_NOT_FOUND;
+    Rq_Constrain(request, ask);
     ask->tried = request->tried;
     ask->tried_count = request->tried_count;
     if (table != NULL) {
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -75,6 +75,9 @@
 void Rq_Finish(struct rq_request *request, enum an_outcome outcome);
 enum st_status Rq_Choose(struct rq_request *request, struct ch_table *table,
                          struct ch_request *ask, struct ch_flight *flight);
+void Rq_Constrain(const struct rq_request *request, struct ch_request *ask);
+const char *Rq_WhyNone(const struct rq_request *request,
+                       const struct ch_table *table);
 int Rq_Sent(const struct rq_attempts *attempts);
 bool Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
                  const struct rq_attempts *attempts);
--- a/packages/gate/status.c
+++ b/packages/gate/status.c
@@ -17,11 +17,20 @@
 }
 
 static json_t *
-endpoint_status(const struct ch_endpoint *endpoint, int64_t now)
+endpoint_status(const struct gt_gate *gate, const struct ch_endpoint *endpoint,
+                int64_t now)
 {
     const struct ch_info *info = Ch_Info(endpoint);
-    const char *state =
-        Ch_Ejected(endpoint, now) ? "ejected" : state_name(Ch_State(endpoint));
+    const char *state = state_name(Ch_State(endpoint));
+    if (Ch_IsCold(endpoint, now) && Ch_State(endpoint) == CH_LIVE) {
+        state = "cold";
+    }
+    if (Ch_Ejected(endpoint, now)) {
+        state = "ejected";
+    }
+    if (Cf_IsEvacuated(gate->config, info->data_centre)) {
+        state = "evacuated";
+    }
     return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i}", "id", info->id,
                      "data_centre", info->data_centre, "version",
                      info->version, "state", state, "in_flight",
@@ -36,7 +45,7 @@
     const struct ch_table *table = Ep_Table(gate->endpoints, service->name);
     struct ch_endpoint *endpoint = table != NULL ? Ch_First(table) : NULL;
     for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
-        json_array_append_new(endpoints, endpoint_status(endpoint, now));
+        json_array_append_new(endpoints, endpoint_status(gate, endpoint, now));
     }
     return json_pack("{s:s,s:s,s:s,s:s,s:o}", "name", service->name, "team",
                      service->team, "kind",
--- a/packages/platform/hostlist.c
+++ b/packages/platform/hostlist.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
+
 struct fetch;
 
 struct http_list {
@@ -57,6 +59,7 @@
     host->peer_port = read_int(item, "peer_port");
     host->admin_port = read_int(item, "admin_port");
     host->slots = read_int(item, "slots");
+    host->cold_usec = (int64_t)read_int(item, "cold_ms") * Ck_USEC_PER_MSEC;
     host->price = json_number_value(json_object_get(item, "price"));
     host->reclaimable = json_is_true(json_object_get(item, "reclaimable"));
     host->role = text_is(item, "role", "entry") ? HL_ENTRY : HL_ENDPOINT;
--- a/packages/platform/hostlist.h
+++ b/packages/platform/hostlist.h
@@ -38,6 +38,7 @@
     double price; /* per hour */
     bool reclaimable;
     int slots;
+    int64_t cold_usec; /* how much longer it is cold after its start */
 };
 
 struct hl_list;
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -64,10 +64,41 @@
 };
 
 static bool
-may_take(const struct ch_table *table, const struct ch_endpoint *endpoint,
+is_allowed(const struct ch_request *request,
+           const struct ch_endpoint *endpoint)
+{
+    return request->allowed == NULL ||
+           request->allowed(request->allowed_arg, &endpoint->info);
+}
+
+bool
+Ch_AnyAllowed(const struct ch_table *table, const struct ch_request *request)
+{
+    const struct ch_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
+        if (is_allowed(request, endpoint)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether others serve an endpoint that is cold, or may be, at the moment. */
+static bool
+is_left_to_others(const struct ch_table *table, struct ch_endpoint *endpoint,
+                  int64_t now)
+{
+    return table->cold_per_sec > 0 &&
+           !Wu_Serves(&endpoint->warmup, table->hosts, table->cold_per_sec,
+                      endpoint->id_hash, now);
+}
+
+static bool
+may_take(const struct ch_table *table, struct ch_endpoint *endpoint,
          struct filter *filter)
 {
-    if (endpoint->state == CH_LEAVING ||
+    if (!is_allowed(filter->request, endpoint) ||
+        endpoint->state == CH_LEAVING ||
         !Ch_Trusted(table, endpoint->info.version) ||
         was_tried(filter->request, endpoint)) {
         return false;
@@ -80,7 +111,15 @@
         (endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, filter->now))) {
         return false;
     }
-    if (!filter->shunned && endpoint->shunned_until > filter->now) {
+    if (!filter->shunned &&
+        (endpoint->shunned_until > filter->now ||
+         (Wu_IsDoubted(&endpoint->warmup, filter->now) &&
+          is_left_to_others(table, endpoint, filter->now)))) {
+        return false;
+    }
+    if (Wu_IsCold(&endpoint->warmup, filter->now) &&
+        is_left_to_others(table, endpoint, filter->now)) {
+        filter->full = true;
         return false;
     }
     if (endpoint->in_flight >= (int)endpoint->limit) {
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -17,6 +17,7 @@
 
 #include "base/random.h"
 #include "base/status.h"
+#include "policy/warmup.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -37,6 +38,7 @@
     char address[Ch_NAME_MAX];
     int port;
     char data_centre[Ch_NAME_MAX];
+    char region[Ch_NAME_MAX];
     char version[Ch_NAME_MAX];
     char host_class[Ch_NAME_MAX];
     double price; /* per hour */
@@ -64,11 +66,14 @@
 };
 
 struct ch_request {
-    uint64_t prefix;          /* hash of the prompt's head; 0: none */
-    int prompt_tokens;        /* 0 for a plain service */
-    int expected_tokens;      /* of the answer */
-    int64_t budget;           /* until the first token is of use; 0: none */
-    bool again;               /* an attempt before has failed */
+    uint64_t prefix;     /* hash of the prompt's head; 0: none */
+    int prompt_tokens;   /* 0 for a plain service */
+    int expected_tokens; /* of the answer */
+    int64_t budget;      /* until the first token is of use; 0: none */
+    bool again;          /* an attempt before has failed */
+    /* Whether the request may run there; NULL: anywhere. */
+    bool (*allowed)(const void *arg, const struct ch_info *info);
+    const void *allowed_arg;
     const char *const *tried; /* ids already tried */
     size_t tried_count;
 };
@@ -136,6 +141,16 @@
                          const struct ch_sample *sample);
 enum st_status Ch_SetShares(struct ch_table *table,
                             const struct ch_share *shares, size_t count);
+/*
+ * What endpoints bear while they are cold, 0: as much as others; and how long
+ * that lasts after a start.  "hosts" stays the caller's.
+ */
+void Ch_SetWarmup(struct ch_table *table, double per_sec, int64_t cold_usec,
+                  const struct wu_hosts *hosts);
+/* At "now" an endpoint was cold for so much longer; older words are dropped.
+ */
+void Ch_Cold(struct ch_table *table, const char *id, int64_t left,
+             int64_t now);
 enum st_status Ch_Distrust(struct ch_table *table, const char *version);
 
 /* Commands on a request. */
@@ -150,10 +165,14 @@
                          const struct ch_request *request, int64_t now,
                          struct rn_random *random, struct ch_flight *out);
 const struct ch_info *Ch_Info(const struct ch_endpoint *endpoint);
+/* Whether any endpoint of the table may run the request, busy or not. */
+bool Ch_AnyAllowed(const struct ch_table *table,
+                   const struct ch_request *request);
 enum ch_state Ch_State(const struct ch_endpoint *endpoint);
 int64_t Ch_TimeLeft(const struct ch_endpoint *endpoint, int64_t now);
 int Ch_InFlight(const struct ch_endpoint *endpoint);
 int Ch_Limit(const struct ch_endpoint *endpoint);
+bool Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Ejected(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Trusted(const struct ch_table *table, const char *version);
 struct ch_endpoint *Ch_Find(const struct ch_table *table, const char *id);
--- a/packages/policy/choose_flight.c
+++ b/packages/policy/choose_flight.c
@@ -166,6 +166,11 @@
     flight->started = now;
     flight->first_token = false;
     flight->endpoint->in_flight++;
+    if (table->cold_per_sec > 0) {
+        struct wu_part part =
+            Wu_Part(table->cold_per_sec, table->hosts->count + 1);
+        Wu_Sent(&flight->endpoint->warmup, &part, now);
+    }
     net_add(flight->endpoint, now, 1);
 }
 
@@ -344,6 +349,7 @@
     if (outcome == CH_UNREACHED) {
         endpoint->shunned_at = now;
         endpoint->shunned_until = now + SHUN_USEC;
+        Wu_Doubt(&endpoint->warmup, table->cold_usec, now);
         ch_judge(endpoint, CH_FAILED, now);
     }
     if (outcome == CH_GOOD || outcome == CH_FAILED) {
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -49,6 +49,8 @@
     int64_t shunned_at; /* no connection was had; a later report ends it */
     int64_t shunned_until;
     int64_t returned_at;
+    struct wu_warmup warmup;
+    int64_t cold_told_at;
 };
 
 TAILQ_HEAD(ch_list, ch_endpoint);
@@ -71,6 +73,9 @@
     uint64_t turn;          /* of round robin */
     double service;         /* mean time of a request at an endpoint */
     struct ch_window rate;  /* all ends, for the drain rate */
+    double cold_per_sec;    /* that a cold endpoint bears; 0: no limit */
+    int64_t cold_usec;
+    const struct wu_hosts *hosts;
 };
 
 double ch_load(const struct ch_endpoint *endpoint, int64_t now);
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -103,3 +103,10 @@
         out->per_sec = (rate.good + rate.last_good) * 1e6 / (double)span;
     }
 }
+
+/* Whether the endpoint says that it is still warming up. */
+bool
+Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now)
+{
+    return Wu_IsCold(&endpoint->warmup, now);
+}
--- a/packages/policy/choose_table.c
+++ b/packages/policy/choose_table.c
@@ -284,3 +284,22 @@
     table->distrusted_count++;
     return ST_OK;
 }
+
+void
+Ch_SetWarmup(struct ch_table *table, double per_sec, int64_t cold_usec,
+             const struct wu_hosts *hosts)
+{
+    table->cold_per_sec = hosts != NULL ? per_sec : 0;
+    table->cold_usec = cold_usec;
+    table->hosts = hosts;
+}
+
+void
+Ch_Cold(struct ch_table *table, const char *id, int64_t left, int64_t now)
+{
+    struct ch_endpoint *endpoint = Ch_Find(table, id);
+    if (endpoint != NULL && now >= endpoint->cold_told_at) {
+        endpoint->cold_told_at = now;
+        Wu_Told(&endpoint->warmup, left, now);
+    }
+}
--- a/packages/policy/warmup.c
+++ b/packages/policy/warmup.c
@@ -7,6 +7,8 @@
 
 /* Hosts hear of each other within this of their start. */
 #define SETTLE_USEC (4 * Ck_USEC_PER_SEC)
+/* Hosts come and go; who serves a cold endpoint is found anew this often. */
+#define CLAIM_USEC (500 * Ck_USEC_PER_MSEC)
 /* Cuts rarely last longer than this. */
 #define REMEMBER_USEC (60 * Ck_USEC_PER_SEC)
 /* An endpoint that bears less than this is as good as none. */
@@ -62,6 +64,30 @@
     return (part->hosts + 1) / 2;
 }
 
+static size_t
+count_before(const struct wu_hosts *hosts, uint64_t endpoint)
+{
+    uint64_t own = Wu_Claim(hosts->own, endpoint);
+    size_t before = 0;
+    for (size_t i = 0; i < hosts->count; i++) {
+        before += Wu_Claim(hosts->others[i], endpoint) > own;
+    }
+    return before;
+}
+
+bool
+Wu_Serves(struct wu_warmup *warmup, const struct wu_hosts *hosts,
+          double per_sec, uint64_t endpoint, int64_t now)
+{
+    if (warmup->claimed_at == 0 || now - warmup->claimed_at >= CLAIM_USEC) {
+        struct wu_part part = Wu_Part(per_sec, hosts->count + 1);
+        warmup->claimed_at = now;
+        warmup->claimed =
+            count_before(hosts, endpoint) < Wu_Places(&part, &hosts->view);
+    }
+    return Wu_MaySend(warmup, now);
+}
+
 bool
 Wu_IsCold(const struct wu_warmup *warmup, int64_t now)
 {
--- a/packages/policy/warmup.h
+++ b/packages/policy/warmup.h
@@ -49,6 +49,16 @@
     size_t known;     /* these and those only known of */
 };
 
+#define Wu_HOSTS_MAX 1024
+
+/* The hosts that a host knows, as the claims are counted. */
+struct wu_hosts {
+    uint64_t own;
+    size_t count; /* of the others */
+    uint64_t others[Wu_HOSTS_MAX];
+    struct wu_view view;
+};
+
 /*
  * The place in the order of claims before which a host must be to serve a
  * cold endpoint: none while it has yet to hear of the others; a part while it
@@ -56,6 +66,13 @@
  */
 size_t Wu_Places(const struct wu_part *part, const struct wu_view *view);
 
+/*
+ * Whether this host may send to a cold endpoint that bears "per_sec" now; who
+ * serves it is found anew now and then.
+ */
+bool Wu_Serves(struct wu_warmup *warmup, const struct wu_hosts *hosts,
+               double per_sec, uint64_t endpoint, int64_t now);
+
 /* Whether the endpoint says that it is cold; whether it may be. */
 bool Wu_IsCold(const struct wu_warmup *warmup, int64_t now);
 bool Wu_IsDoubted(const struct wu_warmup *warmup, int64_t now);
--- a/standins/endpoint.c
+++ b/standins/endpoint.c
@@ -8,6 +8,10 @@
 #include "base/clock.h"
 
 #define EXIT_RECLAIMED 3
+#define EXIT_COLD 4
+/* More than it bears, but for a burst, takes a cold endpoint down. */
+#define COLD_OVER 1.5
+#define COLD_SLACK 5
 
 /* A reclaimed host goes without a word to anyone. */
 static void
@@ -23,6 +27,7 @@
 {
     endpoint->options = *options;
     TAILQ_INIT(&endpoint->runs);
+    endpoint->cold_until = Ck_Now(Ck_System()) + options->cold_usec;
     endpoint->leave_timer =
         Lp_TimerCreate(Sv_Loop(endpoint->program), reclaimed, endpoint);
 }
@@ -50,6 +55,31 @@
     return strdup(value != NULL ? value : fallback);
 }
 
+int64_t
+Ep_ColdUsec(const struct ep_endpoint *endpoint)
+{
+    int64_t left = endpoint->cold_until - Ck_Now(Ck_System());
+    return left > 0 ? left : 0;
+}
+
+/* Goes down under more requests in a second than it bears while cold. */
+static void
+count_cold(struct ep_endpoint *endpoint)
+{
+    int most = endpoint->options.cold_per_sec;
+    int64_t now = Ck_Now(Ck_System());
+    if (most == 0 || Ep_ColdUsec(endpoint) == 0) {
+        return;
+    }
+    if (now - endpoint->cold_second >= Ck_USEC_PER_SEC) {
+        endpoint->cold_second = now;
+        endpoint->cold_count = 0;
+    }
+    if (++endpoint->cold_count > most * COLD_OVER + COLD_SLACK) {
+        _exit(EXIT_COLD);
+    }
+}
+
 /* Notes that a run begins; it gets a request id when it came without. */
 struct ep_run *
 Ep_Begin(struct ep_endpoint *endpoint, const struct hs_request *request)
@@ -59,6 +89,7 @@
         abort();
     }
     char id[Ep_NAME_MAX];
+    count_cold(endpoint);
     endpoint->run_count++;
     snprintf(id, sizeof(id), "endpoint-%d-%lld", Sv_Port(endpoint->program),
              (long long)endpoint->run_count);
@@ -158,6 +189,17 @@
     Sv_Reply(endpoint->program, request, 200, json_object());
 }
 
+static void
+turn_cold(struct ep_endpoint *endpoint, struct hs_request *request)
+{
+    json_t *body = Sv_BodyJson(request);
+    int64_t left = json_integer_value(json_object_get(body, "cold_ms")) *
+                   Ck_USEC_PER_MSEC;
+    json_decref(body);
+    endpoint->cold_until = Ck_Now(Ck_System()) + left;
+    Sv_Reply(endpoint->program, request, 200, json_object());
+}
+
 /* Serves the controls of tests; true when the request was one of them. */
 bool
 Ep_Control(struct ep_endpoint *endpoint, struct hs_request *request)
@@ -170,5 +212,9 @@
         leave(endpoint, request);
         return true;
     }
+    if (Sv_Is(request, "POST", "/standin/cold")) {
+        turn_cold(endpoint, request);
+        return true;
+    }
     return Sv_Control(endpoint->program, request);
 }
--- a/standins/endpoint.h
+++ b/standins/endpoint.h
@@ -28,6 +28,8 @@
     int64_t load_lag_usec; /* period of the load report */
     int64_t kv_usec;       /* export of one token */
     int64_t work_usec;     /* plain: time of a run */
+    int64_t cold_usec;     /* cold for so long after the start */
+    int cold_per_sec;      /* goes down above this while cold; 0: never */
 };
 
 /* One run, as the truth for tests.  Times as by Ck_Now(). */
@@ -56,6 +58,9 @@
     int64_t leaves_at;
     bool leaving;
     struct lp_timer *leave_timer;
+    int64_t cold_until;
+    int64_t cold_second; /* when the count below began */
+    int cold_count;
 };
 
 void Ep_Open(struct ep_endpoint *endpoint, const struct ep_options *options);
@@ -65,6 +70,8 @@
 void Ep_End(struct ep_endpoint *endpoint, struct ep_run *run,
             const char *outcome);
 int64_t Ep_LeftMsec(const struct ep_endpoint *endpoint);
+/* How much longer it is cold. */
+int64_t Ep_ColdUsec(const struct ep_endpoint *endpoint);
 bool Ep_Control(struct ep_endpoint *endpoint, struct hs_request *request);
 struct fl_fault Ep_Fault(struct ep_endpoint *endpoint, const char *target,
                          const struct hs_request *request);
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -26,6 +26,8 @@
     KEY_LOAD_LAG_MS,
     KEY_KV_US,
     KEY_WORK_US,
+    KEY_COLD_MS,
+    KEY_COLD_PER_SEC,
 };
 
 static const struct argp_option option_list[] = {
@@ -46,6 +48,9 @@
     {"event-lag-ms", KEY_EVENT_LAG_MS, "MS", 0, "lag of cache events", 0},
     {"load-lag-ms", KEY_LOAD_LAG_MS, "MS", 0, "period of load reports", 0},
     {"kv-us-per-token", KEY_KV_US, "US", 0, "time to move a cached token", 0},
+    {"cold-ms", KEY_COLD_MS, "MS", 0, "cold for so long after the start", 0},
+    {"cold-per-sec", KEY_COLD_PER_SEC, "N", 0,
+     "requests a second that it bears while cold; 0: all", 0},
     {"work-us", KEY_WORK_US, "US", 0, "plain: time of a run", 0},
     {0},
 };
@@ -81,6 +86,9 @@
     case KEY_WORK_US:
         options->work_usec = number(text);
         break;
+    case KEY_COLD_MS:
+        options->cold_usec = number(text) * Ck_USEC_PER_MSEC;
+        break;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -116,6 +124,9 @@
     case KEY_CACHE_BLOCKS:
         options->cache_blocks = (int)number(text);
         break;
+    case KEY_COLD_PER_SEC:
+        options->cold_per_sec = (int)number(text);
+        break;
     case KEY_EVENT_GAP:
         options->event_gap = (int)number(text);
         break;
--- a/standins/engine_report.c
+++ b/standins/engine_report.c
@@ -37,6 +37,9 @@
         "waiting", engine->waiting_count, "slots", options->slots,
         "tokens_per_s", idle ? 0.0 : engine->tokens_per_sec, "state",
         engine->endpoint->leaving ? "leaving" : "live");
+    json_object_set_new(
+        engine->load, "cold_ms",
+        json_integer(Ep_ColdUsec(engine->endpoint) / Ck_USEC_PER_MSEC));
     int64_t left = Ep_LeftMsec(engine->endpoint);
     if (left >= 0) {
         json_object_set_new(engine->load, "left_ms", json_integer(left));
--- a/test/cornelctl_test.cc
+++ b/test/cornelctl_test.cc
@@ -192,6 +192,31 @@
     EXPECT_FALSE(Has(again, "accepted")) << again.text;
 }
 
+// Guards against an evacuation that is taken for done though its data centre
+// does not exist, or that cannot be taken back.
+TEST_F(Cornelctl, EvacuatesADataCentreAndTakesItBack)
+{
+    StartDaemons({"--daemons=2"});
+    Prepare();
+    auto evacuate = [&](const std::string &words) {
+        return Ctl("evacuate " + words + " --admin " + Admin(1) + "," +
+                       Admin(2) + " --wait 10",
+                   kTeamKey);
+    };
+    Outcome wrong = evacuate("nowhere");
+    EXPECT_EQ(2, wrong.status);
+    EXPECT_TRUE(Has(wrong, "name one of tasmania-1, tasmania-2"))
+        << wrong.text;
+    Outcome done = evacuate("tasmania-2");
+    EXPECT_EQ(0, done.status) << done.text;
+    EXPECT_TRUE(Has(done, "in force on all 2 daemons")) << done.text;
+    EXPECT_TRUE(Has(done, "requests under way in tasmania-2")) << done.text;
+    EXPECT_TRUE(Has(evacuate("tasmania-2"), "unchanged"));
+    Outcome back = evacuate("tasmania-2 --back");
+    EXPECT_EQ(0, back.status) << back.text;
+    EXPECT_TRUE(Has(evacuate("tasmania-2 --back"), "unchanged"));
+}
+
 // An operator believes a change to be in force everywhere while one daemon
 // serves the old one.  That daemon cannot read the log; publish names it.
 TEST_F(Cornelctl, PublishNamesTheDaemonThatLags)
--- a/test/standins.cc
+++ b/test/standins.cc
@@ -183,6 +183,12 @@
     Post("/standin/leave", Json().Set("left_ms", left_ms));
 }
 
+void
+Endpoint::Cold(int cold_ms) const
+{
+    Post("/standin/cold", Json().Set("cold_ms", cold_ms));
+}
+
 Plain::Plain(std::vector<std::string> args)
     : Endpoint(PlainArgs(std::move(args)))
 {
--- a/test/standins.h
+++ b/test/standins.h
@@ -59,6 +59,8 @@
     Json Totals() const;
     long long RunsOfKey(const std::string &key) const;
     void Leave(int left_ms) const;
+    // Makes it cold again, without a restart.
+    void Cold(int cold_ms) const;
 };
 
 class Engine : public Endpoint {
--- a/test/streams_test.cc
+++ b/test/streams_test.cc
@@ -277,4 +277,104 @@
     EXPECT_NE("", result.Header("retry-after"));
 }
 
+// Guards against an engine that goes down since it is sent as much while it is
+// cold as when it is warm, by daemons that each find it idle.
+TEST_F(Streams, ColdEnginesGetWhatTheyBear)
+{
+    const int kCalls = 80;
+    const std::vector<std::string> args = {
+        "--token-us", "200", "--slots", "32", "--cold-per-sec", "4"};
+    scene.AddEngine(args);
+    scene.AddEngine(args);
+    scene.PublishDefaults(",\"cold_usec\":3000000,\"cold_per_sec\":4");
+    scene.cluster.AddMany(3);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    auto many = [&] {
+        std::vector<cg::HttpCall> calls;
+        for (int i = 0; i < kCalls; i++) {
+            calls.push_back(scene.Complete(
+                (size_t)i % 3, "warm " + std::to_string(i), 5, false));
+        }
+        int fine = 0;
+        for (const HttpResult &result : cg::HttpAll(calls)) {
+            fine += result.code == 200;
+        }
+        return fine;
+    };
+    EXPECT_EQ(kCalls, many());
+    // It is cold again without a restart, and a report says so.
+    scene.engines[0]->Cold(60000);
+    auto runs = [&] { return scene.engines[0]->Totals()["runs"].Int(); };
+    for (size_t daemon = 0; daemon < 3; daemon++) {
+        EXPECT_TRUE(cg::Eventually([&] {
+            std::string status =
+                scene.cluster.Status(daemon, "ops-key").Dump();
+            return status.find("\"cold\"") != std::string::npos;
+        })) << daemon;
+    }
+    long long before = runs();
+    for (int round = 0; round < 4; round++) {
+        many();
+    }
+    EXPECT_TRUE(scene.engines[0]->process().Running());
+    EXPECT_LT(runs() - before, kCalls);
+}
+
+const char kGone[] = ",\"evacuated\":true";
+
+// The platform section, with more fields of the two data centres.
+std::string
+Centres(const std::string &first, const std::string &second)
+{
+    return "{\"data_centres\":[{\"name\":\"dc-1\",\"region\":\"region-1\"" +
+           first + "},{\"name\":\"dc-2\",\"region\":\"region-1\"" + second +
+           "}],\"teams\":[{\"name\":\"ops\",\"role\":\"operator\","
+           "\"key_digest\":\"" +
+           cg::KeyDigest("ops-key") +
+           "\"},{\"name\":\"derwent\",\"role\":\"editor\",\"key_digest\":\"" +
+           cg::KeyDigest("derwent-key") + "\"}]}";
+}
+
+// Guards against new work in an evacuated data centre, and outside of the
+// regions that a service is bound to; the refusal is true.
+TEST_F(Streams, EvacuatedDataCentresAndOtherRegionsGetNothing)
+{
+    scene.AddEngine({"--token-us", "200"}, "v1", "dc-1");
+    scene.AddEngine({"--token-us", "200"}, "v1", "dc-2");
+    long long platform = scene.Publish("platform", Centres("", ""));
+    long long team = scene.Publish("team/derwent", cg::Scene::DefaultTeam(""));
+    scene.cluster.AddMany(1);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    auto runs_after = [&](size_t engine, int calls) {
+        long long before = scene.engines[engine]->Totals()["runs"].Int();
+        for (int i = 0; i < calls; i++) {
+            cg::Http(scene.Complete(0, "e " + std::to_string(i), 2, false));
+        }
+        return scene.engines[engine]->Totals()["runs"].Int() - before;
+    };
+    ASSERT_TRUE(cg::Eventually([&] { return runs_after(0, 4) > 0; }));
+    platform = scene.Publish("platform", Centres(kGone, ""), platform);
+    ASSERT_TRUE(cg::Eventually([&] { return runs_after(0, 4) == 0; }));
+    EXPECT_EQ(0, runs_after(0, 20));
+    EXPECT_EQ(10, runs_after(1, 10));
+    platform = scene.Publish("platform", Centres(kGone, kGone), platform);
+    HttpResult none;
+    ASSERT_TRUE(cg::Eventually([&] {
+        none = cg::Http(scene.Complete(0, "nowhere", 2, false));
+        return none.code == 503;
+    }));
+    EXPECT_EQ("not-run", none.Header("cornelgate-outcome"));
+    EXPECT_NE(std::string::npos, none.body.find("evacuated")) << none.body;
+    EXPECT_EQ(0, runs_after(0, 5) + runs_after(1, 5));
+    scene.Publish("platform", Centres("", ""), platform);
+    ASSERT_TRUE(cg::Eventually([&] { return runs_after(0, 4) > 0; }));
+    scene.Publish("team/derwent",
+                  cg::Scene::DefaultTeam(",\"regions\":[\"elsewhere\"]"),
+                  team);
+    ASSERT_TRUE(cg::Eventually([&] {
+        return cg::Http(scene.Complete(0, "nowhere", 2, false)).code == 503;
+    }));
+    EXPECT_EQ(0, runs_after(0, 5) + runs_after(1, 5));
+}
+
 } // namespace
