Streams on the platform: one that has begun waits for an endpoint

It goes on after 10 ms and longer, twelve times at the most and within its deadline; a request that has not begun is refused at once, as before.

Test: Platform.AStreamWaitsForAnEndpointThatIsCold; without the wait the third stream is cut.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -9,6 +9,7 @@
 #include "edge/health.h"
 #include "edge/versions.h"
 #include "edge/warming.h"
+#include "policy/retry.h"
 
 /* An endpoint with this part of its places in use reads at its own pace. */
 #define Xc_ALONE_PART 4
@@ -26,6 +27,11 @@
  * found out in a millisecond or two: Xc_TRIED_MAX alone limits those.
  */
 #define Xc_REFUSALS_MAX 2
+/* Tries of a stream that finds no endpoint: two seconds in all, as long as
+   callers put up with silence. */
+#define Xc_WAITS_MAX 12
+/* The first try is made at once, before the first wait. */
+#define Xc_WAIT_FIRST 2
 
 static void on_timer(void *arg);
 
@@ -310,6 +316,7 @@
     Px_Note(gate->prefixes, &exchange->ask, endpoint->hash, now);
     exchange->tried[exchange->tried_count++] = endpoint->hash;
     exchange->sends++;
+    exchange->waits = 0;
     exchange->silent_told = false;
     log_sent(exchange);
     Cn_Send(channel, head, head_len, body, body_len,
@@ -319,11 +326,32 @@
     return true;
 }
 
+/*
+ * A stream that has begun cannot be refused any more: where every endpoint is
+ * at its limit, or cold and left to others, it goes on a little later.
+ */
+static bool
+wait_for_endpoint(struct xc_exchange *exchange)
+{
+    int64_t gap = Rt_Gap(exchange->waits + Xc_WAIT_FIRST);
+    if (!exchange->began || exchange->waits >= Xc_WAITS_MAX ||
+        Ga_Now(exchange->gate) + gap >= exchange->deadline) {
+        return false;
+    }
+    exchange->waits++;
+    Mt_Add(exchange->gate->count.waits, 1);
+    Lp_TimerSet(exchange->timer, gap);
+    return true;
+}
+
 void
 Xc_Dispatch(struct xc_exchange *exchange)
 {
     struct xc_target target;
     enum pl_verdict verdict = Xc_Choose(exchange, &target);
+    if (verdict == PL_BUSY && wait_for_endpoint(exchange)) {
+        return;
+    }
     if (verdict != PL_CHOSEN) {
         Xc_Refuse(exchange, Xc_RefusalStatus(exchange),
                   verdict == PL_BUSY ? Xc_BUSY_RETRY_USEC : Xc_NONE_RETRY_USEC,
@@ -376,6 +404,10 @@
         on_deadline(exchange);
         return;
     }
+    if (attempt->endpoint == NULL && exchange->waits > 0) {
+        Xc_Dispatch(exchange);
+        return;
+    }
     exchange->silent_told = true;
     if (attempt->endpoint != NULL && attempt->head_at == 0 &&
         attempt->endpoint->answered_at < attempt->sent_at) {
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -49,6 +49,7 @@
     bool began; /* the caller has the head of an answer */
     bool may_have_run;
     bool silent_told;
+    int waits; /* in a row, for an endpoint that can go on with a stream */
     int sends;
     int delivered; /* of these, such that a byte of them may have arrived */
     int runs;      /* endpoints that did or may have run it */
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -374,6 +374,7 @@
         .refused = counter(gate, "cornelgate_refused_total"),
         .failed = counter(gate, "cornelgate_failed_total"),
         .repeats = counter(gate, "cornelgate_repeats_total"),
+        .waits = counter(gate, "cornelgate_stream_waits_total"),
         .opened = counter(gate, "cornelgate_connections_opened_total"),
         .first = Mt_Get(gate->registry, MT_HISTOGRAM,
                         "cornelgate_first_byte_usec", ""),
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -30,6 +30,7 @@
     struct mt_metric *refused;
     struct mt_metric *failed;
     struct mt_metric *repeats;
+    struct mt_metric *waits;  /* of streams for an endpoint */
     struct mt_metric *opened; /* connections to endpoints */
     struct mt_metric *first;  /* time to the first byte of an answer */
     struct mt_metric *whole;  /* time to the end of an answer */
