--- a/packages/config/test/build_test.cc
+++ b/packages/config/test/build_test.cc
@@ -74,6 +74,36 @@
     Cf_Destroy(config);
 }
 
+// Guards against an evacuation, a warm-up or a region that is not read, and
+// against a region that is taken for any other.
+TEST(Build, ReadsWhereRequestsMayRun)
+{
+    struct cf_config *config;
+    ASSERT_EQ(ST_OK, build(team(R"(,"cold_usec":3000000,"cold_per_sec":16,
+                                "regions":["tasmania","north"])"),
+                           &config))
+        << St_Message();
+    const struct cf_service *rink = Cf_ServiceByName(config, "rink");
+    EXPECT_EQ(3000000, rink->cold_usec);
+    EXPECT_EQ(16, rink->cold_per_sec);
+    EXPECT_TRUE(Cf_IsIn(&rink->regions, "tasmania"));
+    EXPECT_FALSE(Cf_IsIn(&rink->regions, "south"));
+    EXPECT_FALSE(Cf_IsIn(&rink->regions, ""));
+    const struct cf_service *office = Cf_ServiceByName(config, "office");
+    EXPECT_EQ(0, office->cold_per_sec);
+    EXPECT_TRUE(Cf_IsIn(&office->regions, "south"));
+    EXPECT_FALSE(Cf_IsEvacuated(config, "hobart"));
+    Cf_Destroy(config);
+    std::string gone = platform();
+    const std::string kRegion = "\"region\":\"tasmania\"";
+    gone.insert(gone.find(kRegion) + kRegion.size(), ",\"evacuated\":true");
+    struct cf_section section = {"platform", gone.c_str()};
+    ASSERT_EQ(ST_OK, Cf_Build(&section, 1, 8, &config)) << St_Message();
+    EXPECT_TRUE(Cf_IsEvacuated(config, "hobart"));
+    EXPECT_FALSE(Cf_IsEvacuated(config, "burnie"));
+    Cf_Destroy(config);
+}
+
 TEST(Build, LongestPrefixWins)
 {
     struct cf_config *config;
@@ -158,6 +188,18 @@
     {R"({"services":{"s":{"kind":"plain","prefix":"/a/","replicas_min":5,
         "replicas_max":3}}})",
      "at least replicas_min"},
+    {R"({"services":{"s":{"kind":"plain","prefix":"/a/",
+        "cold_per_sec":-1}}})",
+     "cold_per_sec is -1"},
+    {R"({"services":{"s":{"kind":"plain","prefix":"/a/",
+        "cold_usec":3600000000}}})",
+     "up to 60000000"},
+    {R"({"services":{"s":{"kind":"plain","prefix":"/a/","regions":[]}}})",
+     "names of regions"},
+    {R"({"services":{"s":{"kind":"plain","prefix":"/a/","regions":"n"}}})",
+     "names of regions"},
+    {R"({"customers":{"a":{"key_digest":"KEY","regions":[7]}}})",
+     "names of regions"},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, WrongSection, ::testing::ValuesIn(kWrong));
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -419,6 +419,43 @@
               Ch_Choose(t.table, &request, t.now, &t.random, &flight));
 }
 
+// Guards against a cold endpoint that is sent what a warm one bears, and
+// against a refusal where it may be sent to.
+TEST(Choose, AColdEndpointIsSentToNowAndThen)
+{
+    static struct wu_hosts hosts;
+    hosts.own = 1;
+    hosts.count = 0;
+    hosts.view = {100 * kSec, true, 1, 1};
+    Table t;
+    t.put("cold", "v1", "a", 1, 64);
+    Ch_SetWarmup(t.table, 4, 30 * kSec, &hosts);
+    Ch_Cold(t.table, "cold", 30 * kSec, t.now);
+    struct ch_flight flight;
+    int sent = 0;
+    for (int i = 0; i < 100; i++) {
+        t.now += kSec / 100;
+        if (t.choose(&flight) == ST_OK) {
+            Ch_Start(t.table, &flight, t.now);
+            Ch_End(t.table, &flight, CH_CANCELLED, t.now);
+            sent++;
+        }
+    }
+    EXPECT_GE(sent, 3);
+    EXPECT_LE(sent, 4);
+    EXPECT_EQ(ST_OVERLOAD, t.choose(&flight));
+    t.put("warm", "v1", "a", 1, 64);
+    for (int i = 0; i < 20; i++) {
+        ASSERT_EQ(ST_OK, t.choose(&flight));
+        EXPECT_STREQ("warm", Ch_Info(flight.endpoint)->id);
+    }
+    // An older word does not make it warm.
+    Ch_Cold(t.table, "cold", 0, t.now - 2 * kSec);
+    EXPECT_TRUE(Ch_IsCold(Ch_Find(t.table, "cold"), t.now));
+    t.now += 31 * kSec;
+    EXPECT_FALSE(Ch_IsCold(Ch_Find(t.table, "cold"), t.now));
+}
+
 /*
  * Whatever comes in whatever order, a leaving endpoint, one already tried or
  * a distrusted version gets no request, and no endpoint more than its limit.
