State between daemons: packs of many entries are deflated

At 300 hosts and 3,000 endpoints links of 10 Mbit/s are full: what one daemon has read of the store after a reclaim, a quarter of a megabyte of entries that differ by a few bytes, goes to each of the others. Packs above a kilobyte are deflated now, as the configuration was; one that is not is told by its first byte.

--- a/packages/edge/feed.h
+++ b/packages/edge/feed.h
@@ -81,6 +81,8 @@
 /* What has changed since, packed for a peer that has less. */
 size_t Fe_Pack(const struct fe_feed *feed, int64_t config_from,
                int64_t entries_from, char **out);
+/* Whether bytes look like a pack as it is, not deflated. */
+bool Fe_IsPack(const char *data, size_t len);
 void Fe_Unpack(struct fe_feed *feed, const char *data, size_t len);
 
 #ifdef __cplusplus
--- a/packages/edge/feed_pack.c
+++ b/packages/edge/feed_pack.c
@@ -7,6 +7,9 @@
 #include "edge/feed_internal.h"
 #include "edge/packed.h"
 
+/* The first byte of a msgpack array of eight; none of deflate's. */
+#define Fe_PACK_HEAD 0x98
+
 static size_t
 count_known(const struct follow *follow, int64_t from)
 {
@@ -165,6 +168,13 @@
     }
 }
 
+/* An array of eight, as Fe_Pack() begins. */
+bool
+Fe_IsPack(const char *data, size_t len)
+{
+    return len > 0 && (unsigned char)data[0] == Fe_PACK_HEAD;
+}
+
 /* Takes what a peer packed; bytes that make no sense are passed over. */
 void
 Fe_Unpack(struct fe_feed *feed, const char *data, size_t len)
--- a/packages/edge/peers_internal.h
+++ b/packages/edge/peers_internal.h
@@ -22,7 +22,6 @@
     int64_t fetch_moved_at; /* last bytes of it */
     struct bf_buffer answer;
     bool answer_cut; /* the answer is not whole */
-    bool fetch_config;
     int64_t
         config_wanted_at; /* since when a peer knows a newer one; 0: none */
     int answer_status;
--- a/packages/edge/peers_state.c
+++ b/packages/edge/peers_state.c
@@ -18,6 +18,7 @@
 #define Pe_FETCH_MOST_USEC (4 * Ck_USEC_PER_SEC)
 #define Pe_FETCH_EVERY_USEC (100 * Ck_USEC_PER_MSEC)
 #define Pe_STATE_MAX (16u << 20)
+#define Pe_PACKED_LEAST 1024
 /* With fewer hosts the store is quicker, and asked little. */
 #define Pe_MANY_HOSTS 32
 /* Packed it is a quarter of that, some milliseconds of a narrow link. */
@@ -55,6 +56,26 @@
     Sv_Reply(request, 200, "", packed->bytes.at, packed->bytes.len);
 }
 
+/*
+ * After a data centre was reclaimed a thousand entries differ by a few bytes
+ * each; what is small costs more to pack than to send.
+ */
+static void
+reply_entries(struct pe_peers *peers, struct sv_request *request, int64_t from)
+{
+    char *state;
+    size_t len = Fe_Pack(peers->gate->feed, Pe_NOT_ASKED, from, &state);
+    struct bf_buffer packed = {0};
+    if (len > Pe_PACKED_LEAST && Df_Pack(state, len, &packed)) {
+        Sv_Reply(request, 200, "", packed.at, packed.len);
+    }
+    else {
+        Sv_Reply(request, 200, "", state, len);
+    }
+    Bf_Free(&packed);
+    free(state);
+}
+
 static void
 serve(void *arg, struct sv_request *request)
 {
@@ -82,10 +103,7 @@
         reply_config(peers, request, from[0]);
         return;
     }
-    char *state;
-    size_t len = Fe_Pack(peers->gate->feed, from[0], from[1], &state);
-    Sv_Reply(request, 200, "", state, len);
-    free(state);
+    reply_entries(peers, request, from[1]);
 }
 
 static void
@@ -129,7 +147,7 @@
 }
 
 static void
-take_config(struct pe_peers *peers)
+take_packed(struct pe_peers *peers)
 {
     struct bf_buffer state = {0};
     if (Df_Unpack(peers->answer.at, peers->answer.len, Pe_STATE_MAX, &state)) {
@@ -148,8 +166,10 @@
     struct pe_peers *peers = arg;
     bool whole = outcome == CN_COMPLETE && peers->answer_status == 200 &&
                  !peers->answer_cut;
-    if (whole && peers->fetch_config) {
-        take_config(peers);
+    bool packed = peers->answer.len > 0 &&
+                  !Fe_IsPack(peers->answer.at, peers->answer.len);
+    if (whole && packed) {
+        take_packed(peers);
     }
     else if (whole) {
         Fe_Unpack(peers->gate->feed, peers->answer.at, peers->answer.len);
@@ -194,7 +214,6 @@
         with_config ? Pe_NOT_ASKED
                     : at_least_0(Fe_Changed(gate->feed, AG_ENDPOINTS)),
         address);
-    peers->fetch_config = with_config;
     Ln_Log(LN_STATE, "state.fetched",
            "\"peer\":\"%s\",\"config\":%lld,\"entries\":%lld", peer->name,
            (long long)peer->config_changed, (long long)peer->entries_changed);
