Words between daemons: counts by window are short; the widest links read first

Most of a word was the counts of three windows of each customer, 13 bytes a row of window number and hash; a row is four bytes now. And the daemons that read the store for all were the first by name: the heartbeats of 3,000 endpoints, some 700 kB a second, filled links of 10 Mbit/s and held up what they were read for. The widest links read first; equal ones by name, as before.

--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -218,7 +218,21 @@
 }
 
 /*
- * The first few daemons by name read, and whoever does not hear enough of
+ * Thousands of endpoints write hundreds of kilobytes a second of heartbeats:
+ * on a narrow link they would hold up what callers and other daemons send, so
+ * the hosts with the widest links read first.
+ */
+static bool
+reads_first(const struct nd_node *own, const struct ms_peer *peer)
+{
+    if (peer->link_mbps != own->link_mbps) {
+        return peer->link_mbps > own->link_mbps;
+    }
+    return strcmp(peer->name, own->name) < 0;
+}
+
+/*
+ * The first few daemons read, and whoever does not hear enough of
  * them.  Two may fail at once before anything is learned late.
  */
 static bool
@@ -231,7 +245,7 @@
         bool reads =
             topic == AG_CONFIG ? peer->reads_config : peer->reads_entries;
         readers += reads && !peer->stopping && is_close(gate, peer) &&
-                   strcmp(peer->name, gate->options.node->name) < 0;
+                   reads_first(gate->options.node, peer);
     }
     return readers >= Ga_READERS;
 }
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -53,6 +53,7 @@
     strlcpy(peer->name, word->name, sizeof(peer->name));
     strlcpy(peer->zone, word->zone, sizeof(peer->zone));
     peer->near = strcmp(word->zone, mesh->node->zone) == 0;
+    peer->link_mbps = word->link_mbps;
     peer->ready = word->ready;
     peer->stopping = word->stopping;
     peer->store_reached = word->store_reached;
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -76,6 +76,7 @@
     bool summary;
     uint64_t run;    /* of the process: differs at each start */
     int64_t up_usec; /* since that start */
+    int link_mbps;   /* of the sender's host; 0: not known */
     bool ready;
     bool stopping;
     bool store_reached;
@@ -112,6 +113,7 @@
     char zone[Nd_NAME_MAX];
     uint64_t hash; /* of the address */
     uint64_t run;
+    int link_mbps;
     bool near; /* in the same data centre */
     bool ready;
     bool stopping;
--- a/packages/edge/mesh_send.c
+++ b/packages/edge/mesh_send.c
@@ -42,6 +42,7 @@
     strlcpy(word.name, mesh->node->name, sizeof(word.name));
     strlcpy(word.ip, mesh->node->ip, sizeof(word.ip));
     strlcpy(word.zone, mesh->node->zone, sizeof(word.zone));
+    word.link_mbps = mesh->node->link_mbps;
     word.run = mesh->run;
     word.wall_usec = Ck_Wall(mesh->clock);
     mesh->ops->fill(mesh->arg, &word);
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,14 +8,15 @@
 #include "edge/packed.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
-#define Ms_FORMAT 6
+#define Ms_FORMAT 7
 #define Ms_MILLI 1000
-#define Ms_FIELDS 26
+#define Ms_FIELDS 27
 #define Ms_EVIDENCE_FIELDS 7
 #define Ms_STANDING_FIELDS 4
 #define Ms_RATE_FIELDS 6
 #define Ms_SPENT_FIELDS 3
 #define Ms_PAST_FIELDS 3
+#define Ms_COUNTED_FIELDS 3
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -25,6 +26,48 @@
     msgpack_pack_str_body(packer, text, len);
 }
 
+/* The row of a tenant; its hash where it has none. */
+static uint32_t
+short_tenant(const struct ms_word *word, uint32_t tenant)
+{
+    for (size_t i = 0; i < word->spent_count; i++) {
+        if (word->spent[i].tenant == tenant) {
+            return (uint32_t)i;
+        }
+    }
+    return tenant;
+}
+
+static uint32_t
+long_tenant(const struct ms_word *word, uint32_t tenant)
+{
+    return tenant < word->spent_count ? word->spent[tenant].tenant : tenant;
+}
+
+/*
+ * Written in full these rows were most of a word: three windows of each
+ * tenant, each with a number of the window and a hash.  Here stands the
+ * newest window, then how far each row's lies before it, and which row of
+ * "spent" its tenant has.
+ */
+static void
+pack_counted(msgpack_packer *packer, const struct ms_word *word)
+{
+    int64_t newest = 0;
+    for (size_t i = 0; i < word->counted_count; i++) {
+        int64_t window = word->counted[i].window;
+        newest = window > newest ? window : newest;
+    }
+    msgpack_pack_array(packer, 1 + word->counted_count * Ms_COUNTED_FIELDS);
+    msgpack_pack_int64(packer, newest);
+    for (size_t i = 0; i < word->counted_count; i++) {
+        const struct ms_counted *row = &word->counted[i];
+        msgpack_pack_int64(packer, newest - row->window);
+        msgpack_pack_uint32(packer, short_tenant(word, row->tenant));
+        msgpack_pack_uint32(packer, row->count);
+    }
+}
+
 static void
 pack_tables(msgpack_packer *packer, const struct ms_word *word)
 {
@@ -40,12 +83,7 @@
         msgpack_pack_uint64(packer, word->spent[i].total);
         msgpack_pack_uint64(packer, word->spent[i].asked);
     }
-    msgpack_pack_array(packer, word->counted_count * 3);
-    for (size_t i = 0; i < word->counted_count; i++) {
-        msgpack_pack_int64(packer, word->counted[i].window);
-        msgpack_pack_uint32(packer, word->counted[i].tenant);
-        msgpack_pack_uint32(packer, word->counted[i].count);
-    }
+    pack_counted(packer, word);
     msgpack_pack_array(packer, word->rate_count * Ms_RATE_FIELDS);
     for (size_t i = 0; i < word->rate_count; i++) {
         msgpack_pack_uint32(packer, word->rates[i].service);
@@ -126,6 +164,7 @@
     pack_text(&packer, word->zone);
     msgpack_pack_int(&packer, word->summary);
     pack_pasts(&packer, word);
+    msgpack_pack_int(&packer, word->link_mbps);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -153,6 +192,26 @@
     return rows < most ? rows : most;
 }
 
+/* The spent rows are there already. */
+static void
+get_counted(const msgpack_object *field, struct ms_word *out)
+{
+    if (field->type != MSGPACK_OBJECT_ARRAY || field->via.array.size == 0) {
+        return;
+    }
+    int64_t newest = get_number(&field->via.array.ptr[0]);
+    size_t rows = (field->via.array.size - 1) / Ms_COUNTED_FIELDS;
+    out->counted_count = rows < Ms_COUNTS_MAX ? rows : Ms_COUNTS_MAX;
+    for (size_t i = 0; i < out->counted_count; i++) {
+        const msgpack_object *row =
+            &field->via.array.ptr[1 + i * Ms_COUNTED_FIELDS];
+        out->counted[i].window = newest - get_number(&row[0]);
+        out->counted[i].tenant =
+            long_tenant(out, (uint32_t)get_number(&row[1]));
+        out->counted[i].count = (uint32_t)get_number(&row[2]);
+    }
+}
+
 static void
 get_tables(const msgpack_object *field, struct ms_word *out)
 {
@@ -171,13 +230,7 @@
         out->spent[i].total = (uint64_t)get_number(&row[1]);
         out->spent[i].asked = (uint64_t)get_number(&row[2]);
     }
-    out->counted_count = count_rows(&field[2], 3, Ms_COUNTS_MAX);
-    for (size_t i = 0; i < out->counted_count; i++) {
-        const msgpack_object *row = &field[2].via.array.ptr[i * 3];
-        out->counted[i].window = get_number(&row[0]);
-        out->counted[i].tenant = (uint32_t)get_number(&row[1]);
-        out->counted[i].count = (uint32_t)get_number(&row[2]);
-    }
+    get_counted(&field[2], out);
     out->rate_count = count_rows(&field[3], Ms_RATE_FIELDS, Ms_RATES_MAX);
     for (size_t i = 0; i < out->rate_count; i++) {
         const msgpack_object *row =
@@ -276,6 +329,7 @@
     get_moves(&field[21], out);
     out->summary = get_number(&field[24]) != 0;
     get_pasts(&field[25], out);
+    out->link_mbps = (int)get_number(&field[26]);
     return Pk_Text(&field[23], out->zone, sizeof(out->zone));
 }
 
--- a/packages/edge/node.c
+++ b/packages/edge/node.c
@@ -104,6 +104,7 @@
     out->max_fds = (int)read_number(file, "max_fds", 1024);
     out->memory_bytes =
         (int64_t)read_number(file, "memory_mb", 256) * Nd_BYTES_PER_MB;
+    out->link_mbps = (int)read_number(file, "link_mbps", 0);
     out->heartbeat_usec = read_msec(file, "heartbeat_ms", 1200);
     out->drain_usec = read_msec(file, "drain_ms", 2000);
     out->config_apply_usec = read_msec(file, "config_apply_ms", 2000);
--- a/packages/edge/node.h
+++ b/packages/edge/node.h
@@ -39,6 +39,7 @@
     bool first_start; /* the whole system starts for the first time */
     int max_fds;
     int64_t memory_bytes;
+    int link_mbps;          /* of this host; 0: not known */
     int64_t heartbeat_usec; /* of an endpoint's entry */
     int64_t drain_usec;
     int64_t config_apply_usec;
--- a/packages/edge/test/tables_test.cc
+++ b/packages/edge/test/tables_test.cc
@@ -172,4 +172,38 @@
     }
 }
 
+// Guards against words of which most is the numbers of windows and the hashes
+// of tenants, and against counts that end up with another tenant.
+TEST(Word, CountsOfThreeWindowsAreShort)
+{
+    static struct ms_word word;
+    static struct ms_word read;
+    memset(&word, 0, sizeof(word));
+    const uint32_t kUnknown = 3000000000u;
+    const size_t kTenants = 16;
+    static char bytes[16384];
+    word.run = 1;
+    for (uint32_t i = 0; i < kTenants; i++) {
+        word.spent[word.spent_count++] = {4000000000u + i, 1, 1};
+    }
+    size_t without = Ms_Encode(&word, bytes, sizeof(bytes));
+    for (int64_t window = 353445122; window > 353445119; window--) {
+        for (uint32_t i = 0; i < kTenants; i++) {
+            word.counted[word.counted_count++] = {window, 4000000000u + i,
+                                                  100 + i};
+        }
+    }
+    size_t len = Ms_Encode(&word, bytes, sizeof(bytes));
+    EXPECT_LE(len - without, word.counted_count * 4);
+    word.counted[word.counted_count++] = {353445120, kUnknown, 7};
+    len = Ms_Encode(&word, bytes, sizeof(bytes));
+    ASSERT_TRUE(Ms_Decode(bytes, len, &read));
+    ASSERT_EQ(word.counted_count, read.counted_count);
+    for (size_t i = 0; i < word.counted_count; i++) {
+        EXPECT_EQ(word.counted[i].window, read.counted[i].window);
+        EXPECT_EQ(word.counted[i].tenant, read.counted[i].tenant);
+        EXPECT_EQ(word.counted[i].count, read.counted[i].count);
+    }
+}
+
 } // namespace
