--- a/packages/edge/place.c
+++ b/packages/edge/place.c
@@ -36,8 +36,9 @@
  */
 #define Pl_SHORT_ASTRAY_COST 6000.0
 #define Pl_LONG_ASTRAY_COST 12000.0
-/* With fewer endpoints each kind would have too few to choose from. */
-#define Pl_LANES_LEAST 24
+/* With fewer endpoints each kind has too few to choose from: long prompts
+   meet each other while endpoints of the other kind stand idle. */
+#define Pl_LANES_LEAST 128
 /* Long prompts wait more patiently, so their endpoints are used more. */
 #define Pl_LONG_ROOM 0.8
 #define Pl_LANE_MIN 0.2
