--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -45,10 +45,9 @@
 }
 
 /*
- * Written in full these rows were most of a word: three windows of each
- * tenant, each with a number of the window and a hash.  Here stands the
- * newest window, then how far each row's lies before it, and which row of
- * "spent" its tenant has.
+ * Three windows of each tenant: the newest window, then for each row how far
+ * its own lies before that, and which row of "spent" its tenant has.  With a
+ * window's number and a tenant's hash in each they would be most of a word.
  */
 static void
 pack_counted(msgpack_packer *packer, const struct ms_word *word)
