--- a/standins/endpoint.c
+++ b/standins/endpoint.c
@@ -176,13 +176,20 @@
                        totals));
 }
 
-static void
-leave(struct ep_endpoint *endpoint, struct hs_request *request)
+/* A member of the body that is given in milliseconds, in microseconds. */
+static int64_t
+time_asked(struct hs_request *request, const char *name)
 {
     json_t *body = Sv_BodyJson(request);
-    int64_t left = json_integer_value(json_object_get(body, "left_ms")) *
-                   Ck_USEC_PER_MSEC;
+    int64_t msec = json_integer_value(json_object_get(body, name));
     json_decref(body);
+    return msec * Ck_USEC_PER_MSEC;
+}
+
+static void
+leave(struct ep_endpoint *endpoint, struct hs_request *request)
+{
+    int64_t left = time_asked(request, "left_ms");
     endpoint->leaving = true;
     endpoint->leaves_at = Ck_Now(Ck_System()) + left;
     Lp_TimerSet(endpoint->leave_timer, left);
@@ -192,11 +199,8 @@
 static void
 turn_cold(struct ep_endpoint *endpoint, struct hs_request *request)
 {
-    json_t *body = Sv_BodyJson(request);
-    int64_t left = json_integer_value(json_object_get(body, "cold_ms")) *
-                   Ck_USEC_PER_MSEC;
-    json_decref(body);
-    endpoint->cold_until = Ck_Now(Ck_System()) + left;
+    endpoint->cold_until =
+        Ck_Now(Ck_System()) + time_asked(request, "cold_ms");
     Sv_Reply(endpoint->program, request, 200, json_object());
 }
 
