--- a/packages/model/placing.c
+++ b/packages/model/placing.c
@@ -52,8 +52,15 @@
     size_t arrived;
     double long_share;
     int64_t now;
+    bool failed; /* without memory */
 };
 
+static void
+expect(struct model *model, int64_t at, enum happening kind, size_t index)
+{
+    model->failed |= !Ag_Add(model->agenda, at, kind, index);
+}
+
 static struct at_engine *
 at_of(struct model *model, size_t host, size_t engine)
 {
@@ -253,7 +260,7 @@
     int64_t usec = Me_BeginStep(engine->engine);
     engine->steps = usec > 0;
     if (usec > 0) {
-        Ag_Add(model->agenda, model->now + usec, MP_STEP, index);
+        expect(model, model->now + usec, MP_STEP, index);
     }
 }
 
@@ -301,8 +308,7 @@
     place(model, request);
     if (model->arrived < model->request_count) {
         double gap = -log(1 - Rn_Unit(&model->random)) / model->load->per_sec;
-        Ag_Add(model->agenda,
-               model->now + (int64_t)(gap * (double)Ck_USEC_PER_SEC),
+        expect(model, model->now + (int64_t)(gap * (double)Ck_USEC_PER_SEC),
                MP_ARRIVAL, 0);
     }
 }
@@ -319,8 +325,7 @@
         at->told_reading = at->reading;
     }
     if (model->arrived < model->request_count) {
-        Ag_Add(model->agenda, model->now + model->load->word_usec, MP_WORD,
-               host);
+        expect(model, model->now + model->load->word_usec, MP_WORD, host);
     }
 }
 
@@ -372,20 +377,11 @@
 }
 
 static bool
-set_up(struct model *model)
+create_engines(struct model *model)
 {
     const struct mp_load *load = model->load;
-    model->request_count = (size_t)(load->per_sec * load->seconds);
-    model->agenda = Ag_Create();
     model->engines = calloc(load->engines, sizeof(*model->engines));
-    model->at = calloc(load->hosts * load->engines, sizeof(*model->at));
-    model->prefixes = calloc(load->hosts, sizeof(*model->prefixes));
-    model->requests = calloc(model->request_count, sizeof(*model->requests));
-    if (model->agenda == NULL || model->engines == NULL || model->at == NULL ||
-        model->prefixes == NULL || model->requests == NULL) {
-        return false;
-    }
-    for (size_t i = 0; i < load->engines; i++) {
+    for (size_t i = 0; model->engines != NULL && i < load->engines; i++) {
         struct engine *engine = &model->engines[i];
         engine->model = model;
         engine->engine = Me_Create(&load->speed, &engine_ops, engine);
@@ -393,17 +389,44 @@
             return false;
         }
     }
+    return model->engines != NULL;
+}
+
+/* Hosts say their first words at drawn moments. */
+static bool
+create_hosts(struct model *model)
+{
+    const struct mp_load *load = model->load;
+    model->at = calloc(load->hosts * load->engines, sizeof(*model->at));
+    model->prefixes = calloc(load->hosts, sizeof(*model->prefixes));
+    if (model->at == NULL || model->prefixes == NULL) {
+        return false;
+    }
     for (size_t i = 0; i < load->hosts; i++) {
+        double draw = Rn_Unit(&model->random);
         model->prefixes[i] = Px_Create();
-        int64_t first =
-            (int64_t)(Rn_Unit(&model->random) * (double)load->word_usec);
-        if (model->prefixes[i] == NULL ||
-            !Ag_Add(model->agenda, first, MP_WORD, i)) {
+        if (model->prefixes[i] == NULL) {
             return false;
         }
+        expect(model, (int64_t)(draw * (double)load->word_usec), MP_WORD, i);
+    }
+    return true;
+}
+
+static bool
+set_up(struct model *model)
+{
+    const struct mp_load *load = model->load;
+    model->request_count = (size_t)(load->per_sec * load->seconds);
+    model->requests = calloc(model->request_count, sizeof(*model->requests));
+    model->agenda = Ag_Create();
+    if (model->requests == NULL || model->agenda == NULL ||
+        !create_engines(model) || !create_hosts(model)) {
+        return false;
     }
     model->long_share = find_long_share(model);
-    return Ag_Add(model->agenda, 0, MP_ARRIVAL, 0);
+    expect(model, 0, MP_ARRIVAL, 0);
+    return true;
 }
 
 static void
@@ -424,20 +447,30 @@
     free(model->requests);
 }
 
+static bool
+is_playable(const struct mp_load *load)
+{
+    return load->hosts > 0 && load->data_centres > 0 && load->engines > 0 &&
+           load->engines <= Mp_ENGINES_MAX && load->kind_count > 0 &&
+           load->kind_count <= Mp_KINDS_MAX &&
+           load->per_sec * load->seconds >= 1;
+}
+
 bool
 Mp_Run(const struct mp_load *load, const struct mp_ways *ways, uint64_t seed,
        struct mp_result *out)
 {
     struct model model = {.load = load, .ways = ways};
     memset(out, 0, sizeof(*out));
-    if (load->engines > Mp_ENGINES_MAX) {
+    if (!is_playable(load)) {
         return false;
     }
     Rn_Seed(&model.random, seed);
     bool fine = set_up(&model);
     if (fine) {
         play(&model);
-        fine = mp_judge(load, model.requests, model.request_count, out);
+        fine = !model.failed &&
+               mp_judge(load, model.requests, model.request_count, out);
     }
     tear_down(&model);
     return fine;
--- a/packages/model/placing.h
+++ b/packages/model/placing.h
@@ -78,7 +78,7 @@
     double shared_read; /* part of the shared tokens read again */
 };
 
-/* False without memory. */
+/* False without memory, or when the load has nothing to play. */
 bool Mp_Run(const struct mp_load *load, const struct mp_ways *ways,
             uint64_t seed, struct mp_result *out);
 
--- a/packages/model/test/placing_test.cc
+++ b/packages/model/test/placing_test.cc
@@ -88,12 +88,15 @@
     EXPECT_GT(Play(load, kDecided).figure, Play(load, kAllLook).figure);
 }
 
-TEST(Placing, TooManyEndpointsAreNotPlayed)
+TEST(Placing, ALoadOfNothingOrTooMuchIsNotPlayed)
 {
-    mp_load load = ShortAmongLong(2, 2, 10);
-    load.engines = 100000;
     mp_result result;
-    EXPECT_FALSE(Mp_Run(&load, &kDecided, 1, &result));
+    mp_load many = ShortAmongLong(2, 100000, 10);
+    EXPECT_FALSE(Mp_Run(&many, &kDecided, 1, &result));
+    mp_load none = ShortAmongLong(2, 2, 0);
+    EXPECT_FALSE(Mp_Run(&none, &kDecided, 1, &result));
+    mp_load nobody = ShortAmongLong(0, 2, 10);
+    EXPECT_FALSE(Mp_Run(&nobody, &kDecided, 1, &result));
 }
 
 } // namespace
