Cold endpoints: one order of claims for both daemons

cornelgate counted the claims before its own and renewed them by a rule of its own beside the one of policy/warmup; it lists its hosts now and asks there. The choice passes its moment on instead of reading the clock for each candidate. Decisions are unchanged.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -304,7 +304,7 @@
                      running * Xc_ALONE_PART <= endpoint->entry.slots;
     endpoint->running++;
     endpoint->reading += attempt->reading;
-    Wa_Sent(gate, endpoint, exchange->service);
+    Wa_Sent(gate, endpoint, exchange->service, now);
     /*
      * Once for a request: while endpoints crash each is sent several times,
      * and endpoints would be ordered for a load several times as large.
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -62,7 +62,8 @@
          struct fl_endpoint *endpoint)
 {
     const struct ga_gate *gate = exchange->gate;
-    enum wa_state warming = Wa_State(gate, endpoint, exchange->service);
+    enum wa_state warming =
+        Wa_State(gate, endpoint, exchange->service, scene->now);
     uint64_t both[2] = {scene->group, endpoint->hash};
     uint64_t lot[2] = {scene->request, endpoint->hash};
     struct px_missing missing =
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -23,6 +23,7 @@
 #include "edge/duty.h"
 #include "edge/node.h"
 #include "edge/rollout.h"
+#include "policy/warmup.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -178,14 +179,11 @@
  * the start also those that are only known of.
  */
 size_t Ms_CountExpected(const struct ms_mesh *mesh);
-/*
- * Whether this daemon is one of the first "most" by their claims on a key, of
- * all that were heard, or only known of, in the last minute.
- */
-bool Ms_IsFirst(const struct ms_mesh *mesh, uint64_t key, size_t most);
-/* All of these, this one included, and of these the heard ones. */
+/* All that were heard, or only known of, in the last minute, and this one. */
 size_t Ms_CountAll(const struct ms_mesh *mesh);
-size_t Ms_CountEverHeard(const struct ms_mesh *mesh);
+/* These, for their claims on cold endpoints; the caller knows its own start.
+ */
+void Ms_ListHosts(const struct ms_mesh *mesh, struct wu_hosts *out);
 /* Whether a daemon that is alive started less than "usec" ago. */
 bool Ms_AnyYounger(const struct ms_mesh *mesh, int64_t usec);
 /* Position of this daemon among those alive, by name. */
--- a/packages/edge/mesh_query.c
+++ b/packages/edge/mesh_query.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "edge/mesh_internal.h"
-#include "policy/warmup.h"
 
 /* A peer that is not heard for this long is not counted on. */
 #define Ms_ALIVE_USEC (1500 * Ck_USEC_PER_MSEC)
@@ -101,27 +100,20 @@
     return mesh->count + 1;
 }
 
-size_t
-Ms_CountEverHeard(const struct ms_mesh *mesh)
+void
+Ms_ListHosts(const struct ms_mesh *mesh, struct wu_hosts *out)
 {
-    size_t count = 1;
+    out->own = mesh->hash;
+    out->count = 0;
+    out->view.heard = 1;
+    out->view.known = Ms_CountAll(mesh);
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, &mesh->peers, link) {
-        count += peer->heard_at != 0;
-    }
-    return count;
-}
-
-bool
-Ms_IsFirst(const struct ms_mesh *mesh, uint64_t key, size_t most)
-{
-    uint64_t own = Wu_Claim(mesh->hash, key);
-    size_t before = 0;
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, &mesh->peers, link) {
-        before += Wu_Claim(peer->hash, key) > own;
+        if (out->count < Wu_HOSTS_MAX) {
+            out->others[out->count++] = peer->hash;
+        }
+        out->view.heard += peer->heard_at != 0;
     }
-    return before < most;
 }
 
 bool
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -319,10 +319,10 @@
 static void
 note_broke(struct xc_exchange *exchange)
 {
-    struct ga_gate *gate = exchange->gate;
     struct fl_endpoint *endpoint = exchange->attempt.endpoint;
-    He_Note(endpoint, HE_BROKE, Ga_Now(gate));
-    Wa_Broke(gate, endpoint, exchange->service);
+    int64_t now = Ga_Now(exchange->gate);
+    He_Note(endpoint, HE_BROKE, now);
+    Wa_Broke(endpoint, exchange->service, now);
 }
 
 static void
--- a/packages/edge/warming.h
+++ b/packages/edge/warming.h
@@ -15,11 +15,11 @@
 
 enum wa_state Wa_State(const struct ga_gate *gate,
                        struct fl_endpoint *endpoint,
-                       const struct ec_service *service);
+                       const struct ec_service *service, int64_t now);
 void Wa_Sent(const struct ga_gate *gate, struct fl_endpoint *endpoint,
-             const struct ec_service *service);
+             const struct ec_service *service, int64_t now);
 /* It broke off: it may have started again. */
-void Wa_Broke(const struct ga_gate *gate, struct fl_endpoint *endpoint,
-              const struct ec_service *service);
+void Wa_Broke(struct fl_endpoint *endpoint, const struct ec_service *service,
+              int64_t now);
 
 #endif
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -88,9 +88,15 @@
 is_left_to_others(const struct ch_table *table, struct ch_endpoint *endpoint,
                   int64_t now)
 {
-    return table->cold_per_sec > 0 &&
-           !Wu_Serves(&endpoint->warmup, table->hosts, table->cold_per_sec,
+    struct wu_warmup *warmup = &endpoint->warmup;
+    if (table->cold_per_sec <= 0) {
+        return false;
+    }
+    if (Wu_ClaimIsOld(warmup, now)) {
+        Wu_RenewClaim(warmup, table->hosts, table->cold_per_sec,
                       endpoint->id_hash, now);
+    }
+    return !Wu_MaySend(warmup, now);
 }
 
 static bool
--- a/packages/policy/warmup.c
+++ b/packages/policy/warmup.c
@@ -76,16 +76,19 @@
 }
 
 bool
-Wu_Serves(struct wu_warmup *warmup, const struct wu_hosts *hosts,
-          double per_sec, uint64_t endpoint, int64_t now)
+Wu_ClaimIsOld(const struct wu_warmup *warmup, int64_t now)
 {
-    if (warmup->claimed_at == 0 || now - warmup->claimed_at >= CLAIM_USEC) {
-        struct wu_part part = Wu_Part(per_sec, hosts->count + 1);
-        warmup->claimed_at = now;
-        warmup->claimed =
-            count_before(hosts, endpoint) < Wu_Places(&part, &hosts->view);
-    }
-    return Wu_MaySend(warmup, now);
+    return warmup->claimed_at == 0 || now - warmup->claimed_at >= CLAIM_USEC;
+}
+
+void
+Wu_RenewClaim(struct wu_warmup *warmup, const struct wu_hosts *hosts,
+              double per_sec, uint64_t endpoint, int64_t now)
+{
+    struct wu_part part = Wu_Part(per_sec, hosts->count + 1);
+    warmup->claimed_at = now;
+    warmup->claimed =
+        count_before(hosts, endpoint) < Wu_Places(&part, &hosts->view);
 }
 
 bool
--- a/packages/policy/warmup.h
+++ b/packages/policy/warmup.h
@@ -67,11 +67,12 @@
 size_t Wu_Places(const struct wu_part *part, const struct wu_view *view);
 
 /*
- * Whether this host may send to a cold endpoint that bears "per_sec" now; who
- * serves it is found anew now and then.
+ * Finds anew whether this host is one of those that serve an endpoint that
+ * bears "per_sec"; due now and then, as hosts come and go.
  */
-bool Wu_Serves(struct wu_warmup *warmup, const struct wu_hosts *hosts,
-               double per_sec, uint64_t endpoint, int64_t now);
+bool Wu_ClaimIsOld(const struct wu_warmup *warmup, int64_t now);
+void Wu_RenewClaim(struct wu_warmup *warmup, const struct wu_hosts *hosts,
+                   double per_sec, uint64_t endpoint, int64_t now);
 
 /* Whether the endpoint says that it is cold; whether it may be. */
 bool Wu_IsCold(const struct wu_warmup *warmup, int64_t now);
