--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -344,18 +344,6 @@
            !endpoint->evacuated;
 }
 
-size_t
-Fl_CountUsable(const struct fl_fleet *fleet, const char *service)
-{
-    size_t count = 0;
-    const struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, &fleet->endpoints, link) {
-        count += Fl_Usable(endpoint) &&
-                 strcmp(endpoint->entry.service, service) == 0;
-    }
-    return count;
-}
-
 bool
 Fl_Any(const struct fl_fleet *fleet)
 {
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -114,7 +114,6 @@
 struct fl_endpoint *Fl_ByHash(const struct fl_fleet *fleet, uint32_t hash);
 struct fl_endpoint *Fl_Find(const struct fl_fleet *fleet, const char *id);
 bool Fl_Usable(const struct fl_endpoint *endpoint);
-size_t Fl_CountUsable(const struct fl_fleet *fleet, const char *service);
 bool Fl_Any(const struct fl_fleet *fleet);
 bool Fl_IsEvacuated(const struct fl_fleet *fleet, const char *zone);
 /* Requests under way in evacuated data centres. */
--- a/packages/edge/test/fleet_test.cc
+++ b/packages/edge/test/fleet_test.cc
@@ -43,6 +43,17 @@
         return endpoint != nullptr && Fl_Usable(endpoint);
     }
 
+    size_t
+    CountUsable(const std::string &service)
+    {
+        size_t count = 0;
+        const struct fl_endpoint *endpoint;
+        TAILQ_FOREACH (endpoint, Fl_All(fleet_), link) {
+            count += Fl_Usable(endpoint) && service == endpoint->entry.service;
+        }
+        return count;
+    }
+
     FakeClock clock_;
     struct fl_fleet *fleet_;
 };
@@ -139,7 +150,7 @@
     snprintf(late.zone, sizeof(late.zone), "east");
     Fl_Apply(fleet_, &late);
     EXPECT_FALSE(Usable("late"));
-    EXPECT_EQ(Fl_CountUsable(fleet_, "llm"), 1u);
+    EXPECT_EQ(CountUsable("llm"), 1u);
     Fl_Find(fleet_, "a")->running = 3;
     EXPECT_EQ(Fl_CountEvacuated(fleet_), 3);
     EXPECT_TRUE(Fl_Evacuate(fleet_, "east", false));
