Model: lanes found once, one beginning for all loads

The part of long prompts and each engine's lane were found for every request; a prompt was summed twice.

--- a/packages/model/engine.c
+++ b/packages/model/engine.c
@@ -132,7 +132,6 @@
     uint64_t chain = 0;
     bool all_kept = true;
     job->missed = 0;
-    job->context = 0;
     for (size_t i = 0; i < job->part_count; i++) {
         chain = extend(chain, job->parts[i]);
         struct kept *kept = all_kept ? find(engine, chain) : NULL;
@@ -143,7 +142,6 @@
         else {
             job->missed += job->part_tokens[i];
         }
-        job->context += job->part_tokens[i];
     }
     /* The last token is always read, to answer from. */
     job->unread = job->missed > 0 ? job->missed : 1;
@@ -173,8 +171,9 @@
     struct me_job *job;
     while ((job = TAILQ_FIRST(&engine->waiting)) != NULL &&
            engine->running_count < engine->speed.places) {
-        bool fits = engine->context + prompt_tokens(job) <=
-                    engine->speed.memory_tokens;
+        job->context = prompt_tokens(job);
+        bool fits =
+            engine->context + job->context <= engine->speed.memory_tokens;
         if (!fits && engine->running_count > 0) {
             return;
         }
--- a/packages/model/placing.c
+++ b/packages/model/placing.c
@@ -16,6 +16,8 @@
 #define Mp_FILL 1.25 /* requests an engine is given, of its places */
 /* Lanes are asked for as if there were this many endpoints. */
 #define Mp_MANY_ENDPOINTS 128
+/* Requests that the part of long prompts is found from. */
+#define Mp_SAMPLE 2000
 
 enum happening {
     MP_ARRIVAL,
@@ -35,6 +37,7 @@
     struct model *model;
     struct me_engine *engine;
     bool steps;
+    bool long_lane;
     int told_running; /* by all hosts */
     int64_t told_reading;
 };
@@ -50,7 +53,7 @@
     struct mp_request *requests;
     size_t request_count;
     size_t arrived;
-    double long_share;
+    double long_part; /* of the engines, that long prompts have alone */
     int64_t now;
     bool failed; /* without memory */
 };
@@ -148,9 +151,8 @@
 }
 
 static void
-draw_request(struct model *model, size_t number)
+draw_request(struct model *model, size_t number, struct mp_request *request)
 {
-    struct mp_request *request = &model->requests[number];
     request->kind = draw_kind(model);
     request->host = Rn_Below(&model->random, (uint32_t)model->load->hosts);
     request->first_msec = -1;
@@ -199,28 +201,6 @@
     return (double)told > read ? told - (int64_t)read : 0;
 }
 
-static bool
-is_in_lane(size_t engine, double part)
-{
-    uint64_t name[2] = {engine, 0};
-    return (double)Hash_Bytes(name, sizeof(name), 1) <
-           part * (double)UINT64_MAX;
-}
-
-/* The part of the endpoints that long prompts have to themselves. */
-static double
-long_part(const struct model *model)
-{
-    switch (model->ways->lanes) {
-    case MP_AS_DECIDED:
-        return Pl_LongPart(model->load->engines, model->long_share);
-    case MP_ALWAYS:
-        return Pl_LongPart(Mp_MANY_ENDPOINTS, model->long_share);
-    default:
-        return 0;
-    }
-}
-
 static void
 describe(struct model *model, const struct mp_request *request,
          const struct ak_ask *ask, struct pl_candidate *candidates)
@@ -229,7 +209,6 @@
     uint64_t own_id = ask->parts[ask->part_count - 1].id;
     uint64_t group = Px_Group(ask);
     group = group == 0 || model->ways->no_homes ? own_id : group;
-    double lane = long_part(model);
     for (size_t i = 0; i < load->engines; i++) {
         const struct engine *engine = &model->engines[i];
         const struct at_engine *at = at_of(model, request->host, i);
@@ -248,7 +227,7 @@
             .draw = Hash_Bytes(home, sizeof(home), 0),
             .lot =
                 (double)Hash_Bytes(lot, sizeof(lot), 0) / (double)UINT64_MAX,
-            .long_lane = is_in_lane(i, lane),
+            .long_lane = engine->long_lane,
         };
     }
 }
@@ -277,7 +256,7 @@
     struct pl_limits limits = {
         .engine = true,
         .fill = Mp_FILL,
-        .lanes = long_part(model) > 0,
+        .lanes = model->long_part > 0,
         .is_long = Pl_IsLong(request->prompt),
         .drawn_part =
             model->ways->all_look ? 1 : Pl_DrawnPart(load->engines, unheard),
@@ -303,7 +282,7 @@
 on_arrival(struct model *model)
 {
     struct mp_request *request = &model->requests[model->arrived];
-    draw_request(model, model->arrived++);
+    draw_request(model, model->arrived++, request);
     request->arrived_at = model->now;
     place(model, request);
     if (model->arrived < model->request_count) {
@@ -360,22 +339,44 @@
 static double
 find_long_share(struct model *model)
 {
-    const size_t sample = 2000;
     double all = 0;
     double in_long = 0;
-    for (size_t i = 0; i < sample; i++) {
+    for (size_t i = 0; i < Mp_SAMPLE; i++) {
         struct mp_request request = {0};
-        model->requests[0] = request;
-        draw_request(model, 0);
-        all += (double)model->requests[0].prompt;
-        in_long += Pl_IsLong(model->requests[0].prompt)
-                       ? (double)model->requests[0].prompt
-                       : 0;
+        draw_request(model, 0, &request);
+        double prompt = (double)request.prompt;
+        all += prompt;
+        in_long += Pl_IsLong(request.prompt) ? prompt : 0;
     }
-    memset(&model->requests[0], 0, sizeof(model->requests[0]));
     return in_long / all;
 }
 
+static double
+find_long_part(struct model *model)
+{
+    double share = find_long_share(model);
+    switch (model->ways->lanes) {
+    case MP_AS_DECIDED:
+        return Pl_LongPart(model->load->engines, share);
+    case MP_ALWAYS:
+        return Pl_LongPart(Mp_MANY_ENDPOINTS, share);
+    default:
+        return 0;
+    }
+}
+
+static void
+set_lanes(struct model *model)
+{
+    model->long_part = find_long_part(model);
+    for (size_t i = 0; i < model->load->engines; i++) {
+        uint64_t name[2] = {i, 0};
+        model->engines[i].long_lane =
+            (double)Hash_Bytes(name, sizeof(name), 1) <
+            model->long_part * (double)UINT64_MAX;
+    }
+}
+
 static bool
 create_engines(struct model *model)
 {
@@ -424,7 +425,7 @@
         !create_engines(model) || !create_hosts(model)) {
         return false;
     }
-    model->long_share = find_long_share(model);
+    set_lanes(model);
     expect(model, 0, MP_ARRIVAL, 0);
     return true;
 }
--- a/packages/model/placing_judge.c
+++ b/packages/model/placing_judge.c
@@ -86,6 +86,16 @@
     }
 }
 
+/* The part of its worth that a request brought its caller. */
+static double
+part_had(const struct mp_kind *kind, const struct mp_request *request)
+{
+    if (request->first_msec < 0) {
+        return 0;
+    }
+    return request->first_msec <= kind->aim_msec ? 1 : Mp_LATE_WORTH;
+}
+
 static struct judged
 judge_one(const struct mp_load *load, const struct mp_request *request,
           double mean)
@@ -94,15 +104,11 @@
     double size = size_of(request);
     double times = Mp_FIXED_WORTH + Mp_SIZE_WORTH * size / mean;
     double most = kind->worth * (times > Mp_WORTH_MAX ? Mp_WORTH_MAX : times);
-    double had = request->first_msec < 0 ? 0
-                 : request->first_msec <= kind->aim_msec
-                     ? most
-                     : most * Mp_LATE_WORTH;
     return (struct judged){
         .kind = request->kind,
         .second = (size_t)(request->arrived_at / Ck_USEC_PER_SEC),
         .size = size,
-        .worth = {had, most},
+        .worth = {most * part_had(kind, request), most},
     };
 }
 
--- a/packages/model/test/loads.h
+++ b/packages/model/test/loads.h
@@ -28,9 +28,9 @@
     .attention_usec = 367,
 };
 
-// Many short questions beside few long prompts, some of them very long.
+// What the loads have in common; the kinds are to be filled in.
 inline mp_load
-ShortAmongLong(size_t hosts, size_t engines, double per_sec)
+ThreeKinds(const me_speed &speed, size_t hosts, size_t engines, double per_sec)
 {
     mp_load load = {};
     load.hosts = hosts;
@@ -39,8 +39,16 @@
     load.per_sec = per_sec;
     load.seconds = 20;
     load.word_usec = 400000;
-    load.speed = kFastEngine;
+    load.speed = speed;
     load.kind_count = 3;
+    return load;
+}
+
+// Many short questions beside few long prompts, some of them very long.
+inline mp_load
+ShortAmongLong(size_t hosts, size_t engines, double per_sec)
+{
+    mp_load load = ThreeKinds(kFastEngine, hosts, engines, per_sec);
     load.kinds[0] = {"digest",
                      62,
                      {6610, 1.4, 54600},
@@ -69,15 +77,7 @@
 inline mp_load
 LongAndShared(size_t hosts, size_t engines, double per_sec)
 {
-    mp_load load = {};
-    load.hosts = hosts;
-    load.engines = engines;
-    load.data_centres = 4;
-    load.per_sec = per_sec;
-    load.seconds = 20;
-    load.word_usec = 400000;
-    load.speed = kSlowEngine;
-    load.kind_count = 3;
+    mp_load load = ThreeKinds(kSlowEngine, hosts, engines, per_sec);
     load.kinds[0] = {"review",
                      138,
                      {3720, 1.1, 53200},
