--- a/test/profile_test.cc
+++ b/test/profile_test.cc
@@ -2,11 +2,11 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include <array>
-#include <cstdio>
 #include <fstream>
 #include <string>
 
+#include "test/process.h"
+
 namespace {
 
 // A line as a host writes it.
@@ -49,17 +49,10 @@
     Of(const std::string &lines)
     {
         std::ofstream(path_) << lines;
-        std::string command =
-            std::string(CG_SOURCE_DIR) + "/tools/profile " + path_;
-        FILE *pipe = popen(command.c_str(), "r");
-        std::string text;
-        std::array<char, 4096> buffer;
-        size_t len;
-        while ((len = fread(buffer.data(), 1, buffer.size(), pipe)) > 0) {
-            text.append(buffer.data(), len);
-        }
-        EXPECT_EQ(0, pclose(pipe));
-        return text;
+        cg::RunResult result =
+            cg::Run(std::string(CG_SOURCE_DIR) + "/tools/profile", {path_});
+        EXPECT_EQ(0, result.status) << result.error;
+        return result.out;
     }
 
     static void
