Rollouts: what failed is sent to the old version also when the new one carries all

What callers would see: a new version that turns bad once it carries all gets their repeats as well; with the route's attempts spent there they are told 502 while endpoints of the old version, kept until the move has succeeded, stand idle.

Cause: Ro_Pick() tells repeats from first sends only below the full share.

Change: a repeat goes to the old version first and to the new one when that has no room. A stream that has begun goes on as before.

Test: failed before in all of the steps at the full share (RO_NEXT_FIRST).

--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -144,6 +144,7 @@
     switch (pick) {
     case RO_OLD:
     case RO_OLD_ONLY:
+    case RO_OLD_FIRST:
         return !next;
     case RO_NEXT_FIRST:
         return next;
@@ -233,13 +234,18 @@
     const struct ro_move *move = Ro_Find(gate->moves, exchange->service->name);
     enum ro_pick pick =
         Ro_Pick(move, exchange->sends > 0, Rn_Unit(&gate->random));
+    if (pick == RO_OLD_FIRST && exchange->began) {
+        /* A stream goes on where most of its version is. */
+        pick = RO_NEXT_FIRST;
+    }
     select_endpoints(exchange, pick, &selection);
     enum pl_verdict verdict = choose_among(exchange, &selection, out);
     if (verdict == PL_CHOSEN || pick == RO_ANY || pick == RO_OLD_ONLY ||
         (pick == RO_OLD && selection.count > 0)) {
         return verdict;
     }
-    select_endpoints(exchange, pick == RO_OLD ? RO_NEXT_FIRST : RO_OLD_ONLY,
+    select_endpoints(exchange,
+                     pick == RO_NEXT_FIRST ? RO_OLD_ONLY : RO_NEXT_FIRST,
                      &selection);
     return choose_among(exchange, &selection, out);
 }
--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -461,7 +461,7 @@
         break;
     }
     if (move->share >= Ro_ALL) {
-        return RO_NEXT_FIRST;
+        return repeat ? RO_OLD_FIRST : RO_NEXT_FIRST;
     }
     /* A repeat is to be served; it proves nothing. */
     return !repeat && unit * Ro_ALL < move->share ? RO_NEXT_FIRST : RO_OLD;
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -74,6 +74,7 @@
     RO_ANY,
     RO_OLD,       /* the new version only where there is no other */
     RO_OLD_ONLY,  /* never the new version */
+    RO_OLD_FIRST, /* the old version, the new one when it has no room */
     RO_NEXT_FIRST /* the new version, others when it has no room */
 };
 
--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -169,6 +169,25 @@
     }
 }
 
+// Guards against a bad version that carries all: what it has failed is sent to
+// it again while endpoints of the old one stand idle.
+TEST_F(Move, WhatFailedIsSentToTheOldVersionAlsoWhenTheNewOneCarriesAll)
+{
+    Start(7, 12);
+    int whole = 0;
+    for (int i = 0; i < 11; i++) {
+        Run(1, 11);
+        struct ro_move *move = At(0);
+        if (move->state != RO_RUNNING) {
+            break;
+        }
+        bool all = Ro_Pick(move, false, 0.9999) == RO_NEXT_FIRST;
+        whole += all;
+        EXPECT_EQ(Ro_Pick(move, true, 0), all ? RO_OLD_FIRST : RO_OLD);
+    }
+    EXPECT_GT(whole, 0);
+}
+
 // Callers fail for the whole time of a move: the version's answers were
 // counted by each host alone, and no host saw enough of them.
 TEST_F(Move, ABadVersionIsTakenBackByAllHostsTogether)
