Retries refused: the log says where the request went and how the rest stands

A completion that ended "unknown" left one line with the last endpoint and a count of attempts. It did not say which endpoints were asked, nor why one that stood idle was not. GT_RETRY_REFUSED now ends in sent_to= (the dispatches in order), asked= and others= (the endpoints it was and was not sent to, id:version:state:in flight/limit), each bounded in length.

--- a/packages/gate/relay_leave.c
+++ b/packages/gate/relay_leave.c
@@ -90,6 +90,7 @@
     Re_DropCall(relay);
     Re_EndFlight(relay, CH_CANCELLED);
     relay->flight = relay->target;
+    Rq_NoteSentTo(relay->request, Ch_Info(relay->flight.endpoint)->id);
     relay->target.endpoint = NULL;
     relay->leaving = 0;
     Lp_TimerCancel(relay->plan_timer);
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -19,6 +19,9 @@
 #define Rq_DEFAULT_DEADLINE (60 * Ck_USEC_PER_SEC)
 #define Rq_LABELS_MAX 200
 #define Rq_RETRY_SOON_SEC 1
+#define Rq_STATES_MAX 256
+#define Rq_STATE_MAX (2 * Ch_NAME_MAX + 64)
+#define Rq_MORE ",..."
 
 static void
 make_id(struct rq_request *request)
@@ -122,6 +125,29 @@
     request_free(request);
 }
 
+/* Appends an item to a list; one that is full ends in dots. */
+static void
+append(char *list, size_t size, const char *item)
+{
+    size_t len = strlen(list);
+    size_t more = strlen(Rq_MORE);
+    if (len >= more && strcmp(list + len - more, Rq_MORE) == 0) {
+        return;
+    }
+    if (len + strlen(item) + 1 + more >= size) {
+        strlcat(list, Rq_MORE, size);
+        return;
+    }
+    snprintf(list + len, size - len, "%s%s", len > 0 ? "," : "", item);
+}
+
+/* Keeps where a dispatch goes, for the log. */
+void
+Rq_NoteSentTo(struct rq_request *request, const char *endpoint)
+{
+    append(request->sent_to, sizeof(request->sent_to), endpoint);
+}
+
 static void
 remember_tried(struct rq_request *request, const char *endpoint)
 {
@@ -193,6 +219,7 @@
     }
     Ch_Start(table, flight, now);
     remember_tried(request, Ch_Info(flight->endpoint)->id);
+    Rq_NoteSentTo(request, Ch_Info(flight->endpoint)->id);
     return ST_OK;
 }
 
@@ -203,11 +230,58 @@
     return attempts->all - attempts->unreached;
 }
 
+static bool
+was_sent_to(const struct rq_request *request, const char *endpoint)
+{
+    size_t len = strlen(endpoint);
+    const char *at = request->sent_to;
+    while ((at = strstr(at, endpoint)) != NULL) {
+        bool begins = at == request->sent_to || at[-1] == ',';
+        if (begins && (at[len] == ',' || at[len] == '\0')) {
+            return true;
+        }
+        at += len;
+    }
+    return false;
+}
+
+/*
+ * Tells how the endpoints stand that the request was not sent to, or those
+ * that it was: id:version:state:in flight/limit.
+ */
+static void
+tell_states(const struct rq_request *request, const struct ch_table *table,
+            bool sent_to, char out[Rq_STATES_MAX])
+{
+    int64_t now = Ck_Now(request->gate->clock);
+    const struct ch_endpoint *endpoint =
+        table != NULL ? Ch_First(table) : NULL;
+    out[0] = '\0';
+    for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
+        const struct ch_info *info = Ch_Info(endpoint);
+        char item[Rq_STATE_MAX];
+        if (was_sent_to(request, info->id) != sent_to) {
+            continue;
+        }
+        snprintf(item, sizeof(item), "%s:%s:%s:%d/%d", info->id, info->version,
+                 may_run_at(request, info) ? Ch_Obstacle(endpoint, now)
+                                           : "not-allowed",
+                 Ch_InFlight(endpoint), Ch_Limit(endpoint));
+        append(out, Rq_STATES_MAX, item);
+    }
+}
+
 static void
 note_retry_refused(const struct rq_request *request,
                    const struct rt_attempt *attempt, const char *reason,
                    double tokens)
 {
+    const struct ch_table *table =
+        Ep_Table(request->gate->endpoints, request->service->name);
+    char asked[Rq_STATES_MAX];
+    char others[Rq_STATES_MAX];
+    tell_states(request, table, true, asked);
+    tell_states(request, table, false, others);
     static const char *const stages[] = {"not-sent", "refused", "sent",
                                          "answered"};
     const char *last = request->tried_count > 0
@@ -215,10 +289,12 @@
                            : "none";
     Ev_Log(&GT_RETRY_REFUSED,
            "request=%s service=%s endpoint=%s stage=%s reason=%s sent=%d "
-           "unreached=%d left_ms=%lld retries_left=%.1f",
+           "unreached=%d left_ms=%lld retries_left=%.1f sent_to=%s asked=%s "
+           "others=%s",
            request->id, request->service->name, last, stages[attempt->stage],
            reason, attempt->attempts, attempt->unreached,
-           (long long)(attempt->left / Ck_USEC_PER_MSEC), tokens);
+           (long long)(attempt->left / Ck_USEC_PER_MSEC), tokens,
+           request->sent_to, asked, others);
     Gt_Count(request->gate, "cg_retries_refused_total", NULL, NULL);
     Gt_Count(request->gate, "cg_retries_refused_by_reason_total", "reason",
              reason);
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -21,6 +21,7 @@
 
 #define Rq_ID_MAX 80
 #define Rq_TRIED_MAX 16
+#define Rq_SENT_TO_MAX 128
 
 struct rl_engine;
 struct rl_plain;
@@ -55,7 +56,8 @@
     struct lp_timer *timer;
     const char *tried[Rq_TRIED_MAX]; /* endpoints, owned copies */
     size_t tried_count;
-    struct en_prompt prompt; /* of an engine request */
+    char sent_to[Rq_SENT_TO_MAX]; /* all dispatches in order, for the log */
+    struct en_prompt prompt;      /* of an engine request */
     struct rl_engine *engine;
     struct rl_plain *plain;
 };
@@ -78,6 +80,7 @@
 void Rq_Constrain(const struct rq_request *request, struct ch_request *ask);
 const char *Rq_WhyNone(const struct rq_request *request,
                        const struct ch_table *table);
+void Rq_NoteSentTo(struct rq_request *request, const char *endpoint);
 int Rq_Sent(const struct rq_attempts *attempts);
 bool Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
                  const struct rq_attempts *attempts);
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -175,6 +175,11 @@
 bool Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Ejected(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Trusted(const struct ch_table *table, const char *version);
+/*
+ * What would keep a request from an endpoint, in a word for log lines; "ok":
+ * nothing.  Shares of versions and what requests ask for are not looked at.
+ */
+const char *Ch_Obstacle(const struct ch_endpoint *endpoint, int64_t now);
 struct ch_endpoint *Ch_Find(const struct ch_table *table, const char *id);
 struct ch_endpoint *Ch_First(const struct ch_table *table);
 struct ch_endpoint *Ch_Next(const struct ch_endpoint *endpoint);
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -110,3 +110,34 @@
 {
     return Wu_IsCold(&endpoint->warmup, now);
 }
+
+/* The first of the obstacles, as the choice looks for them. */
+const char *
+Ch_Obstacle(const struct ch_endpoint *endpoint, int64_t now)
+{
+    const struct ch_table *table = endpoint->table;
+    const struct wu_warmup *warmup = &endpoint->warmup;
+    bool left_to_others = table->cold_per_sec > 0 && !Wu_MaySend(warmup, now);
+    if (endpoint->state == CH_LEAVING) {
+        return "leaving";
+    }
+    if (!Ch_Trusted(table, endpoint->info.version)) {
+        return "distrusted";
+    }
+    if (endpoint->state == CH_SUSPECT) {
+        return "suspect";
+    }
+    if (Ch_Ejected(endpoint, now)) {
+        return "ejected";
+    }
+    if (endpoint->shunned_until > now) {
+        return "shunned";
+    }
+    if (left_to_others && Wu_IsDoubted(warmup, now)) {
+        return "doubted";
+    }
+    if (left_to_others && Wu_IsCold(warmup, now)) {
+        return "cold";
+    }
+    return endpoint->in_flight >= (int)endpoint->limit ? "full" : "ok";
+}
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -376,6 +376,45 @@
     EXPECT_LE(fresh, 80);
 }
 
+// Guards against a log that does not say why an idle endpoint was passed by.
+TEST(Choose, TellsWhatKeepsRequestsFromAnEndpoint)
+{
+    Table t;
+    for (const char *id : {"a", "b", "c", "d", "e"}) {
+        t.put(id, "v1", "a", 1, 1);
+    }
+    t.put("f", "v2");
+    auto obstacle = [&](const char *id) {
+        return std::string(Ch_Obstacle(Ch_Find(t.table, id), t.now));
+    };
+    EXPECT_EQ("ok", obstacle("a"));
+    Ch_SetState(t.table, "a", CH_LEAVING, kSec, t.now);
+    EXPECT_EQ("leaving", obstacle("a"));
+    Ch_SetState(t.table, "b", CH_SUSPECT, 0, t.now);
+    EXPECT_EQ("suspect", obstacle("b"));
+    EXPECT_EQ("ok", obstacle("f"));
+    Ch_Distrust(t.table, "v2");
+    EXPECT_EQ("distrusted", obstacle("f"));
+    auto fly = [&](const char *id, enum ch_outcome outcome) {
+        struct ch_flight flight = {};
+        flight.endpoint = Ch_Find(t.table, id);
+        Ch_Start(t.table, &flight, t.now);
+        Ch_End(t.table, &flight, outcome, t.now);
+    };
+    fly("c", CH_UNREACHED);
+    EXPECT_EQ("shunned", obstacle("c"));
+    for (int i = 0; i < 5; i++) {
+        fly("d", CH_FAILED);
+    }
+    EXPECT_EQ("ejected", obstacle("d"));
+    struct ch_flight flight = {};
+    flight.endpoint = Ch_Find(t.table, "e");
+    Ch_Start(t.table, &flight, t.now);
+    EXPECT_EQ("full", obstacle("e"));
+    Ch_End(t.table, &flight, CH_GOOD, t.now);
+    EXPECT_EQ("ok", obstacle("e"));
+}
+
 /*
  * The daemon crashes on an answer's end: the endpoint was taken off the list
  * while a request was in flight to it.
