Choice: an endpoint that failed a request, or fails all, is asked last

What callers saw: completions end 502 "unknown", "the engines of this service fail", within milliseconds, with 59.9 s and 42 of 50 retries left, while an engine of the good version stands idle.

Cause, three parts. Ejection stops at half of all endpoints, whatever their fault and version: a slow one, or one of the new version, keeps one that fails in use. Such a one has nothing in flight and attracts what comes. And an ejected or suspect endpoint was never chosen while another was left, the one that had just failed this request included, as the list of those tried was dropped then.

Change: an endpoint has a standing (sound, shunned, slow, failing, silent), and a request goes to those in the best standing that any has; what failed it is asked after all others, and a completion waits for a place at another. Ejection is counted within a version; beyond it one that fails is asked last for 5 s. What has failed goes to the version that is not on trial, whichever has the larger share.

Tests: the five new cases of choose_test fail on the code before.

--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -530,6 +530,23 @@
     }
 }
 
+/*
+ * Chooses the engine of the next attempt.  While those that have not failed
+ * this request have no place free it waits for one; only then are the others
+ * asked again.
+ */
+static enum st_status
+choose(struct rl_engine *relay, struct ch_request *ask)
+{
+    struct rq_request *request = relay->request;
+    enum st_status status =
+        Rq_Choose(request, relay->table, ask, &relay->flight);
+    if (status == ST_OVERLOAD && relay->astray + 1 >= Rl_UNREACHED_MAX) {
+        status = Rq_ChooseAny(request, relay->table, ask, &relay->flight);
+    }
+    return status;
+}
+
 static void
 attempt(struct rl_engine *relay)
 {
@@ -537,9 +554,11 @@
     struct ch_request ask;
     Re_FillAsk(relay, &ask);
     relay->table = Ep_Table(request->gate->endpoints, request->service->name);
-    if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
+    enum st_status status = choose(relay, &ask);
+    if (status != ST_OK) {
         relay->astray++;
-        if (should_wait(relay)) {
+        if (should_wait(relay) ||
+            (status == ST_OVERLOAD && may_have_run(relay))) {
             wait_for_engine(relay);
             return;
         }
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -215,6 +215,19 @@
                     &relay->call);
 }
 
+/* No place is waited for: an endpoint that failed the request has to do. */
+static enum st_status
+choose(struct rq_request *request, struct ch_request *ask)
+{
+    struct rl_plain *relay = request->plain;
+    enum st_status status =
+        Rq_Choose(request, relay->table, ask, &relay->flight);
+    if (status == ST_OVERLOAD && request->tried_count > 0) {
+        status = Rq_ChooseAny(request, relay->table, ask, &relay->flight);
+    }
+    return status;
+}
+
 static void
 attempt(struct rq_request *request)
 {
@@ -226,7 +239,7 @@
         .again = relay->attempts.all > 0,
     };
     relay->table = Ep_Table(gate->endpoints, request->service->name);
-    if (Rq_Choose(request, relay->table, &ask, &relay->flight) != ST_OK) {
+    if (choose(request, &ask) != ST_OK) {
         Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_UNAVAILABLE,
                   Rl_RETRY_SOON_SEC, "no endpoint of %s %s; come back later",
                   request->service->name, Rq_WhyNone(request, relay->table));
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -190,37 +190,65 @@
     return "is in an allowed region outside of evacuated data centres";
 }
 
+static enum st_status
+choose(struct rq_request *request, struct ch_table *table,
+       struct ch_request *ask, struct ch_flight *flight)
+{
+    struct gt_gate *gate = request->gate;
+    if (table == NULL) {
+        flight->endpoint = NULL;
+        return St_Fail(ST_UNAVAILABLE, "the service has no endpoint yet");
+    }
+    Rq_Constrain(request, ask);
+    ask->tried = request->tried;
+    ask->tried_count = request->tried_count;
+    return Ch_Choose(table, ask, Ck_Now(gate->clock), &gate->random, flight);
+}
+
+static void
+start_flight(struct rq_request *request, struct ch_table *table,
+             struct ch_flight *flight)
+{
+    struct gt_gate *gate = request->gate;
+    Ch_Start(table, flight, Ck_Now(gate->clock));
+    remember_tried(request, Ch_Info(flight->endpoint)->id);
+    Rq_NoteSentTo(request, Ch_Info(flight->endpoint)->id);
+}
+
 /*
  * Chooses an endpoint for the next attempt and starts the flight on it.  An
  * endpoint that failed this request is taken again only when no other is
- * left: with few replicas a second try beats a refusal.
+ * left: with few replicas a second try beats a refusal.  ST_OVERLOAD: others
+ * are left, but have no place free at the moment.
  */
 enum st_status
 Rq_Choose(struct rq_request *request, struct ch_table *table,
           struct ch_request *ask, struct ch_flight *flight)
 {
-    struct gt_gate *gate = request->gate;
-    int64_t now = Ck_Now(gate->clock);
-    enum st_status status = ST_NOT_FOUND;
-    Rq_Constrain(request, ask);
-    ask->tried = request->tried;
-    ask->tried_count = request->tried_count;
-    if (table != NULL) {
-        status = Ch_Choose(table, ask, now, &gate->random, flight);
+    enum st_status status = choose(request, table, ask, flight);
+    if (status == ST_OVERLOAD) {
+        return status;
     }
-    if (status != ST_OK && table != NULL && request->tried_count > 0) {
-        forget_tried(request);
-        ask->tried_count = 0;
-        status = Ch_Choose(table, ask, now, &gate->random, flight);
+    if (status != ST_OK && request->tried_count > 0) {
+        return Rq_ChooseAny(request, table, ask, flight);
     }
-    if (status != ST_OK) {
-        flight->endpoint = NULL;
-        return St_Fail(ST_UNAVAILABLE, "no endpoint can take the request");
+    if (status == ST_OK) {
+        start_flight(request, table, flight);
     }
-    Ch_Start(table, flight, now);
-    remember_tried(request, Ch_Info(flight->endpoint)->id);
-    Rq_NoteSentTo(request, Ch_Info(flight->endpoint)->id);
-    return ST_OK;
+    return status;
+}
+
+/* The same, but those that failed this request may be taken as well. */
+enum st_status
+Rq_ChooseAny(struct rq_request *request, struct ch_table *table,
+             struct ch_request *ask, struct ch_flight *flight)
+{
+    forget_tried(request);
+    enum st_status status = choose(request, table, ask, flight);
+    if (status == ST_OK) {
+        start_flight(request, table, flight);
+    }
+    return status;
 }
 
 /* The dispatches that an endpoint may have run. */
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -80,8 +80,12 @@
 void Rq_Constrain(const struct rq_request *request, struct ch_request *ask);
 const char *Rq_WhyNone(const struct rq_request *request,
                        const struct ch_table *table);
+enum st_status Rq_ChooseAny(struct rq_request *request, struct ch_table *table,
+                            struct ch_request *ask, struct ch_flight *flight);
 void Rq_NoteSentTo(struct rq_request *request, const char *endpoint);
 int Rq_Sent(const struct rq_attempts *attempts);
+void Rq_NoteFailed(struct rq_attempts *attempts,
+                   const struct ch_flight *flight, enum rt_stage stage);
 bool Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
                  const struct rq_attempts *attempts);
 void Rq_Succeeded(struct rq_request *request);
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -56,9 +56,8 @@
 /* What keeps candidates out. */
 struct filter {
     const struct ch_request *request;
-    const char *version; /* NULL: any that is trusted */
-    bool panic;          /* suspect and ejected ones are let in */
-    bool shunned;        /* those that gave no connection are let in */
+    const char *version;       /* NULL: any that is trusted */
+    enum ch_standing standing; /* the worst that is let in */
     int64_t now;
     bool full; /* set: one was left out only for its limit */
 };
@@ -113,14 +112,12 @@
         strcmp(filter->version, endpoint->info.version) != 0) {
         return false;
     }
-    if (!filter->panic &&
-        (endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, filter->now))) {
+    if (ch_standing(endpoint, filter->now) > filter->standing) {
         return false;
     }
-    if (!filter->shunned &&
-        (endpoint->shunned_until > filter->now ||
-         (Wu_IsDoubted(&endpoint->warmup, filter->now) &&
-          is_left_to_others(table, endpoint, filter->now)))) {
+    if (filter->standing < CH_SHUNNED &&
+        Wu_IsDoubted(&endpoint->warmup, filter->now) &&
+        is_left_to_others(table, endpoint, filter->now)) {
         return false;
     }
     if (Wu_IsCold(&endpoint->warmup, filter->now) &&
@@ -137,7 +134,7 @@
 
 /*
  * Whether so many endpoints look bad that the fault is more likely in what
- * the router sees than in them; then all but the leaving are used.
+ * the router sees than in them; then the others are not waited for.
  */
 static bool
 is_panic(const struct ch_table *table, const char *version, int64_t now)
@@ -152,7 +149,7 @@
             continue;
         }
         all++;
-        bad += endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, now);
+        bad += ch_standing(endpoint, now) >= CH_SLOW;
     }
     return bad > table->settings.panic_share * all;
 }
@@ -173,7 +170,6 @@
     size_t count = 0;
     struct ch_endpoint *endpoint;
     ch_refresh_means(table);
-    filter->panic = is_panic(table, filter->version, filter->now);
     TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
         if (!may_take(table, endpoint, filter)) {
             continue;
@@ -189,16 +185,20 @@
 }
 
 /*
- * The endpoints that may take the request; those that just gave no connection
- * only where there is no other, as nobody may listen there any more.
+ * The endpoints that may take the request: those in the best standing that any
+ * has, so that one that fails is asked only where no other is left.  Work
+ * waits for a place at a better one, unless so many look bad that too few
+ * would carry all.
  */
 static size_t
 collect(struct ch_table *table, struct filter *filter)
 {
-    filter->shunned = false;
+    bool panic = is_panic(table, filter->version, filter->now);
+    filter->standing = CH_SOUND;
     size_t count = collect_usable(table, filter);
-    if (count == 0 && !filter->full) {
-        filter->shunned = true;
+    while (count == 0 && filter->standing < CH_SILENT &&
+           (panic || !filter->full)) {
+        filter->standing++;
         count = collect_usable(table, filter);
     }
     return count;
@@ -227,14 +227,20 @@
            version_in_flight(table, share->version) >= share->max_in_flight;
 }
 
-/* The trusted version with the largest share; NULL when none has any. */
+static bool
+is_on_trial(const struct ch_table *table, const char *version)
+{
+    return table->trial[0] != '\0' && strcmp(table->trial, version) == 0;
+}
+
 static const struct ch_share *
-main_version(const struct ch_table *table)
+largest_share(const struct ch_table *table, bool settled)
 {
     const struct ch_share *best = NULL;
     for (size_t i = 0; i < table->share_count; i++) {
         const struct ch_share *share = &table->shares[i];
         if (share->share > 0 && Ch_Trusted(table, share->version) &&
+            !(settled && is_on_trial(table, share->version)) &&
             (best == NULL || share->share > best->share)) {
             best = share;
         }
@@ -242,6 +248,20 @@
     return best;
 }
 
+/* The trusted version with the largest share; NULL when none has any. */
+static const struct ch_share *
+main_version(const struct ch_table *table)
+{
+    return largest_share(table, false);
+}
+
+/* The same among those that are not on trial. */
+static const struct ch_share *
+settled_version(const struct ch_table *table)
+{
+    return largest_share(table, true);
+}
+
 /*
  * Draws a version by share among the trusted.  A version at its cap passes
  * the request to the main one, never the other way round: a hanging new
@@ -292,8 +312,12 @@
     }
     const struct ch_share *main = main_version(table);
     /* What has failed once is not tried on a version that is on trial. */
-    const struct ch_share *share =
-        filter->request->again ? main : draw_version(table, random);
+    const struct ch_share *share = filter->request->again
+                                       ? settled_version(table)
+                                       : draw_version(table, random);
+    if (share == NULL) {
+        share = main;
+    }
     if (share == NULL) {
         share = warm_version(table);
     }
@@ -356,6 +380,7 @@
     }
     out->endpoint = table->candidates[at].endpoint;
     out->predicted = table->candidates[at].predicted;
+    out->on_trial = is_on_trial(table, out->endpoint->info.version);
     return ST_OK;
 }
 
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -87,6 +87,7 @@
     int64_t predicted; /* time to the first token */
     int64_t started;
     bool affine;      /* chosen for its prefix cache */
+    bool on_trial;    /* its version is on trial */
     bool first_token; /* the first token has been seen */
 };
 
@@ -141,6 +142,11 @@
                          const struct ch_sample *sample);
 enum st_status Ch_SetShares(struct ch_table *table,
                             const struct ch_share *shares, size_t count);
+/*
+ * The version on trial, or NULL.  What has failed is sent to a version that is
+ * not on trial, whichever has the larger share.
+ */
+void Ch_SetTrial(struct ch_table *table, const char *version);
 /*
  * What endpoints bear while they are cold, 0: as much as others; and how long
  * that lasts after a start.  "hosts" stays the caller's.
@@ -172,6 +178,8 @@
 int64_t Ch_TimeLeft(const struct ch_endpoint *endpoint, int64_t now);
 int Ch_InFlight(const struct ch_endpoint *endpoint);
 int Ch_Limit(const struct ch_endpoint *endpoint);
+/* Requests of this router at all endpoints, removed ones included. */
+int Ch_AllInFlight(const struct ch_table *table);
 bool Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Ejected(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Trusted(const struct ch_table *table, const char *version);
--- a/packages/policy/choose_flight.c
+++ b/packages/policy/choose_flight.c
@@ -4,6 +4,7 @@
  */
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "policy/choose.h"
@@ -166,6 +167,7 @@
     flight->started = now;
     flight->first_token = false;
     flight->endpoint->in_flight++;
+    table->in_flight++;
     if (table->cold_per_sec > 0) {
         struct wu_part part =
             Wu_Part(table->cold_per_sec, table->hosts->count + 1);
@@ -207,6 +209,7 @@
         return;
     }
     flight->first_token = true;
+    endpoint->answered_at = now;
     int64_t took = now - flight->started;
     double ratio = (double)took / (double)(flight->predicted + 1);
     double seen = ratio * ch_slowness(endpoint, now);
@@ -223,26 +226,59 @@
     }
 }
 
-static void
-eject(struct ch_endpoint *endpoint, int64_t now)
+/*
+ * Whether two endpoints can stand in for each other.  Where versions have
+ * shares only those of one version can: a bad new version must not keep the
+ * old one's bad endpoints in use.
+ */
+static bool
+is_peer(const struct ch_endpoint *one, const struct ch_endpoint *other)
+{
+    return one->table->share_count == 0 ||
+           strcmp(one->info.version, other->info.version) == 0;
+}
+
+/*
+ * A fault of the network or of a dependency makes all endpoints fail at
+ * once; ejecting them all would turn a degraded service into none.
+ */
+static bool
+may_eject(const struct ch_endpoint *endpoint, int64_t now)
 {
     struct ch_table *table = endpoint->table;
-    size_t out = 0;
+    int out = 0;
+    int all = 0;
     struct ch_endpoint *peer;
     TAILQ_FOREACH (peer, &table->endpoints, entry) {
-        out += Ch_Ejected(peer, now);
+        if (is_peer(endpoint, peer)) {
+            all++;
+            out += Ch_Ejected(peer, now);
+        }
     }
-    /*
-     * A fault of the network or of a dependency makes all endpoints fail at
-     * once; ejecting them all would turn a degraded service into none.
-     */
-    double most = table->settings.panic_share * (double)table->count;
-    if ((double)(out + 1) > most) {
+    return out + 1 <= table->settings.panic_share * all;
+}
+
+enum judgement {
+    SOUND,
+    TOO_SLOW,
+    FAILS,
+};
+
+static void
+eject(struct ch_endpoint *endpoint, enum judgement judgement, int64_t now)
+{
+    if (!may_eject(endpoint, now)) {
+        if (judgement == FAILS) {
+            endpoint->failing_until = now + EJECT_USEC;
+        }
         return;
     }
     int doublings = endpoint->ejections < EJECT_DOUBLINGS ? endpoint->ejections
                                                           : EJECT_DOUBLINGS;
     endpoint->ejected_until = now + (EJECT_USEC << doublings);
+    if (judgement == FAILS) {
+        endpoint->failing_until = endpoint->ejected_until;
+    }
     endpoint->ejections++;
     /* One more failure after the return ejects again, for twice as long. */
     endpoint->consecutive = CONSECUTIVE_MAX - 1;
@@ -264,7 +300,7 @@
     struct peers sum = {0};
     struct ch_endpoint *peer;
     TAILQ_FOREACH (peer, &endpoint->table->endpoints, entry) {
-        if (peer == endpoint) {
+        if (peer == endpoint || !is_peer(endpoint, peer)) {
             continue;
         }
         ch_window_roll(&peer->window, now);
@@ -278,12 +314,12 @@
     return sum;
 }
 
-static bool
-is_outlier(const struct ch_endpoint *endpoint, int64_t now)
+static enum judgement
+judge(const struct ch_endpoint *endpoint, int64_t now)
 {
     const struct ch_window *window = &endpoint->window;
     if (endpoint->consecutive >= CONSECUTIVE_MAX) {
-        return true;
+        return FAILS;
     }
     struct peers peers = sum_peers(endpoint, now);
     int failed = window->failed + window->last_failed;
@@ -292,14 +328,14 @@
     if (all >= JUDGED_MIN && peers_all >= JUDGED_MIN &&
         (double)failed / all >
             (double)peers.failed / peers_all + FAILED_SHARE_MARGIN) {
-        return true;
+        return FAILS;
     }
     if (endpoint->slowness_count < SLOW_MIN || peers.slowness_of == 0) {
-        return false;
+        return SOUND;
     }
     /* Peers that answer from their caches must not make this one look slow. */
     double usual = fmax(1, peers.slowness / peers.slowness_of);
-    return ch_slowness(endpoint, now) > SLOW_FACTOR * usual;
+    return ch_slowness(endpoint, now) > SLOW_FACTOR * usual ? TOO_SLOW : SOUND;
 }
 
 /* Enters an outcome and ejects the endpoint if it stands out by it. */
@@ -319,9 +355,17 @@
             endpoint->ejections = 0;
         }
     }
-    if (!endpoint->removed && !Ch_Ejected(endpoint, now) &&
-        is_outlier(endpoint, now)) {
-        eject(endpoint, now);
+    if (endpoint->removed) {
+        return;
+    }
+    enum judgement judgement = judge(endpoint, now);
+    if (Ch_Ejected(endpoint, now)) {
+        if (judgement == FAILS) {
+            endpoint->failing_until = endpoint->ejected_until;
+        }
+    }
+    else if (judgement != SOUND) {
+        eject(endpoint, judgement, now);
     }
 }
 
@@ -340,6 +384,7 @@
     }
     flight->endpoint = NULL;
     endpoint->in_flight--;
+    table->in_flight--;
     net_add(endpoint, now, -1);
     ch_window_roll(&table->rate, now);
     table->rate.good++;
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -15,6 +15,15 @@
                      */
 #define CH_WINDOW_USEC INT64_C(10000000) /* success rates are of 1 to 2 */
 
+/* How far an endpoint may be relied on, the best first. */
+enum ch_standing {
+    CH_SOUND,
+    CH_SHUNNED, /* gave no connection just now */
+    CH_SLOW,    /* ejected for it; or suspect, but it answers this router */
+    CH_FAILING, /* fails what it gets */
+    CH_SILENT,  /* suspect, and no answer since */
+};
+
 struct ch_window {
     int64_t begun;
     int good;
@@ -46,6 +55,9 @@
     int consecutive;
     int ejections;
     int64_t ejected_until;
+    int64_t failing_until; /* also where as many as may be are ejected */
+    int64_t answered_at;   /* the last first token of this router's */
+    int64_t suspect_since;
     int64_t shunned_at; /* no connection was had; a later report ends it */
     int64_t shunned_until;
     int64_t returned_at;
@@ -68,16 +80,19 @@
     size_t share_count;
     char distrusted[CH_DISTRUSTED_MAX][Ch_NAME_MAX];
     size_t distrusted_count;
-    double others_per_slot; /* load of other routers, mean */
-    double token_rate;      /* per running request, mean */
-    uint64_t turn;          /* of round robin */
-    double service;         /* mean time of a request at an endpoint */
-    struct ch_window rate;  /* all ends, for the drain rate */
-    double cold_per_sec;    /* that a cold endpoint bears; 0: no limit */
+    char trial[Ch_NAME_MAX]; /* version on trial; empty: none */
+    int in_flight;           /* of this router, at all endpoints */
+    double others_per_slot;  /* load of other routers, mean */
+    double token_rate;       /* per running request, mean */
+    uint64_t turn;           /* of round robin */
+    double service;          /* mean time of a request at an endpoint */
+    struct ch_window rate;   /* all ends, for the drain rate */
+    double cold_per_sec;     /* that a cold endpoint bears; 0: no limit */
     int64_t cold_usec;
     const struct wu_hosts *hosts;
 };
 
+enum ch_standing ch_standing(const struct ch_endpoint *endpoint, int64_t now);
 double ch_load(const struct ch_endpoint *endpoint, int64_t now);
 double ch_reported_slowness(const struct ch_endpoint *endpoint);
 void ch_refresh_means(struct ch_table *table);
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -13,6 +13,23 @@
     return now < endpoint->ejected_until;
 }
 
+/* How far an endpoint that is not leaving may be relied on. */
+enum ch_standing
+ch_standing(const struct ch_endpoint *endpoint, int64_t now)
+{
+    if (endpoint->state == CH_SUSPECT &&
+        endpoint->answered_at <= endpoint->suspect_since) {
+        return CH_SILENT;
+    }
+    if (endpoint->failing_until > now) {
+        return CH_FAILING;
+    }
+    if (endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, now)) {
+        return CH_SLOW;
+    }
+    return endpoint->shunned_until > now ? CH_SHUNNED : CH_SOUND;
+}
+
 /* Whether the version may get new work. */
 bool
 Ch_Trusted(const struct ch_table *table, const char *version)
@@ -57,6 +74,12 @@
     return endpoint->in_flight;
 }
 
+int
+Ch_AllInFlight(const struct ch_table *table)
+{
+    return table->in_flight;
+}
+
 /* The most requests this router may have there now. */
 int
 Ch_Limit(const struct ch_endpoint *endpoint)
@@ -130,6 +153,9 @@
     if (Ch_Ejected(endpoint, now)) {
         return "ejected";
     }
+    if (endpoint->failing_until > now) {
+        return "failing";
+    }
     if (endpoint->shunned_until > now) {
         return "shunned";
     }
--- a/packages/policy/choose_table.c
+++ b/packages/policy/choose_table.c
@@ -120,6 +120,8 @@
     endpoint->consecutive = 0;
     endpoint->ejections = 0;
     endpoint->ejected_until = 0;
+    endpoint->failing_until = 0;
+    endpoint->answered_at = 0;
 }
 
 /*
@@ -205,6 +207,9 @@
         endpoint->state = CH_LEAVING;
     }
     else if (endpoint->state != CH_LEAVING) {
+        if (state == CH_SUSPECT && endpoint->state != CH_SUSPECT) {
+            endpoint->suspect_since = now;
+        }
         endpoint->state = state;
     }
     return ST_OK;
@@ -247,6 +252,13 @@
     return ST_OK;
 }
 
+void
+Ch_SetTrial(struct ch_table *table, const char *version)
+{
+    strlcpy(table->trial, version != NULL ? version : "",
+            sizeof(table->trial));
+}
+
 static bool
 is_listed(const struct ch_table *table, const char *version)
 {
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -348,6 +348,148 @@
     }
 }
 
+// Guards against all attempts being spent on a bad version that carries most.
+TEST(Choose, RetriesGoToTheSettledVersionWhateverItsShare)
+{
+    Table t;
+    t.put("old", "v1");
+    t.put("new", "v2");
+    struct ch_share shares[2] = {{"v1", 0.1, 0}, {"v2", 0.9, 0}};
+    ASSERT_EQ(ST_OK, Ch_SetShares(t.table, shares, 2));
+    Ch_SetTrial(t.table, "v2");
+    const char *tried[] = {"new"};
+    struct ch_request request = {};
+    request.again = true;
+    request.tried = tried;
+    request.tried_count = 1;
+    for (int i = 0; i < 100; i++) {
+        struct ch_flight flight;
+        ASSERT_EQ(ST_OK,
+                  Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+        EXPECT_STREQ("old", Ch_Info(flight.endpoint)->id);
+        EXPECT_FALSE(flight.on_trial);
+    }
+    tried[0] = "old";
+    struct ch_flight flight;
+    ASSERT_EQ(ST_OK, Ch_Choose(t.table, &request, t.now, &t.random, &flight));
+    EXPECT_STREQ("new", Ch_Info(flight.endpoint)->id);
+    EXPECT_TRUE(flight.on_trial);
+}
+
+/* Sends a request that is slow, fails or ends well to one endpoint. */
+static void
+send_to(Table &t, const char *id, enum ch_outcome outcome, int64_t took)
+{
+    struct ch_flight flight = {};
+    flight.endpoint = Ch_Find(t.table, id);
+    flight.predicted = 10000;
+    Ch_Start(t.table, &flight, t.now);
+    t.now += took;
+    if (outcome == CH_GOOD) {
+        Ch_FirstToken(t.table, &flight, t.now);
+    }
+    Ch_End(t.table, &flight, outcome, t.now);
+}
+
+static std::string
+choose_after(Table &t, const char *tried)
+{
+    struct ch_request request = {};
+    request.again = tried != nullptr;
+    request.tried = &tried;
+    request.tried_count = tried != nullptr ? 1 : 0;
+    struct ch_flight flight;
+    return Ch_Choose(t.table, &request, t.now, &t.random, &flight) == ST_OK
+               ? Ch_Info(flight.endpoint)->id
+               : "";
+}
+
+// Guards against a request told "unknown" while a good endpoint that is only
+// slow, or out of its watchers' reach, was never asked.
+TEST(Choose, ADoubtfulEndpointIsAskedBeforeOneThatFailedTheRequest)
+{
+    Table slow;
+    slow.put("fails");
+    slow.put("slow");
+    slow.put("quick");
+    for (int i = 0; i < 20; i++) {
+        send_to(slow, "fails", CH_GOOD, 10000);
+        send_to(slow, "quick", CH_GOOD, 10000);
+        send_to(slow, "slow", CH_GOOD, 300000);
+    }
+    ASSERT_TRUE(Ch_Ejected(Ch_Find(slow.table, "slow"), slow.now));
+    Ch_Remove(slow.table, "quick");
+    EXPECT_EQ("slow", choose_after(slow, "fails"));
+
+    Table suspect;
+    suspect.put("fails");
+    suspect.put("far");
+    Ch_SetState(suspect.table, "far", CH_SUSPECT, 0, suspect.now);
+    EXPECT_EQ("fails", choose_after(suspect, nullptr));
+    EXPECT_EQ("far", choose_after(suspect, "fails"));
+}
+
+// Guards against retries spent on an endpoint that fails at once, and so looks
+// idle, while as many as may be are ejected already.
+TEST(Choose, AnEndpointThatFailsIsAskedAfterAllOthers)
+{
+    Table t;
+    for (const char *id : {"a", "b", "c"}) {
+        t.put(id);
+    }
+    for (int i = 0; i < 5; i++) {
+        send_to(t, "a", CH_FAILED, 1000);
+        send_to(t, "b", CH_FAILED, 1000);
+    }
+    EXPECT_NE(Ch_Ejected(Ch_Find(t.table, "a"), t.now),
+              Ch_Ejected(Ch_Find(t.table, "b"), t.now));
+    int failures = 0;
+    for (int i = 0; i < 400; i++) {
+        std::string id = choose_after(t, nullptr);
+        bool fails = id != "c";
+        failures += fails;
+        send_to(t, id.c_str(), fails ? CH_FAILED : CH_GOOD, 10000);
+    }
+    EXPECT_LE(failures, 2);
+}
+
+// Guards against a bad new version whose ejected endpoint keeps one of the
+// old version in use that fails.
+TEST(Choose, EndpointsAreEjectedWithinTheirVersion)
+{
+    Table t;
+    t.put("old0", "v1");
+    t.put("old1", "v1");
+    t.put("new", "v2");
+    struct ch_share shares[2] = {{"v1", 0.9, 0}, {"v2", 0.1, 0}};
+    ASSERT_EQ(ST_OK, Ch_SetShares(t.table, shares, 2));
+    for (int i = 0; i < 5; i++) {
+        send_to(t, "new", CH_FAILED, 1000);
+    }
+    for (int i = 0; i < 5; i++) {
+        send_to(t, "old0", CH_FAILED, 1000);
+    }
+    EXPECT_TRUE(Ch_Ejected(Ch_Find(t.table, "old0"), t.now));
+    EXPECT_EQ("old1", choose_after(t, "new"));
+}
+
+// Guards against an endpoint left unused that answers this router while its
+// watchers do not reach it.
+TEST(Choose, ASuspectThatAnswersIsPreferredToOneThatFails)
+{
+    Table t;
+    t.put("fails");
+    t.put("far");
+    Ch_SetState(t.table, "far", CH_SUSPECT, 0, t.now);
+    send_to(t, "far", CH_GOOD, 10000);
+    for (int i = 0; i < 5; i++) {
+        send_to(t, "fails", CH_FAILED, 1000);
+    }
+    for (int i = 0; i < 20; i++) {
+        EXPECT_EQ("far", choose_after(t, nullptr));
+    }
+}
+
 /*
  * Callers go on failing after a version was found bad.  The old version had
  * no share left, so the router kept to the only one listed with a share.
