Retries: what a version on trial fails costs the service none

The budget is one a service: failures of the old version, 16 or more, blind the router's trip for 40 to 115 failures of the new one, and each of these took a retry.

Cause: that the trip is in time was what kept the budget. Whatever makes it late, and an old version that fails proves little of the new one, empties it.

Change: a request's first failure at a version on trial is not counted among its attempts, and the attempt after it, the first at the settled version, is free. Load on the settled version is what it would be without the trial, so an outage is not kept up. So a version on trial takes nothing from the budget, however late the trip. Only what was sent and failed counts as an attempt: a stream moved for a reclaim before its first token spent one as well.

Test: fails before.

--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -469,6 +469,16 @@
     }
 }
 
+/* The version of a service that is on trial, or NULL. */
+void
+Ep_SetTrial(struct ep_pool *pool, const char *service, const char *version)
+{
+    struct service *found = find_service(pool, service);
+    if (found != NULL) {
+        Ch_SetTrial(found->table, version);
+    }
+}
+
 /* The table of a service, or NULL when none of its endpoints is known. */
 struct ch_table *
 Ep_Table(const struct ep_pool *pool, const char *service)
--- a/packages/gate/endpoints.h
+++ b/packages/gate/endpoints.h
@@ -36,6 +36,8 @@
                  const char *version);
 void Ep_SetShares(struct ep_pool *pool, const char *service,
                   const struct ch_share *shares, size_t count);
+void Ep_SetTrial(struct ep_pool *pool, const char *service,
+                 const char *version);
 struct rt_budget *Ep_Budget(const struct ep_pool *pool, const char *service);
 struct ch_table *Ep_Table(const struct ep_pool *pool, const char *service);
 
--- a/packages/gate/moves_router.c
+++ b/packages/gate/moves_router.c
@@ -47,7 +47,10 @@
         shares[1].max_in_flight = part.max_in_flight;
         shares[0].share = 1 - part.share;
     }
+    bool over = move != NULL && Mv_IsOver(move);
     Ep_SetShares(moves->gate->endpoints, service->name, shares, Mo_SHARES);
+    Ep_SetTrial(moves->gate->endpoints, service->name,
+                over ? NULL : service->plan.to);
 }
 
 static void
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -357,7 +357,7 @@
 {
     struct gt_gate *gate = relay->request->gate;
     Re_DropMove(relay);
-    if (Rq_Sent(&relay->attempts) >= Rl_ATTEMPTS || reached_nobody(relay)) {
+    if (relay->attempts.failed >= Rl_ATTEMPTS || reached_nobody(relay)) {
         give_up(relay, failure_told(relay),
                 "several engines failed this request; it may be repeated");
         return;
@@ -382,7 +382,7 @@
 attempt_failed(struct rl_engine *relay, enum hc_stage reached)
 {
     enum rt_stage stage = reached == HC_CONNECTING ? RT_NOT_SENT : RT_SENT;
-    relay->attempts.unreached += stage == RT_NOT_SENT;
+    Rq_NoteFailed(&relay->attempts, &relay->flight, stage);
     relay->astray = stage == RT_NOT_SENT ? relay->astray + 1 : 0;
     if (relay->tokens == 0 &&
         !Rq_MayRetry(relay->request, stage, &relay->attempts)) {
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -158,8 +158,9 @@
         Gt_Count(request->gate, "cg_crossed_answers_total", NULL, NULL);
     }
     relay->left_before = relay->left_before || left;
-    relay->attempts.unreached += !left;
-    if (Rq_MayRetry(request, left ? RT_SENT : RT_NOT_SENT, &relay->attempts)) {
+    enum rt_stage stage = left ? RT_SENT : RT_NOT_SENT;
+    Rq_NoteFailed(&relay->attempts, &relay->flight, stage);
+    if (Rq_MayRetry(request, stage, &relay->attempts)) {
         attempt(request);
         return;
     }
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -299,10 +299,30 @@
     }
 }
 
+/*
+ * Enters that an attempt has failed.  What a version on trial fails first says
+ * nothing of the endpoints that the request is owed, and is not counted.
+ */
+void
+Rq_NoteFailed(struct rq_attempts *attempts, const struct ch_flight *flight,
+              enum rt_stage stage)
+{
+    if (stage == RT_NOT_SENT) {
+        attempts->unreached++;
+    }
+    else if (flight->on_trial && attempts->failed == 0 &&
+             !attempts->on_trial) {
+        attempts->on_trial = true;
+    }
+    else {
+        attempts->failed++;
+    }
+}
+
 static void
 note_retry_refused(const struct rq_request *request,
-                   const struct rt_attempt *attempt, const char *reason,
-                   double tokens)
+                   const struct rt_attempt *attempt, int sent,
+                   const char *reason, double tokens)
 {
     const struct ch_table *table =
         Ep_Table(request->gate->endpoints, request->service->name);
@@ -317,10 +337,10 @@
                            : "none";
     Ev_Log(&GT_RETRY_REFUSED,
            "request=%s service=%s endpoint=%s stage=%s reason=%s sent=%d "
-           "unreached=%d left_ms=%lld retries_left=%.1f sent_to=%s asked=%s "
-           "others=%s",
+           "failed=%d unreached=%d left_ms=%lld retries_left=%.1f sent_to=%s "
+           "asked=%s others=%s",
            request->id, request->service->name, last, stages[attempt->stage],
-           reason, attempt->attempts, attempt->unreached,
+           reason, sent, attempt->attempts, attempt->unreached,
            (long long)(attempt->left / Ck_USEC_PER_MSEC), tokens,
            request->sent_to, asked, others);
     Gt_Count(request->gate, "cg_retries_refused_total", NULL, NULL);
@@ -343,19 +363,19 @@
         .stage = stage,
         .idempotent = request->repeatable,
         .keyed = request->keyed,
-        .attempts = Rq_Sent(attempts),
+        .attempts = attempts->failed,
         .unreached = attempts->unreached,
         .left = request->deadline - Ck_Now(gate->clock),
     };
     if (request->http == NULL || budget == NULL) {
-        note_retry_refused(request, &attempt,
+        note_retry_refused(request, &attempt, Rq_Sent(attempts),
                            budget == NULL ? "no-service" : "caller-gone", 0);
         return false;
     }
     enum rt_reason why = Rt_Why(budget, &attempt);
     if (Rt_Decide(budget, &attempt) != RT_RETRY) {
-        note_retry_refused(request, &attempt, Rt_ReasonName(why),
-                           budget->tokens);
+        note_retry_refused(request, &attempt, Rq_Sent(attempts),
+                           Rt_ReasonName(why), budget->tokens);
         return false;
     }
     Gt_Count(gate, "cg_retries_total", NULL, NULL);
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -66,6 +66,8 @@
 struct rq_attempts {
     int all;
     int unreached; /* those of which no byte can have left */
+    int failed;    /* those sent that failed, but for the next one */
+    bool on_trial; /* the first that failed was at a version on trial */
 };
 
 void Rq_Accept(struct gt_gate *gate, struct hs_request *http);
--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -48,12 +48,22 @@
     return attempt->idempotent ? RT_FAILED : RT_UNKNOWN;
 }
 
+/*
+ * Whether a further attempt is no load beyond the first one that is owed: no
+ * byte of the last has left this host, or it went to a version on trial and
+ * the next one is the first for the others.  Each is bounded by itself.
+ */
+static bool
+is_free(const struct rt_attempt *attempt)
+{
+    return attempt->stage == RT_NOT_SENT || attempt->attempts == 0;
+}
+
 /*
  * Why the attempt may not be followed by another; changes nothing.  Work that
  * may have run is repeated only when it is idempotent: an idempotency key
  * does not make it so, as the endpoint need not know the key and a charge
- * would be made twice.  An attempt of which no byte left this host has
- * loaded nobody; it is bounded by itself and needs no budget.
+ * would be made twice.
  */
 enum rt_reason
 Rt_Why(const struct rt_budget *budget, const struct rt_attempt *attempt)
@@ -74,7 +84,7 @@
     if (attempt->left <= attempt->predicted) {
         return RT_NO_TIME_LEFT;
     }
-    if (!unreached && budget->tokens < 1) {
+    if (!is_free(attempt) && budget->tokens < 1) {
         return RT_BUDGET_SPENT;
     }
     return RT_ALLOWED;
@@ -97,8 +107,8 @@
 }
 
 /*
- * Decides on a dispatch that failed; RT_RETRY takes from the budget unless
- * nobody was reached.  Without a budget an outage turns each request into
+ * Decides on a dispatch that failed; RT_RETRY takes from the budget unless the
+ * next attempt is free.  Without a budget an outage turns each request into
  * three and keeps the endpoints down.
  */
 enum rt_verdict
@@ -107,7 +117,7 @@
     if (Rt_Why(budget, attempt) != RT_ALLOWED) {
         return give_up(attempt);
     }
-    if (attempt->stage != RT_NOT_SENT) {
+    if (!is_free(attempt)) {
         (void)take(budget);
     }
     return RT_RETRY;
--- a/packages/policy/retry.h
+++ b/packages/policy/retry.h
@@ -22,9 +22,13 @@
 
 struct rt_attempt {
     enum rt_stage stage;
-    bool idempotent;   /* running it twice does no harm */
-    bool keyed;        /* its outcome is kept under an idempotency key */
-    int attempts;      /* so far, this one included, that were sent */
+    bool idempotent; /* running it twice does no harm */
+    bool keyed;      /* its outcome is kept under an idempotency key */
+    /*
+     * So far, this one included, that were sent and failed.  A first one at a
+     * version on trial is not counted: 0 after it.
+     */
+    int attempts;
     int unreached;     /* so far, this one included, that were not */
     int64_t left;      /* until the deadline */
     int64_t predicted; /* time a further attempt takes */
--- a/packages/policy/test/queue_test.cc
+++ b/packages/policy/test/queue_test.cc
@@ -265,6 +265,26 @@
     EXPECT_EQ(RT_RETRY, Rt_Decide(&budget, &attempt));
 }
 
+// Guards against a bad version on trial that uses up the retries of what the
+// settled one fails.
+TEST(Retry, WhatAVersionOnTrialFailsCostsNoRetry)
+{
+    struct rt_budget budget;
+    Rt_Init(&budget, 0.1, 2);
+    struct rt_attempt attempt = {RT_SENT, true, false, 0, 0, kSec, 0};
+    for (int i = 0; i < 1000; i++) {
+        ASSERT_EQ(RT_RETRY, Rt_Decide(&budget, &attempt));
+    }
+    attempt.attempts = 1;
+    EXPECT_EQ(RT_RETRY, Rt_Decide(&budget, &attempt));
+    EXPECT_EQ(RT_RETRY, Rt_Decide(&budget, &attempt));
+    EXPECT_EQ(RT_BUDGET_SPENT, Rt_Why(&budget, &attempt));
+    attempt.attempts = 0;
+    EXPECT_EQ(RT_ALLOWED, Rt_Why(&budget, &attempt));
+    attempt.idempotent = false;
+    EXPECT_EQ(RT_MAY_HAVE_RUN, Rt_Why(&budget, &attempt));
+}
+
 // Guards against all tries of an accepted stream being spent within a
 // millisecond on an endpoint that refuses connections.
 TEST(Retry, GapsBetweenUnreachedTriesGrow)
