Retries: the budget holds one for each request in flight

What callers would see: an engine that dies with more in flight at one daemon than the budget's 50 leaves the rest told "unknown", though other engines are well. Two engines of 32 places are enough for a daemon that stands alone.

Cause: the most that the budget holds was a number by itself; what an event can fail at once is what is in flight.

Change: the most grows to the highest number in flight so far and is filled up by as much, so that all of it may be tried once more; what successes earn is as before, and so is what an outage that lasts can draw.

Test: 64 in flight, 10 of 64 tried again before, 64 of 64 now.

--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -211,6 +211,8 @@
 {
     struct gt_gate *gate = request->gate;
     Ch_Start(table, flight, Ck_Now(gate->clock));
+    Rt_Cover(Ep_Budget(gate->endpoints, request->service->name),
+             Ch_AllInFlight(table));
     remember_tried(request, Ch_Info(flight->endpoint)->id);
     Rq_NoteSentTo(request, Ch_Info(flight->endpoint)->id);
 }
--- a/packages/policy/retry.h
+++ b/packages/policy/retry.h
@@ -60,6 +60,7 @@
 };
 
 void Rt_Init(struct rt_budget *budget, double ratio, double most);
+void Rt_Cover(struct rt_budget *budget, int in_flight);
 void Rt_Success(struct rt_budget *budget);
 enum rt_reason Rt_Why(const struct rt_budget *budget,
                       const struct rt_attempt *attempt);
--- a/packages/policy/test/queue_test.cc
+++ b/packages/policy/test/queue_test.cc
@@ -285,6 +285,24 @@
     EXPECT_EQ(RT_MAY_HAVE_RUN, Rt_Why(&budget, &attempt));
 }
 
+// Guards against requests told "unknown" since an endpoint that dies with all
+// its places taken fails more at once than the budget holds.
+TEST(Retry, AllInFlightMayBeTriedOnceMore)
+{
+    struct rt_budget budget;
+    Rt_Init(&budget, 0.1, 10);
+    for (int flying = 1; flying <= 64; flying++) {
+        Rt_Cover(&budget, flying);
+    }
+    struct rt_attempt attempt = {RT_SENT, true, false, 1, 0, kSec, 0};
+    int retried = 0;
+    for (int i = 0; i < 1000; i++) {
+        Rt_Cover(&budget, 64);
+        retried += Rt_Decide(&budget, &attempt) == RT_RETRY;
+    }
+    EXPECT_EQ(64, retried);
+}
+
 // Guards against all tries of an accepted stream being spent within a
 // millisecond on an endpoint that refuses connections.
 TEST(Retry, GapsBetweenUnreachedTriesGrow)
