Choice: a failing endpoint is no help to full ones; retries leave a version on trial at any share

Change: an endpoint that fails is taken only where there is no other, full or not, and the queue in front counts places likewise; a silent one comes before it. Waiting for a place is counted apart. Beside a version on trial the other listed one is settled, whatever its share.

--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -18,6 +18,7 @@
 
 #define Rl_ATTEMPTS 6
 #define Rl_UNREACHED_MAX 16
+#define Rl_WAITS_MAX 16 /* for a place at those that have not failed it */
 #define Rl_EVENT_MAX ((size_t)64 << 10)
 #define Rl_TEXT_MAX ((size_t)4 << 20)
 #define Rl_PENDING_MAX ((size_t)256 << 10)
@@ -341,7 +342,7 @@
 wait_for_engine(struct rl_engine *relay)
 {
     Gt_Count(relay->request->gate, "cg_streams_waiting_total", NULL, NULL);
-    Lp_TimerSet(relay->again_timer, Rt_Gap(relay->astray));
+    Lp_TimerSet(relay->again_timer, Rt_Gap(relay->astray + relay->waits));
 }
 
 static void
@@ -541,7 +542,7 @@
     struct rq_request *request = relay->request;
     enum st_status status =
         Rq_Choose(request, relay->table, ask, &relay->flight);
-    if (status == ST_OVERLOAD && relay->astray + 1 >= Rl_UNREACHED_MAX) {
+    if (status == ST_OVERLOAD && relay->waits >= Rl_WAITS_MAX) {
         status = Rq_ChooseAny(request, relay->table, ask, &relay->flight);
     }
     return status;
@@ -555,10 +556,14 @@
     Re_FillAsk(relay, &ask);
     relay->table = Ep_Table(request->gate->endpoints, request->service->name);
     enum st_status status = choose(relay, &ask);
+    if (status == ST_OVERLOAD && may_have_run(relay)) {
+        relay->waits++;
+        wait_for_engine(relay);
+        return;
+    }
     if (status != ST_OK) {
         relay->astray++;
-        if (should_wait(relay) ||
-            (status == ST_OVERLOAD && may_have_run(relay))) {
+        if (should_wait(relay)) {
             wait_for_engine(relay);
             return;
         }
@@ -569,6 +574,7 @@
         give_up(relay, failure_told(relay), message);
         return;
     }
+    relay->waits = 0;
     Re_Launch(relay, NULL);
 }
 
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -42,6 +42,7 @@
     struct lp_timer *stall_timer;
     struct lp_timer *again_timer; /* for a stream that found no engine */
     int astray;                   /* attempts in a row that reached nobody */
+    int waits;                    /* in a row for a place at an engine */
     struct kv_move *move;         /* on its way to the target */
     struct ch_flight target;      /* reserved while the cache moves */
     struct mt_metric *first_token_time;
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -188,18 +188,20 @@
  * The endpoints that may take the request: those in the best standing that any
  * has, so that one that fails is asked only where no other is left.  Work
  * waits for a place at a better one, unless so many look bad that too few
- * would carry all.
+ * would carry all.  One that fails is no help to the others then.
  */
 static size_t
 collect(struct ch_table *table, struct filter *filter)
 {
     bool panic = is_panic(table, filter->version, filter->now);
-    filter->standing = CH_SOUND;
-    size_t count = collect_usable(table, filter);
-    while (count == 0 && filter->standing < CH_SILENT &&
-           (panic || !filter->full)) {
-        filter->standing++;
-        count = collect_usable(table, filter);
+    size_t count = 0;
+    for (int standing = CH_SOUND; standing <= CH_FAILING && count == 0;
+         standing++) {
+        bool waits = filter->full && (!panic || standing == CH_FAILING);
+        if (!waits) {
+            filter->standing = (enum ch_standing)standing;
+            count = collect_usable(table, filter);
+        }
     }
     return count;
 }
@@ -234,32 +236,41 @@
 }
 
 static const struct ch_share *
-largest_share(const struct ch_table *table, bool settled)
+larger(const struct ch_share *best, const struct ch_share *share)
 {
-    const struct ch_share *best = NULL;
-    for (size_t i = 0; i < table->share_count; i++) {
-        const struct ch_share *share = &table->shares[i];
-        if (share->share > 0 && Ch_Trusted(table, share->version) &&
-            !(settled && is_on_trial(table, share->version)) &&
-            (best == NULL || share->share > best->share)) {
-            best = share;
-        }
-    }
-    return best;
+    return best == NULL || share->share > best->share ? share : best;
 }
 
 /* The trusted version with the largest share; NULL when none has any. */
 static const struct ch_share *
 main_version(const struct ch_table *table)
 {
-    return largest_share(table, false);
+    const struct ch_share *best = NULL;
+    for (size_t i = 0; i < table->share_count; i++) {
+        const struct ch_share *share = &table->shares[i];
+        if (share->share > 0 && Ch_Trusted(table, share->version)) {
+            best = larger(best, share);
+        }
+    }
+    return best;
 }
 
-/* The same among those that are not on trial. */
+/*
+ * The version for what has failed once: beside one on trial the other, even
+ * with no share left, as its endpoints are kept until the trial is over.
+ */
 static const struct ch_share *
 settled_version(const struct ch_table *table)
 {
-    return largest_share(table, true);
+    const struct ch_share *best = NULL;
+    for (size_t i = 0; i < table->share_count; i++) {
+        const struct ch_share *share = &table->shares[i];
+        if (Ch_Trusted(table, share->version) &&
+            !is_on_trial(table, share->version)) {
+            best = larger(best, share);
+        }
+    }
+    return table->trial[0] != '\0' ? best : main_version(table);
 }
 
 /*
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -20,8 +20,8 @@
     CH_SOUND,
     CH_SHUNNED, /* gave no connection just now */
     CH_SLOW,    /* ejected for it; or suspect, but it answers this router */
-    CH_FAILING, /* fails what it gets */
     CH_SILENT,  /* suspect, and no answer since */
+    CH_FAILING, /* fails what it gets */
 };
 
 struct ch_window {
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -17,13 +17,13 @@
 enum ch_standing
 ch_standing(const struct ch_endpoint *endpoint, int64_t now)
 {
+    if (endpoint->failing_until > now) {
+        return CH_FAILING;
+    }
     if (endpoint->state == CH_SUSPECT &&
         endpoint->answered_at <= endpoint->suspect_since) {
         return CH_SILENT;
     }
-    if (endpoint->failing_until > now) {
-        return CH_FAILING;
-    }
     if (endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, now)) {
         return CH_SLOW;
     }
@@ -101,14 +101,16 @@
     return TAILQ_NEXT(endpoint, entry);
 }
 
-/* Tells the free places and the drain rate; for the queue in front. */
-void
-Ch_Capacity(const struct ch_table *table, int64_t now, struct ch_capacity *out)
+/* Adds up the places of what is live, failing ones only where asked for. */
+static void
+add_places(const struct ch_table *table, bool failing, int64_t now,
+           struct ch_capacity *out)
 {
-    memset(out, 0, sizeof(*out));
     struct ch_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
-        if (endpoint->state != CH_LIVE || Ch_Ejected(endpoint, now) ||
+        bool fails = endpoint->failing_until > now;
+        if (endpoint->state != CH_LIVE || fails != failing ||
+            (!fails && Ch_Ejected(endpoint, now)) ||
             !Ch_Trusted(table, endpoint->info.version)) {
             continue;
         }
@@ -116,6 +118,20 @@
         int places = (int)endpoint->limit - endpoint->in_flight;
         out->free_places += places > 0 ? places : 0;
     }
+}
+
+/*
+ * Tells the free places and the drain rate; for the queue in front.  Like the
+ * choice it counts on those that fail only where there is no other.
+ */
+void
+Ch_Capacity(const struct ch_table *table, int64_t now, struct ch_capacity *out)
+{
+    memset(out, 0, sizeof(*out));
+    add_places(table, false, now, out);
+    if (out->endpoints == 0) {
+        add_places(table, true, now, out);
+    }
     struct ch_window rate = table->rate;
     ch_window_roll(&rate, now);
     int64_t span = now - rate.begun;
--- a/packages/policy/test/unknown_model.c
+++ b/packages/policy/test/unknown_model.c
@@ -41,7 +41,10 @@
     enum next after_token;
     int all;
     int unreached;
-    int astray; /* unreached ones in a row */
+    int failed;    /* sent ones that count */
+    bool on_trial; /* the first that failed was at the new version */
+    int astray;    /* unreached ones in a row */
+    int waits;     /* in a row, for a place */
     uint64_t prefix;
     char tried[TRIED_MAX][Ch_NAME_MAX];
     const char *tried_list[TRIED_MAX];
@@ -106,6 +109,7 @@
         (int)((settings->first - choice.base) / choice.per_token);
     model->table = Ch_Create("a", Ch_Predictive(), &choice);
     Ch_SetShares(model->table, shares, 2);
+    Ch_SetTrial(model->table, UM_NEW);
     Rt_Init(&model->retries, RETRY_RATIO, RETRY_MOST);
     Mv_TripInit(&model->trip);
     Rn_Seed(&model->random, seed);
@@ -252,7 +256,9 @@
     };
     enum st_status status = Ch_Choose(model->table, &ask, model->now,
                                       &model->random, &request->flight);
-    if (status != ST_OK && request->tried_count > 0) {
+    bool waited = request->waits >= UNREACHED_MAX;
+    if (status != ST_OK && request->tried_count > 0 &&
+        (status != ST_OVERLOAD || waited)) {
         request->tried_count = 0;
         ask.tried_count = 0;
         status = Ch_Choose(model->table, &ask, model->now, &model->random,
@@ -260,9 +266,11 @@
     }
     if (status == ST_OK) {
         Ch_Start(model->table, &request->flight, model->now);
+        Rt_Cover(&model->retries, Ch_AllInFlight(model->table));
         snprintf(request->tried[request->tried_count], Ch_NAME_MAX, "%s",
                  Ch_Info(request->flight.endpoint)->id);
         request->tried_count += request->tried_count + 1 < TRIED_MAX;
+        request->waits = 0;
         launch(model, request);
         return;
     }
@@ -272,13 +280,35 @@
         request->due = model->now + QUEUE_USEC; /* it stands in the queue */
         return;
     }
-    request->astray++;
-    if (request->all == request->unreached ||
-        request->astray >= UNREACHED_MAX) {
+    bool ran = request->all > request->unreached;
+    if (ran && status == ST_OVERLOAD) {
+        request->waits++;
+    }
+    else {
+        request->astray++;
+    }
+    if (!ran || request->astray >= UNREACHED_MAX ||
+        model->now - request->arrived >= DEADLINE) {
         give_up(model, request, RT_ALLOWED);
         return;
     }
-    request->due = model->now + Rt_Gap(request->astray);
+    request->due = model->now + Rt_Gap(request->astray + request->waits);
+}
+
+/* As Rq_NoteFailed() in packages/gate/request.c. */
+static void
+note_failed(struct request *request, bool reached)
+{
+    if (!reached) {
+        request->unreached++;
+    }
+    else if (request->flight.on_trial && request->failed == 0 &&
+             !request->on_trial) {
+        request->on_trial = true;
+    }
+    else {
+        request->failed++;
+    }
 }
 
 /*
@@ -288,16 +318,16 @@
 static void
 go_on(struct um_model *model, struct request *request, bool reached)
 {
-    request->unreached += !reached;
+    note_failed(request, reached);
     request->astray = reached ? 0 : request->astray + 1;
     struct rt_attempt attempt = {
         .stage = reached ? RT_SENT : RT_NOT_SENT,
         .idempotent = true,
-        .attempts = request->all - request->unreached,
+        .attempts = request->failed,
         .unreached = request->unreached,
         .left = request->arrived + DEADLINE - model->now,
     };
-    bool ran = attempt.attempts > 0;
+    bool ran = request->all > request->unreached;
     if (!request->begun) {
         enum rt_reason why = Rt_Why(&model->retries, &attempt);
         if (Rt_Decide(&model->retries, &attempt) != RT_RETRY) {
