--- a/packages/policy/test/unknown_model.c
+++ b/packages/policy/test/unknown_model.c
@@ -17,7 +17,7 @@
 #define RETRY_RATIO 0.2  /* as the pool of endpoints has it */
 #define RETRY_MOST 50    /* as the pool of endpoints has it */
 #define DEADLINE (60 * Ck_USEC_PER_SEC)
-#define QUEUE_USEC (5 * Ck_USEC_PER_MSEC)
+#define QUEUE_USEC (20 * Ck_USEC_PER_MSEC)
 #define AT_ONCE Ck_USEC_PER_MSEC
 #define NEVER INT64_MAX
 
