Soak: a run on a version taken back is shown as its engine recorded it

A breach of "none 3 s after it was taken back" said only how many runs there were. It names each one's attempt, whose id holds the daemon and its incarnation, when it began and when "taken back" was seen, on the clock of the logs.

--- a/test/soak_check.cc
+++ b/test/soak_check.cc
@@ -192,6 +192,9 @@
     if (faults.bad_runs_late > 0) {
         promise.breaches.push_back(std::to_string(faults.bad_runs_late) +
                                    " runs after it was taken back");
+        promise.breaches.insert(promise.breaches.end(),
+                                faults.bad_runs_told.begin(),
+                                faults.bad_runs_told.end());
     }
     return promise;
 }
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -30,6 +30,14 @@
     return attempt.substr(0, attempt.rfind('.'));
 }
 
+// A moment of the boot clock as logs show it.
+std::string
+LogTime(long long boot_usec)
+{
+    return ClockTime(std::chrono::system_clock::now() +
+                     std::chrono::microseconds(boot_usec - NowUsec()));
+}
+
 std::string
 Tail(const std::string &log)
 {
@@ -107,6 +115,11 @@
         if (taken_back_usec != 0 &&
             list[i]["started"].Int() > taken_back_usec + kNewWorkUsec) {
             bad_runs_late++;
+            bad_runs_told.push_back(
+                "attempt " + list[i]["request_id"].Str() + " began at " +
+                LogTime(list[i]["started"].Int()) + ", " +
+                list[i]["outcome"].Str() + "; taken back as seen at " +
+                LogTime(taken_back_usec));
         }
     }
 }
--- a/test/soak_faults.h
+++ b/test/soak_faults.h
@@ -53,6 +53,8 @@
     long long bad_runs = 0;        // of the bad version
     long long bad_runs_late = 0;   // begun long after it was taken back
     long long taken_back_usec = 0; // boot clock; 0: not seen
+    // Of the runs that came late what the engine recorded.
+    std::vector<std::string> bad_runs_told;
     // Held while the log does not take or give records.
     std::atomic<bool> log_out{false};
 
