Moves: a daemon that starts sends nobody to a version taken back

Cause: a table without shares uses every version. With a move in the configuration none were set until the control stream was read and the next tick of the moves came. Where the control stream was read before the configuration, the tick passed with nothing to do and the next came half a second later; where it was read later, or not at all, nothing was set until then. Word of distrust by gossip ends it, if a router tripped; it was lost if it came before the service was known.

Change: until it is known how a move stands the old version carries everything, and the new one only where no endpoint of the old one is listed that stays; a new configuration is acted on at once; readiness waits up to 5 s for the state; distrust is kept for a service not known yet.

--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -16,7 +16,8 @@
 #define Dm_OFFSET_PERIOD (1200 * Ck_USEC_PER_SEC)
 /*
  * How long a new daemon waits for word of the others before it trusts what
- * the log alone shows: the log may answer with an end that lags.
+ * the log alone shows: the log may answer with an end that lags.  As long it
+ * waits for the log to show how version moves stand.
  */
 #define Dm_HEAR_USEC (5 * Ck_USEC_PER_SEC)
 #define Dm_BEHIND_USEC (1 * Ck_USEC_PER_SEC)
@@ -65,6 +66,10 @@
         Pe_HighestOffset(daemon->peers)) {
         return "the configuration is behind that of other daemons";
     }
+    if (Mo_IsLearning(daemon->gate.moves) &&
+        Ck_Now(daemon->gate.clock) - daemon->started < Dm_HEAR_USEC) {
+        return "it has not been read yet how the version moves stand";
+    }
     return NULL;
 }
 
--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -257,10 +257,41 @@
     return &pool->hosts;
 }
 
+/* Whether an endpoint of the version is listed that does not leave. */
+static bool
+is_served(const struct ch_table *table, const char *version)
+{
+    const struct ch_endpoint *endpoint = Ch_First(table);
+    for (; endpoint != NULL; endpoint = Ch_Next(endpoint)) {
+        if (Ch_State(endpoint) != CH_LEAVING &&
+            strcmp(Ch_Info(endpoint)->version, version) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /*
- * Makes a table for each service of a configuration.  Without a move in
- * flight the intended version carries everything.
+ * The version that carries everything until shares are set.  With a move that
+ * is the old one: a daemon that starts has read the configuration and the
+ * hosts before it knows how the move stands, and the new version may have been
+ * taken back.  That one serves only where nothing of the old one is left.
  */
+static void
+set_first_share(struct service *service, const struct cf_move *move)
+{
+    struct ch_share share = {.share = 1};
+    if (service->shares_set || move->to[0] == '\0') {
+        return;
+    }
+    bool moving = move->from[0] != '\0';
+    bool old = moving && (is_served(service->table, move->from) ||
+                          !is_served(service->table, move->to));
+    strlcpy(share.version, old ? move->from : move->to, sizeof(share.version));
+    Ch_SetShares(service->table, &share, 1);
+}
+
+/* Makes a table for each service of a configuration. */
 void
 Ep_Configure(struct ep_pool *pool, const struct cf_config *config)
 {
@@ -270,14 +301,8 @@
         if (service != NULL) {
             Ch_SetWarmup(service->table, wanted->cold_per_sec,
                          wanted->cold_usec, &pool->hosts);
+            set_first_share(service, &wanted->move);
         }
-        if (service == NULL || service->shares_set ||
-            wanted->move.to[0] == '\0' || wanted->move.from[0] != '\0') {
-            continue;
-        }
-        struct ch_share share = {.share = 1};
-        strlcpy(share.version, wanted->move.to, sizeof(share.version));
-        Ch_SetShares(service->table, &share, 1);
     }
     note_evacuated(pool, config);
 }
@@ -389,9 +414,15 @@
             put_endpoint(pool, &hosts[i]);
         }
     }
+    const struct cf_config *config = pool->gate->config;
     struct service *service;
     TAILQ_FOREACH (service, &pool->services, link) {
         forget_missing(service);
+        const struct cf_service *wanted =
+            config != NULL ? Cf_ServiceByName(config, service->name) : NULL;
+        if (wanted != NULL) {
+            set_first_share(service, &wanted->move);
+        }
     }
     forget_told(pool, Ck_Now(pool->gate->clock) - Ep_TOLD_KEEP);
 }
@@ -447,11 +478,14 @@
     }
 }
 
-/* A version gets no new work from now on. */
+/*
+ * A version gets no new work from now on.  A daemon that starts may hear so
+ * before it has read of the service, and hears it once.
+ */
 void
 Ep_Distrust(struct ep_pool *pool, const char *service, const char *version)
 {
-    struct service *found = find_service(pool, service);
+    struct service *found = add_service(pool, service);
     if (found != NULL) {
         Ch_Distrust(found->table, version);
     }
--- a/packages/gate/moves.c
+++ b/packages/gate/moves.c
@@ -239,15 +239,38 @@
     }
 }
 
-/* Does what is due, as router and as holder. */
+/* Whether it is not known yet how a configured move stands. */
+bool
+Mo_IsLearning(const struct mo_moves *moves)
+{
+    const struct cf_config *config = moves->gate->config;
+    if (Ct_Ready(moves->control)) {
+        return false;
+    }
+    for (size_t i = 0; config != NULL && i < config->service_count; i++) {
+        if (config->services[i].move.from[0] != '\0') {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Does what is due, as router and as holder; with a new configuration at once,
+ * as requests are sent by it from now on.
+ */
 void
 Mo_Tick(struct mo_moves *moves)
 {
+    const struct cf_config *config = moves->gate->config;
     int64_t now = Ck_Now(moves->gate->clock);
-    if (now < moves->next_tick || !Ct_Ready(moves->control)) {
+    uint64_t offset = config != NULL ? config->offset : 0;
+    bool due = now >= moves->next_tick || offset != moves->config_offset;
+    if (!due || !Ct_Ready(moves->control)) {
         return;
     }
     moves->next_tick = now + Mo_PERIOD;
+    moves->config_offset = offset;
     take_plans(moves);
     struct mo_service *service;
     TAILQ_FOREACH (service, &moves->services, link) {
--- a/packages/gate/moves.h
+++ b/packages/gate/moves.h
@@ -51,6 +51,7 @@
 void Mo_Report(struct mo_moves *moves, const char *text, size_t len);
 
 /* Queries. */
+bool Mo_IsLearning(const struct mo_moves *moves);
 json_t *Mo_Status(const struct mo_moves *moves);
 
 #ifdef __cplusplus
--- a/packages/gate/moves_internal.h
+++ b/packages/gate/moves_internal.h
@@ -42,6 +42,7 @@
     struct ct_control *control;
     struct mo_list services;
     int64_t next_tick;
+    uint64_t config_offset; /* of the configuration last worked by */
 };
 
 struct mo_service *Mo_Find(const struct mo_moves *moves, const char *name);
--- a/test/moves_test.cc
+++ b/test/moves_test.cc
@@ -109,6 +109,37 @@
         return runs;
     }
 
+    // Calls a daemon that starts, while its reads of a stream come late; the
+    // runs that this brought the new version.
+    long long
+    RunsOfAStart(size_t daemon, const std::string &late)
+    {
+        const int kCalls = 100;
+        scene.cluster.process(daemon).Kill();
+        long long before = Runs(2, 2);
+        scene.platform.Fault(cg::Json()
+                                 .Set("target", "read")
+                                 .Set("stream", late)
+                                 .Set("mode", "delay")
+                                 .Set("delay_ms", 400)
+                                 .Set("count", -1)
+                                 .Dump());
+        scene.cluster.Restart(daemon);
+        int answered = 0;
+        EXPECT_TRUE(cg::Eventually(
+            [&] {
+                std::string prompt = late + "/" + std::to_string(answered);
+                cg::HttpResult result =
+                    cg::Http(scene.Complete(daemon, prompt, 10, false));
+                answered += cg::ReadCompletion(result).done ? 1 : 0;
+                return answered >= kCalls;
+            },
+            Millis(60000)));
+        scene.platform.Clear();
+        EXPECT_TRUE(scene.cluster.WaitReady());
+        return Runs(2, 2) - before;
+    }
+
     cg::Scene scene;
     std::atomic<long long> whole{0};
     std::atomic<long long> asked{0};
@@ -152,6 +183,38 @@
     EXPECT_EQ(asked, whole) << RetriesRefused();
 }
 
+// Guards against a daemon that starts and sends callers to a version that was
+// taken back, until it has read how the move stands.
+TEST_F(Moves, ADaemonThatStartsSendsNobodyToAVersionTakenBack)
+{
+    Start(120);
+    for (size_t i = 2; i < 4; i++) {
+        scene.engines[i]->Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    }
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("taken back"); }, Millis(60000)))
+        << Move(0).Dump();
+    EXPECT_EQ(0, RunsOfAStart(2, "control"));
+    EXPECT_EQ(0, RunsOfAStart(1, "config"));
+}
+
+// Guards against the same where no router distrusts the version, of which a
+// daemon would hear from the others: the operator has withdrawn it.
+TEST_F(Moves, ADaemonThatStartsSendsNobodyToAVersionWithdrawn)
+{
+    const long long kTeamOffset = 2;
+    const char move[] = ",\"move\":{\"from\":\"v1\",\"to\":\"v2\","
+                        "\"first_share\":0.1,\"withdrawn\":true}";
+    Start(120);
+    ASSERT_TRUE(
+        LoadUntil([&] { return AllSay("small share"); }, Millis(60000)))
+        << Move(0).Dump();
+    scene.Publish("team/derwent", cg::Scene::DefaultTeam(move), kTeamOffset);
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("taken back"); }, Millis(60000)))
+        << Move(0).Dump();
+    EXPECT_EQ(0, RunsOfAStart(2, "control"));
+    EXPECT_EQ(0, RunsOfAStart(1, "config"));
+}
+
 /*
  * The daemon that holds the move is killed while the new version carries its
  * small share. Another goes on from what the log says; the bad version is
