A daemon that starts serves once it has read the log to its end

What callers saw: nothing yet; found by forcing the order of events. A daemon that starts on a stream longer than one answer of the log (512 records) was ready with the configuration of the 512th, and served by it until its next read was answered: a key that was withdrawn is good again. Where all others are gone or start at the same time nobody tells it that there is more. A daemon without the log took over such a state from a peer.

Cause: readiness asked for any configuration and for none further on that was heard of. Now the end of the stream must have been reached, or the state taken from a peer that has; a state handed on says "partial", which daemons of before don't know and don't send.

--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -19,6 +19,7 @@
     struct wr_writer *writer;
     struct sn_replica *replica;
     bool fast;
+    bool whole;     /* the end of the stream, or a peer's state, was reached */
     char *gathered; /* pieces of a snapshot being loaded */
     size_t gathered_len;
 };
@@ -169,6 +170,7 @@
 Cs_Tick(struct cs_stream *stream)
 {
     Sn_Tick(stream->replica);
+    stream->whole = stream->whole || Sn_Phase(stream->replica) == SN_READY;
     Wr_Tick(stream->writer);
 }
 
@@ -214,6 +216,9 @@
                                    "no JSON");
     }
     enum st_status status = Sn_Import(stream->replica, root);
+    if (status == ST_OK && !json_is_true(json_object_get(root, "partial"))) {
+        stream->whole = true;
+    }
     json_decref(root);
     return status;
 }
@@ -251,11 +256,28 @@
     return age >= 0 && age < Cs_FRESH;
 }
 
-/* The state for a peer, as JSON text to be freed; NULL before it is known. */
+/*
+ * Whether all of the stream was ever known here, by the log or by a peer.
+ * One answer of the log may end before the last record; a configuration from
+ * the midst of the stream is an old one.
+ */
+bool
+Cs_Whole(const struct cs_stream *stream)
+{
+    return stream->whole;
+}
+
+/*
+ * The state for a peer, as JSON text to be freed; NULL before it is known.
+ * A peer may go on from one that is partial, not serve by it.
+ */
 char *
 Cs_Export(const struct cs_stream *stream)
 {
     json_t *state = Sn_Export(stream->replica);
+    if (state != NULL && !stream->whole) {
+        json_object_set_new(state, "partial", json_true());
+    }
     char *text = state != NULL ? json_dumps(state, JSON_COMPACT) : NULL;
     json_decref(state);
     return text;
--- a/packages/gate/confstream.h
+++ b/packages/gate/confstream.h
@@ -45,6 +45,7 @@
 /* Microseconds since the last read that came to the end; -1: none did. */
 int64_t Cs_ReadAge(const struct cs_stream *stream);
 bool Cs_Reading(const struct cs_stream *stream);
+bool Cs_Whole(const struct cs_stream *stream);
 char *Cs_Export(const struct cs_stream *stream);
 
 #ifdef __cplusplus
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -55,6 +55,9 @@
     if (daemon->gate.config == NULL) {
         return "no configuration has been read yet";
     }
+    if (!Cs_Whole(daemon->config)) {
+        return "the configuration has not been read to its end yet";
+    }
     if (daemon->others_listed && !Pe_HeardAny(daemon->peers) &&
         Ck_Now(daemon->gate.clock) - daemon->started < Dm_HEAR_USEC) {
         return "no other daemon has been heard of yet";
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -27,6 +27,28 @@
         return true;
     }
 
+    // What tells word that did not come from a log that was not read: what
+    // each daemon knows of all, and what those that lag have logged.
+    std::string
+    WhatEachKnows(long long offset)
+    {
+        std::string text;
+        for (size_t i = 0; i < scene.cluster.Size(); i++) {
+            Json status = scene.cluster.Status(i, "ops-key");
+            text += "daemon " + std::to_string(i) + ": " +
+                    status["config"].Dump() + " of others:";
+            for (size_t d = 0; d < status["daemons"].Size(); d++) {
+                text += " " + status["daemons"][d]["config_offset"].Dump() +
+                        " " + status["daemons"][d]["state"].Str();
+            }
+            text += "\n";
+            if (status["config"]["offset"].Int() < offset) {
+                text += scene.cluster.process(i).Stderr();
+            }
+        }
+        return text;
+    }
+
     cg::Scene scene;
 };
 
@@ -73,7 +95,7 @@
                 "\",\"weight\":" + std::to_string(change + 2) + "}]}",
             change + 2);
         EXPECT_TRUE(cg::Eventually([&] { return AllKnow(offset); }))
-            << scene.cluster.Status(cut, "ops-key").Dump();
+            << WhatEachKnows(offset);
     }
 }
 
@@ -150,6 +172,65 @@
     EXPECT_TRUE(cg::Eventually([&] { return scene.cluster.IsReady(late); }));
 }
 
+// A stream that is longer than one answer of the log; its last offset.
+long long
+PublishMany(cg::Scene &scene)
+{
+    const int kChanges = 600;
+    scene.PublishDefaults();
+    std::vector<std::string> changes;
+    for (int change = 0; change < kChanges; change++) {
+        changes.push_back(scene.SectionRecord(
+            "team/derwent",
+            "{\"customers\":[{\"name\":\"families\",\"key_digest\":\"" +
+                cg::KeyDigest("key-of-the-customer") +
+                "\",\"weight\":" + std::to_string(change % 9 + 1) + "}]}",
+            change + 2));
+    }
+    return scene.platform.Append("config", changes) + kChanges - 1;
+}
+
+// Lets one answer of the log through to a daemon, and loses the next.
+void
+LoseSecondAnswer(const cg::Platform &platform)
+{
+    platform.Fault("{\"target\":\"read\",\"mode\":\"lost_answer\","
+                   "\"stream\":\"config\",\"after\":1,"
+                   "\"delay_ms\":3000,\"count\":1}");
+}
+
+// Guards against a daemon that starts and serves by an old configuration since
+// its first answer of the log ended before the last record.
+TEST_F(Config, ADaemonThatStartsServesOnceItHasReadAll)
+{
+    scene.AddPlain();
+    long long last = PublishMany(scene);
+    ASSERT_EQ(602, last);
+    LoseSecondAnswer(scene.platform);
+    size_t alone = scene.cluster.Add();
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    EXPECT_EQ(last, OffsetOf(scene, alone));
+}
+
+// Guards against a daemon without the log that serves by what a peer has read
+// of it so far.
+TEST_F(Config, APeersPartOfTheLogIsNotServedBy)
+{
+    scene.AddPlain();
+    long long last = PublishMany(scene);
+    ASSERT_EQ(602, last);
+    LoseSecondAnswer(scene.platform);
+    cg::FaultProxy to_log(scene.platform.Address());
+    to_log.Fault("{\"mode\":\"refuse\",\"count\":-1}");
+    scene.cluster.Add();
+    cg::DaemonOptions options;
+    options.log = to_log.ListenAddress();
+    size_t cut = scene.cluster.Add(options);
+    ASSERT_TRUE(cg::Eventually([&] { return scene.cluster.IsReady(cut); }));
+    EXPECT_EQ(last, OffsetOf(scene, cut));
+    EXPECT_TRUE(scene.cluster.WaitReady());
+}
+
 /*
  * Two operators change the same section at once at two daemons. One must
  * win, the other must be told, and all daemons must agree.
