Config: the wait for the next look begins when the log is asked

What callers saw: nothing yet; found by forcing orders with a clock passed in. A daemon that hears no word of a change and loses two reads served by the old configuration for 12.2 s where 11 s are promised. Cause: the answer to a read says how the log stood when it was asked, but the wait for the next read began when it came, up to 2 s later; a change written in between waited for both.

At least a tenth of a second lies between an answer and the next read, so that a slow log is not asked without a pause.

--- a/packages/state/follower.c
+++ b/packages/state/follower.c
@@ -101,6 +101,19 @@
     return true;
 }
 
+/*
+ * The answer tells how the stream stood when the log was asked, at the
+ * earliest; what came while it was on its way must not wait any longer.
+ */
+static int64_t
+next_look(const struct fo_follower *follower, int64_t now)
+{
+    int64_t poll = follower->poll_usec;
+    int64_t soonest = now + (poll < Fo_RETRY_USEC ? poll : Fo_RETRY_USEC);
+    int64_t at = follower->tail_asked + poll;
+    return at > soonest ? at : soonest;
+}
+
 static void
 take_read(struct fo_follower *follower, const struct pl_read *result,
           int64_t asked)
@@ -127,7 +140,7 @@
     }
     follower->at_tail = true;
     follower->tail_asked = asked;
-    follower->read_at = now + follower->poll_usec;
+    follower->read_at = next_look(follower, now);
     if (follower->ops->tail != NULL) {
         follower->ops->tail(follower->arg);
     }
