Config: the log tells how a configuration came and how late it was

A late configuration of the soak could not be traced, since nothing tells word that did not come from a read without an answer or from a loop that was not run. GT_CONFIG_IN_FORCE says now by what it came (a read, a read on others' word, a peer's state), how old the record was by its writer's calendar, since when others' word was known, and how long ago the log was last read to its end.

--- a/packages/gate/confstream.c
+++ b/packages/gate/confstream.c
@@ -19,7 +19,11 @@
     struct wr_writer *writer;
     struct sn_replica *replica;
     bool fast;
-    bool whole;     /* the end of the stream, or a peer's state, was reached */
+    bool whole; /* the end of the stream, or a peer's state, was reached */
+    int64_t word_at; /* of a change that is not read yet; -1: none came */
+    uint64_t word_offset;
+    int64_t age;    /* of the record being applied; -1: not known */
+    bool importing; /* a peer's state */
     char *gathered; /* pieces of a snapshot being loaded */
     size_t gathered_len;
 };
@@ -28,12 +32,35 @@
 put_in_force(struct cs_stream *stream)
 {
     struct cf_config *config = Sc_Config(stream->sections);
+    bool heard = stream->word_at >= 0;
+    const struct gt_origin origin = {
+        .by = stream->importing ? "peer" : (heard ? "word" : "read"),
+        .age_usec = stream->age,
+        .word_usec =
+            heard ? Ck_Now(stream->options.gate->clock) - stream->word_at : -1,
+        .unread_usec = Cs_ReadAge(stream),
+    };
     if (config->offset > 0) {
-        Gt_SetConfig(stream->options.gate, config);
+        Gt_SetConfig(stream->options.gate, config, &origin);
+    }
+    if (Sc_Offset(stream->sections) >= stream->word_offset) {
+        stream->word_at = -1;
     }
     stream->options.applied(stream->options.arg, Sc_Offset(stream->sections));
 }
 
+/* By the writer's calendar; -1 for a record that does not tell the time. */
+static int64_t
+age_of(const struct cs_stream *stream, const struct rc_record *record)
+{
+    if (record->wall_ms <= 0) {
+        return -1;
+    }
+    int64_t age = Ck_Wall(stream->options.gate->clock) -
+                  record->wall_ms * Ck_USEC_PER_MSEC;
+    return age > 0 ? age : 0;
+}
+
 static void
 apply(void *arg, const struct rc_record *record)
 {
@@ -46,7 +73,9 @@
         Sc_Pass(stream->sections, record->offset);
     }
     free(body);
+    stream->age = age_of(stream, record);
     put_in_force(stream);
+    stream->age = -1;
 }
 
 static void
@@ -143,6 +172,8 @@
         status = Sn_Create(&replica, &stream->replica);
     }
     stream->fast = true;
+    stream->age = -1;
+    stream->word_at = -1;
     if (status != ST_OK) {
         Cs_Destroy(stream);
         return status;
@@ -181,6 +212,19 @@
     Sn_Kick(stream->replica);
 }
 
+/* Reads at once, since others have read up to this offset. */
+void
+Cs_Word(struct cs_stream *stream, uint64_t offset)
+{
+    if (offset > Sc_Offset(stream->sections)) {
+        stream->word_offset = offset;
+        if (stream->word_at < 0) {
+            stream->word_at = Ck_Now(stream->options.gate->clock);
+        }
+    }
+    Cs_Kick(stream);
+}
+
 /*
  * Whether this daemon reads the stream at short intervals.  A few do in each
  * data centre; the others read on their word, and else seldom: 420 daemons
@@ -215,7 +259,9 @@
         return St_Fail(ST_INVALID, "a daemon sent a configuration that is "
                                    "no JSON");
     }
+    stream->importing = true;
     enum st_status status = Sn_Import(stream->replica, root);
+    stream->importing = false;
     if (status == ST_OK && !json_is_true(json_object_get(root, "partial"))) {
         stream->whole = true;
     }
--- a/packages/gate/confstream.h
+++ b/packages/gate/confstream.h
@@ -38,6 +38,7 @@
 void Cs_Destroy(struct cs_stream *stream);
 void Cs_Tick(struct cs_stream *stream);
 void Cs_Kick(struct cs_stream *stream);
+void Cs_Word(struct cs_stream *stream, uint64_t offset);
 void Cs_SetFast(struct cs_stream *stream, bool fast);
 void Cs_SetWriting(struct cs_stream *stream, bool writing);
 enum st_status Cs_Import(struct cs_stream *stream, const char *state,
--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -128,8 +128,7 @@
 peer_config_ahead(void *arg, uint64_t offset)
 {
     struct dm_daemon *daemon = arg;
-    (void)offset;
-    Cs_Kick(daemon->config);
+    Cs_Word(daemon->config, offset);
 }
 
 static char *
--- a/packages/gate/gate.c
+++ b/packages/gate/gate.c
@@ -9,13 +9,20 @@
 
 #define Gt_LABEL_MAX 160
 
+static long long
+in_ms(int64_t usec)
+{
+    return (long long)(usec < 0 ? usec : usec / Ck_USEC_PER_MSEC);
+}
+
 /*
  * Puts a configuration in force and takes a reference of its own; requests
  * keep the one they began with.  One that is not newer than the one in force
  * is passed over: a daemon never goes back.
  */
 void
-Gt_SetConfig(struct gt_gate *gate, struct cf_config *config)
+Gt_SetConfig(struct gt_gate *gate, struct cf_config *config,
+             const struct gt_origin *origin)
 {
     if (gate->config != NULL && config->offset <= gate->config->offset) {
         return;
@@ -26,8 +33,11 @@
     gate->config = Cf_Ref(config);
     Ep_Configure(gate->endpoints, config);
     In_Configure(gate->intake, config);
-    Ev_Log(&GT_CONFIG_IN_FORCE, "offset=%llu",
-           (unsigned long long)config->offset);
+    Ev_Log(&GT_CONFIG_IN_FORCE,
+           "offset=%llu by=%s age_ms=%lld word_ms=%lld unread_ms=%lld",
+           (unsigned long long)config->offset, origin->by,
+           in_ms(origin->age_usec), in_ms(origin->word_usec),
+           in_ms(origin->unread_usec));
 }
 
 /* Adds one to a counter with at most one label. */
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -67,7 +67,16 @@
     bool draining;
 };
 
-void Gt_SetConfig(struct gt_gate *gate, struct cf_config *config);
+/* How a configuration came here; what tells why one is late. */
+struct gt_origin {
+    const char *by;      /* "read", "word" of others and a read, "peer" */
+    int64_t age_usec;    /* since it was written; -1: not known */
+    int64_t word_usec;   /* since others told of it; -1: nobody did */
+    int64_t unread_usec; /* since the log was last read to its end; or -1 */
+};
+
+void Gt_SetConfig(struct gt_gate *gate, struct cf_config *config,
+                  const struct gt_origin *origin);
 void Gt_Count(struct gt_gate *gate, const char *name, const char *label,
               const char *value);
 
--- a/test/config_test.cc
+++ b/test/config_test.cc
@@ -1,6 +1,8 @@
 // Configuration comes into force on every daemon and never goes back.
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "test/scene.h"
 
 namespace {
@@ -97,6 +99,8 @@
         EXPECT_TRUE(cg::Eventually([&] { return AllKnow(offset); }))
             << WhatEachKnows(offset);
     }
+    std::string log = scene.cluster.process(cut).Stderr();
+    EXPECT_NE(std::string::npos, log.find("offset=5 by=peer")) << log;
 }
 
 /*
@@ -231,6 +235,121 @@
     EXPECT_TRUE(scene.cluster.WaitReady());
 }
 
+const cg::Millis kInForceMost{11000}; // as promised
+
+// The team's section with another weight.
+std::string
+TeamOfWeight(int weight)
+{
+    return "{\"customers\":[{\"name\":\"families\",\"key_digest\":\"" +
+           cg::KeyDigest("key-of-the-customer") +
+           "\",\"weight\":" + std::to_string(weight) + "}]}";
+}
+
+// The configuration that a daemon serves by.
+long long
+InForce(const cg::Scene &scene, size_t daemon)
+{
+    return scene.cluster.Status(daemon, "ops-key")["config"]["in_force"].Int();
+}
+
+// Whether these daemons serve by a change within the time promised.
+bool
+InForceInTime(const cg::Scene &scene, const std::vector<size_t> &daemons,
+              long long offset)
+{
+    return cg::Eventually(
+        [&] {
+            for (size_t daemon : daemons) {
+                if (InForce(scene, daemon) < offset) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        kInForceMost);
+}
+
+// Guards against a change that is lost or late since the daemon that took it
+// is stopped at once.
+TEST_F(Config, APublisherThatStopsAtOnceLeavesItsChangeInForce)
+{
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(4, {"dc-1", "dc-2"});
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    cg::HttpCall call;
+    call.method = "PATCH";
+    call.url = scene.cluster.Admin(0) + "/admin/v1/sections/team/derwent";
+    call.headers["authorization"] = "Bearer ops-key";
+    call.body = "{\"base\":2,\"body\":{\"customers\":{\"families\":"
+                "{\"weight\":3}}}}";
+    cg::HttpResult result = cg::Http(call);
+    scene.cluster.process(0).Term();
+    ASSERT_EQ(200, result.code) << result.body;
+    EXPECT_TRUE(
+        InForceInTime(scene, {1, 2, 3}, result.json()["offset"].Int()));
+    EXPECT_EQ(0, scene.cluster.process(0).WaitExit(cg::Millis(60000)));
+}
+
+// Guards against a daemon that misses a change since it is stopped for two
+// seconds just before, while, or just after it is written.
+TEST_F(Config, ADaemonStoppedForTwoSecondsFollows)
+{
+    const cg::Millis kStep{250};
+    const int kSteps = 4;
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(6, {"dc-1", "dc-2"});
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    long long base = 2;
+    for (int step = 0; step < kSteps; step++) {
+        size_t frozen = (size_t)step;
+        bool first = step % 2 == 0;
+        if (first) {
+            scene.cluster.process(frozen).Stop();
+            std::this_thread::sleep_for(kStep * step);
+        }
+        base = scene.Publish("team/derwent", TeamOfWeight(step + 2), base);
+        if (!first) {
+            std::this_thread::sleep_for(kStep * (step - 1));
+            scene.cluster.process(frozen).Stop();
+        }
+        std::this_thread::sleep_for(cg::Millis(2000));
+        scene.cluster.process(frozen).Cont();
+        EXPECT_TRUE(InForceInTime(scene, {0, 1, 2, 3, 4, 5}, base))
+            << WhatEachKnows(base);
+    }
+}
+
+// Guards against a daemon that is late since nobody tells it of a change and
+// its reads get no answer for as long as two of them wait.
+TEST_F(Config, ADaemonWithoutWordWhoseAnswersAreLostFollows)
+{
+    scene.AddPlain();
+    scene.PublishDefaults();
+    scene.cluster.AddMany(3);
+    cg::FaultProxy to_log(scene.platform.Address());
+    cg::Platform own_hosts; // lists no daemon
+    cg::HeldPort nobodys;
+    cg::DaemonOptions options;
+    options.log = to_log.ListenAddress();
+    options.hosts = own_hosts.Address();
+    options.listed_peer_port = nobodys.number();
+    size_t cut = scene.cluster.Add(options);
+    ASSERT_TRUE(scene.cluster.WaitReady());
+    to_log.Fault("{\"mode\":\"blackhole\",\"direction\":\"down\"}");
+    long long offset = scene.Publish("team/derwent", TeamOfWeight(2), 2);
+    std::this_thread::sleep_for(cg::Millis(4100));
+    EXPECT_EQ(2, InForce(scene, cut));
+    to_log.Clear();
+    EXPECT_TRUE(InForceInTime(scene, {cut}, offset));
+    std::string log = scene.cluster.process(cut).Stderr();
+    size_t at = log.find("offset=3 by=read");
+    ASSERT_NE(std::string::npos, at) << log;
+    EXPECT_NE(std::string::npos, log.find("word_ms=-1", at)) << log;
+}
+
 /*
  * Two operators change the same section at once at two daemons. One must
  * win, the other must be told, and all daemons must agree.
