Soak: a late configuration says when it was asked for and how long that took

The check itself can be late: an answer is judged by when it came, the daemons are asked one after another, and no answer within 3 s counts as not in force (a request behind a full service waits longer than that). The breach says now when the first and the last question were sent, how long the answers took and how many there were none of; beside the daemon's own "in_force" that tells a late check from a late daemon. What counts as a breach is unchanged.

--- a/test/soak_config.cc
+++ b/test/soak_config.cc
@@ -1,6 +1,7 @@
 #include "test/soak_config.h"
 
 #include <algorithm>
+#include <cstdio>
 
 namespace cg {
 
@@ -11,6 +12,14 @@
 const int kStepMs = 50;
 const size_t kCustomersMost = 40;
 
+std::string
+Seconds(double seconds)
+{
+    char text[32];
+    snprintf(text, sizeof(text), "%.2f s", seconds);
+    return text;
+}
+
 } // namespace
 
 SoakConfig::SoakConfig(Scene &scene, SoakLedger &ledger,
@@ -70,18 +79,41 @@
         .code;
 }
 
-// What tells a daemon that has not read of a change from one that is starved.
+// What tells a daemon that has not read of a change from one that is starved,
+// and both from a check that was late itself: with "in_force" at the accepted
+// offset, the key is refused no more.
 std::string
-SoakConfig::WhatIsKnown(size_t daemon, int code) const
+SoakConfig::WhatIsKnown(size_t daemon, const SoakAsks &asks) const
 {
-    return "last answer " + std::to_string(code) + ", accepted as " +
-           std::to_string(base_) + ", daemon says " +
+    return "first asked after " + Seconds(asks.first) + ", last asked after " +
+           Seconds(asks.last) + " and answered " + std::to_string(asks.code) +
+           " after " + Seconds(asks.took) + "; slowest answer " +
+           Seconds(asks.slowest) + ", asked " + std::to_string(asks.count) +
+           " times, " + std::to_string(asks.silent) +
+           " without answer; accepted as " + std::to_string(base_) +
+           ", daemon says " +
            Http("GET", admins_[daemon] + "/admin/v1/status",
                 {{"authorization", "Bearer ops-key"}}, "", Millis(3000))
                .json()["config"]
                .Dump();
 }
 
+int
+SoakConfig::AskTimed(size_t daemon, const std::string &key, Instant from,
+                     SoakAsks *asks) const
+{
+    using Sec = std::chrono::duration<double>;
+    Instant sent = std::chrono::steady_clock::now();
+    asks->code = Ask(daemon, key);
+    asks->took = Sec(std::chrono::steady_clock::now() - sent).count();
+    asks->last = Sec(sent - from).count();
+    asks->first = asks->count == 0 ? asks->last : asks->first;
+    asks->slowest = std::max(asks->slowest, asks->took);
+    asks->count++;
+    asks->silent += asks->code == 0 ? 1 : 0;
+    return asks->code;
+}
+
 // Waits for every daemon that nobody touches meanwhile.
 bool
 SoakConfig::InForceEverywhere(const std::string &key)
@@ -89,8 +121,8 @@
     Instant from = std::chrono::steady_clock::now();
     Instant since = from;
     for (size_t i = 0; i < urls_.size(); i++) {
-        int code;
-        while ((code = Ask(i, key)) == 401 || code == 0) {
+        SoakAsks asks;
+        while (AskTimed(i, key, from, &asks) == 401 || asks.code == 0) {
             Instant now = std::chrono::steady_clock::now();
             if (log_out_) {
                 since = now;
@@ -101,7 +133,7 @@
             if (now - since > kInForceLimit) {
                 breaches.push_back(key + " is not in force at daemon " +
                                    std::to_string(i) + ": " +
-                                   WhatIsKnown(i, code));
+                                   WhatIsKnown(i, asks));
                 return false;
             }
             std::this_thread::sleep_for(Millis(kStepMs));
--- a/test/soak_config.h
+++ b/test/soak_config.h
@@ -13,6 +13,18 @@
 
 namespace cg {
 
+// What one daemon answered until a key was accepted; times in seconds since
+// the change.
+struct SoakAsks {
+    int code = 0; // of the last answer, 0: none
+    double first = 0;
+    double last = 0;
+    double took = 0;
+    double slowest = 0;
+    int count = 0;
+    int silent = 0;
+};
+
 class SoakConfig {
   public:
     SoakConfig(Scene &scene, SoakLedger &ledger, std::vector<std::string> urls,
@@ -30,7 +42,9 @@
     void Round(int round);
     std::string Team(const std::string &extra) const;
     int Ask(size_t daemon, const std::string &key) const;
-    std::string WhatIsKnown(size_t daemon, int code) const;
+    int AskTimed(size_t daemon, const std::string &key, Instant from,
+                 SoakAsks *asks) const;
+    std::string WhatIsKnown(size_t daemon, const SoakAsks &asks) const;
     bool InForceEverywhere(const std::string &key);
     void CheckNothingReverted();
 
