--- a/test/moves_test.cc
+++ b/test/moves_test.cc
@@ -83,6 +83,33 @@
         return true;
     }
 
+    // An engine as one daemon shows it.
+    std::string
+    StateOf(size_t daemon, const std::string &id)
+    {
+        Json services = scene.cluster.Status(daemon, "ops-key")["services"];
+        for (size_t i = 0; i < services.Size(); i++) {
+            Json endpoints = services[i]["endpoints"];
+            for (size_t j = 0; j < endpoints.Size(); j++) {
+                if (endpoints[j]["id"].Str() == id) {
+                    return endpoints[j]["state"].Str();
+                }
+            }
+        }
+        return "";
+    }
+
+    bool
+    AnyShows(const std::string &id, const std::string &state)
+    {
+        for (size_t i = 0; i < scene.cluster.Size(); i++) {
+            if (StateOf(i, id) == state) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // Why failed attempts were not followed by others, as the daemons say.
     std::string
     RetriesRefused()
@@ -215,6 +242,39 @@
     EXPECT_EQ(0, RunsOfAStart(1, "config"));
 }
 
+// Guards against the same when the old version fails for longer, and only
+// once the new one carries its small share.
+TEST_F(Moves, ALongFailureOfTheOldVersionDoesNotHideABadNewOne)
+{
+    Start(120, 1);
+    ASSERT_TRUE(
+        LoadUntil([&] { return AllSay("small share"); }, Millis(60000)));
+    scene.engines[0]->Fault("{\"mode\":\"error_500\",\"count\":48}");
+    scene.engines[2]->Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    ASSERT_TRUE(LoadUntil([&] { return AllSay("taken back"); }, Millis(60000)))
+        << Move(0).Dump();
+    EXPECT_EQ(asked, whole) << RetriesRefused();
+}
+
+// Guards against attempts that all go to the engine that fails them, while
+// the good one is out of use for having been slow and is not asked.
+TEST_F(Moves, AnEngineThatWasSlowIsAskedBeforeOneThatFailedTheRequest)
+{
+    Start(120, 1);
+    ASSERT_TRUE(
+        LoadUntil([&] { return AllSay("small share"); }, Millis(60000)));
+    scene.engines[1]->Fault(
+        "{\"mode\":\"delay\",\"delay_ms\":300,\"count\":-1}");
+    ASSERT_TRUE(LoadUntil([&] { return AnyShows("engine-1", "ejected"); },
+                          Millis(60000)))
+        << scene.cluster.Status(0, "ops-key").Dump();
+    scene.engines[1]->Clear();
+    scene.engines[0]->Fault("{\"mode\":\"error_500\",\"count\":48}");
+    LoadUntil([&] { return scene.engines[0]->FaultHits() >= 48; },
+              Millis(10000));
+    EXPECT_EQ(asked, whole) << RetriesRefused();
+}
+
 /*
  * The daemon that holds the move is killed while the new version carries its
  * small share. Another goes on from what the log says; the bad version is
