Moves: a new version goes bad while it carries most of the requests

All attempts of a request stayed at the new version while both old engines stood idle: a request that has failed once is kept to the version with the largest share, which the new one is from a share of a half on.

--- a/test/moves_test.cc
+++ b/test/moves_test.cc
@@ -275,6 +275,21 @@
     EXPECT_EQ(asked, whole) << RetriesRefused();
 }
 
+// Guards against attempts that stay on a new version that goes bad when it
+// carries most requests, while the old one stands idle.
+TEST_F(Moves, ABadVersionThatCarriesMostIsNotAskedThreeTimes)
+{
+    Start(120);
+    ASSERT_TRUE(LoadUntil([&] { return Move(0)["share"].Number() >= 0.6; },
+                          Millis(150000)))
+        << Move(0).Dump();
+    for (size_t i = 2; i < 4; i++) {
+        scene.engines[i]->Fault("{\"mode\":\"error_500\",\"count\":-1}");
+    }
+    LoadUntil([&] { return AllSay("taken back"); }, Millis(30000));
+    EXPECT_EQ(asked, whole) << RetriesRefused();
+}
+
 /*
  * The daemon that holds the move is killed while the new version carries its
  * small share. Another goes on from what the log says; the bad version is
