Choice: fullness is a version's own, a blip is soon over, the queue counts as the choice takes

Change: "full" is reset for each version. An endpoint that fails is set behind the others for 0.1 s at first, then for twice as long each time up to 3.2 s, until its next good answer; after that it stands as an ejected one does. The queue counts what the choice would take. "Failed" and "sent before" are told apart. The budget stays as full as it is when it is widened, so that requests that pile up in an outage bring no retries.

--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -507,6 +507,7 @@
                                : Rl_EXPECTED_TOKENS;
     ask->budget = request->deadline - Ck_Now(request->gate->clock);
     ask->again = relay->attempts.all > 0;
+    ask->failed = Rq_HasFailed(&relay->attempts);
     Rq_Constrain(request, ask);
 }
 
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -238,6 +238,7 @@
     struct ch_request ask = {
         .budget = request->deadline - now,
         .again = relay->attempts.all > 0,
+        .failed = Rq_HasFailed(&relay->attempts),
     };
     relay->table = Ep_Table(gate->endpoints, request->service->name);
     if (choose(request, &ask) != ST_OK) {
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -260,6 +260,13 @@
     return attempts->all - attempts->unreached;
 }
 
+/* Whether an endpoint has failed the request. */
+bool
+Rq_HasFailed(const struct rq_attempts *attempts)
+{
+    return attempts->failed_on_trial || attempts->failed > 0;
+}
+
 static bool
 was_sent_to(const struct rq_request *request, const char *endpoint)
 {
@@ -313,8 +320,8 @@
         attempts->unreached++;
     }
     else if (flight->on_trial && attempts->failed == 0 &&
-             !attempts->on_trial) {
-        attempts->on_trial = true;
+             !attempts->failed_on_trial) {
+        attempts->failed_on_trial = true;
     }
     else {
         attempts->failed++;
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -65,9 +65,9 @@
 /* The dispatches of a request so far. */
 struct rq_attempts {
     int all;
-    int unreached; /* those of which no byte can have left */
-    int failed;    /* those sent that failed, but for the next one */
-    bool on_trial; /* the first that failed was at a version on trial */
+    int unreached;        /* those of which no byte can have left */
+    bool failed_on_trial; /* the first that failed was at such a version */
+    int failed;           /* the others that were sent and failed */
 };
 
 void Rq_Accept(struct gt_gate *gate, struct hs_request *http);
@@ -86,6 +86,7 @@
                             struct ch_request *ask, struct ch_flight *flight);
 void Rq_NoteSentTo(struct rq_request *request, const char *endpoint);
 int Rq_Sent(const struct rq_attempts *attempts);
+bool Rq_HasFailed(const struct rq_attempts *attempts);
 void Rq_NoteFailed(struct rq_attempts *attempts,
                    const struct ch_flight *flight, enum rt_stage stage);
 bool Rq_MayRetry(struct rq_request *request, enum rt_stage stage,
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -59,7 +59,7 @@
     const char *version;       /* NULL: any that is trusted */
     enum ch_standing standing; /* the worst that is let in */
     int64_t now;
-    bool full; /* set: one was left out only for its limit */
+    bool full; /* set: one of them was left out only for its limit */
 };
 
 static bool
@@ -136,8 +136,8 @@
  * Whether so many endpoints look bad that the fault is more likely in what
  * the router sees than in them; then the others are not waited for.
  */
-static bool
-is_panic(const struct ch_table *table, const char *version, int64_t now)
+bool
+ch_is_panic(const struct ch_table *table, const char *version, int64_t now)
 {
     int all = 0;
     int bad = 0;
@@ -149,7 +149,7 @@
             continue;
         }
         all++;
-        bad += ch_standing(endpoint, now) >= CH_SLOW;
+        bad += ch_standing(endpoint, now) >= CH_DOUBTED;
     }
     return bad > table->settings.panic_share * all;
 }
@@ -193,8 +193,9 @@
 static size_t
 collect(struct ch_table *table, struct filter *filter)
 {
-    bool panic = is_panic(table, filter->version, filter->now);
+    bool panic = ch_is_panic(table, filter->version, filter->now);
     size_t count = 0;
+    filter->full = false;
     for (int standing = CH_SOUND; standing <= CH_FAILING && count == 0;
          standing++) {
         bool waits = filter->full && (!panic || standing == CH_FAILING);
@@ -314,6 +315,17 @@
     return NULL;
 }
 
+/* What has failed once is not tried on a version that is on trial. */
+static const struct ch_share *
+first_asked(const struct ch_table *table, const struct ch_request *request,
+            struct rn_random *random)
+{
+    if (request->failed) {
+        return settled_version(table);
+    }
+    return request->again ? main_version(table) : draw_version(table, random);
+}
+
 static size_t
 collect_by_share(struct ch_table *table, struct filter *filter,
                  struct rn_random *random)
@@ -322,10 +334,7 @@
         return collect(table, filter);
     }
     const struct ch_share *main = main_version(table);
-    /* What has failed once is not tried on a version that is on trial. */
-    const struct ch_share *share = filter->request->again
-                                       ? settled_version(table)
-                                       : draw_version(table, random);
+    const struct ch_share *share = first_asked(table, filter->request, random);
     if (share == NULL) {
         share = main;
     }
@@ -338,8 +347,10 @@
     filter->version = share->version;
     size_t count = collect(table, filter);
     if (count == 0 && main != NULL && main != share) {
+        bool full = filter->full;
         filter->version = main->version;
         count = collect(table, filter);
+        filter->full |= full;
     }
     return count;
 }
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -70,7 +70,8 @@
     int prompt_tokens;   /* 0 for a plain service */
     int expected_tokens; /* of the answer */
     int64_t budget;      /* until the first token is of use; 0: none */
-    bool again;          /* an attempt before has failed */
+    bool again;          /* it was sent before */
+    bool failed;         /* an endpoint has failed it */
     /* Whether the request may run there; NULL: anywhere. */
     bool (*allowed)(const void *arg, const struct ch_info *info);
     const void *allowed_arg;
@@ -144,7 +145,8 @@
                             const struct ch_share *shares, size_t count);
 /*
  * The version on trial, or NULL.  What has failed is sent to a version that is
- * not on trial, whichever has the larger share.
+ * not on trial, whichever has the larger share, while that has an endpoint
+ * that has not failed it.
  */
 void Ch_SetTrial(struct ch_table *table, const char *version);
 /*
--- a/packages/policy/choose_flight.c
+++ b/packages/policy/choose_flight.c
@@ -17,6 +17,8 @@
 #define SLOW_MIN 10             /* first tokens before slowness is judged */
 #define EJECT_USEC (5 * Ck_USEC_PER_SEC)
 #define EJECT_DOUBLINGS 6
+#define FAILING_USEC (100 * Ck_USEC_PER_MSEC)
+#define FAILING_DOUBLINGS 5
 #define SHUN_USEC Ck_USEC_PER_SEC
 #define SLOWNESS_GAIN 0.2
 #define SLOWNESS_LOW 0.25
@@ -264,21 +266,32 @@
     FAILS,
 };
 
+/*
+ * Sets an endpoint that fails behind all others, at first for so short that
+ * one that is well again is soon found to be, then for longer each time.
+ */
 static void
-eject(struct ch_endpoint *endpoint, enum judgement judgement, int64_t now)
+set_behind(struct ch_endpoint *endpoint, int64_t now)
+{
+    int doublings = endpoint->fail_streak - CONSECUTIVE_MAX;
+    if (doublings < 0) {
+        doublings = 0;
+    }
+    if (doublings > FAILING_DOUBLINGS) {
+        doublings = FAILING_DOUBLINGS;
+    }
+    endpoint->failing_until = now + (FAILING_USEC << doublings);
+}
+
+static void
+eject(struct ch_endpoint *endpoint, int64_t now)
 {
     if (!may_eject(endpoint, now)) {
-        if (judgement == FAILS) {
-            endpoint->failing_until = now + EJECT_USEC;
-        }
         return;
     }
     int doublings = endpoint->ejections < EJECT_DOUBLINGS ? endpoint->ejections
                                                           : EJECT_DOUBLINGS;
     endpoint->ejected_until = now + (EJECT_USEC << doublings);
-    if (judgement == FAILS) {
-        endpoint->failing_until = endpoint->ejected_until;
-    }
     endpoint->ejections++;
     /* One more failure after the return ejects again, for twice as long. */
     endpoint->consecutive = CONSECUTIVE_MAX - 1;
@@ -346,10 +359,13 @@
     if (outcome == CH_FAILED) {
         endpoint->window.failed++;
         endpoint->consecutive++;
+        endpoint->fail_streak++;
     }
     else {
         endpoint->window.good++;
         endpoint->consecutive = 0;
+        endpoint->fail_streak = 0;
+        endpoint->failing_until = 0;
         int64_t calm = EJECT_USEC << EJECT_DOUBLINGS;
         if (now - endpoint->ejected_until > calm) {
             endpoint->ejections = 0;
@@ -359,13 +375,11 @@
         return;
     }
     enum judgement judgement = judge(endpoint, now);
-    if (Ch_Ejected(endpoint, now)) {
-        if (judgement == FAILS) {
-            endpoint->failing_until = endpoint->ejected_until;
-        }
+    if (judgement == FAILS && outcome == CH_FAILED) {
+        set_behind(endpoint, now);
     }
-    else if (judgement != SOUND) {
-        eject(endpoint, judgement, now);
+    if (judgement != SOUND && !Ch_Ejected(endpoint, now)) {
+        eject(endpoint, now);
     }
 }
 
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -19,7 +19,7 @@
 enum ch_standing {
     CH_SOUND,
     CH_SHUNNED, /* gave no connection just now */
-    CH_SLOW,    /* ejected for it; or suspect, but it answers this router */
+    CH_DOUBTED, /* ejected, or suspect though it answers this router */
     CH_SILENT,  /* suspect, and no answer since */
     CH_FAILING, /* fails what it gets */
 };
@@ -53,9 +53,10 @@
     int slowness_count;
     struct ch_window window;
     int consecutive;
+    int fail_streak; /* failures since the last good end */
     int ejections;
     int64_t ejected_until;
-    int64_t failing_until; /* also where as many as may be are ejected */
+    int64_t failing_until; /* whether or not it is ejected */
     int64_t answered_at;   /* the last first token of this router's */
     int64_t suspect_since;
     int64_t shunned_at; /* no connection was had; a later report ends it */
@@ -92,6 +93,8 @@
     const struct wu_hosts *hosts;
 };
 
+bool ch_is_panic(const struct ch_table *table, const char *version,
+                 int64_t now);
 enum ch_standing ch_standing(const struct ch_endpoint *endpoint, int64_t now);
 double ch_load(const struct ch_endpoint *endpoint, int64_t now);
 double ch_reported_slowness(const struct ch_endpoint *endpoint);
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -25,7 +25,7 @@
         return CH_SILENT;
     }
     if (endpoint->state == CH_SUSPECT || Ch_Ejected(endpoint, now)) {
-        return CH_SLOW;
+        return CH_DOUBTED;
     }
     return endpoint->shunned_until > now ? CH_SHUNNED : CH_SOUND;
 }
@@ -101,16 +101,16 @@
     return TAILQ_NEXT(endpoint, entry);
 }
 
-/* Adds up the places of what is live, failing ones only where asked for. */
+/* Adds up the places of endpoints in this standing or a better one. */
 static void
-add_places(const struct ch_table *table, bool failing, int64_t now,
-           struct ch_capacity *out)
+count_places(const struct ch_table *table, enum ch_standing worst, int64_t now,
+             struct ch_capacity *out)
 {
+    memset(out, 0, sizeof(*out));
     struct ch_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
-        bool fails = endpoint->failing_until > now;
-        if (endpoint->state != CH_LIVE || fails != failing ||
-            (!fails && Ch_Ejected(endpoint, now)) ||
+        if (endpoint->state == CH_LEAVING ||
+            ch_standing(endpoint, now) > worst ||
             !Ch_Trusted(table, endpoint->info.version)) {
             continue;
         }
@@ -121,16 +121,18 @@
 }
 
 /*
- * Tells the free places and the drain rate; for the queue in front.  Like the
- * choice it counts on those that fail only where there is no other.
+ * Tells the free places and the drain rate; for the queue in front.  Those
+ * count that the choice would take: the sound ones, and in panic, or where
+ * there are none, others as well.
  */
 void
 Ch_Capacity(const struct ch_table *table, int64_t now, struct ch_capacity *out)
 {
-    memset(out, 0, sizeof(*out));
-    add_places(table, false, now, out);
-    if (out->endpoints == 0) {
-        add_places(table, true, now, out);
+    int worst = ch_is_panic(table, NULL, now) ? CH_SILENT : CH_SHUNNED;
+    count_places(table, (enum ch_standing)worst, now, out);
+    while (out->endpoints == 0 && worst < CH_FAILING) {
+        worst++;
+        count_places(table, (enum ch_standing)worst, now, out);
     }
     struct ch_window rate = table->rate;
     ch_window_roll(&rate, now);
--- a/packages/policy/choose_table.c
+++ b/packages/policy/choose_table.c
@@ -120,6 +120,7 @@
     endpoint->consecutive = 0;
     endpoint->ejections = 0;
     endpoint->ejected_until = 0;
+    endpoint->fail_streak = 0;
     endpoint->failing_until = 0;
     endpoint->answered_at = 0;
 }
--- a/packages/policy/retry.c
+++ b/packages/policy/retry.c
@@ -21,14 +21,14 @@
 
 /*
  * Widens the budget to a retry for each request in flight, so that an event
- * that fails all of them at once leaves none without a second try.  What is
- * added so is never more than the most that were ever in flight.
+ * that fails all of them at once leaves none without a second try.  It stays
+ * as full as it is: requests that pile up in an outage bring no retries.
  */
 void
 Rt_Cover(struct rt_budget *budget, int in_flight)
 {
     if (in_flight > budget->most) {
-        budget->tokens += in_flight - budget->most;
+        budget->tokens *= in_flight / budget->most;
         budget->most = in_flight;
     }
 }
--- a/packages/policy/retry.h
+++ b/packages/policy/retry.h
@@ -25,8 +25,8 @@
     bool idempotent; /* running it twice does no harm */
     bool keyed;      /* its outcome is kept under an idempotency key */
     /*
-     * So far, this one included, that were sent and failed.  A first one at a
-     * version on trial is not counted: 0 after it.
+     * Failures so far, this one included, of what was sent, without a first
+     * one at a version on trial: 0 when that is all there is.
      */
     int attempts;
     int unreached;     /* so far, this one included, that were not */
