Moves: failures of the old version do not blind a router

What callers saw: "the engines of this service fail", 502, while engines of the good version stood idle. A router went on sending to a version that failed every request, since an engine of the old one had died with its slots full; each failure took a retry.

Cause: the old version's case excused twice its share of failures since the evidence was last void.

Change: the trip looks at each stretch from an outcome of the new version to now; in one the new version must be far from good and the shares of the two be apart. It is told the endpoint: one old endpoint's failures in a row count once for the old version's usual share, and while another endpoint of the new version answers, the worst one's count for no more than the others' and two.

The two new tests fail on the code before (81 failed expectations) and pass now; the tests there were stay as they are and pass.

--- a/packages/gate/moves.h
+++ b/packages/gate/moves.h
@@ -21,6 +21,7 @@
 struct mo_outcome {
     const char *service;
     const char *version;
+    const char *endpoint; /* its id */
     const char *route;
     bool patient;
     bool failed;
--- a/packages/gate/moves_router.c
+++ b/packages/gate/moves_router.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "base/hash.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
 #include "gate/moves_internal.h"
@@ -139,7 +140,9 @@
     }
     note_cell(service, outcome, side);
     bool before = service->trip.tripped;
-    if (Mv_TripNote(&service->trip, side, judge(outcome)) && !before) {
+    uint64_t endpoint = Hash_String(outcome->endpoint, 0);
+    if (Mv_TripNoteAt(&service->trip, side, judge(outcome), endpoint) &&
+        !before) {
         trip(moves, service);
     }
 }
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -427,6 +427,7 @@
     struct mo_outcome note = {
         .service = request->service->name,
         .version = Ch_Info(flight->endpoint)->version,
+        .endpoint = Ch_Info(flight->endpoint)->id,
         .route = route_name(request),
         .patient = request->patient,
         .failed = outcome != CH_GOOD,
--- a/packages/policy/move.h
+++ b/packages/policy/move.h
@@ -49,16 +49,33 @@
     MV_VERY_SLOW,
 };
 
+#define Mv_TRIP_WINDOW 64   /* outcomes of the new version that are kept */
+#define Mv_TRIP_ENDPOINTS 8 /* failing endpoints of the old one kept apart */
+
+/* One outcome of the new version and what the old one did around it. */
+struct mv_seen {
+    uint64_t endpoint; /* hash of its id; 0: not told */
+    bool bad;
+    int old_before; /* good ones of the old version in a row just before */
+    int old_good;   /* until the next outcome of the new one */
+    int old_bad;
+};
+
 struct mv_trip {
-    double old_bad; /* recent share of failed or very slow, old version */
-    double sum;     /* cumulative evidence against the new one */
-    int old_good;   /* of the old one in a row since the sum was full */
-    int old_well;   /* of the old one since the sum was last 0 */
-    int old_failed; /* the same */
+    double sum;       /* cumulative evidence that the new one is not good */
+    double old_usual; /* share of bad ones, old version */
+    int old_row;      /* good ones of the old version in a row */
+    bool old_seen;    /* since the sum was last 0 */
     bool tripped;
+    int count;
+    struct mv_seen seen[Mv_TRIP_WINDOW]; /* the oldest first */
+    uint64_t failing[Mv_TRIP_ENDPOINTS]; /* old ones whose last was bad */
+    int next_failing;
 };
 
 void Mv_TripInit(struct mv_trip *trip);
+bool Mv_TripNoteAt(struct mv_trip *trip, enum mv_side side,
+                   enum mv_outcome outcome, uint64_t endpoint);
 bool Mv_TripNote(struct mv_trip *trip, enum mv_side side,
                  enum mv_outcome outcome);
 bool Mv_TripSuspects(const struct mv_trip *trip);
--- a/packages/policy/test/move_model.c
+++ b/packages/policy/test/move_model.c
@@ -220,3 +220,155 @@
     }
     return trip.tripped;
 }
+
+#define EJECTED_FROM 5 /* failures in a row */
+#define EJECTED_FOR 100
+#define EJECTED_DOUBLINGS 6
+#define USUAL_FAILED 0.005
+
+struct engine {
+    uint64_t id;
+    int row;
+    int ejections;
+    int out_until;
+};
+
+struct router {
+    const struct trip_model *model;
+    struct rn_random random;
+    struct mv_trip trip;
+    struct engine engines[MV_SIDES][ENGINES];
+    int refused;
+    struct trip_outcome *out;
+};
+
+static void
+answer(struct router *router, enum mv_side side, const struct engine *engine,
+       int at, bool failed)
+{
+    bool bad = router->model->new_bad > 0 && at >= router->model->bad_at;
+    router->out->hurt += side == MV_NEW && failed && bad;
+    bool tripped = Mv_TripNoteAt(&router->trip, side,
+                                 failed ? MV_FAILED : MV_GOOD, engine->id);
+    if (tripped && !router->out->tripped) {
+        router->out->tripped = true;
+        router->out->early = !bad;
+    }
+}
+
+static bool
+is_dead(const struct router *router, enum mv_side side, int engine, int at)
+{
+    const struct trip_model *model = router->model;
+    return engine == 0 && model->killed && side == model->killed_side &&
+           at >= model->killed_at;
+}
+
+static bool
+is_failed(struct router *router, enum mv_side side, int engine, int at)
+{
+    const struct trip_model *model = router->model;
+    double drawn = Rn_Unit(&router->random);
+    bool outage =
+        at >= model->outage_at && at < model->outage_at + model->outage_for;
+    bool bad = side == MV_NEW && at >= model->bad_at;
+    bool broken = engine == 0 && model->failing &&
+                  side == model->failing_side && at >= model->failing_at;
+    bool resets = engine == 0 && side == MV_OLD && drawn < model->resets;
+    return drawn < (outage ? model->outage : USUAL_FAILED) ||
+           (bad && drawn < model->new_bad) || broken || resets;
+}
+
+/* The endpoint's own health, as choose.h has it. */
+static void
+eject(struct engine *engines, int which, int count, int at, bool failed)
+{
+    struct engine *engine = &engines[which];
+    engine->row = failed ? engine->row + 1 : 0;
+    if (engine->row >= EJECTED_FROM && count > 1 &&
+        engines[1 - which].out_until <= at) {
+        int doublings = engine->ejections < EJECTED_DOUBLINGS
+                            ? engine->ejections
+                            : EJECTED_DOUBLINGS;
+        engine->out_until = at + (EJECTED_FOR << doublings);
+        engine->ejections++;
+        engine->row = EJECTED_FROM - 1;
+    }
+}
+
+static void
+send_one(struct router *router, int at)
+{
+    const struct trip_model *model = router->model;
+    double share = Mv_TripSuspects(&router->trip) ? fmin(0.5, model->share)
+                                                  : model->share;
+    enum mv_side side = Rn_Unit(&router->random) < share ? MV_NEW : MV_OLD;
+    struct engine *engines = router->engines[side];
+    int count = side == MV_NEW ? model->new_engines : ENGINES;
+    int which = (int)Rn_Below(&router->random, (uint32_t)count);
+    if (engines[which].out_until > at && count > 1) {
+        which = 1 - which;
+    }
+    bool failed = is_failed(router, side, which, at);
+    if (is_dead(router, side, which, at)) {
+        if (router->refused > 0) {
+            router->refused--;
+            failed = true;
+        }
+        else if (count > 1) {
+            which = 1;
+        }
+        else {
+            return;
+        }
+    }
+    eject(engines, which, count, at, failed);
+    answer(router, side, &engines[which], at, failed);
+}
+
+void
+Trip_Run(const struct trip_model *model, struct trip_outcome *out)
+{
+    struct router router = {
+        .model = model, .refused = model->refused, .out = out};
+    memset(out, 0, sizeof(*out));
+    Rn_Seed(&router.random, model->seed * 977 + 13);
+    Mv_TripInit(&router.trip);
+    for (int i = 0; i < MV_SIDES * ENGINES; i++) {
+        router.engines[i / ENGINES][i % ENGINES].id = (uint64_t)i + 1;
+    }
+    for (int at = 0; at < model->requests && !out->tripped; at++) {
+        for (int i = 0; i < model->in_flight && model->killed &&
+                        at == model->killed_at && !out->tripped;
+             i++) {
+            answer(&router, model->killed_side,
+                   &router.engines[model->killed_side][0], at, true);
+        }
+        if (!out->tripped) {
+            send_one(&router, at);
+        }
+    }
+}
+
+int
+Trip_AfterOldFailures(int known, int old_failed, int between)
+{
+    struct mv_trip trip;
+    Mv_TripInit(&trip);
+    for (int i = 0; i < known; i++) {
+        Mv_TripNoteAt(&trip, MV_OLD, MV_GOOD, 1 + (uint64_t)i % 2);
+    }
+    int failures = 1;
+    Mv_TripNoteAt(&trip, MV_NEW, MV_FAILED, 3);
+    for (int i = 0; i < old_failed; i++) {
+        Mv_TripNoteAt(&trip, MV_OLD, MV_FAILED, 1);
+    }
+    while (!trip.tripped && failures < 1000) {
+        failures++;
+        Mv_TripNoteAt(&trip, MV_NEW, MV_FAILED, 3 + (uint64_t)failures % 2);
+        for (int i = 0; i < between; i++) {
+            Mv_TripNoteAt(&trip, MV_OLD, MV_GOOD, 2);
+        }
+    }
+    return failures;
+}
--- a/packages/policy/test/move_model.h
+++ b/packages/policy/test/move_model.h
@@ -51,6 +51,47 @@
  */
 bool Outage_Run(uint64_t seed, double bad, double share);
 
+/*
+ * One router with two engines of the old version.  An engine that is killed
+ * fails all it had in flight at once, then refuses some more; one that fails
+ * all is ejected and tried again.
+ */
+struct trip_model {
+    uint64_t seed;
+    double share; /* of the new version */
+    int new_engines;
+    int requests;
+    double new_bad; /* share that the new version fails from "bad_at" on */
+    int bad_at;
+    double outage; /* share that both fail in an outage */
+    int outage_at;
+    int outage_for;
+    bool killed; /* the first engine of "killed_side" */
+    enum mv_side killed_side;
+    int killed_at;
+    int in_flight;
+    int refused;
+    bool failing; /* the same of an engine that fails all */
+    enum mv_side failing_side;
+    int failing_at;
+    double resets; /* share that the first engine of the old one resets */
+};
+
+struct trip_outcome {
+    bool tripped;
+    bool early; /* before the new version was bad */
+    int hurt;   /* failures of the new version since it was bad */
+};
+
+void Trip_Run(const struct trip_model *model, struct trip_outcome *out);
+
+/*
+ * A new version that fails all after "old_failed" failures in a row of one
+ * old engine, "known" good ones before and "between" good ones of the other
+ * to each failure of the new one; returns these failures.
+ */
+int Trip_AfterOldFailures(int known, int old_failed, int between);
+
 void Move_Run(const struct move_model *model, struct move_outcome *out);
 
 #ifdef __cplusplus
--- a/packages/policy/test/move_test.cc
+++ b/packages/policy/test/move_test.cc
@@ -142,6 +142,71 @@
     }
 }
 
+// Guards against a bad version that empties the retries since an engine of
+// the old version died with its slots full and excused the new one's failures.
+TEST(Move, ADeadEngineOfTheOldVersionDoesNotBlindARouter)
+{
+    const int kMost = 10;
+    const int kMostDrawn = 40; /* of the 50 retries that a service has */
+    for (int known : {0, 100}) {
+        for (int old_failed : {0, 4, 8, 16, 24, 32, 48}) {
+            EXPECT_LE(Trip_AfterOldFailures(known, old_failed, 2), kMost)
+                << known << " " << old_failed;
+        }
+    }
+    for (uint64_t seed = 1; seed <= 50; seed++) {
+        struct trip_model model = {};
+        model.seed = seed;
+        model.share = 0.5;
+        model.new_engines = 1 + (int)(seed % 2);
+        model.new_bad = 1;
+        model.requests = 2000;
+        model.killed = true;
+        model.killed_side = MV_OLD;
+        model.in_flight = 16 + (int)seed % 33;
+        model.refused = 5;
+        struct trip_outcome out;
+        Trip_Run(&model, &out);
+        EXPECT_TRUE(out.tripped) << seed;
+        EXPECT_LE(out.hurt, kMostDrawn) << seed;
+    }
+}
+
+// Guards against a good new version given up since one of its engines died
+// with its slots full, or fails all it gets, while the other one answers.
+TEST(Move, ADeadEngineOfTheNewVersionTripsNothing)
+{
+    const int kRuns = 100;
+    const int kMost = 3;
+    for (double share : {0.1, 0.5, 0.95}) {
+        int killed = 0;
+        int failing = 0;
+        for (uint64_t seed = 1; seed <= kRuns; seed++) {
+            struct trip_model model = {};
+            model.seed = seed;
+            model.share = share;
+            model.new_engines = 2;
+            model.requests = 2000;
+            model.killed = true;
+            model.killed_side = MV_NEW;
+            model.killed_at = 300 + (int)seed;
+            model.in_flight = 16;
+            model.refused = 5;
+            struct trip_outcome out;
+            Trip_Run(&model, &out);
+            killed += out.tripped;
+            model.killed = false;
+            model.failing = true;
+            model.failing_side = MV_NEW;
+            model.failing_at = model.killed_at;
+            Trip_Run(&model, &out);
+            failing += out.tripped;
+        }
+        EXPECT_LE(killed, kMost) << share;
+        EXPECT_LE(failing, kMost) << share;
+    }
+}
+
 /*
  * A good version is given up because the database behind both versions was
  * away for a minute.
--- a/tools/policy_bench.c
+++ b/tools/policy_bench.c
@@ -263,6 +263,57 @@
     printf("\n");
 }
 
+#define TRIP_SEEDS 1000
+
+static void
+bench_trip(const char *what, const struct trip_model *base)
+{
+    double hurt[TRIP_SEEDS];
+    int trips = 0;
+    for (int seed = 0; seed < TRIP_SEEDS; seed++) {
+        struct trip_model model = *base;
+        struct trip_outcome out;
+        model.seed = (uint64_t)seed + 1;
+        Trip_Run(&model, &out);
+        trips += out.tripped;
+        hurt[seed] = out.hurt;
+    }
+    qsort(hurt, TRIP_SEEDS, sizeof(*hurt), compare_double);
+    printf("| %s | %.0f%% | %d | %.0f | %.0f | %.0f |\n", what,
+           base->share * 100, trips, hurt[TRIP_SEEDS / 2],
+           hurt[TRIP_SEEDS * 95 / 100], hurt[TRIP_SEEDS - 1]);
+}
+
+static void
+bench_trips(void)
+{
+    const double shares[] = {0.02, 0.5, 0.95};
+    printf("| one router | share of the new version | trips in 1,000 runs | "
+           "failures of a bad one before: median | 95 in 100 | most |\n"
+           "| --- | --- | --- | --- | --- | --- |\n");
+    for (size_t s = 0; s < sizeof(shares) / sizeof(shares[0]); s++) {
+        struct trip_model model = {
+            .share = shares[s], .new_engines = 2, .requests = 5000};
+        model.new_bad = 1;
+        bench_trip("the new version fails all", &model);
+        model.killed = true;
+        model.killed_side = MV_OLD;
+        model.in_flight = 32;
+        model.refused = 5;
+        bench_trip("the same, an old engine killed with 32 in flight", &model);
+        model.new_bad = 0;
+        model.killed_side = MV_NEW;
+        model.killed_at = 500;
+        bench_trip("a good one's engine killed with 32 in flight", &model);
+        model.killed = false;
+        model.failing = true;
+        model.failing_side = MV_NEW;
+        model.failing_at = 500;
+        bench_trip("a good one's engine of two fails all", &model);
+    }
+    printf("\n");
+}
+
 static void
 bench_moves(void)
 {
@@ -475,7 +526,8 @@
 static const struct part parts[] = {
     {"choice", bench_choice}, {"streams", bench_streams},
     {"moves", bench_moves},   {"outages", bench_outages},
-    {"hosts", bench_hosts},   {"cost", bench_cost},
+    {"trips", bench_trips},   {"hosts", bench_hosts},
+    {"cost", bench_cost},
 };
 
 int
