--- a/packages/policy/test/unknown_model.c
+++ b/packages/policy/test/unknown_model.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/random.h"
 #include "policy/choose.h"
 #include "policy/move.h"
@@ -365,7 +366,9 @@
     bool before = model->trip.tripped;
     model->counts.failed[side] += bad;
     model->counts.new_before_trip += bad && side == MV_NEW && !before;
-    if (Mv_TripNote(&model->trip, side, bad ? MV_FAILED : MV_GOOD) &&
+    uint64_t endpoint = Hash_String(Ch_Info(request->flight.endpoint)->id, 0);
+    if (Mv_TripNoteAt(&model->trip, side, bad ? MV_FAILED : MV_GOOD,
+                      endpoint) &&
         !before) {
         Ch_Distrust(model->table, UM_NEW);
     }
