--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -134,7 +134,7 @@
 
 /*
  * Whether so many endpoints look bad that the fault is more likely in what
- * the router sees than in them; then the others are not waited for.
+ * the router sees than in them; then work does not wait for the rest.
  */
 bool
 ch_is_panic(const struct ch_table *table, const char *version, int64_t now)
@@ -188,7 +188,7 @@
  * The endpoints that may take the request: those in the best standing that any
  * has, so that one that fails is asked only where no other is left.  Work
  * waits for a place at a better one, unless so many look bad that too few
- * would carry all.  One that fails is no help to the others then.
+ * would carry all.  What the others cannot take never goes to one that fails.
  */
 static size_t
 collect(struct ch_table *table, struct filter *filter)
@@ -198,8 +198,8 @@
     filter->full = false;
     for (int standing = CH_SOUND; standing <= CH_FAILING && count == 0;
          standing++) {
-        bool waits = filter->full && (!panic || standing == CH_FAILING);
-        if (!waits) {
+        bool should_wait = filter->full && (!panic || standing == CH_FAILING);
+        if (!should_wait) {
             filter->standing = (enum ch_standing)standing;
             count = collect_usable(table, filter);
         }
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -180,7 +180,6 @@
 int64_t Ch_TimeLeft(const struct ch_endpoint *endpoint, int64_t now);
 int Ch_InFlight(const struct ch_endpoint *endpoint);
 int Ch_Limit(const struct ch_endpoint *endpoint);
-/* Requests of this router at all endpoints, removed ones included. */
 int Ch_AllInFlight(const struct ch_table *table);
 bool Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Ejected(const struct ch_endpoint *endpoint, int64_t now);
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -74,6 +74,7 @@
     return endpoint->in_flight;
 }
 
+/* Requests of this router at all endpoints, removed ones included. */
 int
 Ch_AllInFlight(const struct ch_table *table)
 {
@@ -165,20 +166,20 @@
     if (!Ch_Trusted(table, endpoint->info.version)) {
         return "distrusted";
     }
+    if (endpoint->failing_until > now) {
+        return "failing";
+    }
     if (endpoint->state == CH_SUSPECT) {
         return "suspect";
     }
     if (Ch_Ejected(endpoint, now)) {
         return "ejected";
     }
-    if (endpoint->failing_until > now) {
-        return "failing";
-    }
     if (endpoint->shunned_until > now) {
         return "shunned";
     }
     if (left_to_others && Wu_IsDoubted(warmup, now)) {
-        return "doubted";
+        return "maybe-cold";
     }
     if (left_to_others && Wu_IsCold(warmup, now)) {
         return "cold";
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -602,6 +602,8 @@
     for (int i = 0; i < 5; i++) {
         fly("d", CH_FAILED);
     }
+    EXPECT_EQ("failing", obstacle("d"));
+    t.now += kSec;
     EXPECT_EQ("ejected", obstacle("d"));
     struct ch_flight flight = {};
     flight.endpoint = Ch_Find(t.table, "e");
