Config stream test: a read under way at a run's end is told its end

The log of the test kept the last read for good: 41,040 bytes in 2,565 pieces leaked under the sanitizers.

--- a/packages/gate/test/confstream_test.cc
+++ b/packages/gate/test/confstream_test.cc
@@ -159,6 +159,7 @@
             Fo_Tick(follower);
         }
         Fo_Destroy(follower);
+        EndRead();
         return read_at_ < 0 ? INT64_MAX : read_at_ - from;
     }
 
@@ -190,6 +191,18 @@
                                                                           : 0);
     }
 
+    // A log tells the end of each read, also of one that nobody waits for.
+    void
+    EndRead()
+    {
+        struct pl_read result = {};
+        result.kind = PL_FAILED;
+        if (done_ != nullptr) {
+            done_(arg_, &result);
+            done_ = nullptr;
+        }
+    }
+
     // An answer that came while the daemon stood still is found too late.
     void
     Answer()
