--- a/packages/policy/test/unknown_test.cc
+++ b/packages/policy/test/unknown_test.cc
@@ -280,45 +280,33 @@
         Full);
 }
 
+void
+KillTwo(Model &m)
+{
+    m.Run(2 * kSec);
+    m.New(UM_FAILS);
+    Um_Kill(m.model, m.old_engines[0]);
+    m.Run(Rn_Below(&m.random, kSec));
+    Um_Kill(m.model, m.old_engines[1]);
+    m.Run(2 * kSec);
+    m.IsMissed(0);
+    m.IsMissed(1);
+    m.Run(6 * kSec);
+}
+
 // Guards against those of two that are killed within a second.
 TEST(Unknown, TwoEnginesAreKilledWithinASecond)
 {
-    Holds(
-        8, 1,
-        [](Model &m) {
-            m.Run(2 * kSec);
-            m.New(UM_FAILS);
-            Um_Kill(m.model, m.old_engines[0]);
-            m.Run(Rn_Below(&m.random, kSec));
-            Um_Kill(m.model, m.old_engines[1]);
-            m.Run(2 * kSec);
-            m.IsMissed(0);
-            m.IsMissed(1);
-            m.Run(6 * kSec);
-        },
-        Full);
+    Holds(8, 1, KillTwo, Full);
 }
 
 // Guards against two killed engines before the answers begin.
 TEST(Unknown, TwoEnginesAreKilledWhileTheyReadPrompts)
 {
-    Holds(
-        8, 1,
-        [](Model &m) {
-            m.Run(2 * kSec);
-            m.New(UM_FAILS);
-            Um_Kill(m.model, m.old_engines[0]);
-            m.Run(Rn_Below(&m.random, kSec));
-            Um_Kill(m.model, m.old_engines[1]);
-            m.Run(2 * kSec);
-            m.IsMissed(0);
-            m.IsMissed(1);
-            m.Run(6 * kSec);
-        },
-        [](struct um_settings &settings) {
-            Full(settings);
-            settings.first = 350 * kMs;
-        });
+    Holds(8, 1, KillTwo, [](struct um_settings &settings) {
+        Full(settings);
+        settings.first = 350 * kMs;
+    });
 }
 
 // Guards against refused connections that count against the old version.
