--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "edge/health.h"
+#include "edge/paths.h"
 #include "edge/versions.h"
 #include "edge/warming.h"
 #include "policy/retry.h"
@@ -151,19 +152,30 @@
     Rf_Reply(gate, request, &refusal);
 }
 
+static int64_t
+earlier(int64_t a, int64_t b)
+{
+    return a < b ? a : b;
+}
+
+/* When an endpoint that has not answered anybody is given up. */
+static int64_t
+silent_at(const struct xc_exchange *exchange)
+{
+    return exchange->attempt.sent_at +
+           Xc_SILENT_AIMS * exchange->route->aim_usec;
+}
+
 static void
 set_timer(struct xc_exchange *exchange)
 {
     int64_t now = Ga_Now(exchange->gate);
     int64_t at = exchange->deadline;
     const struct xc_attempt *attempt = &exchange->attempt;
-    if (attempt->endpoint != NULL && attempt->head_at == 0 &&
-        !exchange->silent_told) {
-        int64_t silent =
-            attempt->sent_at + Xc_SILENT_AIMS * exchange->route->aim_usec;
-        if (silent < at) {
-            at = silent;
-        }
+    if (attempt->endpoint != NULL && attempt->head_at == 0) {
+        at = earlier(at, exchange->silent_told ? at : silent_at(exchange));
+        at = earlier(at,
+                     exchange->doubted ? at : attempt->sent_at + Wy_SILENCE);
     }
     Lp_TimerSet(exchange->timer, at - now);
 }
@@ -318,6 +330,7 @@
     exchange->sends++;
     exchange->waits = 0;
     exchange->silent_told = false;
+    exchange->doubted = false;
     log_sent(exchange);
     Cn_Send(channel, head, head_len, body, body_len,
             H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
@@ -394,6 +407,19 @@
     Xc_Refuse(exchange, 504, 0, "out of time");
 }
 
+/* The endpoint may be busy, or this host's link to it cut. */
+static void
+doubt_link(struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    exchange->doubted = true;
+    if (attempt->endpoint != NULL && attempt->head_at == 0 &&
+        Cn_Peer(attempt->channel) == 0) {
+        Pt_Unanswered(exchange->gate->paths, attempt->endpoint,
+                      attempt->sent_at);
+    }
+}
+
 static void
 on_timer(void *arg)
 {
@@ -408,6 +434,13 @@
         Xc_Dispatch(exchange);
         return;
     }
+    if (!exchange->doubted && now >= attempt->sent_at + Wy_SILENCE) {
+        doubt_link(exchange);
+    }
+    if (now < silent_at(exchange)) {
+        set_timer(exchange);
+        return;
+    }
     exchange->silent_told = true;
     if (attempt->endpoint != NULL && attempt->head_at == 0 &&
         attempt->endpoint->answered_at < attempt->sent_at) {
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -49,7 +49,8 @@
     bool began; /* the caller has the head of an answer */
     bool may_have_run;
     bool silent_told;
-    int waits; /* in a row, for an endpoint that can go on with a stream */
+    bool doubted; /* the link to the endpoint, by this attempt */
+    int waits;    /* in a row, for an endpoint that can go on with a stream */
     int sends;
     int delivered; /* of these, such that a byte of them may have arrived */
     int runs;      /* endpoints that did or may have run it */
@@ -103,6 +104,7 @@
                            bool repeatable);
 void Po_Give(struct ga_gate *gate, struct fl_endpoint *endpoint,
              struct cn_channel *channel);
+void Po_Drop(struct fl_endpoint *endpoint, struct fl_idle *idle);
 bool Po_Full(const struct ga_gate *gate, const struct fl_endpoint *endpoint,
              const struct ec_service *service);
 void Po_Sweep(struct ga_gate *gate);
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -16,6 +16,7 @@
 #include "base/clock.h"
 #include "edge/config.h"
 #include "policy/warmup.h"
+#include "policy/way.h"
 #include "web/channel.h"
 
 #ifdef __cplusplus
@@ -74,6 +75,11 @@
     int64_t shunned_until;
     int64_t silent_since; /* waits since then without any answer; 0: no */
     int64_t answered_at;
+
+    /* This host's link to it; see paths.h. */
+    struct wy_link way;
+    int64_t heard_at; /* last bytes that came directly */
+    bool test_wanted;
 };
 
 /* A kept connection. */
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -6,6 +6,8 @@
 
 #include "edge/exchange.h"
 #include "edge/gate_internal.h"
+#include "edge/paths.h"
+#include "edge/through.h"
 #include "edge/versions.h"
 
 #define Ga_TICK_USEC Ms_TICK_USEC
@@ -319,7 +321,8 @@
     int64_t limit = gate->options.node->grace_usec - Ga_STOP_MARGIN_USEC;
     end_listening(gate, gone, limit);
     /* Who had connected already is answered first. */
-    if ((gate->listening == GA_CLOSED && Sv_Connections(gate->callers) == 0) ||
+    if ((gate->listening == GA_CLOSED && Sv_Connections(gate->callers) == 0 &&
+         Th_Count(gate->through) == 0) ||
         gone > limit) {
         Ln_Log(LN_STATE, "process.stopped", "\"open\":%zu",
                Sv_Open(gate->callers));
@@ -347,6 +350,8 @@
     gate->ticks++;
     Fl_Tick(gate->fleet);
     Pe_Tick(gate->peers);
+    Pt_Tick(gate->paths);
+    Th_Tick(gate->through);
     Ro_Tick(gate->moves);
     Du_Tick(gate->duty);
     Wo_Tick(gate->work);
@@ -390,6 +395,8 @@
         .repeats = counter(gate, "cornelgate_repeats_total"),
         .waits = counter(gate, "cornelgate_stream_waits_total"),
         .opened = counter(gate, "cornelgate_connections_opened_total"),
+        .made_for_peers =
+            counter(gate, "cornelgate_connections_made_for_peers_total"),
         .first = Mt_Get(gate->registry, MT_HISTOGRAM,
                         "cornelgate_first_byte_usec", ""),
         .whole = Mt_Get(gate->registry, MT_HISTOGRAM,
@@ -454,6 +461,10 @@
     if (gate->peers == NULL) {
         return ST_UNAVAILABLE;
     }
+    enum st_status status = Th_Create(gate, &gate->through);
+    if (status != ST_OK) {
+        return status;
+    }
     struct fe_options feed = {
         .loop = options->loop,
         .clock = options->clock,
@@ -475,12 +486,13 @@
         .changed = Wo_Changed,
         .arg = gate,
     };
+    gate->paths = Pt_Create(gate);
     gate->feed = Fe_Create(&feed);
     gate->duty = Du_Create(&duty);
     gate->work = Wo_Create(gate);
     gate->tick = Lp_TimerCreate(options->loop, on_tick, gate);
-    if (gate->feed == NULL || gate->duty == NULL || gate->work == NULL ||
-        gate->tick == NULL) {
+    if (gate->paths == NULL || gate->feed == NULL || gate->duty == NULL ||
+        gate->work == NULL || gate->tick == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
     }
     Lp_TimerSet(gate->tick, 0);
@@ -554,6 +566,8 @@
     Sv_Destroy(gate->callers);
     Sv_Destroy(gate->ready);
     Sv_Destroy(gate->metrics_server);
+    Th_Destroy(gate->through);
+    Pt_Destroy(gate->paths);
     Fl_Destroy(gate->fleet);
     Qt_Destroy(gate->quota);
     Bu_Destroy(gate->budget);
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -22,6 +22,8 @@
 #include "web/serve.h"
 
 struct pe_peers;
+struct pt_paths;
+struct th_through;
 struct wo_work;
 
 struct ga_counters {
@@ -32,8 +34,9 @@
     struct mt_metric *repeats;
     struct mt_metric *waits;  /* of streams for an endpoint */
     struct mt_metric *opened; /* connections to endpoints */
-    struct mt_metric *first;  /* time to the first byte of an answer */
-    struct mt_metric *whole;  /* time to the end of an answer */
+    struct mt_metric *made_for_peers;
+    struct mt_metric *first; /* time to the first byte of an answer */
+    struct mt_metric *whole; /* time to the end of an answer */
 };
 
 enum ga_listening {
@@ -61,6 +64,8 @@
     struct ms_mesh *mesh;
     struct zn_zones *zones;
     struct pe_peers *peers;
+    struct pt_paths *paths;
+    struct th_through *through;
     struct wo_work *work;
     struct mt_registry *registry;
     struct ga_counters count;
--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -57,6 +57,7 @@
     peer->ready = word->ready;
     peer->stopping = word->stopping;
     peer->store_reached = word->store_reached;
+    peer->cut = word->cut;
     peer->reads_config = word->reads_config;
     peer->reads_entries = word->reads_entries;
     peer->heard_at = mesh->now;
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -81,6 +81,7 @@
     bool ready;
     bool stopping;
     bool store_reached;
+    bool cut; /* from some endpoints */
     bool reads_config;
     bool reads_entries;
     int64_t wall_usec;
@@ -119,6 +120,7 @@
     bool ready;
     bool stopping;
     bool store_reached;
+    bool cut;
     bool reads_config;
     bool reads_entries;
     int64_t started_at;
--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -8,9 +8,9 @@
 #include "edge/packed.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
-#define Ms_FORMAT 7
+#define Ms_FORMAT 8
 #define Ms_MILLI 1000
-#define Ms_FIELDS 27
+#define Ms_FIELDS 28
 #define Ms_EVIDENCE_FIELDS 7
 #define Ms_STANDING_FIELDS 4
 #define Ms_RATE_FIELDS 6
@@ -164,6 +164,7 @@
     msgpack_pack_int(&packer, word->summary);
     pack_pasts(&packer, word);
     msgpack_pack_int(&packer, word->link_mbps);
+    msgpack_pack_int(&packer, word->cut);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -329,6 +330,7 @@
     out->summary = get_number(&field[24]) != 0;
     get_pasts(&field[25], out);
     out->link_mbps = (int)get_number(&field[26]);
+    out->cut = get_number(&field[27]) != 0;
     return Pk_Text(&field[23], out->zone, sizeof(out->zone));
 }
 
--- /dev/null
+++ b/packages/edge/paths.c
@@ -0,0 +1,394 @@
+#include "edge/paths.h"
+
+#include <bsd/string.h>
+#include <bsd/sys/queue.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/exchange.h"
+#include "policy/way.h"
+#include "web/dial.h"
+
+/* Tests at the same time, of all links. */
+#define Pt_TESTS_MAX 16
+/* A connection takes a few milliseconds. */
+#define Pt_TEST_USEC (300 * Ck_USEC_PER_MSEC)
+
+/* One connection that is being made, for a request or as a test. */
+struct making {
+    LIST_ENTRY(making) link;
+    struct pt_paths *paths;
+    struct fl_endpoint *endpoint; /* a reference */
+    enum wy_order order;
+    size_t direct; /* index of the direct way in the plan */
+    struct di_dial *test; /* NULL: for a request */
+    int64_t since;
+};
+
+LIST_HEAD(making_list, making);
+
+struct pt_paths {
+    struct ga_gate *gate;
+    struct making_list tests;
+    size_t test_count;
+    bool any_cut;
+};
+
+struct pt_paths *
+Pt_Create(struct ga_gate *gate)
+{
+    struct pt_paths *paths = calloc(1, sizeof(*paths));
+    if (paths != NULL) {
+        paths->gate = gate;
+        LIST_INIT(&paths->tests);
+    }
+    return paths;
+}
+
+bool
+Pt_AnyCut(const struct pt_paths *paths)
+{
+    return paths->any_cut;
+}
+
+/* Peers that are not cut themselves first, and of these the near ones. */
+static int
+preference(const struct ms_peer *peer)
+{
+    return (peer->cut ? 0 : 2) + (peer->near ? 1 : 0);
+}
+
+/*
+ * Any of the best: hosts of one data centre that are cut together do not all
+ * take the same.  NULL: there is none.
+ */
+static const struct ms_peer *
+pick_peer(struct ga_gate *gate)
+{
+    uint32_t count = 0;
+    const struct ms_peer *picked = NULL;
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (!Ms_Close(gate->mesh, peer) || peer->stopping || !peer->ready ||
+            (picked != NULL && preference(peer) < preference(picked))) {
+            continue;
+        }
+        if (picked != NULL && preference(peer) > preference(picked)) {
+            count = 0;
+        }
+        count++;
+        if (Rn_Below(&gate->random, count) == 0) {
+            picked = peer;
+        }
+    }
+    return picked;
+}
+
+static void
+add_direct(struct di_plan *plan, const struct fl_endpoint *endpoint)
+{
+    struct di_way *way = &plan->ways[plan->count++];
+    strlcpy(way->address, endpoint->entry.address, sizeof(way->address));
+}
+
+static void
+add_peer(struct di_plan *plan, struct ga_gate *gate,
+         const struct fl_endpoint *endpoint)
+{
+    const struct ms_peer *peer = pick_peer(gate);
+    if (peer == NULL) {
+        return;
+    }
+    struct di_way *way = &plan->ways[plan->count++];
+    snprintf(way->address, sizeof(way->address), "%.48s:%d", peer->ip,
+             gate->options.node->through_port);
+    strlcpy(way->target, endpoint->entry.id, sizeof(way->target));
+    way->peer = peer->address;
+}
+
+static struct di_plan
+plan_for(struct making *making)
+{
+    struct ga_gate *gate = making->paths->gate;
+    struct di_plan plan = {.patience_usec = Wy_PATIENCE};
+    if (making->order == WY_PEER_FIRST) {
+        add_peer(&plan, gate, making->endpoint);
+    }
+    making->direct = plan.count;
+    add_direct(&plan, making->endpoint);
+    if (making->order == WY_DIRECT_FIRST) {
+        add_peer(&plan, gate, making->endpoint);
+    }
+    return plan;
+}
+
+static struct making *
+begin(struct pt_paths *paths, struct fl_endpoint *endpoint,
+      enum wy_order order)
+{
+    struct making *making = calloc(1, sizeof(*making));
+    if (making != NULL) {
+        making->paths = paths;
+        making->endpoint = Fl_Hold(endpoint);
+        making->order = order;
+        making->since = Ga_Now(paths->gate);
+    }
+    return making;
+}
+
+static void
+end(struct making *making)
+{
+    if (making->test != NULL) {
+        LIST_REMOVE(making, link);
+        making->paths->test_count--;
+    }
+    Fl_Drop(making->endpoint);
+    free(making);
+}
+
+static void
+drop_idle(struct fl_endpoint *endpoint, bool direct)
+{
+    struct fl_idle *idle;
+    struct fl_idle *next;
+    TAILQ_FOREACH_SAFE (idle, &endpoint->idle, link, next) {
+        if ((Cn_Peer(idle->channel) == 0) == direct) {
+            Po_Drop(endpoint, idle);
+        }
+    }
+}
+
+static enum wy_end
+end_of(const struct di_result *result, size_t way)
+{
+    switch (result->ways[way]) {
+    case DI_MADE:
+        return WY_CAME;
+    case DI_FAILED:
+        return WY_FAILED;
+    case DI_PENDING:
+        return WY_OVERDUE;
+    default:
+        return WY_NOT_TRIED;
+    }
+}
+
+/* Where one link is back, or is cut, others may be as well. */
+static void
+look_at_others(struct pt_paths *paths, const struct fl_endpoint *changed)
+{
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(paths->gate->fleet), link) {
+        if (changed->way.cut) {
+            endpoint->test_wanted |=
+                endpoint->connections > 0 && !endpoint->way.cut;
+        }
+        else if (endpoint->way.cut) {
+            Wy_TrySoon(&endpoint->way);
+        }
+    }
+}
+
+static void
+note(struct pt_paths *paths, struct fl_endpoint *endpoint, enum wy_end direct,
+     enum wy_end peer)
+{
+    int64_t now = Ga_Now(paths->gate);
+    if (!Wy_Ended(&endpoint->way, direct, peer, now)) {
+        return;
+    }
+    bool cut = endpoint->way.cut;
+    Ln_Log(LN_STATE, cut ? "link.cut" : "link.regained",
+           "\"endpoint\":\"%s\",\"service\":\"%s\",\"zone\":\"%s\","
+           "\"silent\":%d",
+           endpoint->entry.id, endpoint->entry.service, endpoint->entry.zone,
+           direct == WY_OVERDUE);
+    paths->any_cut |= cut;
+    /* What was open may live on where new connections are refused. */
+    if (!cut || direct == WY_OVERDUE) {
+        drop_idle(endpoint, cut);
+    }
+    look_at_others(paths, endpoint);
+}
+
+/* Takes how a connection came, or that it was given up ("result" NULL). */
+static void
+on_made(void *arg, const struct di_result *result)
+{
+    struct making *making = arg;
+    if (result != NULL) {
+        note(making->paths, making->endpoint,
+             end_of(result, making->direct),
+             end_of(result, making->direct == 0 ? 1 : 0));
+    }
+    end(making);
+}
+
+struct cn_channel *
+Pt_Connect(struct pt_paths *paths, struct fl_endpoint *endpoint,
+           cn_idle_fn idle)
+{
+    struct ga_gate *gate = paths->gate;
+    enum wy_order order = Wy_Order(&endpoint->way, Ga_Now(gate));
+    struct making *making = begin(paths, endpoint, order);
+    if (making == NULL) {
+        return NULL;
+    }
+    struct cn_dialing dialing = {
+        .plan = plan_for(making),
+        .made = on_made,
+        .arg = making,
+    };
+    struct cn_channel *channel = Cn_Dial(
+        gate->options.loop, gate->options.clock, &dialing, idle, endpoint);
+    if (channel == NULL) {
+        end(making);
+    }
+    return channel;
+}
+
+static void
+on_tested(void *arg, const struct di_result *result)
+{
+    struct making *making = arg;
+    Sk_Close(result->sock);
+    if (making->order == WY_DIRECT_ONLY && result->sock == NULL) {
+        Wy_TrialFailed(&making->endpoint->way);
+    }
+    on_made(making, result);
+}
+
+/* Connects for the link's own sake, and closes at once. */
+static void
+test(struct pt_paths *paths, struct fl_endpoint *endpoint,
+     enum wy_order order)
+{
+    struct ga_gate *gate = paths->gate;
+    if (paths->test_count >= Pt_TESTS_MAX) {
+        return;
+    }
+    struct making *making = begin(paths, endpoint, order);
+    if (making == NULL) {
+        return;
+    }
+    struct di_plan plan = plan_for(making);
+    making->test = Di_Start(gate->options.loop, &plan, on_tested, making);
+    if (making->test == NULL) {
+        end(making);
+        return;
+    }
+    LIST_INSERT_HEAD(&paths->tests, making, link);
+    paths->test_count++;
+    endpoint->test_wanted = false;
+    if (order == WY_DIRECT_ONLY) {
+        Wy_TrialBegun(&endpoint->way, making->since);
+    }
+    else {
+        Wy_Tested(&endpoint->way, making->since);
+    }
+}
+
+/* When any endpoint of the same service was last heard directly. */
+static int64_t
+heard_at(const struct ga_gate *gate, const char *service)
+{
+    int64_t at = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (endpoint->heard_at > at &&
+            strcmp(endpoint->entry.service, service) == 0) {
+            at = endpoint->heard_at;
+        }
+    }
+    return at;
+}
+
+void
+Pt_Unanswered(struct pt_paths *paths, struct fl_endpoint *endpoint,
+              int64_t sent_at)
+{
+    struct ga_gate *gate = paths->gate;
+    if (!endpoint->gone &&
+        Wy_Doubtful(&endpoint->way, sent_at,
+                    heard_at(gate, endpoint->entry.service), Ga_Now(gate))) {
+        test(paths, endpoint, WY_DIRECT_FIRST);
+    }
+}
+
+static void
+end_overdue(struct pt_paths *paths)
+{
+    int64_t now = Ga_Now(paths->gate);
+    struct making *making;
+    struct making *next;
+    LIST_FOREACH_SAFE (making, &paths->tests, link, next) {
+        if (now - making->since < Pt_TEST_USEC) {
+            continue;
+        }
+        if (making->order == WY_DIRECT_ONLY) {
+            Wy_TrialFailed(&making->endpoint->way);
+        }
+        Di_Cancel(making->test);
+        end(making);
+    }
+}
+
+void
+Pt_Tick(struct pt_paths *paths)
+{
+    struct ga_gate *gate = paths->gate;
+    int64_t now = Ga_Now(gate);
+    end_overdue(paths);
+    bool any_cut = false;
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        any_cut |= endpoint->way.cut;
+        if (Wy_TrialDue(&endpoint->way, now)) {
+            test(paths, endpoint, WY_DIRECT_ONLY);
+        }
+        else if (endpoint->test_wanted && Wy_MayTest(&endpoint->way, now)) {
+            test(paths, endpoint, WY_DIRECT_FIRST);
+        }
+    }
+    paths->any_cut = any_cut;
+}
+
+static const struct ms_peer *
+find_peer(const struct ga_gate *gate, uint32_t address)
+{
+    const struct ms_peer *peer;
+    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
+        if (peer->address == address) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+bool
+Pt_MayUse(const struct pt_paths *paths, const struct cn_channel *channel)
+{
+    if (Cn_Peer(channel) == 0) {
+        return true;
+    }
+    const struct ms_peer *peer = find_peer(paths->gate, Cn_Peer(channel));
+    return peer != NULL && !peer->stopping &&
+           Ms_Close(paths->gate->mesh, peer);
+}
+
+void
+Pt_Destroy(struct pt_paths *paths)
+{
+    if (paths == NULL) {
+        return;
+    }
+    struct making *making;
+    struct making *next;
+    LIST_FOREACH_SAFE (making, &paths->tests, link, next) {
+        Di_Cancel(making->test);
+        end(making);
+    }
+    free(paths);
+}
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/paths.h"
 #include "edge/peers_internal.h"
 
 /*
@@ -78,6 +79,7 @@
     word->ready = Ga_Ready(gate);
     word->stopping = gate->stopping_at != 0;
     word->store_reached = Fe_Reached(gate->feed);
+    word->cut = Pt_AnyCut(gate->paths);
     word->reads_config = Fe_Reads(gate->feed, AG_CONFIG);
     word->reads_entries = Fe_Reads(gate->feed, AG_ENDPOINTS);
     word->config_changed = Fe_Changed(gate->feed, AG_CONFIG);
--- a/packages/edge/pool.c
+++ b/packages/edge/pool.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "edge/exchange.h"
+#include "edge/paths.h"
 
 /*
  * A connection is used again only well before its other side would close it:
@@ -29,8 +30,8 @@
     return usec;
 }
 
-static void
-drop_idle(struct fl_endpoint *endpoint, struct fl_idle *idle)
+void
+Po_Drop(struct fl_endpoint *endpoint, struct fl_idle *idle)
 {
     TAILQ_REMOVE(&endpoint->idle, idle, link);
     Cn_Close(idle->channel);
@@ -46,7 +47,7 @@
     struct fl_idle *idle;
     TAILQ_FOREACH (idle, &endpoint->idle, link) {
         if (idle->channel == channel) {
-            drop_idle(endpoint, idle);
+            Po_Drop(endpoint, idle);
             return;
         }
     }
@@ -58,6 +59,10 @@
 {
     int64_t now = Ga_Now(gate);
     struct fl_idle *idle = TAILQ_FIRST(&endpoint->idle);
+    while (idle != NULL && !Pt_MayUse(gate->paths, idle->channel)) {
+        Po_Drop(endpoint, idle);
+        idle = TAILQ_FIRST(&endpoint->idle);
+    }
     if (idle != NULL && now - Cn_IdleSince(idle->channel) <
                             usable_for(idle->channel, repeatable)) {
         struct cn_channel *channel = idle->channel;
@@ -66,8 +71,7 @@
         return channel;
     }
     struct cn_channel *channel =
-        Cn_Open(gate->options.loop, gate->options.clock,
-                endpoint->entry.address, on_idle_end, endpoint);
+        Pt_Connect(gate->paths, endpoint, on_idle_end);
     if (channel != NULL) {
         endpoint->connections++;
         Mt_Add(gate->count.opened, 1);
@@ -121,8 +125,9 @@
         struct fl_idle *next;
         TAILQ_FOREACH_SAFE (idle, &endpoint->idle, link, next) {
             if (now - Cn_IdleSince(idle->channel) >
-                usable_for(idle->channel, true)) {
-                drop_idle(endpoint, idle);
+                    usable_for(idle->channel, true) ||
+                !Pt_MayUse(gate->paths, idle->channel)) {
+                Po_Drop(endpoint, idle);
             }
         }
     }
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -85,11 +85,22 @@
     }
 }
 
+/* Bytes came from the endpoint; over a peer they say nothing of the link. */
+static void
+note_heard(struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    if (Cn_Peer(attempt->channel) == 0) {
+        attempt->endpoint->heard_at = Ga_Now(exchange->gate);
+    }
+}
+
 static bool
 on_head(void *arg, const struct h1_head *head)
 {
     struct xc_exchange *exchange = arg;
     struct xc_attempt *attempt = &exchange->attempt;
+    note_heard(exchange);
     exchange->gate->options.wire->decode_answer(head, exchange->ask.id,
                                                 &attempt->answer);
     if (!attempt->answer.own) {
@@ -198,6 +209,7 @@
 {
     struct xc_exchange *exchange = arg;
     struct xc_attempt *attempt = &exchange->attempt;
+    note_heard(exchange);
     if (!attempt->streaming) {
         keep_body(attempt, data, len);
         return;
--- /dev/null
+++ b/packages/edge/through.c
@@ -0,0 +1,247 @@
+#include "edge/through.h"
+
+#include <bsd/string.h>
+#include <bsd/sys/queue.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "web/dial.h"
+#include "web/join.h"
+#include "web/listening.h"
+
+#define Th_HEAD_MAX 256
+/* From a peer's coming to its connection; a peer waits no longer. */
+#define Th_MAKE_USEC (500 * Ck_USEC_PER_MSEC)
+/* Two descriptors each: a quarter of all are the most that peers may use. */
+#define Th_FDS_PART 8
+#define Th_MOST 256
+
+/* One peer's connection. */
+struct visit {
+    LIST_ENTRY(visit) link;
+    struct th_through *through;
+    struct sk_sock *near;
+    struct di_dial *dial;
+    struct jn_join *join; /* NULL until the connection is made */
+    int64_t since;
+    char head[Th_HEAD_MAX];
+    size_t head_len;
+    struct lp_later later;
+    bool dead;
+};
+
+LIST_HEAD(visit_list, visit);
+
+struct th_through {
+    struct ga_gate *gate;
+    struct ls_listener *listener;
+    struct visit_list visits;
+    size_t count;
+    size_t most;
+};
+
+static void
+release(void *arg)
+{
+    free(arg);
+}
+
+static void
+bury(struct visit *visit)
+{
+    if (visit->dead) {
+        return;
+    }
+    visit->dead = true;
+    LIST_REMOVE(visit, link);
+    visit->through->count--;
+    Di_Cancel(visit->dial);
+    Sk_Close(visit->near);
+    Jn_Destroy(visit->join);
+    Lp_Later(visit->through->gate->options.loop, &visit->later, release,
+             visit);
+}
+
+static void
+refuse(struct visit *visit)
+{
+    Sk_Write(visit->near, Di_NOT_MADE, strlen(Di_NOT_MADE));
+    Sk_Finish(visit->near);
+    visit->near = NULL;
+    bury(visit);
+}
+
+static void
+on_joined_end(void *arg)
+{
+    struct visit *visit = arg;
+    visit->join = NULL;
+    bury(visit);
+}
+
+static void
+on_dialed(void *arg, const struct di_result *result)
+{
+    struct visit *visit = arg;
+    struct th_through *through = visit->through;
+    visit->dial = NULL;
+    if (result->sock == NULL) {
+        refuse(visit);
+        return;
+    }
+    Sk_Write(visit->near, Di_MADE, strlen(Di_MADE));
+    visit->join = Jn_Create(through->gate->options.loop, visit->near,
+                            result->sock, on_joined_end, visit);
+    if (visit->join == NULL) {
+        Sk_Close(result->sock);
+        bury(visit);
+        return;
+    }
+    visit->near = NULL;
+    Mt_Add(through->gate->count.made_for_peers, 1);
+}
+
+/* Only to endpoints of the own list: this is no way to anywhere else. */
+static void
+connect_to(struct visit *visit, const char *id)
+{
+    struct ga_gate *gate = visit->through->gate;
+    const struct fl_endpoint *endpoint = Fl_Find(gate->fleet, id);
+    if (endpoint == NULL || gate->stopping_at != 0) {
+        refuse(visit);
+        return;
+    }
+    struct di_plan plan = {.count = 1};
+    strlcpy(plan.ways[0].address, endpoint->entry.address,
+            sizeof(plan.ways[0].address));
+    visit->dial = Di_Start(gate->options.loop, &plan, on_dialed, visit);
+    if (visit->dial == NULL) {
+        refuse(visit);
+    }
+}
+
+static void
+on_data(void *arg, const char *data, size_t len)
+{
+    struct visit *visit = arg;
+    if (visit->dial != NULL || visit->head_len + len >= sizeof(visit->head)) {
+        bury(visit);
+        return;
+    }
+    memcpy(visit->head + visit->head_len, data, len);
+    visit->head_len += len;
+    visit->head[visit->head_len] = '\0';
+    if (strstr(visit->head, Di_HEAD_END) == NULL) {
+        return;
+    }
+    char id[Th_HEAD_MAX];
+    if (sscanf(visit->head, "CONNECT %255s HTTP/1.1", id) != 1) {
+        refuse(visit);
+        return;
+    }
+    connect_to(visit, id);
+}
+
+static void
+on_closed(void *arg, bool clean)
+{
+    (void)clean;
+    bury(arg);
+}
+
+static const struct sk_ops near_ops = {
+    .data = on_data,
+    .closed = on_closed,
+};
+
+static bool
+on_accept(void *arg, int fd)
+{
+    struct th_through *through = arg;
+    if (through->count >= through->most) {
+        close(fd);
+        return false;
+    }
+    struct visit *visit = calloc(1, sizeof(*visit));
+    if (visit == NULL) {
+        close(fd);
+        return false;
+    }
+    visit->through = through;
+    visit->since = Ga_Now(through->gate);
+    if (Sk_Adopt(through->gate->options.loop, fd, &near_ops, visit,
+                 &visit->near) != ST_OK) {
+        free(visit);
+        return false;
+    }
+    LIST_INSERT_HEAD(&through->visits, visit, link);
+    through->count++;
+    return true;
+}
+
+enum st_status
+Th_Create(struct ga_gate *gate, struct th_through **out)
+{
+    const struct nd_node *node = gate->options.node;
+    char address[Nd_NAME_MAX + 8];
+    snprintf(address, sizeof(address), "%s:%d", node->ip, node->through_port);
+    struct sockaddr_in at;
+    enum st_status status = Sk_Address(address, &at);
+    if (status != ST_OK) {
+        return status;
+    }
+    struct th_through *through = calloc(1, sizeof(*through));
+    if (through == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for peers' connections");
+    }
+    through->gate = gate;
+    through->most = (size_t)node->max_fds / Th_FDS_PART;
+    if (through->most > Th_MOST) {
+        through->most = Th_MOST;
+    }
+    LIST_INIT(&through->visits);
+    status = Ls_Open(gate->options.loop, &at, on_accept, through,
+                     &through->listener);
+    if (status != ST_OK) {
+        free(through);
+        return status;
+    }
+    *out = through;
+    return ST_OK;
+}
+
+void
+Th_Destroy(struct th_through *through)
+{
+    if (through == NULL) {
+        return;
+    }
+    struct visit *visit;
+    struct visit *next;
+    LIST_FOREACH_SAFE (visit, &through->visits, link, next) {
+        bury(visit);
+    }
+    Ls_Destroy(through->listener);
+    free(through);
+}
+
+void
+Th_Tick(struct th_through *through)
+{
+    int64_t now = Ga_Now(through->gate);
+    struct visit *visit;
+    struct visit *next;
+    LIST_FOREACH_SAFE (visit, &through->visits, link, next) {
+        if (visit->join == NULL && now - visit->since > Th_MAKE_USEC) {
+            refuse(visit);
+        }
+    }
+}
+
+size_t
+Th_Count(const struct th_through *through)
+{
+    return through->count;
+}
--- /dev/null
+++ b/packages/policy/way.c
@@ -0,0 +1,95 @@
+#include "policy/way.h"
+
+/*
+ * An endpoint that nobody reaches would cost each request two tries more, and
+ * the peers as many.
+ */
+#define Wy_NOBODY_GAP (100 * Ck_USEC_PER_MSEC)
+/* Own tries while a link is cut, twice as far apart each time. */
+#define Wy_TRIAL_GAP (250 * Ck_USEC_PER_MSEC)
+#define Wy_TRIAL_DOUBLINGS 2
+#define Wy_TEST_GAP (500 * Ck_USEC_PER_MSEC)
+
+static bool
+passed(int64_t since, int64_t gap, int64_t now)
+{
+    return since == 0 || now - since >= gap;
+}
+
+enum wy_order
+Wy_Order(const struct wy_link *link, int64_t now)
+{
+    if (link->cut) {
+        return WY_PEER_FIRST;
+    }
+    return passed(link->nobody_at, Wy_NOBODY_GAP, now) ? WY_DIRECT_FIRST
+                                                       : WY_DIRECT_ONLY;
+}
+
+bool
+Wy_Ended(struct wy_link *link, enum wy_end direct, enum wy_end peer,
+         int64_t now)
+{
+    bool was = link->cut;
+    if (direct == WY_CAME) {
+        link->cut = false;
+        link->trials = 0;
+        link->nobody_at = 0;
+    }
+    else if (peer == WY_CAME && direct != WY_NOT_TRIED) {
+        link->cut = true;
+        link->trial_at = was ? link->trial_at : now;
+    }
+    else if (peer == WY_FAILED) {
+        link->nobody_at = now;
+    }
+    return link->cut != was;
+}
+
+bool
+Wy_TrialDue(const struct wy_link *link, int64_t now)
+{
+    return link->cut &&
+           passed(link->trial_at, Wy_TRIAL_GAP << link->trials, now);
+}
+
+void
+Wy_TrialBegun(struct wy_link *link, int64_t now)
+{
+    link->trial_at = now;
+}
+
+void
+Wy_TrialFailed(struct wy_link *link)
+{
+    if (link->trials < Wy_TRIAL_DOUBLINGS) {
+        link->trials++;
+    }
+}
+
+void
+Wy_TrySoon(struct wy_link *link)
+{
+    link->trial_at = 0;
+    link->trials = 0;
+}
+
+bool
+Wy_MayTest(const struct wy_link *link, int64_t now)
+{
+    return !link->cut && passed(link->doubt_at, Wy_TEST_GAP, now);
+}
+
+bool
+Wy_Doubtful(const struct wy_link *link, int64_t sent_at, int64_t heard_at,
+            int64_t now)
+{
+    return heard_at < sent_at && now - sent_at >= Wy_SILENCE &&
+           Wy_MayTest(link, now);
+}
+
+void
+Wy_Tested(struct wy_link *link, int64_t now)
+{
+    link->doubt_at = now;
+}
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -3,9 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/buffer.h"
+
 struct cn_channel {
     const struct ck_clock *clock;
-    struct sk_sock *sock;
+    struct sk_sock *sock; /* NULL while it is dialed */
+    struct di_dial *dial; /* NULL once the connection is there */
+    struct cn_dialing dialing;
+    bool dialed;              /* not by Cn_Open() */
+    struct bf_buffer waiting; /* a request, until the connection is there */
+    uint32_t peer;
     struct h1_parser *parser;
     struct lp_timer *deferred; /* reports a failure outside Cn_Send() */
     cn_idle_fn idle;
@@ -22,6 +29,7 @@
     bool spoiled;
     bool finishing; /* the answer is complete, "done" comes next */
     bool skipping;  /* this answer is another request's */
+    bool paused;
     int64_t keep_usec;
     int64_t idle_since;
 };
@@ -31,6 +39,7 @@
 {
     struct cn_channel *channel = arg;
     H1_Destroy(channel->parser);
+    Bf_Free(&channel->waiting);
     free(channel);
 }
 
@@ -190,13 +199,39 @@
     fail(arg);
 }
 
-/*
- * Starts to connect; a request may be sent at once.  NULL without memory or
- * descriptors.
- */
-struct cn_channel *
-Cn_Open(struct lp_loop *loop, const struct ck_clock *clock,
-        const char *address, cn_idle_fn idle, void *arg)
+static void
+take_sock(struct cn_channel *channel, const struct di_result *result)
+{
+    channel->sock = result->sock;
+    channel->peer = channel->dialing.plan.ways[result->way].peer;
+    channel->connected = true;
+    Sk_SetOwner(channel->sock, &sock_ops, channel);
+    Sk_Pause(channel->sock, channel->paused);
+    if (channel->waiting.len > 0) {
+        channel->sent = true;
+        Sk_Write(channel->sock, channel->waiting.at, channel->waiting.len);
+        Bf_Free(&channel->waiting);
+    }
+}
+
+static void
+on_dialed(void *arg, const struct di_result *result)
+{
+    struct cn_channel *channel = arg;
+    channel->dial = NULL;
+    channel->dialing.made(channel->dialing.arg, result);
+    if (result->sock != NULL) {
+        take_sock(channel, result);
+        return;
+    }
+    channel->gone = true;
+    fail(channel);
+}
+
+/* Without a connection yet; NULL without memory. */
+static struct cn_channel *
+create(struct lp_loop *loop, const struct ck_clock *clock, cn_idle_fn idle,
+       void *arg)
 {
     struct cn_channel *channel = calloc(1, sizeof(*channel));
     if (channel == NULL) {
@@ -208,12 +243,50 @@
     channel->idle_arg = arg;
     channel->parser = H1_Create(false, &parser_ops, channel);
     channel->deferred = Lp_TimerCreate(loop, on_deferred, channel);
-    if (channel->parser == NULL || channel->deferred == NULL ||
-        Sk_Connect(loop, address, &sock_ops, channel, &channel->sock) !=
-            ST_OK) {
-        H1_Destroy(channel->parser);
+    if (channel->parser == NULL || channel->deferred == NULL) {
         Lp_TimerDestroy(channel->deferred);
-        free(channel);
+        release(channel);
+        return NULL;
+    }
+    return channel;
+}
+
+/*
+ * Starts to connect; a request may be sent at once.  NULL without memory or
+ * descriptors.
+ */
+struct cn_channel *
+Cn_Open(struct lp_loop *loop, const struct ck_clock *clock,
+        const char *address, cn_idle_fn idle, void *arg)
+{
+    struct cn_channel *channel = create(loop, clock, idle, arg);
+    if (channel != NULL && Sk_Connect(loop, address, &sock_ops, channel,
+                                      &channel->sock) != ST_OK) {
+        Lp_TimerDestroy(channel->deferred);
+        release(channel);
+        return NULL;
+    }
+    return channel;
+}
+
+/*
+ * The same by one of several ways.  NULL without memory; "made" is not called
+ * then.
+ */
+struct cn_channel *
+Cn_Dial(struct lp_loop *loop, const struct ck_clock *clock,
+        const struct cn_dialing *dialing, cn_idle_fn idle, void *arg)
+{
+    struct cn_channel *channel = create(loop, clock, idle, arg);
+    if (channel == NULL) {
+        return NULL;
+    }
+    channel->dialed = true;
+    channel->dialing = *dialing;
+    channel->dial = Di_Start(loop, &dialing->plan, on_dialed, channel);
+    if (channel->dial == NULL) {
+        Lp_TimerDestroy(channel->deferred);
+        release(channel);
         return NULL;
     }
     return channel;
@@ -236,6 +309,14 @@
     channel->sent = channel->connected;
     H1_Reset(channel->parser);
     H1_ExpectNoBody(channel->parser, no_answer_body);
+    if (channel->sock == NULL) {
+        if (!Bf_Add(&channel->waiting, head, head_len) ||
+            !Bf_Add(&channel->waiting, body, body_len)) {
+            Bf_Free(&channel->waiting);
+            Lp_TimerSet(channel->deferred, 0);
+        }
+        return;
+    }
     Sk_Write(channel->sock, head, head_len);
     Sk_Write(channel->sock, body, body_len);
 }
@@ -244,7 +325,14 @@
 bool
 Cn_Sent(const struct cn_channel *channel)
 {
-    return channel->sent || Sk_Sent(channel->sock);
+    /* A dialed connection may have carried bytes before it was ours. */
+    return channel->sent || (!channel->dialed && Sk_Sent(channel->sock));
+}
+
+uint32_t
+Cn_Peer(const struct cn_channel *channel)
+{
+    return channel->peer;
 }
 
 /* Whether the connection has carried an exchange before. */
@@ -275,7 +363,10 @@
 void
 Cn_Pause(struct cn_channel *channel, bool pause)
 {
-    Sk_Pause(channel->sock, pause);
+    channel->paused = pause;
+    if (channel->sock != NULL) {
+        Sk_Pause(channel->sock, pause);
+    }
 }
 
 /* Closes at once; an open exchange gets no "done". */
@@ -287,6 +378,11 @@
     }
     channel->dead = true;
     channel->ops = NULL;
+    if (channel->dial != NULL) {
+        Di_Cancel(channel->dial);
+        channel->dial = NULL;
+        channel->dialing.made(channel->dialing.arg, NULL);
+    }
     Sk_Close(channel->sock);
     Lp_TimerDestroy(channel->deferred);
     channel->deferred = NULL;
--- a/packages/web/channel.h
+++ b/packages/web/channel.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "web/dial.h"
 #include "web/http1.h"
 #include "web/sock.h"
 
@@ -43,12 +44,25 @@
 /* An idle channel can no longer be used; the owner closes it. */
 typedef void (*cn_idle_fn)(void *arg, struct cn_channel *channel);
 
+/* A connection that may come by one of several ways. */
+struct cn_dialing {
+    struct di_plan plan;
+    /* Once: how it came, or NULL when it was given up before. */
+    void (*made)(void *arg, const struct di_result *result);
+    void *arg;
+};
+
+struct cn_channel *Cn_Dial(struct lp_loop *loop, const struct ck_clock *clock,
+                           const struct cn_dialing *dialing, cn_idle_fn idle,
+                           void *arg);
 struct cn_channel *Cn_Open(struct lp_loop *loop, const struct ck_clock *clock,
                            const char *address, cn_idle_fn idle, void *arg);
 void Cn_Send(struct cn_channel *channel, const void *head, size_t head_len,
              const void *body, size_t body_len, bool no_answer_body,
              const struct cn_ops *ops, void *arg);
 bool Cn_Sent(const struct cn_channel *channel);
+/* The daemon that it goes through; 0: none. */
+uint32_t Cn_Peer(const struct cn_channel *channel);
 bool Cn_Used(const struct cn_channel *channel);
 bool Cn_Reusable(const struct cn_channel *channel);
 /* How long the other side keeps an idle connection; 0: not said. */
--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -277,6 +277,13 @@
     return status;
 }
 
+void
+Sk_SetOwner(struct sk_sock *sock, const struct sk_ops *ops, void *arg)
+{
+    sock->ops = ops;
+    sock->arg = arg;
+}
+
 static bool
 reserve(struct sk_sock *sock, size_t len)
 {
@@ -366,6 +373,20 @@
     Lp_Later(sock->loop, &sock->later, release, sock);
 }
 
+/* Closes at once, and the other side sees no end in order. */
+void
+Sk_Reset(struct sk_sock *sock)
+{
+    if (sock == NULL || sock->dead) {
+        return;
+    }
+    if (sock->watch != NULL) {
+        struct linger none = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    }
+    Sk_Close(sock);
+}
+
 static void
 linger_over(void *arg)
 {
--- a/packages/web/sock.h
+++ b/packages/web/sock.h
@@ -38,11 +38,14 @@
                           struct sk_sock **out);
 enum st_status Sk_Adopt(struct lp_loop *loop, int fd, const struct sk_ops *ops,
                         void *arg, struct sk_sock **out);
+/* Another owner gets what comes from now on. */
+void Sk_SetOwner(struct sk_sock *sock, const struct sk_ops *ops, void *arg);
 void Sk_Write(struct sk_sock *sock, const void *data, size_t len);
 size_t Sk_Pending(const struct sk_sock *sock);
 bool Sk_Sent(const struct sk_sock *sock);
 void Sk_Pause(struct sk_sock *sock, bool pause);
 void Sk_Close(struct sk_sock *sock);
+void Sk_Reset(struct sk_sock *sock);
 void Sk_Finish(struct sk_sock *sock);
 
 struct sockaddr_in;
