--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -14,6 +14,9 @@
 #define Pt_TESTS_MAX 16
 /* A connection takes a few milliseconds. */
 #define Pt_TEST_USEC (300 * Ck_USEC_PER_MSEC)
+#define Pt_PEERS_MAX 512
+/* Peers that did not connect lately, of which that is remembered. */
+#define Pt_FAILURES_MAX 32
 
 /* One connection that is being made, for a request or as a test. */
 struct making {
@@ -21,17 +24,26 @@
     struct pt_paths *paths;
     struct fl_endpoint *endpoint; /* a reference */
     enum wy_order order;
-    size_t direct; /* index of the direct way in the plan */
+    size_t direct;        /* index of the direct way in the plan */
+    uint32_t peer;        /* that is asked; 0: none */
     struct di_dial *test; /* NULL: for a request */
     int64_t since;
 };
 
 LIST_HEAD(making_list, making);
 
+/* That a peer did not connect for this host. */
+struct failure {
+    uint32_t peer;
+    int64_t at;
+};
+
 struct pt_paths {
     struct ga_gate *gate;
     struct making_list tests;
     size_t test_count;
+    struct failure failures[Pt_FAILURES_MAX];
+    size_t next_failure;
     bool any_cut;
 };
 
@@ -52,37 +64,55 @@
     return paths->any_cut;
 }
 
-/* Peers that are not cut themselves first, and of these the near ones. */
-static int
-preference(const struct ms_peer *peer)
+static struct failure *
+find_failure(struct pt_paths *paths, uint32_t peer)
 {
-    return (peer->cut ? 0 : 2) + (peer->near ? 1 : 0);
+    for (size_t i = 0; i < Pt_FAILURES_MAX; i++) {
+        if (paths->failures[i].peer == peer) {
+            return &paths->failures[i];
+        }
+    }
+    return NULL;
 }
 
-/*
- * Any of the best: hosts of one data centre that are cut together do not all
- * take the same.  NULL: there is none.
- */
+/* Remembers that a peer did not connect, in place of the oldest. */
+static void
+note_failure(struct pt_paths *paths, uint32_t peer, int64_t now)
+{
+    struct failure *failure = find_failure(paths, peer);
+    if (failure == NULL) {
+        failure = &paths->failures[paths->next_failure];
+        paths->next_failure = (paths->next_failure + 1) % Pt_FAILURES_MAX;
+    }
+    *failure = (struct failure){peer, now};
+}
+
+/* A peer to ask for a connection; NULL: there is none. */
 static const struct ms_peer *
-pick_peer(struct ga_gate *gate)
+pick_peer(struct pt_paths *paths, const struct wy_link *link)
 {
-    uint32_t count = 0;
-    const struct ms_peer *picked = NULL;
+    static const struct ms_peer *candidates[Pt_PEERS_MAX];
+    static struct wy_peer peers[Pt_PEERS_MAX];
+    struct ga_gate *gate = paths->gate;
+    size_t count = 0;
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (!Ms_Close(gate->mesh, peer) || peer->stopping || !peer->ready ||
-            (picked != NULL && preference(peer) < preference(picked))) {
+        if (count == Pt_PEERS_MAX || !Ms_Close(gate->mesh, peer) ||
+            peer->stopping || !peer->ready) {
             continue;
         }
-        if (picked != NULL && preference(peer) > preference(picked)) {
-            count = 0;
-        }
-        count++;
-        if (Rn_Below(&gate->random, count) == 0) {
-            picked = peer;
-        }
+        const struct failure *failure = find_failure(paths, peer->address);
+        candidates[count] = peer;
+        peers[count++] = (struct wy_peer){
+            .near = peer->near,
+            .cut = peer->cut,
+            .failed_at = failure == NULL ? 0 : failure->at,
+        };
     }
-    return picked;
+    return count == 0
+               ? NULL
+               : candidates[Wy_PickPeer(link, peers, count,
+                                        Rn_Unit(&gate->random), Ga_Now(gate))];
 }
 
 static void
@@ -93,13 +123,15 @@
 }
 
 static void
-add_peer(struct di_plan *plan, struct ga_gate *gate,
-         const struct fl_endpoint *endpoint)
+add_peer(struct di_plan *plan, struct making *making)
 {
-    const struct ms_peer *peer = pick_peer(gate);
+    struct ga_gate *gate = making->paths->gate;
+    const struct fl_endpoint *endpoint = making->endpoint;
+    const struct ms_peer *peer = pick_peer(making->paths, &endpoint->way);
     if (peer == NULL) {
         return;
     }
+    making->peer = peer->address;
     struct di_way *way = &plan->ways[plan->count++];
     snprintf(way->address, sizeof(way->address), "%.48s:%d", peer->ip,
              gate->options.node->through_port);
@@ -110,15 +142,14 @@
 static struct di_plan
 plan_for(struct making *making)
 {
-    struct ga_gate *gate = making->paths->gate;
     struct di_plan plan = {.patience_usec = Wy_PATIENCE};
     if (making->order == WY_PEER_FIRST) {
-        add_peer(&plan, gate, making->endpoint);
+        add_peer(&plan, making);
     }
     making->direct = plan.count;
     add_direct(&plan, making->endpoint);
     if (making->order == WY_DIRECT_FIRST) {
-        add_peer(&plan, gate, making->endpoint);
+        add_peer(&plan, making);
     }
     return plan;
 }
@@ -219,9 +250,13 @@
 {
     struct making *making = arg;
     if (result != NULL) {
-        note(making->paths, making->endpoint,
-             end_of(result, making->direct),
-             end_of(result, making->direct == 0 ? 1 : 0));
+        enum wy_end peer = end_of(result, making->direct == 0 ? 1 : 0);
+        if (peer == WY_FAILED) {
+            note_failure(making->paths, making->peer,
+                         Ga_Now(making->paths->gate));
+        }
+        note(making->paths, making->endpoint, end_of(result, making->direct),
+             peer);
     }
     end(making);
 }
@@ -262,8 +297,7 @@
 
 /* Connects for the link's own sake, and closes at once. */
 static void
-test(struct pt_paths *paths, struct fl_endpoint *endpoint,
-     enum wy_order order)
+test(struct pt_paths *paths, struct fl_endpoint *endpoint, enum wy_order order)
 {
     struct ga_gate *gate = paths->gate;
     if (paths->test_count >= Pt_TESTS_MAX) {
@@ -330,6 +364,9 @@
         if (making->order == WY_DIRECT_ONLY) {
             Wy_TrialFailed(&making->endpoint->way);
         }
+        else if (making->peer != 0) {
+            note_failure(paths, making->peer, now);
+        }
         Di_Cancel(making->test);
         end(making);
     }
--- a/packages/edge/paths.h
+++ b/packages/edge/paths.h
@@ -25,8 +25,7 @@
 void Pt_Unanswered(struct pt_paths *paths, struct fl_endpoint *endpoint,
                    int64_t sent_at);
 /* Whether a kept connection may carry another request. */
-bool Pt_MayUse(const struct pt_paths *paths,
-               const struct cn_channel *channel);
+bool Pt_MayUse(const struct pt_paths *paths, const struct cn_channel *channel);
 /* Whether the links of this host to some endpoints are cut. */
 bool Pt_AnyCut(const struct pt_paths *paths);
 
--- a/packages/edge/through.c
+++ b/packages/edge/through.c
@@ -109,7 +109,7 @@
 {
     struct ga_gate *gate = visit->through->gate;
     const struct fl_endpoint *endpoint = Fl_Find(gate->fleet, id);
-    if (endpoint == NULL || gate->stopping_at != 0) {
+    if (endpoint == NULL || endpoint->way.cut || gate->stopping_at != 0) {
         refuse(visit);
         return;
     }
--- a/packages/policy/way.c
+++ b/packages/policy/way.c
@@ -10,6 +10,9 @@
 #define Wy_TRIAL_DOUBLINGS 2
 #define Wy_TEST_GAP (500 * Ck_USEC_PER_MSEC)
 
+/* A peer that did not connect is asked after the others for so long. */
+#define Wy_FAILED_USEC (2 * Ck_USEC_PER_SEC)
+
 static bool
 passed(int64_t since, int64_t gap, int64_t now)
 {
@@ -26,6 +29,40 @@
                                                        : WY_DIRECT_ONLY;
 }
 
+static int
+rank_of(const struct wy_link *link, const struct wy_peer *peer, int64_t now)
+{
+    return (passed(peer->failed_at, Wy_FAILED_USEC, now) ? 4 : 0) +
+           (peer->cut ? 0 : 2) + (link->cut && peer->near ? 1 : 0);
+}
+
+size_t
+Wy_PickPeer(const struct wy_link *link, const struct wy_peer *peers,
+            size_t count, double unit, int64_t now)
+{
+    int best = -1;
+    size_t best_count = 0;
+    for (size_t i = 0; i < count; i++) {
+        int rank = rank_of(link, &peers[i], now);
+        if (rank > best) {
+            best = rank;
+            best_count = 0;
+        }
+        best_count += rank == best;
+    }
+    size_t left = (size_t)(unit * (double)best_count);
+    size_t picked = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (rank_of(link, &peers[i], now) == best) {
+            picked = i;
+            if (left-- == 0) {
+                break;
+            }
+        }
+    }
+    return picked;
+}
+
 bool
 Wy_Ended(struct wy_link *link, enum wy_end direct, enum wy_end peer,
          int64_t now)
--- a/packages/policy/way.h
+++ b/packages/policy/way.h
@@ -8,6 +8,7 @@
 #define POLICY_WAY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/clock.h"
@@ -35,6 +36,13 @@
     WY_PEER_FIRST,
 };
 
+/* A peer that may be asked to connect. */
+struct wy_peer {
+    bool near;         /* in this host's data centre */
+    bool cut;          /* from some endpoints, as it says */
+    int64_t failed_at; /* when it last did not connect for this host; 0 */
+};
+
 /* How a try ended. */
 enum wy_end {
     WY_NOT_TRIED,
@@ -45,6 +53,13 @@
 
 /* "now" in microseconds. */
 enum wy_order Wy_Order(const struct wy_link *link, int64_t now);
+/*
+ * Which of "count" peers, at least one, to ask; "unit" is a draw, 0 to 1.  As
+ * long as the link's cut is not shown the near ones, which would be cut with
+ * this host, are nothing better.
+ */
+size_t Wy_PickPeer(const struct wy_link *link, const struct wy_peer *peers,
+                   size_t count, double unit, int64_t now);
 /* Takes how a connection came; true when the link's state has changed. */
 bool Wy_Ended(struct wy_link *link, enum wy_end direct, enum wy_end peer,
               int64_t now);
