Brittle endpoints: the first few hosts by their claims, each turned away once a second

Endpoints may say in all answers that they fall over when they turn more than so many requests away in a second; later they let fewer wait. No file knew that: hosts went on queueing beyond the places (1.25 and 3 times), and came back to a full endpoint after a tenth of a second.

The bound, 2 and a tenth of the endpoints, is the users'; half of what an endpoint bears is left unspent, since hosts know the list of hosts a little differently.

--- a/packages/edge/ask.h
+++ b/packages/edge/ask.h
@@ -47,6 +47,8 @@
     bool sealed;  /* bears the endpoint's signature */
     bool not_run; /* the endpoint says that it did not run the request */
     bool encoded; /* the body is not the endpoint's */
+    /* Refusals in a second that its endpoint bears; -1: not said. */
+    int refusals_borne;
     char version[Ak_VERSION_MAX]; /* of the weights; empty: not said */
 };
 
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "edge/brittle.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
 #include "edge/warming.h"
@@ -77,8 +78,8 @@
         .near = strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
         .shunned = He_Shunned(endpoint, scene->now) || warming == WA_DOUBTED,
         .tried = was_tried(exchange, endpoint->hash),
-        .full =
-            warming == WA_CLOSED || Po_Full(gate, endpoint, exchange->service),
+        .full = warming == WA_CLOSED || Bt_Closed(gate, endpoint) ||
+                Po_Full(gate, endpoint, exchange->service),
         .failing = endpoint->failing,
         .draw = Hash_Bytes(both, sizeof(both), 0),
         .lot = (double)Hash_Bytes(lot, sizeof(lot), 0) / (double)UINT64_MAX,
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "edge/config.h"
+#include "policy/brittle.h"
 #include "policy/warmup.h"
 #include "policy/way.h"
 #include "web/channel.h"
@@ -55,6 +56,7 @@
     int64_t since;        /* first entry seen */
     int64_t returned_at;  /* its data centre was taken back; 0: never */
     struct wu_warmup warmup;
+    struct br_room room;
 
     /* What this daemon has sent and not yet seen the end of. */
     int running;
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/brittle.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
 #include "edge/warming.h"
@@ -109,6 +110,7 @@
                attempt->endpoint->entry.id);
         return false;
     }
+    Bt_Told(exchange->gate, attempt->endpoint, attempt->answer.refusals_borne);
     int64_t now = Ga_Now(exchange->gate);
     attempt->head_at = now;
     attempt->status = head->status;
@@ -303,6 +305,9 @@
         return;
     }
     if (attempt->answer.not_run) {
+        if (attempt->status != 421) {
+            Bt_Refused(exchange->gate, endpoint);
+        }
         He_Note(endpoint, attempt->status == 421 ? HE_BROKE : HE_REFUSED, now);
         go_on(exchange, false, Xc_RefusalStatus(exchange), "endpoint refused");
         return;
--- /dev/null
+++ b/packages/policy/brittle.h
@@ -0,0 +1,63 @@
+/*
+ * What endpoints may be sent that say that they are brittle: one that has to
+ * turn more than so many requests away in a second falls over.  Pure.
+ *
+ * Hosts hear of each other late or not at all, so the bound is kept without a
+ * word between them.  The first few hosts, by their claims on an endpoint (see
+ * warmup.h), may use its places to the last, and each is turned away once a
+ * second at most; the others pass it by.
+ */
+#ifndef POLICY_BRITTLE_H
+#define POLICY_BRITTLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Requests given to a brittle endpoint, as a multiple of what it runs at
+   once: it may let none wait. */
+#define Br_FILL 1.0
+
+/* One endpoint, as one host knows it. */
+struct br_room {
+    int most;             /* turned away in a second, and it still stands */
+    int64_t told_at;      /* 0: never said to be brittle */
+    int64_t closed_until; /* it turned a request of this host away */
+    size_t rank;          /* of this host's claim on it */
+    int64_t rank_at;      /* when that was found; 0: never */
+    bool best;            /* this host has no better claim in the service */
+    int sent;             /* and not known to be taken */
+    int64_t sent_since;
+};
+
+/* How hosts share the endpoint. */
+struct br_part {
+    size_t hosts; /* that may use it */
+    int each;     /* requests of one that are not known to be taken */
+};
+
+struct br_part Br_Part(int most, size_t hosts);
+
+/* An endpoint of the service says that it, as all of them, is brittle. */
+void Br_Told(struct br_room *room, int most, int64_t now);
+bool Br_IsBrittle(const struct br_room *room, int64_t now);
+/* Whether the place in the order of claims is to be found anew. */
+bool Br_RankIsOld(const struct br_room *room, int64_t now);
+/*
+ * Whether this host may send to it now; "running" are the requests of all
+ * hosts there, as far as it knows.
+ */
+bool Br_MaySend(const struct br_room *room, const struct br_part *part,
+                int running, int slots, int64_t now);
+void Br_Sent(struct br_room *room, int64_t now);
+void Br_Refused(struct br_room *room, int64_t now);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/policy/test/brittle_test.cc
@@ -0,0 +1,316 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "base/clock.h"
+#include "policy/brittle.h"
+#include "policy/warmup.h"
+
+namespace {
+
+const int64_t kMs = Ck_USEC_PER_MSEC;
+const int64_t kNow = 1000 * Ck_USEC_PER_SEC;
+
+TEST(Brittle, IsOverSomeSecondsAfterTheLastWord)
+{
+    br_room room = {};
+    EXPECT_FALSE(Br_IsBrittle(&room, kNow));
+    Br_Told(&room, 5, kNow);
+    EXPECT_TRUE(Br_IsBrittle(&room, kNow + 2999 * kMs));
+    EXPECT_FALSE(Br_IsBrittle(&room, kNow + 3000 * kMs));
+}
+
+// All hosts together turn an endpoint over, each with one request a second.
+TEST(Brittle, AllPartsTogetherStayBelowTheBound)
+{
+    for (int most = 1; most <= 40; most++) {
+        for (size_t hosts : {1, 2, 7, 60, 420}) {
+            br_part part = Br_Part(most, hosts);
+            EXPECT_GE(part.hosts, 1u);
+            EXPECT_LE(part.hosts * (size_t)part.each, (size_t)most)
+                << most << " by " << hosts;
+        }
+    }
+}
+
+// A host that was turned away comes back within the second that counts.
+TEST(Brittle, StaysAwayForASecondAfterARefusal)
+{
+    br_room room = {};
+    br_part part = {1, 1};
+    EXPECT_TRUE(Br_MaySend(&room, &part, 0, 8, kNow));
+    Br_Refused(&room, kNow);
+    EXPECT_FALSE(Br_MaySend(&room, &part, 0, 8, kNow + 1000 * kMs));
+    EXPECT_TRUE(Br_MaySend(&room, &part, 0, 8, kNow + 1100 * kMs));
+}
+
+TEST(Brittle, OneRequestAtATimeIsNotKnownToBeTaken)
+{
+    br_room room = {};
+    br_part part = {2, 1};
+    Br_Sent(&room, kNow);
+    EXPECT_FALSE(Br_MaySend(&room, &part, 1, 8, kNow + 49 * kMs));
+    EXPECT_TRUE(Br_MaySend(&room, &part, 1, 8, kNow + 50 * kMs));
+}
+
+TEST(Brittle, OthersUseOnlyTheirBestAndOnlyHalfOfIt)
+{
+    br_room room = {};
+    br_part part = {2, 1};
+    room.rank = 2;
+    EXPECT_FALSE(Br_MaySend(&room, &part, 0, 8, kNow));
+    room.best = true;
+    EXPECT_TRUE(Br_MaySend(&room, &part, 3, 8, kNow));
+    EXPECT_FALSE(Br_MaySend(&room, &part, 4, 8, kNow));
+}
+
+/*
+ * Hosts that know each other's requests late, before endpoints that let none
+ * wait and fall over when they turn too many away in a second.
+ */
+enum Way {
+    kAsEver,  // queues as before, left alone for a tenth of a second
+    kClosed,  // no queue, left alone for a second
+    kClaimed, // the same, by the first few hosts only
+};
+
+struct Scene {
+    size_t hosts;
+    size_t endpoints;
+    int slots;
+    int most;
+    double load; // of all slots
+    int64_t lag; // until other hosts' requests are known
+    int64_t work;
+};
+
+struct Played {
+    int falls = 0;
+    int asked = 0;
+    int served = 0;
+};
+
+class Model {
+  public:
+    Model(const Scene &scene, Way way, unsigned seed)
+        : scene_(scene), way_(way), random_(seed), endpoints_(scene.endpoints),
+          rooms_(scene.hosts, std::vector<br_room>(scene.endpoints)),
+          own_(scene.hosts, std::vector<int>(scene.endpoints))
+    {
+        for (size_t host = 0; host < scene.hosts; host++) {
+            Rank(host);
+        }
+    }
+
+    Played
+    Run()
+    {
+        double rate = scene_.load * (double)scene_.endpoints * scene_.slots /
+                      (double)scene_.work;
+        std::poisson_distribution<int> arrivals(rate * (double)kStep);
+        for (now_ = kNow; now_ < kNow + 10 * Ck_USEC_PER_SEC; now_ += kStep) {
+            Finish();
+            for (int n = arrivals(random_); n > 0; n--) {
+                Request(random_() % scene_.hosts);
+            }
+            Remember();
+        }
+        return played_;
+    }
+
+  private:
+    static const int64_t kStep = 2 * Ck_USEC_PER_MSEC;
+
+    struct Run1 {
+        size_t host;
+        int64_t ends;
+    };
+    struct Endpoint {
+        std::vector<Run1> runs;
+        std::deque<int64_t> refused;
+        std::deque<int> told; // running at each step, the newest last
+        int64_t down_until = 0;
+    };
+
+    void
+    Rank(size_t host)
+    {
+        wu_hosts hosts = {};
+        hosts.own = host * 7919 + 1;
+        for (size_t i = 0; i < scene_.hosts; i++) {
+            if (i != host) {
+                hosts.others[hosts.count++] = i * 7919 + 1;
+            }
+        }
+        size_t best = 0;
+        for (size_t e = 0; e < scene_.endpoints; e++) {
+            rooms_[host][e].rank = Wu_Rank(&hosts, e * 104729 + 3);
+            if (rooms_[host][e].rank < rooms_[host][best].rank) {
+                best = e;
+            }
+        }
+        rooms_[host][best].best = true;
+    }
+
+    void
+    Finish()
+    {
+        for (size_t e = 0; e < endpoints_.size(); e++) {
+            auto &runs = endpoints_[e].runs;
+            for (size_t i = 0; i < runs.size();) {
+                if (runs[i].ends <= now_) {
+                    own_[runs[i].host][e]--;
+                    runs[i] = runs.back();
+                    runs.pop_back();
+                }
+                else {
+                    i++;
+                }
+            }
+        }
+    }
+
+    void
+    Remember()
+    {
+        for (Endpoint &endpoint : endpoints_) {
+            endpoint.told.push_back((int)endpoint.runs.size());
+            if ((int64_t)endpoint.told.size() > scene_.lag / kStep) {
+                endpoint.told.pop_front();
+            }
+        }
+    }
+
+    // What the host takes to be running there.
+    int
+    Known(size_t host, size_t e) const
+    {
+        int told = endpoints_[e].told.empty() ? 0 : endpoints_[e].told.front();
+        return std::max(told, own_[host][e]);
+    }
+
+    bool
+    MaySend(size_t host, size_t e)
+    {
+        const double fill = 3;
+        int known = Known(host, e);
+        if (way_ == kAsEver) {
+            return known < fill * scene_.slots;
+        }
+        br_part part = Br_Part(scene_.most, scene_.hosts);
+        if (way_ == kClosed) {
+            part = {scene_.hosts, 1000};
+        }
+        return Br_MaySend(&rooms_[host][e], &part, known, scene_.slots, now_);
+    }
+
+    void
+    Request(size_t host)
+    {
+        played_.asked++;
+        size_t best = endpoints_.size();
+        for (size_t e = 0; e < endpoints_.size(); e++) {
+            if (endpoints_[e].down_until > now_ || !MaySend(host, e)) {
+                continue;
+            }
+            bool shunned = rooms_[host][e].closed_until > now_;
+            bool best_shunned = best < endpoints_.size() &&
+                                rooms_[host][best].closed_until > now_;
+            if (best == endpoints_.size() || (best_shunned && !shunned) ||
+                (best_shunned == shunned &&
+                 Known(host, e) < Known(host, best))) {
+                best = e;
+            }
+        }
+        if (best < endpoints_.size()) {
+            Send(host, best);
+        }
+    }
+
+    void
+    Send(size_t host, size_t e)
+    {
+        Endpoint &endpoint = endpoints_[e];
+        Br_Sent(&rooms_[host][e], now_);
+        if ((int)endpoint.runs.size() < scene_.slots) {
+            std::exponential_distribution<double> work(1.0 /
+                                                       (double)scene_.work);
+            endpoint.runs.push_back({host, now_ + (int64_t)work(random_)});
+            own_[host][e]++;
+            played_.served++;
+            return;
+        }
+        Br_Refused(&rooms_[host][e], now_);
+        endpoint.refused.push_back(now_);
+        while (endpoint.refused.front() <= now_ - Ck_USEC_PER_SEC) {
+            endpoint.refused.pop_front();
+        }
+        if ((int)endpoint.refused.size() > scene_.most) {
+            played_.falls++;
+            endpoint.refused.clear();
+            endpoint.down_until = now_ + 3 * Ck_USEC_PER_SEC;
+        }
+    }
+
+    Scene scene_;
+    Way way_;
+    std::mt19937 random_;
+    std::vector<Endpoint> endpoints_;
+    std::vector<std::vector<br_room>> rooms_;
+    std::vector<std::vector<int>> own_;
+    int64_t now_ = 0;
+    Played played_;
+};
+
+struct Sum {
+    int worst = 0; // falls in one time
+    double served = 0;
+};
+
+Sum
+Play(const Scene &scene, Way way)
+{
+    const unsigned seeds = 3;
+    Sum sum;
+    for (unsigned seed = 1; seed <= seeds; seed++) {
+        Played played = Model(scene, way, seed).Run();
+        sum.worst = std::max(sum.worst, played.falls);
+        sum.served += (double)played.served / played.asked / seeds;
+    }
+    return sum;
+}
+
+// Endpoints that may let none wait fall over one after the other.
+TEST(BrittleModel, EndpointsStandWhateverTheLoad)
+{
+    const char *more = getenv("BRITTLE_SCENES");
+    int scenes = more == nullptr ? 12 : atoi(more);
+    std::mt19937 random(17);
+    for (int i = 0; i < scenes; i++) {
+        const size_t sizes[] = {7, 7, 24, 60, 300};
+        Scene scene;
+        scene.hosts = sizes[random() % 5];
+        scene.endpoints = 4 + random() % (scene.hosts > 24 ? 60 : 15);
+        scene.slots = random() % 2 ? 6 : 32;
+        scene.most = 2 + (int)(random() % 20);
+        scene.load = 0.5 + (double)(random() % 20) / 10;
+        scene.lag = (scene.hosts > 24 ? 400 : 100) * kMs;
+        scene.work = (random() % 2 ? 30 : 600) * kMs;
+        Sum ever = Play(scene, kAsEver);
+        Sum closed = Play(scene, kClosed);
+        Sum claimed = Play(scene, kClaimed);
+        std::cout << scene.hosts << " hosts, " << scene.endpoints
+                  << " endpoints of " << scene.slots << ", bears "
+                  << scene.most << ", load " << scene.load << ", work "
+                  << scene.work / kMs << " ms: falls " << ever.worst << " / "
+                  << closed.worst << " / " << claimed.worst << ", served "
+                  << ever.served << " / " << closed.served << " / "
+                  << claimed.served << "\n";
+        EXPECT_LE(claimed.worst, 2 + (int)scene.endpoints / 10);
+    }
+}
+
+} // namespace
--- a/packages/policy/test/way_test.cc
+++ b/packages/policy/test/way_test.cc
@@ -89,8 +89,8 @@
 struct Scene {
     size_t hosts;
     size_t zones;
-    bool silent;   // or refused at once
-    bool whole;    // a whole data centre, or each third host
+    bool silent; // or refused at once
+    bool whole;  // a whole data centre, or each third host
     size_t endpoints;
 };
 
--- a/packages/policy/warmup.c
+++ b/packages/policy/warmup.c
@@ -64,8 +64,8 @@
     return (part->hosts + 1) / 2;
 }
 
-static size_t
-count_before(const struct wu_hosts *hosts, uint64_t endpoint)
+size_t
+Wu_Rank(const struct wu_hosts *hosts, uint64_t endpoint)
 {
     uint64_t own = Wu_Claim(hosts->own, endpoint);
     size_t before = 0;
@@ -88,7 +88,7 @@
     struct wu_part part = Wu_Part(per_sec, hosts->count + 1);
     warmup->claimed_at = now;
     warmup->claimed =
-        count_before(hosts, endpoint) < Wu_Places(&part, &hosts->view);
+        Wu_Rank(hosts, endpoint) < Wu_Places(&part, &hosts->view);
 }
 
 bool
--- a/packages/policy/warmup.h
+++ b/packages/policy/warmup.h
@@ -59,6 +59,9 @@
     struct wu_view view;
 };
 
+/* How many hosts have a higher claim on an endpoint than this one. */
+size_t Wu_Rank(const struct wu_hosts *hosts, uint64_t endpoint);
+
 /*
  * The place in the order of claims before which a host must be to serve a
  * cold endpoint: none while it has yet to hear of the others; a part while it
