Health: what was seen of an endpoint fades while it is not asked

An endpoint that was silent for a second and went on got no request any more at that host: the one late answer made it look many times as slow as the others, it was passed by, and so could not show that it is sound.

--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -80,14 +80,16 @@
         .tried = was_tried(exchange, endpoint->hash),
         .full = warming == WA_CLOSED || Bt_Closed(gate, endpoint) ||
                 Po_Full(gate, endpoint, exchange->service),
-        .failing = endpoint->failing,
+        .failing = He_Failing(endpoint, scene->now),
         .draw = Hash_Bytes(both, sizeof(both), 0),
         .lot = (double)Hash_Bytes(lot, sizeof(lot), 0) / (double)UINT64_MAX,
         .long_lane =
             (double)endpoint->hash < scene->long_part * (double)UINT32_MAX,
     };
     if (scene->mean_first > Xc_SLOWNESS_FLOOR_USEC) {
-        candidate.slowness = endpoint->first_usec / scene->mean_first;
+        candidate.slowness =
+            He_FirstUsec(endpoint, scene->mean_first, scene->now) /
+            scene->mean_first;
     }
     return candidate;
 }
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -77,6 +77,7 @@
     int64_t shunned_until;
     int64_t silent_since; /* waits since then without any answer; 0: no */
     int64_t answered_at;
+    int64_t noted_at; /* last end of a request, good or bad */
 
     /* This host's link to it; see paths.h. */
     struct wy_link way;
--- a/packages/edge/health.c
+++ b/packages/edge/health.c
@@ -1,5 +1,7 @@
 #include "edge/health.h"
 
+#include <math.h>
+
 /* Weight of the newest answer; about the last eight count. */
 #define He_WEIGHT 0.125
 /*
@@ -12,6 +14,10 @@
 /* A full endpoint is left alone until about a tenth of its queue has gone. */
 #define He_FULL_USEC (100 * Ck_USEC_PER_MSEC)
 
+/* Half of what was seen is forgotten in so long without another answer. */
+#define He_FAILING_HALF_USEC (10.0 * Ck_USEC_PER_SEC)
+#define He_FIRST_HALF_USEC (5.0 * Ck_USEC_PER_SEC)
+
 static void
 shun(struct fl_endpoint *endpoint, int64_t until)
 {
@@ -24,6 +30,7 @@
 void
 He_Note(struct fl_endpoint *endpoint, enum he_outcome outcome, int64_t now)
 {
+    endpoint->noted_at = now;
     double failed = outcome == HE_SERVED || outcome == HE_REFUSED ? 0 : 1;
     if (outcome != HE_REFUSED) {
         endpoint->failing += He_WEIGHT * (failed - endpoint->failing);
@@ -52,9 +59,29 @@
 He_First(struct fl_endpoint *endpoint, int64_t usec, int64_t now)
 {
     endpoint->answered_at = now;
+    endpoint->noted_at = now;
     endpoint->first_usec += He_WEIGHT * ((double)usec - endpoint->first_usec);
 }
 
+static double
+left_of(const struct fl_endpoint *endpoint, double half_usec, int64_t now)
+{
+    return exp2(-(double)(now - endpoint->noted_at) / half_usec);
+}
+
+double
+He_Failing(const struct fl_endpoint *endpoint, int64_t now)
+{
+    return endpoint->failing * left_of(endpoint, He_FAILING_HALF_USEC, now);
+}
+
+double
+He_FirstUsec(const struct fl_endpoint *endpoint, double mean, int64_t now)
+{
+    double above = endpoint->first_usec - mean;
+    return mean + above * left_of(endpoint, He_FIRST_HALF_USEC, now);
+}
+
 bool
 He_Shunned(const struct fl_endpoint *endpoint, int64_t now)
 {
--- a/packages/edge/health.h
+++ b/packages/edge/health.h
@@ -22,6 +22,14 @@
 void He_Note(struct fl_endpoint *endpoint, enum he_outcome outcome,
              int64_t now);
 void He_First(struct fl_endpoint *endpoint, int64_t usec, int64_t now);
+/*
+ * The share of recent answers that failed, and the time to the first byte, as
+ * far as they still say something: an endpoint that is passed by for what it
+ * was could not show what it is.
+ */
+double He_Failing(const struct fl_endpoint *endpoint, int64_t now);
+double He_FirstUsec(const struct fl_endpoint *endpoint, double mean,
+                    int64_t now);
 bool He_Shunned(const struct fl_endpoint *endpoint, int64_t now);
 
 #ifdef __cplusplus
--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -19,12 +19,14 @@
  * A peer without power sends neither data nor a reset.  Probes after two
  * seconds of silence, and a limit on unacknowledged data, end such a
  * connection in four seconds; a request waiting on it could not be answered
- * later than that in any case.
+ * later than that in any case.  The limit also decides when probes give up,
+ * whatever their count, so it is the time that they take.
  */
 #define Sk_PROBE_IDLE_SEC 2
 #define Sk_PROBE_EVERY_SEC 1
 #define Sk_PROBE_COUNT 2
-#define Sk_UNACKED_MSEC 4000
+#define Sk_UNACKED_MSEC                                                       \
+    (1000 * (Sk_PROBE_IDLE_SEC + Sk_PROBE_COUNT * Sk_PROBE_EVERY_SEC))
 /* How long a finished connection is read so that its end is not a reset. */
 #define Sk_LINGER_USEC (1 * Ck_USEC_PER_SEC)
 
