--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -47,8 +47,8 @@
     TAILQ_ENTRY(fl_endpoint) link;
     RB_ENTRY(fl_endpoint) by_hash;
     int refs;
+    uint32_t hash; /* of the identity; names it between daemons */
     struct fl_entry entry;
-    uint32_t hash;        /* of the identity; names it between daemons */
     bool gone;            /* the entry was removed */
     bool evacuated;       /* its data centre is to be sent nothing */
     int64_t vanished_at;  /* removed while that may be false; 0: no */
@@ -60,29 +60,29 @@
 
     /* What this daemon has sent and not yet seen the end of. */
     int running;
-    int64_t reading; /* prompt tokens sent whose first event is awaited */
     int connections;
+    int64_t reading; /* prompt tokens sent whose first event is awaited */
     struct fl_idle_list idle;
-    /* The same of all other daemons, as they last told. */
+    /* The same of all other daemons, as they last told, and of those of this
+       data centre among them. */
     int others_running;
-    int64_t others_reading;
-    /* Of these, the daemons of this data centre. */
     int near_running;
+    int64_t others_reading;
     int64_t near_reading;
 
     /* How it has answered; see health.h. */
     double failing;    /* share of recent answers that failed, 0 to 1 */
     double first_usec; /* recent time to the first byte */
-    int strikes;       /* breaks in a row */
     int64_t shunned_until;
     int64_t silent_since; /* waits since then without any answer; 0: no */
     int64_t answered_at;
     int64_t noted_at; /* last end of a request, good or bad */
+    int strikes;      /* breaks in a row */
 
     /* This host's link to it; see paths.h. */
+    bool test_wanted;
     struct wy_link way;
     int64_t heard_at; /* last bytes that came directly */
-    bool test_wanted;
 };
 
 /* A kept connection. */
--- a/packages/edge/pool.c
+++ b/packages/edge/pool.c
@@ -53,16 +53,26 @@
     }
 }
 
+/* Those that lead through a peer that is going, or is not heard. */
+static void
+drop_useless(const struct ga_gate *gate, struct fl_endpoint *endpoint)
+{
+    struct fl_idle *idle;
+    struct fl_idle *next;
+    TAILQ_FOREACH_SAFE (idle, &endpoint->idle, link, next) {
+        if (!Pt_MayUse(gate->paths, idle->channel)) {
+            Po_Drop(endpoint, idle);
+        }
+    }
+}
+
 /* The connection used last is taken first; NULL when none can be had. */
 struct cn_channel *
 Po_Take(struct ga_gate *gate, struct fl_endpoint *endpoint, bool repeatable)
 {
     int64_t now = Ga_Now(gate);
+    drop_useless(gate, endpoint);
     struct fl_idle *idle = TAILQ_FIRST(&endpoint->idle);
-    while (idle != NULL && !Pt_MayUse(gate->paths, idle->channel)) {
-        Po_Drop(endpoint, idle);
-        idle = TAILQ_FIRST(&endpoint->idle);
-    }
     if (idle != NULL && now - Cn_IdleSince(idle->channel) <
                             usable_for(idle->channel, repeatable)) {
         struct cn_channel *channel = idle->channel;
@@ -121,12 +131,12 @@
     int64_t now = Ga_Now(gate);
     struct fl_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        drop_useless(gate, endpoint);
         struct fl_idle *idle;
         struct fl_idle *next;
         TAILQ_FOREACH_SAFE (idle, &endpoint->idle, link, next) {
             if (now - Cn_IdleSince(idle->channel) >
-                    usable_for(idle->channel, true) ||
-                !Pt_MayUse(gate->paths, idle->channel)) {
+                usable_for(idle->channel, true)) {
                 Po_Drop(endpoint, idle);
             }
         }
