--- a/packages/web/test/join_test.cc
+++ b/packages/web/test/join_test.cc
@@ -73,8 +73,8 @@
   protected:
     Join() : near_(SOCK_STREAM), far_(SOCK_STREAM)
     {
-        join_ = Jn_Create(loop_.get(), Inner(&near_), Inner(&far_), Done,
-                          this);
+        join_ =
+            Jn_Create(loop_.get(), Inner(&near_), Inner(&far_), Done, this);
         EXPECT_NE(join_, nullptr);
         loop_.Start();
     }
