Reach: a stand-alone daemon that is cut from endpoints connects through another

Change: the same decision (policy/way.h), the same passing on (web/through.h). Daemons tell where they make connections as a fact, and show each other what follows from the cluster's key.

--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -1,5 +1,6 @@
 #include "edge/gate.h"
 
+#include <bsd/string.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,7 +8,6 @@
 #include "edge/exchange.h"
 #include "edge/gate_internal.h"
 #include "edge/paths.h"
-#include "edge/through.h"
 #include "edge/versions.h"
 
 #define Ga_TICK_USEC Ms_TICK_USEC
@@ -24,6 +24,9 @@
 #define Ga_STOP_IDLE_USEC (1500 * Ck_USEC_PER_MSEC)
 #define Ga_STOP_STREAMS_USEC (2700 * Ck_USEC_PER_MSEC)
 #define Ga_STOP_LEAST_USEC (3800 * Ck_USEC_PER_MSEC)
+/* Connections of peers: two descriptors each, a quarter of all at the most. */
+#define Ga_THROUGH_FDS_PART 8
+#define Ga_THROUGH_MOST 256
 #define Ga_STOP_MARGIN_USEC (300 * Ck_USEC_PER_MSEC)
 
 int64_t
@@ -453,6 +456,48 @@
     return status;
 }
 
+/* Not over a link that is cut here as well, and to no address but these. */
+static bool
+find_for_peer(void *arg, const char *id, char *address, size_t size)
+{
+    const struct ga_gate *gate = arg;
+    const struct fl_endpoint *endpoint = Fl_Find(gate->fleet, id);
+    if (endpoint == NULL || endpoint->way.cut || gate->stopping_at != 0) {
+        return false;
+    }
+    return strlcpy(address, endpoint->entry.address, size) < size;
+}
+
+static void
+on_made_for_peer(void *arg)
+{
+    struct ga_gate *gate = arg;
+    Mt_Add(gate->count.made_for_peers, 1);
+}
+
+static const struct th_ops through_ops = {
+    .find = find_for_peer,
+    .made = on_made_for_peer,
+};
+
+static enum st_status
+create_through(struct ga_gate *gate)
+{
+    const struct nd_node *node = gate->options.node;
+    char address[Nd_NAME_MAX + 8];
+    snprintf(address, sizeof(address), "%s:%d", node->ip, node->through_port);
+    size_t most = (size_t)node->max_fds / Ga_THROUGH_FDS_PART;
+    struct th_options options = {
+        .loop = gate->options.loop,
+        .clock = gate->options.clock,
+        .address = address,
+        .most = most < Ga_THROUGH_MOST ? most : Ga_THROUGH_MOST,
+        .ops = &through_ops,
+        .arg = gate,
+    };
+    return Th_Create(&options, &gate->through);
+}
+
 static enum st_status
 create_shared(struct ga_gate *gate)
 {
@@ -461,7 +506,7 @@
     if (gate->peers == NULL) {
         return ST_UNAVAILABLE;
     }
-    enum st_status status = Th_Create(gate, &gate->through);
+    enum st_status status = create_through(gate);
     if (status != ST_OK) {
         return status;
     }
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -20,10 +20,10 @@
 #include "edge/usage.h"
 #include "edge/zones.h"
 #include "web/serve.h"
+#include "web/through.h"
 
 struct pe_peers;
 struct pt_paths;
-struct th_through;
 struct wo_work;
 
 struct ga_counters {
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -9,6 +9,7 @@
 #include "gate/daemon_internal.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
+#include "gate/reach.h"
 #include "gate/request.h"
 #include "gate/status.h"
 
@@ -153,7 +154,8 @@
 {
     struct dm_daemon *daemon = arg;
     return Rq_Idle(&daemon->gate) && Gc_Idle(daemon->gate.claims) &&
-           Hs_OpenRequests(daemon->callers) == 0;
+           Hs_OpenRequests(daemon->callers) == 0 &&
+           Rh_CountForPeers(daemon->gate.reach) == 0;
 }
 
 static void
@@ -296,6 +298,7 @@
     tell_demand(daemon, now);
     tell_offset(daemon, now);
     note_hosts(daemon, now);
+    Rh_Tick(daemon->gate.reach);
     if (!daemon->was_ready && Dm_NotReady(daemon) == NULL) {
         daemon->was_ready = true;
         Ev_Log(&GT_READY, "node=%s", daemon->gate.options->node_id);
@@ -428,6 +431,9 @@
         status = Pe_Create(gate, (uint16_t)Ad_Port(daemon->admin), incarnation,
                            &dm_peer_ops, daemon, &daemon->peers);
     }
+    if (status == ST_OK) {
+        status = Rh_Create(gate, daemon->peers, &gate->reach);
+    }
     if (status == ST_OK) {
         status = start_state(daemon, incarnation);
     }
@@ -509,6 +515,7 @@
     Cs_Destroy(daemon->config);
     Ct_Destroy(daemon->control);
     Mo_Destroy(daemon->gate.moves);
+    Rh_Destroy(daemon->gate.reach);
     Pe_Destroy(daemon->peers);
     Bg_Destroy(daemon->budget);
     Pl_HttpDestroy(daemon->log);
--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -528,3 +528,18 @@
     struct service *found = find_service(pool, service);
     return found != NULL ? &found->retries : NULL;
 }
+
+bool
+Ep_Address(const struct ep_pool *pool, const char *id, char *out, size_t size)
+{
+    const struct service *service;
+    TAILQ_FOREACH (service, &pool->services, link) {
+        const struct ch_endpoint *endpoint = Ch_Find(service->table, id);
+        if (endpoint != NULL) {
+            const struct ch_info *info = Ch_Info(endpoint);
+            return (size_t)snprintf(out, size, "%s:%d", info->address,
+                                    info->port) < size;
+        }
+    }
+    return false;
+}
--- a/packages/gate/endpoints.h
+++ b/packages/gate/endpoints.h
@@ -38,6 +38,9 @@
                   const struct ch_share *shares, size_t count);
 void Ep_SetTrial(struct ep_pool *pool, const char *service,
                  const char *version);
+/* The "IP:PORT" of an endpoint of any service; false: there is none. */
+bool Ep_Address(const struct ep_pool *pool, const char *id, char *out,
+                size_t size);
 struct rt_budget *Ep_Budget(const struct ep_pool *pool, const char *service);
 struct ch_table *Ep_Table(const struct ep_pool *pool, const char *service);
 
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -26,6 +26,7 @@
 struct gc_claims;
 struct in_intake;
 struct mo_moves;
+struct rh_reach;
 struct rq_request;
 
 /* What flags and environment variables say. */
@@ -62,6 +63,7 @@
     struct gc_claims *claims;
     struct in_intake *intake;
     struct mo_moves *moves;
+    struct rh_reach *reach;
     struct rq_list requests;
     uint64_t next_request;
     bool draining;
--- a/packages/gate/peer_facts.c
+++ b/packages/gate/peer_facts.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#define Pf_THROUGH_FIELDS 2
 #define Pf_CONFIG_FIELDS 2
 #define Pf_LOAD_FIELDS 7
 /* What daemons before the seventh field wrote. */
@@ -97,6 +98,41 @@
     return good;
 }
 
+/* Writes where a daemon makes connections; 0 when it does not fit. */
+size_t
+Pf_WriteThrough(const struct pf_through *through, char *out, size_t size)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, Pf_THROUGH_FIELDS);
+    msgpack_pack_uint64(&packer, through->port);
+    msgpack_pack_uint64(&packer, through->cut);
+    size_t len = copy_out(&buffer, out, size);
+    msgpack_sbuffer_destroy(&buffer);
+    return len;
+}
+
+/* Reads where another daemon makes connections. */
+bool
+Pf_ReadThrough(const void *value, size_t len, struct pf_through *out)
+{
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    bool good = msgpack_unpack_next(&unpacked, value, len, NULL) ==
+                    MSGPACK_UNPACK_SUCCESS &&
+                unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
+                unpacked.data.via.array.size >= Pf_THROUGH_FIELDS;
+    if (good) {
+        const msgpack_object *field = unpacked.data.via.array.ptr;
+        out->port = (uint16_t)read_int(&field[0]);
+        out->cut = read_int(&field[1]) != 0;
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return good;
+}
+
 /* Writes a sample and its age; 0 when it does not fit. */
 size_t
 Pf_WriteLoad(const struct lw_report *report, int64_t age_usec, char *out,
--- a/packages/gate/peer_facts.h
+++ b/packages/gate/peer_facts.h
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "gate/loadwatch.h"
 #include "member/fact.h"
@@ -17,6 +18,7 @@
 #define Pf_DISTRUST "dist/"
 #define Pf_DEMAND "demand"
 #define Pf_HOSTS "hosts"
+#define Pf_THROUGH "through"
 
 #define Pf_DEMANDS_MAX 32
 
@@ -32,6 +34,15 @@
     uint64_t incarnation;
 };
 
+/* Where a daemon makes connections for others. */
+struct pf_through {
+    uint16_t port;
+    bool cut; /* it is cut from some endpoints itself */
+};
+
+size_t Pf_WriteThrough(const struct pf_through *through, char *out,
+                       size_t size);
+bool Pf_ReadThrough(const void *value, size_t len, struct pf_through *out);
 size_t Pf_WriteConfig(const struct pf_config *config, char *out, size_t size);
 bool Pf_ReadConfig(const void *value, size_t len, struct pf_config *out);
 bool Pf_WriteName(const char *prefix, const char *first, const char *second,
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -347,6 +347,34 @@
     publish(peers, &post);
 }
 
+/* Tells the others where this daemon makes connections for them. */
+void
+Pe_TellThrough(struct pe_peers *peers, const struct pf_through *through,
+               int64_t ttl_usec)
+{
+    char value[Fc_VALUE_MAX];
+    struct fc_post post = {
+        .key = Pf_THROUGH,
+        .owned = true,
+        .version = next_version(peers, Pf_THROUGH),
+        .scope = FC_CLUSTER,
+        .ttl_usec = ttl_usec,
+        .value = value,
+    };
+    post.len = Pf_WriteThrough(through, value, sizeof(value));
+    publish(peers, &post);
+}
+
+/* False: that daemon has not said. */
+bool
+Pe_Through(const struct pe_peers *peers, const char *node,
+           struct pf_through *out)
+{
+    struct fc_fact fact;
+    return Fc_Get(Nd_Facts(peers->node), node, Pf_THROUGH, &fact) &&
+           Pf_ReadThrough(fact.value, fact.len, out);
+}
+
 static void
 config_pulled(void *arg, const struct lk_result *result)
 {
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -65,6 +65,8 @@
 void Pe_Distrust(struct pe_peers *peers, const char *service,
                  const char *version);
 void Pe_Demand(struct pe_peers *peers, const struct pf_demands *demands);
+void Pe_TellThrough(struct pe_peers *peers, const struct pf_through *through,
+                    int64_t ttl_usec);
 void Pe_SendEvidence(struct pe_peers *peers, const char *node,
                      const char *text, size_t len);
 enum st_status Pe_AskClaim(struct pe_peers *peers, const char *node,
@@ -79,6 +81,8 @@
 bool Pe_Watches(struct pe_peers *peers, const struct ch_info *info);
 bool Pe_RunEnded(const struct pe_peers *peers, const char *node,
                  uint64_t incarnation);
+bool Pe_Through(const struct pe_peers *peers, const char *node,
+                struct pf_through *out);
 bool Pe_HeardAny(const struct pe_peers *peers);
 uint64_t Pe_HighestOffset(const struct pe_peers *peers);
 json_t *Pe_Status(const struct pe_peers *peers, uint64_t own_offset);
--- /dev/null
+++ b/packages/gate/reach.c
@@ -0,0 +1,476 @@
+#include "gate/reach.h"
+
+#include <bsd/string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "base/hash.h"
+#include "gate/endpoints.h"
+#include "gate/events.h"
+#include "web/dial.h"
+#include "web/through.h"
+
+#define Rh_MOST 256 /* connections made for others at the same time */
+#define Rh_PEERS_MAX 512
+/* Longer than a daemon takes that is asked. */
+#define Rh_ASK_USEC (600 * Ck_USEC_PER_MSEC)
+#define Rh_TRIAL_USEC (300 * Ck_USEC_PER_MSEC)
+#define Rh_TICK_USEC (100 * Ck_USEC_PER_MSEC)
+#define Rh_FACT_TTL (3600 * Ck_USEC_PER_SEC)
+#define Rh_TELL_USEC (1200 * Ck_USEC_PER_SEC)
+/* Gossip misses a few of a hundred. */
+#define Rh_RETELL_USEC (3 * Ck_USEC_PER_SEC)
+#define Rh_USER "daemon:"
+/* Links that have not been used for so long are forgotten. */
+#define Rh_FORGET_USEC (600 * Ck_USEC_PER_SEC)
+
+/* To one endpoint. */
+struct link {
+    TAILQ_ENTRY(link) link;
+    struct rh_reach *reach;
+    char endpoint[Ch_NAME_MAX];
+    struct wy_link way;
+    struct di_dial *trial;
+    int64_t used_at;
+};
+
+TAILQ_HEAD(link_list, link);
+
+/* When a daemon that was asked did not connect. */
+struct failure {
+    TAILQ_ENTRY(failure) link;
+    char daemon[Mb_ID_MAX];
+    int64_t at;
+};
+
+TAILQ_HEAD(failure_list, failure);
+
+struct rh_reach {
+    struct gt_gate *gate;
+    struct pe_peers *peers;
+    struct th_through *through;
+    struct link_list links;
+    struct failure_list failures;
+    char credentials[sizeof(Rh_USER) + Hash_DIGEST_HEX];
+    bool any_cut;
+    bool told_cut;
+    int64_t next_tell;
+    int64_t next_tick;
+};
+
+static struct link *
+find_link(const struct rh_reach *reach, const char *endpoint)
+{
+    struct link *link;
+    TAILQ_FOREACH (link, &reach->links, link) {
+        if (strcmp(link->endpoint, endpoint) == 0) {
+            return link;
+        }
+    }
+    return NULL;
+}
+
+/* The link to an endpoint; NULL without memory. */
+static struct link *
+get_link(struct rh_reach *reach, const char *endpoint)
+{
+    struct link *link = find_link(reach, endpoint);
+    if (link == NULL) {
+        link = calloc(1, sizeof(*link));
+        if (link == NULL) {
+            return NULL;
+        }
+        link->reach = reach;
+        strlcpy(link->endpoint, endpoint, sizeof(link->endpoint));
+        TAILQ_INSERT_HEAD(&reach->links, link, link);
+    }
+    link->used_at = Ck_Now(reach->gate->clock);
+    return link;
+}
+
+static void
+drop_link(struct rh_reach *reach, struct link *link)
+{
+    TAILQ_REMOVE(&reach->links, link, link);
+    Di_Cancel(link->trial);
+    free(link);
+}
+
+static bool
+find_endpoint(void *arg, const char *id, char *address, size_t size)
+{
+    struct rh_reach *reach = arg;
+    /* The client library puts a port behind the name. */
+    char name[Ch_NAME_MAX];
+    strlcpy(name, id, sizeof(name));
+    char *port = strrchr(name, ':');
+    if (port != NULL) {
+        *port = '\0';
+    }
+    const struct link *link = find_link(reach, name);
+    if (reach->gate->draining || (link != NULL && link->way.cut)) {
+        return false;
+    }
+    return Ep_Address(reach->gate->endpoints, name, address, size);
+}
+
+static void
+on_made(void *arg)
+{
+    struct rh_reach *reach = arg;
+    Gt_Count(reach->gate, "cg_connections_made_for_peers_total", NULL, NULL);
+}
+
+static const struct th_ops through_ops = {
+    .find = find_endpoint,
+    .made = on_made,
+};
+
+/* What daemons show each other follows from the key that they share. */
+static void
+make_credentials(struct rh_reach *reach)
+{
+    char text[Rh_DAEMON_MAX];
+    char digest[Hash_DIGEST_HEX];
+    int len = snprintf(text, sizeof(text), "through %s",
+                       reach->gate->options->cluster_key);
+    Hash_Digest(text, (size_t)len < sizeof(text) ? (size_t)len
+                                                 : sizeof(text) - 1,
+                digest);
+    snprintf(reach->credentials, sizeof(reach->credentials), Rh_USER "%s",
+             digest);
+}
+
+enum st_status
+Rh_Create(struct gt_gate *gate, struct pe_peers *peers, struct rh_reach **out)
+{
+    struct rh_reach *reach = calloc(1, sizeof(*reach));
+    if (reach == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for links to endpoints");
+    }
+    reach->gate = gate;
+    reach->peers = peers;
+    TAILQ_INIT(&reach->links);
+    TAILQ_INIT(&reach->failures);
+    make_credentials(reach);
+    char address[Di_ADDRESS_MAX];
+    snprintf(address, sizeof(address), "%s:0", gate->options->address);
+    struct th_options options = {
+        .loop = gate->loop,
+        .clock = gate->clock,
+        .address = address,
+        .most = Rh_MOST,
+        .credentials = reach->credentials,
+        .ops = &through_ops,
+        .arg = reach,
+    };
+    enum st_status status = Th_Create(&options, &reach->through);
+    if (status != ST_OK) {
+        free(reach);
+        return status;
+    }
+    *out = reach;
+    return ST_OK;
+}
+
+void
+Rh_Destroy(struct rh_reach *reach)
+{
+    if (reach == NULL) {
+        return;
+    }
+    struct link *link;
+    while ((link = TAILQ_FIRST(&reach->links)) != NULL) {
+        drop_link(reach, link);
+    }
+    struct failure *failure;
+    while ((failure = TAILQ_FIRST(&reach->failures)) != NULL) {
+        TAILQ_REMOVE(&reach->failures, failure, link);
+        free(failure);
+    }
+    Th_Destroy(reach->through);
+    free(reach);
+}
+
+size_t
+Rh_CountForPeers(const struct rh_reach *reach)
+{
+    return Th_Count(reach->through);
+}
+
+static int64_t
+failed_at(const struct rh_reach *reach, const char *daemon)
+{
+    const struct failure *failure;
+    TAILQ_FOREACH (failure, &reach->failures, link) {
+        if (strcmp(failure->daemon, daemon) == 0) {
+            return failure->at;
+        }
+    }
+    return 0;
+}
+
+static void
+note_failure(struct rh_reach *reach, const char *daemon)
+{
+    int64_t now = Ck_Now(reach->gate->clock);
+    struct failure *failure;
+    TAILQ_FOREACH (failure, &reach->failures, link) {
+        if (strcmp(failure->daemon, daemon) == 0) {
+            failure->at = now;
+            return;
+        }
+    }
+    failure = calloc(1, sizeof(*failure));
+    if (failure != NULL) {
+        strlcpy(failure->daemon, daemon, sizeof(failure->daemon));
+        failure->at = now;
+        TAILQ_INSERT_HEAD(&reach->failures, failure, link);
+    }
+}
+
+/* Daemons that say where they take connections for others. */
+struct candidates {
+    size_t count;
+    struct wy_peer peers[Rh_PEERS_MAX];
+    struct {
+        const struct mb_record *member;
+        uint16_t port;
+    } rows[Rh_PEERS_MAX];
+};
+
+static void
+list_candidates(const struct rh_reach *reach, struct candidates *out)
+{
+    const struct nd_node *node = Pe_Node(reach->peers);
+    const struct mb_table *members = Nd_Members(node);
+    const char *own = reach->gate->options->data_centre;
+    out->count = 0;
+    const struct mb_record *member = Mb_First(members);
+    for (; member != NULL && out->count < Rh_PEERS_MAX;
+         member = Mb_Next(member)) {
+        struct pf_through told;
+        if (member->state != MB_ALIVE || !Mb_Usable(members, member) ||
+            strcmp(member->id, Nd_Id(node)) == 0 ||
+            !Pe_Through(reach->peers, member->id, &told)) {
+            continue;
+        }
+        out->rows[out->count].member = member;
+        out->rows[out->count].port = told.port;
+        out->peers[out->count++] = (struct wy_peer){
+            .near = strcmp(member->data_centre, own) == 0,
+            .cut = told.cut,
+            .failed_at = failed_at(reach, member->id),
+        };
+    }
+}
+
+/* Names the daemon that is asked; false: there is none. */
+static bool
+pick_daemon(struct rh_reach *reach, const struct link *link,
+            struct rh_tries *tries)
+{
+    static struct candidates candidates;
+    list_candidates(reach, &candidates);
+    if (candidates.count == 0) {
+        return false;
+    }
+    struct gt_gate *gate = reach->gate;
+    size_t picked = Wy_PickPeer(&link->way, candidates.peers,
+                                candidates.count, Rn_Unit(&gate->random),
+                                Ck_Now(gate->clock));
+    const struct mb_record *member = candidates.rows[picked].member;
+    strlcpy(tries->asked, member->id, sizeof(tries->asked));
+    snprintf(tries->daemon, sizeof(tries->daemon), "%s@%s:%u",
+             reach->credentials, member->address,
+             candidates.rows[picked].port);
+    return true;
+}
+
+static void
+add_step(struct rh_tries *tries, bool through, int64_t connect_usec)
+{
+    tries->steps[tries->count].through = through;
+    tries->steps[tries->count++].connect_usec = connect_usec;
+}
+
+void
+Rh_Begin(struct rh_reach *reach, struct rh_tries *tries,
+         const struct ch_info *info)
+{
+    memset(tries, 0, sizeof(*tries));
+    strlcpy(tries->endpoint, info->id, sizeof(tries->endpoint));
+    struct link *link = get_link(reach, info->id);
+    enum wy_order order =
+        link == NULL ? WY_DIRECT_ONLY
+                     : Wy_Order(&link->way, Ck_Now(reach->gate->clock));
+    if (order != WY_DIRECT_ONLY && !pick_daemon(reach, link, tries)) {
+        order = WY_DIRECT_ONLY;
+    }
+    if (order == WY_DIRECT_FIRST) {
+        add_step(tries, false, Wy_PATIENCE);
+    }
+    if (order != WY_DIRECT_ONLY) {
+        add_step(tries, true, Rh_ASK_USEC);
+    }
+    /* One that is only slow to connect still gets its whole time. */
+    add_step(tries, false, 0);
+}
+
+void
+Rh_Fill(struct rh_reach *reach, struct rh_tries *tries,
+        struct hc_request *call)
+{
+    (void)reach;
+    call->connect_usec = tries->steps[tries->step].connect_usec;
+    if (tries->steps[tries->step].through) {
+        tries->through = (struct hc_through){tries->daemon, tries->endpoint};
+        call->through = &tries->through;
+    }
+}
+
+/* Where one link is back, others may be as well. */
+static void
+note_change(struct rh_reach *reach, const struct link *changed, bool silent)
+{
+    if (changed->way.cut) {
+        Ev_Log(&GT_LINK_CUT, "endpoint=%s silent=%d", changed->endpoint,
+               silent);
+        return;
+    }
+    Ev_Log(&GT_LINK_REGAINED, "endpoint=%s", changed->endpoint);
+    struct link *link;
+    TAILQ_FOREACH (link, &reach->links, link) {
+        if (link->way.cut) {
+            Wy_TrySoon(&link->way);
+        }
+    }
+}
+
+static void
+settle(struct rh_reach *reach, const struct rh_tries *tries)
+{
+    struct link *link = find_link(reach, tries->endpoint);
+    if (link != NULL && Wy_Ended(&link->way, tries->direct, tries->peer,
+                                 Ck_Now(reach->gate->clock))) {
+        note_change(reach, link, tries->direct == WY_OVERDUE);
+    }
+}
+
+void
+Rh_Came(struct rh_reach *reach, struct rh_tries *tries)
+{
+    if (!tries->came) {
+        tries->came = true;
+        *(tries->steps[tries->step].through ? &tries->peer : &tries->direct) =
+            WY_CAME;
+        settle(reach, tries);
+    }
+}
+
+bool
+Rh_Next(struct rh_reach *reach, struct rh_tries *tries,
+        const struct hc_result *result)
+{
+    if (result->stage != HC_CONNECTING) {
+        Rh_Came(reach, tries);
+        return false;
+    }
+    bool through = tries->steps[tries->step].through;
+    if (through) {
+        tries->peer = WY_FAILED;
+        note_failure(reach, tries->asked);
+    }
+    else {
+        tries->direct =
+            result->status == ST_TIMEOUT ? WY_OVERDUE : WY_FAILED;
+    }
+    /* What refused a moment ago is not tried again. */
+    bool refused = through && tries->direct == WY_FAILED;
+    if (tries->step + 1 < tries->count && !refused) {
+        tries->step++;
+        return true;
+    }
+    settle(reach, tries);
+    return false;
+}
+
+static void
+on_tried(void *arg, const struct di_result *result)
+{
+    struct link *link = arg;
+    struct rh_reach *reach = link->reach;
+    link->trial = NULL;
+    if (result->sock == NULL) {
+        Wy_TrialFailed(&link->way);
+        return;
+    }
+    Sk_Close(result->sock);
+    if (Wy_Ended(&link->way, WY_CAME, WY_NOT_TRIED,
+                 Ck_Now(reach->gate->clock))) {
+        note_change(reach, link, false);
+    }
+}
+
+/* Tries a cut link by a connection that carries nothing. */
+static void
+try_link(struct rh_reach *reach, struct link *link, int64_t now)
+{
+    if (link->trial != NULL) {
+        if (now - link->way.trial_at >= Rh_TRIAL_USEC) {
+            Di_Cancel(link->trial);
+            link->trial = NULL;
+            Wy_TrialFailed(&link->way);
+        }
+        return;
+    }
+    struct di_plan plan = {.count = 1};
+    if (!Wy_TrialDue(&link->way, now) ||
+        !Ep_Address(reach->gate->endpoints, link->endpoint,
+                    plan.ways[0].address, sizeof(plan.ways[0].address))) {
+        return;
+    }
+    Wy_TrialBegun(&link->way, now);
+    link->trial = Di_Start(reach->gate->loop, &plan, on_tried, link);
+}
+
+static void
+tell(struct rh_reach *reach, int64_t now)
+{
+    bool changed = reach->any_cut != reach->told_cut;
+    if (now < reach->next_tell && !changed) {
+        return;
+    }
+    bool first = reach->next_tell == 0;
+    reach->next_tell =
+        now + (first || changed ? Rh_RETELL_USEC : Rh_TELL_USEC);
+    reach->told_cut = reach->any_cut;
+    struct pf_through told = {(uint16_t)Th_Port(reach->through),
+                              reach->any_cut};
+    Pe_TellThrough(reach->peers, &told, Rh_FACT_TTL);
+}
+
+void
+Rh_Tick(struct rh_reach *reach)
+{
+    int64_t now = Ck_Now(reach->gate->clock);
+    if (now < reach->next_tick) {
+        return;
+    }
+    reach->next_tick = now + Rh_TICK_USEC;
+    Th_Tick(reach->through);
+    reach->any_cut = false;
+    struct link *link;
+    struct link *next;
+    TAILQ_FOREACH_SAFE (link, &reach->links, link, next) {
+        if (now - link->used_at >= Rh_FORGET_USEC) {
+            drop_link(reach, link);
+            continue;
+        }
+        reach->any_cut |= link->way.cut;
+        try_link(reach, link, now);
+    }
+    tell(reach, now);
+}
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -8,6 +8,7 @@
  */
 #include "gate/relay_engine.h"
 
+#include <bsd/string.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,6 +38,7 @@
 #define Rl_MESSAGE_MAX 160
 
 static void attempt(struct rl_engine *relay);
+static enum st_status send_call(struct rl_engine *relay);
 
 /* Ends the attempt's place at its engine and tells what it showed. */
 void
@@ -220,6 +222,7 @@
 take_headers(void *arg, struct hc_call *call, int code)
 {
     struct rl_engine *relay = arg;
+    Rh_Came(relay->request->gate->reach, &relay->tries);
     relay->code = code;
 }
 
@@ -409,6 +412,10 @@
 {
     struct rl_engine *relay = arg;
     relay->call = NULL;
+    if (Rh_Next(relay->request->gate->reach, &relay->tries, result) &&
+        send_call(relay) == ST_OK) {
+        return;
+    }
     if (relay->done) {
         finish(relay);
         return;
@@ -458,7 +465,7 @@
 };
 
 static enum st_status
-send_call(struct rl_engine *relay, const char *kv)
+send_call(struct rl_engine *relay)
 {
     struct rq_request *request = relay->request;
     const struct ch_info *info = Ch_Info(relay->flight.endpoint);
@@ -466,7 +473,7 @@
         .text = relay->text,
         .text_len = relay->text_len,
         .tokens = relay->tokens,
-        .kv = kv,
+        .kv = relay->kv[0] != '\0' ? relay->kv : NULL,
     };
     char *body = En_BuildRequest(
         &request->prompt,
@@ -487,6 +494,7 @@
         .body = body,
         .body_len = strlen(body),
     };
+    Rh_Fill(request->gate->reach, &relay->tries, &call);
     enum st_status status =
         Hc_Start(request->gate->loop, &call, &call_ops, relay, &relay->call);
     free(body);
@@ -525,7 +533,10 @@
     relay->expected = -1;
     snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d",
              relay->request->id, relay->attempts.all);
-    if (relay->parser == NULL || send_call(relay, kv) != ST_OK) {
+    strlcpy(relay->kv, kv != NULL ? kv : "", sizeof(relay->kv));
+    Rh_Begin(relay->request->gate->reach, &relay->tries,
+             Ch_Info(relay->flight.endpoint));
+    if (relay->parser == NULL || send_call(relay) != ST_OK) {
         relay->attempts.unreached++;
         give_up(relay, may_have_run(relay) ? AN_UNKNOWN : AN_OVERLOADED,
                 "this host is out of memory; come back later");
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -2,6 +2,7 @@
 #ifndef GATE_RELAY_ENGINE_H
 #define GATE_RELAY_ENGINE_H
 
+#include "gate/reach.h"
 #include "gate/request.h"
 #include "platform/kvmove.h"
 #include "platform/sse.h"
@@ -20,6 +21,8 @@
     struct ch_table *table;
     char attempt[Rl_ATTEMPT_MAX];
     struct rq_attempts attempts;
+    struct rh_tries tries;
+    char kv[En_KV_MAX]; /* handle that this attempt goes on from; or empty */
     int code;
     bool paused;
     bool streaming; /* the caller's stream has begun */
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -13,6 +13,7 @@
 #include "base/event.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
+#include "gate/reach.h"
 #include "gate/request.h"
 #include "web/client.h"
 
@@ -30,6 +31,7 @@
     struct ch_table *table;
     char attempt[Rl_ATTEMPT_MAX];
     struct rq_attempts attempts;
+    struct rh_tries tries;
     char type[Rl_TYPE_MAX];
     bool matched; /* the answer carries this attempt's id */
     /*
@@ -59,6 +61,7 @@
 {
     struct rq_request *request = arg;
     struct rl_plain *relay = request->plain;
+    Rh_Came(request->gate->reach, &relay->tries);
     const char *type = Hc_Header(call, "content-type");
     strlcpy(relay->type, type != NULL ? type : "application/octet-stream",
             sizeof(relay->type));
@@ -132,6 +135,7 @@
 }
 
 static void attempt(struct rq_request *request);
+static enum st_status send_call(struct rq_request *request);
 
 static void
 call_done(void *arg, struct hc_call *call, const struct hc_result *result)
@@ -139,6 +143,10 @@
     struct rq_request *request = arg;
     struct rl_plain *relay = request->plain;
     relay->call = NULL;
+    if (Rh_Next(request->gate->reach, &relay->tries, result) &&
+        send_call(request) == ST_OK) {
+        return;
+    }
     bool complete = result->stage == HC_COMPLETE;
     if (complete && relay->matched && result->code < 500) {
         end_flight(request, CH_GOOD);
@@ -212,6 +220,7 @@
         .body_len = body_len,
         .collect_max = Rl_ANSWER_MAX,
     };
+    Rh_Fill(request->gate->reach, &relay->tries, &call);
     return Hc_Start(request->gate->loop, &call, &call_ops, request,
                     &relay->call);
 }
@@ -251,6 +260,7 @@
     relay->matched = false;
     snprintf(relay->attempt, sizeof(relay->attempt), "%s.%d", request->id,
              relay->attempts.all);
+    Rh_Begin(gate->reach, &relay->tries, Ch_Info(relay->flight.endpoint));
     if (send_call(request) != ST_OK) {
         end_flight(request, CH_CANCELLED);
         Rq_Refuse(request, may_have_run(relay) ? AN_UNKNOWN : AN_INVALID, 0,
--- a/packages/web/client.c
+++ b/packages/web/client.c
@@ -399,6 +399,12 @@
     info.context = Lp_Context(call->loop);
     info.vhost = Lp_ClientVhost(call->loop);
     info.address = call->address;
+    if (request->through != NULL) {
+        /* The library asks its proxy for this name, and does not look it up.
+         */
+        info.vhost = Lp_ProxyVhost(call->loop, request->through->daemon);
+        info.address = request->through->id;
+    }
     info.host = call->address;
     info.origin = call->address;
     info.port = request->port;
@@ -417,7 +423,7 @@
         info.ssl_connection |= LCCSCF_USE_SSL;
     }
     call->starting = true;
-    if (lws_client_connect_via_info(&info) == NULL) {
+    if (info.vhost == NULL || lws_client_connect_via_info(&info) == NULL) {
         call->wsi = NULL;
         call->failed = true;
     }
--- a/packages/web/client.h
+++ b/packages/web/client.h
@@ -50,6 +50,12 @@
                  const struct hc_result *result);
 };
 
+/* How a daemon is asked to connect (see through.h). */
+struct hc_through {
+    const char *daemon; /* "USER:SECRET@IP:PORT" */
+    const char *id;     /* of the endpoint */
+};
+
 struct hc_request {
     const char *address; /* IP number */
     int port;
@@ -65,6 +71,8 @@
     int64_t total_usec;   /* limit for everything; 0: none */
     size_t collect_max;   /* limit when the body is collected; 0: 4 MiB */
     bool tls;
+    /* A daemon that connects for this one; NULL: the address is reached. */
+    const struct hc_through *through;
 };
 
 enum st_status Hc_Start(struct lp_loop *loop, const struct hc_request *request,
--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -1,5 +1,6 @@
 #include "web/loop.h"
 
+#include <bsd/string.h>
 #include <bsd/sys/tree.h>
 #include <libwebsockets.h>
 #include <signal.h>
@@ -20,6 +21,16 @@
 #define Lp_NEVER_SECS 3600
 #define Lp_NSEC_PER_USEC 1000
 
+/* Daemons that were asked to connect, in the life of this one. */
+#define Lp_PROXIES_MAX 64
+#define Lp_PROXY_NAME_MAX 160
+
+/* The library keeps the name's address. */
+struct proxy {
+    char name[Lp_PROXY_NAME_MAX];
+    struct lws_vhost *vhost;
+};
+
 RB_HEAD(timer_tree, lp_timer);
 
 /*
@@ -36,6 +47,8 @@
     uint64_t next_number;
     struct lws_context *context;
     struct lws_vhost *client_vhost;
+    size_t proxy_count;
+    struct proxy proxies[Lp_PROXIES_MAX];
     STAILQ_HEAD(later_list, lp_later) later;
     int depth; /* callbacks on the stack */
     bool firing;
@@ -220,6 +233,18 @@
     {.name = NULL},
 };
 
+static struct lws_vhost *
+create_client_vhost(const struct lp_loop *loop, const char *name)
+{
+    struct lws_context_creation_info vhost = {0};
+    vhost.port = CONTEXT_PORT_NO_LISTEN;
+    vhost.vhost_name = name;
+    vhost.protocols = client_protocols;
+    /* Every call has timers of its own; those of the library stay away. */
+    vhost.timeout_secs = Lp_NEVER_SECS;
+    return lws_create_vhost(loop->context, &vhost);
+}
+
 /*
  * Creates the loop with its client side.  SIGPIPE is ignored for the whole
  * process: a peer that goes away shows as a failed write.
@@ -247,13 +272,7 @@
         free(loop);
         return St_Fail(ST_INTERNAL, "libwebsockets context not created");
     }
-    struct lws_context_creation_info vhost = {0};
-    vhost.port = CONTEXT_PORT_NO_LISTEN;
-    vhost.vhost_name = "client";
-    vhost.protocols = client_protocols;
-    /* Every call has timers of its own; those of the library stay away. */
-    vhost.timeout_secs = Lp_NEVER_SECS;
-    loop->client_vhost = lws_create_vhost(loop->context, &vhost);
+    loop->client_vhost = create_client_vhost(loop, "client");
     if (loop->client_vhost == NULL) {
         lws_context_destroy(loop->context);
         free(loop);
@@ -318,6 +337,30 @@
     return loop->client_vhost;
 }
 
+struct lws_vhost *
+Lp_ProxyVhost(struct lp_loop *loop, const char *proxy)
+{
+    for (size_t i = 0; i < loop->proxy_count; i++) {
+        if (strcmp(loop->proxies[i].name, proxy) == 0) {
+            return loop->proxies[i].vhost;
+        }
+    }
+    if (loop->proxy_count == Lp_PROXIES_MAX) {
+        return NULL;
+    }
+    struct proxy *fresh = &loop->proxies[loop->proxy_count];
+    if (strlcpy(fresh->name, proxy, sizeof(fresh->name)) >=
+        sizeof(fresh->name)) {
+        return NULL;
+    }
+    fresh->vhost = create_client_vhost(loop, fresh->name);
+    if (fresh->vhost == NULL || lws_set_proxy(fresh->vhost, proxy) != 0) {
+        return NULL;
+    }
+    loop->proxy_count++;
+    return fresh->vhost;
+}
+
 /* Creates a timer that is not set; NULL without memory. */
 struct lp_timer *
 Lp_TimerCreate(struct lp_loop *loop, lp_timer_fn fn, void *arg)
--- a/packages/web/loop.h
+++ b/packages/web/loop.h
@@ -63,6 +63,8 @@
 struct lws_vhost;
 struct lws_context *Lp_Context(struct lp_loop *loop);
 struct lws_vhost *Lp_ClientVhost(struct lp_loop *loop);
+/* The same through a proxy, "USER:SECRET@IP:PORT"; NULL: too many. */
+struct lws_vhost *Lp_ProxyVhost(struct lp_loop *loop, const char *proxy);
 
 #ifdef __cplusplus
 }
--- a/packages/web/test/join_test.cc
+++ b/packages/web/test/join_test.cc
@@ -8,6 +8,7 @@
 #include "web/dial.h"
 #include "web/join.h"
 #include "web/loop.h"
+#include "web/through.h"
 
 namespace {
 
@@ -256,4 +257,82 @@
     EXPECT_EQ(dialed_.result.ways[1], DI_FAILED);
 }
 
+// Connections made for peers, to one endpoint that is named "i-7".
+class Through : public testing::Test {
+  protected:
+    Through() : endpoint_(SOCK_STREAM), peer_(SOCK_STREAM)
+    {
+        address_ = "127.0.0.1:" + std::to_string(endpoint_.Bind(true));
+        th_options options = {};
+        options.loop = loop_.get();
+        options.clock = Ck_System();
+        options.address = "127.0.0.1:0";
+        options.most = 1;
+        options.credentials = "daemon:secret";
+        options.ops = &kOps;
+        options.arg = this;
+        EXPECT_EQ(Th_Create(&options, &through_), ST_OK);
+        loop_.Start();
+        EXPECT_TRUE(peer_.Connect(Th_Port(through_)));
+    }
+    ~Through() override
+    {
+        loop_.Stop();
+        Th_Destroy(through_);
+    }
+
+    // "daemon:secret" in base64, as HTTP's basic authentication has it.
+    std::string
+    Ask(const std::string &id,
+        const std::string &credentials = "ZGFlbW9uOnNlY3JldA==")
+    {
+        peer_.Send("CONNECT " + id +
+                   " HTTP/1.1\r\nProxy-authorization: basic " + credentials +
+                   "\r\n\r\n");
+        return peer_.Receive(sizeof(Di_MADE) - 1);
+    }
+
+    Loop loop_;
+    Socket endpoint_;
+    Socket peer_;
+
+  private:
+    static bool
+    Find(void *arg, const char *id, char *address, size_t size)
+    {
+        auto *self = static_cast<Through *>(arg);
+        snprintf(address, size, "%s", self->address_.c_str());
+        return std::string(id) == "i-7";
+    }
+
+    static void
+    Made(void *)
+    {
+    }
+
+    static constexpr th_ops kOps = {Find, Made};
+    std::string address_;
+    struct th_through *through_ = nullptr;
+};
+
+TEST_F(Through, BytesPassOnceTheConnectionIsThere)
+{
+    EXPECT_EQ(Ask("i-7"), Di_MADE);
+    Socket taken = endpoint_.Accept();
+    EXPECT_TRUE(peer_.Send("ask"));
+    EXPECT_EQ(taken.Receive(3), "ask");
+}
+
+// A daemon becomes a way to any address.
+TEST_F(Through, OnlyToEndpointsOfTheList)
+{
+    EXPECT_EQ(Ask("i-8"), Di_NOT_MADE);
+}
+
+// Whoever reaches the port reaches the endpoints behind it.
+TEST_F(Through, OnlyForDaemonsOfTheCluster)
+{
+    EXPECT_EQ(Ask("i-7", "ZGFlbW9uOndyb25n"), Di_NOT_MADE);
+}
+
 } // namespace
--- a/packages/edge/through.c
+++ b/packages/web/through.c
@@ -1,7 +1,8 @@
-#include "edge/through.h"
+#include "web/through.h"
 
 #include <bsd/string.h>
 #include <bsd/sys/queue.h>
+#include <libwebsockets.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,13 +12,12 @@
 #include "web/join.h"
 #include "web/listening.h"
 
-#define Th_HEAD_MAX 256
+#define Th_HEAD_MAX 1024
+#define Th_ID_MAX 256
+#define Th_BASIC_MAX 256
+#define Th_BASIC_FIELD "proxy-authorization: basic "
 /* From a peer's coming to its connection; a peer waits no longer. */
 #define Th_MAKE_USEC (500 * Ck_USEC_PER_MSEC)
-/* Two descriptors each: a quarter of all are the most that peers may use. */
-#define Th_FDS_PART 8
-#define Th_MOST 256
-
 /* One peer's connection. */
 struct visit {
     LIST_ENTRY(visit) link;
@@ -35,11 +35,11 @@
 LIST_HEAD(visit_list, visit);
 
 struct th_through {
-    struct ga_gate *gate;
+    struct th_options options;
+    char basic[Th_BASIC_MAX]; /* credentials as peers send them; empty: none */
     struct ls_listener *listener;
     struct visit_list visits;
     size_t count;
-    size_t most;
 };
 
 static void
@@ -60,8 +60,7 @@
     Di_Cancel(visit->dial);
     Sk_Close(visit->near);
     Jn_Destroy(visit->join);
-    Lp_Later(visit->through->gate->options.loop, &visit->later, release,
-             visit);
+    Lp_Later(visit->through->options.loop, &visit->later, release, visit);
 }
 
 static void
@@ -92,36 +91,53 @@
         return;
     }
     Sk_Write(visit->near, Di_MADE, strlen(Di_MADE));
-    visit->join = Jn_Create(through->gate->options.loop, visit->near,
-                            result->sock, on_joined_end, visit);
+    visit->join = Jn_Create(through->options.loop, visit->near, result->sock,
+                            on_joined_end, visit);
     if (visit->join == NULL) {
         Sk_Close(result->sock);
         bury(visit);
         return;
     }
     visit->near = NULL;
-    Mt_Add(through->gate->count.made_for_peers, 1);
+    through->options.ops->made(through->options.arg);
 }
 
 /* Only to endpoints of the own list: this is no way to anywhere else. */
 static void
 connect_to(struct visit *visit, const char *id)
 {
-    struct ga_gate *gate = visit->through->gate;
-    const struct fl_endpoint *endpoint = Fl_Find(gate->fleet, id);
-    if (endpoint == NULL || endpoint->way.cut || gate->stopping_at != 0) {
+    const struct th_options *options = &visit->through->options;
+    struct di_plan plan = {.count = 1};
+    struct di_way *way = &plan.ways[0];
+    if (!options->ops->find(options->arg, id, way->address,
+                            sizeof(way->address))) {
         refuse(visit);
         return;
     }
-    struct di_plan plan = {.count = 1};
-    strlcpy(plan.ways[0].address, endpoint->entry.address,
-            sizeof(plan.ways[0].address));
-    visit->dial = Di_Start(gate->options.loop, &plan, on_dialed, visit);
+    visit->dial = Di_Start(options->loop, &plan, on_dialed, visit);
     if (visit->dial == NULL) {
         refuse(visit);
     }
 }
 
+/* Whether a peer shows what only daemons of the cluster know. */
+static bool
+is_peer(const struct visit *visit)
+{
+    const char *wanted = visit->through->basic;
+    const char *field = strcasestr(visit->head, Th_BASIC_FIELD);
+    if (wanted[0] == '\0') {
+        return true;
+    }
+    if (field == NULL) {
+        return false;
+    }
+    const char *shown = field + strlen(Th_BASIC_FIELD);
+    size_t len = strcspn(shown, "\r");
+    return len == strlen(wanted) &&
+           lws_timingsafe_bcmp(shown, wanted, (uint32_t)len) == 0;
+}
+
 static void
 on_data(void *arg, const char *data, size_t len)
 {
@@ -136,8 +152,9 @@
     if (strstr(visit->head, Di_HEAD_END) == NULL) {
         return;
     }
-    char id[Th_HEAD_MAX];
-    if (sscanf(visit->head, "CONNECT %255s HTTP/1.1", id) != 1) {
+    char id[Th_ID_MAX];
+    if (sscanf(visit->head, "CONNECT %255s HTTP/1.1", id) != 1 ||
+        !is_peer(visit)) {
         refuse(visit);
         return;
     }
@@ -160,7 +177,7 @@
 on_accept(void *arg, int fd)
 {
     struct th_through *through = arg;
-    if (through->count >= through->most) {
+    if (through->count >= through->options.most) {
         close(fd);
         return false;
     }
@@ -170,9 +187,9 @@
         return false;
     }
     visit->through = through;
-    visit->since = Ga_Now(through->gate);
-    if (Sk_Adopt(through->gate->options.loop, fd, &near_ops, visit,
-                 &visit->near) != ST_OK) {
+    visit->since = Ck_Now(through->options.clock);
+    if (Sk_Adopt(through->options.loop, fd, &near_ops, visit, &visit->near) !=
+        ST_OK) {
         free(visit);
         return false;
     }
@@ -182,13 +199,10 @@
 }
 
 enum st_status
-Th_Create(struct ga_gate *gate, struct th_through **out)
+Th_Create(const struct th_options *options, struct th_through **out)
 {
-    const struct nd_node *node = gate->options.node;
-    char address[Nd_NAME_MAX + 8];
-    snprintf(address, sizeof(address), "%s:%d", node->ip, node->through_port);
     struct sockaddr_in at;
-    enum st_status status = Sk_Address(address, &at);
+    enum st_status status = Sk_Address(options->address, &at);
     if (status != ST_OK) {
         return status;
     }
@@ -196,14 +210,17 @@
     if (through == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for peers' connections");
     }
-    through->gate = gate;
-    through->most = (size_t)node->max_fds / Th_FDS_PART;
-    if (through->most > Th_MOST) {
-        through->most = Th_MOST;
+    through->options = *options;
+    if (options->credentials != NULL &&
+        lws_b64_encode_string(options->credentials,
+                              (int)strlen(options->credentials),
+                              through->basic, sizeof(through->basic)) < 0) {
+        free(through);
+        return St_Fail(ST_INVALID, "the credentials of peers are too long");
     }
     LIST_INIT(&through->visits);
-    status = Ls_Open(gate->options.loop, &at, on_accept, through,
-                     &through->listener);
+    status =
+        Ls_Open(options->loop, &at, on_accept, through, &through->listener);
     if (status != ST_OK) {
         free(through);
         return status;
@@ -230,7 +247,7 @@
 void
 Th_Tick(struct th_through *through)
 {
-    int64_t now = Ga_Now(through->gate);
+    int64_t now = Ck_Now(through->options.clock);
     struct visit *visit;
     struct visit *next;
     LIST_FOREACH_SAFE (visit, &through->visits, link, next) {
@@ -240,6 +257,12 @@
     }
 }
 
+int
+Th_Port(const struct th_through *through)
+{
+    return Ls_Port(through->listener);
+}
+
 size_t
 Th_Count(const struct th_through *through)
 {
--- a/test/cut_test.cc
+++ b/test/cut_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "test/scene.h"
+#include "test/socket.h"
 
 namespace {
 
@@ -32,7 +33,7 @@
             Lay(*engine);
         }
         Lay(*scene_.plains[0]);
-        ListForCutHost();
+        ListForCutHost(false);
         ASSERT_TRUE(scene_.cluster.WaitReady());
         ASSERT_TRUE(cg::Eventually(
             [&] { return Served(0) == kCalls && Served(1) == kCalls; }));
@@ -47,6 +48,43 @@
         }
     }
 
+    // No connection is made, and nobody is told.
+    void
+    Silence()
+    {
+        ListForCutHost(true);
+        for (auto &link : links_) {
+            link->Fault("{\"mode\":\"blackhole\"}");
+        }
+    }
+
+    void
+    Heal()
+    {
+        for (auto &link : links_) {
+            link->Clear();
+        }
+    }
+
+    // Connections made to endpoints so far.
+    long long
+    Connections()
+    {
+        long long all = 0;
+        for (auto &link : links_) {
+            all += link->Counts()["connections"].Int();
+        }
+        return all;
+    }
+
+    void
+    ExpectServedLikeTheOther()
+    {
+        int there = Served(1);
+        EXPECT_EQ(there, kCalls);
+        EXPECT_GE(Served(0) * 3, there * 2);
+    }
+
     // Calls that a daemon serves, of so many completions and charges.
     int
     Served(size_t daemon)
@@ -55,10 +93,10 @@
         for (int i = 0; i < kCalls; i++) {
             std::string name = std::to_string(number_++);
             cg::HttpCall call =
-                i % 2 == 0 ? scene_.Complete(daemon, "p" + name, 4, false)
-                           : scene_.Call(daemon, "POST", "/charge/seat",
-                                         "{\"seat\":" + name + "}",
-                                         "k" + name);
+                i % 2 == 0
+                    ? scene_.Complete(daemon, "p" + name, 4, false)
+                    : scene_.Call(daemon, "POST", "/charge/seat",
+                                  "{\"seat\":" + name + "}", "k" + name);
             call.timeout = kDeadline;
             served += cg::Http(call).code == 200;
         }
@@ -77,7 +115,7 @@
 
     // The same list, but for the endpoints' ports.
     void
-    ListForCutHost()
+    ListForCutHost(bool silent)
     {
         cg::Json listed = scene_.platform.Get("/hosts/v1").json()["hosts"];
         cg::Json hosts = cg::Json(json_array());
@@ -85,7 +123,7 @@
             cg::Json host = listed[i];
             auto link = ports_.find(static_cast<int>(host["port"].Int()));
             if (link != ports_.end()) {
-                host.Set("port", link->second);
+                host.Set("port", silent ? silent_.number() : link->second);
             }
             hosts.Add(host);
         }
@@ -95,6 +133,7 @@
     cg::Platform hosts_;
     std::vector<std::unique_ptr<cg::FaultProxy>> links_;
     std::map<int, int> ports_;
+    cg::SilentPort silent_;
     int number_ = 0;
 };
 
@@ -105,9 +144,31 @@
     Start();
     Refuse();
     std::this_thread::sleep_for(kContact);
-    int there = Served(1);
-    EXPECT_EQ(there, kCalls);
-    EXPECT_GE(Served(0) * 3, there * 2);
+    ExpectServedLikeTheOther();
+}
+
+// Callers of a host whose links have fallen silent wait for nothing until
+// their deadlines.
+TEST_F(Cut, SilentAtOneHost)
+{
+    Start();
+    Silence();
+    std::this_thread::sleep_for(kContact);
+    ExpectServedLikeTheOther();
+}
+
+// A host goes on asking others for connections after its own links are back.
+TEST_F(Cut, ConnectsByItselfOnceTheLinksAreBack)
+{
+    Start();
+    Refuse();
+    std::this_thread::sleep_for(kContact);
+    ExpectServedLikeTheOther();
+    Heal();
+    long long before = Connections();
+    EXPECT_TRUE(cg::Eventually([&] {
+        return Served(0) == kCalls && Connections() >= before + kCalls;
+    }));
 }
 
 } // namespace
