Ways: two tries that hang in a row are a cut, one may be a lost segment

Read in the review: with packets lost a single opening segment that was lost had the link taken for cut, its kept connections closed and all other links tested, each of which may lose a segment again.

--- a/packages/edge/brittle.c
+++ b/packages/edge/brittle.c
@@ -27,12 +27,6 @@
     }
 }
 
-bool
-Bt_IsBrittle(const struct ga_gate *gate, const struct fl_endpoint *endpoint)
-{
-    return Br_IsBrittle(&endpoint->room, Ga_Now(gate));
-}
-
 /* This host's claims on all endpoints of a service. */
 static void
 find_ranks(const struct ga_gate *gate, const struct fl_endpoint *endpoint)
--- a/packages/edge/brittle.h
+++ b/packages/edge/brittle.h
@@ -11,8 +11,6 @@
 /* An endpoint says what its service bears; "most" below 0: nothing. */
 void Bt_Told(struct ga_gate *gate, const struct fl_endpoint *endpoint,
              int most);
-bool Bt_IsBrittle(const struct ga_gate *gate,
-                  const struct fl_endpoint *endpoint);
 /* Whether a brittle endpoint may not be sent a request now. */
 bool Bt_Closed(const struct ga_gate *gate, struct fl_endpoint *endpoint);
 void Bt_Sent(const struct ga_gate *gate, struct fl_endpoint *endpoint);
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -228,6 +228,7 @@
 {
     int64_t now = Ga_Now(paths->gate);
     if (!Wy_Ended(&endpoint->way, direct, peer, now)) {
+        endpoint->test_wanted |= peer == WY_CAME && direct == WY_OVERDUE;
         return;
     }
     bool cut = endpoint->way.cut;
--- a/packages/policy/brittle.h
+++ b/packages/policy/brittle.h
@@ -18,10 +18,6 @@
 extern "C" {
 #endif
 
-/* Requests given to a brittle endpoint, as a multiple of what it runs at
-   once: it may let none wait. */
-#define Br_FILL 1.0
-
 /* One endpoint, as one host knows it. */
 struct br_room {
     int most;             /* turned away in a second, and it still stands */
--- a/packages/policy/test/way_test.cc
+++ b/packages/policy/test/way_test.cc
@@ -52,6 +52,19 @@
     EXPECT_EQ(Wy_Order(&link, kNow + kMs), WY_DIRECT_FIRST);
 }
 
+// One lost segment has all links tested, and kept connections closed.
+TEST(Way, OneLateConnectionIsNoCut)
+{
+    wy_link link = {};
+    EXPECT_FALSE(Wy_Ended(&link, WY_OVERDUE, WY_CAME, kNow));
+    EXPECT_FALSE(link.cut);
+    EXPECT_TRUE(Wy_Ended(&link, WY_OVERDUE, WY_CAME, kNow + 400 * kMs));
+    wy_link other = {};
+    EXPECT_FALSE(Wy_Ended(&other, WY_OVERDUE, WY_CAME, kNow));
+    EXPECT_FALSE(Wy_Ended(&other, WY_CAME, WY_NOT_TRIED, kNow + 100 * kMs));
+    EXPECT_FALSE(Wy_Ended(&other, WY_OVERDUE, WY_CAME, kNow + 200 * kMs));
+}
+
 TEST(Way, TrialsAreFurtherApartEachTime)
 {
     wy_link link = CutLink();
--- a/packages/policy/way.c
+++ b/packages/policy/way.c
@@ -8,7 +8,9 @@
 /* Own tries while a link is cut, twice as far apart each time. */
 #define Wy_TRIAL_GAP (250 * Ck_USEC_PER_MSEC)
 #define Wy_TRIAL_DOUBLINGS 2
-#define Wy_TEST_GAP (500 * Ck_USEC_PER_MSEC)
+#define Wy_TEST_GAP (250 * Ck_USEC_PER_MSEC)
+/* One opening segment may be lost; two in a row within this are a cut. */
+#define Wy_LATE_USEC (2 * Ck_USEC_PER_SEC)
 
 /* A peer that did not connect is asked after the others for so long. */
 #define Wy_FAILED_USEC (2 * Ck_USEC_PER_SEC)
@@ -72,9 +74,12 @@
         link->cut = false;
         link->trials = 0;
         link->nobody_at = 0;
+        link->late_at = 0;
     }
     else if (peer == WY_CAME && direct != WY_NOT_TRIED) {
-        link->cut = true;
+        bool again = !passed(link->late_at, Wy_LATE_USEC, now);
+        link->late_at = now;
+        link->cut = was || direct == WY_FAILED || again;
         link->trial_at = was ? link->trial_at : now;
     }
     else if (peer == WY_FAILED) {
--- a/packages/policy/way.h
+++ b/packages/policy/way.h
@@ -24,6 +24,7 @@
 
 struct wy_link {
     bool cut;
+    int64_t late_at;   /* a peer connected while this host's try hung */
     int64_t nobody_at; /* when neither this host nor a peer connected */
     int64_t trial_at;  /* when this host last tried by itself, while cut */
     int64_t doubt_at;  /* when the link was last tested for its silence */
