Brittle endpoints: hosts beyond those that share the bound keep off

The search over 150 scenes broke the bound in 4 (9 of 4, 64 of 7, 6 of 5, 131 of 8 falls allowed), all with few refusals borne and several hosts for each endpoint: each host sent to the endpoint that it had the best claim on, many at once while it was idle, though they were not counted in the bound. Now as many of them as the other half of the bound allows use the first half of the places; the rest sends one request in half a second for each of them.

--- a/packages/edge/brittle.c
+++ b/packages/edge/brittle.c
@@ -36,6 +36,10 @@
     Ms_ListHosts(gate->mesh, &hosts);
     struct fl_endpoint *best = NULL;
     struct fl_endpoint *other;
+    size_t count = 0;
+    TAILQ_FOREACH (other, Fl_All(gate->fleet), link) {
+        count += serves_same(other, endpoint) && Fl_Usable(other);
+    }
     TAILQ_FOREACH (other, Fl_All(gate->fleet), link) {
         if (!serves_same(other, endpoint) || !Fl_Usable(other)) {
             continue;
@@ -43,6 +47,7 @@
         other->room.rank = Wu_Rank(&hosts, other->hash);
         other->room.rank_at = now;
         other->room.best = false;
+        other->room.endpoints = count;
         if (best == NULL || other->room.rank < best->room.rank) {
             best = other;
         }
@@ -63,7 +68,8 @@
     if (Br_RankIsOld(room, now)) {
         find_ranks(gate, endpoint);
     }
-    struct br_part part = Br_Part(room->most, Ms_CountAll(gate->mesh));
+    struct br_part part =
+        Br_Part(room->most, Ms_CountAll(gate->mesh), room->endpoints);
     return !Br_MaySend(room, &part,
                        endpoint->running + endpoint->others_running,
                        endpoint->entry.slots, now);
--- a/packages/policy/brittle.c
+++ b/packages/policy/brittle.c
@@ -9,17 +9,23 @@
 /* By then a request that was turned away is back. */
 #define Br_TAKEN_USEC (50 * Ck_USEC_PER_MSEC)
 #define Br_RANK_USEC (1 * Ck_USEC_PER_SEC)
-/* Hosts know the list of hosts a little differently. */
+/* The first few hosts spend this part of what an endpoint bears. */
 #define Br_SPARE 2
+/* Of hosts beyond those, one request in so long for each endpoint. */
+#define Br_APART_USEC (500 * Ck_USEC_PER_MSEC)
 
 struct br_part
-Br_Part(int most, size_t hosts)
+Br_Part(int most, size_t hosts, size_t endpoints)
 {
     size_t spent = (size_t)(most + Br_SPARE - 1) / Br_SPARE;
     struct br_part part = {.hosts = hosts < spent ? hosts : spent, .each = 1};
     if (part.hosts > 0 && spent / part.hosts > 1) {
         part.each = (int)(spent / part.hosts);
     }
+    part.halves = part.hosts + ((size_t)most - spent);
+    part.halves = part.halves < hosts ? part.halves : hosts;
+    size_t crowd = endpoints > 0 ? (hosts + endpoints - 1) / endpoints : hosts;
+    part.apart = Br_APART_USEC * (int64_t)crowd;
     return part;
 }
 
@@ -54,12 +60,13 @@
  * at once: were all to do so, none would be turned away.
  */
 static int
-untaken_most(const struct br_part *part, int running, int slots)
+untaken_most(const struct br_room *room, const struct br_part *part,
+             int running, int slots)
 {
     int free_places = slots - running;
     int most = part->each;
-    if (part->hosts > 0 && free_places * 2 > slots) {
-        int share = free_places / 2 / (int)part->hosts;
+    if (room->rank < part->hosts && free_places * 2 > slots) {
+        int share = free_places / 2 / (int)part->halves;
         most = share > most ? share : most;
     }
     return most;
@@ -70,13 +77,19 @@
            int slots, int64_t now)
 {
     if (now < room->closed_until ||
-        untaken(room, now) >= untaken_most(part, running, slots)) {
+        untaken(room, now) >= untaken_most(room, part, running, slots)) {
         return false;
     }
     if (room->rank < part->hosts) {
         return running < slots;
     }
-    return room->best && running * 2 < slots;
+    if (!room->best) {
+        return false;
+    }
+    if (room->rank < part->halves) {
+        return running * 2 < slots;
+    }
+    return running * 4 < slots && now - room->sent_since >= part->apart;
 }
 
 void
--- a/packages/policy/brittle.h
+++ b/packages/policy/brittle.h
@@ -4,8 +4,10 @@
  *
  * Hosts hear of each other late or not at all, so the bound is kept without a
  * word between them.  The first few hosts, by their claims on an endpoint (see
- * warmup.h), may use its places to the last, and each is turned away once a
- * second at most; the others pass it by.
+ * warmup.h), may use its places to the last, the next few, of those that have
+ * no better claim elsewhere, half of them; each is turned away once a second
+ * at most.  The rest of these send it a request now and then while it is idle,
+ * and all others pass it by.
  */
 #ifndef POLICY_BRITTLE_H
 #define POLICY_BRITTLE_H
@@ -26,17 +28,20 @@
     size_t rank;          /* of this host's claim on it */
     int64_t rank_at;      /* when that was found; 0: never */
     bool best;            /* this host has no better claim in the service */
+    size_t endpoints;     /* of the service, when that was found */
     int sent;             /* and not known to be taken */
     int64_t sent_since;
 };
 
 /* How hosts share the endpoint. */
 struct br_part {
-    size_t hosts; /* that may use it */
-    int each;     /* requests of one that are not known to be taken */
+    size_t hosts;  /* that may use it to the last place */
+    int each;      /* requests of one that are not known to be taken */
+    size_t halves; /* these and those that may use a half of it */
+    int64_t apart; /* between two requests of any other */
 };
 
-struct br_part Br_Part(int most, size_t hosts);
+struct br_part Br_Part(int most, size_t hosts, size_t endpoints);
 
 /* An endpoint of the service says that it, as all of them, is brittle. */
 void Br_Told(struct br_room *room, int most, int64_t now);
