Ways: both daemons remember in one place which peers did not connect

It stood twice, in edge/paths.c as a ring and in gate/reach.c as a list that grew with every daemon that ever failed. Now a ring of 32 in policy/way.c. Rh_Fill lost a parameter that it did not use.

--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -24,10 +24,10 @@
 #define Ga_STOP_IDLE_USEC (1500 * Ck_USEC_PER_MSEC)
 #define Ga_STOP_STREAMS_USEC (2700 * Ck_USEC_PER_MSEC)
 #define Ga_STOP_LEAST_USEC (3800 * Ck_USEC_PER_MSEC)
+#define Ga_STOP_MARGIN_USEC (300 * Ck_USEC_PER_MSEC)
 /* Connections of peers: two descriptors each, a quarter of all at the most. */
 #define Ga_THROUGH_FDS_PART 8
 #define Ga_THROUGH_MOST 256
-#define Ga_STOP_MARGIN_USEC (300 * Ck_USEC_PER_MSEC)
 
 int64_t
 Ga_Now(const struct ga_gate *gate)
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -15,8 +15,6 @@
 /* A connection takes a few milliseconds. */
 #define Pt_TEST_USEC (300 * Ck_USEC_PER_MSEC)
 #define Pt_PEERS_MAX 512
-/* Peers that did not connect lately, of which that is remembered. */
-#define Pt_FAILURES_MAX 32
 
 /* One connection that is being made, for a request or as a test. */
 struct making {
@@ -32,18 +30,11 @@
 
 LIST_HEAD(making_list, making);
 
-/* That a peer did not connect for this host. */
-struct failure {
-    uint32_t peer;
-    int64_t at;
-};
-
 struct pt_paths {
     struct ga_gate *gate;
     struct making_list tests;
     size_t test_count;
-    struct failure failures[Pt_FAILURES_MAX];
-    size_t next_failure;
+    struct wy_failures failures;
     bool any_cut;
 };
 
@@ -64,29 +55,6 @@
     return paths->any_cut;
 }
 
-static struct failure *
-find_failure(struct pt_paths *paths, uint32_t peer)
-{
-    for (size_t i = 0; i < Pt_FAILURES_MAX; i++) {
-        if (paths->failures[i].peer == peer) {
-            return &paths->failures[i];
-        }
-    }
-    return NULL;
-}
-
-/* Remembers that a peer did not connect, in place of the oldest. */
-static void
-note_failure(struct pt_paths *paths, uint32_t peer, int64_t now)
-{
-    struct failure *failure = find_failure(paths, peer);
-    if (failure == NULL) {
-        failure = &paths->failures[paths->next_failure];
-        paths->next_failure = (paths->next_failure + 1) % Pt_FAILURES_MAX;
-    }
-    *failure = (struct failure){peer, now};
-}
-
 /* A peer to ask for a connection; NULL: there is none. */
 static const struct ms_peer *
 pick_peer(struct pt_paths *paths, const struct wy_link *link)
@@ -101,12 +69,11 @@
             peer->stopping || !peer->ready) {
             continue;
         }
-        const struct failure *failure = find_failure(paths, peer->address);
         candidates[count] = peer;
         peers[count++] = (struct wy_peer){
             .near = peer->near,
             .cut = peer->cut,
-            .failed_at = failure == NULL ? 0 : failure->at,
+            .failed_at = Wy_FailedAt(&paths->failures, peer->address),
         };
     }
     return count == 0
@@ -253,8 +220,8 @@
     if (result != NULL) {
         enum wy_end peer = end_of(result, making->direct == 0 ? 1 : 0);
         if (peer == WY_FAILED) {
-            note_failure(making->paths, making->peer,
-                         Ga_Now(making->paths->gate));
+            Wy_NoteFailure(&making->paths->failures, making->peer,
+                           Ga_Now(making->paths->gate));
         }
         note(making->paths, making->endpoint, end_of(result, making->direct),
              peer);
@@ -366,7 +333,7 @@
             Wy_TrialFailed(&making->endpoint->way);
         }
         else if (making->peer != 0) {
-            note_failure(paths, making->peer, now);
+            Wy_NoteFailure(&paths->failures, making->peer, now);
         }
         Di_Cancel(making->test);
         end(making);
--- a/packages/gate/reach.c
+++ b/packages/gate/reach.c
@@ -38,21 +38,12 @@
 
 TAILQ_HEAD(link_list, link);
 
-/* When a daemon that was asked did not connect. */
-struct failure {
-    TAILQ_ENTRY(failure) link;
-    char daemon[Mb_ID_MAX];
-    int64_t at;
-};
-
-TAILQ_HEAD(failure_list, failure);
-
 struct rh_reach {
     struct gt_gate *gate;
     struct pe_peers *peers;
     struct th_through *through;
     struct link_list links;
-    struct failure_list failures;
+    struct wy_failures failures; /* by the hash of an identity */
     char credentials[sizeof(Rh_USER) + Hash_DIGEST_HEX];
     bool any_cut;
     bool told_cut;
@@ -153,7 +144,6 @@
     reach->gate = gate;
     reach->peers = peers;
     TAILQ_INIT(&reach->links);
-    TAILQ_INIT(&reach->failures);
     make_credentials(reach);
     char address[Di_ADDRESS_MAX];
     snprintf(address, sizeof(address), "%s:0", gate->options->address);
@@ -186,11 +176,6 @@
     TAILQ_FOREACH_SAFE (link, &reach->links, link, next) {
         drop_link(reach, link);
     }
-    struct failure *failure;
-    struct failure *next_failure;
-    TAILQ_FOREACH_SAFE (failure, &reach->failures, link, next_failure) {
-        free(failure);
-    }
     Th_Destroy(reach->through);
     free(reach);
 }
@@ -201,37 +186,6 @@
     return Th_Count(reach->through);
 }
 
-static int64_t
-failed_at(const struct rh_reach *reach, const char *daemon)
-{
-    const struct failure *failure;
-    TAILQ_FOREACH (failure, &reach->failures, link) {
-        if (strcmp(failure->daemon, daemon) == 0) {
-            return failure->at;
-        }
-    }
-    return 0;
-}
-
-static void
-note_failure(struct rh_reach *reach, const char *daemon)
-{
-    int64_t now = Ck_Now(reach->gate->clock);
-    struct failure *failure;
-    TAILQ_FOREACH (failure, &reach->failures, link) {
-        if (strcmp(failure->daemon, daemon) == 0) {
-            failure->at = now;
-            return;
-        }
-    }
-    failure = calloc(1, sizeof(*failure));
-    if (failure != NULL) {
-        strlcpy(failure->daemon, daemon, sizeof(failure->daemon));
-        failure->at = now;
-        TAILQ_INSERT_HEAD(&reach->failures, failure, link);
-    }
-}
-
 /* Daemons that say where they take connections for others. */
 struct candidates {
     size_t count;
@@ -263,7 +217,8 @@
         out->peers[out->count++] = (struct wy_peer){
             .near = strcmp(member->data_centre, own) == 0,
             .cut = told.cut,
-            .failed_at = failed_at(reach, member->id),
+            .failed_at =
+                Wy_FailedAt(&reach->failures, Hash_String(member->id, 0)),
         };
     }
 }
@@ -320,10 +275,8 @@
 }
 
 void
-Rh_Fill(struct rh_reach *reach, struct rh_tries *tries,
-        struct hc_request *call)
+Rh_Fill(struct rh_tries *tries, struct hc_request *call)
 {
-    (void)reach;
     call->connect_usec = tries->steps[tries->step].connect_usec;
     if (tries->steps[tries->step].through) {
         tries->through = (struct hc_through){tries->daemon, tries->endpoint};
@@ -381,7 +334,8 @@
     bool through = tries->steps[tries->step].through;
     if (through) {
         tries->peer = WY_FAILED;
-        note_failure(reach, tries->asked);
+        Wy_NoteFailure(&reach->failures, Hash_String(tries->asked, 0),
+                       Ck_Now(reach->gate->clock));
     }
     else {
         tries->direct = result->status == ST_TIMEOUT ? WY_OVERDUE : WY_FAILED;
--- a/packages/gate/reach.h
+++ b/packages/gate/reach.h
@@ -48,8 +48,7 @@
 void Rh_Begin(struct rh_reach *reach, struct rh_tries *tries,
               const struct ch_info *info);
 /* Says in a call how its connection is made. */
-void Rh_Fill(struct rh_reach *reach, struct rh_tries *tries,
-             struct hc_request *call);
+void Rh_Fill(struct rh_tries *tries, struct hc_request *call);
 /* The call's connection is there. */
 void Rh_Came(struct rh_reach *reach, struct rh_tries *tries);
 /*
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -494,7 +494,7 @@
         .body = body,
         .body_len = strlen(body),
     };
-    Rh_Fill(request->gate->reach, &relay->tries, &call);
+    Rh_Fill(&relay->tries, &call);
     enum st_status status =
         Hc_Start(request->gate->loop, &call, &call_ops, relay, &relay->call);
     free(body);
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -220,7 +220,7 @@
         .body_len = body_len,
         .collect_max = Rl_ANSWER_MAX,
     };
-    Rh_Fill(request->gate->reach, &relay->tries, &call);
+    Rh_Fill(&relay->tries, &call);
     return Hc_Start(request->gate->loop, &call, &call_ops, request,
                     &relay->call);
 }
--- a/packages/policy/way.c
+++ b/packages/policy/way.c
@@ -31,6 +31,32 @@
                                                        : WY_DIRECT_ONLY;
 }
 
+void
+Wy_NoteFailure(struct wy_failures *failures, uint64_t peer, int64_t now)
+{
+    size_t row = 0;
+    while (row < Wy_FAILURES_MAX && failures->rows[row].peer != peer) {
+        row++;
+    }
+    if (row == Wy_FAILURES_MAX) {
+        row = failures->next;
+        failures->next = (failures->next + 1) % Wy_FAILURES_MAX;
+    }
+    failures->rows[row].peer = peer;
+    failures->rows[row].at = now;
+}
+
+int64_t
+Wy_FailedAt(const struct wy_failures *failures, uint64_t peer)
+{
+    for (size_t i = 0; i < Wy_FAILURES_MAX; i++) {
+        if (failures->rows[i].peer == peer) {
+            return failures->rows[i].at;
+        }
+    }
+    return 0;
+}
+
 static int
 rank_of(const struct wy_link *link, const struct wy_peer *peer, int64_t now)
 {
--- a/packages/policy/way.h
+++ b/packages/policy/way.h
@@ -44,6 +44,21 @@
     int64_t failed_at; /* when it last did not connect for this host; 0 */
 };
 
+/* Peers that did not connect lately, the oldest forgotten first. */
+#define Wy_FAILURES_MAX 32
+
+struct wy_failures {
+    struct {
+        uint64_t peer;
+        int64_t at;
+    } rows[Wy_FAILURES_MAX];
+    size_t next;
+};
+
+void Wy_NoteFailure(struct wy_failures *failures, uint64_t peer, int64_t now);
+/* When a peer last did not connect; 0: not lately. */
+int64_t Wy_FailedAt(const struct wy_failures *failures, uint64_t peer);
+
 /* How a try ended. */
 enum wy_end {
     WY_NOT_TRIED,
