Stand-in: a forwarder that refuses keeps its port

Cause: a fault of the tests. A forwarder refused by closing its listener; its port had been given by the kernel, so the kernel gave it to the next process that asked for any. The host's own try was then accepted, the link stood as regained, and the streams to that endpoint went to the stranger.

Change: the port is held bound, not listening, for the forwarder's life. APortThatRefusesIsNobodyElses fails before.

--- a/standins/proxy_tcp.c
+++ b/standins/proxy_tcp.c
@@ -58,6 +58,7 @@
 
 struct px_tcp {
     struct px_proxy *proxy;
+    int held_fd; /* keeps the port from others while nobody listens */
     struct lp_watch *listener;
     int listen_fd;
     LIST_HEAD(links, tcp_link) links;
@@ -424,18 +425,31 @@
     .closed = listener_closed,
 };
 
-static enum st_status
-listen_again(struct px_tcp *tcp)
+/* A socket at the proxy's address, whose port is set in it; -1: no port. */
+static int
+bind_socket(struct px_proxy *proxy)
 {
-    struct px_proxy *proxy = tcp->proxy;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     int on = 1;
     socklen_t len = sizeof(proxy->listen);
     struct sockaddr *address = (struct sockaddr *)&proxy->listen;
     if (fd < 0 ||
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-        bind(fd, address, len) != 0 || listen(fd, BACKLOG) != 0 ||
-        getsockname(fd, address, &len) != 0) {
+        bind(fd, address, len) != 0 || getsockname(fd, address, &len) != 0) {
+        if (fd >= 0) {
+            close(fd);
+        }
+        return -1;
+    }
+    return fd;
+}
+
+static enum st_status
+listen_again(struct px_tcp *tcp)
+{
+    struct px_proxy *proxy = tcp->proxy;
+    int fd = bind_socket(proxy);
+    if (fd < 0 || listen(fd, BACKLOG) != 0) {
         if (fd >= 0) {
             close(fd);
         }
@@ -456,8 +470,14 @@
     }
     tcp->proxy = proxy;
     LIST_INIT(&tcp->links);
+    tcp->held_fd = bind_socket(proxy);
+    if (tcp->held_fd < 0) {
+        free(tcp);
+        return St_Fail(ST_INVALID, "cannot listen; choose a free port");
+    }
     enum st_status status = listen_again(tcp);
     if (status != ST_OK) {
+        close(tcp->held_fd);
         free(tcp);
         return status;
     }
@@ -475,6 +495,7 @@
         link_close(link);
     }
     Lp_WatchDestroy(tcp->listener);
+    close(tcp->held_fd);
     free(tcp);
 }
 
--- a/test/faultproxy_test.cc
+++ b/test/faultproxy_test.cc
@@ -136,6 +136,14 @@
     EXPECT_EQ("x", server.Receive(1));
 }
 
+// While a proxy refuses, a program beside gets its port and takes connections.
+TEST_F(Proxy, APortThatRefusesIsNobodyElses)
+{
+    proxy.Fault(R"({"mode":"refuse"})");
+    Socket beside(SOCK_STREAM);
+    EXPECT_EQ(0, beside.Bind(true, proxy.ListenPort()));
+}
+
 /*
  * A request is run although its caller was told nothing.  The way to the
  * endpoint works, the way back is silent; nobody sees an error.
--- a/test/socket.h
+++ b/test/socket.h
@@ -34,14 +34,17 @@
         }
     }
 
-    // Binds to a free port (and listens on a stream); the port.
+    // Binds to a port, 0 picks a free one, and listens on a stream if asked
+    // to; the port, 0 where another socket has it.
     int
-    Bind(bool listens)
+    Bind(bool listens, int port = 0)
     {
-        struct sockaddr_in address = Loopback(0);
+        struct sockaddr_in address = Loopback(port);
         socklen_t len = sizeof(address);
         auto *generic = reinterpret_cast<struct sockaddr *>(&address);
-        bind(fd_, generic, len);
+        if (bind(fd_, generic, len) != 0) {
+            return 0;
+        }
         if (listens) {
             listen(fd_, 16);
         }
