Versions: a connection that a cut broke is no failure of a version

Cause: a broken connection counted as a bad answer at once, whatever broke it. Both versions are hit alike only while both carry requests.

Two ways: not to count broken connections at all leaves in use a version that resets them; taken is to count them 0.5 s later, when the link was tested, and only where it is not cut. One that led through a peer is not counted.

--- /dev/null
+++ b/packages/edge/breaks.c
@@ -0,0 +1,105 @@
+#include "edge/breaks.h"
+
+#include <bsd/string.h>
+#include <bsd/sys/queue.h>
+#include <stdlib.h>
+
+/* A test begins within a tick and ends within 300 ms. */
+#define Bk_WAIT_USEC (500 * Ck_USEC_PER_MSEC)
+#define Bk_MOST 1024
+
+struct broken {
+    STAILQ_ENTRY(broken) link;
+    struct fl_endpoint *endpoint; /* a reference */
+    char route[Ec_NAME_MAX];
+    bool slow;
+    int64_t at;
+};
+
+struct bk_breaks {
+    struct ga_gate *gate;
+    STAILQ_HEAD(broken_list, broken) list; /* the oldest first */
+    size_t count;
+};
+
+struct bk_breaks *
+Bk_Create(struct ga_gate *gate)
+{
+    struct bk_breaks *breaks = calloc(1, sizeof(*breaks));
+    if (breaks != NULL) {
+        breaks->gate = gate;
+        STAILQ_INIT(&breaks->list);
+    }
+    return breaks;
+}
+
+static void
+forget_oldest(struct bk_breaks *breaks)
+{
+    struct broken *oldest = STAILQ_FIRST(&breaks->list);
+    STAILQ_REMOVE_HEAD(&breaks->list, link);
+    breaks->count--;
+    Fl_Drop(oldest->endpoint);
+    free(oldest);
+}
+
+static void
+judge_oldest(struct bk_breaks *breaks)
+{
+    struct ga_gate *gate = breaks->gate;
+    const struct broken *oldest = STAILQ_FIRST(&breaks->list);
+    const struct fl_endpoint *endpoint = oldest->endpoint;
+    const struct ro_move *move = Ro_Find(gate->moves, endpoint->entry.service);
+    if (move != NULL && !endpoint->way.cut) {
+        Ro_Answered(gate->moves, endpoint->entry.service, oldest->route,
+                    Ga_IsNext(move, endpoint), true, oldest->slow);
+    }
+    forget_oldest(breaks);
+}
+
+void
+Bk_Note(struct bk_breaks *breaks, const struct xc_exchange *exchange)
+{
+    struct ga_gate *gate = breaks->gate;
+    const struct xc_attempt *attempt = &exchange->attempt;
+    struct fl_endpoint *endpoint = attempt->endpoint;
+    /* One that led through a peer may have broken at the peer. */
+    if (Ro_Find(gate->moves, endpoint->entry.service) == NULL ||
+        Cn_Peer(attempt->channel) != 0) {
+        return;
+    }
+    if (breaks->count == Bk_MOST) {
+        judge_oldest(breaks);
+    }
+    struct broken *broken = calloc(1, sizeof(*broken));
+    if (broken == NULL) {
+        Ln_Log(LN_FAILURE, "break.lost", "\"endpoint\":\"%s\"",
+               endpoint->entry.id);
+        return;
+    }
+    broken->endpoint = Fl_Hold(endpoint);
+    strlcpy(broken->route, exchange->route->name, sizeof(broken->route));
+    broken->slow = attempt->slow;
+    broken->at = Ga_Now(gate);
+    STAILQ_INSERT_TAIL(&breaks->list, broken, link);
+    breaks->count++;
+    endpoint->test_wanted |= !endpoint->way.cut;
+}
+
+void
+Bk_Tick(struct bk_breaks *breaks)
+{
+    int64_t due = Ga_Now(breaks->gate) - Bk_WAIT_USEC;
+    while (breaks->count > 0 && STAILQ_FIRST(&breaks->list)->at <= due) {
+        judge_oldest(breaks);
+    }
+}
+
+void
+Bk_Destroy(struct bk_breaks *breaks)
+{
+    while (breaks != NULL && breaks->count > 0) {
+        forget_oldest(breaks);
+    }
+    free(breaks);
+}
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/breaks.h"
 #include "edge/exchange.h"
 #include "edge/gate_internal.h"
 #include "edge/paths.h"
@@ -354,6 +355,7 @@
     Fl_Tick(gate->fleet);
     Pe_Tick(gate->peers);
     Pt_Tick(gate->paths);
+    Bk_Tick(gate->breaks);
     Th_Tick(gate->through);
     Ro_Tick(gate->moves);
     Du_Tick(gate->duty);
@@ -532,12 +534,13 @@
         .arg = gate,
     };
     gate->paths = Pt_Create(gate);
+    gate->breaks = Bk_Create(gate);
     gate->feed = Fe_Create(&feed);
     gate->duty = Du_Create(&duty);
     gate->work = Wo_Create(gate);
     gate->tick = Lp_TimerCreate(options->loop, on_tick, gate);
-    if (gate->paths == NULL || gate->feed == NULL || gate->duty == NULL ||
-        gate->work == NULL || gate->tick == NULL) {
+    if (gate->paths == NULL || gate->breaks == NULL || gate->feed == NULL ||
+        gate->duty == NULL || gate->work == NULL || gate->tick == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
     }
     Lp_TimerSet(gate->tick, 0);
@@ -612,6 +615,7 @@
     Sv_Destroy(gate->ready);
     Sv_Destroy(gate->metrics_server);
     Th_Destroy(gate->through);
+    Bk_Destroy(gate->breaks);
     Pt_Destroy(gate->paths);
     Fl_Destroy(gate->fleet);
     Qt_Destroy(gate->quota);
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -22,6 +22,7 @@
 #include "web/serve.h"
 #include "web/through.h"
 
+struct bk_breaks;
 struct pe_peers;
 struct pt_paths;
 struct wo_work;
@@ -65,6 +66,7 @@
     struct zn_zones *zones;
     struct pe_peers *peers;
     struct pt_paths *paths;
+    struct bk_breaks *breaks;
     struct th_through *through;
     struct wo_work *work;
     struct mt_registry *registry;
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/breaks.h"
 #include "edge/brittle.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
@@ -360,7 +361,7 @@
         break;
     case CN_BROKEN:
         note_broke(exchange);
-        note_version_answer(exchange, true);
+        Bk_Note(exchange->gate->breaks, exchange);
         if (attempt->head_at == 0) {
             exchange->runs++;
             Xc_CountRun(exchange);
--- a/test/process.h
+++ b/test/process.h
@@ -88,6 +88,8 @@
     int WaitExit(Millis limit = Millis(20000));
     // Everything on standard output after the "ready" line, to its end.
     std::string ReadOut();
+    // The same as far as it was written by now.
+    std::string Stdout();
     std::string Stderr() const;
     // Processor time so far, and resident memory, as the kernel says.
     double CpuSeconds() const;
@@ -100,6 +102,7 @@
 
     pid_t pid_ = -1;
     int out_ = -1;
+    std::string out_text_; // read so far
     bool exited_ = false;
     int status_ = 0;
     std::string program_;
