--- a/packages/edge/health.c
+++ b/packages/edge/health.c
@@ -54,9 +54,9 @@
 void
 He_Note(struct fl_endpoint *endpoint, enum he_outcome outcome, int64_t now)
 {
-    endpoint->noted_at = now;
     double failed = outcome == HE_SERVED || outcome == HE_REFUSED ? 0 : 1;
     if (outcome != HE_REFUSED && !same_silence(endpoint, outcome, now)) {
+        endpoint->noted_at = now;
         endpoint->failing += He_WEIGHT * (failed - endpoint->failing);
     }
     switch (outcome) {
--- a/packages/edge/test/fleet_test.cc
+++ b/packages/edge/test/fleet_test.cc
@@ -132,6 +132,18 @@
     EXPECT_FALSE(He_Shunned(endpoint, 401 * Ck_USEC_PER_MSEC));
 }
 
+// A full endpoint that refuses again and again is never forgiven.
+TEST(Health, ARefusalKeepsNoFailureInMind)
+{
+    const int64_t half = 10 * Ck_USEC_PER_SEC;
+    struct fl_endpoint endpoint = {};
+    He_Note(&endpoint, HE_FAILED, Ck_USEC_PER_SEC);
+    double failing = He_Failing(&endpoint, Ck_USEC_PER_SEC);
+    He_Note(&endpoint, HE_REFUSED, half);
+    EXPECT_DOUBLE_EQ(He_Failing(&endpoint, Ck_USEC_PER_SEC + half),
+                     failing / 2);
+}
+
 // Guards against requests to an evacuated data centre, also at an endpoint
 // that comes there later, and against one that stays unused when it is back.
 TEST_F(Fleet, AnEvacuatedDataCentreIsNotUsed)
