--- a/packages/edge/mesh.c
+++ b/packages/edge/mesh.c
@@ -19,6 +19,21 @@
 RB_PROTOTYPE(ms_addresses, ms_peer, by_address, compare_addresses);
 RB_GENERATE(ms_addresses, ms_peer, by_address, compare_addresses);
 
+static struct ms_peer *
+find(const struct ms_mesh *mesh, uint32_t address)
+{
+    struct ms_peer wanted = {.address = address};
+    /* The tree's macro takes no const. */
+    return RB_FIND(ms_addresses, (struct ms_addresses *)&mesh->addresses,
+                   &wanted);
+}
+
+const struct ms_peer *
+Ms_Find(const struct ms_mesh *mesh, uint32_t address)
+{
+    return find(mesh, address);
+}
+
 /* The peer at an address, known from now on; NULL: it is no other daemon's. */
 static struct ms_peer *
 find_or_add(struct ms_mesh *mesh, const char *ip)
@@ -28,8 +43,7 @@
         inet_pton(AF_INET, ip, &address) != 1) {
         return NULL;
     }
-    struct ms_peer wanted = {.address = address.s_addr};
-    struct ms_peer *peer = RB_FIND(ms_addresses, &mesh->addresses, &wanted);
+    struct ms_peer *peer = find(mesh, address.s_addr);
     if (peer != NULL) {
         return peer;
     }
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -173,6 +173,8 @@
 #define Ms_TICK_USEC (100 * Ck_USEC_PER_MSEC)
 
 const struct ms_peers *Ms_Peers(const struct ms_mesh *mesh);
+/* The peer at an IPv4 address, in network order; NULL: none is known. */
+const struct ms_peer *Ms_Find(const struct ms_mesh *mesh, uint32_t address);
 bool Ms_Alive(const struct ms_mesh *mesh, const struct ms_peer *peer);
 /* Heard so lately that what it reads is passed on in time. */
 bool Ms_Close(const struct ms_mesh *mesh, const struct ms_peer *peer);
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -360,25 +360,13 @@
     paths->any_cut = any_cut;
 }
 
-static const struct ms_peer *
-find_peer(const struct ga_gate *gate, uint32_t address)
-{
-    const struct ms_peer *peer;
-    TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (peer->address == address) {
-            return peer;
-        }
-    }
-    return NULL;
-}
-
 bool
 Pt_MayUse(const struct pt_paths *paths, const struct cn_channel *channel)
 {
     if (Cn_Peer(channel) == 0) {
         return true;
     }
-    const struct ms_peer *peer = find_peer(paths->gate, Cn_Peer(channel));
+    const struct ms_peer *peer = Ms_Find(paths->gate->mesh, Cn_Peer(channel));
     return peer != NULL && !peer->stopping &&
            Ms_Close(paths->gate->mesh, peer);
 }
