Brittle endpoints: the stand-alone daemon keeps below what engines bear

Cause: no part of this daemon knew of it; the choice let twice the places wait at an engine.

Change: the load report may say it (refusals_borne). A few daemons ask each engine, and gossip tells all, so hosts that send little know as well. The decision is that of the entry hosts (policy/brittle.h); the table of endpoints passes those by that may not be sent to, and tells so in its log word.

Not done: plain services have no load report and cannot say it.

--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -157,6 +157,8 @@
     struct dm_daemon *daemon = arg;
     Ep_Report(daemon->gate.endpoints, report->service, report->endpoint,
               &report->sample);
+    Ep_Brittle(daemon->gate.endpoints, report->service, report->endpoint,
+               report->refusals_borne, report->sample.taken);
     if (report->tells_cold) {
         Ep_Cold(daemon->gate.endpoints, report->service, report->endpoint,
                 report->cold_usec, report->sample.taken);
--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -466,6 +466,34 @@
     }
 }
 
+static void
+note_brittle(struct ep_pool *pool, struct service *service,
+             const char *endpoint, int most, int64_t taken)
+{
+    int64_t now = Ck_Now(pool->gate->clock);
+    const struct ch_endpoint *found = Ch_Find(service->table, endpoint);
+    if (found == NULL) {
+        return;
+    }
+    bool before = Ch_IsBrittle(found, now);
+    if (Ch_Brittle(service->table, endpoint, most, taken) == ST_OK &&
+        before != Ch_IsBrittle(found, now)) {
+        Ev_Log(&GT_BRITTLE, "service=%s most=%d", service->name, most);
+    }
+}
+
+void
+Ep_Brittle(struct ep_pool *pool, const char *service, const char *endpoint,
+           int most, int64_t taken)
+{
+    struct service *at;
+    TAILQ_FOREACH (at, &pool->services, link) {
+        if (service == NULL || strcmp(at->name, service) == 0) {
+            note_brittle(pool, at, endpoint, most, taken);
+        }
+    }
+}
+
 void
 Ep_Cold(struct ep_pool *pool, const char *service, const char *endpoint,
         int64_t left_usec, int64_t taken)
--- a/packages/gate/endpoints.h
+++ b/packages/gate/endpoints.h
@@ -29,6 +29,9 @@
 void Ep_Leaving(struct ep_pool *pool, const char *host, int64_t left_usec);
 void Ep_Report(struct ep_pool *pool, const char *service, const char *endpoint,
                const struct ch_sample *sample);
+/* What a report taken at "taken" says of refusals; below 0: nothing. */
+void Ep_Brittle(struct ep_pool *pool, const char *service,
+                const char *endpoint, int most, int64_t taken);
 /* How much longer an endpoint was cold, at "taken". */
 void Ep_Cold(struct ep_pool *pool, const char *service, const char *endpoint,
              int64_t left_usec, int64_t taken);
--- a/packages/gate/loadwatch.c
+++ b/packages/gate/loadwatch.c
@@ -135,6 +135,10 @@
         .left_usec = number(body, "left_ms") * Ck_USEC_PER_MSEC,
         .tells_cold = json_is_integer(json_object_get(body, "cold_ms")),
         .cold_usec = number(body, "cold_ms") * Ck_USEC_PER_MSEC,
+        .refusals_borne =
+            json_is_integer(json_object_get(body, "refusals_borne"))
+                ? number(body, "refusals_borne")
+                : -1,
         .spread_usec = spread(watch),
     };
     strlcpy(report.version, version != NULL ? version : "",
--- a/packages/gate/loadwatch.h
+++ b/packages/gate/loadwatch.h
@@ -23,7 +23,8 @@
     bool leaving;
     int64_t left_usec; /* when leaving */
     bool tells_cold;
-    int64_t cold_usec; /* how much longer it is cold, when taken */
+    int64_t cold_usec;  /* how much longer it is cold, when taken */
+    int refusals_borne; /* in a second; below 0: it says nothing of it */
     char version[Ch_NAME_MAX];
     /* The samples of one endpoint that are passed on are this far apart. */
     int64_t spread_usec;
--- a/packages/gate/peer_facts.c
+++ b/packages/gate/peer_facts.c
@@ -7,9 +7,10 @@
 
 #define Pf_THROUGH_FIELDS 2
 #define Pf_CONFIG_FIELDS 2
-#define Pf_LOAD_FIELDS 7
-/* What daemons before the seventh field wrote. */
+#define Pf_LOAD_FIELDS 8
+/* What daemons before the seventh and the eighth field wrote. */
 #define Pf_LOAD_LEAST 6
+#define Pf_LOAD_COLD 7
 #define Pf_DEMAND_FIELDS 4
 /* What daemons before the fourth field wrote. */
 #define Pf_DEMAND_LEAST 3
@@ -156,6 +157,7 @@
     msgpack_pack_int64(&packer, report->left_usec / Pf_AGE_UNIT);
     msgpack_pack_int64(
         &packer, report->tells_cold ? report->cold_usec / Pf_AGE_UNIT : -1);
+    msgpack_pack_int(&packer, report->refusals_borne);
     size_t len = copy_out(&buffer, out, size);
     msgpack_sbuffer_destroy(&buffer);
     return len;
@@ -194,9 +196,10 @@
         out->leaving =
             field[4].type == MSGPACK_OBJECT_BOOLEAN && field[4].via.boolean;
         out->left_usec = read_int(&field[5]) * Pf_AGE_UNIT;
-        int64_t cold = unpacked.data.via.array.size >= Pf_LOAD_FIELDS
-                           ? read_int(&field[6])
-                           : -1;
+        size_t size = unpacked.data.via.array.size;
+        int64_t cold = size >= Pf_LOAD_COLD ? read_int(&field[6]) : -1;
+        out->refusals_borne =
+            size >= Pf_LOAD_FIELDS ? (int)read_int(&field[7]) : -1;
         out->tells_cold = cold >= 0;
         out->cold_usec = cold >= 0 ? cold * Pf_AGE_UNIT : 0;
     }
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -125,7 +125,8 @@
         filter->full = true;
         return false;
     }
-    if (endpoint->in_flight >= (int)endpoint->limit) {
+    if (endpoint->in_flight >= (int)endpoint->limit ||
+        ch_is_closed(endpoint, filter->now)) {
         filter->full = true;
         return false;
     }
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -159,6 +159,12 @@
  */
 void Ch_Cold(struct ch_table *table, const char *id, int64_t left,
              int64_t now);
+/*
+ * A report taken at "at" says how many refusals in a second the endpoint, as
+ * all of the table, bears; "most" below 0: it says nothing of it.
+ */
+enum st_status Ch_Brittle(struct ch_table *table, const char *id, int most,
+                          int64_t at);
 enum st_status Ch_Distrust(struct ch_table *table, const char *version);
 
 /* Commands on a request. */
@@ -182,6 +188,7 @@
 int Ch_Limit(const struct ch_endpoint *endpoint);
 int Ch_AllInFlight(const struct ch_table *table);
 bool Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now);
+bool Ch_IsBrittle(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Ejected(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Trusted(const struct ch_table *table, const char *version);
 /*
--- /dev/null
+++ b/packages/policy/choose_brittle.c
@@ -0,0 +1,84 @@
+/*
+ * Endpoints of a table that say how many refusals in a second they bear; see
+ * brittle.h.
+ */
+#include "base/clock.h"
+#include "policy/choose.h"
+#include "policy/choose_internal.h"
+
+/* Takes what a report of the endpoint, taken at "at", says it bears. */
+enum st_status
+Ch_Brittle(struct ch_table *table, const char *id, int most, int64_t at)
+{
+    struct ch_endpoint *told = Ch_Find(table, id);
+    if (told == NULL) {
+        return St_Fail(ST_NOT_FOUND, "endpoint %s is not in the table", id);
+    }
+    bool over = most < 0 && Br_IsOver(&told->room, at);
+    if (most < 0 && !over) {
+        return ST_OK;
+    }
+    struct ch_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
+        if (over) {
+            Br_End(&endpoint->room);
+        }
+        else {
+            Br_Told(&endpoint->room, most, at);
+        }
+    }
+    told->room.said = !over;
+    return ST_OK;
+}
+
+bool
+Ch_IsBrittle(const struct ch_endpoint *endpoint, int64_t now)
+{
+    return Br_IsBrittle(&endpoint->room, now);
+}
+
+static size_t
+host_count(const struct ch_table *table)
+{
+    return table->hosts == NULL ? 1 : table->hosts->count + 1;
+}
+
+/* This host's claims on all endpoints of the table. */
+static void
+find_ranks(struct ch_table *table, int64_t now)
+{
+    struct ch_endpoint *best = NULL;
+    struct ch_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
+        struct br_room *room = &endpoint->room;
+        room->rank = table->hosts == NULL
+                         ? 0
+                         : Wu_Rank(table->hosts, endpoint->id_hash);
+        room->rank_at = now;
+        room->best = false;
+        room->endpoints = table->count;
+        if (best == NULL || room->rank < best->room.rank) {
+            best = endpoint;
+        }
+    }
+    if (best != NULL) {
+        best->room.best = true;
+    }
+}
+
+bool
+ch_is_closed(const struct ch_endpoint *endpoint, int64_t now)
+{
+    struct ch_table *table = endpoint->table;
+    const struct br_room *room = &endpoint->room;
+    if (!Br_IsBrittle(room, now)) {
+        return false;
+    }
+    if (Br_RankIsOld(room, now)) {
+        find_ranks(table, now);
+    }
+    struct br_part part =
+        Br_Part(room->most, host_count(table), room->endpoints);
+    return !Br_MaySend(room, &part, (int)ch_load(endpoint, now),
+                       endpoint->info.slots, now);
+}
--- a/packages/policy/choose_flight.c
+++ b/packages/policy/choose_flight.c
@@ -175,6 +175,7 @@
             Wu_Part(table->cold_per_sec, table->hosts->count + 1);
         Wu_Sent(&flight->endpoint->warmup, &part, now);
     }
+    Br_Sent(&flight->endpoint->room, now);
     net_add(flight->endpoint, now, 1);
 }
 
@@ -404,6 +405,7 @@
     table->rate.good++;
     if (outcome == CH_OVERLOADED) {
         limit_cut(endpoint, now);
+        Br_Refused(&endpoint->room, now);
     }
     if (outcome == CH_UNREACHED) {
         endpoint->shunned_at = now;
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -6,6 +6,7 @@
 
 #include <bsd/sys/queue.h>
 
+#include "policy/brittle.h"
 #include "policy/choose.h"
 
 #define CH_DISTRUSTED_MAX 32
@@ -64,6 +65,7 @@
     int64_t returned_at;
     struct wu_warmup warmup;
     int64_t cold_told_at;
+    struct br_room room;
 };
 
 TAILQ_HEAD(ch_list, ch_endpoint);
@@ -101,6 +103,8 @@
 void ch_refresh_means(struct ch_table *table);
 double ch_slowness(const struct ch_endpoint *endpoint, int64_t now);
 void ch_window_roll(struct ch_window *window, int64_t now);
+/* Whether the endpoint is brittle and may not be sent a request now. */
+bool ch_is_closed(const struct ch_endpoint *endpoint, int64_t now);
 void ch_judge(struct ch_endpoint *endpoint, enum ch_outcome outcome,
               int64_t now);
 
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -184,5 +184,8 @@
     if (left_to_others && Wu_IsCold(warmup, now)) {
         return "cold";
     }
-    return endpoint->in_flight >= (int)endpoint->limit ? "full" : "ok";
+    if (endpoint->in_flight >= (int)endpoint->limit) {
+        return "full";
+    }
+    return ch_is_closed(endpoint, now) ? "brittle" : "ok";
 }
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -693,6 +693,53 @@
     EXPECT_FALSE(Ch_IsCold(Ch_Find(t.table, "cold"), t.now));
 }
 
+// A brittle endpoint that is sent more than it runs falls over.
+TEST(Choose, ABrittleEndpointIsGivenNoMoreThanItRuns)
+{
+    Table t;
+    t.put("a1");
+    ASSERT_EQ(ST_OK, Ch_Brittle(t.table, "a1", 6, t.now));
+    struct ch_sample sample = {};
+    sample.taken = t.now;
+    sample.running = 3; // of other hosts
+    Ch_Report(t.table, "a1", &sample);
+    struct ch_flight flight;
+    ASSERT_EQ(ST_OK, t.choose(&flight));
+    sample.running = 4;
+    sample.taken = ++t.now;
+    Ch_Report(t.table, "a1", &sample);
+    EXPECT_EQ(ST_OVERLOAD, t.choose(&flight));
+    EXPECT_STREQ("brittle", Ch_Obstacle(Ch_Find(t.table, "a1"), t.now));
+}
+
+// A host that was turned away comes back within the second that counts.
+TEST(Choose, ABrittleEndpointIsLeftAloneAfterARefusal)
+{
+    Table t;
+    t.put("a1");
+    Ch_Brittle(t.table, "a1", 6, t.now);
+    EXPECT_EQ("a1", t.run(CH_OVERLOADED));
+    t.now += kSec;
+    EXPECT_EQ("", t.run());
+    t.now += kSec / 5;
+    EXPECT_EQ("a1", t.run());
+}
+
+// A report from before, or of another endpoint, ends it for all.
+TEST(Choose, BrittlenessEndsWithALaterReportOfTheSameEndpoint)
+{
+    Table t;
+    t.put("a1");
+    t.put("a2");
+    Ch_Brittle(t.table, "a1", 6, t.now);
+    Ch_Brittle(t.table, "a1", -1, t.now - 1);
+    Ch_Brittle(t.table, "a2", -1, t.now + 1);
+    EXPECT_TRUE(Ch_IsBrittle(Ch_Find(t.table, "a2"), t.now));
+    Ch_Brittle(t.table, "a1", -1, t.now + 1);
+    EXPECT_FALSE(Ch_IsBrittle(Ch_Find(t.table, "a1"), t.now));
+    EXPECT_FALSE(Ch_IsBrittle(Ch_Find(t.table, "a2"), t.now));
+}
+
 /*
  * Whatever comes in whatever order, a leaving endpoint, one already tried or
  * a distrusted version gets no request, and no endpoint more than its limit.
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -14,6 +14,18 @@
 
 TAILQ_HEAD(en_queue, en_run);
 
+/*
+ * A brittle engine says so in its load report, lets none wait, and falls over
+ * when it has to turn more than so many away in a second.
+ */
+struct en_brittle {
+    int most;    /* below 0: not brittle */
+    int refused; /* in the second that began at "since" */
+    int64_t since;
+    int64_t down_until;
+    int falls;
+};
+
 struct en_engine {
     struct ep_endpoint *endpoint;
     struct ec_cache *cache;
@@ -31,6 +43,7 @@
     json_t *load;              /* the load report that is shown */
     int64_t load_taken;
     struct lp_timer *load_timer;
+    struct en_brittle brittle;
 };
 
 struct en_engine *En_Create(struct ep_endpoint *endpoint);
@@ -44,6 +57,11 @@
 const struct en_ask *En_RunAsk(const struct en_run *run);
 int En_RunTokens(const struct en_run *run);
 
+/* Brittleness: engine_brittle.c. */
+bool En_IsDown(const struct en_engine *engine);
+bool En_TurnsAway(struct en_engine *engine, struct hs_request *request);
+bool En_BrittleControl(struct en_engine *engine, struct hs_request *request);
+
 /* The load report and orders: engine_report.c. */
 void En_LoadOpen(struct en_engine *engine);
 void En_LoadClose(struct en_engine *engine);
--- a/standins/engine_report.c
+++ b/standins/engine_report.c
@@ -40,6 +40,10 @@
     json_object_set_new(
         engine->load, "cold_ms",
         json_integer(Ep_ColdUsec(engine->endpoint) / Ck_USEC_PER_MSEC));
+    if (engine->brittle.most >= 0) {
+        json_object_set_new(engine->load, "refusals_borne",
+                            json_integer(engine->brittle.most));
+    }
     int64_t left = Ep_LeftMsec(engine->endpoint);
     if (left >= 0) {
         json_object_set_new(engine->load, "left_ms", json_integer(left));
--- a/standins/engine_run.c
+++ b/standins/engine_run.c
@@ -395,7 +395,7 @@
 En_Run(struct en_engine *engine, struct hs_request *request)
 {
     struct fl_fault fault = Ep_Fault(engine->endpoint, "run", request);
-    if (Sv_Before(request, &fault)) {
+    if (Sv_Before(request, &fault) || En_TurnsAway(engine, request)) {
         return;
     }
     if (fault.mode == FL_ERROR_500) {
--- a/standins/engine_serve.c
+++ b/standins/engine_serve.c
@@ -20,6 +20,7 @@
         .lag_usec = endpoint->options.event_usec,
     };
     engine->endpoint = endpoint;
+    engine->brittle.most = -1;
     engine->cache = Ec_Create(&cache);
     engine->kv = Kv_Create(endpoint);
     engine->orders = json_array();
@@ -109,6 +110,13 @@
 En_Serve(struct en_engine *engine, struct hs_request *request)
 {
     const char *path = Hs_Path(request);
+    if (En_BrittleControl(engine, request)) {
+        return;
+    }
+    if (En_IsDown(engine)) {
+        Hs_Abort(request);
+        return;
+    }
     if (Sv_Is(request, "POST", "/v1/completions") ||
         Sv_Is(request, "POST", "/v1/chat/completions")) {
         En_Run(engine, request);
--- a/test/soak.cc
+++ b/test/soak.cc
@@ -27,6 +27,7 @@
 struct Options {
     int seconds = 60;
     uint64_t seed = 1;
+    bool engine_moods = false;
 };
 
 Options
@@ -40,8 +41,12 @@
         else if (std::string(argv[i]) == "--seed") {
             options.seed = std::strtoull(argv[i + 1], nullptr, 10);
         }
+        else if (std::string(argv[i]) == "--engine-moods") {
+            options.engine_moods = std::atoi(argv[i + 1]) != 0;
+        }
         else {
-            fprintf(stderr, "use --seconds N and --seed N\n");
+            fprintf(stderr,
+                    "use --seconds N, --seed N and --engine-moods 1\n");
             exit(2);
         }
     }
@@ -170,6 +175,9 @@
     cg::Scene scene({"--lag-ms", "500"});
     cg::SoakLedger ledger;
     cg::SoakFaults faults(scene, ledger, options.seed);
+    if (options.engine_moods) {
+        faults.AddEngineMoods();
+    }
     for (size_t i = 0; i < kEngines; i++) {
         faults.AddEngine();
     }
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -62,7 +62,16 @@
 } // namespace
 
 SoakFaults::SoakFaults(Scene &scene, SoakLedger &ledger, uint64_t seed)
-    : scene_(scene), ledger_(ledger)
+    : scene_(scene), ledger_(ledger),
+      faults_{
+          &SoakFaults::ReclaimWave,    &SoakFaults::ReclaimWave,
+          &SoakFaults::EngineKill,     &SoakFaults::EngineFault,
+          &SoakFaults::EngineFault,    &SoakFaults::PlainFault,
+          &SoakFaults::PlainFault,     &SoakFaults::PlainKill,
+          &SoakFaults::DaemonKill,     &SoakFaults::DaemonStop,
+          &SoakFaults::LogOutage,      &SoakFaults::LogLostAnswers,
+          &SoakFaults::LogLostAnswers, &SoakFaults::HostListFault,
+      }
 {
     Rn_Seed(&random_, seed);
 }
@@ -416,19 +425,41 @@
     counts["stale host lists"]++;
 }
 
+// A sound engine that says nothing for a second, and goes on.
+void
+SoakFaults::EngineSilence()
+{
+    std::vector<size_t> live = LiveEngines();
+    Engine &engine = *scene_.engines[live[(size_t)Below((int)live.size())]];
+    engine.process().Stop();
+    std::this_thread::sleep_for(Millis(1000));
+    engine.process().Cont();
+    counts["engines silent for a second"]++;
+}
+
+void
+SoakFaults::EngineBrittleness()
+{
+    int most = Below(3) == 0 ? -1 : 2 + Below(8);
+    for (size_t i : LiveEngines()) {
+        scene_.engines[i]->Brittle(most);
+    }
+    counts["changes of brittleness"]++;
+}
+
+void
+SoakFaults::AddEngineMoods()
+{
+    faults_.push_back(&SoakFaults::EngineSilence);
+    faults_.push_back(&SoakFaults::EngineSilence);
+    faults_.push_back(&SoakFaults::EngineBrittleness);
+    faults_.push_back(&SoakFaults::EngineBrittleness);
+}
+
 void
 SoakFaults::Run(Instant until)
 {
-    static const Fault faults[] = {
-        &SoakFaults::ReclaimWave,    &SoakFaults::ReclaimWave,
-        &SoakFaults::EngineKill,     &SoakFaults::EngineFault,
-        &SoakFaults::EngineFault,    &SoakFaults::PlainFault,
-        &SoakFaults::PlainFault,     &SoakFaults::PlainKill,
-        &SoakFaults::DaemonKill,     &SoakFaults::DaemonStop,
-        &SoakFaults::LogOutage,      &SoakFaults::LogLostAnswers,
-        &SoakFaults::LogLostAnswers, &SoakFaults::HostListFault,
-    };
-    const int kFaults = sizeof(faults) / sizeof(faults[0]);
+    const int kFaults = (int)faults_.size();
     // One round in a drawn order before the next, so that a short run meets
     // every kind.
     std::vector<int> order;
@@ -441,7 +472,7 @@
                 order.insert(order.begin() + Below((int)order.size() + 1), i);
             }
         }
-        (this->*faults[order.back()])();
+        (this->*faults_[(size_t)order.back()])();
         order.pop_back();
         Sleep(100 + Below(400));
     }
--- a/test/soak_faults.h
+++ b/test/soak_faults.h
@@ -25,6 +25,8 @@
   public:
     SoakFaults(Scene &scene, SoakLedger &ledger, uint64_t seed);
 
+    // Engines fall silent for a second, too, and say that they are brittle.
+    void AddEngineMoods();
     void AddEngine();
     // One engine of a version that fails every request.
     void AddBadVersion();
@@ -71,6 +73,8 @@
     void LogOutage();
     void LogLostAnswers();
     void HostListFault();
+    void EngineSilence();
+    void EngineBrittleness();
 
     std::vector<size_t> LiveEngines();
     size_t Busiest(const std::vector<size_t> &live);
@@ -87,6 +91,7 @@
 
     Scene &scene_;
     SoakLedger &ledger_;
+    std::vector<Fault> faults_;
     struct rn_random random_;
     std::vector<SoakLeaver> leavers_;
     std::set<size_t> retired_; // engines that are gone or going
--- a/test/standins.cc
+++ b/test/standins.cc
@@ -189,6 +189,22 @@
     Post("/standin/cold", Json().Set("cold_ms", cold_ms));
 }
 
+void
+Endpoint::Brittle(int most) const
+{
+    Json body;
+    if (most >= 0) {
+        body.Set("most", most);
+    }
+    Post("/standin/brittle", body);
+}
+
+int
+Endpoint::Falls() const
+{
+    return (int)Get("/standin/falls").json()["falls"].Int();
+}
+
 Plain::Plain(std::vector<std::string> args)
     : Endpoint(PlainArgs(std::move(args)))
 {
--- a/test/standins.h
+++ b/test/standins.h
@@ -61,6 +61,9 @@
     void Leave(int left_ms) const;
     // Makes it cold again, without a restart.
     void Cold(int cold_ms) const;
+    // It falls over above so many refusals in a second; below 0: no more.
+    void Brittle(int most) const;
+    int Falls() const;
 };
 
 class Engine : public Endpoint {
