--- a/packages/policy/brittle.c
+++ b/packages/policy/brittle.c
@@ -27,7 +27,8 @@
     }
     part.halves = part.hosts + ((size_t)most - spent);
     part.halves = part.halves < hosts ? part.halves : hosts;
-    part.crowd = endpoints > 0 ? (hosts + endpoints - 1) / endpoints : hosts;
+    part.hosts_per_endpoint =
+        endpoints > 0 ? (hosts + endpoints - 1) / endpoints : hosts;
     return part;
 }
 
@@ -127,9 +128,11 @@
 static bool
 has_turn(const struct br_room *room, const struct br_part *part, int64_t now)
 {
-    int64_t first = (int64_t)(room->rank % part->crowd + 1) * Br_APART_USEC;
+    int64_t first =
+        (int64_t)(room->rank % part->hosts_per_endpoint + 1) * Br_APART_USEC;
     return now - room->begun_at >= first &&
-           now - room->sent_since >= (int64_t)part->crowd * Br_APART_USEC;
+           now - room->sent_since >=
+               (int64_t)part->hosts_per_endpoint * Br_APART_USEC;
 }
 
 bool
--- a/packages/policy/brittle.h
+++ b/packages/policy/brittle.h
@@ -41,7 +41,7 @@
     size_t hosts;  /* that may use it to the last place */
     int each;      /* requests of one that are not known to be taken */
     size_t halves; /* these and those that may use a half of it */
-    size_t crowd;  /* hosts for each endpoint; any other waits its turn */
+    size_t hosts_per_endpoint; /* any other waits its turn */
 };
 
 struct br_part Br_Part(int most, size_t hosts, size_t endpoints);
--- a/test/soak.cc
+++ b/test/soak.cc
@@ -27,7 +27,7 @@
 struct Options {
     int seconds = 60;
     uint64_t seed = 1;
-    bool engine_moods = false;
+    bool silence_and_brittleness = false;
 };
 
 Options
@@ -41,12 +41,13 @@
         else if (std::string(argv[i]) == "--seed") {
             options.seed = std::strtoull(argv[i + 1], nullptr, 10);
         }
-        else if (std::string(argv[i]) == "--engine-moods") {
-            options.engine_moods = std::atoi(argv[i + 1]) != 0;
+        else if (std::string(argv[i]) == "--silence-and-brittleness") {
+            options.silence_and_brittleness = std::atoi(argv[i + 1]) != 0;
         }
         else {
-            fprintf(stderr,
-                    "use --seconds N, --seed N and --engine-moods 1\n");
+            fprintf(
+                stderr,
+                "use --seconds N, --seed N and --silence-and-brittleness 1\n");
             exit(2);
         }
     }
@@ -175,8 +176,8 @@
     cg::Scene scene({"--lag-ms", "500"});
     cg::SoakLedger ledger;
     cg::SoakFaults faults(scene, ledger, options.seed);
-    if (options.engine_moods) {
-        faults.AddEngineMoods();
+    if (options.silence_and_brittleness) {
+        faults.AddSilenceAndBrittleness();
     }
     for (size_t i = 0; i < kEngines; i++) {
         faults.AddEngine();
--- a/test/soak_faults.cc
+++ b/test/soak_faults.cc
@@ -448,7 +448,7 @@
 }
 
 void
-SoakFaults::AddEngineMoods()
+SoakFaults::AddSilenceAndBrittleness()
 {
     faults_.push_back(&SoakFaults::EngineSilence);
     faults_.push_back(&SoakFaults::EngineSilence);
--- a/test/soak_faults.h
+++ b/test/soak_faults.h
@@ -26,7 +26,7 @@
     SoakFaults(Scene &scene, SoakLedger &ledger, uint64_t seed);
 
     // Engines fall silent for a second, too, and say that they are brittle.
-    void AddEngineMoods();
+    void AddSilenceAndBrittleness();
     void AddEngine();
     // One engine of a version that fails every request.
     void AddBadVersion();
