Log: a failed attempt names the parts of its prompt and whether events came

In the record of the incident endpoints end one after the other, and with each several attempts of several hosts break. Whether one content was among them each time, or the load, could not be told: the line of a failed attempt named neither the prompt's parts nor whether the endpoint had begun.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -16,9 +16,10 @@
     struct fl_endpoint *endpoint; /* NULL: none under way */
     struct cn_channel *channel;
     int64_t sent_at;
-    int64_t head_at; /* 0: none has come */
-    int64_t reading; /* prompt tokens counted at the endpoint */
-    bool alone;      /* nothing else was being read there */
+    int64_t head_at;  /* 0: none has come */
+    int64_t event_at; /* its first event; 0: none has come */
+    int64_t reading;  /* prompt tokens counted at the endpoint */
+    bool alone;       /* nothing else was being read there */
     bool streaming;
     int status;
     struct ak_answer answer;
--- a/packages/edge/prefix.c
+++ b/packages/edge/prefix.c
@@ -95,6 +95,12 @@
     return missing;
 }
 
+uint32_t
+Px_Name(const struct ak_part *part)
+{
+    return (uint32_t)part->id;
+}
+
 /* The last part is the request's own, so the one before it is shared. */
 uint64_t
 Px_Group(const struct ak_ask *ask)
--- a/packages/edge/prefix.h
+++ b/packages/edge/prefix.h
@@ -32,6 +32,9 @@
 struct px_missing Px_Missing(const struct px_table *table,
                              const struct ak_ask *ask, uint32_t endpoint,
                              int64_t now);
+/* A part as logs and other daemons name it; Px_NAME_LEN digits in hex. */
+#define Px_NAME_LEN 8
+uint32_t Px_Name(const struct ak_part *part);
 /* What requests that share this prompt have in common; 0: nothing. */
 uint64_t Px_Group(const struct ak_ask *ask);
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -188,6 +188,9 @@
 {
     struct xc_exchange *exchange = arg;
     struct xc_attempt *attempt = &exchange->attempt;
+    if (attempt->event_at == 0) {
+        attempt->event_at = Ga_Now(exchange->gate);
+    }
     if (attempt->gap) {
         return;
     }
@@ -238,6 +241,20 @@
     }
 }
 
+/* The parts that other requests may share, as the log names them. */
+static const char *
+name_parts(const struct ak_ask *ask)
+{
+    static char text[Ak_PARTS_MAX * (Px_NAME_LEN + 1) + 1];
+    size_t at = 0;
+    text[0] = '\0';
+    for (size_t i = 0; i + 1 < ask->part_count; i++) {
+        at += (size_t)snprintf(text + at, sizeof(text) - at, "%s%08x",
+                               i == 0 ? "" : " ", Px_Name(&ask->parts[i]));
+    }
+    return text;
+}
+
 /* The attempt came to nothing; another endpoint, or the caller is told. */
 static void
 go_on(struct xc_exchange *exchange, bool ran, int status, const char *why)
@@ -245,11 +262,13 @@
     const struct xc_attempt *attempt = &exchange->attempt;
     Ln_Log(LN_FAILURE, "attempt.failed",
            "\"id\":\"%s\",\"endpoint\":\"%s\",\"why\":\"%s\",\"ran\":%d,"
-           "\"status\":%d,\"sends\":%d,\"ms\":%lld",
+           "\"status\":%d,\"sends\":%d,\"ms\":%lld,\"events\":%d,"
+           "\"parts\":\"%s\"",
            exchange->ask.id, attempt->endpoint->entry.id, why, ran,
            attempt->status, exchange->sends,
            (long long)((Ga_Now(exchange->gate) - attempt->sent_at) /
-                       Ck_USEC_PER_MSEC));
+                       Ck_USEC_PER_MSEC),
+           attempt->event_at != 0, name_parts(&exchange->ask));
     if (Xc_MayRepeat(exchange, ran)) {
         Xc_Release(exchange);
         Xc_Dispatch(exchange);
