Poison: which part of a prompt ends endpoints, as pure code

A part is stopped when endpoints ended under it one after the other and it has not begun anywhere since, while other requests began; what clears a part travels between hosts as well as what accuses it.

--- /dev/null
+++ b/packages/policy/poison_judge.c
@@ -0,0 +1,292 @@
+/* The decision which part is stopped. */
+#include <stdlib.h>
+
+#include "policy/poison_internal.h"
+
+/* Endpoints that a request may end before it is sent to no further one. */
+#define Pz_DOUBTED 2
+
+/* Customers in whose requests a part ends endpoints before it is stopped for
+   all. */
+#define Pz_CUSTOMERS_LEAST 2
+
+/* Endpoints that end within this of each other may end at once. */
+#define Pz_APART_USEC (50 * Ck_USEC_PER_MSEC)
+
+static bool
+is_stopped(struct pz_table *table, const struct pz_key *key)
+{
+    struct pz_key any = pz_any(key);
+    return pz_find_stop(table, key) != NULL ||
+           pz_find_stop(table, &any) != NULL;
+}
+
+/* A part that is stopped accounts for the ends of its endpoints. */
+static void
+find_explained(struct pz_table *table)
+{
+    struct pz_row *row;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        row->stopped = is_stopped(table, &row->crash.key);
+        row->explained = false;
+    }
+    struct pz_row *other;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        TAILQ_FOREACH (other, &table->rows, link) {
+            if (row->stopped && other->crash.endpoint == row->crash.endpoint &&
+                other->crash.key.part != row->crash.key.part) {
+                other->explained = table->rule.explains;
+            }
+        }
+    }
+}
+
+static int
+compare_ends(const void *a, const void *b)
+{
+    int64_t left = ((const struct pz_crash *)a)->ended_at;
+    int64_t right = ((const struct pz_crash *)b)->ended_at;
+    return left < right ? -1 : left > right;
+}
+
+static bool
+is_of(const struct pz_key *key, const struct pz_crash *crash)
+{
+    return crash->key.part == key->part &&
+           crash->key.service == key->service &&
+           (key->customer == Pz_ANY || crash->key.customer == key->customer);
+}
+
+/* The crashes that accuse a part, in order of time. */
+static size_t
+list_accusing(const struct pz_table *table, const struct pz_key *key,
+              bool begun, struct pz_crash *out)
+{
+    size_t count = 0;
+    int64_t cleared_at = pz_cleared_at(table, key);
+    const struct pz_row *row;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        if (is_of(key, &row->crash) && row->crash.ended_at > cleared_at &&
+            (row->crash.begun || !begun) && !row->explained) {
+            out[count++] = row->crash;
+        }
+    }
+    qsort(out, count, sizeof(*out), compare_ends);
+    return count;
+}
+
+/*
+ * Several customers' requests with a part may wait at one endpoint, and a
+ * request may go on from one to another of those that all end at once.
+ */
+static bool
+is_next(const struct pz_table *table, const struct pz_chain *chain,
+        const struct pz_crash *crash)
+{
+    if (chain->length == 0 || !table->rule.in_order) {
+        return chain->length == 0 || crash->endpoint != chain->endpoint;
+    }
+    return crash->sent_at >= chain->last_at &&
+           crash->ended_at >= chain->last_at + Pz_APART_USEC;
+}
+
+struct pz_chain
+pz_find_chain(const struct pz_table *table, const struct pz_key *key,
+              bool begun)
+{
+    static struct pz_crash crashes[Pz_CRASHES_MAX];
+    struct pz_chain chain = {0};
+    size_t count = list_accusing(table, key, begun, crashes);
+    for (size_t i = 0; i < count; i++) {
+        const struct pz_crash *crash = &crashes[i];
+        chain.customers +=
+            i == 0 || crash->key.customer != crashes[i - 1].key.customer;
+        if (!is_next(table, &chain, crash)) {
+            continue;
+        }
+        chain.first_at = chain.length == 0 ? crash->ended_at : chain.first_at;
+        chain.length++;
+        chain.last_at = crash->ended_at;
+        chain.endpoint = crash->endpoint;
+        chain.depth = crash->depth;
+    }
+    return chain;
+}
+
+/* A part that may be stopped. */
+struct suspect {
+    struct pz_key key;
+    struct pz_chain chain;
+    uint32_t seen;
+};
+
+/* Whether the part is accused enough, by itself. */
+static bool
+is_accused(struct pz_table *table, const struct pz_key *key,
+           struct suspect *out, int64_t now)
+{
+    const struct pz_rule *rule = &table->rule;
+    out->key = *key;
+    out->seen = pz_seen_count(table, key, now);
+    int factor = out->seen > 0 ? rule->known_factor : 1;
+    out->chain = pz_find_chain(table, key, true);
+    if (out->chain.length < rule->begun_crashes * factor) {
+        out->chain = pz_find_chain(table, key, false);
+        if (out->chain.length < rule->crashes * factor) {
+            return false;
+        }
+    }
+    if (key->customer == Pz_ANY && out->chain.customers < Pz_CUSTOMERS_LEAST) {
+        return false;
+    }
+    bool enough = rule->others_begun == 0 ||
+                  pz_begun_since(table, key->service, out->chain.first_at) >=
+                      rule->others_begun;
+    table->waits |= !enough;
+    return enough;
+}
+
+static bool
+is_worse(const struct suspect *a, const struct suspect *b)
+{
+    if (a->seen != b->seen) {
+        return a->seen < b->seen;
+    }
+    if (a->chain.length != b->chain.length) {
+        return a->chain.length > b->chain.length;
+    }
+    return a->chain.depth > b->chain.depth;
+}
+
+static void
+consider(struct pz_table *table, const struct pz_key *key,
+         struct suspect *worst, bool *found, int64_t now)
+{
+    struct suspect suspect;
+    if (!is_stopped(table, key) && is_accused(table, key, &suspect, now) &&
+        (!*found || is_worse(&suspect, worst))) {
+        *worst = suspect;
+        *found = true;
+    }
+}
+
+/* Whether an earlier row has the same part of the same customer. */
+static bool
+is_repeated(const struct pz_table *table, const struct pz_row *row)
+{
+    const struct pz_row *other;
+    TAILQ_FOREACH (other, &table->rows, link) {
+        if (other == row) {
+            return false;
+        }
+        if (pz_same(&other->crash.key, &row->crash.key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The part that is accused more than any other; false: none is enough. */
+static bool
+find_worst(struct pz_table *table, struct suspect *out, int64_t now)
+{
+    bool found = false;
+    find_explained(table);
+    const struct pz_row *row;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        if (!is_repeated(table, row)) {
+            struct pz_key any = pz_any(&row->crash.key);
+            consider(table, &row->crash.key, out, &found, now);
+            consider(table, &any, out, &found, now);
+        }
+    }
+    return found;
+}
+
+static bool
+has_ended(const struct pz_table *table, const struct pz_key *key,
+          uint32_t endpoint)
+{
+    const struct pz_row *row;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        if (row->crash.endpoint == endpoint && is_of(key, &row->crash)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether "other" was there at all ends under a part, and at more of them. */
+static bool
+accounts_for(const struct pz_table *table, const struct pz_key *other,
+             const struct pz_key *key)
+{
+    int more = 0;
+    const struct pz_row *row;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        bool under_key = has_ended(table, key, row->crash.endpoint);
+        bool under_other = has_ended(table, other, row->crash.endpoint);
+        if (under_key && !under_other) {
+            return false;
+        }
+        more += under_other && !under_key;
+    }
+    return more > 0;
+}
+
+/*
+ * Of two parts that ended the same endpoints the wrong one may have been
+ * stopped; the other, which goes on, is stopped then as well.
+ */
+static void
+lift_accounted(struct pz_table *table, int64_t now)
+{
+    for (size_t i = table->stop_count; i > 0; i--) {
+        struct pz_key key = table->stops[i - 1].key;
+        bool accounted = false;
+        for (size_t j = 0; j < table->stop_count && !accounted; j++) {
+            const struct pz_key *other = &table->stops[j].key;
+            accounted =
+                other->part != key.part && accounts_for(table, other, &key);
+        }
+        if (accounted) {
+            Pz_Lift(table, &key, "another accounts for it", now);
+        }
+    }
+}
+
+void
+Pz_Judge(struct pz_table *table, int64_t now)
+{
+    pz_expire(table, now);
+    if ((!table->changed && !table->waits) ||
+        now - table->started_at < table->rule.settle_usec) {
+        return;
+    }
+    table->changed = false;
+    table->waits = false;
+    struct suspect worst;
+    while (find_worst(table, &worst, now)) {
+        struct pz_stop stop = {worst.key, worst.chain.last_at, now};
+        if (!pz_add_stop(table, &stop)) {
+            return;
+        }
+        table->ops->stopped(table->arg, &stop, worst.chain.length, false);
+    }
+    lift_accounted(table, now);
+}
+
+bool
+Pz_Doubts(const struct pz_table *table, const struct pz_request *request,
+          int64_t now)
+{
+    for (size_t i = 0; i < request->count && table->row_count > 0; i++) {
+        struct pz_key key = {request->service, request->customer,
+                             request->parts[i]};
+        if (pz_seen_count(table, &key, now) == 0 &&
+            pz_find_chain(table, &key, false).length >= Pz_DOUBTED) {
+            return true;
+        }
+    }
+    return false;
+}
