--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -191,6 +191,7 @@
 find_worst(struct pz_table *table, struct suspect *out, int64_t now)
 {
     bool found = false;
+    *out = (struct suspect){0};
     find_explained(table);
     const struct pz_row *row;
     TAILQ_FOREACH (row, &table->rows, link) {
