Quarantine: the stand-alone daemon stops prompts that end engines

Seen, by our own test: engines end under prompts with one message, one after the other: 21 of them in seven seconds; 149 of 400 sound chats served, 30 of the later 200. Each such request was sent to up to six engines.

The parts of a prompt are its messages, or its head, and the whole of it; daemons tell each other as facts. A refusal is 503, not run, and names the part; one that ended two engines goes to no third. Not done: nothing of it outlasts all daemons at once.

The rows of the decision come from a fixed pool: no allocation can fail while endpoints end.

--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -299,6 +299,7 @@
     tell_offset(daemon, now);
     note_hosts(daemon, now);
     Rh_Tick(daemon->gate.reach);
+    Gq_Tick(daemon->gate.quarantine);
     if (!daemon->was_ready && Dm_NotReady(daemon) == NULL) {
         daemon->was_ready = true;
         Ev_Log(&GT_READY, "node=%s", daemon->gate.options->node_id);
@@ -424,6 +425,9 @@
     if (status == ST_OK) {
         status = In_Create(gate, Rq_Dispatch, &gate->intake);
     }
+    if (status == ST_OK) {
+        status = Gq_Create(gate, Dm_TellPoison, daemon, &gate->quarantine);
+    }
     if (status == ST_OK) {
         status = start_servers(daemon);
     }
@@ -516,6 +520,7 @@
     Ct_Destroy(daemon->control);
     Mo_Destroy(daemon->gate.moves);
     Rh_Destroy(daemon->gate.reach);
+    Gq_Destroy(daemon->gate.quarantine);
     Pe_Destroy(daemon->peers);
     Bg_Destroy(daemon->budget);
     Pl_HttpDestroy(daemon->log);
--- a/packages/gate/daemon_internal.h
+++ b/packages/gate/daemon_internal.h
@@ -53,6 +53,9 @@
 extern const struct mo_ops dm_move_ops;
 extern const struct lw_ops dm_load_ops;
 
+/* Tells the others of parts of prompts that end engines. */
+void Dm_TellPoison(void *arg, const struct gq_word *word);
+
 const char *Dm_NotReady(const struct dm_daemon *daemon);
 void Dm_ConfigApplied(void *arg, uint64_t offset);
 
--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -231,6 +231,20 @@
     Mo_Report(daemon->gate.moves, text, len);
 }
 
+static void
+peer_poison(void *arg, const struct gq_word *word)
+{
+    struct dm_daemon *daemon = arg;
+    Gq_Hear(daemon->gate.quarantine, word);
+}
+
+void
+Dm_TellPoison(void *arg, const struct gq_word *word)
+{
+    struct dm_daemon *daemon = arg;
+    Pe_Poison(daemon->peers, word);
+}
+
 const struct pe_ops dm_peer_ops = {
     .config_ahead = peer_config_ahead,
     .config_state = peer_config_state,
@@ -243,6 +257,7 @@
     .member = peer_member,
     .claim = peer_claim,
     .evidence = peer_evidence,
+    .poison = peer_poison,
 };
 
 static bool
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -24,6 +24,7 @@
 
 struct ep_pool;
 struct gc_claims;
+struct gq_quarantine;
 struct in_intake;
 struct mo_moves;
 struct rh_reach;
@@ -64,6 +65,7 @@
     struct in_intake *intake;
     struct mo_moves *moves;
     struct rh_reach *reach;
+    struct gq_quarantine *quarantine;
     struct rq_list requests;
     uint64_t next_request;
     bool draining;
--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "gate/events.h"
 #include "gate/peer_facts.h"
+#include "gate/peer_poison.h"
 
 #define Pe_CALL_USEC (2 * Ck_USEC_PER_SEC)
 #define Pe_SEEDS_MAX 64
@@ -22,6 +23,7 @@
 #define Pe_CONFIG_TTL (3600 * Ck_USEC_PER_SEC)
 #define Pe_HOSTS_TTL (3600 * Ck_USEC_PER_SEC)
 #define Pe_DEMAND_TTL (60 * Ck_USEC_PER_SEC)
+#define Pe_POISON_TTL (30 * Ck_USEC_PER_SEC)
 
 /* Two in a data centre's worth of endpoints, and the jobs with a key. */
 #define Pe_WATCH_CACHE 2048
@@ -128,6 +130,17 @@
     }
 }
 
+static void
+poison_fact(void *arg, const struct fc_fact *fact)
+{
+    struct pe_peers *peers = arg;
+    struct gq_word word;
+    if (strcmp(fact->owner, Nd_Id(peers->node)) != 0 &&
+        Pp_Read(fact->key, fact->value, fact->len, &word)) {
+        peers->ops->poison(peers->arg, &word);
+    }
+}
+
 static void
 hosts_fact(void *arg, const struct fc_fact *fact)
 {
@@ -193,6 +206,7 @@
         {Pf_CONFIG, config_fact},   {Pf_LOAD, load_fact},
         {Pf_LEAVING, leaving_fact}, {Pf_DISTRUST, distrust_fact},
         {Pf_DEMAND, demand_fact},   {Pf_HOSTS, hosts_fact},
+        {Pp_PREFIX, poison_fact},
     };
     for (size_t i = 0; i < sizeof(watched) / sizeof(watched[0]); i++) {
         enum st_status status = Fc_Watch(
@@ -548,6 +562,28 @@
     }
 }
 
+/* Tells what this daemon knows of parts of prompts that end engines. */
+void
+Pe_Poison(struct pe_peers *peers, const struct gq_word *word)
+{
+    static const char *const keys[] = {Pp_ENDED, Pp_BEGUN, Pp_STOPPED};
+    for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+        char value[Fc_VALUE_MAX];
+        struct fc_post post = {
+            .key = keys[i],
+            .owned = true,
+            .version = next_version(peers, keys[i]),
+            .scope = FC_CLUSTER,
+            .ttl_usec = Pe_POISON_TTL,
+            .value = value,
+        };
+        post.len = Pp_Write(keys[i], word, value, sizeof(value));
+        if (post.len > 0) {
+            publish(peers, &post);
+        }
+    }
+}
+
 /* Tells the others what this daemon's callers ask for. */
 void
 Pe_Demand(struct pe_peers *peers, const struct pf_demands *demands)
--- a/packages/gate/peers.h
+++ b/packages/gate/peers.h
@@ -12,6 +12,7 @@
 #include "gate/gate.h"
 #include "gate/loadwatch.h"
 #include "gate/peer_facts.h"
+#include "gate/quarantine.h"
 #include "member/node.h"
 #include "platform/hostlist.h"
 #include "policy/admit.h"
@@ -41,6 +42,7 @@
      * left: on its side of a cut it goes on serving its part of the limits.
      */
     void (*member)(void *arg, const char *node, bool present);
+    void (*poison)(void *arg, const struct gq_word *word);
     /* A router's report on a version move. */
     void (*evidence)(void *arg, const char *text, size_t len);
     /* A question about claims; answer by Lk_Reply(). */
@@ -64,6 +66,7 @@
                     int64_t left_usec);
 void Pe_Distrust(struct pe_peers *peers, const char *service,
                  const char *version);
+void Pe_Poison(struct pe_peers *peers, const struct gq_word *word);
 void Pe_Demand(struct pe_peers *peers, const struct pf_demands *demands);
 void Pe_TellThrough(struct pe_peers *peers, const struct pf_through *through,
                     int64_t ttl_usec);
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -16,6 +16,7 @@
 #include "base/event.h"
 #include "gate/endpoints.h"
 #include "gate/events.h"
+#include "gate/quarantine.h"
 
 #define Rl_ATTEMPTS 6
 #define Rl_UNREACHED_MAX 16
@@ -128,6 +129,7 @@
         relay->began = now;
         relay->answered = now - relay->flight.started;
         Ch_FirstToken(relay->table, &relay->flight, now);
+        Gq_Began(request->gate->quarantine, request);
     }
 }
 
@@ -361,6 +363,12 @@
 {
     struct gt_gate *gate = relay->request->gate;
     Re_DropMove(relay);
+    if (relay->tokens == 0 && Gq_Doubts(gate->quarantine, relay->request)) {
+        give_up(relay, failure_told(relay),
+                "two engines ended under this request; it is sent to no "
+                "third");
+        return;
+    }
     if (relay->attempts.failed >= Rl_ATTEMPTS || reached_nobody(relay)) {
         give_up(relay, failure_told(relay),
                 "several engines failed this request; it may be repeated");
@@ -407,6 +415,24 @@
     return code == 429 || code == 503 ? CH_OVERLOADED : CH_FAILED;
 }
 
+/* The engine may have ended before the first token. */
+static void
+note_broke(struct rl_engine *relay, const struct hc_result *result)
+{
+    struct rq_request *request = relay->request;
+    /* What led through another daemon may have broken there. */
+    if (result->stage == HC_CONNECTING || relay->flight.endpoint == NULL ||
+        relay->flight.first_token || relay->tries.peer == WY_CAME) {
+        return;
+    }
+    struct gq_break broke = {
+        .endpoint = Ch_Info(relay->flight.endpoint)->id,
+        .begun = relay->code == 200,
+        .sent_at = relay->flight.started,
+    };
+    Gq_Broke(request->gate->quarantine, request, &broke);
+}
+
 static void
 call_done(void *arg, struct hc_call *call, const struct hc_result *result)
 {
@@ -433,6 +459,9 @@
                   result->code);
         return;
     }
+    if (result->code == 0 || result->code == 200) {
+        note_broke(relay, result);
+    }
     Re_EndFlight(relay, failure_kind(result->stage, result->code));
     attempt_failed(relay, result->stage);
 }
@@ -680,6 +709,19 @@
             "time");
 }
 
+void
+Rl_EngineStopped(struct rq_request *request, uint32_t part)
+{
+    struct rl_engine *relay = request->engine;
+    if (relay->tokens > 0) {
+        return;
+    }
+    char message[Rl_MESSAGE_MAX];
+    snprintf(message, sizeof(message), "part %08x of the prompt ends engines",
+             part);
+    give_up(relay, failure_told(relay), message);
+}
+
 /* The caller has read what was sent; the engine may go on. */
 void
 Rl_EngineDrained(struct rq_request *request)
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -13,6 +13,7 @@
 #include "gate/events.h"
 #include "gate/intake.h"
 #include "gate/moves.h"
+#include "gate/quarantine.h"
 
 #define Rq_KEY_MAX 255
 #define Rq_DEADLINE_MAX_MS 3600000
@@ -592,6 +593,19 @@
     return true;
 }
 
+/* Whether it has been refused for a part of its prompt that ends engines. */
+static bool
+is_stopped(struct rq_request *request)
+{
+    uint32_t part;
+    if (!Gq_Refuses(request->gate->quarantine, request, &part)) {
+        return false;
+    }
+    Rq_Refuse(request, AN_UNAVAILABLE, Gq_RETRY_SEC,
+              "part %08x of the prompt ends engines; leave it out", part);
+    return true;
+}
+
 /* Finds the customer; on failure the request has been refused. */
 static bool
 authenticate(struct rq_request *request)
@@ -761,7 +775,9 @@
         Rq_Refuse(request, AN_INVALID, 0, "%s", St_Message());
         return;
     }
-    In_Submit(gate->intake, request);
+    if (!is_stopped(request)) {
+        In_Submit(gate->intake, request);
+    }
 }
 
 /* The caller closed its connection before the answer ended. */
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -100,6 +100,8 @@
 void Rl_EngineStart(struct rq_request *request);
 void Rl_EngineCallerGone(struct rq_request *request);
 void Rl_EngineDeadline(struct rq_request *request);
+/* A part of its prompt is stopped; it goes no further unless it has begun. */
+void Rl_EngineStopped(struct rq_request *request, uint32_t part);
 void Rl_EngineDrained(struct rq_request *request);
 void Rl_EngineFree(struct rl_engine *relay);
 void Rl_EndpointLeaving(void *arg, const char *service, const char *endpoint,
--- a/packages/platform/engine.c
+++ b/packages/platform/engine.c
@@ -17,6 +17,22 @@
     return text != NULL ? text : "";
 }
 
+/* The first messages stand for a prompt that has too many. */
+static void
+add_part(struct en_prompt *out, uint64_t hash)
+{
+    if (out->part_count + 1 < En_PARTS_MAX) {
+        out->parts[out->part_count++] = (uint32_t)hash;
+    }
+}
+
+/* The whole of it: a request that is sent again. */
+static void
+end_parts(struct en_prompt *out, uint64_t hash)
+{
+    out->parts[out->part_count++] = (uint32_t)hash;
+}
+
 static enum st_status
 hash_text(struct en_prompt *out, const char *text)
 {
@@ -35,6 +51,7 @@
 read_messages(const json_t *messages, struct en_prompt *out)
 {
     size_t i;
+    uint64_t whole = 0;
     const json_t *message;
     json_array_foreach (messages, i, message) {
         const json_t *content = json_object_get(message, "content");
@@ -45,7 +62,10 @@
                            i);
         }
         hash_text(out, json_string_value(content));
+        add_part(out, Hash_String(json_string_value(content), 0));
+        whole = Hash_String(json_string_value(content), whole + 1);
     }
+    end_parts(out, whole);
     if (json_array_size(messages) == 0) {
         return St_Fail(ST_INVALID, "give at least one message");
     }
@@ -80,7 +100,10 @@
     if (!json_is_string(prompt)) {
         return St_Fail(ST_INVALID, "\"prompt\" must be a string");
     }
-    return hash_text(out, json_string_value(prompt));
+    hash_text(out, json_string_value(prompt));
+    add_part(out, out->prefix_hash);
+    end_parts(out, Hash_String(json_string_value(prompt), 1));
+    return ST_OK;
 }
 
 /*
--- a/packages/platform/engine.h
+++ b/packages/platform/engine.h
@@ -20,6 +20,9 @@
 #define En_NAME_MAX 48
 #define En_KV_MAX 128
 
+/* Parts of a prompt that requests may share. */
+#define En_PARTS_MAX 32
+
 /* A caller's request. */
 struct en_prompt {
     json_t *root;
@@ -29,6 +32,9 @@
     int max_tokens;       /* 0: not given */
     size_t text_len;      /* bytes of the prompt */
     uint64_t prefix_hash; /* of the first part of the prompt */
+    /* Hashes of its messages, or of its head; the last: of the whole. */
+    uint32_t parts[En_PARTS_MAX];
+    size_t part_count;
 };
 
 /* What an engine is asked to go on from. */
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -33,27 +33,27 @@
         table->arg = arg;
         table->started_at = now;
         TAILQ_INIT(&table->rows);
+        TAILQ_INIT(&table->spare);
+        for (size_t i = 0; i < Pz_CRASHES_MAX; i++) {
+            TAILQ_INSERT_TAIL(&table->spare, &table->pool[i], link);
+        }
     }
     return table;
 }
 
-static void
-remove_row(struct pz_table *table, struct pz_row *row)
-{
-    TAILQ_REMOVE(&table->rows, row, link);
-    table->row_count--;
-    free(row);
-}
-
 void
 Pz_Destroy(struct pz_table *table)
 {
-    while (table != NULL && !TAILQ_EMPTY(&table->rows)) {
-        remove_row(table, TAILQ_FIRST(&table->rows));
-    }
     free(table);
 }
 
+static void
+remove_row(struct pz_table *table, struct pz_row *row)
+{
+    TAILQ_REMOVE(&table->rows, row, link);
+    TAILQ_INSERT_TAIL(&table->spare, row, link);
+}
+
 static struct pz_row *
 find_row(const struct pz_table *table, const struct pz_crash *crash)
 {
@@ -84,17 +84,15 @@
         row->crash.sent_at = later ? crash->sent_at : row->crash.sent_at;
         return;
     }
-    if (table->row_count == Pz_CRASHES_MAX) {
+    if (TAILQ_EMPTY(&table->spare)) {
         remove_row(table, TAILQ_FIRST(&table->rows));
     }
-    row = calloc(1, sizeof(*row));
-    if (row == NULL) {
-        return;
-    }
+    row = TAILQ_FIRST(&table->spare);
+    TAILQ_REMOVE(&table->spare, row, link);
+    *row = (struct pz_row){0};
     row->crash = *crash;
     row->own = own;
     TAILQ_INSERT_TAIL(&table->rows, row, link);
-    table->row_count++;
     table->changed = true;
 }
 
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -53,7 +53,8 @@
     bool changed;        /* since the last decision */
     bool waits;          /* a part is accused, and too little else has begun */
     struct pz_rows rows; /* the oldest first */
-    size_t row_count;
+    struct pz_rows spare;
+    struct pz_row pool[Pz_CRASHES_MAX];
     struct pz_stop stops[Pz_STOPS_MAX];
     size_t stop_count;
     size_t service_count;
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -281,7 +281,7 @@
 Pz_Doubts(const struct pz_table *table, const struct pz_request *request,
           int64_t now)
 {
-    for (size_t i = 0; i < request->count && table->row_count > 0; i++) {
+    for (size_t i = 0; i < request->count && !TAILQ_EMPTY(&table->rows); i++) {
         struct pz_key key = {request->service, request->customer,
                              request->parts[i]};
         if (pz_seen_count(table, &key, now) == 0 &&
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -28,6 +28,7 @@
     KEY_WORK_US,
     KEY_COLD_MS,
     KEY_COLD_PER_SEC,
+    KEY_POISON,
 };
 
 static const struct argp_option option_list[] = {
@@ -52,6 +53,8 @@
     {"cold-per-sec", KEY_COLD_PER_SEC, "N", 0,
      "requests a second that it bears while cold; 0: all", 0},
     {"work-us", KEY_WORK_US, "US", 0, "plain: time of a run", 0},
+    {"poison", KEY_POISON, "TEXT", 0,
+     "end soon after an answer to a prompt with it has begun", 0},
     {0},
 };
 
@@ -130,6 +133,9 @@
     case KEY_EVENT_GAP:
         options->event_gap = (int)number(text);
         break;
+    case KEY_POISON:
+        options->poison = text;
+        break;
     default:
         return parse_times(key, text, options);
     }
--- a/standins/engine_run.c
+++ b/standins/engine_run.c
@@ -5,6 +5,7 @@
 #include <bsd/string.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "standins/answer.h"
@@ -241,11 +242,22 @@
     return (int64_t)((double)usec * run->fault.factor);
 }
 
+/* Ends the process, and with it all its runs, before the first token. */
+static void
+meet_poison(const struct en_run *run)
+{
+    const char *text = run->engine->endpoint->options.poison;
+    if (text != NULL && strstr(run->ask.prompt, text) != NULL) {
+        _exit(EXIT_FAILURE);
+    }
+}
+
 static void
 next_token(void *arg)
 {
     struct en_run *run = arg;
     struct en_engine *engine = run->engine;
+    meet_poison(run);
     if (cut_due(run)) {
         cut(run);
         return;
