Crowd: a host closes unread what it cannot read in time

Seen, by our own test: most new connections go to one host that has a tenth of a processor.

Cause: a host takes all connections, reads and serves them in turn, and works for callers who have left (congestion collapse). Nothing bounded how many are connected, by time or by descriptors.

Change: the loop says how long its turns take; once they have taken too long for a tenth of a second new connections are closed unread, whose callers go elsewhere at once. Half of the descriptors are callers' at the most.

The stand-alone daemon does not do so.

--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -83,6 +83,44 @@
     Xc_Drained(request);
 }
 
+/* Every so often at the most that it is too full. */
+#define Ga_CROWD_TOLD_USEC (1 * Ck_USEC_PER_SEC)
+/* Of the descriptors, callers' connections have this part. */
+#define Ga_CALLERS_FDS_PART 2
+
+static void
+tell_crowd(struct ga_gate *gate)
+{
+    int64_t now = Ga_Now(gate);
+    Mt_Add(gate->count.unread, 1);
+    if (now - gate->crowd_told_at >= Ga_CROWD_TOLD_USEC) {
+        gate->crowd_told_at = now;
+        Ln_Log(LN_FAILURE, "connection.unread",
+               "\"connections\":%zu,\"late\":%d,\"in_all\":%lld",
+               Sv_Connections(gate->callers), gate->crowd.full,
+               (long long)Mt_Value(gate->count.unread));
+    }
+}
+
+static bool
+on_taking(void *arg)
+{
+    struct ga_gate *gate = arg;
+    size_t most = (size_t)gate->options.node->max_fds / Ga_CALLERS_FDS_PART;
+    bool takes = Cr_MayTake(&gate->crowd, Sv_Connections(gate->callers), most);
+    if (!takes) {
+        tell_crowd(gate);
+    }
+    return takes;
+}
+
+static void
+on_turn(void *arg, int64_t usec)
+{
+    struct ga_gate *gate = arg;
+    Cr_Turn(&gate->crowd, usec, Ga_Now(gate));
+}
+
 static void
 on_refused(void *arg, int status, const char *why)
 {
@@ -97,6 +135,7 @@
     .gone = on_gone,
     .drained = on_drained,
     .refused = on_refused,
+    .takes = on_taking,
 };
 
 static bool
@@ -400,6 +439,7 @@
         .refused = counter(gate, "cornelgate_refused_total"),
         .failed = counter(gate, "cornelgate_failed_total"),
         .repeats = counter(gate, "cornelgate_repeats_total"),
+        .unread = counter(gate, "cornelgate_connections_unread_total"),
         .waits = counter(gate, "cornelgate_stream_waits_total"),
         .opened = counter(gate, "cornelgate_connections_opened_total"),
         .made_for_peers =
@@ -548,6 +588,7 @@
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
     }
     Lp_TimerSet(gate->tick, 0);
+    Lp_SetTurn(options->loop, on_turn, gate);
     return ST_OK;
 }
 
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -19,6 +19,7 @@
 #include "edge/truetime.h"
 #include "edge/usage.h"
 #include "edge/zones.h"
+#include "policy/crowd.h"
 #include "web/serve.h"
 #include "web/through.h"
 
@@ -36,6 +37,7 @@
     struct mt_metric *served;
     struct mt_metric *refused;
     struct mt_metric *failed;
+    struct mt_metric *unread; /* connections closed unread */
     struct mt_metric *repeats;
     struct mt_metric *waits;  /* of streams for an endpoint */
     struct mt_metric *opened; /* connections to endpoints */
@@ -72,6 +74,8 @@
     struct pt_paths *paths;
     struct bk_breaks *breaks;
     struct qn_quarantine *quarantine;
+    struct cr_host crowd;
+    int64_t crowd_told_at;
     struct xc_list exchanges;
     struct th_through *through;
     struct wo_work *work;
--- a/packages/web/listening.c
+++ b/packages/web/listening.c
@@ -33,13 +33,15 @@
 };
 
 /*
- * Takes up to "most" connections; returns how many.  True in "empty" when
- * none waits any more.
+ * Takes up to "most" connections, besides those that are closed unread: who
+ * waits behind them would be read too late as well.  Returns how many.  True
+ * in "empty" when none waits any more.
  */
 static size_t
 take(struct ls_listener *listener, size_t most, bool *empty)
 {
     size_t count = 0;
+    size_t closed = 0;
     *empty = false;
     while (count < most) {
         int fd =
@@ -52,8 +54,12 @@
             listener->error = *empty ? listener->error : errno;
             break;
         }
-        listener->lost += listener->fn(listener->arg, fd) ? 0 : 1;
-        count++;
+        enum ls_take end = listener->fn(listener->arg, fd);
+        listener->lost += end == LS_LOST;
+        count += end != LS_CLOSED;
+        if (end == LS_CLOSED && ++closed == Ls_BACKLOG) {
+            break;
+        }
     }
     return count;
 }
--- a/packages/web/listening.h
+++ b/packages/web/listening.h
@@ -22,8 +22,14 @@
 
 struct ls_listener;
 
-/* Takes a connection and owns its descriptor; false when it had to be shut. */
-typedef bool (*ls_accept_fn)(void *arg, int fd);
+/* What became of a connection whose descriptor was handed over. */
+enum ls_take {
+    LS_TAKEN,
+    LS_CLOSED, /* unread, for want of time: the others are asked for at once */
+    LS_LOST,   /* it had to be shut */
+};
+
+typedef enum ls_take (*ls_accept_fn)(void *arg, int fd);
 
 /* How listening ended. */
 struct ls_ending {
--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -53,6 +53,9 @@
     int depth; /* callbacks on the stack */
     bool firing;
     bool stopping;
+    lp_turn_fn turn_fn; /* NULL: nobody asks */
+    void *turn_arg;
+    int64_t turn_at; /* first callback of this turn; 0: none yet */
 };
 
 struct lp_timer {
@@ -75,6 +78,9 @@
 static void
 enter(struct lp_loop *loop)
 {
+    if (loop->turn_fn != NULL && loop->turn_at == 0) {
+        loop->turn_at = Ck_Now(Ck_System());
+    }
     loop->depth++;
 }
 
@@ -304,6 +310,23 @@
     free(loop);
 }
 
+void
+Lp_SetTurn(struct lp_loop *loop, lp_turn_fn fn, void *arg)
+{
+    loop->turn_fn = fn;
+    loop->turn_arg = arg;
+}
+
+static void
+end_turn(struct lp_loop *loop)
+{
+    if (loop->turn_at != 0) {
+        int64_t usec = Ck_Now(Ck_System()) - loop->turn_at;
+        loop->turn_at = 0;
+        loop->turn_fn(loop->turn_arg, usec);
+    }
+}
+
 /* Serves until Lp_Stop(). */
 void
 Lp_Run(struct lp_loop *loop)
@@ -312,6 +335,7 @@
         if (lws_service(loop->context, 0) < 0) {
             break;
         }
+        end_turn(loop);
     }
 }
 
--- a/packages/web/loop.h
+++ b/packages/web/loop.h
@@ -31,6 +31,12 @@
 enum st_status Lp_Create(struct lp_loop **out);
 void Lp_Destroy(struct lp_loop *loop);
 void Lp_Run(struct lp_loop *loop);
+/*
+ * "fn" is called after each turn with the microseconds from its first callback
+ * to its end: what an event that was ready then may have waited.
+ */
+typedef void (*lp_turn_fn)(void *arg, int64_t usec);
+void Lp_SetTurn(struct lp_loop *loop, lp_turn_fn fn, void *arg);
 
 /*
  * Something to be done once no callback of the loop is on the stack.  An
--- a/packages/web/serve.c
+++ b/packages/web/serve.c
@@ -216,33 +216,37 @@
     .drained = on_drained,
 };
 
-static bool
+static enum ls_take
 on_accept(void *arg, int fd)
 {
     struct sv_server *server = arg;
+    if (server->ops->takes != NULL && !server->ops->takes(server->arg)) {
+        close(fd);
+        return LS_CLOSED;
+    }
     struct sv_request *request = calloc(1, sizeof(*request));
     if (request == NULL) {
         close(fd);
-        return false;
+        return LS_LOST;
     }
     request->server = server;
     request->parser = H1_Create(true, &parser_ops, request);
     if (request->parser == NULL) {
         close(fd);
         free(request);
-        return false;
+        return LS_LOST;
     }
     if (Sk_Adopt(server->loop, fd, &sock_ops, request, &request->sock) !=
         ST_OK) {
         H1_Destroy(request->parser);
         free(request);
-        return false;
+        return LS_LOST;
     }
     H1_SetHeadMax(request->parser, server->limits.head_bytes);
     request->moved_at = Ck_Now(server->clock);
     TAILQ_INSERT_TAIL(&server->connections, request, link);
     server->count++;
-    return true;
+    return LS_TAKEN;
 }
 
 /* Listens on "IP:PORT". */
--- a/packages/web/serve.h
+++ b/packages/web/serve.h
@@ -30,6 +30,9 @@
     void (*drained)(void *arg, struct sv_request *request);
     /* A request that was refused by the server itself.  May be NULL. */
     void (*refused)(void *arg, int status, const char *why);
+    /* Whether a connection may be taken; else it is closed unread.  May be
+       NULL. */
+    bool (*takes)(void *arg);
 };
 
 struct sv_limits {
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -147,18 +147,18 @@
     }
 }
 
-static bool
+static enum ls_take
 on_accept(void *arg, int fd)
 {
     struct hs_server *server = arg;
     /* On failure the library has closed the descriptor. */
     struct lws *wsi = lws_adopt_socket_vhost(server->vhost, fd);
     if (wsi == NULL) {
-        return false;
+        return LS_LOST;
     }
     lws_set_opaque_user_data(wsi, &server->mark);
     server->fresh++;
-    return true;
+    return LS_TAKEN;
 }
 
 /*
--- a/packages/web/test/refused_body_test.cc
+++ b/packages/web/test/refused_body_test.cc
@@ -29,7 +29,7 @@
                                      Sv_Reply(request, 200, "", "", 0);
                                  },
                                  [](void *, struct sv_request *) {}, nullptr,
-                                 nullptr};
+                                 nullptr, nullptr};
 
 // Sends a request with a large body to its end, and then reads the answer.
 std::string
--- a/packages/web/test/stop_listening_test.cc
+++ b/packages/web/test/stop_listening_test.cc
@@ -46,7 +46,8 @@
 {
 }
 
-const struct sv_ops kServeOps = {on_served, on_left, nullptr, nullptr};
+const struct sv_ops kServeOps = {on_served, on_left, nullptr, nullptr,
+                                 nullptr};
 
 const int kStepsMost = 1000;
 const int kDescriptorsMost = 1024;
--- a/packages/web/through.c
+++ b/packages/web/through.c
@@ -173,29 +173,29 @@
     .closed = on_closed,
 };
 
-static bool
+static enum ls_take
 on_accept(void *arg, int fd)
 {
     struct th_through *through = arg;
     if (through->count >= through->options.most) {
         close(fd);
-        return false;
+        return LS_LOST;
     }
     struct visit *visit = calloc(1, sizeof(*visit));
     if (visit == NULL) {
         close(fd);
-        return false;
+        return LS_LOST;
     }
     visit->through = through;
     visit->since = Ck_Now(through->options.clock);
     if (Sk_Adopt(through->options.loop, fd, &near_ops, visit, &visit->near) !=
         ST_OK) {
         free(visit);
-        return false;
+        return LS_LOST;
     }
     LIST_INSERT_HEAD(&through->visits, visit, link);
     through->count++;
-    return true;
+    return LS_TAKEN;
 }
 
 enum st_status
