--- a/packages/web/serve.h
+++ b/packages/web/serve.h
@@ -65,6 +65,9 @@
 void Sv_Reply(struct sv_request *request, int status, const char *fields,
               const void *body, size_t len);
 /* "length" of the body, or -1 for chunks. */
+/* Lengths of a body that is not known yet. */
+#define Sv_CHUNKED (-1)
+#define Sv_TO_CLOSE (-2) /* it ends with its connection */
 void Sv_Begin(struct sv_request *request, int status, const char *fields,
               int64_t length);
 void Sv_Write(struct sv_request *request, const void *data, size_t len);
--- a/packages/web/serve_answer.c
+++ b/packages/web/serve_answer.c
@@ -33,7 +33,7 @@
         at += (size_t)sprintf(head + at, "Content-Length: %lld\r\n",
                               (long long)length);
     }
-    else if (length < 0) {
+    else if (length == Sv_CHUNKED) {
         at += (size_t)sprintf(head + at, "Transfer-Encoding: chunked\r\n");
     }
     at += will_keep(request)
@@ -89,7 +89,8 @@
          int64_t length)
 {
     sv_set_phase(request, STREAMING);
-    request->chunked = length < 0;
+    request->chunked = length == Sv_CHUNKED;
+    request->keep = request->keep && length != Sv_TO_CLOSE;
     write_head(request, status, fields, length);
 }
 
