Poison: an end of an endpoint counts once it is known

Cause: all hosts had started again at once, and endpoints that lived reset connections for a second or so, having too many.

Change: what a broken connection accuses counts, and is told, once the endpoint refuses a connection, or has shown no sign of life for half a second; an endpoint that was lost so is connected to for a test.

--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "edge/exchange.h"
+#include "edge/quarantine.h"
 #include "policy/way.h"
 #include "web/dial.h"
 
@@ -212,6 +213,19 @@
     look_at_others(paths, endpoint);
 }
 
+/* An endpoint that refuses everybody has ended. */
+static void
+note_life(const struct making *making, enum wy_end direct, enum wy_end peer)
+{
+    bool came = direct == WY_CAME || peer == WY_CAME;
+    bool refused =
+        direct == WY_FAILED && (peer == WY_FAILED || peer == WY_NOT_TRIED);
+    if (came || refused) {
+        Qn_Tested(making->paths->gate->quarantine, making->endpoint, came,
+                  making->since);
+    }
+}
+
 /* Takes how a connection came, or that it was given up ("result" NULL). */
 static void
 on_made(void *arg, const struct di_result *result)
@@ -223,8 +237,9 @@
             Wy_NoteFailure(&making->paths->failures, making->peer,
                            Ga_Now(making->paths->gate));
         }
-        note(making->paths, making->endpoint, end_of(result, making->direct),
-             peer);
+        enum wy_end direct = end_of(result, making->direct);
+        note(making->paths, making->endpoint, direct, peer);
+        note_life(making, direct, peer);
     }
     end(making);
 }
--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -6,10 +6,6 @@
 
 #include "edge/quarantine_record.h"
 
-/* What came from an endpoint so soon after may have been under way. */
-#define Qn_UNDER_WAY_USEC (50 * Ck_USEC_PER_MSEC)
-/* No endpoint is back so soon after its end. */
-#define Qn_BACK_USEC (1 * Ck_USEC_PER_SEC)
 #define Qn_VERSIONS_EVERY_USEC (1 * Ck_USEC_PER_SEC)
 #define Qn_SERVICES_MAX 16
 /* Requests without a customer are those of one. */
@@ -204,6 +200,7 @@
         .ended_at = true_now(quarantine),
     };
     endpoint->ended_at = Ga_Now(quarantine->gate);
+    endpoint->test_wanted = true;
     Pz_Ended(quarantine->table, &asked, &crash);
     Pz_Judge(quarantine->table, crash.ended_at);
 }
@@ -211,11 +208,24 @@
 void
 Qn_Heard(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint)
 {
-    int64_t since = Ga_Now(quarantine->gate) - endpoint->ended_at;
-    if (endpoint->ended_at != 0 && since > Qn_UNDER_WAY_USEC &&
-        since < Qn_BACK_USEC) {
-        endpoint->ended_at = 0;
-        Pz_Lives(quarantine->table, run_of(endpoint));
+    if (endpoint->ended_at != 0) {
+        Pz_Lives(quarantine->table, run_of(endpoint), true_now(quarantine));
+    }
+}
+
+void
+Qn_Tested(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint,
+          bool came, int64_t since)
+{
+    if (endpoint->ended_at == 0 || since < endpoint->ended_at) {
+        return;
+    }
+    if (came) {
+        Qn_Heard(quarantine, endpoint);
+    }
+    else {
+        Pz_Dead(quarantine->table, run_of(endpoint));
+        Pz_Judge(quarantine->table, true_now(quarantine));
     }
 }
 
@@ -274,7 +284,7 @@
     TAILQ_FOREACH (endpoint, Fl_All(quarantine->gate->fleet), link) {
         if (endpoint->ended_at != 0 && endpoint->way.cut) {
             endpoint->ended_at = 0;
-            Pz_Lives(quarantine->table, run_of(endpoint));
+            Pz_Forget(quarantine->table, run_of(endpoint));
         }
     }
 }
--- a/packages/edge/quarantine.h
+++ b/packages/edge/quarantine.h
@@ -29,6 +29,9 @@
               const struct xc_exchange *exchange);
 /* Bytes came from an endpoint. */
 void Qn_Heard(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint);
+/* A connection to it that was begun at "since" came, or was refused. */
+void Qn_Tested(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint,
+               bool came, int64_t since);
 
 /* Whether a request is not to be sent. */
 #define Qn_WHY_MAX 64
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -4,6 +4,12 @@
 
 #include "policy/poison_internal.h"
 
+/* What came from an endpoint so soon after may have been under way. */
+#define Pz_UNDER_WAY_USEC (50 * Ck_USEC_PER_MSEC)
+/* No endpoint is back so soon after its end. */
+#define Pz_BACK_USEC (1 * Ck_USEC_PER_SEC)
+/* A sign of life comes by then. */
+#define Pz_UNSURE_USEC (500 * Ck_USEC_PER_MSEC)
 /* Endpoints that ended longer ago accuse nothing. */
 #define Pz_CRASH_LASTS_USEC (600 * Ck_USEC_PER_SEC)
 
@@ -125,17 +131,50 @@
 }
 
 void
-Pz_Lives(struct pz_table *table, uint32_t endpoint)
+Pz_Lives(struct pz_table *table, uint32_t endpoint, int64_t at)
 {
     struct pz_row *row;
     struct pz_row *next;
     TAILQ_FOREACH_SAFE (row, &table->rows, link, next) {
-        if (row->crash.endpoint == endpoint) {
+        int64_t since = at - row->crash.ended_at;
+        if (row->crash.endpoint == endpoint && since > Pz_UNDER_WAY_USEC &&
+            since < Pz_BACK_USEC) {
+            remove_row(table, row);
+        }
+    }
+}
+
+void
+Pz_Forget(struct pz_table *table, uint32_t endpoint)
+{
+    struct pz_row *row;
+    struct pz_row *next;
+    TAILQ_FOREACH_SAFE (row, &table->rows, link, next) {
+        if (row->crash.endpoint == endpoint && row->own) {
             remove_row(table, row);
         }
     }
 }
 
+void
+Pz_Dead(struct pz_table *table, uint32_t endpoint)
+{
+    struct pz_row *row;
+    TAILQ_FOREACH (row, &table->rows, link) {
+        if (row->crash.endpoint == endpoint) {
+            row->sure = true;
+            table->changed = true;
+        }
+    }
+}
+
+bool
+pz_counts(const struct pz_row *row, int64_t now)
+{
+    return !row->own || row->sure ||
+           now - row->crash.ended_at >= Pz_UNSURE_USEC;
+}
+
 struct pz_stop *
 pz_find_stop(struct pz_table *table, const struct pz_key *key)
 {
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -102,8 +102,15 @@
 /* The connection of a request ended before its first event. */
 void Pz_Ended(struct pz_table *table, const struct pz_request *request,
               const struct pz_crash *crash);
-/* An endpoint that was taken for ended lives: it accused nothing. */
-void Pz_Lives(struct pz_table *table, uint32_t endpoint);
+/*
+ * A connection may break though its endpoint lives: what it accuses counts,
+ * and is told, once the endpoint is known to have ended, or has shown no sign
+ * of life for a while.  "at": of the sign.
+ */
+void Pz_Lives(struct pz_table *table, uint32_t endpoint, int64_t at);
+/* What broke was the link to it. */
+void Pz_Forget(struct pz_table *table, uint32_t endpoint);
+void Pz_Dead(struct pz_table *table, uint32_t endpoint);
 /*
  * Why the request is not to be sent: a stop, valid until the next call; NULL:
  * it may be.
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -22,7 +22,8 @@
 struct pz_row {
     TAILQ_ENTRY(pz_row) link;
     struct pz_crash crash;
-    bool own; /* a request of this host */
+    bool own;  /* a request of this host */
+    bool sure; /* the endpoint has ended */
     /* As of the last decision. */
     bool stopped;
     bool explained;
@@ -66,6 +67,8 @@
 #define Pz_ANY 0
 
 struct pz_key pz_any(const struct pz_key *key);
+/* Whether the end of its endpoint is known, or has not been denied. */
+bool pz_counts(const struct pz_row *row, int64_t now);
 bool pz_same(const struct pz_key *a, const struct pz_key *b);
 /* NULL: it has not begun, as far as is known. */
 struct pz_seen *pz_find_seen(const struct pz_table *table,
@@ -109,7 +112,8 @@
 };
 
 struct pz_chain pz_find_chain(const struct pz_table *table,
-                              const struct pz_key *key, bool begun);
+                              const struct pz_key *key, bool begun,
+                              int64_t now);
 #ifdef __cplusplus
 }
 #endif
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -23,11 +23,12 @@
 
 /* A part that is stopped accounts for the ends of its endpoints. */
 static void
-find_explained(struct pz_table *table)
+find_explained(struct pz_table *table, int64_t now)
 {
     struct pz_row *row;
     TAILQ_FOREACH (row, &table->rows, link) {
         row->stopped = is_stopped(table, &row->crash.key);
+        table->waits |= !pz_counts(row, now);
         row->explained = false;
     }
     struct pz_row *other;
@@ -60,14 +61,15 @@
 /* The crashes that accuse a part, in order of time. */
 static size_t
 list_accusing(const struct pz_table *table, const struct pz_key *key,
-              bool begun, struct pz_crash *out)
+              bool begun, struct pz_crash *out, int64_t now)
 {
     size_t count = 0;
     int64_t cleared_at = pz_cleared_at(table, key);
     const struct pz_row *row;
     TAILQ_FOREACH (row, &table->rows, link) {
         if (is_of(key, &row->crash) && row->crash.ended_at > cleared_at &&
-            (row->crash.begun || !begun) && !row->explained) {
+            (row->crash.begun || !begun) && !row->explained &&
+            pz_counts(row, now)) {
             out[count++] = row->crash;
         }
     }
@@ -92,11 +94,11 @@
 
 struct pz_chain
 pz_find_chain(const struct pz_table *table, const struct pz_key *key,
-              bool begun)
+              bool begun, int64_t now)
 {
     static struct pz_crash crashes[Pz_CRASHES_MAX];
     struct pz_chain chain = {0};
-    size_t count = list_accusing(table, key, begun, crashes);
+    size_t count = list_accusing(table, key, begun, crashes, now);
     for (size_t i = 0; i < count; i++) {
         const struct pz_crash *crash = &crashes[i];
         chain.customers +=
@@ -129,9 +131,9 @@
     out->key = *key;
     out->seen = pz_seen_count(table, key, now);
     int factor = out->seen > 0 ? rule->known_factor : 1;
-    out->chain = pz_find_chain(table, key, true);
+    out->chain = pz_find_chain(table, key, true, now);
     if (out->chain.length < rule->begun_crashes * factor) {
-        out->chain = pz_find_chain(table, key, false);
+        out->chain = pz_find_chain(table, key, false, now);
         if (out->chain.length < rule->crashes * factor) {
             return false;
         }
@@ -192,7 +194,7 @@
 {
     bool found = false;
     *out = (struct suspect){0};
-    find_explained(table);
+    find_explained(table, now);
     const struct pz_row *row;
     TAILQ_FOREACH (row, &table->rows, link) {
         if (!is_repeated(table, row)) {
@@ -285,7 +287,7 @@
         struct pz_key key = {request->service, request->customer,
                              request->parts[i]};
         if (pz_seen_count(table, &key, now) == 0 &&
-            pz_find_chain(table, &key, false).length >= Pz_DOUBTED) {
+            pz_find_chain(table, &key, false, now).length >= Pz_DOUBTED) {
             return true;
         }
     }
--- a/packages/policy/poison_word.c
+++ b/packages/policy/poison_word.c
@@ -22,7 +22,7 @@
         if (count == most || !is_lately(row->crash.ended_at, now)) {
             break;
         }
-        if (row->own &&
+        if (row->own && pz_counts(row, now) &&
             row->crash.ended_at > pz_cleared_at(table, &row->crash.key)) {
             out[count++] = row->crash;
         }
--- a/packages/policy/test/poison_model.cc
+++ b/packages/policy/test/poison_model.cc
@@ -1,6 +1,7 @@
 #include "policy/test/poison_model.h"
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <queue>
 #include <random>
@@ -18,7 +19,9 @@
 const int64_t kBoot = 3 * kSecond;
 const int64_t kTick = 100 * kMs;
 const int64_t kContact = 3 * kSecond;
-const int64_t kShunned = 400 * kMs;
+const int64_t kSign = 120 * kMs; // until a test has shown what lives
+const int64_t kResetsFrom = 6 * kSecond;
+const int64_t kResetsTo = 9 * kSecond;
 const size_t kMany = 5;
 const size_t kZones = 4;
 const double kNearPerSec = 120;
@@ -132,6 +135,7 @@
                 Arrive();
             }
             Begin();
+            TakeSigns();
             Talk();
             if (next_crash < scene_.crashes.size() &&
                 second >= scene_.crashes[next_crash]) {
@@ -374,7 +378,13 @@
         if (request.bad) {
             CountLate(request);
         }
-        endpoints_[up[random_() % up.size()]].waiting.push_back(request);
+        Endpoint &endpoint = endpoints_[up[random_() % up.size()]];
+        bool resets = now_ > kStart + kResetsFrom && now_ < kStart + kResetsTo;
+        if (resets && Unit() < scene_.resets) {
+            Reset(request, endpoint);
+            return;
+        }
+        endpoint.waiting.push_back(request);
     }
 
     void
@@ -430,6 +440,9 @@
         uint32_t run = endpoint.run;
         endpoint.run = next_run_++;
         endpoint.down_until = now_ + kBoot;
+        for (const Request &request : broken) {
+            signs_.push_back({now_ + kSign, request.host, run, false});
+        }
         for (const Request &request : broken) {
             pz_crash crash = {};
             crash.endpoint = run;
@@ -460,6 +473,40 @@
         }
     }
 
+    // A connection breaks at once, and the endpoint goes on.
+    void
+    Reset(Request request, const Endpoint &endpoint)
+    {
+        pz_table *table = hosts_[request.host].table;
+        pz_crash crash = {};
+        crash.endpoint = endpoint.run;
+        crash.sent_at = request.sent_at;
+        crash.ended_at = At(request.host) + 2 * kMs;
+        Pz_Ended(table, &request.asked, &crash);
+        signs_.push_back({now_ + kSign, request.host, endpoint.run, true});
+        if (request.attempts < kAttempts &&
+            !Pz_Doubts(table, &request.asked, At(request.host))) {
+            Send(request);
+        }
+    }
+
+    // Hosts test what a connection broke to.
+    void
+    TakeSigns()
+    {
+        for (; !signs_.empty() && signs_.front().at <= now_;
+             signs_.pop_front()) {
+            const Sign &sign = signs_.front();
+            pz_table *table = hosts_[sign.host].table;
+            if (sign.lives) {
+                Pz_Lives(table, sign.endpoint, At(sign.host));
+            }
+            else {
+                Pz_Dead(table, sign.endpoint);
+            }
+        }
+    }
+
     void
     CrashSome()
     {
@@ -487,6 +534,13 @@
     int64_t fifth_ = 0; // of the part that came to it last
     size_t restarts_ = 0;
     bool all_restarted_ = false;
+    struct Sign {
+        int64_t at;
+        size_t host;
+        uint32_t endpoint;
+        bool lives;
+    };
+    std::deque<Sign> signs_;
     std::vector<pz_stop> kept_;
     std::priority_queue<Due, std::vector<Due>, std::greater<Due>> due_;
     std::priority_queue<Coming, std::vector<Coming>, std::greater<Coming>>
--- a/packages/policy/test/poison_model.h
+++ b/packages/policy/test/poison_model.h
@@ -25,6 +25,7 @@
     double begin_usec = 80000;        // mean time to the first event
     std::vector<double> crashes = {}; // seconds, of a part of all endpoints
     double crash_part = 0;
+    double resets = 0;        // part of all requests, from second 6 to 9
     double restart_every = 0; // seconds between starts of hosts, one by one
     double restart_all = 0;   // second at which all start again; 0: never
     double seconds = 16;
--- a/packages/policy/test/poison_test.cc
+++ b/packages/policy/test/poison_test.cc
@@ -190,6 +190,7 @@
     for (uint32_t i = 0; i < 5; i++) {
         EXPECT_TRUE(events_.empty());
         End(100 + i, Ask({kDead}), kNow + i * 200 * kMs, false);
+        Pz_Dead(table_, 100 + i);
         Begin(Ask({99}, kOther), kNow + i * 200 * kMs, 2);
         Pz_Judge(table_, kNow + i * 200 * kMs);
     }
@@ -214,6 +215,25 @@
     EXPECT_TRUE(Refused(Ask({kDead})));
 }
 
+// A stop waits for what may be no end, and others are told of it.
+TEST_F(Poison, AnEndCountsOnceItIsKnown)
+{
+    for (uint32_t i = 0; i < 3; i++) {
+        End(100 + i, Ask({kDead}), kNow + i * 100 * kMs);
+    }
+    Begin(Ask({99}, kOther), kNow + 210 * kMs, 2);
+    pz_crash told[8];
+    Pz_Judge(table_, kNow + 250 * kMs);
+    EXPECT_TRUE(events_.empty());
+    EXPECT_EQ(Pz_TellCrashes(table_, told, 8, kNow + 250 * kMs), 0u);
+    for (uint32_t i = 0; i < 3; i++) {
+        Pz_Dead(table_, 100 + i);
+    }
+    EXPECT_EQ(Pz_TellCrashes(table_, told, 8, kNow + 250 * kMs), 3u);
+    Pz_Judge(table_, kNow + 250 * kMs);
+    EXPECT_EQ(events_.size(), 1u);
+}
+
 // A host that has seen little stops what others see begin.
 TEST_F(Poison, WhatOthersSawBeginEndsAStop)
 {
@@ -241,6 +261,7 @@
 {
     EndThree(Ask({kDead}));
     End(200, Ask({kDead}, kOther), kNow + kSecond);
+    Pz_Dead(table_, 200);
     Pz_Judge(table_, kNow + kSecond);
     EXPECT_TRUE(Refused(Ask({kDead}, kOther)));
     EXPECT_TRUE(Refused(Ask({kDead}, kOther + 1)));
@@ -267,7 +288,7 @@
     for (uint32_t i = 0; i < 3; i++) {
         End(100 + i, Ask({kDead}), kNow + i * 200 * kMs);
     }
-    Pz_Lives(table_, 101);
+    Pz_Lives(table_, 101, kNow + 300 * kMs);
     Begin(Ask({99}, kOther), kNow + kSecond, 2);
     Pz_Judge(table_, kNow + kSecond);
     EXPECT_TRUE(events_.empty());
@@ -313,8 +334,10 @@
     pz_request request = Ask({kFirst, kDead});
     Begin(Ask({kFirst}), kNow - kSecond);
     End(100, request, kNow);
+    Pz_Dead(table_, 100);
     EXPECT_FALSE(Pz_Doubts(table_, &request, kNow));
     End(101, request, kNow + 200 * kMs);
+    Pz_Dead(table_, 101);
     EXPECT_TRUE(Pz_Doubts(table_, &request, kNow + 200 * kMs));
     // It is for the part that never began.
     pz_request sound = Ask({kFirst, kDeep});
@@ -454,6 +477,21 @@
         Worst("one in seven, on and on", scene, Shared(), kSeeds).refused, 0);
 }
 
+// Endpoints that live reset connections, as when they have too many.
+TEST(PoisonScenes, NoneIsStoppedForResetsOfLivingEndpoints)
+{
+    PoisonScene scene;
+    scene.poisoned = 0;
+    scene.resets = 0.5;
+    scene.restart_all = 7;
+    scene.seconds = 16;
+    EXPECT_EQ(Worst("resets", scene, Shared(), kSeeds).refused, 0);
+    scene.hosts = 60;
+    scene.endpoints = 60;
+    scene.per_sec = 400;
+    EXPECT_EQ(Worst("resets, 60 hosts", scene, Shared(), kSeeds).refused, 0);
+}
+
 TEST(PoisonScenes, HostsStartAgain)
 {
     PoisonScene scene;
