Poison: an end that nothing denies counts after a second and a half

A dead endpoint refuses connections and counts at once; one that only says nothing counts later. The stand-alone daemon takes refused connections and answers of its engines as such signs.

--- a/packages/gate/quarantine.c
+++ b/packages/gate/quarantine.c
@@ -142,6 +142,20 @@
     Pz_Judge(quarantine->table, now);
 }
 
+void
+Gq_Lives(struct gq_quarantine *quarantine, const char *endpoint)
+{
+    Pz_Lives(quarantine->table, (uint32_t)Hash_String(endpoint, 0),
+             wall_now(quarantine));
+}
+
+void
+Gq_Dead(struct gq_quarantine *quarantine, const char *endpoint)
+{
+    Pz_Dead(quarantine->table, (uint32_t)Hash_String(endpoint, 0));
+    Pz_Judge(quarantine->table, wall_now(quarantine));
+}
+
 bool
 Gq_Refuses(struct gq_quarantine *quarantine, const struct rq_request *request,
            uint32_t *part)
--- a/packages/gate/quarantine.h
+++ b/packages/gate/quarantine.h
@@ -50,6 +50,9 @@
 
 void Gq_Broke(struct gq_quarantine *quarantine,
               const struct rq_request *request, const struct gq_break *broke);
+/* An engine answers, or refuses connections. */
+void Gq_Lives(struct gq_quarantine *quarantine, const char *endpoint);
+void Gq_Dead(struct gq_quarantine *quarantine, const char *endpoint);
 /* Whether a request is not to be sent; "part" is why. */
 bool Gq_Refuses(struct gq_quarantine *quarantine,
                 const struct rq_request *request, uint32_t *part);
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -224,8 +224,12 @@
 take_headers(void *arg, struct hc_call *call, int code)
 {
     struct rl_engine *relay = arg;
-    Rh_Came(relay->request->gate->reach, &relay->tries);
+    struct gt_gate *gate = relay->request->gate;
+    Rh_Came(gate->reach, &relay->tries);
     relay->code = code;
+    if (relay->flight.endpoint != NULL) {
+        Gq_Lives(gate->quarantine, Ch_Info(relay->flight.endpoint)->id);
+    }
 }
 
 static void
@@ -462,6 +466,10 @@
     if (result->code == 0 || result->code == 200) {
         note_broke(relay, result);
     }
+    if (result->stage == HC_CONNECTING && relay->flight.endpoint != NULL) {
+        Gq_Dead(relay->request->gate->quarantine,
+                Ch_Info(relay->flight.endpoint)->id);
+    }
     Re_EndFlight(relay, failure_kind(result->stage, result->code));
     attempt_failed(relay, result->stage);
 }
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -7,9 +7,9 @@
 /* What came from an endpoint so soon after may have been under way. */
 #define Pz_UNDER_WAY_USEC (50 * Ck_USEC_PER_MSEC)
 /* No endpoint is back so soon after its end. */
-#define Pz_BACK_USEC (1 * Ck_USEC_PER_SEC)
+#define Pz_BACK_USEC (1500 * Ck_USEC_PER_MSEC)
 /* A sign of life comes by then. */
-#define Pz_UNSURE_USEC (500 * Ck_USEC_PER_MSEC)
+#define Pz_UNSURE_USEC (1500 * Ck_USEC_PER_MSEC)
 /* Endpoints that ended longer ago accuse nothing. */
 #define Pz_CRASH_LASTS_USEC (600 * Ck_USEC_PER_SEC)
 
--- a/packages/policy/test/poison_test.cc
+++ b/packages/policy/test/poison_test.cc
@@ -76,6 +76,9 @@
         crash.sent_at = at - 40 * kMs;
         crash.ended_at = at;
         Pz_Ended(table_, &request, &crash);
+        if (known_) {
+            Pz_Dead(table_, endpoint);
+        }
     }
 
     void
@@ -119,6 +122,7 @@
 
     std::vector<Event> events_;
     pz_table *table_ = nullptr;
+    bool known_ = true; // that an endpoint has ended
 };
 
 // The part is sent on and on to endpoints that end under it.
@@ -190,7 +194,6 @@
     for (uint32_t i = 0; i < 5; i++) {
         EXPECT_TRUE(events_.empty());
         End(100 + i, Ask({kDead}), kNow + i * 200 * kMs, false);
-        Pz_Dead(table_, 100 + i);
         Begin(Ask({99}, kOther), kNow + i * 200 * kMs, 2);
         Pz_Judge(table_, kNow + i * 200 * kMs);
     }
@@ -218,6 +221,7 @@
 // A stop waits for what may be no end, and others are told of it.
 TEST_F(Poison, AnEndCountsOnceItIsKnown)
 {
+    known_ = false;
     for (uint32_t i = 0; i < 3; i++) {
         End(100 + i, Ask({kDead}), kNow + i * 100 * kMs);
     }
@@ -261,7 +265,6 @@
 {
     EndThree(Ask({kDead}));
     End(200, Ask({kDead}, kOther), kNow + kSecond);
-    Pz_Dead(table_, 200);
     Pz_Judge(table_, kNow + kSecond);
     EXPECT_TRUE(Refused(Ask({kDead}, kOther)));
     EXPECT_TRUE(Refused(Ask({kDead}, kOther + 1)));
@@ -285,6 +288,7 @@
 // A connection that broke by itself counts as the end of its endpoint.
 TEST_F(Poison, AnEndpointThatLivesAccusesNothing)
 {
+    known_ = false;
     for (uint32_t i = 0; i < 3; i++) {
         End(100 + i, Ask({kDead}), kNow + i * 200 * kMs);
     }
@@ -334,10 +338,8 @@
     pz_request request = Ask({kFirst, kDead});
     Begin(Ask({kFirst}), kNow - kSecond);
     End(100, request, kNow);
-    Pz_Dead(table_, 100);
     EXPECT_FALSE(Pz_Doubts(table_, &request, kNow));
     End(101, request, kNow + 200 * kMs);
-    Pz_Dead(table_, 101);
     EXPECT_TRUE(Pz_Doubts(table_, &request, kNow + 200 * kMs));
     // It is for the part that never began.
     pz_request sound = Ask({kFirst, kDeep});
