Poison: one request alone stops no part, and what only waited accounts for no end

Change: a part is stopped for the ends of two requests or more (a request's repeats are the same), so that parts which only came together in one are told apart before; nothing is lifted by another stop any more. A stopped part that only waited does not account for an end where another had begun. A part is stopped for all customers only by ends of answers that had begun, and what another host tells counts at once.

--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -20,7 +20,7 @@
 #define Ms_COUNTED_FIELDS 3
 #define Ms_BRITTLE_FIELDS 2
 #define Ms_KEY_FIELDS 3
-#define Ms_CRASH_FIELDS (Ms_KEY_FIELDS + 5)
+#define Ms_CRASH_FIELDS (Ms_KEY_FIELDS + 6)
 #define Ms_CLEAR_FIELDS (Ms_KEY_FIELDS + 1)
 #define Ms_STOP_FIELDS (Ms_KEY_FIELDS + 2)
 
@@ -170,6 +170,7 @@
         msgpack_pack_int(packer, row->begun);
         msgpack_pack_int64(packer, row->sent_at);
         msgpack_pack_int64(packer, row->ended_at);
+        msgpack_pack_uint32(packer, row->request);
     }
     msgpack_pack_array(packer, word->clear_count * Ms_CLEAR_FIELDS);
     for (size_t i = 0; i < word->clear_count; i++) {
@@ -385,6 +386,7 @@
             .begun = get_number(&row[Ms_KEY_FIELDS + 2]) != 0,
             .sent_at = get_number(&row[Ms_KEY_FIELDS + 3]),
             .ended_at = get_number(&row[Ms_KEY_FIELDS + 4]),
+            .request = (uint32_t)get_number(&row[Ms_KEY_FIELDS + 5]),
         };
     }
     out->clear_count = count_rows(&field[1], Ms_CLEAR_FIELDS, Ms_CLEARS_MAX);
--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -50,6 +50,9 @@
         .service = De_Hash(service->name),
         .customer = tenant == NULL ? Qn_NOBODY : Qt_Hash(tenant->name),
     };
+    if (ask->part_count > 0) {
+        asked.id = Px_Name(&ask->parts[ask->part_count - 1]);
+    }
     asked.customer = asked.customer == 0 ? Qn_NOBODY : asked.customer;
     while (asked.count + 1 < ask->part_count && asked.count < Pz_PARTS_MAX) {
         asked.parts[asked.count] = Px_Name(&ask->parts[asked.count]);
--- a/packages/gate/peer_poison.c
+++ b/packages/gate/peer_poison.c
@@ -6,7 +6,7 @@
 #include "base/packscan.h"
 
 #define Pp_KEY_FIELDS 3
-#define Pp_CRASH_FIELDS (Pp_KEY_FIELDS + 5)
+#define Pp_CRASH_FIELDS (Pp_KEY_FIELDS + 6)
 #define Pp_CLEAR_FIELDS (Pp_KEY_FIELDS + 1)
 #define Pp_STOP_FIELDS (Pp_KEY_FIELDS + 2)
 
@@ -30,6 +30,7 @@
         msgpack_pack_int(packer, row->begun);
         msgpack_pack_int64(packer, row->sent_at);
         msgpack_pack_int64(packer, row->ended_at);
+        msgpack_pack_uint32(packer, row->request);
     }
 }
 
@@ -119,6 +120,7 @@
                 .begun = number(&row[Pp_KEY_FIELDS + 2]) != 0,
                 .sent_at = number(&row[Pp_KEY_FIELDS + 3]),
                 .ended_at = number(&row[Pp_KEY_FIELDS + 4]),
+                .request = (uint32_t)number(&row[Pp_KEY_FIELDS + 5]),
             };
         }
     }
--- a/packages/gate/quarantine.c
+++ b/packages/gate/quarantine.c
@@ -34,6 +34,7 @@
     struct pz_request asked = {
         .service = (uint32_t)Hash_String(request->service->name, 0),
         .customer = (uint32_t)Hash_String(request->customer->name, 0) | 1,
+        .id = (uint32_t)Hash_String(request->id, 0),
     };
     while (asked.count < request->prompt.part_count &&
            asked.count < Pz_PARTS_MAX) {
--- a/packages/gate/quarantine.h
+++ b/packages/gate/quarantine.h
@@ -18,7 +18,7 @@
 #define Gq_RETRY_SEC ((int)(Pz_STOP_LASTS_USEC / Ck_USEC_PER_SEC))
 
 /* What this daemon tells the others, as far as it fits a fact. */
-#define Gq_CRASHES_MAX 6
+#define Gq_CRASHES_MAX 5
 #define Gq_CLEARS_MAX 8
 #define Gq_STOPS_MAX 7
 
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -20,6 +20,7 @@
         .begun_crashes = 3,
         .crashes = 5,
         .known_factor = 2,
+        .requests = 2,
         .others_begun = 2,
         .in_order = true,
         .explains = true,
@@ -84,10 +85,15 @@
     struct pz_row *row = find_row(table, crash);
     if (row != NULL) {
         bool later = crash->sent_at > row->crash.sent_at;
-        table->changed |= later || (crash->begun && !row->crash.begun);
+        table->changed |= later || (crash->begun && !row->crash.begun) ||
+                          (!own && !row->sure);
         row->own |= own;
+        row->sure |= !own;
         row->crash.begun |= crash->begun;
-        row->crash.sent_at = later ? crash->sent_at : row->crash.sent_at;
+        if (later) {
+            row->crash.sent_at = crash->sent_at;
+            row->crash.request = crash->request;
+        }
         return;
     }
     if (TAILQ_EMPTY(&table->spare)) {
@@ -98,6 +104,7 @@
     *row = (struct pz_row){0};
     row->crash = *crash;
     row->own = own;
+    row->sure = !own;
     TAILQ_INSERT_TAIL(&table->rows, row, link);
     table->changed = true;
 }
@@ -110,6 +117,7 @@
         struct pz_crash one = *crash;
         one.key = (struct pz_key){request->service, request->customer,
                                   request->parts[i]};
+        one.request = request->id;
         one.depth = (int)i;
         pz_add_crash(table, &one, true);
     }
@@ -161,7 +169,7 @@
 {
     struct pz_row *row;
     TAILQ_FOREACH (row, &table->rows, link) {
-        if (row->crash.endpoint == endpoint) {
+        if (row->crash.endpoint == endpoint && !row->sure) {
             row->sure = true;
             table->changed = true;
         }
@@ -171,8 +179,7 @@
 bool
 pz_counts(const struct pz_row *row, int64_t now)
 {
-    return !row->own || row->sure ||
-           now - row->crash.ended_at >= Pz_UNSURE_USEC;
+    return row->sure || now - row->crash.ended_at >= Pz_UNSURE_USEC;
 }
 
 struct pz_stop *
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -38,6 +38,7 @@
 struct pz_crash {
     struct pz_key key;
     uint32_t endpoint; /* one run of it */
+    uint32_t request;  /* whose repeats are the same */
     int depth;         /* of the part in the prompt, from 0 */
     bool begun;        /* the answer had begun, without an event */
     int64_t sent_at;
@@ -65,6 +66,7 @@
 struct pz_request {
     uint32_t service;
     uint32_t customer;
+    uint32_t id; /* its repeats have the same */
     uint32_t parts[Pz_PARTS_MAX];
     size_t count;
 };
@@ -74,6 +76,7 @@
     int begun_crashes;   /* of requests whose answer had begun */
     int crashes;         /* of any */
     int known_factor;    /* times as many for a part that has begun before */
+    int requests;        /* that ended them: one may have met others' ends */
     int others_begun;    /* other requests meanwhile */
     bool in_order;       /* each request was sent after the end before */
     bool explains;       /* what stops explains an end */
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -105,6 +105,7 @@
 struct pz_chain {
     int length;
     int customers;
+    int requests;
     uint32_t endpoint; /* the last */
     int64_t first_at;
     int64_t last_at;
--- a/packages/policy/test/poison_model.cc
+++ b/packages/policy/test/poison_model.cc
@@ -309,6 +309,7 @@
         }
         pz_request *asked = &request.asked;
         asked->service = 1;
+        asked->id = ++last_id_;
         asked->customer = static_cast<uint32_t>(customer + 1);
         uint32_t first = kFirst + static_cast<uint32_t>(customer);
         uint32_t dead = kDead + static_cast<uint32_t>(part);
@@ -530,6 +531,7 @@
     };
     std::vector<Ends> ends_;
     uint32_t session_ = 0;
+    uint32_t last_id_ = 0;
     int64_t now_ = kStart;
     int64_t fifth_ = 0; // of the part that came to it last
     size_t restarts_ = 0;
