Quarantine: an endpoint that lives is looked up once; the model is no test program

Read again: after one broken connection to an endpoint every piece of a later answer of it looked through all rows of the decision, for ever; once it cannot be the end's sign any more that is over. The bound of stopped parts stood twice, lifting one stop was public with no caller outside, and the model of poison requests was also built as an empty test program.

--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -211,8 +211,12 @@
 void
 Qn_Heard(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint)
 {
-    if (endpoint->ended_at != 0) {
-        Pz_Lives(quarantine->table, run_of(endpoint), true_now(quarantine));
+    if (endpoint->ended_at == 0) {
+        return;
+    }
+    Pz_Lives(quarantine->table, run_of(endpoint), true_now(quarantine));
+    if (Ga_Now(quarantine->gate) - endpoint->ended_at >= Pz_BACK_USEC) {
+        endpoint->ended_at = 0;
     }
 }
 
@@ -359,10 +363,10 @@
         note_versions(quarantine);
     }
     Pz_Judge(quarantine->table, true_now(quarantine));
-    struct pz_stop stops[Qr_STOPS_MAX];
+    struct pz_stop stops[Pz_STOPS_MAX];
     size_t count = 0;
     if (Ms_Rank(quarantine->gate->mesh) == 0) {
-        count = Pz_TellStops(quarantine->table, stops, Qr_STOPS_MAX);
+        count = Pz_TellStops(quarantine->table, stops, Pz_STOPS_MAX);
     }
     Qr_Tick(quarantine->records, stops, count);
 }
--- a/packages/edge/quarantine_record.c
+++ b/packages/edge/quarantine_record.c
@@ -36,7 +36,7 @@
     bool under_way_gone;
     int64_t under_way_seen;
     size_t count;
-    struct record records[Qr_STOPS_MAX];
+    struct record records[Pz_STOPS_MAX];
 };
 
 struct qr_records *
@@ -74,7 +74,7 @@
 add(struct qr_records *records, const struct pz_stop *stop)
 {
     struct record *record = find(records, &stop->key);
-    if (record == NULL && records->count < Qr_STOPS_MAX) {
+    if (record == NULL && records->count < Pz_STOPS_MAX) {
         record = &records->records[records->count++];
         *record = (struct record){.stop = *stop};
     }
--- a/packages/edge/quarantine_record.h
+++ b/packages/edge/quarantine_record.h
@@ -12,8 +12,6 @@
 extern "C" {
 #endif
 
-#define Qr_STOPS_MAX 64
-
 struct qr_records;
 
 /* "heard" is called for each record that is there at the start. */
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -6,8 +6,6 @@
 
 /* What came from an endpoint so soon after may have been under way. */
 #define Pz_UNDER_WAY_USEC (50 * Ck_USEC_PER_MSEC)
-/* No endpoint is back so soon after its end. */
-#define Pz_BACK_USEC (1500 * Ck_USEC_PER_MSEC)
 /* A sign of life comes by then. */
 #define Pz_UNSURE_USEC (1500 * Ck_USEC_PER_MSEC)
 /* Endpoints that ended longer ago accuse nothing. */
@@ -214,9 +212,9 @@
 }
 
 /* Hosts that still say so are answered that it has begun. */
-void
-Pz_Lift(struct pz_table *table, const struct pz_key *key, const char *why,
-        int64_t now)
+static void
+lift_known(struct pz_table *table, const struct pz_key *key, const char *why,
+           int64_t now)
 {
     pz_see(table, key, 1, now);
     struct pz_stop *stop = pz_find_stop(table, key);
@@ -232,7 +230,7 @@
     for (size_t i = table->stop_count; i > 0; i--) {
         struct pz_key key = table->stops[i - 1].key;
         if (key.service == service) {
-            Pz_Lift(table, &key, why, now);
+            lift_known(table, &key, why, now);
         }
     }
 }
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -57,6 +57,10 @@
     int64_t seen_at; /* last request with it */
 };
 
+/* Parts that are stopped at the same time. */
+#define Pz_STOPS_MAX 64
+/* No endpoint is back so soon after its end. */
+#define Pz_BACK_USEC (1500 * Ck_USEC_PER_MSEC)
 /* A stop ends when no request with the part has come for so long. */
 #define Pz_STOP_LASTS_USEC (600 * Ck_USEC_PER_SEC)
 
@@ -138,10 +142,7 @@
 void Pz_HearClear(struct pz_table *table, const struct pz_clear *clear);
 void Pz_HearStop(struct pz_table *table, const struct pz_stop *stop,
                  int64_t now);
-/* An operator, or another version of the service, ends a stop. */
-void Pz_Lift(struct pz_table *table, const struct pz_key *key, const char *why,
-             int64_t now);
-/* The same for all stops of a service. */
+/* Another version of a service ends its stops. */
 void Pz_LiftService(struct pz_table *table, uint32_t service, const char *why,
                     int64_t now);
 
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -12,7 +12,6 @@
 #endif
 
 #define Pz_CRASHES_MAX 256
-#define Pz_STOPS_MAX 64
 /* Parts whose beginning is kept in mind: so many sets of so many. */
 #define Pz_SETS 1024 /* a power of two */
 #define Pz_WAYS 4
--- a/packages/policy/test/poison_model.cc
+++ b/packages/policy/test/model/poison_model.cc
@@ -1,4 +1,4 @@
-#include "policy/test/poison_model.h"
+#include "policy/test/model/poison_model.h"
 
 #include <algorithm>
 #include <deque>
--- a/packages/policy/test/poison_test.cc
+++ b/packages/policy/test/poison_test.cc
@@ -6,7 +6,7 @@
 
 #include "base/clock.h"
 #include "policy/poison.h"
-#include "policy/test/poison_model.h"
+#include "policy/test/model/poison_model.h"
 
 namespace {
 
