Poison: one codec for the rows that both daemons tell

Rows of a word on parts that end endpoints were packed and read twice, in the words between entry hosts and in the facts of the stand-alone daemon, with the same fields in the same order.

--- a/packages/edge/mesh_word.c
+++ b/packages/edge/mesh_word.c
@@ -7,6 +7,7 @@
 #include "base/packscan.h"
 #include "edge/mesh.h"
 #include "edge/packed.h"
+#include "policy/poison_pack.h"
 
 /* Changed with the layout, so that daemons of two versions do not mix. */
 #define Ms_FORMAT 10
@@ -19,10 +20,6 @@
 #define Ms_PAST_FIELDS 3
 #define Ms_COUNTED_FIELDS 3
 #define Ms_BRITTLE_FIELDS 2
-#define Ms_KEY_FIELDS 3
-#define Ms_CRASH_FIELDS (Ms_KEY_FIELDS + 6)
-#define Ms_CLEAR_FIELDS (Ms_KEY_FIELDS + 1)
-#define Ms_STOP_FIELDS (Ms_KEY_FIELDS + 2)
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -150,39 +147,12 @@
     }
 }
 
-static void
-pack_key(msgpack_packer *packer, const struct pz_key *key)
-{
-    msgpack_pack_uint32(packer, key->service);
-    msgpack_pack_uint32(packer, key->customer);
-    msgpack_pack_uint32(packer, key->part);
-}
-
 static void
 pack_poison(msgpack_packer *packer, const struct ms_word *word)
 {
-    msgpack_pack_array(packer, word->crash_count * Ms_CRASH_FIELDS);
-    for (size_t i = 0; i < word->crash_count; i++) {
-        const struct pz_crash *row = &word->crashes[i];
-        pack_key(packer, &row->key);
-        msgpack_pack_uint32(packer, row->endpoint);
-        msgpack_pack_int(packer, row->depth);
-        msgpack_pack_int(packer, row->begun);
-        msgpack_pack_int64(packer, row->sent_at);
-        msgpack_pack_int64(packer, row->ended_at);
-        msgpack_pack_uint32(packer, row->request);
-    }
-    msgpack_pack_array(packer, word->clear_count * Ms_CLEAR_FIELDS);
-    for (size_t i = 0; i < word->clear_count; i++) {
-        pack_key(packer, &word->clears[i].key);
-        msgpack_pack_int64(packer, word->clears[i].at);
-    }
-    msgpack_pack_array(packer, word->stop_count * Ms_STOP_FIELDS);
-    for (size_t i = 0; i < word->stop_count; i++) {
-        pack_key(packer, &word->stops[i].key);
-        msgpack_pack_int64(packer, word->stops[i].decided_at);
-        msgpack_pack_int64(packer, word->stops[i].seen_at);
-    }
+    Pz_PackCrashes(packer, word->crashes, word->crash_count);
+    Pz_PackClears(packer, word->clears, word->clear_count);
+    Pz_PackStops(packer, word->stops, word->stop_count);
 }
 
 size_t
@@ -364,46 +334,12 @@
     }
 }
 
-static struct pz_key
-get_key(const msgpack_object *row)
-{
-    return (struct pz_key){(uint32_t)get_number(&row[0]),
-                           (uint32_t)get_number(&row[1]),
-                           (uint32_t)get_number(&row[2])};
-}
-
 static void
 get_poison(const msgpack_object *field, struct ms_word *out)
 {
-    out->crash_count = count_rows(&field[0], Ms_CRASH_FIELDS, Ms_CRASHES_MAX);
-    for (size_t i = 0; i < out->crash_count; i++) {
-        const msgpack_object *row =
-            &field[0].via.array.ptr[i * Ms_CRASH_FIELDS];
-        out->crashes[i] = (struct pz_crash){
-            .key = get_key(row),
-            .endpoint = (uint32_t)get_number(&row[Ms_KEY_FIELDS]),
-            .depth = (int)get_number(&row[Ms_KEY_FIELDS + 1]),
-            .begun = get_number(&row[Ms_KEY_FIELDS + 2]) != 0,
-            .sent_at = get_number(&row[Ms_KEY_FIELDS + 3]),
-            .ended_at = get_number(&row[Ms_KEY_FIELDS + 4]),
-            .request = (uint32_t)get_number(&row[Ms_KEY_FIELDS + 5]),
-        };
-    }
-    out->clear_count = count_rows(&field[1], Ms_CLEAR_FIELDS, Ms_CLEARS_MAX);
-    for (size_t i = 0; i < out->clear_count; i++) {
-        const msgpack_object *row =
-            &field[1].via.array.ptr[i * Ms_CLEAR_FIELDS];
-        out->clears[i] =
-            (struct pz_clear){get_key(row), get_number(&row[Ms_KEY_FIELDS])};
-    }
-    out->stop_count = count_rows(&field[2], Ms_STOP_FIELDS, Ms_STOPS_MAX);
-    for (size_t i = 0; i < out->stop_count; i++) {
-        const msgpack_object *row =
-            &field[2].via.array.ptr[i * Ms_STOP_FIELDS];
-        out->stops[i] =
-            (struct pz_stop){get_key(row), get_number(&row[Ms_KEY_FIELDS]),
-                             get_number(&row[Ms_KEY_FIELDS + 1])};
-    }
+    out->crash_count = Pz_ReadCrashes(&field[0], out->crashes, Ms_CRASHES_MAX);
+    out->clear_count = Pz_ReadClears(&field[1], out->clears, Ms_CLEARS_MAX);
+    out->stop_count = Pz_ReadStops(&field[2], out->stops, Ms_STOPS_MAX);
 }
 
 static bool
--- /dev/null
+++ b/packages/policy/poison_pack.h
@@ -0,0 +1,32 @@
+/* Rows of a word on parts that end endpoints (see poison.h), in msgpack. */
+#ifndef POLICY_POISON_PACK_H
+#define POLICY_POISON_PACK_H
+
+#include <msgpack.h>
+
+#include "policy/poison.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Each is an array of numbers, row after row. */
+void Pz_PackCrashes(msgpack_packer *packer, const struct pz_crash *rows,
+                    size_t count);
+void Pz_PackClears(msgpack_packer *packer, const struct pz_clear *rows,
+                   size_t count);
+void Pz_PackStops(msgpack_packer *packer, const struct pz_stop *rows,
+                  size_t count);
+/* Reads at most "most" rows; returns how many, 0 of what is no array. */
+size_t Pz_ReadCrashes(const msgpack_object *list, struct pz_crash *out,
+                      size_t most);
+size_t Pz_ReadClears(const msgpack_object *list, struct pz_clear *out,
+                     size_t most);
+size_t Pz_ReadStops(const msgpack_object *list, struct pz_stop *out,
+                    size_t most);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
