Log and count what tells why a version or a full endpoint got a request

Three hypotheses stand for a bad version that gets more than its share (evidence is lost, a way round the share, a share that grows by the clock) and three for brittle endpoints that fall over (hosts that do not know enough, a late estimate, several refusals of one request). Neither log nor metrics told them apart:

- endpoint.refused: known as brittle or not, rank, hosts known, requests counted there, time since the endpoint was listed; cornelgate_endpoint_refusals_total
- move.share: the answers of both versions and the bad ones, as this host knew them
- cornelgate_version_sent_total by the reason for the version
- cornelgate_version_unjudged_total: attempts that told nothing about the version

--- a/packages/edge/brittle.c
+++ b/packages/edge/brittle.c
@@ -1,7 +1,10 @@
 #include "edge/brittle.h"
 
+#include <stdio.h>
 #include <string.h>
 
+#define Bt_LABELS_MAX (Ec_NAME_MAX + 64)
+
 static bool
 same_service(const struct fl_endpoint *a, const struct fl_endpoint *b)
 {
@@ -180,8 +183,31 @@
     Br_Sent(&endpoint->brittle, Ga_Now(gate));
 }
 
+static void
+log_refused(struct ga_gate *gate, const struct fl_endpoint *endpoint)
+{
+    int64_t now = Ga_Now(gate);
+    const struct br_state *state = &endpoint->brittle;
+    bool brittle = Br_IsBrittle(state, now);
+    Ln_Log(LN_FAILURE, "endpoint.refused",
+           "\"endpoint\":\"%s\",\"service\":\"%s\",\"brittle\":%d,"
+           "\"rank\":%zu,\"hosts\":%zu,\"running\":%d,\"others\":%d,"
+           "\"slots\":%d,\"listed_ms\":%lld",
+           endpoint->entry.id, endpoint->entry.service, brittle, state->rank,
+           Ms_CountAll(gate->mesh), endpoint->running, endpoint->peers_running,
+           endpoint->entry.slots,
+           (long long)((now - endpoint->first_entry_at) / Ck_USEC_PER_MSEC));
+    char labels[Bt_LABELS_MAX];
+    snprintf(labels, sizeof(labels), "service=\"%s\",brittle=\"%d\"",
+             endpoint->entry.service, brittle);
+    Mt_Add(Mt_Get(gate->registry, MT_COUNTER,
+                  "cornelgate_endpoint_refusals_total", labels),
+           1);
+}
+
 void
-Bt_NoteRefused(const struct ga_gate *gate, struct fl_endpoint *endpoint)
+Bt_NoteRefused(struct ga_gate *gate, struct fl_endpoint *endpoint)
 {
+    log_refused(gate, endpoint);
     Br_Refused(&endpoint->brittle, Ga_Now(gate));
 }
--- a/packages/edge/brittle.h
+++ b/packages/edge/brittle.h
@@ -25,8 +25,11 @@
 /* Whether the endpoint is brittle and must get no request now. */
 bool Bt_IsClosed(const struct ga_gate *gate, struct fl_endpoint *endpoint);
 void Bt_NoteSent(const struct ga_gate *gate, struct fl_endpoint *endpoint);
-/* The endpoint refused a request because it was full. */
-void Bt_NoteRefused(const struct ga_gate *gate, struct fl_endpoint *endpoint);
+/*
+ * The endpoint refused a request because it was full; logs on what knowledge
+ * the request was sent.
+ */
+void Bt_NoteRefused(struct ga_gate *gate, struct fl_endpoint *endpoint);
 
 #ifdef __cplusplus
 }
--- a/packages/edge/broken.c
+++ b/packages/edge/broken.c
@@ -58,7 +58,7 @@
     drop_oldest(breaks);
 }
 
-void
+bool
 Bk_Note(struct bk_breaks *breaks, const struct xc_exchange *exchange)
 {
     struct ga_gate *gate = breaks->gate;
@@ -67,7 +67,7 @@
     /* A connection that a peer relays may have broken at the peer. */
     if (Ro_Find(gate->moves, endpoint->entry.service) == NULL ||
         Cn_Peer(attempt->channel) != 0) {
-        return;
+        return false;
     }
     if (breaks->count == Bk_LIST_MAX) {
         count_oldest(breaks);
@@ -76,7 +76,7 @@
     if (broken == NULL) {
         Ln_Log(LN_FAILURE, "break.lost", "\"endpoint\":\"%s\"",
                endpoint->entry.id);
-        return;
+        return false;
     }
     broken->endpoint = Fl_Ref(endpoint);
     strlcpy(broken->route, exchange->route->name, sizeof(broken->route));
@@ -85,6 +85,7 @@
     STAILQ_INSERT_TAIL(&breaks->list, broken, link);
     breaks->count++;
     endpoint->probe_wanted |= !endpoint->link_state.cut;
+    return true;
 }
 
 void
--- a/packages/edge/broken.h
+++ b/packages/edge/broken.h
@@ -16,8 +16,11 @@
 
 struct bk_breaks *Bk_Create(struct ga_gate *gate);
 void Bk_Destroy(struct bk_breaks *breaks);
-/* The connection of the current attempt broke. */
-void Bk_Note(struct bk_breaks *breaks, const struct xc_exchange *exchange);
+/*
+ * The connection of the current attempt broke.  Returns false if the break
+ * tells nothing about the endpoint's version.
+ */
+bool Bk_Note(struct bk_breaks *breaks, const struct xc_exchange *exchange);
 /*
  * Counts the broken connections whose link is not cut; to be called every
  * Ga_TICK_USEC.
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -84,6 +84,16 @@
     return attempt->head_at == 0 ? 0 : now - attempt->head_at;
 }
 
+/* How an attempt ended that tells nothing about the endpoint's version. */
+static const char *
+unjudged_reason(const struct xc_attempt *attempt)
+{
+    if (attempt->head_at == 0) {
+        return "unanswered";
+    }
+    return attempt->answer.not_run ? "refused" : "incomplete";
+}
+
 void
 Xc_ReleaseAttempt(struct xc_exchange *exchange)
 {
@@ -99,6 +109,11 @@
         attempt->channel != NULL && Cn_Sent(attempt->channel)) {
         Xc_CountRun(exchange);
     }
+    if (!attempt->judged &&
+        Ro_IsRunning(exchange->gate->moves, exchange->service->name)) {
+        Vs_CountUnjudged(exchange->gate->registry, &attempt->endpoint->entry,
+                         unjudged_reason(attempt));
+    }
     attempt->endpoint->running--;
     De_RecordEnd(exchange->gate->demand, exchange->service->name,
                  slot_usec(exchange));
@@ -346,6 +361,9 @@
     exchange->silence_handled = false;
     exchange->link_tested = false;
     log_sent(exchange);
+    if (target->version_why != NULL) {
+        Vs_CountSent(gate->registry, &endpoint->entry, target->version_why);
+    }
     Cn_Send(channel, head, head_len, body, body_len,
             H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
             exchange);
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -27,7 +27,8 @@
     struct bf_buffer body;
     bool overflow;
     bool events_missing; /* the stream skipped events */
-    bool slow; /* the first byte took several times as long as usual */
+    bool slow;   /* the first byte took several times as long as usual */
+    bool judged; /* counted for or against the endpoint's version */
     struct es_parser parser;
 };
 
@@ -78,6 +79,8 @@
 struct xc_target {
     struct fl_endpoint *endpoint;
     int64_t prefill_tokens; /* prompt tokens it is expected to read */
+    /* why its version was chosen; NULL: the service is not being moved */
+    const char *version_why;
 };
 
 enum pl_verdict Xc_Choose(struct xc_exchange *exchange, struct xc_target *out);
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -259,12 +259,14 @@
         /* A begun stream resumes at the version that most endpoints have. */
         pick = RO_NEW_FIRST;
     }
+    out->version_why = move == NULL ? NULL : "share";
     select_endpoints(exchange, pick, &selection);
     enum pl_verdict verdict = choose_among(exchange, &selection, out);
     if (verdict == PL_CHOSEN || pick == RO_ANY || pick == RO_OLD_ONLY ||
         (pick == RO_OLD && selection.count > 0)) {
         return verdict;
     }
+    out->version_why = selection.count == 0 ? "none-listed" : "none-free";
     select_endpoints(exchange,
                      pick == RO_NEW_FIRST ? RO_OLD_ONLY : RO_NEW_FIRST,
                      &selection);
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -245,6 +245,7 @@
     struct ga_gate *gate = exchange->gate;
     const char *service = exchange->service->name;
     const struct ro_move *move = Ro_Find(gate->moves, service);
+    exchange->attempt.judged = true;
     if (move != NULL) {
         Ro_RecordAnswer(gate->moves, service, exchange->route->name,
                         Ga_HasTargetVersion(move, exchange->attempt.endpoint),
@@ -406,7 +407,7 @@
         break;
     case CN_BROKEN:
         note_broken(exchange);
-        Bk_Note(exchange->gate->breaks, exchange);
+        exchange->attempt.judged = Bk_Note(exchange->gate->breaks, exchange);
         if (attempt->head_at == 0) {
             exchange->runs++;
             Xc_CountRun(exchange);
--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -114,6 +114,13 @@
     return NULL;
 }
 
+bool
+Ro_IsRunning(struct ro_table *table, const char *service)
+{
+    const struct ro_move *move = Ro_Find(table, service);
+    return move != NULL && move->state == RO_RUNNING;
+}
+
 static struct ro_move *
 find_by_hash(struct ro_table *table, uint32_t service, int64_t order)
 {
@@ -171,17 +178,49 @@
            (long long)move->order.number, Ro_StateName(state), why);
 }
 
+static void
+add_count(struct ro_count *to, const struct ro_count *addend)
+{
+    to->answers += addend->answers;
+    to->bad += addend->bad;
+}
+
+static void
+sum_row(const struct ro_row *row, struct ro_count sums[2])
+{
+    for (int version = OLD_VERSION; version <= NEW_VERSION; version++) {
+        add_count(&sums[version], &row->own[version]);
+        add_count(&sums[version], &row->peers[version]);
+    }
+}
+
+/* Adds up the answers of all routes, and how many of them failed. */
+static void
+sum_failures(const struct ro_move *move, struct ro_count sums[2])
+{
+    for (size_t i = 0; i < move->row_count; i++) {
+        if (!Ro_IsSlowKey(move->rows[i].key)) {
+            sum_row(&move->rows[i], sums);
+        }
+    }
+}
+
 static void
 set_share(struct ro_move *move, int share)
 {
     if (share == move->share) {
         return;
     }
+    struct ro_count all[2] = {{0, 0}, {0, 0}};
+    sum_failures(move, all);
     Ln_Log(LN_STATE, "move.share",
            "\"service\":\"%s\",\"target\":\"%s\",\"order\":%lld,"
-           "\"before\":%d,\"share\":%d",
+           "\"before\":%d,\"share\":%d,\"answers\":%u,\"bad\":%u,"
+           "\"old_answers\":%u,\"old_bad\":%u",
            move->order.service, move->order.target,
-           (long long)move->order.number, move->share, share);
+           (long long)move->order.number, move->share, share,
+           all[NEW_VERSION].answers, all[NEW_VERSION].bad,
+           all[OLD_VERSION].answers, all[OLD_VERSION].bad);
     move->share = share;
 }
 
@@ -259,13 +298,6 @@
     }
 }
 
-static void
-add_count(struct ro_count *to, const struct ro_count *addend)
-{
-    to->answers += addend->answers;
-    to->bad += addend->bad;
-}
-
 void
 Ro_AddPeerOutcomes(struct ro_table *table, const struct ro_outcomes *rows,
                    size_t count)
@@ -296,15 +328,6 @@
     set_state(move, status->state, "told");
 }
 
-static void
-sum_row(const struct ro_row *row, struct ro_count sums[2])
-{
-    for (int version = OLD_VERSION; version <= NEW_VERSION; version++) {
-        add_count(&sums[version], &row->own[version]);
-        add_count(&sums[version], &row->peers[version]);
-    }
-}
-
 static void
 roll_back(struct ro_move *move, const struct ro_count sums[2])
 {
@@ -404,11 +427,7 @@
 new_version_answers(const struct ro_move *move)
 {
     struct ro_count all[2] = {{0, 0}, {0, 0}};
-    for (size_t i = 0; i < move->row_count; i++) {
-        if (!Ro_IsSlowKey(move->rows[i].key)) {
-            sum_row(&move->rows[i], all);
-        }
-    }
+    sum_failures(move, all);
     return all[NEW_VERSION].answers;
 }
 
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -158,6 +158,8 @@
 void Ro_Advance(struct ro_table *table, struct ro_move *move,
                 const struct ro_endpoint_counts *counts);
 
+/* Whether the service is being moved and the move has not ended. */
+bool Ro_IsRunning(struct ro_table *table, const char *service);
 struct ro_move *Ro_Find(struct ro_table *table, const char *service);
 /* NULL past the last move */
 struct ro_move *Ro_At(struct ro_table *table, size_t index);
--- a/packages/edge/versions.c
+++ b/packages/edge/versions.c
@@ -4,6 +4,31 @@
 
 #define Vs_LABELS_MAX (4 * Ec_NAME_MAX + 64)
 
+static void
+count_by_reason(struct mt_registry *registry, const char *name,
+                const struct fl_entry *entry, const char *why)
+{
+    char labels[Vs_LABELS_MAX];
+    snprintf(labels, sizeof(labels),
+             "service=\"%s\",version=\"%s\",why=\"%s\"", entry->service,
+             entry->version, why);
+    Mt_Add(Mt_Get(registry, MT_COUNTER, name, labels), 1);
+}
+
+void
+Vs_CountSent(struct mt_registry *registry, const struct fl_entry *entry,
+             const char *why)
+{
+    count_by_reason(registry, "cornelgate_version_sent_total", entry, why);
+}
+
+void
+Vs_CountUnjudged(struct mt_registry *registry, const struct fl_entry *entry,
+                 const char *why)
+{
+    count_by_reason(registry, "cornelgate_version_unjudged_total", entry, why);
+}
+
 void
 Vs_CountAnswer(struct mt_registry *registry, const struct fl_entry *entry)
 {
