--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -720,6 +720,19 @@
     EXPECT_STREQ("brittle", Ch_Obstacle(Ch_Find(t.table, "a1"), t.now));
 }
 
+// Guards against an endpoint that joins after the report and is taken for one
+// that queues requests.
+TEST(Choose, AnEndpointThatJoinsABrittleServiceIsBrittle)
+{
+    Table t;
+    t.put("a1");
+    ASSERT_EQ(ST_OK, Ch_SetRefusalLimit(t.table, "a1", 6, t.now));
+    t.put("a2");
+    EXPECT_TRUE(Ch_IsBrittle(Ch_Find(t.table, "a2"), t.now));
+    Ch_SetRefusalLimit(t.table, "a1", -1, t.now + 1);
+    EXPECT_FALSE(Ch_IsBrittle(Ch_Find(t.table, "a2"), t.now + 1));
+}
+
 // Guards against sending to a brittle endpoint again within the second over
 // which it counts refusals.
 TEST(Choose, ABrittleEndpointGetsNothingForASecondAfterARefusal)
