Keep what is known of a brittle service with the service, not its endpoints

What callers saw: endpoints that say how few refusals they bear fell over one after the other while endpoints joined, and each that fell and came back joined again.

Cause: the limit was written into the endpoints that were listed when the word came. One that was listed later started as one that queues, at all hosts at once, until the next answer or report; reports were skipped while the first endpoint of the service had a recent one. Besides, turns of hosts of low rank were staggered from the time when the host learned of the limit only: at an endpoint that joined later all had their first turn at once. Class: what holds for a group, kept with its members.

--- a/packages/edge/brittle.c
+++ b/packages/edge/brittle.c
@@ -5,119 +5,67 @@
 
 #define Bt_LABELS_MAX (Ec_NAME_MAX + 64)
 
-static bool
-same_service(const struct fl_endpoint *a, const struct fl_endpoint *b)
-{
-    return strcmp(a->entry.service, b->entry.service) == 0;
-}
-
 static void
-log_change(const struct fl_endpoint *endpoint, int max_refusals,
-           const char *by)
+log_change(const struct fl_service *service, int max_refusals, const char *by)
 {
     Ln_Log(LN_STATE, "service.brittle",
-           "\"service\":\"%s\",\"most\":%d,\"by\":\"%s\"",
-           endpoint->entry.service, max_refusals, by);
-}
-
-static void
-mark_service(struct ga_gate *gate, struct fl_endpoint *endpoint,
-             int max_refusals)
-{
-    int64_t now = Ga_Now(gate);
-    if (!Br_IsBrittle(&endpoint->brittle, now)) {
-        log_change(endpoint, max_refusals, "answer");
-    }
-    struct fl_endpoint *other;
-    TAILQ_FOREACH (other, Fl_All(gate->fleet), link) {
-        if (same_service(other, endpoint)) {
-            Br_NoteEndpointReport(&other->brittle, max_refusals, now);
-        }
-    }
-    endpoint->brittle.self_reported = true;
-}
-
-static void
-clear_service(struct ga_gate *gate, const struct fl_endpoint *endpoint)
-{
-    log_change(endpoint, -1, "answer");
-    struct fl_endpoint *other;
-    TAILQ_FOREACH (other, Fl_All(gate->fleet), link) {
-        if (same_service(other, endpoint)) {
-            Br_Clear(&other->brittle);
-        }
-    }
+           "\"service\":\"%s\",\"most\":%d,\"by\":\"%s\"", service->name,
+           max_refusals, by);
 }
 
+/* An endpoint that has left the list tells nothing about its service. */
 void
 Bt_NoteAnswer(struct ga_gate *gate, struct fl_endpoint *endpoint,
               int max_refusals, int64_t sent_at)
 {
-    if (max_refusals >= 0) {
-        mark_service(gate, endpoint, max_refusals);
-    }
-    else if (Br_IsWithdrawn(&endpoint->brittle, sent_at)) {
-        clear_service(gate, endpoint);
+    struct fl_service *service = endpoint->service;
+    int64_t now = Ga_Now(gate);
+    if (service == NULL) {
+        return;
     }
-}
-
-static bool
-is_listed(const struct ms_message *message, uint32_t service)
-{
-    for (size_t i = 0; i < message->refusal_limit_count; i++) {
-        if (message->refusal_limits[i].service == service) {
-            return true;
+    if (max_refusals >= 0) {
+        if (!Br_IsBrittle(&service->brittle, now)) {
+            log_change(service, max_refusals, "answer");
         }
+        Br_NoteEndpointReport(&service->brittle, &endpoint->brittle,
+                              max_refusals, now);
+    }
+    else if (Br_IsWithdrawn(&service->brittle, &endpoint->brittle, sent_at)) {
+        log_change(service, -1, "answer");
+        Br_Clear(&service->brittle);
     }
-    return false;
 }
 
 void
 Bt_FillMessage(const struct ga_gate *gate, struct ms_message *message)
 {
     int64_t now = Ga_Now(gate);
-    const struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        if (message->refusal_limit_count == Ms_REFUSAL_LIMITS_MAX) {
-            break;
-        }
-        if (!Br_ShouldReport(&endpoint->brittle, now)) {
-            continue;
-        }
-        uint32_t service = De_Hash(endpoint->entry.service);
-        if (!is_listed(message, service)) {
+    const struct fl_service *service;
+    TAILQ_FOREACH (service, Fl_Services(gate->fleet), link) {
+        if (message->refusal_limit_count < Ms_REFUSAL_LIMITS_MAX &&
+            Br_ShouldReport(&service->brittle, now)) {
             message->refusal_limits[message->refusal_limit_count++] =
-                (struct ms_refusal_limit){service,
-                                          endpoint->brittle.refusal_limit};
+                (struct ms_refusal_limit){De_Hash(service->name),
+                                          service->brittle.refusal_limit};
         }
     }
 }
 
-/*
- * Applies a peer's report to all endpoints of the service, but returns early
- * when one was applied recently: hundreds of peers repeat the same report
- * several times a second.
- */
+/* Hundreds of peers repeat the same report several times a second. */
 static void
 apply_report(struct ga_gate *gate, const struct ms_refusal_limit *report,
              int64_t now)
 {
-    const struct fl_endpoint *first = NULL;
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        if (De_Hash(endpoint->entry.service) != report->service) {
+    struct fl_service *service;
+    TAILQ_FOREACH (service, Fl_Services(gate->fleet), link) {
+        if (Br_IsPeerReportRecent(&service->brittle, now) ||
+            De_Hash(service->name) != report->service) {
             continue;
         }
-        if (first == NULL) {
-            first = endpoint;
-            if (Br_IsPeerReportRecent(&endpoint->brittle, now)) {
-                return;
-            }
-            if (!Br_IsBrittle(&endpoint->brittle, now)) {
-                log_change(endpoint, report->refusals_per_sec, "peer");
-            }
+        if (!Br_IsBrittle(&service->brittle, now)) {
+            log_change(service, report->refusals_per_sec, "peer");
         }
-        Br_NotePeerReport(&endpoint->brittle, report->refusals_per_sec, now);
+        Br_NotePeerReport(&service->brittle, report->refusals_per_sec, now);
     }
 }
 
@@ -131,27 +79,25 @@
 
 /* Updates this host's rank (see Wu_Rank()) at a service's endpoints. */
 static void
-update_ranks(const struct ga_gate *gate, const struct fl_endpoint *endpoint)
+update_ranks(const struct ga_gate *gate, const struct fl_service *service)
 {
     int64_t now = Ga_Now(gate);
     struct wu_hosts hosts;
     Ms_ListSenders(gate->mesh, &hosts);
     struct fl_endpoint *best = NULL;
-    struct fl_endpoint *other;
+    struct fl_endpoint *endpoint;
     size_t count = 0;
-    TAILQ_FOREACH (other, Fl_All(gate->fleet), link) {
-        count += same_service(other, endpoint) && Fl_Usable(other);
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        count += endpoint->service == service && Fl_Usable(endpoint);
     }
-    TAILQ_FOREACH (other, Fl_All(gate->fleet), link) {
-        if (!same_service(other, endpoint) || !Fl_Usable(other)) {
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (endpoint->service != service || !Fl_Usable(endpoint)) {
             continue;
         }
-        other->brittle.rank = Wu_Rank(&hosts, other->hash);
-        other->brittle.rank_at = now;
-        other->brittle.best = false;
-        other->brittle.endpoint_count = count;
-        if (best == NULL || other->brittle.rank < best->brittle.rank) {
-            best = other;
+        size_t rank = Wu_Rank(&hosts, endpoint->hash);
+        Br_SetRank(&endpoint->brittle, rank, count, now);
+        if (best == NULL || rank < best->brittle.rank) {
+            best = endpoint;
         }
     }
     if (best != NULL) {
@@ -163,16 +109,18 @@
 Bt_IsClosed(const struct ga_gate *gate, struct fl_endpoint *endpoint)
 {
     int64_t now = Ga_Now(gate);
+    const struct fl_service *service = endpoint->service;
     const struct br_state *state = &endpoint->brittle;
-    if (!Br_IsBrittle(state, now)) {
+    if (service == NULL || !Br_IsBrittle(&service->brittle, now)) {
         return false;
     }
     if (Br_RankIsOld(state, now)) {
-        update_ranks(gate, endpoint);
+        update_ranks(gate, service);
     }
-    struct br_quota quota = Br_Quota(
-        state->refusal_limit, Ms_CountAll(gate->mesh), state->endpoint_count);
-    return !Br_MaySend(state, &quota,
+    struct br_quota quota =
+        Br_Quota(service->brittle.refusal_limit, Ms_CountAll(gate->mesh),
+                 state->endpoint_count);
+    return !Br_MaySend(&service->brittle, state, &quota,
                        endpoint->running + endpoint->peers_running,
                        endpoint->entry.slots, now);
 }
@@ -188,7 +136,8 @@
 {
     int64_t now = Ga_Now(gate);
     const struct br_state *state = &endpoint->brittle;
-    bool brittle = Br_IsBrittle(state, now);
+    bool brittle = endpoint->service != NULL &&
+                   Br_IsBrittle(&endpoint->service->brittle, now);
     Ln_Log(LN_FAILURE, "endpoint.refused",
            "\"endpoint\":\"%s\",\"service\":\"%s\",\"brittle\":%d,"
            "\"rank\":%zu,\"hosts\":%zu,\"running\":%d,\"others\":%d,"
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -15,6 +15,7 @@
     const struct ck_clock *clock;
     struct fl_list endpoints;
     struct fl_tree by_hash;
+    struct fl_services services;
     int64_t hold_removals_until;
     size_t evacuated_count;
     char evacuated[Fl_EVACUATED_MAX][Ec_NAME_MAX];
@@ -37,10 +38,64 @@
         fleet->clock = clock;
         TAILQ_INIT(&fleet->endpoints);
         RB_INIT(&fleet->by_hash);
+        TAILQ_INIT(&fleet->services);
     }
     return fleet;
 }
 
+static struct fl_service *
+find_or_add_service(struct fl_fleet *fleet, const char *name)
+{
+    struct fl_service *service;
+    TAILQ_FOREACH (service, &fleet->services, link) {
+        if (strcmp(service->name, name) == 0) {
+            return service;
+        }
+    }
+    service = calloc(1, sizeof(*service));
+    if (service != NULL) {
+        strlcpy(service->name, name, sizeof(service->name));
+        TAILQ_INSERT_TAIL(&fleet->services, service, link);
+    }
+    return service;
+}
+
+static void
+set_service(struct fl_endpoint *endpoint, struct fl_service *service)
+{
+    if (endpoint->service != NULL) {
+        endpoint->service->endpoint_count--;
+    }
+    endpoint->service = service;
+    if (service != NULL) {
+        service->endpoint_count++;
+    }
+}
+
+static void
+remove_service(struct fl_fleet *fleet, struct fl_service *service)
+{
+    TAILQ_REMOVE(&fleet->services, service, link);
+    free(service);
+}
+
+/*
+ * A service that has lost all endpoints is kept while it is brittle: the next
+ * endpoint that joins it is brittle too.
+ */
+static void
+remove_unused_services(struct fl_fleet *fleet, int64_t now)
+{
+    struct fl_service *service;
+    struct fl_service *next;
+    TAILQ_FOREACH_SAFE (service, &fleet->services, link, next) {
+        if (service->endpoint_count == 0 &&
+            !Br_IsBrittle(&service->brittle, now)) {
+            remove_service(fleet, service);
+        }
+    }
+}
+
 bool
 Fl_SameEntry(const struct fl_entry *before, const struct fl_entry *now)
 {
@@ -101,6 +156,7 @@
     close_idle(endpoint);
     TAILQ_REMOVE(&fleet->endpoints, endpoint, link);
     RB_REMOVE(fl_tree, &fleet->by_hash, endpoint);
+    set_service(endpoint, NULL);
     Fl_Unref(endpoint);
 }
 
@@ -115,6 +171,10 @@
     TAILQ_FOREACH_SAFE (endpoint, &fleet->endpoints, link, next) {
         remove_endpoint(fleet, endpoint);
     }
+    struct fl_service *service;
+    while ((service = TAILQ_FIRST(&fleet->services)) != NULL) {
+        remove_service(fleet, service);
+    }
     free(fleet);
 }
 
@@ -165,6 +225,10 @@
 Fl_Apply(struct fl_fleet *fleet, const struct fl_entry *entry)
 {
     struct fl_endpoint *endpoint = Fl_Find(fleet, entry->id);
+    struct fl_service *service = find_or_add_service(fleet, entry->service);
+    if (service == NULL) {
+        return;
+    }
     if (endpoint != NULL &&
         (endpoint->entry.started_ms != entry->started_ms ||
          strcmp(endpoint->entry.address, entry->address) != 0)) {
@@ -184,6 +248,7 @@
     bool was_draining = endpoint->entry.draining;
     bool draining = was_draining || entry->draining;
     bool is_first = endpoint->entry.id[0] == '\0';
+    set_service(endpoint, service);
     endpoint->entry = *entry;
     endpoint->entry.draining = draining;
     endpoint->removal_held_since = 0;
@@ -243,6 +308,7 @@
             remove_endpoint(fleet, endpoint);
         }
     }
+    remove_unused_services(fleet, now);
 }
 
 void
@@ -342,6 +408,12 @@
     return &fleet->endpoints;
 }
 
+const struct fl_services *
+Fl_Services(const struct fl_fleet *fleet)
+{
+    return &fleet->services;
+}
+
 /*
  * Returns whether new requests may go to the endpoint, apart from its health.
  */
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -44,12 +44,23 @@
 
 TAILQ_HEAD(fl_idle_list, fl_idle);
 
+/* What this daemon knows of a service, apart from its endpoints. */
+struct fl_service {
+    TAILQ_ENTRY(fl_service) link;
+    char name[Ec_NAME_MAX];
+    size_t endpoint_count;
+    struct br_service brittle;
+};
+
+TAILQ_HEAD(fl_services, fl_service);
+
 struct fl_endpoint {
     TAILQ_ENTRY(fl_endpoint) link;
     RB_ENTRY(fl_endpoint) by_hash;
     int refs;
     uint32_t hash; /* of the ID; identifies the endpoint between daemons */
     struct fl_entry entry;
+    struct fl_service *service;
     bool gone;      /* its entry was removed */
     bool evacuated; /* its data centre is evacuated: no new requests */
     int64_t removal_held_since; /* start of its removal's hold; 0: none */
@@ -131,6 +142,7 @@
 void Fl_ClearPeerLoads(struct fl_fleet *fleet);
 
 const struct fl_list *Fl_All(const struct fl_fleet *fleet);
+const struct fl_services *Fl_Services(const struct fl_fleet *fleet);
 struct fl_endpoint *Fl_ByHash(const struct fl_fleet *fleet, uint32_t hash);
 struct fl_endpoint *Fl_Find(const struct fl_fleet *fleet, const char *id);
 bool Fl_Usable(const struct fl_endpoint *endpoint);
--- a/packages/policy/brittle.c
+++ b/packages/policy/brittle.c
@@ -46,60 +46,66 @@
 }
 
 static void
-record_limit(struct br_state *state, int refusal_limit, int64_t now)
+record_limit(struct br_service *service, int refusal_limit, int64_t now)
 {
-    if (!Br_IsBrittle(state, now)) {
-        state->learned_at = now;
+    if (!Br_IsBrittle(service, now)) {
+        service->learned_at = now;
     }
-    state->refusal_limit = refusal_limit;
+    service->refusal_limit = refusal_limit;
 }
 
 void
-Br_NoteEndpointReport(struct br_state *state, int refusal_limit, int64_t now)
+Br_NoteEndpointReport(struct br_service *service, struct br_state *reporter,
+                      int refusal_limit, int64_t now)
 {
-    record_limit(state, refusal_limit, now);
-    state->endpoint_report_at = now;
+    record_limit(service, refusal_limit, now);
+    service->endpoint_report_at = now;
+    reporter->reported_at = now;
 }
 
 void
-Br_NotePeerReport(struct br_state *state, int refusal_limit, int64_t now)
+Br_NotePeerReport(struct br_service *service, int refusal_limit, int64_t now)
 {
-    record_limit(state, refusal_limit, now);
-    state->peer_report_at = now;
+    record_limit(service, refusal_limit, now);
+    service->peer_report_at = now;
 }
 
 bool
-Br_IsWithdrawn(const struct br_state *state, int64_t sent_at)
+Br_IsWithdrawn(const struct br_service *service, const struct br_state *state,
+               int64_t sent_at)
 {
-    return state->self_reported && sent_at > state->endpoint_report_at;
+    bool reported =
+        state->reported_at != 0 && state->reported_at >= service->learned_at;
+    return reported && service->endpoint_report_at != 0 &&
+           sent_at > service->endpoint_report_at;
 }
 
 void
-Br_Clear(struct br_state *state)
+Br_Clear(struct br_service *service)
 {
-    state->endpoint_report_at = 0;
-    state->peer_report_at = 0;
-    state->self_reported = false;
+    service->endpoint_report_at = 0;
+    service->peer_report_at = 0;
 }
 
 bool
-Br_IsPeerReportRecent(const struct br_state *state, int64_t now)
+Br_IsPeerReportRecent(const struct br_service *service, int64_t now)
 {
-    return is_recent(state->peer_report_at, Br_PEER_REPORT_GAP_USEC, now);
+    return is_recent(service->peer_report_at, Br_PEER_REPORT_GAP_USEC, now);
 }
 
 bool
-Br_ShouldReport(const struct br_state *state, int64_t now)
+Br_ShouldReport(const struct br_service *service, int64_t now)
 {
-    return is_recent(state->endpoint_report_at, Br_PEER_REPORT_TTL_USEC, now);
+    return is_recent(service->endpoint_report_at, Br_PEER_REPORT_TTL_USEC,
+                     now);
 }
 
 bool
-Br_IsBrittle(const struct br_state *state, int64_t now)
+Br_IsBrittle(const struct br_service *service, int64_t now)
 {
-    return is_recent(state->endpoint_report_at, Br_ENDPOINT_REPORT_TTL_USEC,
+    return is_recent(service->endpoint_report_at, Br_ENDPOINT_REPORT_TTL_USEC,
                      now) ||
-           is_recent(state->peer_report_at, Br_PEER_REPORT_TTL_USEC, now);
+           is_recent(service->peer_report_at, Br_PEER_REPORT_TTL_USEC, now);
 }
 
 bool
@@ -108,6 +114,18 @@
     return state->rank_at == 0 || now - state->rank_at >= Br_RANK_TTL_USEC;
 }
 
+void
+Br_SetRank(struct br_state *state, size_t rank, size_t endpoints, int64_t now)
+{
+    if (state->joined_at == 0) {
+        state->joined_at = now;
+    }
+    state->rank = rank;
+    state->rank_at = now;
+    state->best = false;
+    state->endpoint_count = endpoints;
+}
+
 /* Requests of this host that the endpoint may still refuse. */
 static int
 unconfirmed_requests(const struct br_state *state, int64_t now)
@@ -136,23 +154,26 @@
 
 /*
  * Turns are staggered by rank from the time when the host learned that the
- * endpoint is brittle; otherwise all hosts would take their first turn at
- * once.
+ * service is brittle, or that the endpoint joined it; otherwise all hosts
+ * would take their first turn at once.
  */
 static bool
-has_turn(const struct br_state *state, const struct br_quota *quota,
-         int64_t now)
+has_turn(const struct br_service *service, const struct br_state *state,
+         const struct br_quota *quota, int64_t now)
 {
     int64_t first_turn =
         (int64_t)(state->rank % quota->hosts_per_endpoint + 1) * Br_TURN_USEC;
-    return now - state->learned_at >= first_turn &&
+    int64_t since = service->learned_at > state->joined_at
+                        ? service->learned_at
+                        : state->joined_at;
+    return now - since >= first_turn &&
            now - state->last_sent_at >=
                (int64_t)quota->hosts_per_endpoint * Br_TURN_USEC;
 }
 
 bool
-Br_MaySend(const struct br_state *state, const struct br_quota *quota,
-           int running, int slots, int64_t now)
+Br_MaySend(const struct br_service *service, const struct br_state *state,
+           const struct br_quota *quota, int running, int slots, int64_t now)
 {
     if (now < state->backoff_until ||
         unconfirmed_requests(state, now) >=
@@ -168,7 +189,7 @@
     if (state->rank < quota->half_hosts) {
         return running * 2 < slots;
     }
-    return running * 4 < slots && has_turn(state, quota, now);
+    return running * 4 < slots && has_turn(service, state, quota, now);
 }
 
 void
--- a/packages/policy/choose_brittle.c
+++ b/packages/policy/choose_brittle.c
@@ -6,7 +6,6 @@
 #include "policy/choose.h"
 #include "policy/choose_internal.h"
 
-/* Applies the refusal limit of one endpoint's report to the whole table. */
 enum st_status
 Ch_SetRefusalLimit(struct ch_table *table, const char *id, int refusal_limit,
                    int64_t at)
@@ -15,27 +14,20 @@
     if (reporter == NULL) {
         return St_Fail(ST_NOT_FOUND, "endpoint %s is not in the table", id);
     }
-    bool over = refusal_limit < 0 && Br_IsWithdrawn(&reporter->brittle, at);
-    if (refusal_limit < 0 && !over) {
-        return ST_OK;
+    if (refusal_limit >= 0) {
+        Br_NoteEndpointReport(&table->brittle, &reporter->brittle,
+                              refusal_limit, at);
     }
-    struct ch_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
-        if (over) {
-            Br_Clear(&endpoint->brittle);
-        }
-        else {
-            Br_NoteEndpointReport(&endpoint->brittle, refusal_limit, at);
-        }
+    else if (Br_IsWithdrawn(&table->brittle, &reporter->brittle, at)) {
+        Br_Clear(&table->brittle);
     }
-    reporter->brittle.self_reported = !over;
     return ST_OK;
 }
 
 bool
 Ch_IsBrittle(const struct ch_endpoint *endpoint, int64_t now)
 {
-    return Br_IsBrittle(&endpoint->brittle, now);
+    return Br_IsBrittle(&endpoint->table->brittle, now);
 }
 
 static size_t
@@ -51,14 +43,11 @@
     struct ch_endpoint *best = NULL;
     struct ch_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, &table->endpoints, entry) {
-        struct br_state *state = &endpoint->brittle;
-        state->rank = table->hosts == NULL
+        size_t rank = table->hosts == NULL
                           ? 0
                           : Wu_Rank(table->hosts, endpoint->id_hash);
-        state->rank_at = now;
-        state->best = false;
-        state->endpoint_count = table->count;
-        if (best == NULL || state->rank < best->brittle.rank) {
+        Br_SetRank(&endpoint->brittle, rank, table->count, now);
+        if (best == NULL || rank < best->brittle.rank) {
             best = endpoint;
         }
     }
@@ -72,14 +61,14 @@
 {
     struct ch_table *table = endpoint->table;
     const struct br_state *state = &endpoint->brittle;
-    if (!Br_IsBrittle(state, now)) {
+    if (!Br_IsBrittle(&table->brittle, now)) {
         return false;
     }
     if (Br_RankIsOld(state, now)) {
         find_ranks(table, now);
     }
-    struct br_quota quota = Br_Quota(state->refusal_limit, host_count(table),
-                                     state->endpoint_count);
-    return !Br_MaySend(state, &quota, (int)ch_load(endpoint, now),
-                       endpoint->info.slots, now);
+    struct br_quota quota = Br_Quota(table->brittle.refusal_limit,
+                                     host_count(table), state->endpoint_count);
+    return !Br_MaySend(&table->brittle, state, &quota,
+                       (int)ch_load(endpoint, now), endpoint->info.slots, now);
 }
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -94,6 +94,7 @@
     double cold_per_sec;
     int64_t cold_usec;
     const struct wu_hosts *hosts;
+    struct br_service brittle;
 };
 
 bool ch_is_panic(const struct ch_table *table, const char *version,
--- a/packages/policy/test/brittle_test.cc
+++ b/packages/policy/test/brittle_test.cc
@@ -18,45 +18,62 @@
 // between two requests.
 TEST(Brittle, EndpointReportExpiresAfter30Seconds)
 {
-    struct br_state state = {};
-    EXPECT_FALSE(Br_IsBrittle(&state, kNow));
-    Br_NoteEndpointReport(&state, 5, kNow);
-    EXPECT_TRUE(Br_IsBrittle(&state, kNow + 29999 * kMs));
-    EXPECT_FALSE(Br_IsBrittle(&state, kNow + 30000 * kMs));
+    struct br_service service = {};
+    struct br_state reporter = {};
+    EXPECT_FALSE(Br_IsBrittle(&service, kNow));
+    Br_NoteEndpointReport(&service, &reporter, 5, kNow);
+    EXPECT_TRUE(Br_IsBrittle(&service, kNow + 29999 * kMs));
+    EXPECT_FALSE(Br_IsBrittle(&service, kNow + 30000 * kMs));
 }
 
 TEST(Brittle, PeerReportExpiresAfter3Seconds)
 {
-    struct br_state state = {};
-    Br_NotePeerReport(&state, 5, kNow);
-    EXPECT_FALSE(Br_ShouldReport(&state, kNow));
-    EXPECT_TRUE(Br_IsBrittle(&state, kNow + 2999 * kMs));
-    EXPECT_FALSE(Br_IsBrittle(&state, kNow + 3000 * kMs));
+    struct br_service service = {};
+    Br_NotePeerReport(&service, 5, kNow);
+    EXPECT_FALSE(Br_ShouldReport(&service, kNow));
+    EXPECT_TRUE(Br_IsBrittle(&service, kNow + 2999 * kMs));
+    EXPECT_FALSE(Br_IsBrittle(&service, kNow + 3000 * kMs));
 }
 
 // Guards against hosts that pass on reports of other hosts: the reports would
 // never expire.
 TEST(Brittle, OnlyARecentEndpointReportIsPassedOn)
 {
-    struct br_state state = {};
-    Br_NoteEndpointReport(&state, 5, kNow);
-    Br_NotePeerReport(&state, 5, kNow + 2999 * kMs);
-    EXPECT_TRUE(Br_ShouldReport(&state, kNow + 2999 * kMs));
-    EXPECT_FALSE(Br_ShouldReport(&state, kNow + 3000 * kMs));
+    struct br_service service = {};
+    struct br_state reporter = {};
+    Br_NoteEndpointReport(&service, &reporter, 5, kNow);
+    Br_NotePeerReport(&service, 5, kNow + 2999 * kMs);
+    EXPECT_TRUE(Br_ShouldReport(&service, kNow + 2999 * kMs));
+    EXPECT_FALSE(Br_ShouldReport(&service, kNow + 3000 * kMs));
 }
 
 // Guards against a limit that is withdrawn for all endpoints by the answer to
 // an earlier request, or by an endpoint that never reported the limit.
 TEST(Brittle, IsOverWithAnAnswerOfTheSameEndpointToALaterRequest)
 {
-    struct br_state state = {};
-    Br_NoteEndpointReport(&state, 5, kNow);
-    EXPECT_FALSE(Br_IsWithdrawn(&state, kNow + 1));
-    state.self_reported = true;
-    EXPECT_FALSE(Br_IsWithdrawn(&state, kNow));
-    EXPECT_TRUE(Br_IsWithdrawn(&state, kNow + 1));
-    Br_Clear(&state);
-    EXPECT_FALSE(Br_IsBrittle(&state, kNow + 1));
+    struct br_service service = {};
+    struct br_state reporter = {};
+    struct br_state other = {};
+    Br_NoteEndpointReport(&service, &reporter, 5, kNow);
+    EXPECT_FALSE(Br_IsWithdrawn(&service, &other, kNow + 1));
+    EXPECT_FALSE(Br_IsWithdrawn(&service, &reporter, kNow));
+    EXPECT_TRUE(Br_IsWithdrawn(&service, &reporter, kNow + 1));
+    Br_Clear(&service);
+    EXPECT_FALSE(Br_IsBrittle(&service, kNow + 1));
+}
+
+// Guards against a report of an earlier time in which the service was brittle:
+// the endpoint may have restarted as one that is not.
+TEST(Brittle, AReportOfAnEarlierTimeWithdrawsNothing)
+{
+    struct br_service service = {};
+    struct br_state early = {};
+    struct br_state late = {};
+    Br_NoteEndpointReport(&service, &early, 5, kNow);
+    Br_Clear(&service);
+    Br_NoteEndpointReport(&service, &late, 5, kNow + 1000 * kMs);
+    EXPECT_FALSE(Br_IsWithdrawn(&service, &early, kNow + 2000 * kMs));
+    EXPECT_TRUE(Br_IsWithdrawn(&service, &late, kNow + 2000 * kMs));
 }
 
 // Guards against an endpoint that fails because each of many hosts sends it
@@ -79,45 +96,50 @@
 // endpoint counts refusals.
 TEST(Brittle, SendsNothingForASecondAfterARefusal)
 {
+    struct br_service service = {};
     struct br_state state = {};
     struct br_quota quota = {1, 1, 1, 1};
-    EXPECT_TRUE(Br_MaySend(&state, &quota, 0, 8, kNow));
+    EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 0, 8, kNow));
     Br_Refused(&state, kNow);
-    EXPECT_FALSE(Br_MaySend(&state, &quota, 0, 8, kNow + 1000 * kMs));
-    EXPECT_TRUE(Br_MaySend(&state, &quota, 0, 8, kNow + 1100 * kMs));
+    EXPECT_FALSE(
+        Br_MaySend(&service, &state, &quota, 0, 8, kNow + 1000 * kMs));
+    EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 0, 8, kNow + 1100 * kMs));
 }
 
 TEST(Brittle, OneRequestAtATimeIsUnconfirmed)
 {
+    struct br_service service = {};
     struct br_state state = {};
     struct br_quota quota = {2, 1, 2, 1};
     Br_Sent(&state, kNow);
-    EXPECT_FALSE(Br_MaySend(&state, &quota, 1, 8, kNow + 49 * kMs));
-    EXPECT_TRUE(Br_MaySend(&state, &quota, 1, 8, kNow + 50 * kMs));
+    EXPECT_FALSE(Br_MaySend(&service, &state, &quota, 1, 8, kNow + 49 * kMs));
+    EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 1, 8, kNow + 50 * kMs));
 }
 
 TEST(Brittle, NextRanksUseOnlyHalfOfTheirBestEndpoint)
 {
+    struct br_service service = {};
     struct br_state state = {};
     struct br_quota quota = {2, 1, 3, 2};
     state.rank = 2;
-    EXPECT_FALSE(Br_MaySend(&state, &quota, 0, 8, kNow));
+    EXPECT_FALSE(Br_MaySend(&service, &state, &quota, 0, 8, kNow));
     state.best = true;
-    EXPECT_TRUE(Br_MaySend(&state, &quota, 3, 8, kNow));
-    EXPECT_FALSE(Br_MaySend(&state, &quota, 4, 8, kNow));
+    EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 3, 8, kNow));
+    EXPECT_FALSE(Br_MaySend(&service, &state, &quota, 4, 8, kNow));
 }
 
 TEST(Brittle, LowRanksUseANearlyIdleEndpointAtIntervals)
 {
+    struct br_service service = {};
     struct br_state state = {};
     struct br_quota quota = {2, 1, 3, 2};
     state.rank = 3;
     state.best = true;
-    EXPECT_TRUE(Br_MaySend(&state, &quota, 1, 8, kNow));
-    EXPECT_FALSE(Br_MaySend(&state, &quota, 2, 8, kNow));
+    EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 1, 8, kNow));
+    EXPECT_FALSE(Br_MaySend(&service, &state, &quota, 2, 8, kNow));
     Br_Sent(&state, kNow);
-    EXPECT_FALSE(Br_MaySend(&state, &quota, 1, 8, kNow + 999 * kMs));
-    EXPECT_TRUE(Br_MaySend(&state, &quota, 1, 8, kNow + 1000 * kMs));
+    EXPECT_FALSE(Br_MaySend(&service, &state, &quota, 1, 8, kNow + 999 * kMs));
+    EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 1, 8, kNow + 1000 * kMs));
 }
 
 // Guards against hosts of low rank that all take their first turn at once, as
@@ -126,13 +148,35 @@
 {
     struct br_quota quota = {2, 1, 3, 2};
     for (size_t rank = 3; rank <= 4; rank++) {
+        struct br_service service = {};
         struct br_state state = {};
         state.rank = rank;
         state.best = true;
-        Br_NoteEndpointReport(&state, 5, kNow);
+        Br_NotePeerReport(&service, 5, kNow);
+        int64_t turn = (rank % 2 == 0 ? 500 : 1000) * kMs;
+        EXPECT_FALSE(
+            Br_MaySend(&service, &state, &quota, 0, 8, kNow + turn - 1));
+        EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 0, 8, kNow + turn));
+    }
+}
+
+// Guards against hosts of low rank that all send at once to an endpoint that
+// joins a service known to be brittle.
+TEST(Brittle, LowRanksTakeTurnsAtAnEndpointThatJoins)
+{
+    const int64_t learned = kNow - 60000 * kMs;
+    struct br_quota quota = {2, 1, 3, 2};
+    struct br_service service = {};
+    struct br_state reporter = {};
+    Br_NoteEndpointReport(&service, &reporter, 5, learned);
+    for (size_t rank = 3; rank <= 4; rank++) {
+        struct br_state state = {};
+        Br_SetRank(&state, rank, 3, kNow);
+        state.best = true;
         int64_t turn = (rank % 2 == 0 ? 500 : 1000) * kMs;
-        EXPECT_FALSE(Br_MaySend(&state, &quota, 0, 8, kNow + turn - 1));
-        EXPECT_TRUE(Br_MaySend(&state, &quota, 0, 8, kNow + turn));
+        EXPECT_FALSE(
+            Br_MaySend(&service, &state, &quota, 0, 8, kNow + turn - 1));
+        EXPECT_TRUE(Br_MaySend(&service, &state, &quota, 0, 8, kNow + turn));
     }
 }
 
@@ -162,6 +206,10 @@
     double load;  // offered load as a share of all slots
     int64_t lag;  // until peers' requests are known, us
     int64_t work; // mean time of a request, us
+    // Replaced with a new endpoint one after the other, each after this time;
+    // 0: never.
+    int64_t replace_every = 0;
+    int room = 0; // slots that an endpoint has of those listed; 0: all
 };
 
 struct Result {
@@ -174,7 +222,7 @@
   public:
     Model(const Scene &scene, Policy policy, Learning learning, unsigned seed)
         : scene_(scene), policy_(policy), learning_(learning), random_(seed),
-          endpoints_(scene.endpoints),
+          endpoints_(scene.endpoints), services_(scene.hosts),
           states_(scene.hosts, std::vector<struct br_state>(scene.endpoints)),
           own_(scene.hosts, std::vector<int>(scene.endpoints)),
           reported_(scene.endpoints),
@@ -187,7 +235,7 @@
         for (size_t host = 0; host < scene.hosts; host++) {
             Rank(host);
             if (learning == kKnown) {
-                RecordAnswer(host);
+                RecordAnswer(host, 0);
             }
         }
     }
@@ -200,6 +248,7 @@
         std::poisson_distribution<int> arrivals(rate * (double)kStep);
         for (now_ = kNow; now_ < begins_ + kDuration; now_ += kStep) {
             Finish();
+            ReplaceEndpoints();
             ReportToPeers();
             for (int n = arrivals(random_); n > 0; n--) {
                 Request(random_() % scene_.hosts);
@@ -226,6 +275,7 @@
         std::deque<int64_t> refused;
         std::deque<int> history; // running at each step, the newest last
         int64_t down_until = 0;
+        uint64_t id = 0;
     };
 
     void
@@ -240,7 +290,9 @@
         }
         size_t best = 0;
         for (size_t e = 0; e < scene_.endpoints; e++) {
-            states_[host][e].rank = Wu_Rank(&hosts, e * 104729 + 3);
+            uint64_t id = (e + scene_.endpoints * endpoints_[e].id) * 104729;
+            Br_SetRank(&states_[host][e], Wu_Rank(&hosts, id + 3),
+                       scene_.endpoints, now_);
             if (states_[host][e].rank < states_[host][best].rank) {
                 best = e;
             }
@@ -266,6 +318,25 @@
         }
     }
 
+    // Ends the next endpoint, and starts another in its place.
+    void
+    ReplaceEndpoints()
+    {
+        if (scene_.replace_every == 0 ||
+            (now_ - kNow) % scene_.replace_every != 0) {
+            return;
+        }
+        size_t e = next_replaced_++ % scene_.endpoints;
+        uint64_t id = endpoints_[e].id + 1;
+        endpoints_[e] = Endpoint();
+        endpoints_[e].id = id;
+        for (size_t host = 0; host < scene_.hosts; host++) {
+            states_[host][e] = br_state();
+            own_[host][e] = 0;
+            Rank(host);
+        }
+    }
+
     void
     RecordHistory()
     {
@@ -289,25 +360,24 @@
     }
 
     bool
-    IsKnownBrittle(const struct br_state *state) const
+    IsKnownBrittle(const struct br_service *service) const
     {
         if (learning_ == kKnown) {
             return true;
         }
-        return Br_IsBrittle(state, now_) &&
-               (learning_ != kAnswersShort || Br_ShouldReport(state, now_));
+        return Br_IsBrittle(service, now_) &&
+               (learning_ != kAnswersShort || Br_ShouldReport(service, now_));
     }
 
     // An answer reports the refusal limit; it holds for all endpoints.
     void
-    RecordAnswer(size_t host)
+    RecordAnswer(size_t host, size_t e)
     {
         if (now_ < begins_) {
             return;
         }
-        for (struct br_state &state : states_[host]) {
-            Br_NoteEndpointReport(&state, scene_.refusal_limit, now_);
-        }
+        Br_NoteEndpointReport(&services_[host], &states_[host][e],
+                              scene_.refusal_limit, now_);
         first_report_ = std::min(first_report_, now_);
     }
 
@@ -318,10 +388,8 @@
         if (learning_ != kPeers || !due || now_ - scene_.lag < first_report_) {
             return;
         }
-        for (auto &states : states_) {
-            for (struct br_state &state : states) {
-                Br_NotePeerReport(&state, scene_.refusal_limit, now_);
-            }
+        for (struct br_service &service : services_) {
+            Br_NotePeerReport(&service, scene_.refusal_limit, now_);
         }
     }
 
@@ -339,11 +407,13 @@
     {
         const int queue_factor = 3;
         int running = EstimatedRunning(host, e);
+        const struct br_service *service = &services_.data()[host];
         const struct br_state *state = &states_.data()[host].data()[e];
-        if (policy_ == kUnlimited || !IsKnownBrittle(state)) {
+        if (policy_ == kUnlimited || !IsKnownBrittle(service)) {
             return running < queue_factor * scene_.slots;
         }
-        return Br_MaySend(state, &quota_, running, scene_.slots, now_);
+        return Br_MaySend(service, state, &quota_, running, scene_.slots,
+                          now_);
     }
 
     void
@@ -377,8 +447,10 @@
     {
         Endpoint &endpoint = endpoints_[e];
         Br_Sent(&states_[host][e], now_);
-        RecordAnswer(host);
-        if ((int)endpoint.runs.size() < (IsBrittle() ? 1 : 3) * scene_.slots) {
+        RecordAnswer(host, e);
+        int room = scene_.room == 0 ? scene_.slots : scene_.room;
+        if ((int)endpoint.runs.size() <
+            (IsBrittle() ? room : 3 * scene_.slots)) {
             std::exponential_distribution<double> work(1.0 /
                                                        (double)scene_.work);
             endpoint.runs.push_back({host, now_ + (int64_t)work(random_)});
@@ -405,12 +477,14 @@
     int64_t first_report_ = INT64_MAX / 2;
     std::mt19937 random_;
     std::vector<Endpoint> endpoints_;
+    std::vector<struct br_service> services_;
     std::vector<std::vector<struct br_state>> states_;
     std::vector<std::vector<int>> own_;
     std::vector<int> reported_; // running at each endpoint, after the lag
     struct br_quota quota_;
     int64_t begins_; // when endpoints begin to report the limit
     int64_t now_ = kNow;
+    size_t next_replaced_ = 0;
     Result result_;
 };
 
@@ -507,4 +581,50 @@
     }
 }
 
+// Runs scenes with endpoints that are replaced; "less_room": they have a third
+// of the slots that they list.
+void
+RunReplacements(bool less_room, int max_refusal_limit)
+{
+    const char *more = getenv("BRITTLE_SCENES");
+    int scenes = more == nullptr ? 16 : atoi(more);
+    std::mt19937 random(23);
+    for (int i = 0; i < scenes; i++) {
+        const size_t sizes[] = {7, 8, 24, 83, 300};
+        Scene scene = {};
+        scene.hosts = sizes[random() % 5];
+        scene.endpoints = 4 + random() % (scene.hosts > 24 ? 100 : 15);
+        scene.slots = random() % 2 ? 6 : 16;
+        scene.room = less_room ? scene.slots / 3 : scene.slots;
+        scene.refusal_limit =
+            1 + (int)(random() % (unsigned)max_refusal_limit);
+        scene.load = 1 + (double)(random() % 20) / 10;
+        scene.lag = (scene.hosts > 24 ? 400 : 100) * kMs;
+        scene.work = (random() % 2 ? 100 : 500) * kMs;
+        scene.replace_every = (random() % 2 ? 300 : 1000) * kMs;
+        Sum learned = RunScene(scene, kRanked, kPeers);
+        std::cout << scene.hosts << " hosts, " << scene.endpoints
+                  << " endpoints of " << scene.slots << ", room " << scene.room
+                  << ", refusal limit " << scene.refusal_limit << ", load "
+                  << scene.load << ", work " << scene.work / kMs
+                  << " ms, one replaced each " << scene.replace_every / kMs
+                  << " ms: failures " << learned.worst << ", served "
+                  << learned.served << "\n";
+        EXPECT_LE(learned.worst, 2 + (int)scene.endpoints / 10);
+    }
+}
+
+// Guards against an endpoint that fails as soon as it joins a brittle service.
+TEST(BrittleModel, EndpointsThatJoinSurvive)
+{
+    RunReplacements(false, 12);
+}
+
+// Guards against hosts of low rank whose turns together exceed a low limit at
+// endpoints that have less room than they list.
+TEST(BrittleModel, EndpointsWithLessRoomThanListedSurvive)
+{
+    RunReplacements(true, 4);
+}
+
 } // namespace
