--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -219,6 +219,26 @@
         << new_version_requests_ << " of " << requests_;
 }
 
+// Guards against a slow version that gets all requests by the clock alone,
+// while the answers say nothing yet or speak against it.
+TEST_F(Move, ASlowVersionOfAQuietServiceStaysWithinTheBound)
+{
+    for (unsigned seed = 1; seed <= 40; seed++) {
+        random_.seed(seed);
+        requests_ = new_version_requests_ = 0;
+        base_failure_rate_ = failure_rate_ = 0.14;
+        slow_rate_ = 0.5;
+        Start(7, 16);
+        Run(16, 3);
+        EXPECT_TRUE(WithinExposureLimit())
+            << "seed " << seed << ": " << new_version_requests_ << " of "
+            << requests_;
+        EXPECT_NE(At(0)->state, RO_SUCCEEDED) << "seed " << seed;
+        TearDown();
+        tables_.clear();
+    }
+}
+
 // Guards against a new version that fails on one route only, too rarely to
 // show in the totals.
 TEST_F(Move, AFaultOnOneRouteIsDetected)
