Judge a new version by the same time, by cause, by silence too; give it no more for want of proof

What callers saw: a bad version of a service got a third of all requests in the time of its move where a tenth is allowed, and at times the move succeeded.

Now the version needs 12 answers and must not be a suspect; a suspect is given the small share again, is no stand-in for endpoints that are gone, and is rolled back at the deadline. All requests go to it as late as the longest route timeout allows, between 0.625 and 0.8. - A request without an answer counted for nobody. It is slow once it has waited past the limit for slow answers, and late if it ends unanswered after half of that, so that callers who leave do not hide it. - What broke with a lost endpoint of the old version stood for good in the rate that the new one is compared with. It is counted apart (RO_LOST), and the versions are compared over the same windows. - A slow answer counted at most 4 in 2 s, so that a version under load was found after its allowance was spent. Now the worst windows are left out instead. - A peer that was killed took its counts along; they are kept. - The share was of what callers ask, not of what is sent; a pacer counts what is sent.

--- a/packages/edge/broken.c
+++ b/packages/edge/broken.c
@@ -43,6 +43,14 @@
     free(oldest);
 }
 
+/* Whether the endpoint has shown since "at" that it lives. */
+static bool
+lives_since(const struct fl_endpoint *endpoint, int64_t at)
+{
+    return !endpoint->gone &&
+           (endpoint->answered_at > at || endpoint->connected_at > at);
+}
+
 static void
 count_oldest(struct bk_breaks *breaks)
 {
@@ -51,9 +59,13 @@
     const struct fl_endpoint *endpoint = oldest->endpoint;
     const struct ro_move *move = Ro_Find(gate->moves, endpoint->entry.service);
     if (move != NULL && !endpoint->link_state.cut) {
+        struct ro_result result = {
+            .failed = true,
+            .slow = oldest->slow,
+            .lost = !lives_since(endpoint, oldest->at),
+        };
         Ro_RecordAnswer(gate->moves, endpoint->entry.service, oldest->route,
-                        Ga_HasTargetVersion(move, endpoint), true,
-                        oldest->slow);
+                        Ga_HasTargetVersion(move, endpoint), &result);
     }
     drop_oldest(breaks);
 }
--- a/packages/edge/broken.h
+++ b/packages/edge/broken.h
@@ -1,7 +1,9 @@
 /*
  * Broken connections to endpoints.  A broken connection counts as a failure
  * of the endpoint's version only after the link to the endpoint has been
- * tested: connections over a cut link break whatever the version.
+ * tested: connections over a cut link break whatever the version.  The test
+ * also tells whether the endpoint still lives: what broke with an endpoint
+ * that died is counted apart from what living endpoints fail.
  */
 #ifndef EDGE_BROKEN_H
 #define EDGE_BROKEN_H
--- a/packages/edge/controller_moves.c
+++ b/packages/edge/controller_moves.c
@@ -6,10 +6,37 @@
 
 #include "edge/controller_internal.h"
 
+static bool
+uses_service(const struct ec_route *route, const char *service)
+{
+    for (size_t i = 0; i < route->share_count; i++) {
+        if (strcmp(route->shares[i].service, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The longest time that a request of the service may take. */
+static int64_t
+longest_timeout(const struct ga_gate *gate, const char *service)
+{
+    const struct ec_config *config = Fe_Config(gate->feed);
+    int64_t longest = 0;
+    for (size_t i = 0; config != NULL && i < config->route_count; i++) {
+        const struct ec_route *route = &config->routes[i];
+        if (route->timeout_usec > longest && uses_service(route, service)) {
+            longest = route->timeout_usec;
+        }
+    }
+    return longest;
+}
+
 static struct ro_endpoint_counts
 count_endpoints(const struct ga_gate *gate, const struct ro_move *move)
 {
-    struct ro_endpoint_counts counts = {0, 0, 0};
+    struct ro_endpoint_counts counts = {
+        .drain_usec = longest_timeout(gate, move->order.service)};
     const struct fl_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
         if (strcmp(endpoint->entry.service, move->order.service) != 0) {
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -22,6 +22,9 @@
  * one.
  */
 #define Xc_SILENCE_TARGETS 2
+/* An unanswered attempt is late after this fraction of the time after which
+   its answer would be slow. */
+#define Xc_LATE_DIVISOR 2
 /* Time after which a slot is likely to be free when all are in use. */
 #define Xc_BUSY_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
 #define Xc_NONE_RETRY_USEC (800 * Ck_USEC_PER_MSEC)
@@ -94,6 +97,36 @@
     return attempt->answer.not_run ? "refused" : "incomplete";
 }
 
+/*
+ * An attempt that ends without an answer tells of the endpoint's version if it
+ * has waited longer than usual, over a link that works.  Callers that leave
+ * early would hide a slow version if only those were counted that wait until
+ * it is known to be slow.
+ */
+static void
+judge_unanswered(const struct xc_exchange *exchange)
+{
+    struct ga_gate *gate = exchange->gate;
+    const struct xc_attempt *attempt = &exchange->attempt;
+    const char *service = exchange->service->name;
+    if (attempt->judged || !Ro_IsRunning(gate->moves, service)) {
+        return;
+    }
+    bool sent = attempt->channel != NULL && Cn_Sent(attempt->channel);
+    bool late =
+        attempt->slow_after != 0 && Ga_Now(gate) - attempt->sent_at >=
+                                        attempt->slow_after / Xc_LATE_DIVISOR;
+    if (late && attempt->head_at == 0 && sent &&
+        !attempt->endpoint->link_state.cut) {
+        const struct ro_move *move = Ro_Find(gate->moves, service);
+        Ro_RecordSilence(gate->moves, service, exchange->route->name,
+                         Ga_HasTargetVersion(move, attempt->endpoint));
+        return;
+    }
+    Vs_CountUnjudged(gate->registry, &attempt->endpoint->entry,
+                     unjudged_reason(attempt));
+}
+
 void
 Xc_ReleaseAttempt(struct xc_exchange *exchange)
 {
@@ -109,11 +142,7 @@
         attempt->channel != NULL && Cn_Sent(attempt->channel)) {
         Xc_CountRun(exchange);
     }
-    if (!attempt->judged &&
-        Ro_IsRunning(exchange->gate->moves, exchange->service->name)) {
-        Vs_CountUnjudged(exchange->gate->registry, &attempt->endpoint->entry,
-                         unjudged_reason(attempt));
-    }
+    judge_unanswered(exchange);
     attempt->endpoint->running--;
     De_RecordEnd(exchange->gate->demand, exchange->service->name,
                  slot_usec(exchange));
@@ -187,6 +216,17 @@
            Xc_SILENCE_TARGETS * exchange->route->latency_target_usec;
 }
 
+/*
+ * Whether the attempt waits for an answer that is not known yet to be slow, of
+ * an endpoint whose version is compared with another.
+ */
+static bool
+may_become_slow(const struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    return attempt->slow_after != 0 && attempt->head_at == 0 && !attempt->slow;
+}
+
 static void
 set_timer(struct xc_exchange *exchange)
 {
@@ -200,6 +240,9 @@
                              ? at
                              : attempt->sent_at + Li_SILENCE_USEC);
     }
+    if (attempt->endpoint != NULL && may_become_slow(exchange)) {
+        at = earlier(at, attempt->sent_at + attempt->slow_after);
+    }
     Lp_TimerSet(exchange->timer, at - now);
 }
 
@@ -336,6 +379,12 @@
     attempt->channel = channel;
     attempt->sent_at = now;
     attempt->prefill_tokens = target->prefill_tokens;
+    /* Cold endpoints are slow whatever their version. */
+    attempt->slow_after =
+        Wu_IsCold(&endpoint->warmup, now)
+            ? 0
+            : Ro_SlowAfter(gate->moves, exchange->service->name,
+                           exchange->route->name);
     int running = endpoint->running + endpoint->peers_running;
     attempt->unloaded =
         endpoint->prefill_tokens + endpoint->peers_prefill_tokens == 0 &&
@@ -363,6 +412,10 @@
     log_sent(exchange);
     if (target->version_why != NULL) {
         Vs_CountSent(gate->registry, &endpoint->entry, target->version_why);
+        Ro_NoteSent(
+            gate->moves, exchange->service->name,
+            Ga_HasTargetVersion(Ro_Find(gate->moves, exchange->service->name),
+                                endpoint));
     }
     Cn_Send(channel, head, head_len, body, body_len,
             H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
@@ -470,6 +523,10 @@
         Xc_Dispatch(exchange);
         return;
     }
+    if (attempt->endpoint != NULL && may_become_slow(exchange) &&
+        now >= attempt->sent_at + attempt->slow_after) {
+        attempt->slow = true;
+    }
     if (!exchange->link_tested && now >= attempt->sent_at + Li_SILENCE_USEC) {
         test_link(exchange);
     }
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -16,6 +16,7 @@
     struct fl_endpoint *endpoint; /* NULL: no attempt in progress */
     struct cn_channel *channel;
     int64_t sent_at;
+    int64_t slow_after;     /* an answer is slow after this; 0: not known */
     int64_t head_at;        /* answer's head received; 0: not yet */
     int64_t first_event_at; /* first event received; 0: not yet */
     int64_t prefill_tokens; /* prompt tokens counted in the endpoint's queue */
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -242,10 +242,10 @@
 /*
  * Chooses an endpoint for the next attempt.  While a service moves to another
  * version, Ro_Pick() decides the version first.  If no endpoint of that
- * version can take the request, the other version is used instead, with two
+ * version can take the request, the other version is used instead, with three
  * exceptions: the new version is never used after it was rolled back
  * (RO_OLD_ONLY), and does not stand in for full endpoints of the old one
- * (RO_OLD).
+ * (RO_OLD), nor for none while it is a suspect.
  */
 enum pl_verdict
 Xc_Choose(struct xc_exchange *exchange, struct xc_target *out)
@@ -253,8 +253,7 @@
     static struct selection selection;
     struct ga_gate *gate = exchange->gate;
     const struct ro_move *move = Ro_Find(gate->moves, exchange->service->name);
-    enum ro_pick pick =
-        Ro_Pick(move, exchange->sends > 0, Rn_Unit(&gate->random));
+    enum ro_pick pick = Ro_Pick(move, exchange->sends > 0);
     if (pick == RO_OLD_FIRST && exchange->head_sent) {
         /* A begun stream resumes at the version that most endpoints have. */
         pick = RO_NEW_FIRST;
@@ -263,7 +262,7 @@
     select_endpoints(exchange, pick, &selection);
     enum pl_verdict verdict = choose_among(exchange, &selection, out);
     if (verdict == PL_CHOSEN || pick == RO_ANY || pick == RO_OLD_ONLY ||
-        (pick == RO_OLD && selection.count > 0)) {
+        (pick == RO_OLD && (selection.count > 0 || !Ro_MayStandIn(move)))) {
         return verdict;
     }
     out->version_why = selection.count == 0 ? "none-listed" : "none-free";
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -172,7 +172,8 @@
         remove_endpoint(fleet, endpoint);
     }
     struct fl_service *service;
-    while ((service = TAILQ_FIRST(&fleet->services)) != NULL) {
+    struct fl_service *next_service;
+    TAILQ_FOREACH_SAFE (service, &fleet->services, link, next_service) {
         remove_service(fleet, service);
     }
     free(fleet);
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -102,6 +102,7 @@
     /* The link from this host to the endpoint, see paths.h. */
     bool probe_wanted;
     struct li_link link_state;
+    int64_t connected_at; /* last connection made to it, by any path */
     /* when bytes last arrived on a direct connection */
     int64_t last_direct_byte_at;
 };
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -477,7 +477,7 @@
     gate->prefixes = Px_Create();
     gate->usage = Us_Create();
     gate->zones = Zn_Create(clock);
-    gate->moves = Ro_Create(clock);
+    gate->moves = Ro_Create(clock, gate->options.run_id);
     gate->demand = De_Create(clock);
     gate->true_time = Tt_Create(clock);
     if (gate->registry == NULL || gate->fleet == NULL || gate->quota == NULL ||
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -37,7 +37,7 @@
 #define Ms_COUNTS_MAX 192
 #define Ms_ADDRESSES_MAX 4
 #define Ms_RATES_MAX 16
-#define Ms_OUTCOMES_MAX 32
+#define Ms_OUTCOMES_MAX Ro_ROWS_MAX
 #define Ms_REFUSAL_LIMITS_MAX 8
 #define Ms_CRASHES_MAX 24
 #define Ms_CLEARS_MAX 16
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -225,6 +225,9 @@
     bool connected = direct == LI_CONNECTED || peer == LI_CONNECTED;
     bool refused =
         direct == LI_FAILED && (peer == LI_FAILED || peer == LI_NOT_TRIED);
+    if (connected) {
+        attempt->endpoint->connected_at = Ga_Now(attempt->paths->gate);
+    }
     if (connected || refused) {
         Qn_NoteConnect(attempt->paths->gate->quarantine, attempt->endpoint,
                        connected, attempt->since);
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -210,6 +210,10 @@
     }
     else {
         apply_usage(gate, peer, message);
+        if (peer->run != message->run) {
+            Ro_RetireOutcomes(gate->moves, peer->outcomes,
+                              peer->outcome_count);
+        }
     }
     apply_past_usage(gate, message);
     for (size_t i = 0; i < message->request_count_rows; i++) {
@@ -252,16 +256,17 @@
     Bu_SetHosts(gate->budget, Ms_CountRunning(gate->mesh));
 }
 
+/*
+ * A peer that is silent or gone counts as long as it is known: what its
+ * requests showed of a version stands.
+ */
 static void
 sum_peer_outcomes(struct ga_gate *gate)
 {
     Ro_ClearPeerOutcomes(gate->moves);
     const struct ms_peer *peer;
     TAILQ_FOREACH (peer, Ms_Peers(gate->mesh), link) {
-        if (Ms_Alive(gate->mesh, peer)) {
-            Ro_AddPeerOutcomes(gate->moves, peer->outcomes,
-                               peer->outcome_count);
-        }
+        Ro_AddPeerOutcomes(gate->moves, peer->outcomes, peer->outcome_count);
     }
 }
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -85,7 +85,7 @@
     const struct ro_move *move = Ro_Find(gate->moves, service);
     bool cold = Wu_IsCold(&endpoint->warmup, Ga_Now(gate));
     if (move != NULL && !cold) {
-        exchange->attempt.slow =
+        exchange->attempt.slow |=
             Ro_RecordFirstByte(gate->moves, service, exchange->route->name,
                                Ga_HasTargetVersion(move, endpoint), usec);
     }
@@ -247,9 +247,11 @@
     const struct ro_move *move = Ro_Find(gate->moves, service);
     exchange->attempt.judged = true;
     if (move != NULL) {
+        struct ro_result result = {.failed = failed,
+                                   .slow = exchange->attempt.slow};
         Ro_RecordAnswer(gate->moves, service, exchange->route->name,
                         Ga_HasTargetVersion(move, exchange->attempt.endpoint),
-                        failed, exchange->attempt.slow);
+                        &result);
     }
 }
 
--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "base/log_line.h"
+#include "base/random.h"
 
 #define Ro_HASH_SEED 0x726f6c6c
 /*
@@ -15,43 +16,33 @@
 #define Ro_SLOW_MARGIN_USEC 30000.0
 /* Weight of the newest sample in the average time to the first byte. */
 #define Ro_TYPICAL_WEIGHT 0.1
-/*
- * Share of the new version in thousandths, by the elapsed fraction of the
- * move's duration.  A bad version may get at most a tenth of all requests:
- * half of the duration at 50, an eighth at 150 and half a second of a short
- * move at all requests stay below that.
- */
-#define Ro_CANARY_SHARE 50
-#define Ro_RAISED_SHARE 150
-#define Ro_RAISE_AFTER 0.5
-#define Ro_FULL_AFTER 0.625
-/*
- * The share is not raised before the new version has given this many answers.
- */
-#define Ro_RAISE_MIN_ANSWERS 12
 /*
  * The old endpoints count as drained after they have been idle for this long,
  * because the counts of other daemons are some tenths of a second old.
  */
 #define Ro_DRAINED_USEC (1200 * Ck_USEC_PER_MSEC)
 
-/* A pause of an endpoint or host is shorter than a window. */
-#define Ro_WINDOW_USEC (2 * Ck_USEC_PER_SEC)
-
-enum { OLD_VERSION, NEW_VERSION };
+/* Length of a window of evidence. */
+#define Ro_WINDOW_USEC (1 * Ck_USEC_PER_SEC)
+/* Windows in which most answers of a pause are. */
+#define Ro_PAUSE_WINDOWS 2
+/* The lowest bits of a row's key tell its kind. */
+#define Ro_KIND_MASK UINT32_C(3)
 
 struct ro_table {
     const struct ck_clock *clock;
+    struct rn_random random;
     size_t count;
     struct ro_move moves[Ro_MOVES_MAX];
 };
 
 struct ro_table *
-Ro_Create(const struct ck_clock *clock)
+Ro_Create(const struct ck_clock *clock, uint64_t seed)
 {
     struct ro_table *table = calloc(1, sizeof(*table));
     if (table != NULL) {
         table->clock = clock;
+        Rn_Seed(&table->random, seed);
     }
     return table;
 }
@@ -68,20 +59,19 @@
     return (uint32_t)Hash_String(name, Ro_HASH_SEED);
 }
 
-/*
- * The lowest bit tells rows of slow answers from rows of failures.  Daemons
- * that do not know the bit take such a row for one more route.
- */
 uint32_t
-Ro_RowKey(const char *route, bool slow)
+Ro_RowKey(const char *route, enum ro_kind kind)
 {
-    return (Ro_Hash(route) & ~UINT32_C(1)) | slow;
+    uint32_t hash = route == NULL ? 0 : Ro_Hash(route);
+    return (hash & ~Ro_KIND_MASK) | (uint32_t)kind;
 }
 
-bool
-Ro_IsSlowKey(uint32_t key)
+/* Daemons that know more kinds may send their rows. */
+enum ro_kind
+Ro_KindOfKey(uint32_t key)
 {
-    return (key & 1) != 0;
+    uint32_t kind = key & Ro_KIND_MASK;
+    return kind < RO_KINDS ? (enum ro_kind)kind : RO_FAILED;
 }
 
 const char *
@@ -155,13 +145,13 @@
  */
 static struct ro_row *
 active_row(struct ro_table *table, const char *service, const char *route,
-           bool slow)
+           enum ro_kind kind)
 {
     struct ro_move *move = Ro_Find(table, service);
     if (move == NULL || move->state != RO_RUNNING) {
         return NULL;
     }
-    return find_or_add_row(move, Ro_RowKey(route, slow));
+    return find_or_add_row(move, Ro_RowKey(route, kind));
 }
 
 static void
@@ -179,27 +169,28 @@
 }
 
 static void
-add_count(struct ro_count *to, const struct ro_count *addend)
+add_count(struct cy_count *to, const struct cy_count *addend)
 {
     to->answers += addend->answers;
     to->bad += addend->bad;
 }
 
 static void
-sum_row(const struct ro_row *row, struct ro_count sums[2])
+sum_row(const struct ro_row *row, struct cy_count sums[CY_SIDES])
 {
-    for (int version = OLD_VERSION; version <= NEW_VERSION; version++) {
-        add_count(&sums[version], &row->own[version]);
-        add_count(&sums[version], &row->peers[version]);
+    for (int side = CY_OLD; side < CY_SIDES; side++) {
+        add_count(&sums[side], &row->own[side]);
+        add_count(&sums[side], &row->peers[side]);
+        add_count(&sums[side], &row->departed[side]);
     }
 }
 
 /* Adds up the answers of all routes, and how many of them failed. */
 static void
-sum_failures(const struct ro_move *move, struct ro_count sums[2])
+sum_failures(const struct ro_move *move, struct cy_count sums[CY_SIDES])
 {
     for (size_t i = 0; i < move->row_count; i++) {
-        if (!Ro_IsSlowKey(move->rows[i].key)) {
+        if (Ro_KindOfKey(move->rows[i].key) == RO_FAILED) {
             sum_row(&move->rows[i], sums);
         }
     }
@@ -211,7 +202,7 @@
     if (share == move->share) {
         return;
     }
-    struct ro_count all[2] = {{0, 0}, {0, 0}};
+    struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
     sum_failures(move, all);
     Ln_Log(LN_STATE, "move.share",
            "\"service\":\"%s\",\"target\":\"%s\",\"order\":%lld,"
@@ -219,8 +210,8 @@
            "\"old_answers\":%u,\"old_bad\":%u",
            move->order.service, move->order.target,
            (long long)move->order.number, move->share, share,
-           all[NEW_VERSION].answers, all[NEW_VERSION].bad,
-           all[OLD_VERSION].answers, all[OLD_VERSION].bad);
+           all[CY_NEW].answers, all[CY_NEW].bad, all[CY_OLD].answers,
+           all[CY_OLD].bad);
     move->share = share;
 }
 
@@ -245,6 +236,7 @@
     move->hash = Ro_Hash(order->service);
     move->started_at = Ck_Now(table->clock);
     move->window_since = move->started_at;
+    Cy_PaceStart(&move->pacer, Rn_Unit(&table->random));
     Ln_Log(LN_STATE, "move.ordered",
            "\"service\":\"%s\",\"target\":\"%s\",\"order\":%lld,"
            "\"seconds\":%lld",
@@ -252,39 +244,75 @@
            (long long)(order->duration_usec / Ck_USEC_PER_SEC));
 }
 
+static double
+slow_after(const struct ro_row *row)
+{
+    return row->typical_usec > 0
+               ? Ro_SLOW_FACTOR * row->typical_usec + Ro_SLOW_MARGIN_USEC
+               : 0;
+}
+
 bool
 Ro_RecordFirstByte(struct ro_table *table, const char *service,
                    const char *route, bool is_new, int64_t usec)
 {
-    struct ro_row *row = active_row(table, service, route, true);
+    struct ro_row *row = active_row(table, service, route, RO_SLOW);
     if (row == NULL) {
         return false;
     }
-    bool is_slow = row->typical_usec > 0 &&
-                   (double)usec > Ro_SLOW_FACTOR * row->typical_usec +
-                                      Ro_SLOW_MARGIN_USEC;
+    double limit = slow_after(row);
     if (!is_new) {
         double weight = row->typical_usec > 0 ? Ro_TYPICAL_WEIGHT : 1;
         row->typical_usec += weight * ((double)usec - row->typical_usec);
     }
-    return is_slow;
+    return limit > 0 && (double)usec > limit;
+}
+
+int64_t
+Ro_SlowAfter(struct ro_table *table, const char *service, const char *route)
+{
+    const struct ro_row *row = active_row(table, service, route, RO_SLOW);
+    return row == NULL ? 0 : (int64_t)slow_after(row);
 }
 
 static void
 count_answer(struct ro_row *row, bool is_new, bool bad)
 {
     if (row != NULL) {
-        row->own[is_new ? NEW_VERSION : OLD_VERSION].answers++;
-        row->own[is_new ? NEW_VERSION : OLD_VERSION].bad += bad;
+        struct cy_count *count = &row->own[is_new ? CY_NEW : CY_OLD];
+        count->answers++;
+        count->bad += bad;
     }
 }
 
 void
 Ro_RecordAnswer(struct ro_table *table, const char *service, const char *route,
-                bool is_new, bool failed, bool slow)
+                bool is_new, const struct ro_result *result)
+{
+    count_answer(active_row(table, service, NULL, RO_LOST), is_new,
+                 result->lost);
+    if (!result->lost) {
+        count_answer(active_row(table, service, route, RO_FAILED), is_new,
+                     result->failed);
+    }
+    count_answer(active_row(table, service, route, RO_SLOW), is_new,
+                 result->slow);
+}
+
+void
+Ro_RecordSilence(struct ro_table *table, const char *service,
+                 const char *route, bool is_new)
+{
+    count_answer(active_row(table, service, route, RO_SLOW), is_new, true);
+}
+
+void
+Ro_NoteSent(struct ro_table *table, const char *service, bool is_new)
 {
-    count_answer(active_row(table, service, route, false), is_new, failed);
-    count_answer(active_row(table, service, route, true), is_new, slow);
+    struct ro_move *move = Ro_Find(table, service);
+    if (move != NULL) {
+        Cy_PaceSent(&move->pacer, move->share, is_new);
+    }
 }
 
 void
@@ -308,8 +336,24 @@
         struct ro_row *row =
             move == NULL ? NULL : find_or_add_row(move, rows[i].route);
         if (row != NULL) {
-            add_count(&row->peers[OLD_VERSION], &rows[i].old_version);
-            add_count(&row->peers[NEW_VERSION], &rows[i].new_version);
+            add_count(&row->peers[CY_OLD], &rows[i].old_version);
+            add_count(&row->peers[CY_NEW], &rows[i].new_version);
+        }
+    }
+}
+
+void
+Ro_RetireOutcomes(struct ro_table *table, const struct ro_outcomes *rows,
+                  size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct ro_move *move =
+            find_by_hash(table, rows[i].service, rows[i].order);
+        struct ro_row *row =
+            move == NULL ? NULL : find_or_add_row(move, rows[i].route);
+        if (row != NULL) {
+            add_count(&row->departed[CY_OLD], &rows[i].old_version);
+            add_count(&row->departed[CY_NEW], &rows[i].new_version);
         }
     }
 }
@@ -329,80 +373,86 @@
 }
 
 static void
-roll_back(struct ro_move *move, const struct ro_count sums[2])
+roll_back(struct ro_move *move, const struct cy_count sums[CY_SIDES])
 {
     Ln_Log(LN_FAILURE, "move.tripped",
            "\"service\":\"%s\",\"target\":\"%s\",\"order\":%lld,"
            "\"answers\":%u,\"bad\":%u,\"old_answers\":%u,\"old_bad\":%u",
            move->order.service, move->order.target,
-           (long long)move->order.number, sums[NEW_VERSION].answers,
-           sums[NEW_VERSION].bad, sums[OLD_VERSION].answers,
-           sums[OLD_VERSION].bad);
+           (long long)move->order.number, sums[CY_NEW].answers,
+           sums[CY_NEW].bad, sums[CY_OLD].answers, sums[CY_OLD].bad);
     set_state(move, RO_ROLLED_BACK, "worse than the version in use");
 }
 
-/*
- * Compares the failures on each route, to detect a fault on one route, and on
- * all routes together, to detect a fault that is rare on each.
- */
+/* What the rows of one kind tell of the new version. */
+struct finding {
+    struct cy_tally tally; /* all windows */
+    /* Slow answers come in series: without the worst windows. */
+    struct cy_tally calm;
+    struct cy_count sums[CY_SIDES];
+};
+
 static void
-check_failures(struct ro_move *move)
+add_row(struct finding *finding, const struct ro_row *row)
 {
-    struct ro_count all[2] = {{0, 0}, {0, 0}};
-    for (size_t i = 0; i < move->row_count; i++) {
-        if (Ro_IsSlowKey(move->rows[i].key)) {
-            continue;
-        }
-        struct ro_count sums[2] = {{0, 0}, {0, 0}};
-        sum_row(&move->rows[i], sums);
-        sum_row(&move->rows[i], all);
-        if (Ro_IsWorse(&sums[OLD_VERSION], &sums[NEW_VERSION])) {
-            roll_back(move, sums);
-            return;
-        }
-    }
-    if (Ro_IsWorse(&all[OLD_VERSION], &all[NEW_VERSION])) {
-        roll_back(move, all);
-    }
+    sum_row(row, finding->sums);
+    bool slow = Ro_KindOfKey(row->key) == RO_SLOW;
+    struct cy_tally tally =
+        Cy_Tally(&row->evidence, finding->sums, slow ? Ro_PAUSE_WINDOWS : 0);
+    struct cy_tally calm = slow ? Cy_CalmTally(&row->evidence) : tally;
+    Cy_Add(&finding->tally, &tally);
+    Cy_Add(&finding->calm, &calm);
 }
 
 static void
-add_weight(struct ro_weighted_count *to,
-           const struct ro_weighted_count *addend)
+add_finding(struct finding *to, const struct finding *addend)
 {
-    to->answers += addend->answers;
-    to->bad += addend->bad;
+    Cy_Add(&to->tally, &addend->tally);
+    Cy_Add(&to->calm, &addend->calm);
+    add_count(&to->sums[CY_OLD], &addend->sums[CY_OLD]);
+    add_count(&to->sums[CY_NEW], &addend->sums[CY_NEW]);
+}
+
+/* Rolls the move back if the new version is worse, and marks a suspect. */
+static void
+judge_finding(struct ro_move *move, const struct finding *finding)
+{
+    if (move->state == RO_RUNNING && Cy_IsWorse(&finding->calm)) {
+        roll_back(move, finding->sums);
+    }
+    move->suspect |= Cy_IsSuspect(&finding->tally);
 }
 
 /*
- * Compares the slow answers in the same way as the failures, at the end of a
- * window.
+ * Compares the versions by each kind of bad answer: on each route, to detect a
+ * fault on one route, and on all routes together, to detect a fault that is
+ * rare on each.
  */
 static void
-check_slowness(struct ro_move *move)
+judge(struct ro_move *move)
+{
+    static const struct finding nothing;
+    struct finding all[RO_KINDS] = {nothing, nothing, nothing};
+    move->suspect = false;
+    for (size_t i = 0; i < move->row_count; i++) {
+        struct finding finding = nothing;
+        add_row(&finding, &move->rows[i]);
+        judge_finding(move, &finding);
+        add_finding(&all[Ro_KindOfKey(move->rows[i].key)], &finding);
+    }
+    for (int kind = 0; kind < RO_KINDS; kind++) {
+        judge_finding(move, &all[kind]);
+    }
+}
+
+static void
+close_windows(struct ro_move *move)
 {
-    struct ro_count all[2] = {{0, 0}, {0, 0}};
-    struct ro_weighted_count weighted[2] = {{0, 0}, {0, 0}};
-    bool worse = false;
     for (size_t i = 0; i < move->row_count; i++) {
         struct ro_row *row = &move->rows[i];
-        if (!Ro_IsSlowKey(row->key)) {
-            continue;
-        }
-        struct ro_count sums[2] = {{0, 0}, {0, 0}};
+        struct cy_count sums[CY_SIDES] = {{0, 0}, {0, 0}};
         sum_row(row, sums);
-        sum_row(row, all);
-        Ro_CloseWindow(&row->slow_counts, sums);
-        add_weight(&weighted[OLD_VERSION],
-                   &row->slow_counts.weighted[OLD_VERSION]);
-        add_weight(&weighted[NEW_VERSION],
-                   &row->slow_counts.weighted[NEW_VERSION]);
-        worse |= Ro_IsWorseWeighted(&row->slow_counts.weighted[OLD_VERSION],
-                                    &row->slow_counts.weighted[NEW_VERSION]);
-    }
-    if (worse ||
-        Ro_IsWorseWeighted(&weighted[OLD_VERSION], &weighted[NEW_VERSION])) {
-        roll_back(move, all);
+        Cy_CloseWindow(&row->evidence, sums);
     }
 }
 
@@ -415,48 +465,31 @@
         if (move->state != RO_RUNNING) {
             continue;
         }
-        check_failures(move);
         if (now - move->window_since >= Ro_WINDOW_USEC) {
             move->window_since = now;
-            check_slowness(move);
+            close_windows(move);
         }
+        judge(move);
     }
 }
 
-static uint32_t
-new_version_answers(const struct ro_move *move)
-{
-    struct ro_count all[2] = {{0, 0}, {0, 0}};
-    sum_failures(move, all);
-    return all[NEW_VERSION].answers;
-}
-
-/*
- * Limits the share by the usable endpoints of the new version; half as many as
- * of the old version are enough for all requests.
- */
 static int
 next_share(const struct ro_table *table, const struct ro_move *move,
            const struct ro_endpoint_counts *counts)
 {
-    if (counts->new_usable == 0) {
-        return 0;
-    }
-    double elapsed = (double)(Ck_Now(table->clock) - move->started_at) /
-                     (double)move->order.duration_usec;
-    int share = Ro_CANARY_SHARE;
-    if (elapsed >= Ro_RAISE_AFTER &&
-        new_version_answers(move) >= Ro_RAISE_MIN_ANSWERS) {
-        share = Ro_RAISED_SHARE;
-    }
-    if (elapsed >= Ro_FULL_AFTER) {
-        share = Ro_FULL_SHARE;
-    }
-    int limit =
-        counts->old_usable == 0
-            ? Ro_FULL_SHARE
-            : 2 * Ro_FULL_SHARE * counts->new_usable / counts->old_usable;
-    return share < limit ? share : limit;
+    struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
+    sum_failures(move, all);
+    struct cy_progress progress = {
+        .elapsed_usec = Ck_Now(table->clock) - move->started_at,
+        .duration_usec = move->order.duration_usec,
+        .drain_usec = counts->drain_usec,
+        .answers = all[CY_NEW].answers,
+        .all_answers = all[CY_OLD].answers + all[CY_NEW].answers,
+        .suspect = move->suspect,
+        .old_usable = counts->old_usable,
+        .new_usable = counts->new_usable,
+    };
+    return Cy_Share(&progress);
 }
 
 void
@@ -488,10 +521,13 @@
     else if (deadline_passed && counts->new_usable == 0) {
         set_state(move, RO_ROLLED_BACK, "no endpoint of it by the deadline");
     }
+    else if (deadline_passed && move->suspect) {
+        set_state(move, RO_ROLLED_BACK, "a suspect at the deadline");
+    }
 }
 
 enum ro_pick
-Ro_Pick(const struct ro_move *move, bool retry, double random)
+Ro_Pick(const struct ro_move *move, bool retry)
 {
     if (move == NULL) {
         return RO_ANY;
@@ -511,8 +547,14 @@
      * A retry goes to the old version: it must succeed and is not used to test
      * the new version.
      */
-    return !retry && random * Ro_FULL_SHARE < move->share ? RO_NEW_FIRST
-                                                          : RO_OLD;
+    return !retry && Cy_PaceNew(&move->pacer, move->share) ? RO_NEW_FIRST
+                                                           : RO_OLD;
+}
+
+bool
+Ro_MayStandIn(const struct ro_move *move)
+{
+    return !move->suspect;
 }
 
 size_t
@@ -531,8 +573,8 @@
                 .service = move->hash,
                 .route = row->key,
                 .order = move->order.number,
-                .old_version = row->own[OLD_VERSION],
-                .new_version = row->own[NEW_VERSION],
+                .old_version = row->own[CY_OLD],
+                .new_version = row->own[CY_NEW],
             };
         }
     }
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -20,6 +20,7 @@
 
 #include "base/clock.h"
 #include "edge/config.h"
+#include "policy/canary.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -27,9 +28,24 @@
 
 #define Ro_MOVES_MAX 16
 #define Ro_ROUTES_MAX 16
-/* one for failures and one for slow answers per route */
-#define Ro_ROWS_MAX (2 * Ro_ROUTES_MAX)
-#define Ro_FULL_SHARE 1000 /* all requests; shares are in thousandths */
+/* for each route one of failures and one of slow answers; one of all routes */
+#define Ro_ROWS_MAX (2 * Ro_ROUTES_MAX + 1)
+#define Ro_FULL_SHARE Cy_FULL_SHARE
+
+/* What the bad answers of a row are. */
+enum ro_kind {
+    RO_FAILED,
+    RO_SLOW,
+    RO_LOST, /* ended with their endpoint; of all routes together */
+    RO_KINDS,
+};
+
+/* How a request at an endpoint ended. */
+struct ro_result {
+    bool failed;
+    bool slow; /* to the first byte */
+    bool lost; /* the endpoint died; "failed" does not count then */
+};
 
 /* A later state replaces an earlier one and is never replaced by it. */
 enum ro_state {
@@ -46,11 +62,6 @@
     int64_t number; /* increases with each order */
 };
 
-struct ro_count {
-    uint32_t answers;
-    uint32_t bad; /* failed, or slow to the first byte, as the row counts */
-};
-
 /*
  * Answers of both versions on one route, counted by one daemon: how many
  * failed, or how many were slow.
@@ -60,8 +71,8 @@
     /* hash of the route and of what is counted, see Ro_RowKey() */
     uint32_t route;
     int64_t order;
-    struct ro_count old_version;
-    struct ro_count new_version;
+    struct cy_count old_version;
+    struct cy_count new_version;
 };
 
 /* Status of a move, sent to peers and recorded by the lease holder. */
@@ -81,26 +92,16 @@
     RO_NEW_FIRST  /* other versions only if the new one has no free slot */
 };
 
-/* Answers with the weights of Ro_CloseWindow(). */
-struct ro_weighted_count {
-    double answers;
-    double bad;
-};
-
-/* Slow answers of both versions, weighted window by window. */
-struct ro_slow_counts {
-    struct ro_count counted[2]; /* totals at the end of the last window */
-    struct ro_weighted_count weighted[2];
-};
-
-/* Counts of one route: either its failures or its slow answers. */
+/* Counts of one kind, of one route or of all. */
 struct ro_row {
     uint32_t key;
     /* average time to the first byte of the old version on this daemon */
     double typical_usec;
-    struct ro_count own[2];
-    struct ro_count peers[2];
-    struct ro_slow_counts slow_counts;
+    struct cy_count own[CY_SIDES];
+    struct cy_count peers[CY_SIDES];
+    /* counted by processes of peers that have been restarted since */
+    struct cy_count departed[CY_SIDES];
+    struct cy_evidence evidence;
 };
 
 struct ro_move {
@@ -113,20 +114,24 @@
     int64_t full_since;
     /* when the old endpoints became idle; 0: they are not */
     int64_t drained_since;
-    int64_t window_since; /* start of the current window of slow answers */
+    int64_t window_since;  /* start of the current window of evidence */
+    bool suspect;          /* the new version looks worse, see canary.h */
+    struct cy_pacer pacer; /* of this daemon's requests */
     size_t row_count;
     struct ro_row rows[Ro_ROWS_MAX];
 };
 
 struct ro_table;
 
-struct ro_table *Ro_Create(const struct ck_clock *clock);
+/* "seed" spreads the first requests to a new version over the daemons. */
+struct ro_table *Ro_Create(const struct ck_clock *clock, uint64_t seed);
 void Ro_Destroy(struct ro_table *table);
 uint32_t Ro_Hash(const char *name);
 
 void Ro_Order(struct ro_table *table, const struct ro_order *order);
-uint32_t Ro_RowKey(const char *route, bool slow);
-bool Ro_IsSlowKey(uint32_t key);
+/* "route" is NULL for RO_LOST. */
+uint32_t Ro_RowKey(const char *route, enum ro_kind kind);
+enum ro_kind Ro_KindOfKey(uint32_t key);
 
 /*
  * Records the time to a first byte; returns whether it is slow, that is,
@@ -134,8 +139,23 @@
  */
 bool Ro_RecordFirstByte(struct ro_table *table, const char *service,
                         const char *route, bool is_new, int64_t usec);
+/*
+ * The time after which an answer of a service that is being moved is slow;
+ * 0: not known yet, or no move.
+ */
+int64_t Ro_SlowAfter(struct ro_table *table, const char *service,
+                     const char *route);
 void Ro_RecordAnswer(struct ro_table *table, const char *service,
-                     const char *route, bool is_new, bool failed, bool slow);
+                     const char *route, bool is_new,
+                     const struct ro_result *result);
+/* A slow request ended without an answer; nothing else is known of it. */
+void Ro_RecordSilence(struct ro_table *table, const char *service,
+                      const char *route, bool is_new);
+/* Counts a request sent, for the share of the new version. */
+void Ro_NoteSent(struct ro_table *table, const char *service, bool is_new);
+/* Keeps the counts of a peer's process that has been restarted. */
+void Ro_RetireOutcomes(struct ro_table *table, const struct ro_outcomes *rows,
+                       size_t count);
 void Ro_ClearPeerOutcomes(struct ro_table *table);
 void Ro_AddPeerOutcomes(struct ro_table *table, const struct ro_outcomes *rows,
                         size_t count);
@@ -152,7 +172,8 @@
 struct ro_endpoint_counts {
     int old_usable;
     int new_usable;
-    int old_running; /* requests of all daemons at the old version */
+    int old_running;    /* requests of all daemons at the old version */
+    int64_t drain_usec; /* longest time that their requests may take */
 };
 /* Sets the share of a move and ends it; called by the lease holder only. */
 void Ro_Advance(struct ro_table *table, struct ro_move *move,
@@ -163,8 +184,12 @@
 struct ro_move *Ro_Find(struct ro_table *table, const char *service);
 /* NULL past the last move */
 struct ro_move *Ro_At(struct ro_table *table, size_t index);
-/* Chooses for a request by a random number from 0 to below 1. */
-enum ro_pick Ro_Pick(const struct ro_move *move, bool retry, double random);
+enum ro_pick Ro_Pick(const struct ro_move *move, bool retry);
+/*
+ * Whether the new version may get a request because no endpoint of the old one
+ * is listed.
+ */
+bool Ro_MayStandIn(const struct ro_move *move);
 size_t Ro_LocalOutcomes(const struct ro_table *table, struct ro_outcomes *out,
                         size_t size);
 struct ro_status Ro_Status(const struct ro_move *move);
@@ -172,15 +197,6 @@
                    size_t size);
 const char *Ro_StateName(enum ro_state state);
 
-/* Returns whether the new version is worse beyond chance. */
-bool Ro_IsWorse(const struct ro_count *old_count,
-                const struct ro_count *new_count);
-/* Adds the answers since the last window, with bounded weight. */
-void Ro_CloseWindow(struct ro_slow_counts *slow_counts,
-                    const struct ro_count sums[2]);
-bool Ro_IsWorseWeighted(const struct ro_weighted_count *old_count,
-                        const struct ro_weighted_count *new_count);
-
 #ifdef __cplusplus
 }
 #endif
--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -26,11 +26,12 @@
         strcpy(order_.target, "v2");
         order_.duration_usec = seconds * Ck_USEC_PER_SEC;
         order_.number = 7;
+        started_at_ = Ck_Now(&clock_.clock);
         for (size_t i = 0; i < daemons; i++) {
-            tables_.push_back(Ro_Create(&clock_.clock));
+            tables_.push_back(Ro_Create(&clock_.clock, i));
             Ro_Order(tables_.back(), &order_);
         }
-        counts_ = {4, 4, 3};
+        counts_ = {4, 4, 3, 0};
     }
 
     void
@@ -52,18 +53,30 @@
     {
         struct ro_move *move = Ro_Find(table, "llm");
         const char *route = number % 3 == 0 ? "digest" : "chat";
-        enum ro_pick pick = Ro_Pick(move, false, unit_(random_));
+        enum ro_pick pick = Ro_Pick(move, false);
         bool is_new = pick == RO_NEW_FIRST;
         requests_++;
         new_version_requests_ += is_new;
         bool is_bad =
             is_new && (!faulty_route_ || strcmp(route, faulty_route_) == 0);
         bool failed =
-            unit_(random_) < (is_bad ? failure_rate_ : base_failure_rate_);
+            unit_(random_) < (is_bad ? failure_rate_ : OldFailureRate());
         int64_t usec = is_bad && unit_(random_) < slow_rate_ ? 500000 : 40000;
         usec += PauseRemaining(is_new);
         bool is_slow = Ro_RecordFirstByte(table, "llm", route, is_new, usec);
-        Ro_RecordAnswer(table, "llm", route, is_new, failed, is_slow);
+        struct ro_result result = {failed, is_slow, false};
+        Ro_NoteSent(table, "llm", is_new);
+        Ro_RecordAnswer(table, "llm", route, is_new, &result);
+    }
+
+    // Endpoints of the old version fail most requests for a while.
+    double
+    OldFailureRate() const
+    {
+        const int64_t elapsed = Ck_Now(&clock_.clock) - started_at_;
+        bool disturbed =
+            elapsed >= old_disturbed_from_ && elapsed < old_disturbed_until_;
+        return disturbed ? 0.6 : base_failure_rate_;
     }
 
     // Returns the remaining pause of a randomly chosen endpoint.
@@ -156,6 +169,10 @@
     double pauses_per_min_ = 0;
     static const size_t kEndpoints = 3; // of each version
     int64_t paused_until_[2][kEndpoints] = {};
+    int64_t started_at_ = 0;
+    // While it is disturbed, the old version fails more; since the order.
+    int64_t old_disturbed_from_ = 0;
+    int64_t old_disturbed_until_ = 0;
     const char *faulty_route_ = nullptr;
     int requests_ = 0;
     int new_version_requests_ = 0;
@@ -169,7 +186,7 @@
     Run(12, 11);
     for (size_t i = 0; i < tables_.size(); i++) {
         EXPECT_EQ(At(i)->state, RO_SUCCEEDED) << i;
-        EXPECT_EQ(Ro_Pick(At(i), false, 0.99), RO_NEW_FIRST);
+        EXPECT_EQ(Ro_Pick(At(i), false), RO_NEW_FIRST);
     }
 }
 
@@ -185,9 +202,10 @@
         if (move->state != RO_RUNNING) {
             break;
         }
-        bool all = Ro_Pick(move, false, 0.9999) == RO_NEW_FIRST;
+        bool all = move->share == Ro_FULL_SHARE;
+        EXPECT_TRUE(!all || Ro_Pick(move, false) == RO_NEW_FIRST);
         at_full_share += all;
-        EXPECT_EQ(Ro_Pick(move, true, 0), all ? RO_OLD_FIRST : RO_OLD);
+        EXPECT_EQ(Ro_Pick(move, true), all ? RO_OLD_FIRST : RO_OLD);
     }
     EXPECT_GT(at_full_share, 0);
 }
@@ -201,7 +219,7 @@
     Run(12, 80);
     for (size_t i = 0; i < tables_.size(); i++) {
         ASSERT_EQ(At(i)->state, RO_ROLLED_BACK) << i;
-        EXPECT_EQ(Ro_Pick(At(i), false, 0), RO_OLD_ONLY);
+        EXPECT_EQ(Ro_Pick(At(i), false), RO_OLD_ONLY);
     }
     EXPECT_TRUE(WithinExposureLimit())
         << new_version_requests_ << " of " << requests_;
@@ -239,6 +257,27 @@
     }
 }
 
+// Guards against failures of the old version, in the first seconds of the
+// move, that excuse those of a bad new version for the rest of it.
+TEST_F(Move, ADisturbanceOfTheOldVersionDoesNotExcuseTheNewOne)
+{
+    for (size_t daemons : {7, 80, 300}) {
+        random_.seed(daemons);
+        requests_ = new_version_requests_ = 0;
+        base_failure_rate_ = 0.02;
+        failure_rate_ = 0.3;
+        old_disturbed_until_ = 4 * Ck_USEC_PER_SEC;
+        Start(daemons, 16);
+        Run(16, 40);
+        EXPECT_EQ(At(0)->state, RO_ROLLED_BACK) << daemons;
+        EXPECT_TRUE(WithinExposureLimit())
+            << daemons << " hosts: " << new_version_requests_ << " of "
+            << requests_;
+        TearDown();
+        tables_.clear();
+    }
+}
+
 // Guards against a new version that fails on one route only, too rarely to
 // show in the totals.
 TEST_F(Move, AFaultOnOneRouteIsDetected)
@@ -258,6 +297,7 @@
 TEST_F(Move, AFaultAtFullShareStaysWithinTheBound)
 {
     Start(7, 12);
+    counts_.drain_usec = 12 * Ck_USEC_PER_SEC;
     Run(8, 11);
     ASSERT_EQ(At(0)->share, Ro_FULL_SHARE);
     counts_.old_running = 5;
@@ -328,11 +368,11 @@
 TEST_F(Move, ShareIsLimitedByReadyEndpoints)
 {
     Start(1, 10);
-    counts_ = {4, 1, 0};
+    counts_ = {4, 1, 0, 0};
     clock_.Advance(9 * Ck_USEC_PER_SEC);
     Ro_Advance(tables_[0], At(0), &counts_);
     EXPECT_LE(At(0)->share, Ro_FULL_SHARE / 2);
-    counts_ = {4, 0, 0};
+    counts_ = {4, 0, 0, 0};
     Ro_Advance(tables_[0], At(0), &counts_);
     EXPECT_EQ(At(0)->share, 0);
 }
@@ -347,7 +387,7 @@
     Ro_ApplyStatus(tables_[0], &rolled_back, false);
     struct ro_status running = {Ro_Hash("llm"), 7, RO_RUNNING, 1000};
     Ro_ApplyStatus(tables_[0], &running, true);
-    EXPECT_EQ(Ro_Pick(At(0), false, 0), RO_OLD_ONLY);
+    EXPECT_EQ(Ro_Pick(At(0), false), RO_OLD_ONLY);
     struct ro_order older = order_;
     older.number = 3;
     strcpy(older.target, "v0");
