--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -64,7 +64,9 @@
         int64_t usec = is_bad && unit_(random_) < slow_rate_ ? 500000 : 40000;
         usec += PauseRemaining(is_new);
         bool is_slow = Ro_RecordFirstByte(table, "llm", route, is_new, usec);
-        struct ro_result result = {failed, is_slow, false};
+        bool lost =
+            !is_new && old_lost_rate_ > 0 && unit_(random_) < old_lost_rate_;
+        struct ro_result result = {failed, is_slow, lost};
         Ro_NoteSent(table, "llm", is_new);
         Ro_RecordAnswer(table, "llm", route, is_new, &result);
     }
@@ -166,6 +168,7 @@
     double base_failure_rate_ = 0.02;
     double failure_rate_ = 0.02;
     double slow_rate_ = 0;
+    double old_lost_rate_ = 0; // requests that end with an old endpoint
     double pauses_per_min_ = 0;
     static const size_t kEndpoints = 3; // of each version
     int64_t paused_until_[2][kEndpoints] = {};
@@ -278,6 +281,54 @@
     }
 }
 
+// Guards against requests that ended with lost endpoints of the old version
+// and excuse the failures of the new one.
+TEST_F(Move, LostEndpointsOfTheOldVersionDoNotExcuseTheNewOne)
+{
+    old_lost_rate_ = 0.1;
+    failure_rate_ = 0.2;
+    Start(8, 16);
+    Run(16, 24);
+    EXPECT_EQ(At(0)->state, RO_ROLLED_BACK);
+    EXPECT_TRUE(WithinExposureLimit())
+        << new_version_requests_ << " of " << requests_;
+}
+
+// Guards against a host that is killed and takes along what it has seen of a
+// bad version.
+TEST_F(Move, CountsOfARestartedHostStand)
+{
+    Start(2, 16);
+    struct ro_outcomes seen = {
+        Ro_Hash("llm"), Ro_RowKey("chat", RO_FAILED), 7, {200, 2}, {20, 15}};
+    Ro_RetireOutcomes(tables_[0], &seen, 1);
+    Ro_ClearPeerOutcomes(tables_[0]);
+    Ro_Tick(tables_[0]);
+    EXPECT_EQ(At(0)->state, RO_ROLLED_BACK);
+}
+
+// Guards against a suspect that gets all requests, by its share or because no
+// endpoint of the old version is listed.
+TEST_F(Move, ASuspectGetsTheSmallShareOnly)
+{
+    Start(1, 16);
+    const int bad_answers_max = 100;
+    counts_.drain_usec = 16 * Ck_USEC_PER_SEC;
+    Run(11, 11);
+    ASSERT_EQ(At(0)->state, RO_RUNNING);
+    ASSERT_EQ(At(0)->share, Ro_FULL_SHARE);
+    EXPECT_TRUE(Ro_MayStandIn(At(0)));
+    struct ro_result failed = {true, false, false};
+    for (int i = 0; i < bad_answers_max && !At(0)->suspect; i++) {
+        Ro_RecordAnswer(tables_[0], "llm", "rare", true, &failed);
+        Ro_Tick(tables_[0]);
+    }
+    Ro_Advance(tables_[0], At(0), &counts_);
+    EXPECT_EQ(At(0)->state, RO_RUNNING);
+    EXPECT_LT(At(0)->share, Ro_FULL_SHARE / 10);
+    EXPECT_FALSE(Ro_MayStandIn(At(0)));
+}
+
 // Guards against a new version that fails on one route only, too rarely to
 // show in the totals.
 TEST_F(Move, AFaultOnOneRouteIsDetected)
