--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -22,9 +22,6 @@
  * one.
  */
 #define Xc_SILENCE_TARGETS 2
-/* An unanswered attempt is late after this fraction of the time after which
-   its answer would be slow. */
-#define Xc_LATE_DIVISOR 2
 /* Time after which a slot is likely to be free when all are in use. */
 #define Xc_BUSY_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
 #define Xc_NONE_RETRY_USEC (800 * Ck_USEC_PER_MSEC)
@@ -87,46 +84,6 @@
     return attempt->head_at == 0 ? 0 : now - attempt->head_at;
 }
 
-/* How an attempt ended that tells nothing about the endpoint's version. */
-static const char *
-unjudged_reason(const struct xc_attempt *attempt)
-{
-    if (attempt->head_at == 0) {
-        return "unanswered";
-    }
-    return attempt->answer.not_run ? "refused" : "incomplete";
-}
-
-/*
- * An attempt that ends without an answer tells of the endpoint's version if it
- * has waited longer than usual, over a link that works.  Callers that leave
- * early would hide a slow version if only those were counted that wait until
- * it is known to be slow.
- */
-static void
-judge_unanswered(const struct xc_exchange *exchange)
-{
-    struct ga_gate *gate = exchange->gate;
-    const struct xc_attempt *attempt = &exchange->attempt;
-    const char *service = exchange->service->name;
-    if (attempt->judged || !Ro_IsRunning(gate->moves, service)) {
-        return;
-    }
-    bool sent = attempt->channel != NULL && Cn_Sent(attempt->channel);
-    bool late =
-        attempt->slow_after != 0 && Ga_Now(gate) - attempt->sent_at >=
-                                        attempt->slow_after / Xc_LATE_DIVISOR;
-    if (late && attempt->head_at == 0 && sent &&
-        !attempt->endpoint->link_state.cut) {
-        const struct ro_move *move = Ro_Find(gate->moves, service);
-        Ro_RecordSilence(gate->moves, service, exchange->route->name,
-                         Ga_HasTargetVersion(move, attempt->endpoint));
-        return;
-    }
-    Vs_CountUnjudged(gate->registry, &attempt->endpoint->entry,
-                     unjudged_reason(attempt));
-}
-
 void
 Xc_ReleaseAttempt(struct xc_exchange *exchange)
 {
@@ -142,7 +99,7 @@
         attempt->channel != NULL && Cn_Sent(attempt->channel)) {
         Xc_CountRun(exchange);
     }
-    judge_unanswered(exchange);
+    Xc_JudgeUnanswered(exchange);
     attempt->endpoint->running--;
     De_RecordEnd(exchange->gate->demand, exchange->service->name,
                  slot_usec(exchange));
@@ -216,17 +173,6 @@
            Xc_SILENCE_TARGETS * exchange->route->latency_target_usec;
 }
 
-/*
- * Whether the attempt waits for an answer that is not known yet to be slow, of
- * an endpoint whose version is compared with another.
- */
-static bool
-may_become_slow(const struct xc_exchange *exchange)
-{
-    const struct xc_attempt *attempt = &exchange->attempt;
-    return attempt->slow_after != 0 && attempt->head_at == 0 && !attempt->slow;
-}
-
 static void
 set_timer(struct xc_exchange *exchange)
 {
@@ -240,7 +186,7 @@
                              ? at
                              : attempt->sent_at + Li_SILENCE_USEC);
     }
-    if (attempt->endpoint != NULL && may_become_slow(exchange)) {
+    if (attempt->endpoint != NULL && Xc_MayBecomeSlow(exchange)) {
         at = earlier(at, attempt->sent_at + attempt->slow_after);
     }
     Lp_TimerSet(exchange->timer, at - now);
@@ -379,12 +325,6 @@
     attempt->channel = channel;
     attempt->sent_at = now;
     attempt->prefill_tokens = target->prefill_tokens;
-    /* Cold endpoints are slow whatever their version. */
-    attempt->slow_after =
-        Wu_IsCold(&endpoint->warmup, now)
-            ? 0
-            : Ro_SlowAfter(gate->moves, exchange->service->name,
-                           exchange->route->name);
     int running = endpoint->running + endpoint->peers_running;
     attempt->unloaded =
         endpoint->prefill_tokens + endpoint->peers_prefill_tokens == 0 &&
@@ -410,13 +350,7 @@
     exchange->silence_handled = false;
     exchange->link_tested = false;
     log_sent(exchange);
-    if (target->version_why != NULL) {
-        Vs_CountSent(gate->registry, &endpoint->entry, target->version_why);
-        Ro_NoteSent(
-            gate->moves, exchange->service->name,
-            Ga_HasTargetVersion(Ro_Find(gate->moves, exchange->service->name),
-                                endpoint));
-    }
+    Xc_NoteVersionSent(exchange, target);
     Cn_Send(channel, head, head_len, body, body_len,
             H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
             exchange);
@@ -523,7 +457,7 @@
         Xc_Dispatch(exchange);
         return;
     }
-    if (attempt->endpoint != NULL && may_become_slow(exchange) &&
+    if (attempt->endpoint != NULL && Xc_MayBecomeSlow(exchange) &&
         now >= attempt->sent_at + attempt->slow_after) {
         attempt->slow = true;
     }
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -112,6 +112,24 @@
  */
 void Xc_CountRun(struct xc_exchange *exchange);
 
+/*
+ * The attempt at "target" was sent: notes for which reason its version got it,
+ * and after which time its answer will be slow.
+ */
+void Xc_NoteVersionSent(struct xc_exchange *exchange,
+                        const struct xc_target *target);
+void Xc_NoteFirstByte(struct xc_exchange *exchange, int64_t usec);
+/*
+ * Whether the attempt waits for an answer that is not known yet to be slow, of
+ * an endpoint whose version is compared with another.
+ */
+bool Xc_MayBecomeSlow(const struct xc_exchange *exchange);
+/* Counts a good or failed answer for the endpoint's version. */
+void Xc_JudgeAnswer(struct xc_exchange *exchange, bool failed);
+/* The attempt ends; if it has no answer, that may speak against its version.
+ */
+void Xc_JudgeUnanswered(const struct xc_exchange *exchange);
+
 /* Callbacks of the connection to the endpoint. */
 extern const struct cn_ops xc_channel_ops;
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -72,25 +72,6 @@
     return answer->sealed && answer->echoed && !answer->encoded;
 }
 
-/*
- * Notes the time to the first byte for the endpoint's version.  Cold endpoints
- * do not count because they are slow whatever their version.
- */
-static void
-note_first_byte(struct xc_exchange *exchange, int64_t usec)
-{
-    struct ga_gate *gate = exchange->gate;
-    const struct fl_endpoint *endpoint = exchange->attempt.endpoint;
-    const char *service = exchange->service->name;
-    const struct ro_move *move = Ro_Find(gate->moves, service);
-    bool cold = Wu_IsCold(&endpoint->warmup, Ga_Now(gate));
-    if (move != NULL && !cold) {
-        exchange->attempt.slow |=
-            Ro_RecordFirstByte(gate->moves, service, exchange->route->name,
-                               Ga_HasTargetVersion(move, endpoint), usec);
-    }
-}
-
 /*
  * Notes that the endpoint sent bytes.  Relayed connections do not count: they
  * do not use this host's link to the endpoint.
@@ -137,7 +118,7 @@
     }
     if (head->status == 200 && is_genuine(&attempt->answer)) {
         He_NoteFirstByte(attempt->endpoint, now - attempt->sent_at, now);
-        note_first_byte(exchange, now - attempt->sent_at);
+        Xc_NoteFirstByte(exchange, now - attempt->sent_at);
         exchange->first_byte_at =
             exchange->first_byte_at == 0 ? now : exchange->first_byte_at;
         Mt_Observe(exchange->gate->count.first_byte,
@@ -238,23 +219,6 @@
     }
 }
 
-/* Counts a good or failed answer for the endpoint's version. */
-static void
-count_version_answer(struct xc_exchange *exchange, bool failed)
-{
-    struct ga_gate *gate = exchange->gate;
-    const char *service = exchange->service->name;
-    const struct ro_move *move = Ro_Find(gate->moves, service);
-    exchange->attempt.judged = true;
-    if (move != NULL) {
-        struct ro_result result = {.failed = failed,
-                                   .slow = exchange->attempt.slow};
-        Ro_RecordAnswer(gate->moves, service, exchange->route->name,
-                        Ga_HasTargetVersion(move, exchange->attempt.endpoint),
-                        &result);
-    }
-}
-
 /* Formats the ids of the shareable prompt parts for the log. */
 static const char *
 format_parts(const struct hd_request_info *info)
@@ -341,7 +305,7 @@
     if (attempt->streaming) {
         bool broken = attempt->events_missing || attempt->parser.failed ||
                       Es_BufferedLen(&attempt->parser) > 0;
-        count_version_answer(exchange, broken);
+        Xc_JudgeAnswer(exchange, broken);
         He_Note(endpoint, broken ? HE_FAILED : HE_SERVED, now);
         if (broken) {
             retry_or_refuse(exchange, true, 502, "stream cut");
@@ -360,8 +324,8 @@
                         "endpoint refused");
         return;
     }
-    count_version_answer(exchange, attempt->status >= 500 ||
-                                       !is_genuine(&attempt->answer));
+    Xc_JudgeAnswer(exchange,
+                   attempt->status >= 500 || !is_genuine(&attempt->answer));
     if (!is_genuine(&attempt->answer) || attempt->overflow ||
         exchange->head_sent) {
         He_Note(endpoint, HE_FAILED, now);
--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -1,4 +1,4 @@
-#include "edge/rollout.h"
+#include "edge/rollout_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -24,8 +24,6 @@
 
 /* Length of a window of evidence. */
 #define Ro_WINDOW_USEC (1 * Ck_USEC_PER_SEC)
-/* Windows in which most answers of a pause are. */
-#define Ro_PAUSE_WINDOWS 2
 /* The lowest bits of a row's key tell its kind. */
 #define Ro_KIND_MASK UINT32_C(3)
 
@@ -168,34 +166,6 @@
            (long long)move->order.number, Ro_StateName(state), why);
 }
 
-static void
-add_count(struct cy_count *to, const struct cy_count *addend)
-{
-    to->answers += addend->answers;
-    to->bad += addend->bad;
-}
-
-static void
-sum_row(const struct ro_row *row, struct cy_count sums[CY_SIDES])
-{
-    for (int side = CY_OLD; side < CY_SIDES; side++) {
-        add_count(&sums[side], &row->own[side]);
-        add_count(&sums[side], &row->peers[side]);
-        add_count(&sums[side], &row->departed[side]);
-    }
-}
-
-/* Adds up the answers of all routes, and how many of them failed. */
-static void
-sum_failures(const struct ro_move *move, struct cy_count sums[CY_SIDES])
-{
-    for (size_t i = 0; i < move->row_count; i++) {
-        if (Ro_KindOfKey(move->rows[i].key) == RO_FAILED) {
-            sum_row(&move->rows[i], sums);
-        }
-    }
-}
-
 static void
 set_share(struct ro_move *move, int share)
 {
@@ -203,7 +173,7 @@
         return;
     }
     struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
-    sum_failures(move, all);
+    ro_sum_failures(move, all);
     Ln_Log(LN_STATE, "move.share",
            "\"service\":\"%s\",\"target\":\"%s\",\"order\":%lld,"
            "\"before\":%d,\"share\":%d,\"answers\":%u,\"bad\":%u,"
@@ -326,18 +296,22 @@
     }
 }
 
+static struct ro_row *
+row_of(struct ro_table *table, const struct ro_outcomes *outcomes)
+{
+    struct ro_move *move =
+        find_by_hash(table, outcomes->service, outcomes->order);
+    return move == NULL ? NULL : find_or_add_row(move, outcomes->route);
+}
+
 void
 Ro_AddPeerOutcomes(struct ro_table *table, const struct ro_outcomes *rows,
                    size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        struct ro_move *move =
-            find_by_hash(table, rows[i].service, rows[i].order);
-        struct ro_row *row =
-            move == NULL ? NULL : find_or_add_row(move, rows[i].route);
+        struct ro_row *row = row_of(table, &rows[i]);
         if (row != NULL) {
-            add_count(&row->peers[CY_OLD], &rows[i].old_version);
-            add_count(&row->peers[CY_NEW], &rows[i].new_version);
+            ro_add_outcomes(row->peers, &rows[i]);
         }
     }
 }
@@ -347,13 +321,9 @@
                   size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        struct ro_move *move =
-            find_by_hash(table, rows[i].service, rows[i].order);
-        struct ro_row *row =
-            move == NULL ? NULL : find_or_add_row(move, rows[i].route);
+        struct ro_row *row = row_of(table, &rows[i]);
         if (row != NULL) {
-            add_count(&row->departed[CY_OLD], &rows[i].old_version);
-            add_count(&row->departed[CY_NEW], &rows[i].new_version);
+            ro_add_outcomes(row->departed, &rows[i]);
         }
     }
 }
@@ -384,78 +354,6 @@
     set_state(move, RO_ROLLED_BACK, "worse than the version in use");
 }
 
-/* What the rows of one kind tell of the new version. */
-struct finding {
-    struct cy_tally tally; /* all windows */
-    /* Slow answers come in series: without the worst windows. */
-    struct cy_tally calm;
-    struct cy_count sums[CY_SIDES];
-};
-
-static void
-add_row(struct finding *finding, const struct ro_row *row)
-{
-    sum_row(row, finding->sums);
-    bool slow = Ro_KindOfKey(row->key) == RO_SLOW;
-    struct cy_tally tally =
-        Cy_Tally(&row->evidence, finding->sums, slow ? Ro_PAUSE_WINDOWS : 0);
-    struct cy_tally calm = slow ? Cy_CalmTally(&row->evidence) : tally;
-    Cy_Add(&finding->tally, &tally);
-    Cy_Add(&finding->calm, &calm);
-}
-
-static void
-add_finding(struct finding *to, const struct finding *addend)
-{
-    Cy_Add(&to->tally, &addend->tally);
-    Cy_Add(&to->calm, &addend->calm);
-    add_count(&to->sums[CY_OLD], &addend->sums[CY_OLD]);
-    add_count(&to->sums[CY_NEW], &addend->sums[CY_NEW]);
-}
-
-/* Rolls the move back if the new version is worse, and marks a suspect. */
-static void
-judge_finding(struct ro_move *move, const struct finding *finding)
-{
-    if (move->state == RO_RUNNING && Cy_IsWorse(&finding->calm)) {
-        roll_back(move, finding->sums);
-    }
-    move->suspect |= Cy_IsSuspect(&finding->tally);
-}
-
-/*
- * Compares the versions by each kind of bad answer: on each route, to detect a
- * fault on one route, and on all routes together, to detect a fault that is
- * rare on each.
- */
-static void
-judge(struct ro_move *move)
-{
-    static const struct finding nothing;
-    struct finding all[RO_KINDS] = {nothing, nothing, nothing};
-    move->suspect = false;
-    for (size_t i = 0; i < move->row_count; i++) {
-        struct finding finding = nothing;
-        add_row(&finding, &move->rows[i]);
-        judge_finding(move, &finding);
-        add_finding(&all[Ro_KindOfKey(move->rows[i].key)], &finding);
-    }
-    for (int kind = 0; kind < RO_KINDS; kind++) {
-        judge_finding(move, &all[kind]);
-    }
-}
-
-static void
-close_windows(struct ro_move *move)
-{
-    for (size_t i = 0; i < move->row_count; i++) {
-        struct ro_row *row = &move->rows[i];
-        struct cy_count sums[CY_SIDES] = {{0, 0}, {0, 0}};
-        sum_row(row, sums);
-        Cy_CloseWindow(&row->evidence, sums);
-    }
-}
-
 void
 Ro_Tick(struct ro_table *table)
 {
@@ -467,9 +365,12 @@
         }
         if (now - move->window_since >= Ro_WINDOW_USEC) {
             move->window_since = now;
-            close_windows(move);
+            ro_close_windows(move);
+        }
+        struct cy_count worst[CY_SIDES];
+        if (ro_judge(move, worst)) {
+            roll_back(move, worst);
         }
-        judge(move);
     }
 }
 
@@ -478,7 +379,7 @@
            const struct ro_endpoint_counts *counts)
 {
     struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
-    sum_failures(move, all);
+    ro_sum_failures(move, all);
     struct cy_progress progress = {
         .elapsed_usec = Ck_Now(table->clock) - move->started_at,
         .duration_usec = move->order.duration_usec,
--- /dev/null
+++ b/packages/edge/rollout_internal.h
@@ -0,0 +1,27 @@
+/* Shared by the rollout files only. */
+#ifndef EDGE_ROLLOUT_INTERNAL_H
+#define EDGE_ROLLOUT_INTERNAL_H
+
+#include "edge/rollout.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+void ro_add_outcomes(struct cy_count to[CY_SIDES],
+                     const struct ro_outcomes *outcomes);
+/* Adds up the answers of all routes, and how many of them failed. */
+void ro_sum_failures(const struct ro_move *move,
+                     struct cy_count sums[CY_SIDES]);
+void ro_close_windows(struct ro_move *move);
+/*
+ * Compares the versions, and sets whether the new one is a suspect.  Returns
+ * whether it is worse; "worst" then has the counts that show it.
+ */
+bool ro_judge(struct ro_move *move, struct cy_count worst[CY_SIDES]);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/rollout_judge.c
@@ -0,0 +1,122 @@
+/* Compares both versions of a move by their counts. */
+#include <string.h>
+
+#include "edge/rollout_internal.h"
+
+/* Windows in which most answers of a pause are. */
+#define Ro_PAUSE_WINDOWS 2
+
+static void
+add_count(struct cy_count *to, const struct cy_count *addend)
+{
+    to->answers += addend->answers;
+    to->bad += addend->bad;
+}
+
+void
+ro_add_outcomes(struct cy_count to[CY_SIDES],
+                const struct ro_outcomes *outcomes)
+{
+    add_count(&to[CY_OLD], &outcomes->old_version);
+    add_count(&to[CY_NEW], &outcomes->new_version);
+}
+
+static void
+sum_row(const struct ro_row *row, struct cy_count sums[CY_SIDES])
+{
+    for (int side = CY_OLD; side < CY_SIDES; side++) {
+        add_count(&sums[side], &row->own[side]);
+        add_count(&sums[side], &row->peers[side]);
+        add_count(&sums[side], &row->departed[side]);
+    }
+}
+
+void
+ro_sum_failures(const struct ro_move *move, struct cy_count sums[CY_SIDES])
+{
+    for (size_t i = 0; i < move->row_count; i++) {
+        if (Ro_KindOfKey(move->rows[i].key) == RO_FAILED) {
+            sum_row(&move->rows[i], sums);
+        }
+    }
+}
+
+/* What the rows of one kind tell of the new version. */
+struct finding {
+    struct cy_tally tally; /* all windows */
+    /* Slow answers come in series: without the worst windows. */
+    struct cy_tally calm;
+    struct cy_count sums[CY_SIDES];
+};
+
+static void
+add_row(struct finding *finding, const struct ro_row *row)
+{
+    sum_row(row, finding->sums);
+    bool slow = Ro_KindOfKey(row->key) == RO_SLOW;
+    struct cy_tally tally =
+        Cy_Tally(&row->evidence, finding->sums, slow ? Ro_PAUSE_WINDOWS : 0);
+    struct cy_tally calm = slow ? Cy_CalmTally(&row->evidence) : tally;
+    Cy_Add(&finding->tally, &tally);
+    Cy_Add(&finding->calm, &calm);
+}
+
+static void
+add_finding(struct finding *to, const struct finding *addend)
+{
+    Cy_Add(&to->tally, &addend->tally);
+    Cy_Add(&to->calm, &addend->calm);
+    add_count(&to->sums[CY_OLD], &addend->sums[CY_OLD]);
+    add_count(&to->sums[CY_NEW], &addend->sums[CY_NEW]);
+}
+
+/*
+ * Marks a suspect.  The first finding that shows that the new version is worse
+ * sets "worst".
+ */
+static bool
+judge_finding(struct ro_move *move, const struct finding *finding,
+              bool is_worse, struct cy_count worst[CY_SIDES])
+{
+    move->suspect |= Cy_IsSuspect(&finding->tally);
+    if (is_worse || !Cy_IsWorse(&finding->calm)) {
+        return is_worse;
+    }
+    memcpy(worst, finding->sums, sizeof(finding->sums));
+    return true;
+}
+
+/*
+ * The versions are compared by each kind of bad answer: on each route, to
+ * detect a fault on one route, and on all routes together, to detect a fault
+ * that is rare on each.
+ */
+bool
+ro_judge(struct ro_move *move, struct cy_count worst[CY_SIDES])
+{
+    static const struct finding nothing;
+    struct finding all[RO_KINDS] = {nothing, nothing, nothing};
+    bool is_worse = false;
+    move->suspect = false;
+    for (size_t i = 0; i < move->row_count; i++) {
+        struct finding finding = nothing;
+        add_row(&finding, &move->rows[i]);
+        is_worse = judge_finding(move, &finding, is_worse, worst);
+        add_finding(&all[Ro_KindOfKey(move->rows[i].key)], &finding);
+    }
+    for (int kind = 0; kind < RO_KINDS; kind++) {
+        is_worse = judge_finding(move, &all[kind], is_worse, worst);
+    }
+    return is_worse;
+}
+
+void
+ro_close_windows(struct ro_move *move)
+{
+    for (size_t i = 0; i < move->row_count; i++) {
+        struct ro_row *row = &move->rows[i];
+        struct cy_count sums[CY_SIDES] = {{0, 0}, {0, 0}};
+        sum_row(row, sums);
+        Cy_CloseWindow(&row->evidence, sums);
+    }
+}
