--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -329,6 +329,35 @@
     EXPECT_FALSE(Ro_MayStandIn(At(0)));
 }
 
+// Guards against a suspect that gets all requests again, without further
+// answers, once the windows in which it was slow are left out as a pause.
+TEST_F(Move, ASuspectHasToShowBetterAnswersBeforeItGetsAllAgain)
+{
+    Start(1, 16);
+    counts_.old_running = 5;
+    auto second = [&](int old_answers, int new_answers, int new_slow) {
+        struct ro_result good = {false, false, false};
+        struct ro_result slow = {false, true, false};
+        for (int i = 0; i < old_answers; i++) {
+            Ro_RecordAnswer(tables_[0], "llm", "chat", false, &good);
+        }
+        for (int i = 0; i < new_answers; i++) {
+            Ro_RecordAnswer(tables_[0], "llm", "chat", true,
+                            i < new_slow ? &slow : &good);
+        }
+        Run(1, 0);
+    };
+    for (int i = 0; i < 13; i++) {
+        second(25, 1, 0);
+    }
+    ASSERT_EQ(At(0)->share, Ro_FULL_SHARE);
+    second(3, 20, 8);
+    ASSERT_LT(At(0)->share, Ro_FULL_SHARE);
+    second(15, 6, 3);
+    second(25, 1, 0);
+    EXPECT_LT(At(0)->share, Ro_FULL_SHARE);
+}
+
 // Guards against a new version that fails on one route only, too rarely to
 // show in the totals.
 TEST_F(Move, AFaultOnOneRouteIsDetected)
