--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -28,7 +28,7 @@
 
 #define Ro_MOVES_MAX 16
 #define Ro_ROUTES_MAX 16
-/* for each route one of failures and one of slow answers; one of all routes */
+/* RO_FAILED and RO_SLOW for each route, and one RO_LOST for all of them */
 #define Ro_ROWS_MAX (2 * Ro_ROUTES_MAX + 1)
 #define Ro_FULL_SHARE Cy_FULL_SHARE
 
@@ -63,12 +63,12 @@
 };
 
 /*
- * Answers of both versions on one route, counted by one daemon: how many
- * failed, or how many were slow.
+ * Answers of both versions, counted by one daemon: how many failed or were
+ * slow on one route, or were lost on all routes; see enum ro_kind.
  */
 struct ro_outcomes {
     uint32_t service; /* hash of the name */
-    /* hash of the route and of what is counted, see Ro_RowKey() */
+    /* identifies the row: route and kind, see Ro_RowKey() */
     uint32_t route;
     int64_t order;
     struct cy_count old_version;
@@ -184,6 +184,10 @@
 struct ro_move *Ro_Find(struct ro_table *table, const char *service);
 /* NULL past the last move */
 struct ro_move *Ro_At(struct ro_table *table, size_t index);
+/*
+ * Chooses the version for the next request of this daemon; "move" is NULL if
+ * the service is not being moved.
+ */
 enum ro_pick Ro_Pick(const struct ro_move *move, bool retry);
 /*
  * Whether the new version may get a request because no endpoint of the old one
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -3,7 +3,10 @@
 
 #include "edge/rollout_internal.h"
 
-/* Windows in which most answers of a pause are. */
+/*
+ * Worst windows of slow answers that do not make a suspect: a pause of an
+ * endpoint rarely reaches into more.
+ */
 #define Ro_PAUSE_WINDOWS 2
 
 static void
@@ -41,10 +44,10 @@
     }
 }
 
-/* What the rows of one kind tell of the new version. */
+/* What one row, or all rows of one kind, tell of the new version. */
 struct finding {
-    struct cy_tally tally; /* all windows */
-    /* Slow answers come in series: without the worst windows. */
+    struct cy_tally tally; /* tells a suspect */
+    /* Tells a worse version; of slow answers it has fewer windows. */
     struct cy_tally calm;
     struct cy_count sums[CY_SIDES];
 };
--- a/packages/policy/canary.h
+++ b/packages/policy/canary.h
@@ -35,7 +35,8 @@
     double expected; /* bad answers that the old version would have given */
 };
 
-/* The worst windows, which are kept apart from the others. */
+/* How many of the worst windows are kept apart, so that they can be left out.
+ */
 #define Cy_LEFT_OUT 3
 
 /* Answers of both versions, window by window. */
@@ -74,13 +75,14 @@
     int64_t duration_usec;
     /* time that the old endpoints need to finish their requests */
     int64_t drain_usec;
-    uint32_t answers; /* of the new version */
-    uint32_t all_answers;
+    uint32_t answers;     /* of the new version */
+    uint32_t all_answers; /* of both versions */
     bool suspect;
     int old_usable; /* endpoints */
     int new_usable;
 };
 
+/* The share that the new version may have now, in thousandths. */
 int Cy_Share(const struct cy_progress *progress);
 
 /*
@@ -93,7 +95,9 @@
 };
 
 void Cy_PaceStart(struct cy_pacer *pacer, double random);
+/* Whether the next request may go to the new version. */
 bool Cy_PaceNew(const struct cy_pacer *pacer, int share);
+/* A request was sent, to the new version or to the old one. */
 void Cy_PaceSent(struct cy_pacer *pacer, int share, bool is_new);
 
 #ifdef __cplusplus
