Log and count the rate limits that endpoints report

An endpoint reports in its answers how many requests a second it takes from all hosts together. Nothing read it; no log line or figure told who knew it. endpoint.rate_limit tells when a host learns a limit, attempt.sent the limit known at the time of the send, cornelgate_rate_limited_sends_total these sends, cornelgate_rate_limits_invalid_total reports that are no number. No decision depends on it yet.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -284,14 +284,17 @@
         exchange->sends == 1 ? LN_ORDINARY : LN_FAILURE, "attempt.sent",
         "\"id\":\"%s\",\"endpoint\":\"%s\",\"tenant\":\"%s\",\"running\":%d,"
         "\"others\":%d,\"reading\":%lld,\"missing\":%lld,\"kept_conn\":%d,"
-        "\"entry_age_ms\":%lld,\"config\":%lld",
+        "\"entry_age_ms\":%lld,\"config\":%lld,\"rate_limit\":%.2f",
         exchange->info.id, endpoint->entry.id,
         exchange->tenant == NULL ? "" : exchange->tenant->name,
         endpoint->running, endpoint->peers_running, prefill_tokens,
         (long long)attempt->prefill_tokens, Cn_Used(attempt->channel),
         (long long)((attempt->sent_at - endpoint->last_entry_at) /
                     Ck_USEC_PER_MSEC),
-        (long long)exchange->config->version);
+        (long long)exchange->config->version, endpoint->rate_limit);
+    if (endpoint->rate_limit > 0) {
+        Mt_Add(exchange->gate->count.rate_limited_sends, 1);
+    }
 }
 
 static bool
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -70,6 +70,8 @@
     int64_t zone_restored_at;
     struct wu_warmup warmup;
     struct br_state brittle;
+    /* requests a second that it takes from all hosts; 0 or less: no limit */
+    double rate_limit;
 
     /* Requests that this daemon has sent and that have not ended. */
     int running;
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -456,6 +456,10 @@
             counter(gate, "cornelgate_connections_opened_total"),
         .made_for_peers =
             counter(gate, "cornelgate_connections_made_for_peers_total"),
+        .rate_limited_sends =
+            counter(gate, "cornelgate_rate_limited_sends_total"),
+        .rate_limits_invalid =
+            counter(gate, "cornelgate_rate_limits_invalid_total"),
         .first_byte = Mt_Get(gate->registry, MT_HISTOGRAM,
                              "cornelgate_first_byte_usec", ""),
         .whole_answer = Mt_Get(gate->registry, MT_HISTOGRAM,
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -39,9 +39,11 @@
     struct mt_metric *failed;
     struct mt_metric *closed_unread; /* callers' connections, under overload */
     struct mt_metric *retries;
-    struct mt_metric *stream_waits;       /* waits for an endpoint */
-    struct mt_metric *connections_opened; /* connections to endpoints */
-    struct mt_metric *made_for_peers;     /* connections opened for peers */
+    struct mt_metric *stream_waits;        /* waits for an endpoint */
+    struct mt_metric *connections_opened;  /* connections to endpoints */
+    struct mt_metric *made_for_peers;      /* connections opened for peers */
+    struct mt_metric *rate_limited_sends;  /* sent to rate-limited endpoints */
+    struct mt_metric *rate_limits_invalid; /* reports that cannot be used */
     struct mt_metric *first_byte;   /* time to the first byte of an answer */
     struct mt_metric *whole_answer; /* time to the end of an answer */
 };
--- a/packages/edge/header_codec.h
+++ b/packages/edge/header_codec.h
@@ -48,6 +48,10 @@
     bool encoded; /* has a content encoding: the body was altered in transit */
     /* Refusals in a second that the endpoint tolerates; -1: not given. */
     int refusals_borne;
+    /* Requests a second that the endpoint takes from all hosts together;
+       below 0: not given. */
+    double rate_limit;
+    bool rate_limit_invalid; /* given, but not a number that can be used */
     char version[Hd_VERSION_MAX]; /* of the weights; empty: not given */
 };
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -13,6 +13,7 @@
 #include "edge/exchange.h"
 #include "edge/health.h"
 #include "edge/quarantine.h"
+#include "edge/rate_limit.h"
 #include "edge/warming.h"
 
 /* Size limit of answers that are buffered completely before relaying. */
@@ -102,6 +103,7 @@
     }
     Bt_NoteAnswer(exchange->gate, attempt->endpoint,
                   attempt->answer.refusals_borne, attempt->sent_at);
+    Rl_NoteAnswer(exchange->gate, attempt->endpoint, &attempt->answer);
     int64_t now = Ga_Now(exchange->gate);
     attempt->head_at = now;
     attempt->status = head->status;
