Divide an endpoint's rate limit among hosts

What callers saw: nothing, as the endpoints bore it; an endpoint that named a limit of 2.4 requests a second got 27 in 4 s from hosts that it had told, 19 allowed.

Cause: nothing read the limit; a part of the product was missing. Class: what an endpoint says of its own room does not reach the choice.

The daemons logged the limit with each send.

Why this works: a few hosts hold the limit of an endpoint, drawn by rendezvous hash weighted by the requests that callers send them, and divide it by the same weights; all others send nothing. A new holder waits for the time that a message takes. All buckets together hold the limit of a second and three requests, within the half and five that an endpoint allows. Every attempt goes through the choice: first and second ones, resumed streams, requests through a peer. Hosts tell each other what an answer reported, and its end; a host without a share that has not heard of a limit for 15 s tries now and then.

--- a/packages/edge/demand.c
+++ b/packages/edge/demand.c
@@ -37,9 +37,16 @@
 #define De_SLOT_UTILIZATION 0.55
 #define De_SLOT_HEADROOM 2.0
 
+/* Lower rates of requests count as this one. */
+#define De_OFFERED_MIN 0.0625
+/* Binary logarithm of the change that counts; more than a half. */
+#define De_OFFERED_HYSTERESIS 0.8
+
 struct service {
     uint32_t hash;
     double requests;           /* decayed count */
+    double offered;            /* decayed count */
+    int offered_log2;          /* see struct de_rate */
     double prompt_tokens;      /* decayed count */
     double long_prompt_tokens; /* portion of prompt_tokens in long prompts */
     double running_usec;       /* decayed sum of request durations */
@@ -82,6 +89,7 @@
     double factor = exp(-(double)(now - service->decayed_at) / De_SMOOTH_USEC);
     service->decayed_at = now;
     service->requests *= factor;
+    service->offered *= factor;
     service->prompt_tokens *= factor;
     service->long_prompt_tokens *= factor;
     service->running_usec *= factor;
@@ -118,6 +126,30 @@
     }
 }
 
+void
+De_RecordOffered(struct de_demand *demand, const char *name)
+{
+    struct service *service = find(demand, name);
+    if (service != NULL) {
+        service->offered += 1;
+    }
+}
+
+/*
+ * Random variation around a power of two must not change the result again and
+ * again.
+ */
+static int
+round_offered(struct service *service)
+{
+    double exact =
+        log2(fmax(service->offered / De_SMOOTH_SEC, De_OFFERED_MIN));
+    if (fabs(exact - service->offered_log2) > De_OFFERED_HYSTERESIS) {
+        service->offered_log2 = (int)lround(exact);
+    }
+    return service->offered_log2;
+}
+
 void
 De_RecordEnd(struct de_demand *demand, const char *name, int64_t usec)
 {
@@ -155,6 +187,7 @@
         out[i] = (struct de_rate){
             .service = service->hash,
             .requests_per_sec = service->requests / De_SMOOTH_SEC,
+            .offered_log2 = round_offered(service),
             .prompt_tokens_per_sec = service->prompt_tokens / De_SMOOTH_SEC,
             .long_prompt_tokens_per_sec =
                 service->long_prompt_tokens / De_SMOOTH_SEC,
--- a/packages/edge/demand.h
+++ b/packages/edge/demand.h
@@ -22,6 +22,12 @@
 struct de_rate {
     uint32_t service; /* hash of the service's name */
     double requests_per_sec;
+    /*
+     * Requests a second that callers sent, also those that were refused, as
+     * the nearest power of two; it changes with a clear change of the load
+     * only.
+     */
+    int offered_log2;
     /* prompt tokens per second that need prefill */
     double prompt_tokens_per_sec;
     /* portion of prompt_tokens_per_sec in long prompts */
@@ -39,6 +45,8 @@
 /* Counts a request sent with this many prompt tokens to prefill. */
 void De_RecordSent(struct de_demand *demand, const char *service,
                    int64_t prompt_tokens, bool is_long);
+/* Counts a request of a caller, before it is sent or refused. */
+void De_RecordOffered(struct de_demand *demand, const char *service);
 /* Counts the end of a request that ran at an endpoint for "usec". */
 void De_RecordEnd(struct de_demand *demand, const char *service, int64_t usec);
 /*
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -9,6 +9,7 @@
 #include "edge/brittle.h"
 #include "edge/health.h"
 #include "edge/paths.h"
+#include "edge/rate_limit.h"
 #include "edge/versions.h"
 #include "edge/warming.h"
 #include "policy/retry.h"
@@ -291,10 +292,7 @@
         (long long)attempt->prefill_tokens, Cn_Used(attempt->channel),
         (long long)((attempt->sent_at - endpoint->last_entry_at) /
                     Ck_USEC_PER_MSEC),
-        (long long)exchange->config->version, endpoint->rate_limit);
-    if (endpoint->rate_limit > 0) {
-        Mt_Add(exchange->gate->count.rate_limited_sends, 1);
-    }
+        (long long)exchange->config->version, endpoint->rate_limit.per_sec);
 }
 
 static bool
@@ -336,6 +334,7 @@
     endpoint->prefill_tokens += attempt->prefill_tokens;
     Wa_NoteSent(gate, endpoint, exchange->service, now);
     Bt_NoteSent(gate, endpoint);
+    Rl_NoteSent(gate, endpoint);
     /*
      * Demand counts a request once, not its retries: while endpoints crash
      * each request is sent several times, and endpoints would be ordered for
@@ -390,7 +389,10 @@
     }
     if (verdict != PL_CHOSEN) {
         Xc_Refuse(exchange, Xc_RefusalStatus(exchange),
-                  verdict == PL_BUSY ? Xc_BUSY_RETRY_USEC : Xc_NONE_RETRY_USEC,
+                  verdict == PL_BUSY
+                      ? Rl_RetryUsec(exchange->gate, exchange->service->name,
+                                     Xc_BUSY_RETRY_USEC)
+                      : Xc_NONE_RETRY_USEC,
                   verdict == PL_BUSY ? "all endpoints are busy"
                                      : "no endpoint");
         return;
@@ -540,6 +542,7 @@
     exchange->deadline = exchange->arrived_at + limit;
     TAILQ_INSERT_TAIL(&gate->exchanges, exchange, link);
     Sv_SetUser(request, exchange);
+    De_RecordOffered(gate->demand, exchange->service->name);
     Xc_Dispatch(exchange);
 }
 
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -5,6 +5,7 @@
 #include "edge/brittle.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
+#include "edge/rate_limit.h"
 #include "edge/warming.h"
 
 #define Xc_CANDIDATES_MAX 1024
@@ -87,7 +88,9 @@
             He_IsEjected(endpoint, context->now) || warming == WA_MAYBE_COLD,
         .tried = was_tried(exchange, endpoint->hash),
         .full = warming == WA_CLOSED || Bt_IsClosed(gate, endpoint) ||
+                Rl_IsClosed(exchange->gate, endpoint) ||
                 Po_IsFull(gate, endpoint, exchange->service),
+        .unused = Rl_IsUnused(gate, endpoint),
         .failing = He_FailureRate(endpoint, context->now),
         .home_hash = Hash_Bytes(home_key, sizeof(home_key), 0),
         .sample_hash = (double)Hash_Bytes(sample_key, sizeof(sample_key), 0) /
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -18,6 +18,7 @@
 #include "edge/config.h"
 #include "policy/brittle.h"
 #include "policy/link.h"
+#include "policy/rate_share.h"
 #include "policy/warmup.h"
 #include "web/channel.h"
 
@@ -70,8 +71,7 @@
     int64_t zone_restored_at;
     struct wu_warmup warmup;
     struct br_state brittle;
-    /* requests a second that it takes from all hosts; 0 or less: no limit */
-    double rate_limit;
+    struct rs_state rate_limit;
 
     /* Requests that this daemon has sent and that have not ended. */
     int running;
--- a/packages/edge/mesh.h
+++ b/packages/edge/mesh.h
@@ -39,6 +39,8 @@
 #define Ms_RATES_MAX 16
 #define Ms_OUTCOMES_MAX Ro_ROWS_MAX
 #define Ms_REFUSAL_LIMITS_MAX 8
+#define Ms_RATE_LIMITS_MAX 64
+#define Ms_SUMMARY_RATE_LIMITS_MAX 256
 #define Ms_CRASHES_MAX 24
 #define Ms_CLEARS_MAX 16
 #define Ms_QUARANTINES_MAX 8
@@ -87,6 +89,13 @@
     int refusals_per_sec;
 };
 
+/* The rate limit that an endpoint reported. */
+struct ms_rate_limit {
+    uint32_t endpoint;
+    double per_sec;   /* 0: it reported that it has none any more */
+    int64_t age_usec; /* time since its report */
+};
+
 /* The content of one datagram. */
 struct ms_message {
     char name[Nd_NAME_MAX];
@@ -123,6 +132,8 @@
     struct ro_status move_statuses[Ro_MOVES_MAX];
     size_t refusal_limit_count;
     struct ms_refusal_limit refusal_limits[Ms_REFUSAL_LIMITS_MAX];
+    size_t rate_limit_count;
+    struct ms_rate_limit rate_limits[Ms_SUMMARY_RATE_LIMITS_MAX];
     size_t crash_count;
     struct pz_crash crashes[Ms_CRASHES_MAX];
     size_t clear_count;
@@ -200,10 +211,14 @@
  * it has read.
  */
 bool Ms_IsResponsive(const struct ms_mesh *mesh, const struct ms_peer *peer);
+/* Identifies this daemon like struct ms_peer.hash its peers. */
+uint64_t Ms_OwnHash(const struct ms_mesh *mesh);
 /* Whether data centres send summaries to each other. */
 bool Ms_UsesSummaries(const struct ms_mesh *mesh);
 /* The delay after which usage that peers admitted is reported here. */
 int64_t Ms_ReportDelay(const struct ms_mesh *mesh);
+/* The time within which a message of this daemon reaches every peer. */
+int64_t Ms_MessageDelay(const struct ms_mesh *mesh);
 /*
  * Daemons whose messages are recent enough that their usage is known,
  * including this one.
--- a/packages/edge/mesh_codec.c
+++ b/packages/edge/mesh_codec.c
@@ -13,16 +13,19 @@
  * Changed with the layout, so that daemons of different versions ignore each
  * other's messages.
  */
-#define Ms_FORMAT 10
+#define Ms_FORMAT 11
 #define Ms_MILLI 1000
-#define Ms_FIELDS 32
+#define Ms_LOG2_MAX 30
+#define Ms_AGE_MAX_MSEC (60 * 1000)
+#define Ms_FIELDS 33
 #define Ms_OUTCOME_FIELDS 7
 #define Ms_MOVE_STATUS_FIELDS 4
-#define Ms_RATE_FIELDS 6
+#define Ms_RATE_FIELDS 7
 #define Ms_USAGE_FIELDS 3
 #define Ms_PAST_USAGE_FIELDS 3
 #define Ms_REQUEST_COUNT_FIELDS 3
 #define Ms_REFUSAL_LIMIT_FIELDS 2
+#define Ms_RATE_LIMIT_FIELDS 3
 
 static void
 pack_string(msgpack_packer *packer, const char *text)
@@ -106,6 +109,7 @@
         msgpack_pack_int64(packer, (int64_t)message->rates[i].prefill_rate);
         msgpack_pack_int64(
             packer, (int64_t)(message->rates[i].requests_per_sec * Ms_MILLI));
+        msgpack_pack_int(packer, message->rates[i].offered_log2);
     }
     msgpack_pack_array(packer, message->address_count);
     for (size_t i = 0; i < message->address_count; i++) {
@@ -161,6 +165,19 @@
     }
 }
 
+static void
+pack_rate_limits(msgpack_packer *packer, const struct ms_message *message)
+{
+    msgpack_pack_array(packer,
+                       message->rate_limit_count * Ms_RATE_LIMIT_FIELDS);
+    for (size_t i = 0; i < message->rate_limit_count; i++) {
+        const struct ms_rate_limit *row = &message->rate_limits[i];
+        msgpack_pack_uint32(packer, row->endpoint);
+        msgpack_pack_int64(packer, (int64_t)(row->per_sec * Ms_MILLI));
+        msgpack_pack_int64(packer, row->age_usec / Ck_USEC_PER_MSEC);
+    }
+}
+
 static void
 pack_poison(msgpack_packer *packer, const struct ms_message *message)
 {
@@ -203,6 +220,7 @@
     msgpack_pack_int(&packer, message->links_cut);
     pack_refusal_limits(&packer, message);
     pack_poison(&packer, message);
+    pack_rate_limits(&packer, message);
     size_t len = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, len);
     msgpack_sbuffer_destroy(&buffer);
@@ -219,6 +237,15 @@
     return 0;
 }
 
+/* A rate beyond any that occurs counts as the nearest that may. */
+static int
+get_log2(const msgpack_object *object)
+{
+    int64_t number = get_number(object);
+    number = number < -Ms_LOG2_MAX ? -Ms_LOG2_MAX : number;
+    return (int)(number > Ms_LOG2_MAX ? Ms_LOG2_MAX : number);
+}
+
 /* The number of rows of "width" values each, at most "rows_max". */
 static size_t
 count_rows(const msgpack_object *object, size_t width, size_t rows_max)
@@ -280,6 +307,7 @@
         out->rates[i].prefill_rate = (double)get_number(&row[4]);
         out->rates[i].requests_per_sec =
             (double)get_number(&row[5]) / Ms_MILLI;
+        out->rates[i].offered_log2 = get_log2(&row[6]);
     }
     size_t address_rows = count_rows(&field[4], 1, Ms_ADDRESSES_MAX);
     for (size_t i = 0; i < address_rows; i++) {
@@ -355,6 +383,28 @@
     }
 }
 
+/* A negative limit or age is not from a daemon; the row is left out. */
+static void
+get_rate_limits(const msgpack_object *field, struct ms_message *out)
+{
+    size_t rows =
+        count_rows(field, Ms_RATE_LIMIT_FIELDS, Ms_SUMMARY_RATE_LIMITS_MAX);
+    for (size_t i = 0; i < rows; i++) {
+        const msgpack_object *row =
+            &field->via.array.ptr[i * Ms_RATE_LIMIT_FIELDS];
+        int64_t limit_milli = get_number(&row[1]);
+        int64_t age_msec = get_number(&row[2]);
+        if (limit_milli < 0 || age_msec < 0 || age_msec > Ms_AGE_MAX_MSEC) {
+            continue;
+        }
+        out->rate_limits[out->rate_limit_count++] = (struct ms_rate_limit){
+            .endpoint = (uint32_t)get_number(&row[0]),
+            .per_sec = (double)limit_milli / Ms_MILLI,
+            .age_usec = age_msec * Ck_USEC_PER_MSEC,
+        };
+    }
+}
+
 static void
 get_poison(const msgpack_object *field, struct ms_message *out)
 {
@@ -399,6 +449,7 @@
     out->links_cut = get_number(&field[27]) != 0;
     get_refusal_limits(&field[28], out);
     get_poison(&field[29], out);
+    get_rate_limits(&field[32], out);
     return Pk_CopyString(&field[23], out->zone, sizeof(out->zone));
 }
 
--- a/packages/edge/mesh_schedule.c
+++ b/packages/edge/mesh_schedule.c
@@ -69,6 +69,15 @@
     return ms_send_interval(mesh, true) + summary_interval(mesh);
 }
 
+int64_t
+Ms_MessageDelay(const struct ms_mesh *mesh)
+{
+    int64_t interval =
+        max_usec(ms_send_interval(mesh, true), ms_send_interval(mesh, false));
+    return (int64_t)((double)interval * (2 - Ms_INTERVAL_JITTER_MIN)) +
+           Ms_TICK_USEC;
+}
+
 /*
  * Hundreds of peers may become known at once. If messages to all of them were
  * sent in the same tick of each interval, anything new would be passed on only
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -8,6 +8,7 @@
 #include "edge/paths.h"
 #include "edge/peers_internal.h"
 #include "edge/quarantine.h"
+#include "edge/rate_limit.h"
 
 /*
  * A daemon that reaches at least this fraction of the hosts uses the whole
@@ -104,6 +105,7 @@
     fill_past_usage(gate, message);
     fill_request_counts(gate, message);
     Bt_FillMessage(gate, message);
+    Rl_FillMessage(gate, message, false);
     Qn_FillMessage(gate->quarantine, message);
     message->rate_count = De_LocalRates(gate->demand, message->rates);
     message->outcome_count =
@@ -118,6 +120,7 @@
 {
     struct ga_gate *gate = arg;
     Zn_Summarize(gate->zones, message);
+    Rl_FillMessage(gate, message, true);
     message->request_count_rows = 0;
     message->rate_count = 0;
     message->outcome_count = 0;
@@ -223,6 +226,7 @@
                          message->request_counts[i].count);
     }
     Bt_ApplyMessage(gate, message);
+    Rl_ApplyMessage(gate, message);
     Qn_ApplyMessage(gate->quarantine, message);
     if (message->lease.fence > 0) {
         Lr_HandleNotice(gate->lease, &message->lease);
--- a/packages/edge/place.c
+++ b/packages/edge/place.c
@@ -43,6 +43,8 @@
 #define Pl_LONG_LANE_FACTOR 0.8
 #define Pl_LONG_LANE_MIN 0.2
 #define Pl_LONG_LANE_MAX 0.75
+/* Worth of room at an endpoint with a rate limit that stays unused. */
+#define Pl_UNUSED_GAIN 6000.0
 #define Pl_FAILING_COST 20000.0
 #define Pl_SLOW_COST 4000.0
 /* Cost of an endpoint of a plain service whose slots are all in use. */
@@ -189,14 +191,15 @@
         }
         best.any_eligible = true;
         size_t home = home_of(homes, i);
-        bool sampled =
-            home < Pl_HOMES || candidate->sample_hash <= sampled_fraction;
+        bool sampled = home < Pl_HOMES || candidate->unused ||
+                       candidate->sample_hash <= sampled_fraction;
         if (!sampled || at_limit(candidate, limits)) {
             continue;
         }
         double cost = health_cost(candidate);
         cost += limits->engine ? engine_cost(candidate, limits, home)
                                : plain_cost(candidate, home);
+        cost -= candidate->unused ? Pl_UNUSED_GAIN : 0;
         if (best.index == count ||
             (best.last_resort && !candidate->last_resort) ||
             (best.last_resort == candidate->last_resort && cost < best.cost)) {
--- a/packages/edge/place.h
+++ b/packages/edge/place.h
@@ -33,6 +33,7 @@
     bool last_resort; /* ejected, or may be cold: only if there is no other */
     bool tried;       /* the request was sent there before */
     bool full;        /* no connection left, or reserved for other hosts */
+    bool unused;      /* room within its rate limit is about to be lost */
     bool long_lane;   /* in the group of endpoints for long prompts */
 };
 
--- a/packages/edge/test/tables_test.cc
+++ b/packages/edge/test/tables_test.cc
@@ -150,9 +150,12 @@
     message.load_count = 1;
     message.loads[0] = {7, 3, 1200};
     message.rate_count = 1;
-    message.rates[0] = {4, 12.5, 5000, 3000, 2.5, 70000};
+    message.rates[0] = {4, 12.5, -3, 5000, 3000, 2.5, 70000};
     message.refusal_limit_count = 1;
     message.refusal_limits[0] = {8, 5};
+    message.rate_limit_count = 2;
+    message.rate_limits[0] = {9, 2.4, 250000};
+    message.rate_limits[1] = {10, 0, 0};
     message.address_count = 1;
     strcpy(message.addresses[0], "10.0.0.2");
     char bytes[4096];
@@ -168,6 +171,12 @@
     ASSERT_EQ(read.refusal_limit_count, 1u);
     EXPECT_EQ(read.refusal_limits[0].service, 8u);
     EXPECT_EQ(read.refusal_limits[0].refusals_per_sec, 5);
+    EXPECT_EQ(read.rates[0].offered_log2, -3);
+    ASSERT_EQ(read.rate_limit_count, 2u);
+    EXPECT_EQ(read.rate_limits[0].endpoint, 9u);
+    EXPECT_DOUBLE_EQ(read.rate_limits[0].per_sec, 2.4);
+    EXPECT_EQ(read.rate_limits[0].age_usec, 250000);
+    EXPECT_DOUBLE_EQ(read.rate_limits[1].per_sec, 0);
     EXPECT_STREQ(read.addresses[0], "10.0.0.2");
     for (size_t cut = 0; cut < len; cut++) {
         EXPECT_FALSE(Ms_Decode(bytes, cut, &read));
