Compare the versions of a move by the pace of their streams too

Cause: only the time to the first byte was compared. A version that is slow between events begins its answers in time while few requests run, and shows it there only once it is full, which the step to all requests brings about. Class: what is not looked at counts as good.

Why this works: the mean time between the first seven events is known early and is the same for short and long answers. An endpoint that is fuller than the old ones usually are tells nothing, as more requests make each slower. A stream that its caller leaves counts with the events that are missing.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -19,6 +19,8 @@
     int64_t slow_after;     /* an answer is slow after this; 0: not known */
     int64_t head_at;        /* answer's head received; 0: not yet */
     int64_t first_event_at; /* first event received; 0: not yet */
+    int events;             /* events received */
+    bool pace_noted;        /* the time between events was counted */
     int64_t prefill_tokens; /* prompt tokens counted in the endpoint's queue */
     bool unloaded; /* the endpoint had no queue and few running requests */
     bool streaming;
@@ -119,6 +121,8 @@
 void Xc_NoteVersionSent(struct xc_exchange *exchange,
                         const struct xc_target *target);
 void Xc_NoteFirstByte(struct xc_exchange *exchange, int64_t usec);
+/* An event of the attempt's stream has arrived. */
+void Xc_NoteEvent(struct xc_exchange *exchange);
 /*
  * Whether the attempt waits for an answer that is not known yet to be slow, of
  * an endpoint whose version is compared with another.
@@ -128,7 +132,7 @@
 void Xc_JudgeAnswer(struct xc_exchange *exchange, bool failed);
 /* The attempt ends; if it has no answer, that may speak against its version.
  */
-void Xc_JudgeUnanswered(const struct xc_exchange *exchange);
+void Xc_JudgeUnanswered(struct xc_exchange *exchange);
 
 /* Callbacks of the connection to the endpoint. */
 extern const struct cn_ops xc_channel_ops;
--- a/packages/edge/exchange_version.c
+++ b/packages/edge/exchange_version.c
@@ -8,6 +8,9 @@
 /* An unanswered attempt is late after this fraction of the time after which
    its answer would be slow. */
 #define Xc_LATE_DIVISOR 2
+/* Times between events that tell a stream's pace. */
+#define Xc_PACE_INTERVALS 6
+#define Xc_PACE_MIN_EVENTS 3
 
 void
 Xc_NoteVersionSent(struct xc_exchange *exchange,
@@ -49,6 +52,54 @@
     }
 }
 
+static double
+load_of(const struct fl_endpoint *endpoint)
+{
+    int slots = endpoint->entry.slots > 0 ? endpoint->entry.slots : 1;
+    return (double)(endpoint->running + endpoint->peers_running) / slots;
+}
+
+static void
+note_pace(struct xc_exchange *exchange, int64_t usec)
+{
+    struct ga_gate *gate = exchange->gate;
+    struct xc_attempt *attempt = &exchange->attempt;
+    const char *service = exchange->service->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    attempt->pace_noted = true;
+    if (move != NULL && !Wu_IsCold(&attempt->endpoint->warmup, Ga_Now(gate))) {
+        struct ro_pace pace = {usec, load_of(attempt->endpoint)};
+        Ro_RecordPace(gate->moves, service, exchange->route->name,
+                      Ga_HasTargetVersion(move, attempt->endpoint), &pace);
+    }
+}
+
+void
+Xc_NoteEvent(struct xc_exchange *exchange)
+{
+    struct xc_attempt *attempt = &exchange->attempt;
+    attempt->events++;
+    if (attempt->events == Xc_PACE_INTERVALS + 1) {
+        int64_t usec = Ga_Now(exchange->gate) - attempt->first_event_at;
+        note_pace(exchange, usec / Xc_PACE_INTERVALS);
+    }
+}
+
+/*
+ * A stream that ends before it has enough events tells of its pace too, if
+ * those that are missing are due: callers leave slow streams.
+ */
+static void
+judge_ended_pace(struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    if (attempt->pace_noted || attempt->events < Xc_PACE_MIN_EVENTS) {
+        return;
+    }
+    int64_t usec = Ga_Now(exchange->gate) - attempt->first_event_at;
+    note_pace(exchange, usec / attempt->events);
+}
+
 bool
 Xc_MayBecomeSlow(const struct xc_exchange *exchange)
 {
@@ -89,9 +140,10 @@
  * it is known to be slow.
  */
 void
-Xc_JudgeUnanswered(const struct xc_exchange *exchange)
+Xc_JudgeUnanswered(struct xc_exchange *exchange)
 {
     struct ga_gate *gate = exchange->gate;
+    judge_ended_pace(exchange);
     const struct xc_attempt *attempt = &exchange->attempt;
     const char *service = exchange->service->name;
     if (attempt->judged || !Ro_IsRunning(gate->moves, service)) {
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -184,6 +184,7 @@
         attempt->first_event_at = Ga_Now(exchange->gate);
         Qn_NoteAnswer(exchange->gate->quarantine, exchange);
     }
+    Xc_NoteEvent(exchange);
     if (attempt->events_missing) {
         return;
     }
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -28,15 +28,17 @@
 
 #define Ro_MOVES_MAX 16
 #define Ro_ROUTES_MAX 16
-/* RO_FAILED and RO_SLOW for each route, and one RO_LOST for all of them */
-#define Ro_ROWS_MAX (2 * Ro_ROUTES_MAX + 1)
+/* RO_FAILED, RO_SLOW and RO_SLOW_PACE for each route, and one RO_LOST for all
+   of them */
+#define Ro_ROWS_MAX (3 * Ro_ROUTES_MAX + 1)
 #define Ro_FULL_SHARE Cy_FULL_SHARE
 
 /* What the bad answers of a row are. */
 enum ro_kind {
     RO_FAILED,
     RO_SLOW,
-    RO_LOST, /* ended with their endpoint; of all routes together */
+    RO_LOST,      /* ended with their endpoint; of all routes together */
+    RO_SLOW_PACE, /* streams with a long time between their events */
     RO_KINDS,
 };
 
@@ -95,8 +97,10 @@
 /* Counts of one kind, of one route or of all. */
 struct ro_row {
     uint32_t key;
-    /* average time to the first byte of the old version on this daemon */
+    /* Averages of the old version on this daemon: the time to the first byte,
+       or that between events, and how full the endpoints of these were. */
     double typical_usec;
+    double typical_load;
     struct cy_count own[CY_SIDES];
     struct cy_count peers[CY_SIDES];
     /* counted by processes of peers that have been restarted since */
@@ -139,6 +143,18 @@
  */
 bool Ro_RecordFirstByte(struct ro_table *table, const char *service,
                         const char *route, bool is_new, int64_t usec);
+/* The time between the events of a stream, once several have come. */
+struct ro_pace {
+    int64_t usec;
+    double load; /* requests at its endpoint / slots */
+};
+/*
+ * Counts the pace of a stream.  Of the new version those at endpoints that are
+ * fuller than the old ones usually are do not count: the more requests run at
+ * an endpoint, the slower each is.
+ */
+void Ro_RecordPace(struct ro_table *table, const char *service,
+                   const char *route, bool is_new, const struct ro_pace *pace);
 /*
  * The time after which an answer of a service that is being moved is slow;
  * 0: not known yet, or no move.
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -56,7 +56,8 @@
 add_row(struct finding *finding, const struct ro_row *row)
 {
     sum_row(row, finding->sums);
-    bool slow = Ro_KindOfKey(row->key) == RO_SLOW;
+    enum ro_kind kind = Ro_KindOfKey(row->key);
+    bool slow = kind == RO_SLOW || kind == RO_SLOW_PACE;
     struct cy_tally tally =
         Cy_Tally(&row->evidence, finding->sums, slow ? Ro_PAUSE_WINDOWS : 0);
     struct cy_tally calm = slow ? Cy_CalmTally(&row->evidence) : tally;
@@ -98,7 +99,7 @@
 ro_judge(struct ro_move *move, struct cy_count worst[CY_SIDES])
 {
     static const struct finding nothing;
-    struct finding all[RO_KINDS] = {nothing, nothing, nothing};
+    struct finding all[RO_KINDS] = {nothing, nothing, nothing, nothing};
     bool is_worse = false;
     move->suspect = false;
     for (size_t i = 0; i < move->row_count; i++) {
