Keep an engine's rate limit in the stand-alone daemon too

Here it comes in the load report (requests_per_s), which two daemons read and tell the others.

Why this works: the choice asks policy/rate_share.h as the other daemon does, with equal weights, since daemons do not tell each other what they get; an endpoint without a turn counts as no free slot, so that requests queue, or are refused with the drain rate in Retry-After. Older daemons skip the new field of the gossiped report, newer ones take a report without it as one without limit.

--- a/packages/gate/daemon_peers.c
+++ b/packages/gate/daemon_peers.c
@@ -160,6 +160,8 @@
     Ep_SetRefusalLimit(daemon->gate.endpoints, report->service,
                        report->endpoint, report->refusal_limit,
                        report->sample.taken);
+    Ep_SetRateLimit(daemon->gate.endpoints, report->service, report->endpoint,
+                    report->rate_limit, report->sample.taken);
     if (report->has_cold) {
         Ep_SetColdLeft(daemon->gate.endpoints, report->service,
                        report->endpoint, report->cold_left_usec,
--- a/packages/gate/endpoints.c
+++ b/packages/gate/endpoints.c
@@ -1,6 +1,7 @@
 #include "gate/endpoints.h"
 
 #include <bsd/string.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +19,8 @@
  */
 #define Ep_RETRY_RATIO 0.2
 #define Ep_RETRY_MAX 50
+/* A smaller relative change of a rate limit is not logged. */
+#define Ep_LOGGED_CHANGE 0.1
 /* Limit of data centres tracked as evacuated at the same time. */
 #define Ep_EVACUATED_MAX 64
 
@@ -503,6 +506,43 @@
     }
 }
 
+/* A smaller change of the limit is not logged. */
+static bool
+is_change_logged(double before, double now)
+{
+    return (before > 0) != (now > 0) ||
+           fabs(now - before) > Ep_LOGGED_CHANGE * before;
+}
+
+static void
+set_rate_limit(struct ep_pool *pool, struct service *service,
+               const char *endpoint, double per_sec, int64_t taken)
+{
+    const struct ch_endpoint *found = Ch_Find(service->table, endpoint);
+    if (found == NULL) {
+        return;
+    }
+    double before = Ch_RateLimit(found);
+    (void)Ch_SetRateLimit(service->table, endpoint, per_sec, taken,
+                          Ck_Now(pool->gate->clock));
+    if (is_change_logged(before, Ch_RateLimit(found))) {
+        Ev_Log(&GT_RATE_LIMIT, "service=%s endpoint=%s per_sec=%.2f",
+               service->name, endpoint, Ch_RateLimit(found));
+    }
+}
+
+void
+Ep_SetRateLimit(struct ep_pool *pool, const char *service,
+                const char *endpoint, double per_sec, int64_t taken)
+{
+    struct service *at;
+    TAILQ_FOREACH (at, &pool->services, link) {
+        if (service == NULL || strcmp(at->name, service) == 0) {
+            set_rate_limit(pool, at, endpoint, per_sec, taken);
+        }
+    }
+}
+
 void
 Ep_SetColdLeft(struct ep_pool *pool, const char *service, const char *endpoint,
                int64_t left_usec, int64_t taken)
--- a/packages/gate/endpoints.h
+++ b/packages/gate/endpoints.h
@@ -38,6 +38,12 @@
 void Ep_SetRefusalLimit(struct ep_pool *pool, const char *service,
                         const char *endpoint, int refusal_limit,
                         int64_t taken);
+/*
+ * Sets how many requests a second an endpoint takes from all hosts, from its
+ * load report, sampled at "taken"; below 0: the report names no limit.
+ */
+void Ep_SetRateLimit(struct ep_pool *pool, const char *service,
+                     const char *endpoint, double per_sec, int64_t taken);
 /* Sets how much longer an endpoint will be cold, as measured at "taken". */
 void Ep_SetColdLeft(struct ep_pool *pool, const char *service,
                     const char *endpoint, int64_t left_usec, int64_t taken);
--- a/packages/gate/loadwatch.c
+++ b/packages/gate/loadwatch.c
@@ -15,6 +15,7 @@
  * more endpoints each is gossiped less often, because every sample costs every
  * daemon of the data centre a few hundred bytes.
  */
+#define Lw_RATE_LIMIT_MAX 1e6 /* requests a second */
 #define Lw_GOSSIP_PER_SEC 20
 /* Rounds without assignment after which the poll of an endpoint is removed. */
 #define Lw_UNASSIGNED_ROUNDS 10
@@ -106,6 +107,17 @@
     return usec > Lw_PERIOD_USEC ? usec : Lw_PERIOD_USEC;
 }
 
+/* Higher limits, and negative ones, are not plausible for one engine. */
+static double
+read_rate_limit(const json_t *body)
+{
+    const json_t *value = json_object_get(body, "requests_per_s");
+    double per_sec = json_number_value(value);
+    bool valid =
+        json_is_number(value) && per_sec >= 0 && per_sec <= Lw_RATE_LIMIT_MAX;
+    return valid ? per_sec : -1;
+}
+
 static void
 poll_done(void *arg, const struct jc_answer *answer)
 {
@@ -141,6 +153,7 @@
             json_is_integer(json_object_get(body, "refusals_borne"))
                 ? number(body, "refusals_borne")
                 : -1,
+        .rate_limit = read_rate_limit(body),
         .gossip_interval_usec = gossip_interval(watch),
     };
     strlcpy(report.version, version != NULL ? version : "",
--- a/packages/gate/loadwatch.h
+++ b/packages/gate/loadwatch.h
@@ -26,6 +26,8 @@
     bool has_cold;          /* cold_left_usec is valid */
     int64_t cold_left_usec; /* remaining warm-up time when sampled */
     int refusal_limit; /* refusals a second it can bear; below 0: unknown */
+    /* Requests a second that it takes from all hosts; below 0: no limit. */
+    double rate_limit;
     char version[Ch_NAME_MAX];
     /* The shortest interval between two gossiped samples of one endpoint. */
     int64_t gossip_interval_usec;
--- a/packages/gate/peer_facts.c
+++ b/packages/gate/peer_facts.c
@@ -7,10 +7,11 @@
 
 #define Pf_TUNNEL_FIELDS 2
 #define Pf_CONFIG_FIELDS 2
-#define Pf_LOAD_FIELDS 8
+#define Pf_LOAD_FIELDS 9
 /* Older daemons send 6 fields, or 7 with the seventh for the cold time. */
 #define Pf_LOAD_FIELDS_MIN 6
 #define Pf_LOAD_FIELDS_COLD 7
+#define Pf_LOAD_FIELDS_REFUSALS 8
 #define Pf_DEMAND_FIELDS 4
 /* Older daemons send 3 fields, without the slots. */
 #define Pf_DEMAND_FIELDS_MIN 3
@@ -159,6 +160,7 @@
                                                        Pf_TIME_UNIT_USEC
                                                  : -1);
     msgpack_pack_int(&packer, report->refusal_limit);
+    msgpack_pack_float(&packer, (float)report->rate_limit);
     size_t len = copy_out(&buffer, out, size);
     msgpack_sbuffer_destroy(&buffer);
     return len;
@@ -201,7 +203,8 @@
         size_t size = unpacked.data.via.array.size;
         int64_t cold = size >= Pf_LOAD_FIELDS_COLD ? read_int(&field[6]) : -1;
         out->refusal_limit =
-            size >= Pf_LOAD_FIELDS ? (int)read_int(&field[7]) : -1;
+            size >= Pf_LOAD_FIELDS_REFUSALS ? (int)read_int(&field[7]) : -1;
+        out->rate_limit = size >= Pf_LOAD_FIELDS ? read_double(&field[8]) : -1;
         out->has_cold = cold >= 0;
         out->cold_left_usec = cold >= 0 ? cold * Pf_TIME_UNIT_USEC : 0;
     }
--- a/packages/policy/choose.c
+++ b/packages/policy/choose.c
@@ -131,7 +131,8 @@
         return false;
     }
     if (endpoint->in_flight >= (int)endpoint->limit ||
-        ch_is_brittle_blocked(endpoint, filter->now)) {
+        ch_is_brittle_blocked(endpoint, filter->now) ||
+        ch_is_rate_blocked(endpoint, filter->now)) {
         filter->at_limit = true;
         return false;
     }
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -173,6 +173,12 @@
  */
 enum st_status Ch_SetRefusalLimit(struct ch_table *table, const char *id,
                                   int refusal_limit, int64_t at);
+/*
+ * Records how many requests a second the endpoint takes from all hosts, from
+ * its report taken at "at"; below 0 the report names no limit.
+ */
+enum st_status Ch_SetRateLimit(struct ch_table *table, const char *id,
+                               double per_sec, int64_t at, int64_t now);
 enum st_status Ch_Distrust(struct ch_table *table, const char *version);
 
 /* Steps of a request. */
@@ -196,6 +202,8 @@
 int Ch_AllInFlight(const struct ch_table *table);
 bool Ch_IsCold(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_IsBrittle(const struct ch_endpoint *endpoint, int64_t now);
+/* Requests a second; 0: the endpoint reports no limit. */
+double Ch_RateLimit(const struct ch_endpoint *endpoint);
 bool Ch_Ejected(const struct ch_endpoint *endpoint, int64_t now);
 bool Ch_Trusted(const struct ch_table *table, const char *version);
 /*
--- a/packages/policy/choose_flight.c
+++ b/packages/policy/choose_flight.c
@@ -180,6 +180,9 @@
         Wu_Sent(&flight->endpoint->warmup, &pacing, now);
     }
     Br_Sent(&flight->endpoint->brittle, now);
+    if (Rs_IsLimited(&flight->endpoint->rate_limit)) {
+        Rs_Sent(&flight->endpoint->rate_limit, now);
+    }
     add_net_starts(flight->endpoint, now, 1);
 }
 
--- a/packages/policy/choose_internal.h
+++ b/packages/policy/choose_internal.h
@@ -8,6 +8,7 @@
 
 #include "policy/brittle.h"
 #include "policy/choose.h"
+#include "policy/rate_share.h"
 
 #define CH_DISTRUSTED_MAX 32
 #define CH_BUCKETS 16
@@ -66,6 +67,7 @@
     struct wu_warmup warmup;
     int64_t cold_report_at;
     struct br_state brittle;
+    struct rs_state rate_limit;
 };
 
 TAILQ_HEAD(ch_list, ch_endpoint);
@@ -107,6 +109,8 @@
 void ch_window_roll(struct ch_window *window, int64_t now);
 /* Whether the endpoint is brittle and must not get a request now. */
 bool ch_is_brittle_blocked(const struct ch_endpoint *endpoint, int64_t now);
+/* Whether the endpoint's rate limit leaves no request to this host now. */
+bool ch_is_rate_blocked(struct ch_endpoint *endpoint, int64_t now);
 void ch_record_outcome(struct ch_endpoint *endpoint, enum ch_outcome outcome,
                        int64_t now);
 
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -115,7 +115,9 @@
             continue;
         }
         out->endpoints++;
-        int free_slots = (int)endpoint->limit - endpoint->in_flight;
+        int free_slots = ch_is_rate_blocked(endpoint, now)
+                             ? 0
+                             : (int)endpoint->limit - endpoint->in_flight;
         out->free_slots += free_slots > 0 ? free_slots : 0;
     }
 }
@@ -187,5 +189,11 @@
     if (endpoint->in_flight >= (int)endpoint->limit) {
         return "full";
     }
-    return ch_is_brittle_blocked(endpoint, now) ? "brittle" : "ok";
+    if (ch_is_brittle_blocked(endpoint, now)) {
+        return "brittle";
+    }
+    struct rs_state rate_limit = endpoint->rate_limit;
+    return Rs_IsLimited(&rate_limit) && !Rs_MaySend(&rate_limit, now)
+               ? "rate-limited"
+               : "ok";
 }
--- a/packages/policy/test/choose_test.cc
+++ b/packages/policy/test/choose_test.cc
@@ -733,6 +733,30 @@
     EXPECT_FALSE(Ch_IsBrittle(Ch_Find(t.table, "a2"), t.now + 1));
 }
 
+// Guards against an endpoint that gets more requests a second than it reports
+// to take, and against requests that do not wait for room.
+TEST(Choose, ARateLimitIsKept)
+{
+    Table t;
+    t.put("a1");
+    ASSERT_EQ(ST_OK, Ch_SetRateLimit(t.table, "a1", 2, t.now, t.now));
+    int served = 0;
+    for (int i = 0; i < 100; i++) {
+        served += t.run() == "a1";
+        t.now += kSec / 10;
+    }
+    EXPECT_GE(served, 15);
+    EXPECT_LE(served, 20);
+    while (t.run() == "a1") {
+    }
+    struct ch_capacity capacity;
+    Ch_Capacity(t.table, t.now, &capacity);
+    EXPECT_EQ(capacity.free_slots, 0);
+    EXPECT_STREQ(Ch_Obstacle(Ch_Find(t.table, "a1"), t.now), "rate-limited");
+    ASSERT_EQ(ST_OK, Ch_SetRateLimit(t.table, "a1", -1, t.now, t.now));
+    EXPECT_EQ("a1", t.run());
+}
+
 // Guards against sending to a brittle endpoint again within the second over
 // which it counts refusals.
 TEST(Choose, ABrittleEndpointGetsNothingForASecondAfterARefusal)
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -44,6 +44,7 @@
     int64_t load_taken;
     struct lp_timer *load_timer;
     struct en_brittle brittle;
+    double rate_limit; /* reported, but not enforced; 0: none */
 };
 
 struct en_engine *En_Create(struct ep_endpoint *endpoint);
--- a/standins/engine_brittle.c
+++ b/standins/engine_brittle.c
@@ -45,6 +45,15 @@
     return true;
 }
 
+static void
+set_rate_limit(struct en_engine *engine, struct hs_request *request)
+{
+    json_t *body = Sv_BodyJson(request);
+    engine->rate_limit = json_number_value(json_object_get(body, "per_s"));
+    json_decref(body);
+    Sv_Reply(engine->endpoint->program, request, 200, json_object());
+}
+
 /* Serves the controls of tests; true when the request was one of them. */
 bool
 En_BrittleControl(struct en_engine *engine, struct hs_request *request)
@@ -58,6 +67,10 @@
         Sv_Reply(engine->endpoint->program, request, 200, json_object());
         return true;
     }
+    if (Sv_Is(request, "POST", "/standin/rate-limit")) {
+        set_rate_limit(engine, request);
+        return true;
+    }
     if (Sv_Is(request, "GET", "/standin/falls")) {
         Sv_Reply(engine->endpoint->program, request, 200,
                  json_pack("{s:i}", "falls", engine->brittle.falls));
--- a/standins/engine_report.c
+++ b/standins/engine_report.c
@@ -44,6 +44,10 @@
         json_object_set_new(engine->load, "refusals_borne",
                             json_integer(engine->brittle.most));
     }
+    if (engine->rate_limit > 0) {
+        json_object_set_new(engine->load, "requests_per_s",
+                            json_real(engine->rate_limit));
+    }
     int64_t left = Ep_LeftMsec(engine->endpoint);
     if (left >= 0) {
         json_object_set_new(engine->load, "left_ms", json_integer(left));
--- a/test/standins.cc
+++ b/test/standins.cc
@@ -199,6 +199,12 @@
     Post("/standin/brittle", body);
 }
 
+void
+Endpoint::RateLimit(double per_sec) const
+{
+    Post("/standin/rate-limit", Json().Set("per_s", per_sec));
+}
+
 int
 Endpoint::Falls() const
 {
--- a/test/standins.h
+++ b/test/standins.h
@@ -63,6 +63,8 @@
     void Cold(int cold_ms) const;
     // It falls over above so many refusals in a second; below 0: no more.
     void Brittle(int most) const;
+    // Has the load report name a rate limit; 0: none.
+    void RateLimit(double per_sec) const;
     int Falls() const;
 };
 
