A version that lost all requests has to answer well before it gets them again

What callers saw: the share of a slow version went 1000, 50, 1000, 50 within tenths of a second, and each step to all sent it a burst.

Cause: a second in which it was slow made it a suspect and then, once over, was left out as a pause; its share followed at once. A second that ended between two comparisons was never compared at all. Class: a verdict that is forgotten without evidence.

Why this works: a version that becomes a suspect when it has all requests gets them back after six good answers only, at the raised share, which brings them soon; a pause in the trial delays nobody. Windows are compared before they are closed.

--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -399,29 +399,39 @@
         if (move->state != RO_RUNNING) {
             continue;
         }
-        if (now - move->window_since >= Ro_WINDOW_USEC) {
-            move->window_since = now;
-            ro_close_windows(move);
-        }
         struct cy_count worst[CY_SIDES];
         if (ro_judge(move, worst)) {
             roll_back(move, worst);
         }
+        /* Judged first: a window that is over may be left out as a pause. */
+        if (now - move->window_since >= Ro_WINDOW_USEC) {
+            move->window_since = now;
+            ro_close_windows(move);
+        }
     }
 }
 
 static int
-next_share(const struct ro_table *table, const struct ro_move *move,
+next_share(const struct ro_table *table, struct ro_move *move,
            const struct ro_endpoint_counts *counts)
 {
     struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
     ro_sum_failures(move, all);
+    uint32_t good_answers = ro_sum_good(move);
+    move->relapsed |= move->suspect && move->share >= Ro_FULL_SHARE;
+    if (move->suspect) {
+        move->good_answers = good_answers;
+    }
     struct cy_progress progress = {
         .elapsed_usec = Ck_Now(table->clock) - move->started_at,
         .duration_usec = move->order.duration_usec,
         .drain_usec = counts->drain_usec,
         .answers = all[CY_NEW].answers,
         .all_answers = all[CY_OLD].answers + all[CY_NEW].answers,
+        .relapsed = move->relapsed,
+        .answers_since_relapse = good_answers > move->good_answers
+                                     ? good_answers - move->good_answers
+                                     : 0,
         .suspect = move->suspect,
         .old_usable = counts->old_usable,
         .new_usable = counts->new_usable,
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -120,6 +120,8 @@
     int64_t drained_since;
     int64_t window_since;  /* start of the current window of evidence */
     bool suspect;          /* the new version looks worse, see canary.h */
+    bool relapsed;         /* it became a suspect when it had all requests */
+    uint32_t good_answers; /* of the new version, when it last was one */
     struct cy_pacer pacer; /* of this daemon's requests */
     size_t row_count;
     struct ro_row rows[Ro_ROWS_MAX];
--- a/packages/edge/rollout_internal.h
+++ b/packages/edge/rollout_internal.h
@@ -13,6 +13,8 @@
 /* Adds up the answers of all routes, and how many of them failed. */
 void ro_sum_failures(const struct ro_move *move,
                      struct cy_count sums[CY_SIDES]);
+/* Answers of the new version that were not bad in any way, at least. */
+uint32_t ro_sum_good(const struct ro_move *move);
 void ro_close_windows(struct ro_move *move);
 /*
  * Compares the versions, and sets whether the new one is a suspect.  Returns
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -44,6 +44,20 @@
     }
 }
 
+uint32_t
+ro_sum_good(const struct ro_move *move)
+{
+    struct cy_count answers[CY_SIDES] = {{0, 0}, {0, 0}};
+    struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
+    ro_sum_failures(move, answers);
+    for (size_t i = 0; i < move->row_count; i++) {
+        sum_row(&move->rows[i], all);
+    }
+    return answers[CY_NEW].answers > all[CY_NEW].bad
+               ? answers[CY_NEW].answers - all[CY_NEW].bad
+               : 0;
+}
+
 /* What one row, or all rows of one kind, tell of the new version. */
 struct finding {
     struct cy_tally tally; /* tells a suspect */
--- a/packages/policy/canary.c
+++ b/packages/policy/canary.c
@@ -38,6 +38,9 @@
 #define Cy_RAISE_AFTER 0.5
 /* All requests go to the new version once it has given this many answers. */
 #define Cy_MIN_ANSWERS 12
+/* Good answers after which a version that lost all requests may get them
+ * again. */
+#define Cy_RETRIAL_ANSWERS 6
 /* A version that gets no more than this many requests needs no trial. */
 #define Cy_FEW_REQUESTS 40
 /*
@@ -180,6 +183,9 @@
 {
     double elapsed = (double)progress->elapsed_usec;
     double left = (double)progress->duration_usec - elapsed;
+    if (progress->relapsed) {
+        return progress->answers_since_relapse >= Cy_RETRIAL_ANSWERS;
+    }
     if (progress->answers >= Cy_MIN_ANSWERS || left <= 0) {
         return true;
     }
--- a/packages/policy/canary.h
+++ b/packages/policy/canary.h
@@ -77,6 +77,10 @@
     int64_t drain_usec;
     uint32_t answers;     /* of the new version */
     uint32_t all_answers; /* of both versions */
+    /* good answers of the new version since it was last a suspect, if it had
+       all requests before */
+    bool relapsed;
+    uint32_t answers_since_relapse;
     bool suspect;
     int old_usable; /* endpoints */
     int new_usable;
