Order endpoints for what those with a rate limit do not carry

An endpoint that takes 2.4 requests a second counted as one of full room, so that no other was ordered.

--- a/packages/edge/controller_orders.c
+++ b/packages/edge/controller_orders.c
@@ -133,6 +133,7 @@
 /* Load and measured prefill rates, summed over all daemons. */
 struct load_sum {
     struct de_load load;
+    double requests_per_sec;
     double rate_sum;
     int rate_count;
 };
@@ -145,6 +146,7 @@
         if (rates[i].service != service) {
             continue;
         }
+        sum->requests_per_sec += rates[i].requests_per_sec;
         sum->load.prompt_tokens_per_sec += rates[i].prompt_tokens_per_sec;
         sum->load.concurrency += rates[i].concurrency;
         if (rates[i].prefill_rate > 0) {
@@ -170,6 +172,24 @@
     return need == NULL ? 0 : need->prefill_rate;
 }
 
+/* Endpoints that make up for what those with a rate limit do not carry. */
+static int
+missing_for_limits(const struct ga_gate *gate,
+                   const struct ec_service *service, double requests_per_sec,
+                   int needed)
+{
+    double missing = 0;
+    const struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (Fl_Usable(endpoint) && Rs_IsLimited(&endpoint->rate_limit) &&
+            strcmp(endpoint->entry.service, service->name) == 0) {
+            missing += De_MissingForLimit(requests_per_sec, needed,
+                                          endpoint->rate_limit.per_sec);
+        }
+    }
+    return (int)ceil(missing);
+}
+
 /* Returns the endpoints needed for the load of all daemons; 0: not known. */
 static int
 endpoints_needed(const struct co_controller *controller,
@@ -191,12 +211,14 @@
         return 0;
     }
     int needed = De_EndpointsNeeded(&sum.load);
+    int missing =
+        missing_for_limits(gate, service, sum.requests_per_sec, needed);
     Ln_Log(LN_ORDINARY, "load",
            "\"service\":\"%s\",\"reading_per_sec\":%.0f,\"running\":%.1f,"
-           "\"read_rate\":%.0f,\"needed\":%d",
+           "\"read_rate\":%.0f,\"needed\":%d,\"limits_miss\":%d",
            service->name, sum.load.prompt_tokens_per_sec, sum.load.concurrency,
-           sum.load.prefill_rate, needed);
-    return needed;
+           sum.load.prefill_rate, needed, missing);
+    return needed + missing;
 }
 
 /*
--- a/packages/edge/demand.c
+++ b/packages/edge/demand.c
@@ -231,3 +231,10 @@
     }
     return (int)ceil(needed);
 }
+
+double
+De_MissingForLimit(double requests_per_sec, int needed, double limit_per_sec)
+{
+    double each = requests_per_sec / needed;
+    return limit_per_sec < each ? 1 - limit_per_sec / each : 0;
+}
--- a/packages/edge/demand.h
+++ b/packages/edge/demand.h
@@ -21,13 +21,13 @@
 
 struct de_rate {
     uint32_t service; /* hash of the service's name */
-    double requests_per_sec;
     /*
      * Requests a second that callers sent, also those that were refused, as
      * the nearest power of two; it changes with a clear change of the load
      * only.
      */
     int offered_log2;
+    double requests_per_sec;
     /* prompt tokens per second that need prefill */
     double prompt_tokens_per_sec;
     /* portion of prompt_tokens_per_sec in long prompts */
@@ -74,6 +74,12 @@
     int slots;
 };
 int De_EndpointsNeeded(const struct de_load *load);
+/*
+ * Fraction of an endpoint that is missing, where "needed" endpoints carry
+ * these requests and one takes no more than "limit_per_sec" of them.
+ */
+double De_MissingForLimit(double requests_per_sec, int needed,
+                          double limit_per_sec);
 
 #ifdef __cplusplus
 }
--- a/packages/edge/test/plan_test.cc
+++ b/packages/edge/test/plan_test.cc
@@ -335,4 +335,13 @@
     De_Destroy(demand);
 }
 
+// Guards against an endpoint that reports a small rate limit and counts as one
+// that carries its whole part of the load.
+TEST(Plan, AnEndpointWithARateLimitCarriesAPartOnly)
+{
+    EXPECT_DOUBLE_EQ(De_MissingForLimit(80, 8, 2.5), 0.75);
+    EXPECT_DOUBLE_EQ(De_MissingForLimit(80, 8, 10), 0);
+    EXPECT_DOUBLE_EQ(De_MissingForLimit(0, 8, 2.5), 0);
+}
+
 } // namespace
--- a/packages/edge/test/tables_test.cc
+++ b/packages/edge/test/tables_test.cc
@@ -150,7 +150,7 @@
     message.load_count = 1;
     message.loads[0] = {7, 3, 1200};
     message.rate_count = 1;
-    message.rates[0] = {4, 12.5, -3, 5000, 3000, 2.5, 70000};
+    message.rates[0] = {4, -3, 12.5, 5000, 3000, 2.5, 70000};
     message.refusal_limit_count = 1;
     message.refusal_limits[0] = {8, 5};
     message.rate_limit_count = 2;
