--- a/packages/policy/rate_share.c
+++ b/packages/policy/rate_share.c
@@ -17,6 +17,8 @@
 /* Requests that a holder may send at once; all holders: see burst_of(). */
 #define Rs_BURST_MIN 1.0
 #define Rs_BURST_MAX 2.0
+/* With so many tokens, a pause of the callers fills the bucket. */
+#define Rs_UNUSED_TOKENS 1.5
 #define Rs_ALL_BURST_SEC 1.0
 #define Rs_ALL_BURST_MIN 3.0
 #define Rs_SHARE_TTL_USEC (500 * Ck_USEC_PER_MSEC)
@@ -223,7 +225,7 @@
 Rs_IsUnused(struct rs_state *state, int64_t now)
 {
     fill(state, now);
-    return state->tokens >= state->burst;
+    return state->tokens >= fmin(state->burst, Rs_UNUSED_TOKENS);
 }
 
 void
--- a/packages/policy/rate_share.h
+++ b/packages/policy/rate_share.h
@@ -94,7 +94,7 @@
                               int64_t now);
 
 bool Rs_MaySend(struct rs_state *state, int64_t now);
-/* Whether the bucket is full, so that room at the endpoint stays unused. */
+/* Whether the bucket is nearly full, so that room may stay unused. */
 bool Rs_IsUnused(struct rs_state *state, int64_t now);
 void Rs_Sent(struct rs_state *state, int64_t now);
 
