Compare the versions of a move by their pace in the stand-alone daemon too

Slow streams are a third metric of the sequential test, with the same false-alarm rate over all three; blocks count as at most fifty streams, as late first tokens do. Reports carry the counts in new fields, which older daemons skip.

--- a/packages/edge/exchange_version.c
+++ b/packages/edge/exchange_version.c
@@ -68,7 +68,7 @@
     const struct ro_move *move = Ro_Find(gate->moves, service);
     attempt->pace_noted = true;
     if (move != NULL && !Wu_IsCold(&attempt->endpoint->warmup, Ga_Now(gate))) {
-        struct ro_pace pace = {usec, load_of(attempt->endpoint)};
+        struct pa_pace pace = {usec, load_of(attempt->endpoint)};
         Ro_RecordPace(gate->moves, service, exchange->route->name,
                       Ga_HasTargetVersion(move, attempt->endpoint), &pace);
     }
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -21,6 +21,7 @@
 #include "base/clock.h"
 #include "edge/config.h"
 #include "policy/canary.h"
+#include "policy/pace.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -97,10 +98,9 @@
 /* Counts of one kind, of one route or of all. */
 struct ro_row {
     uint32_t key;
-    /* Averages of the old version on this daemon: the time to the first byte,
-       or that between events, and how full the endpoints of these were. */
+    /* average time to the first byte of the old version on this daemon */
     double typical_usec;
-    double typical_load;
+    struct pa_typical typical_pace; /* the same of its streams */
     struct cy_count own[CY_SIDES];
     struct cy_count peers[CY_SIDES];
     /* counted by processes of peers that have been restarted since */
@@ -145,18 +145,9 @@
  */
 bool Ro_RecordFirstByte(struct ro_table *table, const char *service,
                         const char *route, bool is_new, int64_t usec);
-/* The time between the events of a stream, once several have come. */
-struct ro_pace {
-    int64_t usec;
-    double load; /* requests at its endpoint / slots */
-};
-/*
- * Counts the pace of a stream.  Of the new version those at endpoints that are
- * fuller than the old ones usually are do not count: the more requests run at
- * an endpoint, the slower each is.
- */
+/* Counts the pace of a stream, once several of its events have come. */
 void Ro_RecordPace(struct ro_table *table, const char *service,
-                   const char *route, bool is_new, const struct ro_pace *pace);
+                   const char *route, bool is_new, const struct pa_pace *pace);
 /*
  * The time after which an answer of a service that is being moved is slow;
  * 0: not known yet, or no move.
--- a/packages/edge/rollout_record.c
+++ b/packages/edge/rollout_record.c
@@ -11,15 +11,7 @@
  */
 #define Ro_SLOW_FACTOR 3.0
 #define Ro_SLOW_MARGIN_USEC 30000.0
-/*
- * The same for the time between events, which varies less: a prompt that is
- * read beside a stream delays a few of its events.
- */
-#define Ro_SLOW_PACE_FACTOR 2.0
-#define Ro_SLOW_PACE_MARGIN_USEC 5000.0
-/* An endpoint this full is as fast as an idle one. */
-#define Ro_LIGHT_LOAD 0.25
-/* Weight of the newest sample in an average of the old version. */
+/* Weight of the newest sample in the average time to the first byte. */
 #define Ro_TYPICAL_WEIGHT 0.1
 /* The lowest bits of a row's key tell its kind. */
 #define Ro_KIND_MASK UINT32_C(3)
@@ -78,12 +70,6 @@
                : 0;
 }
 
-static void
-add_to_average(double *average, double sample, bool is_first)
-{
-    *average += (is_first ? 1 : Ro_TYPICAL_WEIGHT) * (sample - *average);
-}
-
 bool
 Ro_RecordFirstByte(struct ro_table *table, const char *service,
                    const char *route, bool is_new, int64_t usec)
@@ -94,8 +80,8 @@
     }
     double limit = slow_after(row);
     if (!is_new) {
-        add_to_average(&row->typical_usec, (double)usec,
-                       row->typical_usec <= 0);
+        double weight = row->typical_usec > 0 ? Ro_TYPICAL_WEIGHT : 1;
+        row->typical_usec += weight * ((double)usec - row->typical_usec);
     }
     return limit > 0 && (double)usec > limit;
 }
@@ -119,23 +105,15 @@
 
 void
 Ro_RecordPace(struct ro_table *table, const char *service, const char *route,
-              bool is_new, const struct ro_pace *pace)
+              bool is_new, const struct pa_pace *pace)
 {
     struct ro_row *row = active_row(table, service, route, RO_SLOW_PACE);
     if (row == NULL) {
         return;
     }
-    double limit =
-        Ro_SLOW_PACE_FACTOR * row->typical_usec + Ro_SLOW_PACE_MARGIN_USEC;
-    bool is_first = row->typical_usec <= 0;
-    bool counts = !is_first && (!is_new || pace->load <= Ro_LIGHT_LOAD ||
-                                pace->load <= row->typical_load);
-    if (counts) {
-        count_answer(row, is_new, (double)pace->usec > limit);
-    }
-    if (!is_new) {
-        add_to_average(&row->typical_usec, (double)pace->usec, is_first);
-        add_to_average(&row->typical_load, pace->load, is_first);
+    enum pa_verdict verdict = Pa_Judge(&row->typical_pace, is_new, pace);
+    if (verdict != PA_UNKNOWN) {
+        count_answer(row, is_new, verdict == PA_SLOW);
     }
 }
 
--- a/packages/gate/moves.h
+++ b/packages/gate/moves.h
@@ -12,6 +12,7 @@
 #include "gate/control.h"
 #include "gate/gate.h"
 #include "policy/move.h"
+#include "policy/pace.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -29,6 +30,7 @@
     bool failed;
     int64_t first_token_usec; /* latency; undefined if the request failed */
     int64_t target_usec;      /* target for the first token; 0: none */
+    struct pa_pace pace;      /* of its tokens; zero: too few came */
 };
 
 struct mo_ops {
--- a/packages/gate/moves_internal.h
+++ b/packages/gate/moves_internal.h
@@ -21,7 +21,8 @@
 
     /* This router's circuit breaker and outcome counts. */
     struct mv_trip trip;
-    struct mw_report report; /* of the current block */
+    struct mw_report report;        /* of the current block */
+    struct pa_typical typical_pace; /* of the old version */
     int64_t block_started_at;
 
     /* Used by the lease holder only. */
--- a/packages/gate/moves_router.c
+++ b/packages/gate/moves_router.c
@@ -85,6 +85,19 @@
     return cell;
 }
 
+static void
+count_pace(struct mo_service *service, const struct mo_outcome *outcome,
+           enum mv_side side, struct mv_cell *cell)
+{
+    if (outcome->pace.usec <= 0) {
+        return;
+    }
+    enum pa_verdict verdict =
+        Pa_Judge(&service->typical_pace, side == MV_NEW, &outcome->pace);
+    cell->paced[side] += verdict != PA_UNKNOWN;
+    cell->slow_pace[side] += verdict == PA_SLOW;
+}
+
 static void
 count_outcome(struct mo_service *service, const struct mo_outcome *outcome,
               enum mv_side side)
@@ -103,6 +116,7 @@
     }
     else {
         cell->first_token[side][Mv_Bucket(outcome->first_token_usec)]++;
+        count_pace(service, outcome, side, cell);
     }
 }
 
--- a/packages/gate/moves_wire.c
+++ b/packages/gate/moves_wire.c
@@ -90,11 +90,12 @@
     for (size_t i = 0; i < report->count; i++) {
         const struct mv_cell *cell = &report->cells[i];
         json_array_append_new(
-            cells, json_pack("{s:s,s:i,s:o,s:o,s:[o,o]}", "r", cell->route,
-                             "c", cell->request_class, "n", pair(cell->count),
-                             "f", pair(cell->failed), "t",
+            cells, json_pack("{s:s,s:i,s:o,s:o,s:[o,o],s:o,s:o}", "r",
+                             cell->route, "c", cell->request_class, "n",
+                             pair(cell->count), "f", pair(cell->failed), "t",
                              buckets(cell->first_token[MV_OLD]),
-                             buckets(cell->first_token[MV_NEW])));
+                             buckets(cell->first_token[MV_NEW]), "p",
+                             pair(cell->paced), "s", pair(cell->slow_pace)));
     }
     json_t *root =
         json_pack("{s:s,s:s,s:s,s:I,s:o}", "service", report->service, "to",
@@ -134,6 +135,8 @@
     read_pair(json_object_get(item, "f"), out->failed);
     read_buckets(json_array_get(times, MV_OLD), out->first_token[MV_OLD]);
     read_buckets(json_array_get(times, MV_NEW), out->first_token[MV_NEW]);
+    read_pair(json_object_get(item, "p"), out->paced);
+    read_pair(json_object_get(item, "s"), out->slow_pace);
 }
 
 /* Decodes a report; false when it is malformed. */
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -38,18 +38,36 @@
 #define Rl_URGENT_PRIORITY 10
 #define Rl_PATIENT_PRIORITY 1
 #define Rl_LABELS_MAX 200
+/* With fewer tokens, their pace says little. */
+#define Rl_PACE_TOKENS_MIN 4
 #define Rl_MESSAGE_MAX 160
 
 static void attempt(struct rl_engine *relay);
 static enum st_status send_call(struct rl_engine *relay);
 
+/* The pace of this attempt's tokens. */
+static struct pa_pace
+pace_of(const struct rl_engine *relay)
+{
+    int tokens = relay->tokens - relay->tokens_at_start;
+    struct pa_pace pace = {0, 0};
+    if (tokens >= Rl_PACE_TOKENS_MIN && relay->flight.first_token) {
+        pace.usec =
+            (relay->last_token_at - relay->first_token_at) / (tokens - 1);
+        pace.load = Ch_Load(relay->flight.endpoint,
+                            Ck_Now(relay->request->gate->clock));
+    }
+    return pace;
+}
+
 /* Ends the attempt's flight and records its outcome. */
 void
 Re_EndFlight(struct rl_engine *relay, enum ch_outcome outcome)
 {
     if (relay->flight.endpoint != NULL) {
+        struct pa_pace pace = pace_of(relay);
         Rq_RecordOutcome(relay->request, &relay->flight, outcome,
-                         relay->first_token_usec);
+                         relay->first_token_usec, &pace);
         Ch_End(relay->table, &relay->flight, outcome,
                Ck_Now(relay->request->gate->clock));
         relay->flight.endpoint = NULL;
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -49,8 +49,9 @@
 {
     struct rl_plain *relay = request->plain;
     if (relay->flight.endpoint != NULL) {
-        Rq_RecordOutcome(request, &relay->flight, outcome,
-                         relay->headers_usec);
+        struct pa_pace no_tokens = {0, 0};
+        Rq_RecordOutcome(request, &relay->flight, outcome, relay->headers_usec,
+                         &no_tokens);
         Ch_End(relay->table, &relay->flight, outcome,
                Ck_Now(request->gate->clock));
         relay->flight.endpoint = NULL;
--- a/packages/gate/request.c
+++ b/packages/gate/request.c
@@ -426,7 +426,8 @@
  */
 void
 Rq_RecordOutcome(struct rq_request *request, const struct ch_flight *flight,
-                 enum ch_outcome outcome, int64_t first_token_usec)
+                 enum ch_outcome outcome, int64_t first_token_usec,
+                 const struct pa_pace *pace)
 {
     if (outcome != CH_GOOD && outcome != CH_FAILED &&
         outcome != CH_UNREACHED) {
@@ -441,6 +442,7 @@
         .failed = outcome != CH_GOOD,
         .first_token_usec = first_token_usec,
         .target_usec = request->service->first_token_usec,
+        .pace = *pace,
     };
     Mo_RecordOutcome(request->gate->moves, &note);
 }
--- a/packages/gate/request.h
+++ b/packages/gate/request.h
@@ -12,6 +12,7 @@
 #include "gate/gate.h"
 #include "platform/engine.h"
 #include "policy/choose.h"
+#include "policy/pace.h"
 #include "policy/queue.h"
 #include "policy/retry.h"
 
@@ -97,7 +98,7 @@
 void Rq_RecordSuccess(struct rq_request *request);
 void Rq_RecordOutcome(struct rq_request *request,
                       const struct ch_flight *flight, enum ch_outcome outcome,
-                      int64_t first_token_usec);
+                      int64_t first_token_usec, const struct pa_pace *pace);
 bool Rq_IsIdle(const struct gt_gate *gate);
 
 /* The relays; each ends the request with Rq_Refuse() or Rq_Finish(). */
--- a/packages/policy/choose.h
+++ b/packages/policy/choose.h
@@ -197,6 +197,8 @@
                    const struct ch_request *request);
 enum ch_state Ch_State(const struct ch_endpoint *endpoint);
 int64_t Ch_TimeLeft(const struct ch_endpoint *endpoint, int64_t now);
+/* Requests of all hosts there, as this host knows, divided by its slots. */
+double Ch_Load(const struct ch_endpoint *endpoint, int64_t now);
 int Ch_InFlight(const struct ch_endpoint *endpoint);
 int Ch_Limit(const struct ch_endpoint *endpoint);
 int Ch_AllInFlight(const struct ch_table *table);
--- a/packages/policy/choose_query.c
+++ b/packages/policy/choose_query.c
@@ -67,6 +67,13 @@
 }
 
 /* Requests of this router in flight at the endpoint. */
+double
+Ch_Load(const struct ch_endpoint *endpoint, int64_t now)
+{
+    int slots = endpoint->info.slots > 0 ? endpoint->info.slots : 1;
+    return ch_load(endpoint, now) / slots;
+}
+
 int
 Ch_InFlight(const struct ch_endpoint *endpoint)
 {
--- a/packages/policy/move.h
+++ b/packages/policy/move.h
@@ -39,6 +39,8 @@
     uint32_t count[MV_SIDES];
     uint32_t failed[MV_SIDES];
     uint32_t first_token[MV_SIDES][Mv_BUCKETS];
+    uint32_t paced[MV_SIDES];     /* streams whose pace was judged */
+    uint32_t slow_pace[MV_SIDES]; /* of these, slow; see pace.h */
 };
 
 int Mv_Bucket(int64_t usec);
@@ -107,7 +109,8 @@
     bool alarm;
     /* Over all routes and classes; alarm at 1 / false-alarm rate. */
     double e_value;
-    bool slow; /* true: first tokens are late; false: requests fail */
+    /* true: first tokens are late, or streams slow; false: requests fail */
+    bool slow;
     char route[Mv_NAME_MAX]; /* empty: all routes together */
     int request_class;
     uint64_t count[MV_SIDES];
--- a/packages/policy/move_evidence.c
+++ b/packages/policy/move_evidence.c
@@ -124,6 +124,8 @@
     for (int side = 0; side < MV_SIDES; side++) {
         sum->count[side] += added->count[side];
         sum->failed[side] += added->failed[side];
+        sum->paced[side] += added->paced[side];
+        sum->slow_pace[side] += added->slow_pace[side];
         for (int b = 0; b < Mv_BUCKETS; b++) {
             sum->first_token[side][b] += added->first_token[side][b];
         }
--- a/packages/policy/move_internal.h
+++ b/packages/policy/move_internal.h
@@ -9,9 +9,9 @@
 #include "policy/move.h"
 
 #define Mv_EFFECTS 5
-#define Mv_METRICS 2
+#define Mv_METRICS 3
 
-enum mv_metric { MV_METRIC_FAILURES, MV_METRIC_LATENCY };
+enum mv_metric { MV_METRIC_FAILURES, MV_METRIC_LATENCY, MV_METRIC_PACE };
 
 /* The sequential test of one metric of one route and class. */
 struct mv_seq_test {
--- a/packages/policy/move_judge.c
+++ b/packages/policy/move_judge.c
@@ -151,6 +151,17 @@
     return Mv_BUCKETS;
 }
 
+static void
+cap_sample(struct sample *sample)
+{
+    for (int side = 0; side < MV_SIDES; side++) {
+        if (sample->count[side] > BLOCK_SAMPLE_MAX) {
+            sample->bad[side] *= BLOCK_SAMPLE_MAX / sample->count[side];
+            sample->count[side] = BLOCK_SAMPLE_MAX;
+        }
+    }
+}
+
 /*
  * Counts late first tokens.  For the old version these are the times above
  * its usual 90th percentile, for the new version the times at least one
@@ -174,11 +185,21 @@
             out->count[side] += requests;
             out->bad[side] += b >= first ? requests : 0;
         }
-        if (out->count[side] > BLOCK_SAMPLE_MAX) {
-            out->bad[side] *= BLOCK_SAMPLE_MAX / out->count[side];
-            out->count[side] = BLOCK_SAMPLE_MAX;
-        }
     }
+    cap_sample(out);
+    out->bad[MV_OLD] +=
+        LATE_TOLERANCE * (out->count[MV_OLD] - out->bad[MV_OLD]);
+}
+
+/* Like late first tokens, slow streams of one block depend on each other. */
+static void
+sample_pace(const struct mv_cell *block, struct sample *out)
+{
+    for (int side = 0; side < MV_SIDES; side++) {
+        out->count[side] = block->paced[side];
+        out->bad[side] = block->slow_pace[side];
+    }
+    cap_sample(out);
     out->bad[MV_OLD] +=
         LATE_TOLERANCE * (out->count[MV_OLD] - out->bad[MV_OLD]);
 }
@@ -198,6 +219,8 @@
     memset(block->count, 0, sizeof(block->count));
     memset(block->failed, 0, sizeof(block->failed));
     memset(block->first_token, 0, sizeof(block->first_token));
+    memset(block->paced, 0, sizeof(block->paced));
+    memset(block->slow_pace, 0, sizeof(block->slow_pace));
 }
 
 /*
@@ -224,6 +247,16 @@
                       block->failed[MV_NEW], old_bad);
 }
 
+static void
+test_sample(struct mv_cell_state *cell, const struct sample *sample,
+            enum mv_metric metric, double onset_weight)
+{
+    if (has_both_sides(sample)) {
+        update_test(&cell->tests[metric], sample, onset_weight);
+        add_counts(&cell->tests[metric], &cell->block, sample, metric);
+    }
+}
+
 /* Tests the counts of the cell's open block and clears them. */
 void
 mv_close_cell(struct mv_cell_state *cell, double onset_weight)
@@ -238,11 +271,9 @@
     add_counts(&cell->tests[MV_METRIC_FAILURES], &cell->block, &sample,
                MV_METRIC_FAILURES);
     sample_late(cell, &sample);
-    if (has_both_sides(&sample)) {
-        update_test(&cell->tests[MV_METRIC_LATENCY], &sample, onset_weight);
-        add_counts(&cell->tests[MV_METRIC_LATENCY], &cell->block, &sample,
-                   MV_METRIC_LATENCY);
-    }
+    test_sample(cell, &sample, MV_METRIC_LATENCY, onset_weight);
+    sample_pace(&cell->block, &sample);
+    test_sample(cell, &sample, MV_METRIC_PACE, onset_weight);
     decay_history(cell);
     clear_block(&cell->block);
 }
@@ -262,7 +293,7 @@
          bool overall, enum mv_metric metric)
 {
     const struct mv_seq_test *test = &cell->tests[metric];
-    finding->slow = metric == MV_METRIC_LATENCY;
+    finding->slow = metric != MV_METRIC_FAILURES;
     finding->request_class = cell->block.request_class;
     strlcpy(finding->route, overall ? "" : cell->block.route,
             sizeof(finding->route));
