--- a/packages/policy/move.c
+++ b/packages/policy/move.c
@@ -268,10 +268,9 @@
         return true;
     }
     if (finding->alarm) {
-        roll_back(move,
-                  finding->slow ? "first tokens are late"
-                                : "more requests fail",
-                  now);
+        static const char *const reasons[MV_METRICS] = {
+            "more requests fail", "first tokens are late", "streams are slow"};
+        roll_back(move, reasons[finding->metric], now);
         return true;
     }
     if (!is_past_deadline(move, now)) {
@@ -358,13 +357,15 @@
 {
     const struct mv_finding *finding = &move->finding;
     if (move->phase == MV_ROLLED_BACK && finding->alarm) {
+        static const char *const verbs[MV_METRICS] = {"failed", "were late",
+                                                      "were slow"};
         snprintf(out, size,
                  "on %s%s %llu of %llu requests %s, against %llu of %llu on "
                  "%s over the same minutes",
                  finding->route[0] != '\0' ? "route " : "all routes",
                  finding->route, (unsigned long long)finding->bad[MV_NEW],
                  (unsigned long long)finding->count[MV_NEW],
-                 finding->slow ? "were late" : "failed",
+                 verbs[finding->metric],
                  (unsigned long long)finding->bad[MV_OLD],
                  (unsigned long long)finding->count[MV_OLD], move->plan.from);
         return;
--- a/packages/policy/move.h
+++ b/packages/policy/move.h
@@ -104,17 +104,24 @@
 
 struct mv_evidence;
 
+/* Kinds of bad requests: failed ones, late first tokens, slow streams. */
+enum mv_metric {
+    MV_METRIC_FAILURES,
+    MV_METRIC_LATENCY,
+    MV_METRIC_PACE,
+    MV_METRICS,
+};
+
 /* The route and class with the strongest evidence against the new version. */
 struct mv_finding {
     bool alarm;
     /* Over all routes and classes; alarm at 1 / false-alarm rate. */
     double e_value;
-    /* true: first tokens are late, or streams slow; false: requests fail */
-    bool slow;
+    enum mv_metric metric;
     char route[Mv_NAME_MAX]; /* empty: all routes together */
     int request_class;
     uint64_t count[MV_SIDES];
-    uint64_t bad[MV_SIDES]; /* failed, or late where "slow" is set */
+    uint64_t bad[MV_SIDES]; /* by "metric" */
 };
 
 struct mv_totals {
--- a/packages/policy/move_evidence.c
+++ b/packages/policy/move_evidence.c
@@ -59,7 +59,7 @@
     evidence->pending_weight = 1 - ONSET_AT_START_WEIGHT;
     SLIST_INIT(&evidence->routers);
     for (int i = 0; i <= Mv_CELLS_MAX; i++) {
-        for (int m = 0; m < Mv_METRICS; m++) {
+        for (int m = 0; m < MV_METRICS; m++) {
             mv_init_test(&evidence->cells[i].tests[m], ONSET_AT_START_WEIGHT);
         }
     }
--- a/packages/policy/move_internal.h
+++ b/packages/policy/move_internal.h
@@ -9,10 +9,6 @@
 #include "policy/move.h"
 
 #define Mv_EFFECTS 5
-#define Mv_METRICS 3
-
-enum mv_metric { MV_METRIC_FAILURES, MV_METRIC_LATENCY, MV_METRIC_PACE };
-
 /* The sequential test of one metric of one route and class. */
 struct mv_seq_test {
     double log_e_value[Mv_EFFECTS]; /* one for each assumed effect size */
@@ -25,7 +21,7 @@
 struct mv_cell_state {
     bool used;
     struct mv_cell block; /* counts of the open block, all routers */
-    struct mv_seq_test tests[Mv_METRICS];
+    struct mv_seq_test tests[MV_METRICS];
     double old_first_token[Mv_BUCKETS]; /* decayed histogram */
     double old_recent_count;            /* decayed over a few blocks */
     double old_recent_bad;
--- a/packages/policy/move_judge.c
+++ b/packages/policy/move_judge.c
@@ -293,7 +293,7 @@
          bool overall, enum mv_metric metric)
 {
     const struct mv_seq_test *test = &cell->tests[metric];
-    finding->slow = metric != MV_METRIC_FAILURES;
+    finding->metric = metric;
     finding->request_class = cell->block.request_class;
     strlcpy(finding->route, overall ? "" : cell->block.route,
             sizeof(finding->route));
@@ -312,11 +312,11 @@
         const struct mv_cell_state *cell = &evidence->cells[i];
         double weight =
             i == 0 ? OVERALL_WEIGHT : (1 - OVERALL_WEIGHT) / Mv_CELLS_MAX;
-        for (int m = 0; m < Mv_METRICS; m++) {
+        for (int m = 0; m < MV_METRICS; m++) {
             double value = cell->used ? test_e_value(&cell->tests[m],
                                                      evidence->pending_weight)
                                       : 1;
-            value *= weight / Mv_METRICS;
+            value *= weight / MV_METRICS;
             total += value;
             if (cell->used && value > highest) {
                 highest = value;
