--- a/packages/edge/rate_limit.c
+++ b/packages/edge/rate_limit.c
@@ -5,7 +5,6 @@
 
 /* A smaller change of the limit is not logged. */
 #define Rl_LOGGED_CHANGE 0.1
-#define Rl_MILLI 1000.0
 /* A longer Retry-After would leave callers no time to come back. */
 #define Rl_RETRY_FACTOR_MAX 8.0
 
--- a/packages/policy/rate_share.c
+++ b/packages/policy/rate_share.c
@@ -14,7 +14,7 @@
  * at hand when it may send one.
  */
 #define Rs_DEMAND_FACTOR 4.0
-/* Requests that a holder may send at once; all holders: see burst_of(). */
+/* Requests that a holder may send at once; all holders: see all_burst(). */
 #define Rs_BURST_MIN 1.0
 #define Rs_BURST_MAX 2.0
 /* With so many tokens, a pause of the callers fills the bucket. */
@@ -35,6 +35,19 @@
 #define Rs_PARTITION_EXCESS 1.25
 #define Rs_WEIGHT_MIN 0.01
 
+/* "filled_at" lies in the future while a new holder waits. */
+static void
+fill(struct rs_state *state, int64_t now)
+{
+    if (now <= state->filled_at) {
+        return;
+    }
+    double sec = (double)(now - state->filled_at) / (double)Ck_USEC_PER_SEC;
+    state->tokens = fmin(state->burst,
+                         state->tokens + sec * state->share * state->per_sec);
+    state->filled_at = now;
+}
+
 void
 Rs_Note(struct rs_state *state, double per_sec, int64_t at, bool from_answer,
         int64_t now)
@@ -49,9 +62,7 @@
         state->tokens = 0;
         state->filled_at = now;
     }
-    else {
-        (void)Rs_MaySend(state, now);
-    }
+    fill(state, now);
     state->per_sec = limited ? fmax(per_sec, Rs_PER_SEC_MIN) : 0;
     state->reported_at = at;
     state->from_answer = from_answer;
@@ -97,14 +108,17 @@
     } best[Rs_HOLDERS_MAX];
 };
 
+/* Inserts a host, if it is among the first "limit". */
 static void
 insert(struct ranking *ranking, size_t limit, double cost, double weight)
 {
-    size_t at = ranking->count < limit ? ranking->count++ : limit - 1;
-    if (at == limit - 1 && ranking->count == limit &&
-        ranking->best[at].weight > 0 && ranking->best[at].cost <= cost) {
+    if (ranking->count < limit) {
+        ranking->count++;
+    }
+    else if (ranking->best[limit - 1].cost <= cost) {
         return;
     }
+    size_t at = ranking->count - 1;
     for (; at > 0 && ranking->best[at - 1].cost > cost; at--) {
         ranking->best[at] = ranking->best[at - 1];
     }
@@ -170,19 +184,6 @@
            now - state->share_set_at >= Rs_SHARE_TTL_USEC;
 }
 
-/* "filled_at" lies in the future while a new holder waits. */
-static void
-fill(struct rs_state *state, int64_t now)
-{
-    if (now <= state->filled_at) {
-        return;
-    }
-    double sec = (double)(now - state->filled_at) / (double)Ck_USEC_PER_SEC;
-    state->tokens = fmin(state->burst,
-                         state->tokens + sec * state->share * state->per_sec);
-    state->filled_at = now;
-}
-
 void
 Rs_SetShare(struct rs_state *state, const struct rs_share *share,
             int64_t delay_usec, int64_t now)
