A cut is no slow pace of a version

A stream that broke with three events counted the silence since its last event as pace, so that a cut link spoke against the version: only the time between events counts now.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -19,6 +19,7 @@
     int64_t slow_after;     /* an answer is slow after this; 0: not known */
     int64_t head_at;        /* answer's head received; 0: not yet */
     int64_t first_event_at; /* first event received; 0: not yet */
+    int64_t last_event_at;  /* last event received */
     int events;             /* events received */
     bool pace_noted;        /* the time between events was counted */
     int64_t prefill_tokens; /* prompt tokens counted in the endpoint's queue */
--- a/packages/edge/exchange_version.c
+++ b/packages/edge/exchange_version.c
@@ -8,9 +8,9 @@
 /* An unanswered attempt is late after this fraction of the time after which
    its answer would be slow. */
 #define Xc_LATE_DIVISOR 2
-/* Times between events that tell a stream's pace. */
-#define Xc_PACE_INTERVALS 6
-#define Xc_PACE_MIN_EVENTS 3
+/* Events that tell a stream's pace; fewer if it ends before. */
+#define Xc_PACE_EVENTS 7
+#define Xc_PACE_EVENTS_MIN 4
 
 void
 Xc_NoteVersionSent(struct xc_exchange *exchange,
@@ -59,8 +59,12 @@
     return (double)(endpoint->running + endpoint->peers_running) / slots;
 }
 
+/*
+ * Counts the time between the events so far.  The time since the last one may
+ * be that of a cut link, and tells nothing of the version.
+ */
 static void
-note_pace(struct xc_exchange *exchange, int64_t usec)
+note_pace(struct xc_exchange *exchange)
 {
     struct ga_gate *gate = exchange->gate;
     struct xc_attempt *attempt = &exchange->attempt;
@@ -68,7 +72,9 @@
     const struct ro_move *move = Ro_Find(gate->moves, service);
     attempt->pace_noted = true;
     if (move != NULL && !Wu_IsCold(&attempt->endpoint->warmup, Ga_Now(gate))) {
-        struct pa_pace pace = {usec, load_of(attempt->endpoint)};
+        int64_t usec = attempt->last_event_at - attempt->first_event_at;
+        struct pa_pace pace = {usec / (attempt->events - 1),
+                               load_of(attempt->endpoint)};
         Ro_RecordPace(gate->moves, service, exchange->route->name,
                       Ga_HasTargetVersion(move, attempt->endpoint), &pace);
     }
@@ -79,25 +85,10 @@
 {
     struct xc_attempt *attempt = &exchange->attempt;
     attempt->events++;
-    if (attempt->events == Xc_PACE_INTERVALS + 1) {
-        int64_t usec = Ga_Now(exchange->gate) - attempt->first_event_at;
-        note_pace(exchange, usec / Xc_PACE_INTERVALS);
-    }
-}
-
-/*
- * A stream that ends before it has enough events tells of its pace too, if
- * those that are missing are due: callers leave slow streams.
- */
-static void
-judge_ended_pace(struct xc_exchange *exchange)
-{
-    const struct xc_attempt *attempt = &exchange->attempt;
-    if (attempt->pace_noted || attempt->events < Xc_PACE_MIN_EVENTS) {
-        return;
+    attempt->last_event_at = Ga_Now(exchange->gate);
+    if (attempt->events == Xc_PACE_EVENTS) {
+        note_pace(exchange);
     }
-    int64_t usec = Ga_Now(exchange->gate) - attempt->first_event_at;
-    note_pace(exchange, usec / attempt->events);
 }
 
 bool
@@ -143,7 +134,10 @@
 Xc_JudgeUnanswered(struct xc_exchange *exchange)
 {
     struct ga_gate *gate = exchange->gate;
-    judge_ended_pace(exchange);
+    if (!exchange->attempt.pace_noted &&
+        exchange->attempt.events >= Xc_PACE_EVENTS_MIN) {
+        note_pace(exchange);
+    }
     const struct xc_attempt *attempt = &exchange->attempt;
     const char *service = exchange->service->name;
     if (attempt->judged || !Ro_IsRunning(gate->moves, service)) {
