--- a/packages/edge/admit.c
+++ b/packages/edge/admit.c
@@ -148,11 +148,11 @@
         refuse(gate, request, &admitted, &refusal);
         return;
     }
-    char why[Qn_WHY_MAX];
+    struct qn_verdict verdict;
     struct pz_request prompt =
-        Qn_MakeRequest(admitted.service, admitted.tenant, &info);
-    if (Qn_IsQuarantined(gate->quarantine, &prompt, why)) {
-        refusal = (struct refusal){503, Qn_RETRY_USEC, why};
+        Qn_MakeRequest(gate->quarantine, &admitted, request);
+    if (Qn_IsQuarantined(gate->quarantine, &prompt, &verdict)) {
+        refusal = (struct refusal){503, verdict.retry_usec, verdict.why};
         refuse(gate, request, &admitted, &refusal);
         return;
     }
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -9,6 +9,7 @@
 #include "edge/brittle.h"
 #include "edge/health.h"
 #include "edge/paths.h"
+#include "edge/quarantine.h"
 #include "edge/rate_limit.h"
 #include "edge/versions.h"
 #include "edge/warming.h"
@@ -383,6 +384,12 @@
 Xc_Dispatch(struct xc_exchange *exchange)
 {
     struct xc_target target;
+    if (exchange->sends > 0 &&
+        Qn_ForbidsRetry(exchange->gate->quarantine, exchange)) {
+        Xc_Refuse(exchange, Xc_RefusalStatus(exchange), Pz_HOLD_TTL_USEC,
+                  "endpoints ended under it");
+        return;
+    }
     enum pl_verdict verdict = Xc_Choose(exchange, &target);
     if (verdict == PL_BUSY && wait_for_endpoint(exchange)) {
         return;
--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -42,10 +42,30 @@
     return true_now(quarantine) - (Ga_Now(quarantine->gate) - at);
 }
 
-struct pz_request
-Qn_MakeRequest(const struct ec_service *service,
-               const struct ec_tenant *tenant,
-               const struct hd_request_info *info)
+/*
+ * Hash of what a request has in common with its repeats, each of which has an
+ * id and a deadline of its own: method, target, body and prompt parts.
+ */
+static uint32_t
+hash_content(const struct sv_request *request,
+             const struct hd_request_info *info)
+{
+    const struct h1_head *head = Sv_Head(request);
+    size_t body_len;
+    const char *body = Sv_Body(request, &body_len);
+    uint64_t hash = Hash_Bytes(head->method.at, head->method.len, 0);
+    hash = Hash_Bytes(head->target.at, head->target.len, hash);
+    for (size_t i = 0; i < info->part_count; i++) {
+        uint32_t part = Px_ShortId(&info->parts[i]);
+        hash = Hash_Bytes(&part, sizeof(part), hash);
+    }
+    hash = body_len == 0 ? hash : Hash_Bytes(body, body_len, hash);
+    return (uint32_t)hash == 0 ? 1 : (uint32_t)hash;
+}
+
+static struct pz_request
+describe(const struct ec_service *service, const struct ec_tenant *tenant,
+         const struct hd_request_info *info)
 {
     struct pz_request request = {
         .service = De_Hash(service->name),
@@ -64,11 +84,37 @@
     return request;
 }
 
+struct pz_request
+Qn_MakeRequest(const struct qn_quarantine *quarantine,
+               const struct xc_admitted *admitted,
+               const struct sv_request *request)
+{
+    struct pz_request described =
+        describe(admitted->service, admitted->tenant, admitted->info);
+    if (!Pz_IsEmpty(quarantine->table)) {
+        described.content = hash_content(request, admitted->info);
+    }
+    return described;
+}
+
 static struct pz_request
-request_of(const struct xc_exchange *exchange)
+describe_whole(struct xc_exchange *exchange)
+{
+    struct pz_request described =
+        describe(exchange->service, exchange->tenant, &exchange->info);
+    if (exchange->content == 0) {
+        exchange->content = hash_content(exchange->request, &exchange->info);
+    }
+    described.content = exchange->content;
+    return described;
+}
+
+struct pz_request
+Qn_RequestOf(struct qn_quarantine *quarantine, struct xc_exchange *exchange)
 {
-    return Qn_MakeRequest(exchange->service, exchange->tenant,
-                          &exchange->info);
+    return Pz_IsEmpty(quarantine->table)
+               ? describe(exchange->service, exchange->tenant, &exchange->info)
+               : describe_whole(exchange);
 }
 
 /*
@@ -89,9 +135,10 @@
     struct qn_quarantine *quarantine = arg;
     Ln_Log(LN_STATE, "part.stopped",
            "\"part\":\"%08x\",\"service\":\"%08x\",\"customer\":\"%08x\","
-           "\"crashes\":%d,\"by\":\"%s\"",
+           "\"crashes\":%d,\"by\":\"%s\",\"hold\":%d",
            quarantined->key.part, quarantined->key.service,
-           quarantined->key.customer, crashes, from_peer ? "peer" : "own");
+           quarantined->key.customer, crashes, from_peer ? "peer" : "own",
+           quarantined->requested_at == Pz_HOLD);
     Mt_Add(quarantine->quarantined, 1);
     if (!from_peer) {
         Qr_Keep(quarantine->records, quarantined);
@@ -129,17 +176,18 @@
     struct xc_exchange *exchange;
     struct xc_exchange *next;
     TAILQ_FOREACH_SAFE (exchange, &quarantine->gate->exchanges, link, next) {
-        char why[Qn_WHY_MAX];
-        struct pz_request request = request_of(exchange);
+        struct qn_verdict verdict;
+        struct pz_request request = Qn_RequestOf(quarantine, exchange);
         if (exchange->head_sent || exchange->attempt.first_event_at != 0 ||
-            !Qn_IsQuarantined(quarantine, &request, why)) {
+            !Qn_IsQuarantined(quarantine, &request, &verdict)) {
             continue;
         }
         if (exchange->attempt.endpoint != NULL &&
             Cn_Sent(exchange->attempt.channel)) {
             exchange->may_have_run = true;
         }
-        Xc_Refuse(exchange, Xc_RefusalStatus(exchange), Qn_RETRY_USEC, why);
+        Xc_Refuse(exchange, Xc_RefusalStatus(exchange), verdict.retry_usec,
+                  verdict.why);
     }
 }
 
@@ -191,22 +239,28 @@
 }
 
 void
-Qn_NoteAnswer(struct qn_quarantine *quarantine,
-              const struct xc_exchange *exchange)
+Qn_NoteAnswer(struct qn_quarantine *quarantine, struct xc_exchange *exchange)
 {
-    struct pz_request request = request_of(exchange);
+    struct pz_request request = Qn_RequestOf(quarantine, exchange);
     Pz_NoteAnswer(quarantine->table, &request, true_now(quarantine));
 }
 
 void
-Qn_NoteBroken(struct qn_quarantine *quarantine,
-              const struct xc_exchange *exchange)
+Qn_NoteWholeAnswer(struct qn_quarantine *quarantine,
+                   struct xc_exchange *exchange)
+{
+    struct pz_request request = Qn_RequestOf(quarantine, exchange);
+    Pz_NoteWholeAnswer(quarantine->table, &request, true_now(quarantine));
+}
+
+void
+Qn_NoteBroken(struct qn_quarantine *quarantine, struct xc_exchange *exchange)
 {
     const struct xc_attempt *attempt = &exchange->attempt;
     struct fl_endpoint *endpoint = attempt->endpoint;
-    struct pz_request request = request_of(exchange);
+    struct pz_request request = describe_whole(exchange);
     /* The link, or the peer that relays the connection, may have failed. */
-    if (request.count == 0 || endpoint->link_state.cut ||
+    if (endpoint->link_state.cut ||
         Cn_Peer(attempt->channel) != 0) {
         return;
     }
@@ -218,7 +272,8 @@
     };
     endpoint->crashed_at = Ga_Now(quarantine->gate);
     endpoint->probe_wanted = true;
-    Pz_NoteCrash(quarantine->table, &request, &crash);
+    Pz_NoteCrash(quarantine->table, &request, &crash,
+                 attempt->first_event_at != 0);
     Pz_Evaluate(quarantine->table, crash.ended_at);
 }
 
@@ -254,24 +309,29 @@
 
 bool
 Qn_IsQuarantined(struct qn_quarantine *quarantine,
-                 const struct pz_request *request, char why[Qn_WHY_MAX])
+                 const struct pz_request *request, struct qn_verdict *out)
 {
+    int64_t now = true_now(quarantine);
     const struct pz_quarantine *quarantined =
-        Pz_FindQuarantine(quarantine->table, request, true_now(quarantine));
+        Pz_FindQuarantine(quarantine->table, request, now);
     if (quarantined == NULL) {
         return false;
     }
     Mt_Add(quarantine->refused, 1);
-    snprintf(why, Qn_WHY_MAX, "part %08x of the prompt ends endpoints",
+    bool whole = quarantined->key.part == request->content;
+    snprintf(out->why, sizeof(out->why),
+             whole ? "request %08x ends endpoints"
+                   : "part %08x of the prompt ends endpoints",
              quarantined->key.part);
+    out->retry_usec = Pz_RetryUsec(quarantined, now);
     return true;
 }
 
 bool
-Qn_ForbidsRetry(struct qn_quarantine *quarantine,
-                const struct pz_request *request)
+Qn_ForbidsRetry(struct qn_quarantine *quarantine, struct xc_exchange *exchange)
 {
-    return Pz_DeniesRetry(quarantine->table, request, true_now(quarantine));
+    struct pz_request request = Qn_RequestOf(quarantine, exchange);
+    return Pz_DeniesRetry(quarantine->table, &request, true_now(quarantine));
 }
 
 void
--- a/packages/edge/quarantine.h
+++ b/packages/edge/quarantine.h
@@ -1,5 +1,6 @@
 /*
- * Quarantine of prompt parts that crash endpoints (see policy/poison.h).
+ * Quarantine of prompt parts, and of whole requests, that crash endpoints (see
+ * policy/poison.h).
  * Feeds the table with the outcomes of this host's requests and with gossip
  * from peers, and keeps a record in the store, from which hosts that all
  * restart at once learn of the quarantined parts.
@@ -24,10 +25,13 @@
 
 /* The current attempt received its first event or its whole answer. */
 void Qn_NoteAnswer(struct qn_quarantine *quarantine,
-                   const struct xc_exchange *exchange);
-/* The attempt's connection broke before the first event. */
+                   struct xc_exchange *exchange);
+/* The current attempt received its whole answer. */
+void Qn_NoteWholeAnswer(struct qn_quarantine *quarantine,
+                        struct xc_exchange *exchange);
+/* The attempt's connection broke before the end of the answer. */
 void Qn_NoteBroken(struct qn_quarantine *quarantine,
-                   const struct xc_exchange *exchange);
+                   struct xc_exchange *exchange);
 /* This host received bytes from the endpoint. */
 void Qn_NoteAlive(struct qn_quarantine *quarantine,
                   struct fl_endpoint *endpoint);
@@ -36,22 +40,26 @@
                     struct fl_endpoint *endpoint, bool connected,
                     int64_t since);
 
-/*
- * Whether the request contains a quarantined part and must not be sent;
- * "why" then holds the text for the caller.
- */
+/* Why a request must not be sent. */
 #define Qn_WHY_MAX 64
+struct qn_verdict {
+    char why[Qn_WHY_MAX]; /* text for the caller */
+    int64_t retry_usec;   /* an earlier retry would be refused too */
+};
+/* Whether the request, or a part of its prompt, is quarantined. */
 bool Qn_IsQuarantined(struct qn_quarantine *quarantine,
-                      const struct pz_request *request, char why[Qn_WHY_MAX]);
+                      const struct pz_request *request,
+                      struct qn_verdict *out);
 /* Whether the request must not be retried at another endpoint. */
 bool Qn_ForbidsRetry(struct qn_quarantine *quarantine,
-                     const struct pz_request *request);
-/* Retry-after for refused callers: an earlier retry would be refused too. */
-#define Qn_RETRY_USEC Pz_QUARANTINE_TTL_USEC
+                     struct xc_exchange *exchange);
 
-struct pz_request Qn_MakeRequest(const struct ec_service *service,
-                                 const struct ec_tenant *tenant,
-                                 const struct hd_request_info *info);
+/* The content is left out while nothing is known to crash endpoints. */
+struct pz_request Qn_MakeRequest(const struct qn_quarantine *quarantine,
+                                 const struct xc_admitted *admitted,
+                                 const struct sv_request *request);
+struct pz_request Qn_RequestOf(struct qn_quarantine *quarantine,
+                               struct xc_exchange *exchange);
 
 /* Write to, and read from, the gossip messages between hosts. */
 void Qn_FillMessage(const struct qn_quarantine *quarantine,
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -251,17 +251,16 @@
            (long long)((Ga_Now(exchange->gate) - attempt->sent_at) /
                        Ck_USEC_PER_MSEC),
            attempt->first_event_at != 0, format_parts(&exchange->info));
-    char quarantine_why[Qn_WHY_MAX];
+    struct qn_verdict verdict;
     struct qn_quarantine *quarantine = exchange->gate->quarantine;
-    struct pz_request prompt =
-        Qn_MakeRequest(exchange->service, exchange->tenant, &exchange->info);
+    struct pz_request prompt = Qn_RequestOf(quarantine, exchange);
     if (!exchange->head_sent &&
-        Qn_IsQuarantined(quarantine, &prompt, quarantine_why)) {
-        Xc_Refuse(exchange, Xc_RefusalStatus(exchange), Qn_RETRY_USEC,
-                  quarantine_why);
+        Qn_IsQuarantined(quarantine, &prompt, &verdict)) {
+        Xc_Refuse(exchange, Xc_RefusalStatus(exchange), verdict.retry_usec,
+                  verdict.why);
         return;
     }
-    if (Xc_MayRetry(exchange, ran) && !Qn_ForbidsRetry(quarantine, &prompt)) {
+    if (Xc_MayRetry(exchange, ran) && !Qn_ForbidsRetry(quarantine, exchange)) {
         Xc_ReleaseAttempt(exchange);
         Xc_Dispatch(exchange);
         return;
@@ -314,6 +313,7 @@
             retry_or_refuse(exchange, true, 502, "stream cut");
         }
         else {
+            Qn_NoteWholeAnswer(exchange->gate->quarantine, exchange);
             end_stream(exchange);
         }
         return;
@@ -335,6 +335,7 @@
         retry_or_refuse(exchange, true, 502, "not the endpoint's answer");
         return;
     }
+    Qn_NoteWholeAnswer(exchange->gate->quarantine, exchange);
     if (attempt->status >= 500) {
         He_Note(endpoint, HE_FAILED, now);
         if (Xc_MayRetry(exchange, true)) {
@@ -381,9 +382,7 @@
             exchange->runs++;
             Xc_CountRun(exchange);
         }
-        if (attempt->first_event_at == 0) {
-            Qn_NoteBroken(exchange->gate->quarantine, exchange);
-        }
+        Qn_NoteBroken(exchange->gate->quarantine, exchange);
         retry_or_refuse(exchange, true, 502, "connection broke");
         break;
     }
--- a/packages/gate/quarantine.c
+++ b/packages/gate/quarantine.c
@@ -149,7 +149,7 @@
         .sent_at = now - (Ck_Now(quarantine->gate->clock) - broke->sent_at),
         .ended_at = now,
     };
-    Pz_NoteCrash(quarantine->table, &described, &crash);
+    Pz_NoteCrash(quarantine->table, &described, &crash, false);
     Pz_Evaluate(quarantine->table, now);
 }
 
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -8,6 +8,8 @@
 #define Pz_IN_TRANSIT_USEC (50 * Ck_USEC_PER_MSEC)
 /* A living endpoint has shown a sign of life by then. */
 #define Pz_CONFIRM_USEC (1500 * Ck_USEC_PER_MSEC)
+/* Keeps the keys of whole requests apart from those of parts. */
+#define Pz_CONTENT_SCOPE UINT32_C(0x636f6e74)
 /* Older crashes implicate nothing. */
 #define Pz_CRASH_TTL_USEC (600 * Ck_USEC_PER_SEC)
 
@@ -17,6 +19,7 @@
     return (struct pz_rule){
         .crashes_after_head = 3,
         .crashes = 5,
+        .content_crashes = 3,
         .answered_factor = 2,
         .requests = 2,
         .other_answers = 2,
@@ -52,26 +55,70 @@
     free(table);
 }
 
+bool
+Pz_IsEmpty(const struct pz_table *table)
+{
+    return TAILQ_EMPTY(&table->crashes) && table->quarantine_count == 0;
+}
+
+struct pz_key
+pz_content_key(const struct pz_request *request)
+{
+    return (struct pz_key){request->service ^ Pz_CONTENT_SCOPE,
+                           request->customer, request->content};
+}
+
+uint32_t
+pz_service_of(const struct pz_crash *crash)
+{
+    return crash->depth == Pz_CONTENT ? crash->key.service ^ Pz_CONTENT_SCOPE
+                                      : crash->key.service;
+}
+
 static void
 remove_entry(struct pz_table *table, struct pz_crash_entry *entry)
 {
+    table->content_count -= entry->crash.depth == Pz_CONTENT;
     TAILQ_REMOVE(&table->crashes, entry, link);
     TAILQ_INSERT_TAIL(&table->free_entries, entry, link);
 }
 
+/* An endpoint may start again under its identity, and crash once more. */
+static bool
+is_same_crash(const struct pz_crash *a, const struct pz_crash *b)
+{
+    return a->endpoint == b->endpoint && pz_same_key(&a->key, &b->key) &&
+           a->sent_at < b->ended_at + Pz_RESTART_MIN_USEC &&
+           b->sent_at < a->ended_at + Pz_RESTART_MIN_USEC;
+}
+
 static struct pz_crash_entry *
 find_entry(const struct pz_table *table, const struct pz_crash *crash)
 {
     struct pz_crash_entry *entry;
     TAILQ_FOREACH (entry, &table->crashes, link) {
-        if (entry->crash.endpoint == crash->endpoint &&
-            pz_same_key(&entry->crash.key, &crash->key)) {
+        if (is_same_crash(&entry->crash, crash)) {
             return entry;
         }
     }
     return NULL;
 }
 
+static void
+make_room(struct pz_table *table, bool for_content)
+{
+    struct pz_crash_entry *oldest = TAILQ_FIRST(&table->crashes);
+    if (for_content && table->content_count == Pz_CONTENT_CRASHES_MAX) {
+        while (oldest->crash.depth != Pz_CONTENT) {
+            oldest = TAILQ_NEXT(oldest, link);
+        }
+        remove_entry(table, oldest);
+    }
+    else if (TAILQ_EMPTY(&table->free_entries)) {
+        remove_entry(table, oldest);
+    }
+}
+
 /*
  * Several requests with a part may wait at an endpoint when it crashes.  The
  * one that was sent last is kept: if any of them was sent after the previous
@@ -95,24 +142,30 @@
         }
         return;
     }
-    if (TAILQ_EMPTY(&table->free_entries)) {
-        remove_entry(table, TAILQ_FIRST(&table->crashes));
-    }
+    make_room(table, crash->depth == Pz_CONTENT);
     entry = TAILQ_FIRST(&table->free_entries);
     TAILQ_REMOVE(&table->free_entries, entry, link);
     *entry = (struct pz_crash_entry){0};
     entry->crash = *crash;
     entry->local = local;
     entry->confirmed = !local;
+    table->content_count += crash->depth == Pz_CONTENT;
     TAILQ_INSERT_TAIL(&table->crashes, entry, link);
     table->changed = true;
 }
 
 void
 Pz_NoteCrash(struct pz_table *table, const struct pz_request *request,
-             const struct pz_crash *crash)
+             const struct pz_crash *crash, bool begun)
 {
-    for (size_t i = 0; i < request->count; i++) {
+    if (request->content != 0) {
+        struct pz_crash whole = *crash;
+        whole.key = pz_content_key(request);
+        whole.request = request->id;
+        whole.depth = Pz_CONTENT;
+        pz_add_crash(table, &whole, true);
+    }
+    for (size_t i = 0; i < request->count && !begun; i++) {
         struct pz_crash one = *crash;
         one.key = (struct pz_key){request->service, request->customer,
                                   request->parts[i]};
@@ -138,6 +191,37 @@
     }
 }
 
+int64_t
+pz_implicated_at(const struct pz_table *table, const struct pz_key *key,
+                 int64_t now)
+{
+    int64_t at = 0;
+    const struct pz_crash_entry *entry;
+    TAILQ_FOREACH (entry, &table->crashes, link) {
+        if (pz_same_key(&entry->crash.key, key) && pz_is_counted(entry, now) &&
+            entry->crash.ended_at > at) {
+            at = entry->crash.ended_at;
+        }
+    }
+    return at;
+}
+
+/* Only a request that is accused is remembered: most are never seen again. */
+void
+Pz_NoteWholeAnswer(struct pz_table *table, const struct pz_request *request,
+                   int64_t now)
+{
+    struct pz_key key = pz_content_key(request);
+    if (request->content == 0 ||
+        (!pz_has_crash(table, &key) &&
+         pz_find_quarantine(table, &key) == NULL)) {
+        return;
+    }
+    pz_note_answer(table, &key, 1, now);
+    pz_note_implicated(table, &key, pz_implicated_at(table, &key, now));
+    pz_lift_cleared(table, &key);
+}
+
 void
 Pz_NoteAlive(struct pz_table *table, uint32_t endpoint, int64_t at)
 {
@@ -176,6 +260,18 @@
     }
 }
 
+bool
+pz_has_crash(const struct pz_table *table, const struct pz_key *key)
+{
+    const struct pz_crash_entry *entry;
+    TAILQ_FOREACH (entry, &table->crashes, link) {
+        if (pz_same_key(&entry->crash.key, key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 pz_is_counted(const struct pz_crash_entry *entry, int64_t now)
 {
@@ -183,11 +279,11 @@
 }
 
 struct pz_quarantine *
-pz_find_quarantine(struct pz_table *table, const struct pz_key *key)
+pz_find_quarantine(const struct pz_table *table, const struct pz_key *key)
 {
     for (size_t i = 0; i < table->quarantine_count; i++) {
         if (pz_same_key(&table->quarantines[i].key, key)) {
-            return &table->quarantines[i];
+            return (struct pz_quarantine *)&table->quarantines[i];
         }
     }
     return NULL;
@@ -197,6 +293,12 @@
 pz_add_quarantine(struct pz_table *table,
                   const struct pz_quarantine *quarantine)
 {
+    struct pz_quarantine *hold = pz_find_quarantine(table, &quarantine->key);
+    if (hold != NULL) {
+        *hold = *quarantine;
+        table->changed = true;
+        return true;
+    }
     if (table->quarantine_count == Pz_QUARANTINES_MAX) {
         return false;
     }
@@ -235,7 +337,8 @@
 {
     for (size_t i = table->quarantine_count; i > 0; i--) {
         struct pz_key key = table->quarantines[i - 1].key;
-        if (key.service == service) {
+        if (key.service == service ||
+            key.service == (service ^ Pz_CONTENT_SCOPE)) {
             clear_and_lift(table, &key, why, now);
         }
     }
@@ -251,29 +354,51 @@
     }
 }
 
-const struct pz_quarantine *
-Pz_FindQuarantine(struct pz_table *table, const struct pz_request *request,
-                  int64_t now)
+static struct pz_quarantine *
+find_for_request(struct pz_table *table, const struct pz_request *request)
 {
-    for (size_t i = 0; i < request->count && table->quarantine_count > 0;
-         i++) {
+    struct pz_quarantine *quarantine = NULL;
+    if (request->content != 0) {
+        struct pz_key whole = pz_content_key(request);
+        quarantine = pz_find_quarantine(table, &whole);
+    }
+    for (size_t i = 0; i < request->count && quarantine == NULL; i++) {
         struct pz_key key = {request->service, request->customer,
                              request->parts[i]};
         struct pz_key all = pz_all_customers(&key);
-        struct pz_quarantine *quarantine = pz_find_quarantine(table, &key);
+        quarantine = pz_find_quarantine(table, &key);
         quarantine =
             quarantine == NULL ? pz_find_quarantine(table, &all) : quarantine;
-        if (quarantine != NULL) {
-            quarantine->requested_at = now;
-            return quarantine;
-        }
     }
-    return NULL;
+    return quarantine;
+}
+
+const struct pz_quarantine *
+Pz_FindQuarantine(struct pz_table *table, const struct pz_request *request,
+                  int64_t now)
+{
+    struct pz_quarantine *quarantine =
+        table->quarantine_count == 0 ? NULL : find_for_request(table, request);
+    if (quarantine != NULL && quarantine->requested_at != Pz_HOLD) {
+        quarantine->requested_at = now;
+    }
+    return quarantine;
+}
+
+int64_t
+Pz_RetryUsec(const struct pz_quarantine *quarantine, int64_t now)
+{
+    return quarantine->requested_at == Pz_HOLD
+               ? quarantine->decided_at + Pz_HOLD_TTL_USEC - now
+               : Pz_QUARANTINE_TTL_USEC;
 }
 
 bool
 pz_is_current(const struct pz_quarantine *quarantine, int64_t now)
 {
+    if (quarantine->requested_at == Pz_HOLD) {
+        return now - quarantine->decided_at < Pz_HOLD_TTL_USEC;
+    }
     return now - quarantine->requested_at < Pz_QUARANTINE_TTL_USEC;
 }
 
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -1,8 +1,8 @@
 /*
- * Poison requests: finds the prompt part that crashes the endpoints which
- * answer a request, so that requests with this part can be refused.  The
- * functions do no I/O and read no clock; the caller passes the true time,
- * which is the same on all hosts.
+ * Poison requests: finds the prompt part, or the request as a whole, that
+ * crashes the endpoints which answer it, so that requests with this part, or
+ * repeats of this request, can be refused.  The functions do no I/O and read
+ * no clock; the caller passes the true time, which is the same on all hosts.
  *
  * A prompt is a sequence of parts, each known by its hash.  A crash is the end
  * of an endpoint before the first event of a request's answer.  It implicates
@@ -19,6 +19,11 @@
  * among these the one with the longest chain, then the deepest one in the
  * prompt, which the fewest requests have.
  *
+ * A request as a whole is known by a hash of its content, which its repeats
+ * have in common.  Any crash before the end of its answer implicates it; only
+ * a whole answer clears it.  It needs fewer crashes than a part, since nobody
+ * else loses by its quarantine, and its crashes explain no part's.
+ *
  * A part is quarantined for the customer that sent it, since callers choose
  * the parts of their prompts, and no customer may get another one's requests
  * refused.  When a part crashes endpoints in requests of several customers, it
@@ -44,12 +49,16 @@
     uint32_t part;
 };
 
+#define Pz_CONTENT (-1)
+
 /* An endpoint crashed while a request with the part waited for its answer. */
 struct pz_crash {
     struct pz_key key;
     uint32_t endpoint;  /* identifies one start of the endpoint */
     uint32_t request;   /* the same for all retries of a request */
-    int depth;          /* index of the part in the prompt, from 0 */
+    /* index of the part in the prompt, from 0; Pz_CONTENT: no part, but the
+       request as a whole */
+    int depth;
     bool head_received; /* the answer's headers had come, but no event */
     int64_t sent_at;
     int64_t ended_at;
@@ -61,12 +70,18 @@
     int64_t at;
 };
 
+/*
+ * A hold is a short quarantine: as many endpoints crashed under a request as a
+ * quarantine takes, but something else may explain it.
+ */
 struct pz_quarantine {
     struct pz_key key;
     int64_t decided_at;   /* time of the last crash of its chain */
-    int64_t requested_at; /* last request with the part */
+    int64_t requested_at; /* last request with the part; Pz_HOLD: a hold */
 };
 
+#define Pz_HOLD 0
+
 /* Largest number of quarantines. */
 #define Pz_QUARANTINES_MAX 64
 /*
@@ -76,6 +91,8 @@
 #define Pz_RESTART_MIN_USEC (1500 * Ck_USEC_PER_MSEC)
 /* A quarantine expires when no request with the part came for this long. */
 #define Pz_QUARANTINE_TTL_USEC (600 * Ck_USEC_PER_SEC)
+/* How long a hold lasts after the last crash. */
+#define Pz_HOLD_TTL_USEC (60 * Ck_USEC_PER_SEC)
 
 #define Pz_PARTS_MAX 32
 
@@ -83,7 +100,8 @@
 struct pz_request {
     uint32_t service;
     uint32_t customer;
-    uint32_t id; /* the same for all retries of a request */
+    uint32_t id;      /* the same for all retries of a request */
+    uint32_t content; /* hash of what its repeats share; 0: not known */
     uint32_t parts[Pz_PARTS_MAX];
     size_t count;
 };
@@ -92,6 +110,7 @@
 struct pz_rule {
     int crashes_after_head; /* crashes after the headers of an answer */
     int crashes;            /* crashes at any time before the first event */
+    int content_crashes;    /* the same of one request, during its answer too */
     int answered_factor;    /* multiplies both for a part answered before */
     int requests;           /* distinct requests: one may have been a victim */
     int other_answers;      /* other requests answered meanwhile */
@@ -123,9 +142,20 @@
 /* The first event of an answer arrived. */
 void Pz_NoteAnswer(struct pz_table *table, const struct pz_request *request,
                    int64_t now);
-/* The connection of a request broke before the answer's first event. */
+/* The whole answer arrived. */
+void Pz_NoteWholeAnswer(struct pz_table *table,
+                        const struct pz_request *request, int64_t now);
+/*
+ * The connection of a request broke before the end of the answer; "begun": the
+ * first event had arrived, which clears the parts.
+ */
 void Pz_NoteCrash(struct pz_table *table, const struct pz_request *request,
-                  const struct pz_crash *crash);
+                  const struct pz_crash *crash, bool begun);
+/*
+ * Whether any crash or quarantine is known; if not, the content of a request
+ * need not be hashed to ask about it.
+ */
+bool Pz_IsEmpty(const struct pz_table *table);
 /*
  * A connection may break although its endpoint is alive.  A crash is counted,
  * and gossiped, once the endpoint is known to have crashed or has shown no
@@ -144,11 +174,14 @@
                                               const struct pz_request *request,
                                               int64_t now);
 /*
- * Whether the request must not be sent to another endpoint, because one of
- * its parts was never answered and has crashed several endpoints already.
+ * Whether the request must not be sent to another endpoint, because it is in
+ * quarantine, or one of its parts that was never answered has crashed several
+ * endpoints already.
  */
 bool Pz_DeniesRetry(const struct pz_table *table,
                     const struct pz_request *request, int64_t now);
+/* For how long a request that a quarantine forbids need not come again. */
+int64_t Pz_RetryUsec(const struct pz_quarantine *quarantine, int64_t now);
 /*
  * Decides which parts to quarantine.  To be called after changes and
  * periodically, since with time unconfirmed crashes begin to count and
--- a/packages/policy/poison_gossip.c
+++ b/packages/policy/poison_gossip.c
@@ -63,8 +63,8 @@
     return count;
 }
 
-static void
-note_implicated(struct pz_table *table, const struct pz_key *key, int64_t at)
+void
+pz_note_implicated(struct pz_table *table, const struct pz_key *key, int64_t at)
 {
     struct pz_history *history = pz_find_history(table, key);
     if (history != NULL && at > history->implicated_at) {
@@ -75,7 +75,7 @@
 void
 Pz_ImportCrash(struct pz_table *table, const struct pz_crash *crash)
 {
-    note_implicated(table, &crash->key, crash->ended_at);
+    pz_note_implicated(table, &crash->key, crash->ended_at);
     if (pz_cleared_at(table, &crash->key) < crash->ended_at) {
         pz_add_crash(table, crash, false);
     }
@@ -101,12 +101,19 @@
 Pz_ImportQuarantine(struct pz_table *table,
                     const struct pz_quarantine *quarantine, int64_t now)
 {
-    note_implicated(table, &quarantine->key, quarantine->decided_at);
+    pz_note_implicated(table, &quarantine->key, quarantine->decided_at);
     if (pz_cleared_at(table, &quarantine->key) > quarantine->decided_at) {
         return;
     }
     struct pz_quarantine *existing =
         pz_find_quarantine(table, &quarantine->key);
+    if (existing != NULL && existing->requested_at == Pz_HOLD) {
+        *existing = quarantine->requested_at == Pz_HOLD &&
+                            quarantine->decided_at < existing->decided_at
+                        ? *existing
+                        : *quarantine;
+        return;
+    }
     if (existing != NULL) {
         existing->requested_at =
             quarantine->requested_at > existing->requested_at
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -11,7 +11,10 @@
 extern "C" {
 #endif
 
-#define Pz_CRASHES_MAX 256
+#define Pz_CRASHES_MAX 512
+/* Of these, crashes that implicate whole requests: a rack that ends accuses
+   hundreds of them, and must not displace the crashes of parts. */
+#define Pz_CONTENT_CRASHES_MAX 256
 /* Size of the set-associative table of answered parts. */
 #define Pz_SETS 1024 /* a power of two */
 #define Pz_WAYS 4
@@ -54,6 +57,7 @@
     /* A decision waits for a crash to be counted or for other answers. */
     bool pending;
     struct pz_crash_list crashes; /* oldest first */
+    size_t content_count; /* crashes of whole requests */
     struct pz_crash_list free_entries;
     struct pz_crash_entry pool[Pz_CRASHES_MAX];
     struct pz_quarantine quarantines[Pz_QUARANTINES_MAX];
@@ -67,6 +71,10 @@
 #define Pz_ALL_CUSTOMERS 0
 
 struct pz_key pz_all_customers(const struct pz_key *key);
+/* The request as a whole: a key that no part has. */
+struct pz_key pz_content_key(const struct pz_request *request);
+/* The service of a crash's request. */
+uint32_t pz_service_of(const struct pz_crash *crash);
 /*
  * Whether the crash counts: the endpoint is known to have crashed, or a sign
  * of life, which would have removed the entry, is overdue.
@@ -90,11 +98,19 @@
 int pz_answers_since(const struct pz_table *table, uint32_t service,
                      int64_t since);
 
+bool pz_has_crash(const struct pz_table *table, const struct pz_key *key);
+/* Remembers that peers were told of a crash, so that they are told when the
+   key is cleared; ignored for a key that was never answered. */
+void pz_note_implicated(struct pz_table *table, const struct pz_key *key,
+                        int64_t at);
+/* When an endpoint crashed last, as far as is counted; 0: never. */
+int64_t pz_implicated_at(const struct pz_table *table,
+                         const struct pz_key *key, int64_t now);
 void pz_add_crash(struct pz_table *table, const struct pz_crash *crash,
                   bool local);
-struct pz_quarantine *pz_find_quarantine(struct pz_table *table,
+struct pz_quarantine *pz_find_quarantine(const struct pz_table *table,
                                          const struct pz_key *key);
-/* False: the table of quarantines is full. */
+/* Replaces a hold.  False: the table of quarantines is full. */
 bool pz_add_quarantine(struct pz_table *table,
                        const struct pz_quarantine *quarantine);
 /* Whether a request with the part came recently enough to keep it in force. */
@@ -118,10 +134,15 @@
     int depth;
 };
 
-/* "after_head": count only crashes after the headers of an answer. */
+/* Which crashes belong to a chain. */
+struct pz_chain_rule {
+    bool after_head; /* only those after the headers of an answer */
+    bool explained;  /* also those that something in quarantine explains */
+};
+
 struct pz_chain pz_find_chain(const struct pz_table *table,
-                              const struct pz_key *key, bool after_head,
-                              int64_t now);
+                              const struct pz_key *key,
+                              const struct pz_chain_rule *rule, int64_t now);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -12,27 +12,40 @@
  */
 #define Pz_CUSTOMERS_MIN 2
 
+/*
+ * While something else may explain the crashes of a request, be it another one
+ * in quarantine or that endpoints crash for all requests alike, it is stopped
+ * after this many crashes more.
+ */
+#define Pz_UNCLEAR_CRASHES 2
+/* Endpoints crash for all alike once so many other requests met two crashes. */
+#define Pz_HIT_TWICE_MAX 3
+
 /* Crashes this close together may have one common cause. */
 #define Pz_SIMULTANEOUS_USEC (50 * Ck_USEC_PER_MSEC)
 
+/* Holds do not count. */
 static bool
-is_quarantined(struct pz_table *table, const struct pz_key *key)
+is_quarantined(const struct pz_table *table, const struct pz_key *key)
 {
     struct pz_key all = pz_all_customers(key);
-    return pz_find_quarantine(table, key) != NULL ||
+    const struct pz_quarantine *own = pz_find_quarantine(table, key);
+    return (own != NULL && own->requested_at != Pz_HOLD) ||
            pz_find_quarantine(table, &all) != NULL;
 }
 
 /*
- * Whether the crash of a quarantined part explains the one that implicates
- * another part.  It does not when the request with the quarantined part had
- * received no headers yet and the other request had.
+ * Whether the crash of a quarantined part or request explains the one that
+ * implicates another.  It does not when the quarantined one had received no
+ * headers yet and the other had.  A whole request explains no part: the part
+ * may be the reason why the request crashes endpoints.
  */
 static bool
 accounts_for(const struct pz_crash *quarantined, const struct pz_crash *other)
 {
     return quarantined->endpoint == other->endpoint &&
-           quarantined->key.part != other->key.part &&
+           !pz_same_key(&quarantined->key, &other->key) &&
+           (quarantined->depth != Pz_CONTENT || other->depth == Pz_CONTENT) &&
            (quarantined->head_received || !other->head_received);
 }
 
@@ -76,7 +89,8 @@
 /* The counted crashes that implicate a part, ordered by time. */
 static size_t
 list_counted(const struct pz_table *table, const struct pz_key *key,
-             bool after_head, struct pz_crash *out, int64_t now)
+             const struct pz_chain_rule *rule, struct pz_crash *out,
+             int64_t now)
 {
     size_t count = 0;
     int64_t cleared_at = pz_cleared_at(table, key);
@@ -84,8 +98,8 @@
     TAILQ_FOREACH (entry, &table->crashes, link) {
         if (matches_key(key, &entry->crash) &&
             entry->crash.ended_at > cleared_at &&
-            (entry->crash.head_received || !after_head) && !entry->explained &&
-            pz_is_counted(entry, now)) {
+            (entry->crash.head_received || !rule->after_head) &&
+            (!entry->explained || rule->explained) && pz_is_counted(entry, now)) {
             out[count++] = entry->crash;
         }
     }
@@ -112,12 +126,12 @@
 
 struct pz_chain
 pz_find_chain(const struct pz_table *table, const struct pz_key *key,
-              bool after_head, int64_t now)
+              const struct pz_chain_rule *rule, int64_t now)
 {
     static struct pz_crash crashes[Pz_CRASHES_MAX];
     struct pz_chain chain = {0};
     uint32_t last_request = 0;
-    size_t count = list_counted(table, key, after_head, crashes, now);
+    size_t count = list_counted(table, key, rule, crashes, now);
     for (size_t i = 0; i < count; i++) {
         const struct pz_crash *crash = &crashes[i];
         chain.customers +=
@@ -136,12 +150,85 @@
     return chain;
 }
 
+static const struct pz_chain_rule any_time = {false, false};
+static const struct pz_chain_rule after_head = {.after_head = true};
+static const struct pz_chain_rule with_explained = {.explained = true};
+
 struct suspect {
     struct pz_key key;
     struct pz_chain chain;
     uint32_t answers;
+    bool hold; /* something else may explain its crashes */
 };
 
+/* Whether other requests of the service were answered since "since". */
+static bool
+others_answered(const struct pz_table *table, uint32_t service, int64_t since)
+{
+    return table->rule.other_answers == 0 ||
+           pz_answers_since(table, service, since) >=
+               table->rule.other_answers;
+}
+
+/* Whether the entry is the second one of its key. */
+static bool
+is_second(const struct pz_table *table, const struct pz_crash_entry *entry)
+{
+    int earlier = 0;
+    const struct pz_crash_entry *other;
+    TAILQ_FOREACH (other, &table->crashes, link) {
+        if (other == entry) {
+            break;
+        }
+        earlier += pz_same_key(&other->crash.key, &entry->crash.key);
+    }
+    return earlier == 1;
+}
+
+/*
+ * Whether many other requests met two crashes.  It does not matter whether
+ * they were answered since.
+ */
+static bool
+hits_all_alike(const struct pz_table *table, const struct pz_key *key)
+{
+    int others = 0;
+    const struct pz_crash_entry *entry;
+    TAILQ_FOREACH (entry, &table->crashes, link) {
+        others += entry->crash.depth == Pz_CONTENT &&
+                  !pz_same_key(&entry->crash.key, key) &&
+                  is_second(table, entry);
+    }
+    return others > Pz_HIT_TWICE_MAX;
+}
+
+/* Whether the request as a whole is to be held or put in quarantine. */
+static bool
+check_content(struct pz_table *table, const struct pz_crash *crash,
+              struct suspect *out, int64_t now)
+{
+    out->key = crash->key;
+    out->answers = pz_answer_count(table, &crash->key, now);
+    int factor = out->answers > 0 ? table->rule.answered_factor : 1;
+    int crashes_min = table->rule.content_crashes * factor;
+    out->chain = pz_find_chain(table, &crash->key, &with_explained, now);
+    if (out->chain.length < crashes_min) {
+        return false;
+    }
+    bool clear =
+        out->chain.length >= crashes_min + Pz_UNCLEAR_CRASHES ||
+        (pz_find_chain(table, &crash->key, &any_time, now).length >=
+             crashes_min &&
+         !hits_all_alike(table, &crash->key));
+    bool answered =
+        others_answered(table, pz_service_of(crash), out->chain.first_at);
+    table->pending |= clear && !answered;
+    out->hold = !clear || !answered;
+    return !out->hold ||
+           (now - out->chain.last_at < Pz_HOLD_TTL_USEC &&
+            pz_find_quarantine(table, &crash->key) == NULL);
+}
+
 /* Whether the part meets the conditions of the rule. */
 static bool
 check_suspect(struct pz_table *table, const struct pz_key *key,
@@ -149,12 +236,13 @@
 {
     const struct pz_rule *rule = &table->rule;
     out->key = *key;
+    out->hold = false;
     out->answers = pz_answer_count(table, key, now);
     int factor = out->answers > 0 ? rule->answered_factor : 1;
     bool all = key->customer == Pz_ALL_CUSTOMERS;
-    out->chain = pz_find_chain(table, key, true, now);
+    out->chain = pz_find_chain(table, key, &after_head, now);
     if (out->chain.length < rule->crashes_after_head * factor) {
-        out->chain = pz_find_chain(table, key, false, now);
+        out->chain = pz_find_chain(table, key, &any_time, now);
         if (all || out->chain.length < rule->crashes * factor) {
             return false;
         }
@@ -163,16 +251,18 @@
         (all && out->chain.customers < Pz_CUSTOMERS_MIN)) {
         return false;
     }
-    bool enough = rule->other_answers == 0 ||
-                  pz_answers_since(table, key->service, out->chain.first_at) >=
-                      rule->other_answers;
-    table->pending |= !enough;
-    return enough;
+    bool answered =
+        others_answered(table, key->service, out->chain.first_at);
+    table->pending |= !answered;
+    return answered;
 }
 
 static bool
 is_likelier(const struct suspect *a, const struct suspect *b)
 {
+    if (a->hold != b->hold) {
+        return b->hold;
+    }
     if (a->answers != b->answers) {
         return a->answers < b->answers;
     }
@@ -182,16 +272,44 @@
     return a->chain.depth > b->chain.depth;
 }
 
+struct search {
+    bool found;
+    struct suspect likeliest;
+};
+
 static void
-consider(struct pz_table *table, const struct pz_key *key,
-         struct suspect *likeliest, bool *found, int64_t now)
+add_suspect(struct search *search, const struct suspect *suspect)
+{
+    if (!search->found || is_likelier(suspect, &search->likeliest)) {
+        search->likeliest = *suspect;
+        search->found = true;
+    }
+}
+
+static void
+consider_part(struct pz_table *table, const struct pz_key *key,
+              struct search *search, int64_t now)
 {
     struct suspect suspect;
     if (!is_quarantined(table, key) &&
-        check_suspect(table, key, &suspect, now) &&
-        (!*found || is_likelier(&suspect, likeliest))) {
-        *likeliest = suspect;
-        *found = true;
+        check_suspect(table, key, &suspect, now)) {
+        add_suspect(search, &suspect);
+    }
+}
+
+static void
+consider(struct pz_table *table, const struct pz_crash *crash,
+         struct search *search, int64_t now)
+{
+    struct suspect suspect;
+    struct pz_key all = pz_all_customers(&crash->key);
+    if (crash->depth != Pz_CONTENT) {
+        consider_part(table, &crash->key, search, now);
+        consider_part(table, &all, search, now);
+    }
+    else if (!is_quarantined(table, &crash->key) &&
+             check_content(table, crash, &suspect, now)) {
+        add_suspect(search, &suspect);
     }
 }
 
@@ -215,18 +333,16 @@
 static bool
 find_likeliest(struct pz_table *table, struct suspect *out, int64_t now)
 {
-    bool found = false;
-    *out = (struct suspect){0};
+    struct search search = {0};
     mark_explained(table, now);
     const struct pz_crash_entry *entry;
     TAILQ_FOREACH (entry, &table->crashes, link) {
         if (!is_duplicate(table, entry)) {
-            struct pz_key all = pz_all_customers(&entry->crash.key);
-            consider(table, &entry->crash.key, out, &found, now);
-            consider(table, &all, out, &found, now);
+            consider(table, &entry->crash, &search, now);
         }
     }
-    return found;
+    *out = search.likeliest;
+    return search.found;
 }
 
 void
@@ -242,7 +358,8 @@
     struct suspect likeliest;
     while (find_likeliest(table, &likeliest, now)) {
         struct pz_quarantine quarantine = {likeliest.key,
-                                           likeliest.chain.last_at, now};
+                                           likeliest.chain.last_at,
+                                           likeliest.hold ? Pz_HOLD : now};
         if (!pz_add_quarantine(table, &quarantine)) {
             return;
         }
@@ -251,17 +368,28 @@
     }
 }
 
+static bool
+crashed_several(const struct pz_table *table, const struct pz_key *key,
+                int64_t now)
+{
+    return pz_answer_count(table, key, now) == 0 &&
+           pz_find_chain(table, key, &any_time, now).length >=
+               Pz_RETRY_CRASHES_MAX;
+}
+
 bool
 Pz_DeniesRetry(const struct pz_table *table, const struct pz_request *request,
                int64_t now)
 {
+    struct pz_key whole = pz_content_key(request);
+    if (request->content != 0 && pz_find_quarantine(table, &whole) != NULL) {
+        return true;
+    }
     for (size_t i = 0; i < request->count && !TAILQ_EMPTY(&table->crashes);
          i++) {
         struct pz_key key = {request->service, request->customer,
                              request->parts[i]};
-        if (pz_answer_count(table, &key, now) == 0 &&
-            pz_find_chain(table, &key, false, now).length >=
-                Pz_RETRY_CRASHES_MAX) {
+        if (crashed_several(table, &key, now)) {
             return true;
         }
     }
--- a/packages/policy/test/model/poison_model.cc
+++ b/packages/policy/test/model/poison_model.cc
@@ -23,7 +23,13 @@
 const int64_t kProbeTime = 120 * kMs; // until a health check has its result
 const int64_t kResetsFrom = 6 * kSecond;
 const int64_t kResetsTo = 9 * kSecond;
+// Requests that arrive later than this before the end may still be answered.
+const int64_t kAnswerTime = 1 * kSecond;
 const size_t kCrashesToDetect = 5;
+const int kRequestCrashesToDetect = 3;
+const uint32_t kCommonContents = 8;
+const uint32_t kRepeatedContent = 100;
+const uint32_t kUniqueContent = 1000;
 const size_t kZones = 4;
 const double kSameZoneMessagesPerSec = 120;
 const double kOtherZoneMessagesPerSec = 100;
@@ -41,6 +47,7 @@
     pz_request prompt;
     size_t host;
     int poison;           // number of its poisonous part, from 1; 0: sound
+    size_t repeated; // number of the repeated one that it is, from 1; 0: none
     bool is_client_retry; // sent again by the caller
     int attempts = 0;
     int64_t sent_at = 0;
@@ -99,11 +106,13 @@
           unsigned seed)
         : scenario_(scenario), policy_(policy), random_(seed),
           hosts_(scenario.hosts), endpoints_(scenario.endpoints), next_run_(1),
-          part_crashes_(static_cast<size_t>(scenario.poison_parts))
+          part_crashes_(static_cast<size_t>(scenario.poison_parts)),
+          end_(kStart + static_cast<int64_t>(scenario.seconds * 1e6))
     {
         for (Endpoint &endpoint : endpoints_) {
             endpoint.run = next_run_++;
         }
+        repeated_.resize(static_cast<size_t>(scenario.poison_requests));
         std::uniform_int_distribution<int64_t> skew(-20 * kMs, 20 * kMs);
         for (size_t i = 0; i < hosts_.size(); i++) {
             hosts_[i].skew = skew(random_);
@@ -130,14 +139,14 @@
     Run()
     {
         std::poisson_distribution<int> arrivals(scenario_.per_sec / 1000);
-        int64_t end = kStart + static_cast<int64_t>(scenario_.seconds * 1e6);
         double restart = scenario_.restart_every;
         size_t next_crash = 0;
-        for (now_ = kStart; now_ < end; now_ += kMs) {
+        for (now_ = kStart; now_ < end_; now_ += kMs) {
             double second = static_cast<double>(now_ - kStart) / 1e6;
             for (int n = arrivals(random_); n > 0; n--) {
                 Arrive();
             }
+            RepeatPoisonRequests();
             DeliverEvents();
             ApplyProbes();
             Gossip();
@@ -209,7 +218,9 @@
         for (size_t k = 0; restore && policy_.gossip && k < store_.size();
              k++) {
             pz_quarantine quarantine = store_[k];
-            quarantine.requested_at = At(i);
+            if (quarantine.requested_at != Pz_HOLD) {
+                quarantine.requested_at = At(i);
+            }
             Pz_ImportQuarantine(hosts_[i].table, &quarantine, At(i));
         }
     }
@@ -337,6 +348,11 @@
                 kSessionPart + session_++ / kSessionRequests;
         }
         request.arrived = now_;
+        prompt->content =
+            scenario_.common_fraction > 0 &&
+                    Unit() < scenario_.common_fraction
+                ? 1 + static_cast<uint32_t>(random_() % kCommonContents)
+                : kUniqueContent + last_id_;
         return request;
     }
 
@@ -347,14 +363,46 @@
         Admit(request);
     }
 
+    // Callers send their request again, with its content and a shared first
+    // part.
+    void
+    RepeatPoisonRequests()
+    {
+        for (size_t i = 0; i < repeated_.size(); i++) {
+            if (now_ < kStart + kPoisonFrom || now_ < repeated_[i].next_at) {
+                continue;
+            }
+            repeated_[i].next_at =
+                now_ + static_cast<int64_t>(scenario_.repeat_seconds * 1e6);
+            Request request = {};
+            request.host = random_() % hosts_.size();
+            request.repeated = i + 1;
+            request.arrived = now_;
+            request.is_client_retry = true;
+            request.prompt.service = 1;
+            request.prompt.id = kRepeatedContent + static_cast<uint32_t>(i);
+            request.prompt.customer = 1;
+            request.prompt.parts[request.prompt.count++] = kCustomerPart;
+            request.prompt.content =
+                kRepeatedContent + static_cast<uint32_t>(i);
+            Admit(request);
+        }
+    }
+
     bool
     IsAfterDetection(const Request &request) const
     {
-        return fifth_crash_ != 0 &&
+        return fifth_crash_ != 0 && request.arrived < end_ - kAnswerTime &&
                request.arrived > fifth_crash_ + 2 * kDetectionTime &&
                request.arrived > hosts_[request.host].started + kDetectionTime;
     }
 
+    static bool
+    IsSound(const Request &request)
+    {
+        return request.poison == 0 && request.repeated == 0;
+    }
+
     void
     Admit(Request request)
     {
@@ -365,9 +413,11 @@
             result_.sound_requests++;
         }
         if (quarantine != nullptr) {
-            result_.sound_refused += !request.poison;
+            bool hold = quarantine->requested_at == Pz_HOLD;
+            result_.sound_refused += IsSound(request) && !hold;
+            result_.sound_held += IsSound(request) && hold;
             result_.sound_refused_late +=
-                !request.poison && IsAfterDetection(request);
+                IsSound(request) && IsAfterDetection(request);
             return;
         }
         Send(request);
@@ -394,6 +444,9 @@
         if (request.poison) {
             CountSentLate(request);
         }
+        if (request.repeated) {
+            CountRepeatedLate(request);
+        }
         Endpoint &endpoint =
             endpoints_[available[random_() % available.size()]];
         bool resets = now_ > kStart + kResetsFrom && now_ < kStart + kResetsTo;
@@ -416,9 +469,36 @@
             std::max(result_.poison_sent_late, crashes.late);
     }
 
+    void
+    CountRepeatedLate(const Request &request)
+    {
+        Repeated &repeated = repeated_[request.repeated - 1];
+        repeated.late += repeated.third_at != 0 &&
+                         now_ > repeated.third_at + kDetectionTime &&
+                         now_ > hosts_[request.host].started + kDetectionTime;
+        result_.request_sent_late =
+            std::max(result_.request_sent_late, repeated.late);
+    }
+
+    void
+    CountRepeatedCrash(const Request &request)
+    {
+        Repeated &repeated = repeated_[request.repeated - 1];
+        repeated.crashes++;
+        if (repeated.crashes == kRequestCrashesToDetect) {
+            repeated.third_at = now_;
+        }
+        result_.request_crashes =
+            std::max(result_.request_crashes, repeated.crashes);
+    }
+
     void
     CountCrash(const Request &request)
     {
+        if (request.repeated) {
+            CountRepeatedCrash(request);
+            return;
+        }
         PartCrashes &crashes =
             part_crashes_[static_cast<size_t>(request.poison) - 1];
         result_.crashes++;
@@ -439,7 +519,7 @@
                     continue;
                 }
                 Request request = endpoint.waiting[i];
-                if (request.poison) {
+                if (!IsSound(request)) {
                     CountCrash(request);
                     Crash(endpoint);
                     break;
@@ -448,6 +528,8 @@
                                        static_cast<long>(i));
                 Pz_NoteAnswer(hosts_[request.host].table, &request.prompt,
                               At(request.host));
+                Pz_NoteWholeAnswer(hosts_[request.host].table,
+                                   &request.prompt, At(request.host));
                 result_.sound_served += IsAfterDetection(request);
             }
         }
@@ -470,7 +552,7 @@
             crash.head_received = request.due - now_ <= kHeadToEvent;
             crash.sent_at = request.sent_at;
             crash.ended_at = At(request.host);
-            Pz_NoteCrash(hosts_[request.host].table, &request.prompt, &crash);
+            Pz_NoteCrash(hosts_[request.host].table, &request.prompt, &crash, false);
         }
         for (const Request &request : victims) {
             pz_table *table = hosts_[request.host].table;
@@ -479,7 +561,7 @@
                 policy_.limit_retries &&
                 Pz_DeniesRetry(table, &request.prompt, At(request.host));
             if (Pz_FindQuarantine(table, &request.prompt, At(request.host))) {
-                result_.sound_refused += !request.poison;
+                result_.sound_refused += IsSound(request);
                 continue;
             }
             if (request.attempts < kAttemptsMax && !no_retry) {
@@ -504,7 +586,7 @@
         crash.endpoint = endpoint.run;
         crash.sent_at = request.sent_at;
         crash.ended_at = At(request.host) + 2 * kMs;
-        Pz_NoteCrash(table, &request.prompt, &crash);
+        Pz_NoteCrash(table, &request.prompt, &crash, false);
         probes_.push_back(
             {now_ + kProbeTime, request.host, endpoint.run, true});
         if (request.attempts < kAttemptsMax &&
@@ -554,9 +636,17 @@
         int64_t fifth_at = 0;
     };
     std::vector<PartCrashes> part_crashes_;
+    struct Repeated {
+        int crashes = 0;
+        int late = 0;
+        int64_t third_at = 0;
+        int64_t next_at = 0;
+    };
+    std::vector<Repeated> repeated_;
     uint32_t session_ = 0;
     uint32_t last_id_ = 0;
     int64_t now_ = kStart;
+    int64_t end_;
     int64_t fifth_crash_ = 0; // latest fifth crash of any part
     size_t restarts_ = 0;
     bool all_restarted_ = false;
--- a/packages/policy/test/model/poison_model.h
+++ b/packages/policy/test/model/poison_model.h
@@ -23,6 +23,13 @@
     double message_loss = 0;         // fraction
     int64_t message_delay_max = 0;   // microseconds
     double first_event_usec = 80000; // mean time to the first event
+    // Requests that crash endpoints by themselves, and how often each is
+    // repeated at a random host.
+    int poison_requests = 0;
+    double repeat_seconds = 0.2;
+    // Fraction of the sound requests with one of few contents, as if all
+    // callers asked for the same few pages.
+    double common_fraction = 0;
     // Seconds at which a fraction of all endpoints crashes for other reasons.
     std::vector<double> crash_times = {};
     double crash_fraction = 0;
@@ -46,9 +53,14 @@
 struct PoisonResult {
     int crashes = 0;            // of endpoints, by poisonous parts
     int poison_sent_late = 0;   // late poison requests sent to an endpoint
+    // The same of a request that crashes endpoints by itself, late from 3 s
+    // after the third crash on; the largest number of one request.
+    int request_crashes = 0;
+    int request_sent_late = 0;
     int sound_requests = 0;     // late, without retries by callers
     int sound_served = 0;       // late
     int sound_refused = 0;      // by a quarantine, at any time
+    int sound_held = 0;         // by a hold, at any time
     int sound_refused_late = 0; // by a quarantine, late
 };
 
--- a/packages/policy/test/poison_test.cc
+++ b/packages/policy/test/poison_test.cc
@@ -78,7 +78,7 @@
         crash.head_received = head_received;
         crash.sent_at = at - 40 * kMs;
         crash.ended_at = at;
-        Pz_NoteCrash(table_, &request, &crash);
+        Pz_NoteCrash(table_, &request, &crash, false);
         if (confirm_crashes_) {
             Pz_ConfirmDead(table_, endpoint);
         }
@@ -180,7 +180,7 @@
         crash.head_received = true;
         crash.sent_at = kNow + i * kMs;
         crash.ended_at = kNow + (i + 1) * kMs;
-        Pz_NoteCrash(table_, &request, &crash);
+        Pz_NoteCrash(table_, &request, &crash, false);
     }
     Answer(Request({99}, kOtherCustomer), kNow + 100 * kMs, 9);
     Pz_Evaluate(table_, kNow + kSecond);
@@ -405,7 +405,10 @@
 CountOnlyPolicy()
 {
     PoisonPolicy policy = GossipPolicy();
-    policy.rule = {3, 3, 1, 0, 0, false, false, 0};
+    policy.rule = {};
+    policy.rule.crashes_after_head = 3;
+    policy.rule.crashes = 3;
+    policy.rule.answered_factor = 1;
     return policy;
 }
 
