Cut off bytes without end that are no answer

What callers saw: an endpoint whose answer has no end held a request to its deadline (504), and a host read on and on, 67 MB and more of each connection. Cause: the limits were on what is kept, not on what is read: a body over its limit was read to its end, an answer to another request was skipped whatever its length, and 1xx answers, chunk extensions and trailers had no limit. Class: a bound on memory taken for a bound on work. Mend: a body that cannot be an answer's ends its connection at the limit; all buffered answers together get an eighth of the memory; the attempt counts as a failed answer of a living endpoint, and is sent elsewhere if it may be.

--- a/packages/edge/event_stream.c
+++ b/packages/edge/event_stream.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define Es_EVENT_MAX (1u << 20)
+#define Es_EVENT_MAX (256u << 10)
 #define Es_ID_DIGITS_MAX 15
 
 static bool
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -111,6 +111,7 @@
     }
     Fl_Unref(attempt->endpoint);
     free(attempt->fields);
+    exchange->gate->buffered_bytes -= attempt->body.len;
     Bf_Free(&attempt->body);
     Es_Clear(&attempt->parser);
     memset(attempt, 0, sizeof(*attempt));
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -29,7 +29,7 @@
     struct hd_answer answer;
     char *fields; /* header fields to pass to the caller */
     struct bf_buffer body;
-    bool overflow;
+    bool overflow; /* the answer is too large, or its bytes are no events */
     bool events_missing; /* the stream skipped events */
     bool slow;   /* the first byte took several times as long as usual */
     bool judged; /* counted for or against the endpoint's version */
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -460,6 +460,7 @@
             counter(gate, "cornelgate_rate_limited_sends_total"),
         .rate_limits_invalid =
             counter(gate, "cornelgate_rate_limits_invalid_total"),
+        .answers_cut_off = counter(gate, "cornelgate_answers_cut_off_total"),
         .first_byte = Mt_Get(gate->registry, MT_HISTOGRAM,
                              "cornelgate_first_byte_usec", ""),
         .whole_answer = Mt_Get(gate->registry, MT_HISTOGRAM,
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -44,6 +44,7 @@
     struct mt_metric *made_for_peers;      /* connections opened for peers */
     struct mt_metric *rate_limited_sends;  /* sent to rate-limited endpoints */
     struct mt_metric *rate_limits_invalid; /* reports that cannot be used */
+    struct mt_metric *answers_cut_off;     /* too large, or no answers */
     struct mt_metric *first_byte;   /* time to the first byte of an answer */
     struct mt_metric *whole_answer; /* time to the end of an answer */
 };
@@ -79,6 +80,7 @@
     struct ov_load overload;
     int64_t overload_logged_at;
     struct xc_list exchanges;
+    size_t buffered_bytes; /* of answers that have not ended */
     struct th_through *tunnel;
     struct co_controller *controller;
     struct mt_registry *registry;
--- a/packages/edge/peers_state.c
+++ b/packages/edge/peers_state.c
@@ -149,7 +149,7 @@
     return true;
 }
 
-static void
+static bool
 fetch_body(void *arg, const char *data, size_t len)
 {
     struct pe_peers *peers = arg;
@@ -158,6 +158,7 @@
         !Bf_Add(&peers->response, data, len)) {
         peers->response_truncated = true;
     }
+    return !peers->response_truncated;
 }
 
 static void
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -18,6 +18,10 @@
 
 /* Size limit of answers that are buffered completely before relaying. */
 #define Re_BUFFERED_MAX (2u << 20)
+/* All answers that are buffered get this part of the memory. */
+#define Re_MEMORY_DIVISOR 8
+/* An answer of this size is buffered whatever the others take. */
+#define Re_SMALL_MAX (64u << 10)
 /* With more bytes pending for the caller, reading from the endpoint pauses. */
 #define Re_PENDING_MAX (256u << 10)
 /* Retry-after for a caller whose request was not run. */
@@ -130,11 +134,27 @@
     return true;
 }
 
+/* Whether an answer may grow by "len" bytes; a small one always may. */
+static bool
+has_room(const struct ga_gate *gate, const struct xc_attempt *attempt,
+         size_t len)
+{
+    size_t all_max =
+        (size_t)gate->options.node->memory_bytes / Re_MEMORY_DIVISOR;
+    size_t size = attempt->body.len + len;
+    return size <= Re_SMALL_MAX ||
+           (size <= Re_BUFFERED_MAX && gate->buffered_bytes + len <= all_max);
+}
+
 static void
-buffer_body(struct xc_attempt *attempt, const char *data, size_t len)
+buffer_body(struct xc_exchange *exchange, const char *data, size_t len)
 {
-    if (attempt->body.len + len > Re_BUFFERED_MAX ||
-        !Bf_Add(&attempt->body, data, len)) {
+    struct ga_gate *gate = exchange->gate;
+    struct xc_attempt *attempt = &exchange->attempt;
+    if (has_room(gate, attempt, len) && Bf_Add(&attempt->body, data, len)) {
+        gate->buffered_bytes += len;
+    }
+    else {
         attempt->overflow = true;
     }
 }
@@ -205,21 +225,23 @@
     }
 }
 
-static void
+static bool
 on_body(void *arg, const char *data, size_t len)
 {
     struct xc_exchange *exchange = arg;
     struct xc_attempt *attempt = &exchange->attempt;
     note_bytes(exchange);
     if (!attempt->streaming) {
-        buffer_body(attempt, data, len);
-        return;
+        buffer_body(exchange, data, len);
+        return !attempt->overflow;
     }
     Es_Feed(&attempt->parser, data, len, on_event, exchange);
+    attempt->overflow = attempt->parser.failed;
     if (exchange->head_sent &&
         Sv_Pending(exchange->request) > Re_PENDING_MAX) {
         Cn_Pause(attempt->channel, true);
     }
+    return !attempt->overflow;
 }
 
 /* Formats the ids of the shareable prompt parts for the log. */
@@ -280,6 +302,7 @@
     bool served = status < 500;
     attempt->fields = NULL;
     attempt->body = (struct bf_buffer){0};
+    exchange->gate->buffered_bytes -= body.len;
     Sv_SetUser(request, NULL);
     Xc_End(exchange, served ? "served" : "endpoint failed");
     Sv_Reply(request, status, fields == NULL ? "" : fields, body.data,
@@ -350,6 +373,17 @@
     pass_answer(exchange);
 }
 
+/* The answer has been cut off: it has no end, or is none. */
+static void
+on_cut_off(struct xc_exchange *exchange)
+{
+    struct xc_attempt *attempt = &exchange->attempt;
+    Mt_Add(exchange->gate->count.answers_cut_off, 1);
+    Xc_JudgeAnswer(exchange, true);
+    He_Note(attempt->endpoint, HE_FAILED, Ga_Now(exchange->gate));
+    retry_or_refuse(exchange, true, 502, "not the endpoint's answer");
+}
+
 /* Notes a connection that failed or broke before the answer's end. */
 static void
 note_broken(struct xc_exchange *exchange)
@@ -376,6 +410,10 @@
                         "endpoint not reached");
         break;
     case CN_BROKEN:
+        if (attempt->overflow) {
+            on_cut_off(exchange);
+            break;
+        }
         note_broken(exchange);
         exchange->attempt.judged = Bk_Note(exchange->gate->breaks, exchange);
         if (attempt->head_at == 0) {
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -5,6 +5,9 @@
 
 #include "base/buffer.h"
 
+/* Bytes of answers to other requests before the own one. */
+#define Cn_SKIP_MAX (1u << 20)
+
 struct cn_channel {
     const struct ck_clock *clock;
     struct sk_sock *sock; /* NULL while it is dialed */
@@ -29,6 +32,8 @@
     bool spoiled;
     bool finishing; /* the answer is complete, "done" comes next */
     bool skipping;  /* this answer is another request's */
+    bool rejected;  /* the body cannot be an answer's */
+    size_t skipped; /* bytes of answers to other requests */
     bool paused;
     int64_t keep_usec;
     int64_t idle_since;
@@ -94,8 +99,12 @@
 on_body(void *arg, const char *data, size_t len)
 {
     struct cn_channel *channel = arg;
-    if (channel->ops != NULL && !channel->skipping) {
-        channel->ops->body(channel->arg, data, len);
+    if (channel->skipping) {
+        channel->skipped += len;
+        channel->rejected = channel->skipped > Cn_SKIP_MAX;
+    }
+    else if (channel->ops != NULL && !channel->rejected) {
+        channel->rejected = !channel->ops->body(channel->arg, data, len);
     }
 }
 
@@ -135,7 +144,7 @@
         if (channel->dead || channel->ops == NULL) {
             return;
         }
-        if (error != H1_FINE) {
+        if (error != H1_FINE || channel->rejected) {
             fail(channel);
             return;
         }
@@ -302,6 +311,8 @@
     channel->arg = arg;
     channel->finishing = false;
     channel->skipping = false;
+    channel->rejected = false;
+    channel->skipped = 0;
     if (channel->gone) {
         Lp_TimerSet(channel->deferred, 0);
         return;
--- a/packages/web/channel.h
+++ b/packages/web/channel.h
@@ -33,7 +33,8 @@
      * waited for, and the channel is not used again.
      */
     bool (*head)(void *arg, const struct h1_head *head);
-    void (*body)(void *arg, const char *data, size_t len);
+    /* False: the body cannot be an answer's; the exchange is broken. */
+    bool (*body)(void *arg, const char *data, size_t len);
     /*
      * The end, once, never from within Cn_Send().  After it the channel is
      * idle when Cn_Reusable(), otherwise the owner closes it.
--- a/packages/web/http1.c
+++ b/packages/web/http1.c
@@ -10,6 +10,10 @@
 /* Far above any limit of ours, which is checked before the parser runs. */
 #define H1_LIBRARY_HEAD_MAX (1u << 24)
 #define H1_NUMBER_DIGITS_MAX 15
+/* More 1xx answers before one answer are none. */
+#define H1_INTERIM_MAX 16
+/* Bytes of chunk sizes, extensions and trailers without one of the body. */
+#define H1_FRAMING_MAX (64u << 10)
 
 enum h1_phase {
     H1_HEAD,
@@ -25,6 +29,8 @@
     bool request;
     bool no_body;
     bool interim; /* a 1xx answer: skipped */
+    int interim_count;
+    size_t framing_len; /* bytes since the last one of the body */
     bool overflow;
     size_t head_max;
     struct bf_buffer raw; /* the head as it came */
@@ -97,6 +103,7 @@
 static int
 on_body(http_parser *parser, const char *at, size_t len)
 {
+    self(parser)->framing_len = 0;
     self(parser)->ops->body(self(parser)->arg, at, len);
     return 0;
 }
@@ -157,8 +164,9 @@
     parser->no_body = none;
 }
 
-void
-H1_Reset(struct h1_parser *parser)
+/* Begins the next head, of the same message after an interim answer. */
+static void
+reset_head(struct h1_parser *parser)
 {
     http_parser_init(&parser->parser,
                      parser->request ? HTTP_REQUEST : HTTP_RESPONSE);
@@ -171,6 +179,14 @@
     parser->head.count = 0;
 }
 
+void
+H1_Reset(struct h1_parser *parser)
+{
+    parser->interim_count = 0;
+    parser->framing_len = 0;
+    reset_head(parser);
+}
+
 static bool
 is_token(unsigned char c)
 {
@@ -283,8 +299,9 @@
         return error;
     }
     if (parser->interim) {
-        H1_Reset(parser);
-        return H1_FINE;
+        reset_head(parser);
+        parser->interim_count++;
+        return parser->interim_count > H1_INTERIM_MAX ? H1_TOO_LARGE : H1_FINE;
     }
     if (parser->request) {
         bool done = parser->phase == H1_DONE;
@@ -294,6 +311,17 @@
     return H1_FINE;
 }
 
+/* Takes bytes of the body and its framing. */
+static enum h1_error
+feed_body(struct h1_parser *parser, const char *data, size_t len, size_t *used)
+{
+    parser->framing_len += len;
+    enum h1_error error = run(parser, data, len, used);
+    return error == H1_FINE && parser->framing_len > H1_FRAMING_MAX
+               ? H1_TOO_LARGE
+               : error;
+}
+
 enum h1_error
 H1_Feed(struct h1_parser *parser, const char *data, size_t len, size_t *used)
 {
@@ -303,7 +331,7 @@
         enum h1_error error =
             parser->phase == H1_HEAD
                 ? feed_head(parser, data + *used, len - *used, &took)
-                : run(parser, data + *used, len - *used, &took);
+                : feed_body(parser, data + *used, len - *used, &took);
         *used += took;
         if (error != H1_FINE) {
             return error;
--- a/packages/web/http1.h
+++ b/packages/web/http1.h
@@ -51,7 +51,7 @@
 enum h1_error {
     H1_FINE,
     H1_MALFORMED, /* not HTTP/1.1, or ambiguous */
-    H1_TOO_LARGE, /* the head is over the limit */
+    H1_TOO_LARGE, /* the head or the framing is over the limit */
 };
 
 struct h1_parser;
