Judge a version by what follows the head, and by refusals without load

What callers saw: a bad version of a plain service was completed and kept: its bodies had no end or came late, or it turned requests away. Cause: an attempt was judged by the time to its head; one with a head that never ended was "incomplete", a refusal "refused", and neither counted. Class: what is not looked at counts as good. Mend: the time to the whole answer of plain requests is compared (with the pace of streams), also of those that never end; refusals by an endpoint with room, and requests passed over by an endpoint that answers later ones, are kinds of their own, so that failures of the old version do not excuse them, and a pause of an endpoint does not count as the latter.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -132,6 +132,8 @@
 bool Xc_MayBecomeSlow(const struct xc_exchange *exchange);
 /* Counts a good or failed answer for the endpoint's version. */
 void Xc_JudgeAnswer(struct xc_exchange *exchange, bool failed);
+/* Counts for the version whether an endpoint with room took the request. */
+void Xc_JudgeRefusal(struct xc_exchange *exchange, bool refused);
 /* The attempt ends; if it has no answer, that may speak against its version.
  */
 void Xc_JudgeUnanswered(struct xc_exchange *exchange);
--- a/packages/edge/exchange_version.c
+++ b/packages/edge/exchange_version.c
@@ -8,6 +8,8 @@
 /* An unanswered attempt is late after this fraction of the time after which
    its answer would be slow. */
 #define Xc_LATE_DIVISOR 2
+/* An endpoint with no more requests than this part of its slots has room. */
+#define Xc_ROOM_LOAD 0.5
 /* Events that tell a stream's pace; fewer if it ends before. */
 #define Xc_PACE_EVENTS 7
 #define Xc_PACE_EVENTS_MIN 4
@@ -98,6 +100,52 @@
     return attempt->slow_after != 0 && attempt->head_at == 0 && !attempt->slow;
 }
 
+/* The time to the end of a plain answer. */
+static struct pa_pace
+whole_time(const struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    return (struct pa_pace){Ga_Now(exchange->gate) - attempt->sent_at,
+                            load_of(attempt->endpoint)};
+}
+
+static void
+note_whole_time(struct xc_exchange *exchange)
+{
+    struct ga_gate *gate = exchange->gate;
+    const struct fl_endpoint *endpoint = exchange->attempt.endpoint;
+    const char *service = exchange->service->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    if (!exchange->attempt.streaming &&
+        !Wu_IsCold(&endpoint->warmup, Ga_Now(gate))) {
+        struct pa_pace whole = whole_time(exchange);
+        Ro_RecordPace(gate->moves, service, exchange->route->name,
+                      Ga_HasTargetVersion(move, endpoint), &whole);
+    }
+}
+
+/*
+ * Counts whether an endpoint that has room took the request.  Cold and brittle
+ * endpoints and those with a rate limit have less room than their slots.
+ */
+void
+Xc_JudgeRefusal(struct xc_exchange *exchange, bool refused)
+{
+    struct ga_gate *gate = exchange->gate;
+    const struct xc_attempt *attempt = &exchange->attempt;
+    const struct fl_endpoint *endpoint = attempt->endpoint;
+    const char *service = exchange->service->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    bool has_room = load_of(endpoint) <= Xc_ROOM_LOAD &&
+                    attempt->answer.refusals_borne < 0 &&
+                    endpoint->rate_limit.per_sec <= 0 &&
+                    !Wu_IsCold(&endpoint->warmup, Ga_Now(gate));
+    if (move != NULL && has_room) {
+        Ro_RecordRefusal(gate->moves, service,
+                         Ga_HasTargetVersion(move, endpoint), refused);
+    }
+}
+
 void
 Xc_JudgeAnswer(struct xc_exchange *exchange, bool failed)
 {
@@ -111,6 +159,10 @@
         Ro_RecordAnswer(gate->moves, service, exchange->route->name,
                         Ga_HasTargetVersion(move, exchange->attempt.endpoint),
                         &result);
+        Xc_JudgeRefusal(exchange, false);
+        if (!failed) {
+            note_whole_time(exchange);
+        }
     }
 }
 
@@ -124,6 +176,45 @@
     return attempt->answer.not_run ? "refused" : "incomplete";
 }
 
+/* Whether the endpoint has begun to answer a later request. */
+static bool
+answered_later(const struct xc_attempt *attempt)
+{
+    return attempt->endpoint->answered_at >
+           attempt->sent_at + attempt->slow_after;
+}
+
+/* Returns whether the attempt tells of the endpoint's version. */
+static bool
+judge_unfinished(struct xc_exchange *exchange)
+{
+    struct ga_gate *gate = exchange->gate;
+    const struct xc_attempt *attempt = &exchange->attempt;
+    const char *service = exchange->service->name;
+    const char *route = exchange->route->name;
+    const struct ro_move *move = Ro_Find(gate->moves, service);
+    bool is_new = Ga_HasTargetVersion(move, attempt->endpoint);
+    int64_t waited = Ga_Now(gate) - attempt->sent_at;
+    bool late = attempt->slow_after != 0 &&
+                waited >= attempt->slow_after / Xc_LATE_DIVISOR;
+    bool begun = attempt->head_at != 0 &&
+                 (!attempt->streaming || attempt->first_event_at != 0);
+    if (attempt->answer.not_run || !late) {
+        return false;
+    }
+    if (begun && !attempt->streaming) {
+        struct pa_pace whole = whole_time(exchange);
+        Ro_RecordUnfinished(gate->moves, service, route, is_new, &whole);
+    }
+    else if (!begun && answered_later(attempt)) {
+        Ro_RecordMute(gate->moves, service, is_new);
+    }
+    else if (!begun) {
+        Ro_RecordSilence(gate->moves, service, route, is_new);
+    }
+    return !begun || !attempt->streaming;
+}
+
 /*
  * An attempt that ends without an answer tells of the endpoint's version if it
  * has waited longer than usual, over a link that works.  Callers that leave
@@ -144,14 +235,8 @@
         return;
     }
     bool sent = attempt->channel != NULL && Cn_Sent(attempt->channel);
-    bool late =
-        attempt->slow_after != 0 && Ga_Now(gate) - attempt->sent_at >=
-                                        attempt->slow_after / Xc_LATE_DIVISOR;
-    if (late && attempt->head_at == 0 && sent &&
-        !attempt->endpoint->link_state.cut) {
-        const struct ro_move *move = Ro_Find(gate->moves, service);
-        Ro_RecordSilence(gate->moves, service, exchange->route->name,
-                         Ga_HasTargetVersion(move, attempt->endpoint));
+    if (sent && !attempt->endpoint->link_state.cut &&
+        judge_unfinished(exchange)) {
         return;
     }
     Vs_CountUnjudged(gate->registry, &attempt->endpoint->entry,
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -344,6 +344,7 @@
     if (attempt->answer.not_run) {
         if (attempt->status != 421) {
             Bt_NoteRefused(exchange->gate, endpoint);
+            Xc_JudgeRefusal(exchange, true);
         }
         He_Note(endpoint, attempt->status == 421 ? HE_BROKE : HE_REFUSED, now);
         retry_or_refuse(exchange, false, Xc_RefusalStatus(exchange),
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -29,9 +29,9 @@
 
 #define Ro_MOVES_MAX 16
 #define Ro_ROUTES_MAX 16
-/* RO_FAILED, RO_SLOW and RO_SLOW_PACE for each route, and one RO_LOST for all
-   of them */
-#define Ro_ROWS_MAX (3 * Ro_ROUTES_MAX + 1)
+/* RO_FAILED, RO_SLOW and RO_SLOW_PACE for each route, and one row of each
+   other kind for all routes */
+#define Ro_ROWS_MAX (3 * Ro_ROUTES_MAX + 3)
 #define Ro_FULL_SHARE Cy_FULL_SHARE
 
 /* What the bad answers of a row are. */
@@ -39,7 +39,14 @@
     RO_FAILED,
     RO_SLOW,
     RO_LOST,      /* ended with their endpoint; of all routes together */
-    RO_SLOW_PACE, /* streams with a long time between their events */
+    /* streams with a long time between their events, and plain answers that
+       end late */
+    RO_SLOW_PACE,
+    /* refused by an endpoint with room; of all routes together */
+    RO_REFUSED,
+    /* not answered by an endpoint that answered later ones; of all routes
+       together */
+    RO_MUTE,
     RO_KINDS,
 };
 
@@ -135,7 +142,7 @@
 uint32_t Ro_Hash(const char *name);
 
 void Ro_Order(struct ro_table *table, const struct ro_order *order);
-/* "route" is NULL for RO_LOST. */
+/* "route" is NULL for kinds that count all routes together. */
 uint32_t Ro_RowKey(const char *route, enum ro_kind kind);
 enum ro_kind Ro_KindOfKey(uint32_t key);
 
@@ -160,6 +167,17 @@
 /* A slow request ended without an answer; nothing else is known of it. */
 void Ro_RecordSilence(struct ro_table *table, const char *service,
                       const char *route, bool is_new);
+/* The same, and its endpoint has answered requests that came later. */
+void Ro_RecordMute(struct ro_table *table, const char *service, bool is_new);
+/* Counts a request at an endpoint with room, which refused it or not. */
+void Ro_RecordRefusal(struct ro_table *table, const char *service, bool is_new,
+                      bool refused);
+/*
+ * A stream or plain answer ended unfinished; it counts if it is slow already.
+ */
+void Ro_RecordUnfinished(struct ro_table *table, const char *service,
+                         const char *route, bool is_new,
+                         const struct pa_pace *pace);
 /* Counts a request sent, for the share of the new version. */
 void Ro_NoteSent(struct ro_table *table, const char *service, bool is_new);
 /* Keeps the counts of a peer's process that has been restarted. */
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -89,7 +89,6 @@
 }
 
 /*
- * Marks a suspect.  The first finding that shows that the new version is worse
  * sets "worst".
  */
 static bool
@@ -113,9 +112,12 @@
 ro_judge(struct ro_move *move, struct cy_count worst[CY_SIDES])
 {
     static const struct finding nothing;
-    struct finding all[RO_KINDS] = {nothing, nothing, nothing, nothing};
+    struct finding all[RO_KINDS];
     bool is_worse = false;
     move->suspect = false;
+    for (int kind = 0; kind < RO_KINDS; kind++) {
+        all[kind] = nothing;
+    }
     for (size_t i = 0; i < move->row_count; i++) {
         struct finding finding = nothing;
         add_row(&finding, &move->rows[i]);
--- a/packages/edge/rollout_record.c
+++ b/packages/edge/rollout_record.c
@@ -14,7 +14,7 @@
 /* Weight of the newest sample in the average time to the first byte. */
 #define Ro_TYPICAL_WEIGHT 0.1
 /* The lowest bits of a row's key tell its kind. */
-#define Ro_KIND_MASK UINT32_C(3)
+#define Ro_KIND_MASK UINT32_C(7)
 
 uint32_t
 Ro_RowKey(const char *route, enum ro_kind kind)
@@ -117,6 +117,21 @@
     }
 }
 
+void
+Ro_RecordUnfinished(struct ro_table *table, const char *service,
+                    const char *route, bool is_new, const struct pa_pace *pace)
+{
+    struct ro_row *row = active_row(table, service, route, RO_SLOW_PACE);
+    /* Its time is not known yet, so that nothing is to be learned from it. */
+    struct pa_typical typical = {0, 0};
+    if (row != NULL) {
+        typical = row->typical_pace;
+    }
+    if (Pa_Judge(&typical, is_new, pace) == PA_SLOW) {
+        count_answer(row, is_new, true);
+    }
+}
+
 void
 Ro_RecordAnswer(struct ro_table *table, const char *service, const char *route,
                 bool is_new, const struct ro_result *result)
@@ -129,6 +144,7 @@
     }
     count_answer(active_row(table, service, route, RO_SLOW), is_new,
                  result->slow);
+    count_answer(active_row(table, service, NULL, RO_MUTE), is_new, false);
 }
 
 void
@@ -138,6 +154,20 @@
     count_answer(active_row(table, service, route, RO_SLOW), is_new, true);
 }
 
+void
+Ro_RecordMute(struct ro_table *table, const char *service, bool is_new)
+{
+    count_answer(active_row(table, service, NULL, RO_MUTE), is_new, true);
+}
+
+void
+Ro_RecordRefusal(struct ro_table *table, const char *service, bool is_new,
+                 bool refused)
+{
+    count_answer(active_row(table, service, NULL, RO_REFUSED), is_new,
+                 refused);
+}
+
 void
 Ro_ClearPeerOutcomes(struct ro_table *table)
 {
