Give no version all requests while it is not shown to be as good

What callers saw: a bad version of a small service got all requests, since the old version was disturbed for a part of the move. Cause: what the new version does is compared with the old one in the same seconds; while the old one fails for a reason of its own, any failure of the new one is excused, and these seconds outweigh what was seen before. The step to all requests came for want of proof against it. Class: what is not seen to be bad is taken for good. Mend: windows in which the old version was far worse than its median tell nothing; if over the others the new one may well be worse, it is doubtful: it keeps the small share, is not taken back for it, and needs good answers before it gets all requests again.

--- a/packages/edge/rollout.c
+++ b/packages/edge/rollout.c
@@ -215,8 +215,9 @@
     struct cy_count all[CY_SIDES] = {{0, 0}, {0, 0}};
     ro_sum_failures(move, all);
     uint32_t good_answers = ro_sum_good(move);
-    move->relapsed |= move->suspect && move->share >= Ro_FULL_SHARE;
-    if (move->suspect) {
+    bool unsure = move->suspect || move->doubtful;
+    move->relapsed |= unsure && move->share >= Ro_FULL_SHARE;
+    if (unsure) {
         move->good_answers = good_answers;
     }
     struct cy_progress progress = {
@@ -230,6 +231,7 @@
                                      ? good_answers - move->good_answers
                                      : 0,
         .suspect = move->suspect,
+        .doubtful = move->doubtful,
         .old_usable = counts->old_usable,
         .new_usable = counts->new_usable,
     };
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -126,9 +126,11 @@
     /* when the old endpoints became idle; 0: they are not */
     int64_t drained_since;
     int64_t window_since;  /* start of the current window of evidence */
+    size_t window_count;   /* that are over */
     bool suspect;          /* the new version looks worse, see canary.h */
-    bool relapsed;         /* it became a suspect when it had all requests */
-    uint32_t good_answers; /* of the new version, when it last was one */
+    bool doubtful;         /* it may be worse */
+    bool relapsed;         /* it became either when it had all requests */
+    uint32_t good_answers; /* of the new version, when it last was either */
     struct cy_pacer pacer; /* of this daemon's requests */
     size_t row_count;
     struct ro_row rows[Ro_ROWS_MAX];
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -63,11 +63,14 @@
     struct cy_tally tally; /* tells a suspect */
     /* Tells a worse version; of slow answers it has fewer windows. */
     struct cy_tally calm;
+    /* Tells a doubtful version: while the old one was not disturbed. */
+    struct cy_tally undisturbed;
+    bool disturbed; /* the old version was, in some windows */
     struct cy_count sums[CY_SIDES];
 };
 
 static void
-add_row(struct finding *finding, const struct ro_row *row)
+add_row(struct finding *finding, const struct ro_row *row, uint64_t disturbed)
 {
     sum_row(row, finding->sums);
     enum ro_kind kind = Ro_KindOfKey(row->key);
@@ -75,8 +78,12 @@
     struct cy_tally tally =
         Cy_Tally(&row->evidence, finding->sums, slow ? Ro_PAUSE_WINDOWS : 0);
     struct cy_tally calm = slow ? Cy_CalmTally(&row->evidence) : tally;
+    struct cy_tally undisturbed =
+        slow ? tally : Cy_UndisturbedTally(&row->evidence, disturbed);
     Cy_Add(&finding->tally, &tally);
     Cy_Add(&finding->calm, &calm);
+    Cy_Add(&finding->undisturbed, &undisturbed);
+    finding->disturbed |= disturbed != 0;
 }
 
 static void
@@ -84,11 +91,14 @@
 {
     Cy_Add(&to->tally, &addend->tally);
     Cy_Add(&to->calm, &addend->calm);
+    Cy_Add(&to->undisturbed, &addend->undisturbed);
+    to->disturbed |= addend->disturbed;
     add_count(&to->sums[CY_OLD], &addend->sums[CY_OLD]);
     add_count(&to->sums[CY_NEW], &addend->sums[CY_NEW]);
 }
 
 /*
+ * Marks a suspect or doubtful version.  The first finding that shows that the new version is worse
  * sets "worst".
  */
 static bool
@@ -96,6 +106,8 @@
               bool is_worse, struct cy_count worst[CY_SIDES])
 {
     move->suspect |= Cy_IsSuspect(&finding->tally);
+    move->doubtful |=
+        finding->disturbed && Cy_IsDoubtful(&finding->undisturbed);
     if (is_worse || !Cy_IsWorse(&finding->calm)) {
         return is_worse;
     }
@@ -113,16 +125,23 @@
 {
     static const struct finding nothing;
     struct finding all[RO_KINDS];
+    uint64_t disturbed[RO_KINDS] = {0};
     bool is_worse = false;
     move->suspect = false;
+    move->doubtful = false;
     for (int kind = 0; kind < RO_KINDS; kind++) {
         all[kind] = nothing;
     }
+    for (size_t i = 0; i < move->row_count; i++) {
+        disturbed[Ro_KindOfKey(move->rows[i].key)] |=
+            Cy_DisturbedWindows(&move->rows[i].evidence);
+    }
     for (size_t i = 0; i < move->row_count; i++) {
         struct finding finding = nothing;
-        add_row(&finding, &move->rows[i]);
+        enum ro_kind kind = Ro_KindOfKey(move->rows[i].key);
+        add_row(&finding, &move->rows[i], disturbed[kind]);
         is_worse = judge_finding(move, &finding, is_worse, worst);
-        add_finding(&all[Ro_KindOfKey(move->rows[i].key)], &finding);
+        add_finding(&all[kind], &finding);
     }
     for (int kind = 0; kind < RO_KINDS; kind++) {
         is_worse = judge_finding(move, &all[kind], is_worse, worst);
@@ -137,6 +156,7 @@
         struct ro_row *row = &move->rows[i];
         struct cy_count sums[CY_SIDES] = {{0, 0}, {0, 0}};
         sum_row(row, sums);
-        Cy_CloseWindow(&row->evidence, sums);
+        Cy_CloseWindow(&row->evidence, move->window_count, sums);
     }
+    move->window_count++;
 }
--- a/packages/edge/test/rollout_test.cc
+++ b/packages/edge/test/rollout_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <iostream>
 #include <random>
 #include <vector>
 
@@ -281,6 +282,107 @@
     }
 }
 
+// A small service whose old version is disturbed for a part of the move.
+class DisturbedMove : public Move {
+  protected:
+    static const unsigned kSeeds = 100;
+
+    struct Totals {
+        unsigned past_bound = 0;
+        unsigned not_moved = 0;
+    };
+
+    // Moves to versions that fail in "more" requests more than the old one.
+    Totals
+    MoveSeeds(double more)
+    {
+        const struct {
+            int64_t from;
+            int64_t until;
+        } disturbances[] = {{0, 0}, {0, 4}, {4, 10}, {5, 11}, {8, 14}};
+        Totals all;
+        for (const auto &disturbance : disturbances) {
+            old_disturbed_from_ = disturbance.from * Ck_USEC_PER_SEC;
+            old_disturbed_until_ = disturbance.until * Ck_USEC_PER_SEC;
+            for (double base : {0.004, 0.05, 0.14}) {
+                base_failure_rate_ = base;
+                failure_rate_ = base + more;
+                Totals totals = MoveSeeds();
+                std::cout << "disturbed from " << disturbance.from << " to "
+                          << disturbance.until << " s, " << base
+                          << " fail, of the new one " << failure_rate_ << ": "
+                          << totals.past_bound << " past the bound, "
+                          << totals.not_moved << " not moved of " << kSeeds
+                          << "\n";
+                all.past_bound += totals.past_bound;
+                all.not_moved += totals.not_moved;
+            }
+        }
+        std::cout << all.past_bound << " past the bound, " << all.not_moved
+                  << " not moved\n";
+        return all;
+    }
+
+  private:
+    Totals
+    MoveSeeds()
+    {
+        Totals totals;
+        for (unsigned seed = 1; seed <= kSeeds; seed++) {
+            random_.seed(seed);
+            requests_ = new_version_requests_ = 0;
+            Start(6, 15);
+            Run(15, 5);
+            totals.past_bound += !WithinExposureLimit();
+            totals.not_moved += At(0)->state != RO_SUCCEEDED;
+            TearDown();
+            tables_.clear();
+        }
+        return totals;
+    }
+};
+
+// Guards against a bad version that gets all requests because the old one was
+// disturbed meanwhile.
+TEST_F(DisturbedMove, ABadVersionStaysWithinTheBound)
+{
+    EXPECT_EQ(MoveSeeds(0.6).past_bound, 0u);
+}
+
+// Guards against good versions that are not moved since the old one was
+// disturbed: one in fifty at most.
+TEST_F(DisturbedMove, AGoodVersionIsMovedByTheDeadline)
+{
+    EXPECT_LE(MoveSeeds(0).not_moved, kSeeds * 15 / 50);
+}
+
+// The same of versions that fail in a fifth of their requests more.
+TEST_F(DisturbedMove, AVersionWithASmallFaultStaysWithinTheBound)
+{
+    EXPECT_EQ(MoveSeeds(0.2).past_bound, 0u);
+}
+
+// Guards against a step to all requests because the answers of a disturbed old
+// version hide what those of the new one showed before.
+TEST_F(Move, ADisturbanceDoesNotHideWhatWasSeenBefore)
+{
+    Start(1, 16);
+    counts_.old_running = 5;
+    for (int second = 0; second < 16; second++) {
+        bool disturbed = second >= 8 && second < 14;
+        for (int i = 0; i < 40; i++) {
+            struct ro_result result = {i < (disturbed ? 16 : 2), false, false};
+            Ro_RecordAnswer(tables_[0], "llm", "chat", false, &result);
+        }
+        for (int i = 0; i < 3; i++) {
+            struct ro_result result = {i == 0, false, false};
+            Ro_RecordAnswer(tables_[0], "llm", "chat", true, &result);
+        }
+        Run(1, 0);
+        EXPECT_LT(At(0)->share, Ro_FULL_SHARE) << second;
+    }
+}
+
 // Guards against requests that ended with lost endpoints of the old version
 // and excuse the failures of the new one.
 TEST_F(Move, LostEndpointsOfTheOldVersionDoNotExcuseTheNewOne)
--- a/packages/policy/canary.c
+++ b/packages/policy/canary.c
@@ -1,6 +1,7 @@
 #include "policy/canary.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 #include "base/clock.h"
 
@@ -13,9 +14,11 @@
  */
 #define Cy_WORSE_LOG_RATIO 9.5
 #define Cy_SUSPECT_LOG_RATIO 5.5
+#define Cy_DOUBT_LOG_RATIO 3.0
 /* Fewer bad answers are no evidence, whatever their rate. */
 #define Cy_WORSE_MIN_BAD 4.0
 #define Cy_SUSPECT_MIN_BAD 3.0
+#define Cy_DOUBT_MIN_BAD 2.0
 /*
  * Callers do not notice a smaller difference of the rates, and new endpoints
  * start with an empty prompt cache.
@@ -28,6 +31,12 @@
  */
 #define Cy_PRIOR_ANSWERS 10.0
 
+/*
+ * A window is disturbed if the old version had this many standard deviations
+ * more bad answers than at its median rate.
+ */
+#define Cy_DISTURBED_DEVIATIONS 2.5
+
 /*
  * Share of the new version in thousandths, by the elapsed fraction of the
  * move's duration.  A bad version may get a tenth of all requests: most of the
@@ -96,6 +105,13 @@
                    Cy_SUSPECT_LOG_RATIO);
 }
 
+bool
+Cy_IsDoubtful(const struct cy_tally *tally)
+{
+    return exceeds(tally, Cy_DOUBT_MIN_BAD, Cy_SUSPECT_MIN_DIFFERENCE,
+                   Cy_DOUBT_LOG_RATIO);
+}
+
 /* The totals decrease when a host is forgotten and its counts drop out. */
 static double
 increase(uint32_t now, uint32_t before)
@@ -139,11 +155,95 @@
     return window->bad - window->expected;
 }
 
+static void
+remember(struct cy_evidence *evidence, size_t number,
+         const struct cy_count totals[CY_SIDES])
+{
+    struct cy_window *window = &evidence->windows[number % Cy_WINDOWS];
+    for (int side = CY_OLD; side < CY_SIDES; side++) {
+        const struct cy_count *start = &evidence->at_start[side];
+        window->counts[side] = (struct cy_count){
+            (uint32_t)increase(totals[side].answers, start->answers),
+            (uint32_t)increase(totals[side].bad, start->bad),
+        };
+    }
+}
+
+static double
+bad_rate(const struct cy_count *count)
+{
+    return count->answers == 0
+               ? 0
+               : fmin((double)count->bad / count->answers, 1);
+}
+
+static int
+compare_rates(const void *a, const void *b)
+{
+    double left = *(const double *)a;
+    double right = *(const double *)b;
+    return left < right ? -1 : left > right;
+}
+
+/* The old version's median rate over the windows in which it answered. */
+static double
+usual_rate(const struct cy_evidence *evidence)
+{
+    double rates[Cy_WINDOWS];
+    size_t count = 0;
+    for (size_t i = 0; i < Cy_WINDOWS; i++) {
+        const struct cy_count *old = &evidence->windows[i].counts[CY_OLD];
+        if (old->answers > 0) {
+            rates[count++] = bad_rate(old);
+        }
+    }
+    qsort(rates, count, sizeof(rates[0]), compare_rates);
+    return count == 0 ? 0 : rates[(count - 1) / 2];
+}
+
+uint64_t
+Cy_DisturbedWindows(const struct cy_evidence *evidence)
+{
+    uint64_t mask = 0;
+    double rate = usual_rate(evidence);
+    for (size_t i = 0; i < Cy_WINDOWS; i++) {
+        const struct cy_count *old = &evidence->windows[i].counts[CY_OLD];
+        double expected = rate * old->answers;
+        double deviation = sqrt(expected * (1 - rate) + 1);
+        if (old->bad > expected + Cy_DISTURBED_DEVIATIONS * deviation) {
+            mask |= UINT64_C(1) << i;
+        }
+    }
+    return mask;
+}
+
+struct cy_tally
+Cy_UndisturbedTally(const struct cy_evidence *evidence, uint64_t disturbed)
+{
+    struct cy_tally tally = {0, 0, 0};
+    double old_answers = 0;
+    double old_bad = 0;
+    for (size_t i = 0; i < Cy_WINDOWS; i++) {
+        const struct cy_count *counts = evidence->windows[i].counts;
+        if ((disturbed >> i & 1) == 0) {
+            old_answers += counts[CY_OLD].answers;
+            old_bad += counts[CY_OLD].bad;
+            tally.answers += counts[CY_NEW].answers;
+            tally.bad += counts[CY_NEW].bad;
+        }
+    }
+    tally.bad = fmin(tally.bad, tally.answers);
+    double rate = (old_bad + 1) / (old_answers + 2);
+    tally.expected = fmin(rate, 1) * tally.answers;
+    return tally;
+}
+
 void
-Cy_CloseWindow(struct cy_evidence *evidence,
+Cy_CloseWindow(struct cy_evidence *evidence, size_t number,
                const struct cy_count totals[CY_SIDES])
 {
     struct cy_tally window = current_window(evidence, totals);
+    remember(evidence, number, totals);
     for (int i = 0; i < Cy_LEFT_OUT; i++) {
         if (excess(&window) > excess(&evidence->worst[i])) {
             struct cy_tally replaced = evidence->worst[i];
@@ -219,7 +319,7 @@
             Cy_RAISE_AFTER * (double)progress->duration_usec) {
         share = Cy_RAISED_SHARE;
     }
-    if (!progress->suspect && is_tried(progress) &&
+    if (!progress->suspect && !progress->doubtful && is_tried(progress) &&
         is_time_for_all(progress)) {
         share = Cy_FULL_SHARE;
     }
--- a/packages/policy/canary.h
+++ b/packages/policy/canary.h
@@ -8,7 +8,10 @@
  * time excuses nothing.
  *
  * A version that looks worse, though not beyond chance, is a suspect: it gets
- * the small share only, until it is cleared or shown to be worse.
+ * the small share only, until it is cleared or shown to be worse.  One that is
+ * not shown to be as good is doubtful: it does not get all requests.  What it
+ * does while the old version is disturbed shows neither: the two may fail for
+ * different reasons.
  */
 #ifndef POLICY_CANARY_H
 #define POLICY_CANARY_H
@@ -39,16 +42,37 @@
  */
 #define Cy_LEFT_OUT 3
 
+/* The answers of one window. */
+struct cy_window {
+    struct cy_count counts[CY_SIDES];
+};
+
+/* How many of the last windows are remembered one by one; one bit of a mask
+   for each. */
+#define Cy_WINDOWS 64
+
 /* Answers of both versions, window by window. */
 struct cy_evidence {
     struct cy_count at_start[CY_SIDES]; /* totals when the window began */
     struct cy_tally sum; /* of all windows that are over but the worst */
     struct cy_tally worst[Cy_LEFT_OUT]; /* the worst first */
+    struct cy_window windows[Cy_WINDOWS];
 };
 
-/* Ends a window; "totals" are the counts since the move began. */
-void Cy_CloseWindow(struct cy_evidence *evidence,
+/*
+ * Ends a window; "totals" are the counts since the move began, "number" counts
+ * the windows of the move from 0.
+ */
+void Cy_CloseWindow(struct cy_evidence *evidence, size_t number,
                     const struct cy_count totals[CY_SIDES]);
+/* The windows in which the old version was far worse than usual. */
+uint64_t Cy_DisturbedWindows(const struct cy_evidence *evidence);
+/*
+ * The remembered windows but those of the mask, compared with the old version
+ * over the same windows together.
+ */
+struct cy_tally Cy_UndisturbedTally(const struct cy_evidence *evidence,
+                                    uint64_t disturbed);
 /*
  * All windows, the current one included, but the "left_out" worst of those
  * that are over; at most Cy_LEFT_OUT.
@@ -65,6 +89,9 @@
 bool Cy_IsWorse(const struct cy_tally *tally);
 /* Whether the new version looks worse. */
 bool Cy_IsSuspect(const struct cy_tally *tally);
+/* Whether the new version may well be worse, so that it is not shown to be as
+   good. */
+bool Cy_IsDoubtful(const struct cy_tally *tally);
 
 /* Shares are in thousandths of the requests. */
 #define Cy_FULL_SHARE 1000
@@ -77,11 +104,12 @@
     int64_t drain_usec;
     uint32_t answers;     /* of the new version */
     uint32_t all_answers; /* of both versions */
-    /* good answers of the new version since it was last a suspect, if it had
-       all requests before */
+    /* good answers of the new version since it was last a suspect or doubtful,
+       if it had all requests before */
     bool relapsed;
     uint32_t answers_since_relapse;
     bool suspect;
+    bool doubtful;
     int old_usable; /* endpoints */
     int new_usable;
 };
--- a/packages/policy/test/canary_test.cc
+++ b/packages/policy/test/canary_test.cc
@@ -18,7 +18,7 @@
         totals_[CY_OLD].bad += old_bad;
         totals_[CY_NEW].answers += new_answers;
         totals_[CY_NEW].bad += new_bad;
-        Cy_CloseWindow(&evidence_, totals_);
+        Cy_CloseWindow(&evidence_, window_count_++, totals_);
     }
 
     bool
@@ -43,6 +43,7 @@
     }
 
     struct cy_evidence evidence_ = {};
+    size_t window_count_ = 0;
     struct cy_count totals_[CY_SIDES] = {};
 };
 
@@ -103,6 +104,40 @@
     return progress;
 }
 
+// Guards against a version that gets all requests because what it did while
+// the old one was disturbed hides what it does otherwise.
+TEST_F(Evidence, WhatComesWhileTheOldVersionIsDisturbedShowsNothing)
+{
+    for (int i = 0; i < 7; i++) {
+        Window(40, 2, 3, 1);
+    }
+    for (int i = 0; i < 6; i++) {
+        Window(40, 16, 6, 2);
+    }
+    uint64_t disturbed = Cy_DisturbedWindows(&evidence_);
+    EXPECT_EQ(disturbed, 0x1f80u);
+    struct cy_tally undisturbed =
+        Cy_UndisturbedTally(&evidence_, disturbed);
+    EXPECT_EQ(undisturbed.answers, 21);
+    EXPECT_TRUE(Cy_IsDoubtful(&undisturbed));
+}
+
+// Guards against an old version that usually fails and is taken for disturbed.
+TEST_F(Evidence, AnOldVersionThatAlwaysFailsIsNotDisturbed)
+{
+    for (int i = 0; i < 16; i++) {
+        Window(20, i % 3 == 0 ? 9 : 7, 2, 1);
+    }
+    EXPECT_EQ(Cy_DisturbedWindows(&evidence_), 0u);
+}
+
+TEST(Share, ADoubtfulVersionDoesNotGetAllRequests)
+{
+    struct cy_progress progress = Progress(16);
+    progress.doubtful = true;
+    EXPECT_EQ(Cy_Share(&progress), 150);
+}
+
 TEST(Share, GrowsWithTimeAndAnswers)
 {
     struct cy_progress progress = Progress(1);
