Give a tried version three tenths of the requests before all

Cause: evidence is a second or more late, and the step from 150 to 1,000 thousandths multiplies what it costs. Mend: 300 for 1.5 s before all, by the same conditions.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -50,7 +50,7 @@
     int64_t first_byte_at; /* first byte of a valid answer; 0: none yet */
     int64_t deadline;
     uint32_t content; /* hash that its repeats share; 0: not computed yet */
-    double cost; /* charged to the tenant's quota */
+    double cost;      /* charged to the tenant's quota */
     bool charged;
     bool usage_counted; /* counted in the usage report */
     bool retryable;
--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -260,8 +260,7 @@
     struct fl_endpoint *endpoint = attempt->endpoint;
     struct pz_request request = describe_whole(exchange);
     /* The link, or the peer that relays the connection, may have failed. */
-    if (endpoint->link_state.cut ||
-        Cn_Peer(attempt->channel) != 0) {
+    if (endpoint->link_state.cut || Cn_Peer(attempt->channel) != 0) {
         return;
     }
     struct pz_crash crash = {
--- a/packages/edge/rollout.h
+++ b/packages/edge/rollout.h
@@ -38,7 +38,7 @@
 enum ro_kind {
     RO_FAILED,
     RO_SLOW,
-    RO_LOST,      /* ended with their endpoint; of all routes together */
+    RO_LOST, /* ended with their endpoint; of all routes together */
     /* streams with a long time between their events, and plain answers that
        end late */
     RO_SLOW_PACE,
--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -98,8 +98,8 @@
 }
 
 /*
- * Marks a suspect or doubtful version.  The first finding that shows that the new version is worse
- * sets "worst".
+ * Marks a suspect or doubtful version.  The first finding that shows that the
+ * new version is worse sets "worst".
  */
 static bool
 judge_finding(struct ro_move *move, const struct finding *finding,
--- a/packages/gate/quarantine.c
+++ b/packages/gate/quarantine.c
@@ -191,8 +191,7 @@
         return false;
     }
     out->part = found->key.part;
-    out->retry_sec =
-        1 + (int)(Pz_RetryUsec(found, now) / Ck_USEC_PER_SEC);
+    out->retry_sec = 1 + (int)(Pz_RetryUsec(found, now) / Ck_USEC_PER_SEC);
     return true;
 }
 
@@ -227,9 +226,8 @@
 {
     int64_t now = wall_now(quarantine);
     memset(rows, 0, sizeof(*rows));
-    rows->crash_count =
-        Pz_ExportCrashes(quarantine->table, PZ_PARTS, rows->crashes,
-                         Gq_CRASHES_MAX, now);
+    rows->crash_count = Pz_ExportCrashes(quarantine->table, PZ_PARTS,
+                                         rows->crashes, Gq_CRASHES_MAX, now);
     rows->content_crash_count =
         Pz_ExportCrashes(quarantine->table, PZ_CONTENTS, rows->content_crashes,
                          Gq_CRASHES_MAX, now);
@@ -274,8 +272,8 @@
     }
     struct gq_rows rows;
     collect(quarantine, &rows);
-    bool any = rows.crash_count + rows.content_crash_count +
-                   rows.clear_count + rows.quarantine_count >
+    bool any = rows.crash_count + rows.content_crash_count + rows.clear_count +
+                   rows.quarantine_count >
                0;
     bool changed = has_changed(&rows, &quarantine->published);
     if (any &&
--- a/packages/gate/quarantine.h
+++ b/packages/gate/quarantine.h
@@ -1,8 +1,8 @@
 /*
  * Quarantine of prompt parts that crash engines, and of requests that crash
  * endpoints of any service (see policy/poison.h).  The parts of a prompt are
- * each of its messages, or its beginning, and the whole prompt.  A request that
- * is in quarantine, or contains a part that is, is refused.
+ * each of its messages, or its beginning, and the whole prompt.  A request
+ * that is in quarantine, or contains a part that is, is refused.
  */
 #ifndef GATE_QUARANTINE_H
 #define GATE_QUARANTINE_H
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -754,9 +754,8 @@
     }
     char message[Rl_MESSAGE_MAX];
     snprintf(message, sizeof(message),
-             part == request->content
-                 ? "engines end under this request (%08x)"
-                 : "part %08x of the prompt ends engines",
+             part == request->content ? "engines end under this request (%08x)"
+                                      : "part %08x of the prompt ends engines",
              part);
     give_up(relay, refusal_kind(relay), message);
 }
--- a/packages/policy/canary.c
+++ b/packages/policy/canary.c
@@ -45,6 +45,12 @@
 #define Cy_CANARY_SHARE 50
 #define Cy_RAISED_SHARE 150
 #define Cy_RAISE_AFTER 0.5
+/*
+ * More requests come before all: a fault that shows under load only, or is
+ * told late, then meets fewer callers.
+ */
+#define Cy_MORE_SHARE 300
+#define Cy_MORE_USEC (1500 * Ck_USEC_PER_MSEC)
 /* All requests go to the new version once it has given this many answers. */
 #define Cy_MIN_ANSWERS 12
 /* Good answers after which a version that lost all requests may get them
@@ -172,9 +178,8 @@
 static double
 bad_rate(const struct cy_count *count)
 {
-    return count->answers == 0
-               ? 0
-               : fmin((double)count->bad / count->answers, 1);
+    return count->answers == 0 ? 0
+                               : fmin((double)count->bad / count->answers, 1);
 }
 
 static int
@@ -293,14 +298,26 @@
     return progress->answers + to_come <= Cy_FEW_REQUESTS;
 }
 
-static bool
-is_time_for_all(const struct cy_progress *progress)
+/* When all requests are to go to the new version. */
+static double
+time_for_all(const struct cy_progress *progress)
 {
     double duration = (double)progress->duration_usec;
     double at = duration - (double)(progress->drain_usec + Cy_RECORD_USEC);
     at = fmax(at, Cy_FULL_FIRST * duration);
-    at = fmin(at, Cy_FULL_LAST * duration);
-    return (double)progress->elapsed_usec >= at;
+    return fmin(at, Cy_FULL_LAST * duration);
+}
+
+/* The share of a version that is tried and not in doubt. */
+static int
+share_of_tried(const struct cy_progress *progress, int raised)
+{
+    double elapsed = (double)progress->elapsed_usec;
+    double at = time_for_all(progress);
+    if (elapsed >= at) {
+        return Cy_FULL_SHARE;
+    }
+    return elapsed >= at - Cy_MORE_USEC ? Cy_MORE_SHARE : raised;
 }
 
 /*
@@ -319,9 +336,8 @@
             Cy_RAISE_AFTER * (double)progress->duration_usec) {
         share = Cy_RAISED_SHARE;
     }
-    if (!progress->suspect && !progress->doubtful && is_tried(progress) &&
-        is_time_for_all(progress)) {
-        share = Cy_FULL_SHARE;
+    if (!progress->suspect && !progress->doubtful && is_tried(progress)) {
+        share = share_of_tried(progress, share);
     }
     int limit =
         progress->old_usable == 0
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -212,9 +212,8 @@
                    int64_t now)
 {
     struct pz_key key = pz_content_key(request);
-    if (request->content == 0 ||
-        (!pz_has_crash(table, &key) &&
-         pz_find_quarantine(table, &key) == NULL)) {
+    if (request->content == 0 || (!pz_has_crash(table, &key) &&
+                                  pz_find_quarantine(table, &key) == NULL)) {
         return;
     }
     pz_note_answer(table, &key, 1, now);
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -54,8 +54,8 @@
 /* An endpoint crashed while a request with the part waited for its answer. */
 struct pz_crash {
     struct pz_key key;
-    uint32_t endpoint;  /* identifies one start of the endpoint */
-    uint32_t request;   /* the same for all retries of a request */
+    uint32_t endpoint; /* identifies one start of the endpoint */
+    uint32_t request;  /* the same for all retries of a request */
     /* index of the part in the prompt, from 0; Pz_CONTENT: no part, but the
        request as a whole */
     int depth;
@@ -110,12 +110,12 @@
 struct pz_rule {
     int crashes_after_head; /* crashes after the headers of an answer */
     int crashes;            /* crashes at any time before the first event */
-    int content_crashes;    /* the same of one request, during its answer too */
-    int answered_factor;    /* multiplies both for a part answered before */
-    int requests;           /* distinct requests: one may have been a victim */
-    int other_answers;      /* other requests answered meanwhile */
-    bool in_sequence;       /* each request was sent after the crash before */
-    bool explain_crashes;   /* a quarantined part explains a crash */
+    int content_crashes;  /* the same of one request, during its answer too */
+    int answered_factor;  /* multiplies both for a part answered before */
+    int requests;         /* distinct requests: one may have been a victim */
+    int other_answers;    /* other requests answered meanwhile */
+    bool in_sequence;     /* each request was sent after the crash before */
+    bool explain_crashes; /* a quarantined part explains a crash */
     int64_t startup_grace_usec; /* no decision this soon after the start */
 };
 
--- a/packages/policy/poison_gossip.c
+++ b/packages/policy/poison_gossip.c
@@ -72,7 +72,8 @@
 }
 
 void
-pz_note_implicated(struct pz_table *table, const struct pz_key *key, int64_t at)
+pz_note_implicated(struct pz_table *table, const struct pz_key *key,
+                   int64_t at)
 {
     struct pz_history *history = pz_find_history(table, key);
     if (history != NULL && at > history->implicated_at) {
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -57,7 +57,7 @@
     /* A decision waits for a crash to be counted or for other answers. */
     bool pending;
     struct pz_crash_list crashes; /* oldest first */
-    size_t content_count; /* crashes of whole requests */
+    size_t content_count;         /* crashes of whole requests */
     struct pz_crash_list free_entries;
     struct pz_crash_entry pool[Pz_CRASHES_MAX];
     struct pz_quarantine quarantines[Pz_QUARANTINES_MAX];
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -18,7 +18,8 @@
  * after this many crashes more.
  */
 #define Pz_UNCLEAR_CRASHES 2
-/* Endpoints crash for all alike once so many other requests met two crashes. */
+/* Endpoints crash for all alike once so many other requests met two crashes.
+ */
 #define Pz_HIT_TWICE_MAX 3
 
 /* Crashes this close together may have one common cause. */
@@ -99,7 +100,8 @@
         if (matches_key(key, &entry->crash) &&
             entry->crash.ended_at > cleared_at &&
             (entry->crash.head_received || !rule->after_head) &&
-            (!entry->explained || rule->explained) && pz_is_counted(entry, now)) {
+            (!entry->explained || rule->explained) &&
+            pz_is_counted(entry, now)) {
             out[count++] = entry->crash;
         }
     }
@@ -215,18 +217,16 @@
     if (out->chain.length < crashes_min) {
         return false;
     }
-    bool clear =
-        out->chain.length >= crashes_min + Pz_UNCLEAR_CRASHES ||
-        (pz_find_chain(table, &crash->key, &any_time, now).length >=
-             crashes_min &&
-         !hits_all_alike(table, &crash->key));
+    bool clear = out->chain.length >= crashes_min + Pz_UNCLEAR_CRASHES ||
+                 (pz_find_chain(table, &crash->key, &any_time, now).length >=
+                      crashes_min &&
+                  !hits_all_alike(table, &crash->key));
     bool answered =
         others_answered(table, pz_service_of(crash), out->chain.first_at);
     table->pending |= clear && !answered;
     out->hold = !clear || !answered;
-    return !out->hold ||
-           (now - out->chain.last_at < Pz_HOLD_TTL_USEC &&
-            pz_find_quarantine(table, &crash->key) == NULL);
+    return !out->hold || (now - out->chain.last_at < Pz_HOLD_TTL_USEC &&
+                          pz_find_quarantine(table, &crash->key) == NULL);
 }
 
 /* Whether the part meets the conditions of the rule. */
@@ -251,8 +251,7 @@
         (all && out->chain.customers < Pz_CUSTOMERS_MIN)) {
         return false;
     }
-    bool answered =
-        others_answered(table, key->service, out->chain.first_at);
+    bool answered = others_answered(table, key->service, out->chain.first_at);
     table->pending |= !answered;
     return answered;
 }
--- a/packages/policy/test/canary_test.cc
+++ b/packages/policy/test/canary_test.cc
@@ -116,8 +116,7 @@
     }
     uint64_t disturbed = Cy_DisturbedWindows(&evidence_);
     EXPECT_EQ(disturbed, 0x1f80u);
-    struct cy_tally undisturbed =
-        Cy_UndisturbedTally(&evidence_, disturbed);
+    struct cy_tally undisturbed = Cy_UndisturbedTally(&evidence_, disturbed);
     EXPECT_EQ(undisturbed.answers, 21);
     EXPECT_TRUE(Cy_IsDoubtful(&undisturbed));
 }
@@ -138,6 +137,15 @@
     EXPECT_EQ(Cy_Share(&progress), 150);
 }
 
+// Guards against a fault that is told a second late, when all callers meet it.
+TEST(Share, APartOfTheRequestsComesBeforeAll)
+{
+    struct cy_progress progress = Progress(15);
+    EXPECT_EQ(Cy_Share(&progress), 300);
+    progress.doubtful = true;
+    EXPECT_EQ(Cy_Share(&progress), 150);
+}
+
 TEST(Share, GrowsWithTimeAndAnswers)
 {
     struct cy_progress progress = Progress(1);
--- a/packages/policy/test/model/poison_model.cc
+++ b/packages/policy/test/model/poison_model.cc
@@ -46,7 +46,7 @@
 struct Request {
     pz_request prompt;
     size_t host;
-    int poison;           // number of its poisonous part, from 1; 0: sound
+    int poison;      // number of its poisonous part, from 1; 0: sound
     size_t repeated; // number of the repeated one that it is, from 1; 0: none
     bool is_client_retry; // sent again by the caller
     int attempts = 0;
@@ -261,7 +261,8 @@
     {
         auto message = std::make_shared<Message>();
         message->crashes.resize(kCrashRowsMax);
-        message->crashes.resize(Pz_ExportCrashes(table, PZ_BOTH, message->crashes.data(), kCrashRowsMax, now));
+        message->crashes.resize(Pz_ExportCrashes(
+            table, PZ_BOTH, message->crashes.data(), kCrashRowsMax, now));
         message->clears.resize(kClearRowsMax);
         message->clears.resize(Pz_ExportClears(table, message->clears.data(),
                                                kClearRowsMax, now));
@@ -348,8 +349,7 @@
         }
         request.arrived = now_;
         prompt->content =
-            scenario_.common_fraction > 0 &&
-                    Unit() < scenario_.common_fraction
+            scenario_.common_fraction > 0 && Unit() < scenario_.common_fraction
                 ? 1 + static_cast<uint32_t>(random_() % kCommonContents)
                 : kUniqueContent + last_id_;
         return request;
@@ -527,8 +527,8 @@
                                        static_cast<long>(i));
                 Pz_NoteAnswer(hosts_[request.host].table, &request.prompt,
                               At(request.host));
-                Pz_NoteWholeAnswer(hosts_[request.host].table,
-                                   &request.prompt, At(request.host));
+                Pz_NoteWholeAnswer(hosts_[request.host].table, &request.prompt,
+                                   At(request.host));
                 result_.sound_served += IsAfterDetection(request);
             }
         }
@@ -551,7 +551,8 @@
             crash.head_received = request.due - now_ <= kHeadToEvent;
             crash.sent_at = request.sent_at;
             crash.ended_at = At(request.host);
-            Pz_NoteCrash(hosts_[request.host].table, &request.prompt, &crash, false);
+            Pz_NoteCrash(hosts_[request.host].table, &request.prompt, &crash,
+                         false);
         }
         for (const Request &request : victims) {
             pz_table *table = hosts_[request.host].table;
--- a/packages/policy/test/model/poison_model.h
+++ b/packages/policy/test/model/poison_model.h
@@ -51,8 +51,8 @@
 // after the fifth crash of a part for poison requests, and from 6 s after it
 // for sound requests.
 struct PoisonResult {
-    int crashes = 0;            // of endpoints, by poisonous parts
-    int poison_sent_late = 0;   // late poison requests sent to an endpoint
+    int crashes = 0;          // of endpoints, by poisonous parts
+    int poison_sent_late = 0; // late poison requests sent to an endpoint
     // The same of a request that crashes endpoints by itself, late from 3 s
     // after the third crash on; the largest number of one request.
     int request_crashes = 0;
--- a/packages/policy/test/poison_content_test.cc
+++ b/packages/policy/test/poison_content_test.cc
@@ -56,8 +56,8 @@
     {
         pz_request request = Request(content);
         pz_crash crash = {};
-        crash.endpoint = endpoint == 0 ? 100 + static_cast<uint32_t>(n)
-                                       : endpoint;
+        crash.endpoint =
+            endpoint == 0 ? 100 + static_cast<uint32_t>(n) : endpoint;
         crash.ended_at = kNow + n * kGap;
         crash.sent_at = crash.ended_at - kGap / 2;
         Pz_NoteCrash(table_, &request, &crash, begun);
--- a/packages/policy/test/poison_test.cc
+++ b/packages/policy/test/poison_test.cc
@@ -245,11 +245,13 @@
     pz_crash rows[8];
     Pz_Evaluate(table_, kNow + 250 * kMs);
     EXPECT_TRUE(events_.empty());
-    EXPECT_EQ(Pz_ExportCrashes(table_, PZ_BOTH, rows, 8, kNow + 250 * kMs), 0u);
+    EXPECT_EQ(Pz_ExportCrashes(table_, PZ_BOTH, rows, 8, kNow + 250 * kMs),
+              0u);
     for (uint32_t i = 0; i < 3; i++) {
         Pz_ConfirmDead(table_, 100 + i);
     }
-    EXPECT_EQ(Pz_ExportCrashes(table_, PZ_BOTH, rows, 8, kNow + 250 * kMs), 3u);
+    EXPECT_EQ(Pz_ExportCrashes(table_, PZ_BOTH, rows, 8, kNow + 250 * kMs),
+              3u);
     Pz_Evaluate(table_, kNow + 250 * kMs);
     EXPECT_EQ(events_.size(), 1u);
 }
--- a/standins/endpoint.h
+++ b/standins/endpoint.h
@@ -18,10 +18,10 @@
     bool fenced; /* refuses orders with an older fence */
     char service[Ep_NAME_MAX];
     char version[Ep_NAME_MAX];
-    int slots;             /* requests run at once */
-    const char *poison;    /* text in prompts and bodies that ends it, or NULL */
-    int64_t token_usec;    /* time of a token */
-    int64_t first_usec;    /* time before the first token, at least */
+    int slots;          /* requests run at once */
+    const char *poison; /* text in prompts and bodies that ends it, or NULL */
+    int64_t token_usec; /* time of a token */
+    int64_t first_usec; /* time before the first token, at least */
     int64_t prefill_usec;  /* and for each prompt token not cached */
     int cache_blocks;      /* bound of the prefix cache */
     int event_gap;         /* every n-th cache event is lost; 0: none */
--- a/test/poison_request_test.cc
+++ b/test/poison_request_test.cc
@@ -63,15 +63,14 @@
                 sound.push_back(HttpAsync(scene_.Call(
                     static_cast<size_t>(i) % kDaemons, "POST", path, body)));
             }
-            bad.push_back(HttpAsync(
-                scene_.Call(static_cast<size_t>(tick) % kDaemons, "POST",
-                            path, kPoison)));
+            bad.push_back(HttpAsync(scene_.Call(
+                static_cast<size_t>(tick) % kDaemons, "POST", path, kPoison)));
             Replace();
         }
         int stopped = 0;
         for (auto &one : sound) {
-            stopped += one.get().body.find("do not repeat it") !=
-                       std::string::npos;
+            stopped +=
+                one.get().body.find("do not repeat it") != std::string::npos;
         }
         int refused = 0;
         for (auto &one : bad) {
