Cut off comments and error texts without end, in the stand-alone daemon too

What callers saw: an engine whose error text or comments have no end was read on and on, 67 MB of a connection; on the platform endless comments went on to the caller. Cause: the stand-alone daemon skipped the body of an error unread, and neither daemon bounded events that carry nothing. Mend: 256 KB without a token, or without an event that has an id, end the attempt.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -31,6 +31,7 @@
     struct bf_buffer body;
     bool overflow; /* the answer is too large, or its bytes are no events */
     bool events_missing; /* the stream skipped events */
+    size_t unnumbered;   /* bytes of events without an id since the last one */
     bool slow;   /* the first byte took several times as long as usual */
     bool judged; /* counted for or against the endpoint's version */
     struct es_parser parser;
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -22,6 +22,8 @@
 #define Re_MEMORY_DIVISOR 8
 /* An answer of this size is buffered whatever the others take. */
 #define Re_SMALL_MAX (64u << 10)
+/* Bytes of events without an id, such as comments, that come in a row. */
+#define Re_UNNUMBERED_MAX (256u << 10)
 /* With more bytes pending for the caller, reading from the endpoint pauses. */
 #define Re_PENDING_MAX (256u << 10)
 /* Retry-after for a caller whose request was not run. */
@@ -205,7 +207,10 @@
         Qn_NoteAnswer(exchange->gate->quarantine, exchange);
     }
     Xc_NoteEvent(exchange);
-    if (attempt->events_missing) {
+    attempt->unnumbered =
+        event->id >= 0 ? 0 : attempt->unnumbered + event->len;
+    attempt->overflow |= attempt->unnumbered > Re_UNNUMBERED_MAX;
+    if (attempt->events_missing || attempt->overflow) {
         return;
     }
     if (event->id >= 0 && exchange->last_event >= 0) {
@@ -236,7 +241,7 @@
         return !attempt->overflow;
     }
     Es_Feed(&attempt->parser, data, len, on_event, exchange);
-    attempt->overflow = attempt->parser.failed;
+    attempt->overflow |= attempt->parser.failed;
     if (exchange->head_sent &&
         Sv_Pending(exchange->request) > Re_PENDING_MAX) {
         Cn_Pause(attempt->channel, true);
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -24,6 +24,8 @@
 /* Waits in a row for capacity at the engines that have not failed. */
 #define Rl_CAPACITY_WAITS_MAX 16
 #define Rl_EVENT_MAX ((size_t)64 << 10)
+/* Bytes of events that are no tokens, or of an error's text. */
+#define Rl_NO_TOKEN_MAX ((size_t)256 << 10)
 #define Rl_TEXT_MAX ((size_t)4 << 20)
 #define Rl_PENDING_MAX ((size_t)256 << 10) /* bytes the caller has to read */
 #define Rl_RETRY_SOON_SEC 1
@@ -166,6 +168,7 @@
         return;
     }
     observe_token(relay);
+    relay->bytes_without_token = 0;
     relay->tokens++;
     if (request->http == NULL || !request->prompt.stream) {
         return;
@@ -504,12 +507,12 @@
 take_data(void *arg, struct hc_call *call, const void *data, size_t len)
 {
     struct rl_engine *relay = arg;
-    if (relay->code != 200) {
-        return;
-    }
-    if (Ss_Feed(relay->parser, data, len, take_event, relay) != ST_OK) {
+    relay->bytes_without_token += len;
+    if (relay->code == 200 &&
+        Ss_Feed(relay->parser, data, len, take_event, relay) != ST_OK) {
         relay->invalid = true;
     }
+    relay->invalid |= relay->bytes_without_token > Rl_NO_TOKEN_MAX;
     if (relay->done) {
         Re_DropCall(relay);
         finish(relay);
@@ -590,6 +593,7 @@
     relay->parser = Ss_Create(Rl_EVENT_MAX);
     relay->attempts.total++;
     relay->invalid = false;
+    relay->bytes_without_token = 0;
     relay->paused = false;
     relay->code = 0;
     relay->tokens_at_start = relay->tokens;
--- a/packages/gate/relay_engine.h
+++ b/packages/gate/relay_engine.h
@@ -28,8 +28,9 @@
     bool streaming; /* the response headers were sent to the caller */
     bool done;      /* the answer is complete */
     bool invalid;   /* this attempt sent an unusable event */
-    int tokens;     /* received in order, of all attempts */
-    int tokens_at_start; /* value of "tokens" when this attempt began */
+    size_t bytes_without_token; /* since its last token */
+    int tokens;                 /* received in order, of all attempts */
+    int tokens_at_start;        /* value of "tokens" when this attempt began */
     int expected_tokens; /* tokens of the answer as the engine counts them */
     char *text;          /* of the tokens received */
     size_t text_len;
