--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -5,18 +5,13 @@
 #include <string.h>
 
 #include "edge/quarantine_record.h"
+#include "edge/quarantine_version.h"
 
+#define Qn_ENDING_USEC (100 * Ck_USEC_PER_MSEC)
 #define Qn_VERSION_CHECK_USEC (1 * Ck_USEC_PER_SEC)
-#define Qn_SERVICES_MAX 16
 /* Customer hash of requests without a customer; 0 means "all customers". */
 #define Qn_NO_CUSTOMER 1
 
-/* The last version that all endpoints of a service had in common. */
-struct service_version {
-    uint32_t service;
-    uint32_t version;
-};
-
 struct qn_quarantine {
     struct ga_gate *gate;
     struct pz_table *table;
@@ -25,8 +20,7 @@
     struct mt_metric *quarantined;
     struct mt_metric *refused;
     int64_t version_check_at;
-    size_t service_count;
-    struct service_version versions[Qn_SERVICES_MAX];
+    struct qv_versions *versions;
 };
 
 static int64_t
@@ -198,6 +192,15 @@
     Pz_ImportQuarantine(quarantine->table, quarantined, true_now(quarantine));
 }
 
+/* Another version may bear what crashed the one before. */
+static void
+on_new_version(void *arg, uint32_t service)
+{
+    struct qn_quarantine *quarantine = arg;
+    Pz_LiftService(quarantine->table, service, "another version",
+                   true_now(quarantine));
+}
+
 struct qn_quarantine *
 Qn_Create(struct ga_gate *gate)
 {
@@ -215,10 +218,11 @@
         Pz_Create(&rule, &table_ops, quarantine, true_now(quarantine));
     quarantine->records = Qr_Create(gate->options.store, gate->options.clock,
                                     import_quarantine, quarantine);
+    quarantine->versions = Qv_Create(on_new_version, quarantine);
     quarantine->refuse_timer =
         Lp_TimerCreate(gate->options.loop, on_refuse_waiting, quarantine);
     if (quarantine->table == NULL || quarantine->records == NULL ||
-        quarantine->refuse_timer == NULL) {
+        quarantine->versions == NULL || quarantine->refuse_timer == NULL) {
         Qn_Destroy(quarantine);
         return NULL;
     }
@@ -232,6 +236,7 @@
         if (quarantine->refuse_timer != NULL) {
             Lp_TimerDestroy(quarantine->refuse_timer);
         }
+        Qv_Destroy(quarantine->versions);
         Qr_Destroy(quarantine->records);
         Pz_Destroy(quarantine->table);
         free(quarantine);
@@ -299,6 +304,9 @@
     }
     if (connected) {
         Qn_NoteAlive(quarantine, endpoint);
+        /* A process that ends may have accepted it a moment before. */
+        endpoint->probe_wanted |=
+            Ga_Now(quarantine->gate) - endpoint->crashed_at < Qn_ENDING_USEC;
     }
     else {
         Pz_ConfirmDead(quarantine->table, incarnation_of(endpoint));
@@ -377,65 +385,6 @@
     }
 }
 
-static struct service_version *
-find_version(struct qn_quarantine *quarantine, uint32_t service)
-{
-    for (size_t i = 0; i < quarantine->service_count; i++) {
-        if (quarantine->versions[i].service == service) {
-            return &quarantine->versions[i];
-        }
-    }
-    if (quarantine->service_count == Qn_SERVICES_MAX) {
-        return NULL;
-    }
-    struct service_version *added =
-        &quarantine->versions[quarantine->service_count++];
-    *added = (struct service_version){.service = service};
-    return added;
-}
-
-/* Whether all usable endpoints of the service have this version. */
-static bool
-all_have_version(const struct fl_fleet *fleet, const char *service,
-                 const char *version)
-{
-    const struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(fleet), link) {
-        if (Fl_Usable(endpoint) &&
-            strcmp(endpoint->entry.service, service) == 0 &&
-            strcmp(endpoint->entry.version, version) != 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/*
- * Lifts the quarantine of a service's prompt parts when all its endpoints have
- * a new version, which may handle the parts that crashed the old one.
- */
-static void
-lift_on_new_version(struct qn_quarantine *quarantine)
-{
-    const struct fl_fleet *fleet = quarantine->gate->fleet;
-    const struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(fleet), link) {
-        const struct fl_entry *entry = &endpoint->entry;
-        uint32_t service = De_Hash(entry->service);
-        uint32_t version = De_Hash(entry->version);
-        struct service_version *last = find_version(quarantine, service);
-        if (last == NULL || last->version == version || !Fl_Usable(endpoint) ||
-            !all_have_version(fleet, entry->service, entry->version)) {
-            continue;
-        }
-        if (last->version != 0) {
-            Pz_LiftService(quarantine->table, service, "another version",
-                           true_now(quarantine));
-        }
-        last->version = version;
-    }
-}
-
 void
 Qn_Tick(struct qn_quarantine *quarantine)
 {
@@ -443,7 +392,7 @@
     discard_cut_links(quarantine);
     if (now - quarantine->version_check_at >= Qn_VERSION_CHECK_USEC) {
         quarantine->version_check_at = now;
-        lift_on_new_version(quarantine);
+        Qv_Update(quarantine->versions, quarantine->gate->fleet);
     }
     Pz_Evaluate(quarantine->table, true_now(quarantine));
     struct pz_quarantine quarantines[Pz_QUARANTINES_MAX];
--- a/test/endless_test.cc
+++ b/test/endless_test.cc
@@ -19,8 +19,7 @@
 const Case kCases[] = {
     {"Garbage", "", "no answer at all "},
     {"HeadLine", "HTTP/1.1 200 OK\r\nX-Pad: ", "xxxxxxxx"},
-    {"Failure",
-     "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n",
+    {"Failure", "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n",
      "4\r\nabcd\r\n"},
     {"Body",
      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
