--- a/packages/edge/rollout_judge.c
+++ b/packages/edge/rollout_judge.c
@@ -61,8 +61,8 @@
 /* What one row, or all rows of one kind, tell of the new version. */
 struct finding {
     struct cy_tally tally; /* tells a suspect */
-    /* Tells a worse version; of slow answers it has fewer windows. */
-    struct cy_tally calm;
+    /* Tells a worse version; of slow answers without pauses. */
+    struct cy_tally unpaused;
     /* Tells a doubtful version: while the old one was not disturbed. */
     struct cy_tally undisturbed;
     bool disturbed; /* the old version was, in some windows */
@@ -77,11 +77,11 @@
     bool slow = kind == RO_SLOW || kind == RO_SLOW_PACE;
     struct cy_tally tally =
         Cy_Tally(&row->evidence, finding->sums, slow ? Ro_PAUSE_WINDOWS : 0);
-    struct cy_tally calm = slow ? Cy_CalmTally(&row->evidence) : tally;
+    struct cy_tally unpaused = slow ? Cy_CalmTally(&row->evidence) : tally;
     struct cy_tally undisturbed =
         slow ? tally : Cy_UndisturbedTally(&row->evidence, disturbed);
     Cy_Add(&finding->tally, &tally);
-    Cy_Add(&finding->calm, &calm);
+    Cy_Add(&finding->unpaused, &unpaused);
     Cy_Add(&finding->undisturbed, &undisturbed);
     finding->disturbed |= disturbed != 0;
 }
@@ -90,7 +90,7 @@
 add_finding(struct finding *to, const struct finding *addend)
 {
     Cy_Add(&to->tally, &addend->tally);
-    Cy_Add(&to->calm, &addend->calm);
+    Cy_Add(&to->unpaused, &addend->unpaused);
     Cy_Add(&to->undisturbed, &addend->undisturbed);
     to->disturbed |= addend->disturbed;
     add_count(&to->sums[CY_OLD], &addend->sums[CY_OLD]);
@@ -108,7 +108,7 @@
     move->suspect |= Cy_IsSuspect(&finding->tally);
     move->doubtful |=
         finding->disturbed && Cy_IsDoubtful(&finding->undisturbed);
-    if (is_worse || !Cy_IsWorse(&finding->calm)) {
+    if (is_worse || !Cy_IsWorse(&finding->unpaused)) {
         return is_worse;
     }
     memcpy(worst, finding->sums, sizeof(finding->sums));
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -231,8 +231,8 @@
 
 /* Whether the part meets the conditions of the rule. */
 static bool
-check_suspect(struct pz_table *table, const struct pz_key *key,
-              struct suspect *out, int64_t now)
+check_part(struct pz_table *table, const struct pz_key *key,
+           struct suspect *out, int64_t now)
 {
     const struct pz_rule *rule = &table->rule;
     out->key = *key;
@@ -290,8 +290,7 @@
               struct search *search, int64_t now)
 {
     struct suspect suspect;
-    if (!is_quarantined(table, key) &&
-        check_suspect(table, key, &suspect, now)) {
+    if (!is_quarantined(table, key) && check_part(table, key, &suspect, now)) {
         add_suspect(search, &suspect);
     }
 }
