Log and count suspected crashes, and what denies them

A request under which endpoints end is stopped once three ends count. Which of the breaks counted, and why the others did not, was in no log: an end that was denied by a connection, or not judged since it came through a peer, looked like none. crash.suspected, crash.denied and crash.confirmed tell these apart, cornelgate_crashes_denied_total and cornelgate_crashes_unjudged_total count them.

--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -19,6 +19,8 @@
     struct lp_timer *refuse_timer;
     struct mt_metric *quarantined;
     struct mt_metric *refused;
+    struct mt_metric *denied;   /* suspected crashes of living endpoints */
+    struct mt_metric *unjudged; /* broken connections that accuse nobody */
     int64_t version_check_at;
     struct qv_versions *versions;
 };
@@ -214,6 +216,10 @@
                                      "cornelgate_parts_stopped_total", "");
     quarantine->refused = Mt_Get(gate->registry, MT_COUNTER,
                                  "cornelgate_refused_for_part_total", "");
+    quarantine->denied = Mt_Get(gate->registry, MT_COUNTER,
+                                "cornelgate_crashes_denied_total", "");
+    quarantine->unjudged = Mt_Get(gate->registry, MT_COUNTER,
+                                  "cornelgate_crashes_unjudged_total", "");
     quarantine->table =
         Pz_Create(&rule, &table_ops, quarantine, true_now(quarantine));
     quarantine->records = Qr_Create(gate->options.store, gate->options.clock,
@@ -265,7 +271,15 @@
     struct fl_endpoint *endpoint = attempt->endpoint;
     struct pz_request request = describe_whole(exchange);
     /* The link, or the peer that relays the connection, may have failed. */
-    if (endpoint->link_state.cut || Cn_Peer(attempt->channel) != 0) {
+    bool relayed = Cn_Peer(attempt->channel) != 0;
+    bool judged = !endpoint->link_state.cut && !relayed;
+    Ln_Log(LN_STATE, "crash.suspected",
+           "\"endpoint\":\"%s\",\"request\":\"%08x\",\"relayed\":%d,"
+           "\"cut\":%d,\"judged\":%d",
+           endpoint->entry.id, request.content, relayed,
+           endpoint->link_state.cut, judged);
+    if (!judged) {
+        Mt_Add(quarantine->unjudged, 1);
         return;
     }
     struct pz_crash crash = {
@@ -302,7 +316,10 @@
     if (endpoint->crashed_at == 0 || since < endpoint->crashed_at) {
         return;
     }
+    Ln_Log(LN_STATE, connected ? "crash.denied" : "crash.confirmed",
+           "\"endpoint\":\"%s\",\"by\":\"connect\"", endpoint->entry.id);
     if (connected) {
+        Mt_Add(quarantine->denied, 1);
         Qn_NoteAlive(quarantine, endpoint);
         /* A process that ends may have accepted it a moment before. */
         endpoint->probe_wanted |=
