--- a/test/socket.h
+++ b/test/socket.h
@@ -166,6 +166,24 @@
     std::vector<Socket> fill_;
 };
 
+// A port that refuses connections: it is bound, and nobody listens.
+class RefusingPort {
+  public:
+    RefusingPort() : socket_(SOCK_STREAM), port_(socket_.Bind(false))
+    {
+    }
+
+    int
+    number() const
+    {
+        return port_;
+    }
+
+  private:
+    Socket socket_;
+    int port_;
+};
+
 } // namespace cg
 
 #endif
