Judge in one place whether an endpoint has ended; a connection is no proof

What callers saw: where the address of an endpoint that ended goes on accepting connections (resets or hangs them), a request that ends endpoints was sent on and on: 34, 36 and 17 ended, 17, 23 and 2 sends later than 3 s after the third.

Each module had a sign of its own: quarantine connections and direct bytes, broken.c answers and connections, the choice of endpoints a time.

Mend: policy/liveness.h judges each start of an endpoint from all that is seen of it. Bytes alone show that it lives; after a break it is asked for some, four times a second, by its health path or, an engine, by its report, which takes no slot. A refusal, another host's word or 1.5 s of silence show the end. Quarantine, the judgement of versions, the choice of endpoints and paths read it. A request that was sent to a start in doubt accuses nothing: it cannot have ended it.

--- a/packages/edge/broken.c
+++ b/packages/edge/broken.c
@@ -43,14 +43,6 @@
     free(oldest);
 }
 
-/* Whether the endpoint has shown since "at" that it lives. */
-static bool
-lives_since(const struct fl_endpoint *endpoint, int64_t at)
-{
-    return !endpoint->gone &&
-           (endpoint->answered_at > at || endpoint->connected_at > at);
-}
-
 static void
 count_oldest(struct bk_breaks *breaks)
 {
@@ -62,7 +54,9 @@
         struct ro_result result = {
             .failed = true,
             .slow = oldest->slow,
-            .lost = !lives_since(endpoint, oldest->at),
+            .lost =
+                endpoint->gone ||
+                Lv_State(gate->liveness, Fl_StartHash(endpoint)) != LV_LIVES,
         };
         Ro_RecordAnswer(gate->moves, endpoint->entry.service, oldest->route,
                         Ga_HasTargetVersion(move, endpoint), &result);
--- a/packages/edge/config.h
+++ b/packages/edge/config.h
@@ -64,6 +64,8 @@
     char name[Ec_NAME_MAX];
     int conn_max; /* most connections to an endpoint from all hosts */
     bool engine;
+    /* target of requests that ask an endpoint whether it lives */
+    char check_path[Ec_NAME_MAX];
     int slots;
     int64_t kv_tokens;
     int64_t cold_usec; /* cold time of an endpoint after its start; 0: none */
--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -85,7 +85,8 @@
         .same_zone =
             strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
         .last_resort =
-            He_IsEjected(endpoint, context->now) || warming == WA_MAYBE_COLD,
+            endpoint->ended || He_IsEjected(endpoint, context->now) ||
+            warming == WA_MAYBE_COLD,
         .tried = was_tried(exchange, endpoint->hash),
         .full = warming == WA_CLOSED || Bt_IsClosed(gate, endpoint) ||
                 Rl_IsClosed(exchange->gate, endpoint) ||
--- a/packages/edge/fleet.c
+++ b/packages/edge/fleet.c
@@ -265,6 +265,14 @@
     }
 }
 
+uint32_t
+Fl_StartHash(const struct fl_endpoint *endpoint)
+{
+    uint64_t identity[2] = {endpoint->hash,
+                            (uint64_t)endpoint->entry.started_ms};
+    return (uint32_t)Hash_Bytes(identity, sizeof(identity), 0);
+}
+
 /* Applies the removal of an entry. */
 void
 Fl_Remove(struct fl_fleet *fleet, const char *id)
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -98,13 +98,13 @@
     int64_t last_outcome_at; /* end of the last request, successful or not */
     int64_t last_first_byte_at; /* time of the last first byte; 0: none */
     int consecutive_breaks;     /* consecutive broken connections */
-    /* when it last failed before the first event of a request; 0: never */
-    int64_t crashed_at;
+    /* Judged to have ended although its address accepts connections, see
+       policy/liveness.h. */
+    bool ended;
 
     /* The link from this host to the endpoint, see paths.h. */
     bool probe_wanted;
     struct li_link link_state;
-    int64_t connected_at; /* last connection made to it, by any path */
     /* when bytes last arrived on a direct connection */
     int64_t last_direct_byte_at;
 };
@@ -146,6 +146,11 @@
 
 const struct fl_list *Fl_All(const struct fl_fleet *fleet);
 const struct fl_services *Fl_Services(const struct fl_fleet *fleet);
+/*
+ * Identifies one start of an endpoint, at all hosts: it may restart under the
+ * same ID.
+ */
+uint32_t Fl_StartHash(const struct fl_endpoint *endpoint);
 struct fl_endpoint *Fl_ByHash(const struct fl_fleet *fleet, uint32_t hash);
 struct fl_endpoint *Fl_Find(const struct fl_fleet *fleet, const char *id);
 bool Fl_Usable(const struct fl_endpoint *endpoint);
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -600,12 +600,15 @@
     gate->paths = Pt_Create(gate);
     gate->breaks = Bk_Create(gate);
     gate->quarantine = Qn_Create(gate);
+    if (gate->quarantine == NULL ||
+        Qn_CreateLiveness(gate->quarantine) != ST_OK) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
+    }
     gate->feed = Fe_Create(&feed);
     gate->lease = Lr_Create(&lease);
     gate->controller = Co_Create(gate);
     gate->tick = Lp_TimerCreate(options->loop, on_tick, gate);
-    if (gate->paths == NULL || gate->breaks == NULL ||
-        gate->quarantine == NULL || gate->feed == NULL ||
+    if (gate->paths == NULL || gate->breaks == NULL || gate->feed == NULL ||
         gate->lease == NULL || gate->controller == NULL ||
         gate->tick == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
@@ -643,6 +646,14 @@
     return ST_OK;
 }
 
+void
+Ga_NoteBytes(struct ga_gate *gate, const struct fl_endpoint *endpoint)
+{
+    if (!Lv_IsEmpty(gate->liveness)) {
+        Lv_NoteBytes(gate->liveness, Fl_StartHash(endpoint), Ga_Now(gate));
+    }
+}
+
 /*
  * Whether the shutdown may cut a request that arrives now.  A stream may last
  * longer than the time left; refused at once, it is served by another host.
@@ -686,6 +697,7 @@
     Bk_Destroy(gate->breaks);
     Qn_Destroy(gate->quarantine);
     Pt_Destroy(gate->paths);
+    Lv_Destroy(gate->liveness);
     Fl_Destroy(gate->fleet);
     Qt_Destroy(gate->quota);
     Bu_Destroy(gate->budget);
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "edge/exchange.h"
-#include "edge/quarantine.h"
+#include "edge/lifecheck.h"
 #include "policy/link.h"
 #include "web/dial.h"
 
@@ -17,15 +17,21 @@
 #define Pt_TEST_TIMEOUT_USEC (300 * Ck_USEC_PER_MSEC)
 #define Pt_PEERS_MAX 512
 
+/* A check whether an endpoint lives ends after this time. */
+#define Pt_CHECK_TIMEOUT_USEC Lv_SILENCE_USEC
+
 /* A connect in progress, for a request or as a link test. */
 struct attempt {
     LIST_ENTRY(attempt) link;
     struct pt_paths *paths;
     struct fl_endpoint *endpoint; /* counted reference */
     enum li_order order;
-    size_t direct;        /* index of the direct path in the plan */
-    uint32_t peer;        /* address of the relaying peer; 0: none */
-    struct di_dial *test; /* the link test; NULL: for a request */
+    size_t direct; /* index of the direct path in the plan */
+    uint32_t peer; /* address of the relaying peer; 0: none */
+    bool testing;  /* a link test or a check; false: for a request */
+    bool checks;   /* once connected, asks the endpoint whether it lives */
+    struct di_dial *test;   /* NULL: connected, or for a request */
+    struct lc_check *check; /* NULL: not yet connected, or none */
     int64_t since;
 };
 
@@ -140,7 +146,7 @@
 static void
 end_attempt(struct attempt *attempt)
 {
-    if (attempt->test != NULL) {
+    if (attempt->testing) {
         LIST_REMOVE(attempt, link);
         attempt->paths->test_count--;
     }
@@ -217,28 +223,30 @@
     retest_others(paths, endpoint);
 }
 
-/* Notes that the endpoint is alive, or, if all connects are refused, dead. */
+/* Notes that a connect was accepted, or that all ways to connect failed. */
 static void
-note_alive(const struct attempt *attempt, enum li_outcome direct,
-           enum li_outcome peer)
+note_connect(const struct attempt *attempt, enum li_outcome direct,
+             enum li_outcome peer)
 {
+    struct ga_gate *gate = attempt->paths->gate;
+    uint32_t start = Fl_StartHash(attempt->endpoint);
     bool connected = direct == LI_CONNECTED || peer == LI_CONNECTED;
-    bool refused =
-        direct == LI_FAILED && (peer == LI_FAILED || peer == LI_NOT_TRIED);
-    if (connected) {
-        attempt->endpoint->connected_at = Ga_Now(attempt->paths->gate);
+    bool failed = (direct == LI_FAILED || direct == LI_NOT_TRIED) &&
+                  (peer == LI_FAILED || peer == LI_NOT_TRIED);
+    if (failed && attempt->endpoint->link_state.cut) {
+        /* The peer's link may be cut as well. */
+        Lv_NoteUnanswered(gate->liveness, start, attempt->since);
     }
-    if (connected || refused) {
-        Qn_NoteConnect(attempt->paths->gate->quarantine, attempt->endpoint,
-                       connected, attempt->since);
+    else if (connected || failed) {
+        Lv_NoteConnection(gate->liveness, start, connected, attempt->since,
+                          Ga_Now(gate));
     }
 }
 
 /* Takes the result of a connect; "result" is NULL if it was abandoned. */
 static void
-on_connected(void *arg, const struct di_result *result)
+on_connected(struct attempt *attempt, const struct di_result *result)
 {
-    struct attempt *attempt = arg;
     if (result != NULL) {
         enum li_outcome peer =
             outcome_of(result, attempt->direct == 0 ? 1 : 0);
@@ -248,9 +256,15 @@
         }
         enum li_outcome direct = outcome_of(result, attempt->direct);
         note_outcome(attempt->paths, attempt->endpoint, direct, peer);
-        note_alive(attempt, direct, peer);
+        note_connect(attempt, direct, peer);
     }
-    end_attempt(attempt);
+}
+
+static void
+on_request_connected(void *arg, const struct di_result *result)
+{
+    on_connected(arg, result);
+    end_attempt(arg);
 }
 
 struct cn_channel *
@@ -265,7 +279,7 @@
     }
     struct cn_dialing dialing = {
         .plan = plan_for(attempt),
-        .made = on_connected,
+        .made = on_request_connected,
         .arg = attempt,
     };
     struct cn_channel *channel = Cn_Dial(
@@ -276,21 +290,60 @@
     return channel;
 }
 
+static void
+on_checked(void *arg, bool answered)
+{
+    struct attempt *attempt = arg;
+    struct ga_gate *gate = attempt->paths->gate;
+    attempt->check = NULL;
+    if (answered) {
+        Ga_NoteBytes(gate, attempt->endpoint);
+    }
+    else {
+        Lv_NoteUnanswered(gate->liveness, Fl_StartHash(attempt->endpoint),
+                          attempt->since);
+    }
+    end_attempt(attempt);
+}
+
+/* Asks the endpoint for bytes; closes the connection if that fails. */
+static void
+start_check(struct attempt *attempt, struct sk_sock *sock)
+{
+    const struct fl_entry *entry = &attempt->endpoint->entry;
+    const struct ec_service *service =
+        Ec_FindService(Fe_Config(attempt->paths->gate->feed), entry->service);
+    const char *path = service == NULL ? "/" : service->check_path;
+    attempt->check = Lc_Start(sock, entry->address, path, on_checked, attempt);
+}
+
 static void
 on_tested(void *arg, const struct di_result *result)
 {
     struct attempt *attempt = arg;
-    Sk_Close(result->sock);
+    attempt->test = NULL;
     if (attempt->order == LI_DIRECT_ONLY && result->sock == NULL) {
         Li_ProbeFailed(&attempt->endpoint->link_state);
     }
     on_connected(attempt, result);
+    if (attempt->checks && result->sock != NULL) {
+        start_check(attempt, result->sock);
+    }
+    else {
+        Sk_Close(result->sock);
+    }
+    if (attempt->check == NULL) {
+        end_attempt(attempt);
+    }
 }
 
-/* Tests a link: connects and closes the connection at once. */
+/*
+ * Tests a link: connects and, unless it "checks" whether the endpoint lives,
+ * closes the connection at once.
+ */
 static void
 test_link(struct pt_paths *paths, struct fl_endpoint *endpoint,
-          enum li_order order)
+          enum li_order order, bool checks)
 {
     struct ga_gate *gate = paths->gate;
     if (paths->test_count >= Pt_TESTS_MAX) {
@@ -306,6 +359,8 @@
         end_attempt(attempt);
         return;
     }
+    attempt->testing = true;
+    attempt->checks = checks;
     LIST_INSERT_HEAD(&paths->tests, attempt, link);
     paths->test_count++;
     endpoint->probe_wanted = false;
@@ -341,7 +396,7 @@
         Li_IsSuspect(&endpoint->link_state, sent_at,
                      last_answer_at(gate, endpoint->entry.service),
                      Ga_Now(gate))) {
-        test_link(paths, endpoint, LI_DIRECT_FIRST);
+        test_link(paths, endpoint, LI_DIRECT_FIRST, false);
     }
 }
 
@@ -352,7 +407,16 @@
     struct attempt *attempt;
     struct attempt *next;
     LIST_FOREACH_SAFE (attempt, &paths->tests, link, next) {
-        if (now - attempt->since < Pt_TEST_TIMEOUT_USEC) {
+        int64_t limit = attempt->check == NULL ? Pt_TEST_TIMEOUT_USEC
+                                               : Pt_CHECK_TIMEOUT_USEC;
+        if (now - attempt->since < limit) {
+            continue;
+        }
+        Lv_NoteUnanswered(paths->gate->liveness,
+                          Fl_StartHash(attempt->endpoint), attempt->since);
+        if (attempt->check != NULL) {
+            Lc_Cancel(attempt->check);
+            end_attempt(attempt);
             continue;
         }
         if (attempt->order == LI_DIRECT_ONLY) {
@@ -366,6 +430,14 @@
     }
 }
 
+/* Whether the endpoint is to be asked now whether it lives. */
+static bool
+is_check_due(const struct ga_gate *gate, const struct fl_endpoint *endpoint)
+{
+    return !Lv_IsEmpty(gate->liveness) &&
+           Lv_BeginCheck(gate->liveness, Fl_StartHash(endpoint), Ga_Now(gate));
+}
+
 void
 Pt_Tick(struct pt_paths *paths)
 {
@@ -377,11 +449,17 @@
     TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
         any_cut |= endpoint->link_state.cut;
         if (Li_IsProbeDue(&endpoint->link_state, now)) {
-            test_link(paths, endpoint, LI_DIRECT_ONLY);
+            test_link(paths, endpoint, LI_DIRECT_ONLY, false);
+        }
+        else if (is_check_due(gate, endpoint)) {
+            test_link(paths, endpoint,
+                      endpoint->link_state.cut ? LI_PEER_FIRST
+                                               : LI_DIRECT_FIRST,
+                      true);
         }
         else if (endpoint->probe_wanted &&
                  Li_MayTest(&endpoint->link_state, now)) {
-            test_link(paths, endpoint, LI_DIRECT_FIRST);
+            test_link(paths, endpoint, LI_DIRECT_FIRST, false);
         }
     }
     paths->any_cut = any_cut;
@@ -408,6 +486,7 @@
     struct attempt *next;
     LIST_FOREACH_SAFE (attempt, &paths->tests, link, next) {
         Di_Cancel(attempt->test);
+        Lc_Cancel(attempt->check);
         end_attempt(attempt);
     }
     free(paths);
--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -7,7 +7,6 @@
 #include "edge/quarantine_record.h"
 #include "edge/quarantine_version.h"
 
-#define Qn_ENDING_USEC (100 * Ck_USEC_PER_MSEC)
 #define Qn_VERSION_CHECK_USEC (1 * Ck_USEC_PER_SEC)
 /* Customer hash of requests without a customer; 0 means "all customers". */
 #define Qn_NO_CUSTOMER 1
@@ -38,6 +37,13 @@
     return true_now(quarantine) - (Ga_Now(quarantine->gate) - at);
 }
 
+/* Converts true time to this host's monotonic clock. */
+static int64_t
+to_own_time(const struct qn_quarantine *quarantine, int64_t at)
+{
+    return Ga_Now(quarantine->gate) - (true_now(quarantine) - at);
+}
+
 /*
  * Hash of what a request has in common with its repeats, each of which has an
  * id and a deadline of its own: method, target, body and prompt parts.
@@ -113,17 +119,6 @@
                : describe_whole(exchange);
 }
 
-/*
- * Identifies one run of an endpoint: it may restart under the same identity.
- */
-static uint32_t
-incarnation_of(const struct fl_endpoint *endpoint)
-{
-    uint64_t identity[2] = {endpoint->hash,
-                            (uint64_t)endpoint->entry.started_ms};
-    return (uint32_t)Hash_Bytes(identity, sizeof(identity), 0);
-}
-
 static void
 on_quarantined(void *arg, const struct pz_quarantine *quarantined, int crashes,
                bool from_peer)
@@ -211,6 +206,7 @@
         return NULL;
     }
     struct pz_rule rule = Pz_DefaultRule();
+    rule.silence_confirms = false; /* liveness.h judges that */
     quarantine->gate = gate;
     quarantine->quarantined = Mt_Get(gate->registry, MT_COUNTER,
                                      "cornelgate_parts_stopped_total", "");
@@ -264,73 +260,122 @@
     Pz_NoteWholeAnswer(quarantine->table, &request, true_now(quarantine));
 }
 
+/* Logs a broken connection; "accuses": the endpoint may have crashed. */
+static void
+log_broken(struct qn_quarantine *quarantine, const struct xc_attempt *attempt,
+           uint32_t content, bool accuses)
+{
+    Ln_Log(LN_STATE, "crash.suspected",
+           "\"endpoint\":\"%s\",\"request\":\"%08x\",\"relayed\":%d,"
+           "\"cut\":%d,\"judged\":%d",
+           attempt->endpoint->entry.id, content,
+           Cn_Peer(attempt->channel) != 0, attempt->endpoint->link_state.cut,
+           accuses);
+    if (!accuses) {
+        Mt_Add(quarantine->unjudged, 1);
+    }
+}
+
 void
 Qn_NoteBroken(struct qn_quarantine *quarantine, struct xc_exchange *exchange)
 {
     const struct xc_attempt *attempt = &exchange->attempt;
-    struct fl_endpoint *endpoint = attempt->endpoint;
+    const struct fl_endpoint *endpoint = attempt->endpoint;
+    struct lv_table *liveness = quarantine->gate->liveness;
     struct pz_request request = describe_whole(exchange);
-    /* The link, or the peer that relays the connection, may have failed. */
+    uint32_t start = Fl_StartHash(endpoint);
     bool relayed = Cn_Peer(attempt->channel) != 0;
-    bool judged = !endpoint->link_state.cut && !relayed;
-    Ln_Log(LN_STATE, "crash.suspected",
-           "\"endpoint\":\"%s\",\"request\":\"%08x\",\"relayed\":%d,"
-           "\"cut\":%d,\"judged\":%d",
-           endpoint->entry.id, request.content, relayed,
-           endpoint->link_state.cut, judged);
-    if (!judged) {
-        Mt_Add(quarantine->unjudged, 1);
+    bool accuses = (relayed || !endpoint->link_state.cut) &&
+                   Lv_NoteBreak(liveness, start, relayed, attempt->sent_at,
+                                Ga_Now(quarantine->gate));
+    log_broken(quarantine, attempt, request.content, accuses);
+    if (!accuses) {
         return;
     }
     struct pz_crash crash = {
-        .endpoint = incarnation_of(endpoint),
+        .endpoint = start,
         .head_received = attempt->head_at != 0,
         .sent_at = to_true_time(quarantine, attempt->sent_at),
         .ended_at = true_now(quarantine),
     };
-    endpoint->crashed_at = Ga_Now(quarantine->gate);
-    endpoint->probe_wanted = true;
     Pz_NoteCrash(quarantine->table, &request, &crash,
                  attempt->first_event_at != 0);
+    if (Lv_State(liveness, start) == LV_ENDED) {
+        Pz_ConfirmDead(quarantine->table, start);
+    }
     Pz_Evaluate(quarantine->table, crash.ended_at);
 }
 
-void
-Qn_NoteAlive(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint)
+/* NULL: the list of endpoints does not have the start. */
+static struct fl_endpoint *
+find_start(const struct ga_gate *gate, uint32_t start)
 {
-    if (endpoint->crashed_at == 0) {
-        return;
-    }
-    Pz_NoteAlive(quarantine->table, incarnation_of(endpoint),
-                 true_now(quarantine));
-    if (Ga_Now(quarantine->gate) - endpoint->crashed_at >=
-        Pz_RESTART_MIN_USEC) {
-        endpoint->crashed_at = 0;
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (Fl_StartHash(endpoint) == start) {
+            return endpoint;
+        }
     }
+    return NULL;
 }
 
-void
-Qn_NoteConnect(struct qn_quarantine *quarantine, struct fl_endpoint *endpoint,
-               bool connected, int64_t since)
+static void
+on_judged(void *arg, uint32_t start, enum lv_state state,
+          enum lv_witness witness)
 {
-    if (endpoint->crashed_at == 0 || since < endpoint->crashed_at) {
-        return;
+    struct qn_quarantine *quarantine = arg;
+    struct fl_endpoint *endpoint = find_start(quarantine->gate, start);
+    bool ended = state == LV_ENDED;
+    Ln_Log(LN_STATE, ended ? "crash.confirmed" : "crash.denied",
+           "\"endpoint\":\"%s\",\"by\":\"%s\"",
+           endpoint == NULL ? "" : endpoint->entry.id,
+           Lv_WitnessName(witness));
+    if (endpoint != NULL) {
+        /* Where connections are refused, a request finds out for itself. */
+        endpoint->ended = ended && witness != LV_REFUSED;
     }
-    Ln_Log(LN_STATE, connected ? "crash.denied" : "crash.confirmed",
-           "\"endpoint\":\"%s\",\"by\":\"connect\"", endpoint->entry.id);
-    if (connected) {
+    if (!ended) {
         Mt_Add(quarantine->denied, 1);
-        Qn_NoteAlive(quarantine, endpoint);
-        /* A process that ends may have accepted it a moment before. */
-        endpoint->probe_wanted |=
-            Ga_Now(quarantine->gate) - endpoint->crashed_at < Qn_ENDING_USEC;
+        Pz_DropUnconfirmed(quarantine->table, start);
+        return;
     }
-    else {
-        Pz_ConfirmDead(quarantine->table, incarnation_of(endpoint));
-        Pz_Evaluate(quarantine->table, true_now(quarantine));
+    Pz_ConfirmDead(quarantine->table, start);
+    Pz_Evaluate(quarantine->table, true_now(quarantine));
+}
+
+static void
+on_returned(void *arg, uint32_t start)
+{
+    struct qn_quarantine *quarantine = arg;
+    struct fl_endpoint *endpoint = find_start(quarantine->gate, start);
+    if (endpoint != NULL) {
+        endpoint->ended = false;
     }
 }
 
+static bool
+is_listed(void *arg, uint32_t start)
+{
+    struct qn_quarantine *quarantine = arg;
+    return find_start(quarantine->gate, start) != NULL;
+}
+
+static const struct lv_ops liveness_ops = {
+    .judged = on_judged,
+    .returned = on_returned,
+    .listed = is_listed,
+};
+
+enum st_status
+Qn_CreateLiveness(struct qn_quarantine *quarantine)
+{
+    struct lv_rule rule = Lv_DefaultRule();
+    quarantine->gate->liveness = Lv_Create(&rule, &liveness_ops, quarantine);
+    return quarantine->gate->liveness != NULL
+               ? ST_OK
+               : St_Fail(ST_NO_MEMORY, "no memory for crashed endpoints");
+}
+
 bool
 Qn_IsQuarantined(struct qn_quarantine *quarantine,
                  const struct pz_request *request, struct qn_verdict *out)
@@ -383,21 +428,23 @@
     }
     for (size_t i = 0; i < message->crash_count; i++) {
         Pz_ImportCrash(quarantine->table, &message->crashes[i]);
+        Lv_NoteEnded(quarantine->gate->liveness, message->crashes[i].endpoint,
+                     to_own_time(quarantine, message->crashes[i].ended_at));
     }
 }
 
-/*
- * Discards suspected crashes of endpoints whose link turned out to be cut:
- * the endpoint itself did not crash.
- */
+/* Connections over a link that turned out to be cut tell nothing. */
 static void
 discard_cut_links(struct qn_quarantine *quarantine)
 {
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(quarantine->gate->fleet), link) {
-        if (endpoint->crashed_at != 0 && endpoint->link_state.cut) {
-            endpoint->crashed_at = 0;
-            Pz_DropLocalCrashes(quarantine->table, incarnation_of(endpoint));
+    struct ga_gate *gate = quarantine->gate;
+    const struct fl_endpoint *endpoint;
+    if (Lv_IsEmpty(gate->liveness)) {
+        return;
+    }
+    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
+        if (endpoint->link_state.cut) {
+            Lv_NoteCut(gate->liveness, Fl_StartHash(endpoint));
         }
     }
 }
@@ -407,6 +454,7 @@
 {
     int64_t now = Ga_Now(quarantine->gate);
     discard_cut_links(quarantine);
+    Lv_Tick(quarantine->gate->liveness, now);
     if (now - quarantine->version_check_at >= Qn_VERSION_CHECK_USEC) {
         quarantine->version_check_at = now;
         Qv_Update(quarantine->versions, quarantine->gate->fleet);
--- a/packages/edge/quarantine.h
+++ b/packages/edge/quarantine.h
@@ -20,6 +20,8 @@
 /* Returns NULL when out of memory. */
 struct qn_quarantine *Qn_Create(struct ga_gate *gate);
 void Qn_Destroy(struct qn_quarantine *quarantine);
+/* Creates the gate's table of the liveness of endpoints. */
+enum st_status Qn_CreateLiveness(struct qn_quarantine *quarantine);
 /* To be called every Ga_TICK_USEC. */
 void Qn_Tick(struct qn_quarantine *quarantine);
 
@@ -32,13 +34,6 @@
 /* The attempt's connection broke before the end of the answer. */
 void Qn_NoteBroken(struct qn_quarantine *quarantine,
                    struct xc_exchange *exchange);
-/* This host received bytes from the endpoint. */
-void Qn_NoteAlive(struct qn_quarantine *quarantine,
-                  struct fl_endpoint *endpoint);
-/* A connect that was started at "since" succeeded or was refused. */
-void Qn_NoteConnect(struct qn_quarantine *quarantine,
-                    struct fl_endpoint *endpoint, bool connected,
-                    int64_t since);
 
 /* Why a request must not be sent. */
 #define Qn_WHY_MAX 64
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -80,8 +80,8 @@
 }
 
 /*
- * Notes that the endpoint sent bytes.  Relayed connections do not count: they
- * do not use this host's link to the endpoint.
+ * Notes that the endpoint sent bytes.  Relayed ones tell nothing of this
+ * host's link to the endpoint.
  */
 static void
 note_bytes(struct xc_exchange *exchange)
@@ -89,8 +89,8 @@
     const struct xc_attempt *attempt = &exchange->attempt;
     if (Cn_Peer(attempt->channel) == 0) {
         attempt->endpoint->last_direct_byte_at = Ga_Now(exchange->gate);
-        Qn_NoteAlive(exchange->gate->quarantine, attempt->endpoint);
     }
+    Ga_NoteBytes(exchange->gate, attempt->endpoint);
 }
 
 static bool
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -25,6 +25,7 @@
         .other_answers = 2,
         .in_sequence = true,
         .explain_crashes = true,
+        .silence_confirms = true,
         .startup_grace_usec = 3 * Ck_USEC_PER_SEC,
     };
 }
@@ -135,6 +136,7 @@
             (!local && !entry->confirmed);
         entry->local |= local;
         entry->confirmed |= !local;
+        entry->crash.relayed &= crash->relayed;
         entry->crash.head_received |= crash->head_received;
         if (later) {
             entry->crash.sent_at = crash->sent_at;
@@ -198,8 +200,8 @@
     int64_t at = 0;
     const struct pz_crash_entry *entry;
     TAILQ_FOREACH (entry, &table->crashes, link) {
-        if (pz_same_key(&entry->crash.key, key) && pz_is_counted(entry, now) &&
-            entry->crash.ended_at > at) {
+        if (pz_same_key(&entry->crash.key, key) &&
+            pz_is_counted(table, entry, now) && entry->crash.ended_at > at) {
             at = entry->crash.ended_at;
         }
     }
@@ -236,12 +238,12 @@
 }
 
 void
-Pz_DropLocalCrashes(struct pz_table *table, uint32_t endpoint)
+Pz_DropUnconfirmed(struct pz_table *table, uint32_t endpoint)
 {
     struct pz_crash_entry *entry;
     struct pz_crash_entry *next;
     TAILQ_FOREACH_SAFE (entry, &table->crashes, link, next) {
-        if (entry->crash.endpoint == endpoint && entry->local) {
+        if (entry->crash.endpoint == endpoint && !entry->confirmed) {
             remove_entry(table, entry);
         }
     }
@@ -272,9 +274,12 @@
 }
 
 bool
-pz_is_counted(const struct pz_crash_entry *entry, int64_t now)
+pz_is_counted(const struct pz_table *table, const struct pz_crash_entry *entry,
+              int64_t now)
 {
-    return entry->confirmed || now - entry->crash.ended_at >= Pz_CONFIRM_USEC;
+    return entry->confirmed ||
+           (table->rule.silence_confirms && !entry->crash.relayed &&
+            now - entry->crash.ended_at >= Pz_CONFIRM_USEC);
 }
 
 struct pz_quarantine *
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -60,6 +60,9 @@
        request as a whole */
     int depth;
     bool head_received; /* the answer's headers had come, but no event */
+    /* The connection led through a peer, which may have failed instead, so
+       silence confirms nothing; not gossiped. */
+    bool relayed;
     int64_t sent_at;
     int64_t ended_at;
 };
@@ -110,12 +113,13 @@
 struct pz_rule {
     int crashes_after_head; /* crashes after the headers of an answer */
     int crashes;            /* crashes at any time before the first event */
-    int content_crashes;  /* the same of one request, during its answer too */
-    int answered_factor;  /* multiplies both for a part answered before */
-    int requests;         /* distinct requests: one may have been a victim */
-    int other_answers;    /* other requests answered meanwhile */
-    bool in_sequence;     /* each request was sent after the crash before */
-    bool explain_crashes; /* a quarantined part explains a crash */
+    int content_crashes;   /* the same of one request, during its answer too */
+    int answered_factor;   /* multiplies both for a part answered before */
+    int requests;          /* distinct requests: one may have been a victim */
+    int other_answers;     /* other requests answered meanwhile */
+    bool in_sequence;      /* each request was sent after the crash before */
+    bool explain_crashes;  /* a quarantined part explains a crash */
+    bool silence_confirms; /* no sign of life for a while confirms a crash */
     int64_t startup_grace_usec; /* no decision this soon after the start */
 };
 
@@ -162,8 +166,8 @@
  * sign of life for a while.  Pz_NoteAlive() records a sign of life at "at".
  */
 void Pz_NoteAlive(struct pz_table *table, uint32_t endpoint, int64_t at);
-/* The link to the endpoint broke: drops the crashes that this host saw. */
-void Pz_DropLocalCrashes(struct pz_table *table, uint32_t endpoint);
+/* The endpoint lives: drops its crashes that are not confirmed. */
+void Pz_DropUnconfirmed(struct pz_table *table, uint32_t endpoint);
 /* The endpoint is known to have crashed. */
 void Pz_ConfirmDead(struct pz_table *table, uint32_t endpoint);
 /*
--- a/packages/policy/poison_gossip.c
+++ b/packages/policy/poison_gossip.c
@@ -32,7 +32,7 @@
             break;
         }
         if (entry->local && is_of_sort(&entry->crash, sort) &&
-            pz_is_counted(entry, now) &&
+            pz_is_counted(table, entry, now) &&
             entry->crash.ended_at > pz_cleared_at(table, &entry->crash.key)) {
             out[count++] = entry->crash;
         }
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -79,7 +79,8 @@
  * Whether the crash counts: the endpoint is known to have crashed, or a sign
  * of life, which would have removed the entry, is overdue.
  */
-bool pz_is_counted(const struct pz_crash_entry *entry, int64_t now);
+bool pz_is_counted(const struct pz_table *table,
+                   const struct pz_crash_entry *entry, int64_t now);
 bool pz_same_key(const struct pz_key *a, const struct pz_key *b);
 /* NULL: no answer to a request with the part is known. */
 struct pz_history *pz_find_history(const struct pz_table *table,
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -57,7 +57,7 @@
     TAILQ_FOREACH (entry, &table->crashes, link) {
         entry->quarantined = is_quarantined(table, &entry->crash.key);
         entry->explained = false;
-        table->pending |= !pz_is_counted(entry, now);
+        table->pending |= !pz_is_counted(table, entry, now);
     }
     struct pz_crash_entry *other;
     TAILQ_FOREACH (entry, &table->crashes, link) {
@@ -101,7 +101,7 @@
             entry->crash.ended_at > cleared_at &&
             (entry->crash.head_received || !rule->after_head) &&
             (!entry->explained || rule->explained) &&
-            pz_is_counted(entry, now)) {
+            pz_is_counted(table, entry, now)) {
             out[count++] = entry->crash;
         }
     }
