Count the ends of endpoints behind peers

Mend: such a break puts the start in doubt too. It is asked for bytes through any peer; two checks without an answer and 1.5 s of silence, the word of a host that saw its end, or its leaving the list settle it. The end of a peer is denied by the first answer through another one.

--- a/packages/gate/quarantine.c
+++ b/packages/gate/quarantine.c
@@ -158,6 +158,7 @@
     struct pz_crash crash = {
         .endpoint = (uint32_t)Hash_String(broke->endpoint, 0),
         .head_received = broke->head_received,
+        .relayed = broke->relayed,
         .sent_at = now - (Ck_Now(quarantine->gate->clock) - broke->sent_at),
         .ended_at = now,
     };
--- a/packages/gate/quarantine.h
+++ b/packages/gate/quarantine.h
@@ -52,6 +52,7 @@
     const char *endpoint;
     bool head_received; /* the response headers had arrived */
     bool begun;         /* the first token had arrived */
+    bool relayed;       /* through a peer, which may have failed instead */
     int64_t sent_at;    /* on the monotonic clock */
 };
 
--- a/packages/gate/relay_engine.c
+++ b/packages/gate/relay_engine.c
@@ -452,15 +452,14 @@
 report_break(struct rl_engine *relay, const struct hc_result *result)
 {
     struct rq_request *request = relay->request;
-    /* A connection through a peer may have broken at the peer instead. */
-    if (result->stage == HC_CONNECTING || relay->flight.endpoint == NULL ||
-        relay->tries.peer_outcome == LI_CONNECTED) {
+    if (result->stage == HC_CONNECTING || relay->flight.endpoint == NULL) {
         return;
     }
     struct gq_break connection_break = {
         .endpoint = Ch_Info(relay->flight.endpoint)->id,
         .head_received = relay->code == 200,
         .begun = relay->flight.first_token,
+        .relayed = relay->tries.peer_outcome == LI_CONNECTED,
         .sent_at = relay->flight.started,
     };
     Gq_RecordBreak(request->gate->quarantine, request, &connection_break);
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -159,11 +159,11 @@
     if (result->stage == HC_CONNECTING) {
         Gq_RecordDead(quarantine, endpoint);
     }
-    /* A connection through a peer may have broken at the peer instead. */
-    else if (relay->tries.peer_outcome != LI_CONNECTED) {
+    else {
         struct gq_break broke = {
             .endpoint = endpoint,
             .head_received = relay->head_received,
+            .relayed = relay->tries.peer_outcome == LI_CONNECTED,
             .sent_at = relay->flight.started,
         };
         Gq_RecordBreak(quarantine, request, &broke);
--- a/packages/policy/liveness.c
+++ b/packages/policy/liveness.c
@@ -42,7 +42,7 @@
 {
     return (struct lv_rule){
         .connection_is_life = false,
-        .relayed = false,
+        .relayed = true,
         .unanswered_min = 2,
     };
 }
