Keep the second end under a request over a restart of all hosts

What callers saw: where all hosts are killed after each second end, 8 endpoints ended under one request, 4 sends late.

Cause: what is known below the third end was in memory alone, and told for 6 s to hosts that are there.

Mend: the host that sees the second end keeps a doubt in the store (four a host at most, one write and one removal each, for a minute). Hosts that start take it for two ends in sequence, of which rows of peers that lived through it add nothing, and which a whole answer clears.

Unit tests of the doubt, its clearing and double counting.

--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -131,12 +131,20 @@
            quarantined->key.customer, crashes, from_peer ? "peer" : "own",
            quarantined->requested_at == Pz_HOLD);
     Mt_Add(quarantine->quarantined, 1);
-    if (!from_peer) {
+    /* A doubt that this host has written must not outlive it in the store. */
+    if (!from_peer || Qr_HasDoubt(quarantine->records, &quarantined->key)) {
         Qr_Keep(quarantine->records, quarantined);
     }
     Lp_TimerSet(quarantine->refuse_timer, 0);
 }
 
+static void
+on_doubted(void *arg, const struct pz_quarantine *doubt)
+{
+    struct qn_quarantine *quarantine = arg;
+    Qr_KeepDoubt(quarantine->records, doubt);
+}
+
 static void
 on_lifted(void *arg, const struct pz_quarantine *quarantined, const char *why)
 {
@@ -153,6 +161,7 @@
 
 static const struct pz_ops table_ops = {
     .quarantined = on_quarantined,
+    .doubted = on_doubted,
     .lifted = on_lifted,
 };
 
@@ -186,7 +195,13 @@
 import_quarantine(void *arg, const struct pz_quarantine *quarantined)
 {
     struct qn_quarantine *quarantine = arg;
-    Pz_ImportQuarantine(quarantine->table, quarantined, true_now(quarantine));
+    int64_t now = true_now(quarantine);
+    if (quarantined->requested_at == Pz_DOUBT) {
+        Pz_ImportDoubt(quarantine->table, quarantined, now);
+    }
+    else {
+        Pz_ImportQuarantine(quarantine->table, quarantined, now);
+    }
 }
 
 /* Another version may bear what crashed the one before. */
@@ -466,5 +481,5 @@
         count = Pz_ExportQuarantines(quarantine->table, quarantines,
                                      Pz_QUARANTINES_MAX);
     }
-    Qr_Tick(quarantine->records, quarantines, count);
+    Qr_Tick(quarantine->records, quarantines, count, true_now(quarantine));
 }
--- a/packages/edge/quarantine_record.c
+++ b/packages/edge/quarantine_record.c
@@ -11,6 +11,9 @@
 /* A record is rewritten when its time of the last request is this old. */
 #define Qr_RENEW_USEC (120 * Ck_USEC_PER_SEC)
 #define Qr_TEXT_MAX 96
+/* Doubts that this host keeps in the store at the same time; a rack that ends
+   may put many requests in doubt. */
+#define Qr_DOUBTS_MAX 4
 /* "SERVICE-CUSTOMER-PART", and "DECIDED REQUESTED" in usec since 1970. */
 #define Qr_KEY_FORMAT "%08x-%08x-%08x"
 #define Qr_VALUE_FORMAT "%lld %lld"
@@ -20,6 +23,7 @@
     struct pz_quarantine quarantine;
     int64_t written_requested_at; /* quarantine.requested_at as last written */
     bool written;                 /* the store is up to date */
+    bool own_doubt;               /* a doubt that this host has written */
     bool removed; /* the record is to be removed from the store */
 };
 
@@ -92,10 +96,56 @@
         return;
     }
     record->quarantine = *quarantine;
+    record->own_doubt = false;
     record->removed = false;
     record->written = false;
 }
 
+static bool
+is_doubt(const struct record *record)
+{
+    return record->quarantine.requested_at == Pz_DOUBT;
+}
+
+bool
+Qr_HasDoubt(struct qr_records *records, const struct pz_key *key)
+{
+    const struct record *record = find(records, key);
+    return record != NULL && is_doubt(record);
+}
+
+static size_t
+count_doubts(const struct qr_records *records)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < records->count; i++) {
+        count += records->records[i].own_doubt;
+    }
+    return count;
+}
+
+void
+Qr_KeepDoubt(struct qr_records *records, const struct pz_quarantine *doubt)
+{
+    struct record *record = find(records, &doubt->key);
+    if (record != NULL && !is_doubt(record)) {
+        return;
+    }
+    if (record == NULL && count_doubts(records) < Qr_DOUBTS_MAX) {
+        record = find_or_add(records, doubt);
+    }
+    if (record != NULL) {
+        record->quarantine = *doubt;
+        record->own_doubt = true;
+        record->removed = false;
+        record->written = false;
+    }
+    else {
+        Ln_Log(LN_FAILURE, "doubt.unrecorded", "\"request\":\"%08x\"",
+               doubt->key.part);
+    }
+}
+
 void
 Qr_Remove(struct qr_records *records, const struct pz_key *key)
 {
@@ -211,10 +261,25 @@
     }
 }
 
+/* Has the doubts removed that this host has written and that are past. */
+static void
+remove_past_doubts(struct qr_records *records, int64_t true_now)
+{
+    for (size_t i = 0; i < records->count; i++) {
+        struct record *record = &records->records[i];
+        if (record->own_doubt && !record->removed &&
+            true_now - record->quarantine.decided_at > Pz_DOUBT_TTL_USEC) {
+            record->removed = true;
+            record->written = false;
+        }
+    }
+}
+
 void
 Qr_Tick(struct qr_records *records, const struct pz_quarantine *quarantines,
-        size_t count)
+        size_t count, int64_t true_now)
 {
+    remove_past_doubts(records, true_now);
     for (size_t i = 0; i < count; i++) {
         update_requested_at(records, &quarantines[i]);
     }
--- a/packages/edge/quarantine_record.h
+++ b/packages/edge/quarantine_record.h
@@ -23,11 +23,20 @@
                              void *arg);
 /* The store must make no more callbacks. */
 void Qr_Destroy(struct qr_records *records);
-/* Starts due reads and writes; updates the records of "quarantines". */
+/*
+ * Starts due reads and writes; updates the records of "quarantines"; "now" is
+ * true time.
+ */
 void Qr_Tick(struct qr_records *records,
-             const struct pz_quarantine *quarantines, size_t count);
+             const struct pz_quarantine *quarantines, size_t count,
+             int64_t now);
 void Qr_Keep(struct qr_records *records,
              const struct pz_quarantine *quarantine);
+/* Keeps a doubt for a while; a few at most. */
+void Qr_KeepDoubt(struct qr_records *records,
+                  const struct pz_quarantine *doubt);
+/* Whether the record of the key is a doubt. */
+bool Qr_HasDoubt(struct qr_records *records, const struct pz_key *key);
 void Qr_Remove(struct qr_records *records, const struct pz_key *key);
 
 #ifdef __cplusplus
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -125,7 +125,7 @@
  * one that was sent last is kept: if any of them was sent after the previous
  * crash, that one was.
  */
-void
+struct pz_crash_entry *
 pz_add_crash(struct pz_table *table, const struct pz_crash *crash, bool local)
 {
     struct pz_crash_entry *entry = find_entry(table, crash);
@@ -142,7 +142,7 @@
             entry->crash.sent_at = crash->sent_at;
             entry->crash.request = crash->request;
         }
-        return;
+        return entry;
     }
     make_room(table, crash->depth == Pz_CONTENT);
     entry = TAILQ_FIRST(&table->free_entries);
@@ -154,6 +154,7 @@
     table->content_count += crash->depth == Pz_CONTENT;
     TAILQ_INSERT_TAIL(&table->crashes, entry, link);
     table->changed = true;
+    return entry;
 }
 
 void
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -84,6 +84,12 @@
 };
 
 #define Pz_HOLD 0
+/*
+ * Also in place of the time of the last request, in what is kept over a
+ * restart of all hosts: a doubt.  Two endpoints crashed under the request, the
+ * last one at "decided_at"; it is not stopped yet.
+ */
+#define Pz_DOUBT 1
 
 /* Largest number of quarantines. */
 #define Pz_QUARANTINES_MAX 64
@@ -96,6 +102,8 @@
 #define Pz_QUARANTINE_TTL_USEC (600 * Ck_USEC_PER_SEC)
 /* How long a hold lasts after the last crash. */
 #define Pz_HOLD_TTL_USEC (60 * Ck_USEC_PER_SEC)
+/* How long a doubt is worth keeping. */
+#define Pz_DOUBT_TTL_USEC (60 * Ck_USEC_PER_SEC)
 
 #define Pz_PARTS_MAX 32
 
@@ -135,6 +143,11 @@
     /* A quarantine was lifted. */
     void (*lifted)(void *arg, const struct pz_quarantine *quarantine,
                    const char *why);
+    /*
+     * A second endpoint crashed under a request of this host; NULL if nobody
+     * keeps doubts.
+     */
+    void (*doubted)(void *arg, const struct pz_quarantine *doubt);
 };
 
 struct pz_table;
@@ -214,6 +227,9 @@
 void Pz_ImportClear(struct pz_table *table, const struct pz_clear *clear);
 void Pz_ImportQuarantine(struct pz_table *table,
                          const struct pz_quarantine *quarantine, int64_t now);
+/* A doubt of before the start of this host. */
+void Pz_ImportDoubt(struct pz_table *table, const struct pz_quarantine *doubt,
+                    int64_t now);
 /* Lifts the quarantines of a service, for instance when its version changes.
  */
 void Pz_LiftService(struct pz_table *table, uint32_t service, const char *why,
--- a/packages/policy/poison_gossip.c
+++ b/packages/policy/poison_gossip.c
@@ -7,6 +7,9 @@
  */
 #define Pz_GOSSIP_USEC (6 * Ck_USEC_PER_SEC)
 
+/* Between the crashes that a doubt stands for. */
+#define Pz_DOUBT_GAP_USEC (1 * Ck_USEC_PER_SEC)
+
 static bool
 is_recent(int64_t at, int64_t now)
 {
@@ -81,15 +84,57 @@
     }
 }
 
+/* Whether a doubt that was imported stands for the crash. */
+static bool
+is_in_doubt(const struct pz_table *table, const struct pz_crash *crash)
+{
+    const struct pz_crash_entry *entry;
+    TAILQ_FOREACH (entry, &table->crashes, link) {
+        if (entry->doubted && pz_same_key(&entry->crash.key, &crash->key) &&
+            entry->crash.ended_at >= crash->ended_at) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 Pz_ImportCrash(struct pz_table *table, const struct pz_crash *crash)
 {
+    if (is_in_doubt(table, crash)) {
+        return;
+    }
     pz_note_implicated(table, &crash->key, crash->ended_at);
     if (pz_cleared_at(table, &crash->key) < crash->ended_at) {
         pz_add_crash(table, crash, false);
     }
 }
 
+/* Adds two crashes in sequence in place of those that were forgotten. */
+void
+Pz_ImportDoubt(struct pz_table *table, const struct pz_quarantine *doubt,
+               int64_t now)
+{
+    if (now - doubt->decided_at > Pz_DOUBT_TTL_USEC ||
+        pz_cleared_at(table, &doubt->key) > doubt->decided_at ||
+        pz_has_crash(table, &doubt->key)) {
+        return;
+    }
+    for (uint32_t i = 1; i <= Pz_DOUBT_CRASHES; i++) {
+        int64_t at =
+            doubt->decided_at - (Pz_DOUBT_CRASHES - i) * Pz_DOUBT_GAP_USEC;
+        struct pz_crash crash = {
+            .key = doubt->key,
+            .endpoint = i,
+            .depth = Pz_CONTENT,
+            .head_received = true,
+            .sent_at = at,
+            .ended_at = at,
+        };
+        pz_add_crash(table, &crash, false)->doubted = true;
+    }
+}
+
 void
 Pz_ImportClear(struct pz_table *table, const struct pz_clear *clear)
 {
--- a/packages/policy/poison_internal.h
+++ b/packages/policy/poison_internal.h
@@ -15,6 +15,8 @@
 /* Of these, crashes that implicate whole requests: a rack that ends accuses
    hundreds of them, and must not displace the crashes of parts. */
 #define Pz_CONTENT_CRASHES_MAX 256
+/* Crashes under a request that put it in doubt. */
+#define Pz_DOUBT_CRASHES 2
 /* Size of the set-associative table of answered parts. */
 #define Pz_SETS 1024 /* a power of two */
 #define Pz_WAYS 4
@@ -26,6 +28,8 @@
     struct pz_crash crash;
     bool local;     /* the request was sent by this host */
     bool confirmed; /* the endpoint is known to have crashed */
+    bool doubted;   /* stands for a crash before this host started */
+    bool reported;  /* was told to pz_ops.doubted */
     /* Set by the last decision. */
     bool quarantined; /* the part is in quarantine */
     bool explained;   /* a quarantined part explains the crash */
@@ -107,8 +111,8 @@
 /* When an endpoint crashed last, as far as is counted; 0: never. */
 int64_t pz_implicated_at(const struct pz_table *table,
                          const struct pz_key *key, int64_t now);
-void pz_add_crash(struct pz_table *table, const struct pz_crash *crash,
-                  bool local);
+struct pz_crash_entry *pz_add_crash(struct pz_table *table,
+                                    const struct pz_crash *crash, bool local);
 struct pz_quarantine *pz_find_quarantine(const struct pz_table *table,
                                          const struct pz_key *key);
 /* Replaces a hold.  False: the table of quarantines is full. */
--- a/packages/policy/poison_judge.c
+++ b/packages/policy/poison_judge.c
@@ -343,10 +343,35 @@
     return search.found;
 }
 
+/* Reports the requests of this host under which two endpoints crashed. */
+static void
+report_doubts(struct pz_table *table, int64_t now)
+{
+    struct pz_crash_entry *entry;
+    TAILQ_FOREACH (entry, &table->crashes, link) {
+        const struct pz_crash *crash = &entry->crash;
+        if (!entry->local || entry->reported || crash->depth != Pz_CONTENT ||
+            !pz_is_counted(table, entry, now)) {
+            continue;
+        }
+        struct pz_chain chain =
+            pz_find_chain(table, &crash->key, &with_explained, now);
+        if (chain.length >= Pz_DOUBT_CRASHES &&
+            chain.last_at == crash->ended_at) {
+            struct pz_quarantine doubt = {crash->key, chain.last_at, Pz_DOUBT};
+            entry->reported = true;
+            table->ops->doubted(table->arg, &doubt);
+        }
+    }
+}
+
 void
 Pz_Evaluate(struct pz_table *table, int64_t now)
 {
     pz_expire(table, now);
+    if (table->changed && table->ops->doubted != NULL) {
+        report_doubts(table, now);
+    }
     if ((!table->changed && !table->pending) ||
         now - table->started_at < table->rule.startup_grace_usec) {
         return;
--- a/packages/policy/test/model/poison_model.cc
+++ b/packages/policy/test/model/poison_model.cc
@@ -98,7 +98,7 @@
     }
 }
 
-const pz_ops ops = {OnQuarantined, OnLifted};
+const pz_ops ops = {OnQuarantined, OnLifted, nullptr};
 
 class Model {
   public:
--- a/packages/policy/test/poison_content_test.cc
+++ b/packages/policy/test/poison_content_test.cc
@@ -28,10 +28,13 @@
     {
         static const pz_ops ops = {
             [](void *, const pz_quarantine *, int, bool) {},
-            [](void *, const pz_quarantine *, const char *) {}};
+            [](void *, const pz_quarantine *, const char *) {},
+            [](void *arg, const pz_quarantine *doubt) {
+                static_cast<PoisonContent *>(arg)->doubts_.push_back(*doubt);
+            }};
         pz_rule rule = Pz_DefaultRule();
-        table_ = Pz_Create(&rule, &ops, nullptr, kNow - 10 * kSecond);
-        peer_ = Pz_Create(&rule, &ops, nullptr, kNow - 10 * kSecond);
+        table_ = Pz_Create(&rule, &ops, this, kNow - 10 * kSecond);
+        peer_ = Pz_Create(&rule, &ops, this, kNow - 10 * kSecond);
     }
 
     ~PoisonContent() override
@@ -93,6 +96,7 @@
     }
 
     bool others_answer_ = true;
+    std::vector<pz_quarantine> doubts_;
     pz_table *table_ = nullptr;
     pz_table *peer_ = nullptr;
 };
@@ -144,6 +148,83 @@
     EXPECT_TRUE(IsStopped(7));
 }
 
+// Guards against crashes below the third that a restart of all hosts forgets.
+TEST_F(PoisonContent, ADoubtStandsForTwoCrashesAfterARestart)
+{
+    Crash(0, 7);
+    Pz_Evaluate(table_, kNow);
+    EXPECT_TRUE(doubts_.empty());
+    Crash(1, 7);
+    Pz_Evaluate(table_, kNow + kGap);
+    ASSERT_EQ(doubts_.size(), 1u);
+    EXPECT_EQ(doubts_[0].decided_at, kNow + kGap);
+
+    Pz_ImportDoubt(peer_, &doubts_[0], kNow + 2 * kGap);
+    EXPECT_FALSE(IsStoppedAt(peer_, 7));
+    std::swap(table_, peer_);
+    Crash(2, 7);
+    EXPECT_TRUE(IsStopped(7));
+}
+
+// Guards against crashes that count twice, from a doubt and from a peer.
+TEST_F(PoisonContent, ADoubtAndThePeersItCameFromCountOnce)
+{
+    Crash(0, 7);
+    Crash(1, 7);
+    Pz_Evaluate(table_, kNow + kGap);
+    ASSERT_EQ(doubts_.size(), 1u);
+    pz_crash crashes[8];
+    size_t count =
+        Pz_ExportCrashes(table_, PZ_BOTH, crashes, 8, kNow + 2 * kGap);
+    ASSERT_EQ(count, 2u);
+    Pz_ImportDoubt(peer_, &doubts_[0], kNow + 2 * kGap);
+    for (size_t i = 0; i < count; i++) {
+        Pz_ImportCrash(peer_, &crashes[i]);
+    }
+    AnswerOthers(peer_, kNow + 2 * kGap);
+    EXPECT_FALSE(IsStoppedAt(peer_, 7));
+}
+
+// Guards against a doubt that outlives the answer which clears the request.
+TEST_F(PoisonContent, AWholeAnswerClearsADoubt)
+{
+    pz_request request = Request(7);
+    pz_quarantine doubt = {};
+    Crash(0, 7);
+    Crash(1, 7);
+    Pz_Evaluate(table_, kNow + kGap);
+    ASSERT_EQ(doubts_.size(), 1u);
+    doubt = doubts_[0];
+    Pz_ImportDoubt(peer_, &doubt, kNow + 2 * kGap);
+    Pz_NoteWholeAnswer(peer_, &request, kNow + 2 * kGap);
+    std::swap(table_, peer_);
+    Crash(4, 7);
+    Crash(5, 7);
+    EXPECT_FALSE(IsStopped(7));
+}
+
+// Guards against a crash through a peer that silence confirms: the peer may
+// have failed.
+TEST_F(PoisonContent, ACrashThroughAPeerIsNotConfirmedBySilence)
+{
+    for (uint32_t i = 0; i < 3; i++) {
+        pz_request request = Request(7);
+        pz_crash crash = {};
+        crash.endpoint = 100 + i;
+        crash.relayed = true;
+        crash.ended_at = kNow + i * kGap;
+        crash.sent_at = crash.ended_at - kGap / 2;
+        Pz_NoteCrash(table_, &request, &crash, false);
+        AnswerOthers(table_, crash.ended_at + 1);
+    }
+    Pz_Evaluate(table_, kNow + 20 * kSecond);
+    EXPECT_FALSE(IsStopped(7));
+    for (uint32_t i = 0; i < 3; i++) {
+        Pz_ConfirmDead(table_, 100 + i);
+    }
+    EXPECT_TRUE(IsStopped(7));
+}
+
 // Guards against a sound request that waited beside the one that crashed
 // three endpoints, and is stopped with it.
 TEST_F(PoisonContent, ARequestBesideThePoisonIsNotStopped)
--- a/packages/policy/test/poison_test.cc
+++ b/packages/policy/test/poison_test.cc
@@ -49,7 +49,7 @@
     void
     SetRule(const pz_rule &rule)
     {
-        static const pz_ops ops = {OnQuarantined, OnLifted};
+        static const pz_ops ops = {OnQuarantined, OnLifted, nullptr};
         Pz_Destroy(table_);
         table_ = Pz_Create(&rule, &ops, &events_, kNow - 10 * kSecond);
     }
