--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -465,6 +465,21 @@
     paths->any_cut = any_cut;
 }
 
+void
+Pt_NoteRelayBroke(struct pt_paths *paths, uint32_t peer)
+{
+    struct fl_endpoint *endpoint;
+    TAILQ_FOREACH (endpoint, Fl_All(paths->gate->fleet), link) {
+        struct fl_idle *idle;
+        struct fl_idle *next;
+        TAILQ_FOREACH_SAFE (idle, &endpoint->idle, link, next) {
+            if (Cn_Peer(idle->channel) == peer) {
+                Po_Close(endpoint, idle);
+            }
+        }
+    }
+}
+
 bool
 Pt_MayReuse(const struct pt_paths *paths, const struct cn_channel *channel)
 {
--- a/packages/edge/paths.h
+++ b/packages/edge/paths.h
@@ -25,6 +25,11 @@
 /* Notes that a request sent directly at "sent_at" has no answer yet. */
 void Pt_NoteUnanswered(struct pt_paths *paths, struct fl_endpoint *endpoint,
                        int64_t sent_at);
+/*
+ * A connection through a peer broke: the peer may have ended, and with it all
+ * connections that lead through it.
+ */
+void Pt_NoteRelayBroke(struct pt_paths *paths, uint32_t peer);
 /* Whether an idle connection may be reused for another request. */
 bool Pt_MayReuse(const struct pt_paths *paths,
                  const struct cn_channel *channel);
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -12,6 +12,7 @@
 #include "edge/broken.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
+#include "edge/paths.h"
 #include "edge/quarantine.h"
 #include "edge/rate_limit.h"
 #include "edge/warming.h"
@@ -421,6 +422,10 @@
             break;
         }
         note_broken(exchange);
+        if (Cn_Peer(attempt->channel) != 0) {
+            Pt_NoteRelayBroke(exchange->gate->paths,
+                              Cn_Peer(attempt->channel));
+        }
         exchange->attempt.judged = Bk_Note(exchange->gate->breaks, exchange);
         if (attempt->head_at == 0) {
             exchange->runs++;
