Bound what is read from one connection in a turn, and stop where it is paused

What callers saw: a daemon that relays an answer without end to a peer read 64 MB of it (until the sender stopped) in one turn of its loop; all its callers waited meanwhile, and what the peer no longer took was kept.

Cause: on_readable() reads until the socket is empty, whatever the owner paused; a sender as fast as the loop never lets it be. Shown by EndlessRelayed, three kinds, 2 or 3 answers of 64 MB each; without a peer the channel closes at the first byte that is no answer.

Mend: 256 KB a turn, and none while paused; the watch is level-triggered, so the rest comes in the next turn. In both daemons, for callers, peers and endpoints.

--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -14,6 +14,8 @@
 #include "base/clock.h"
 
 #define Sk_READ_BYTES 65536
+/* Read from one connection before the others have their turn. */
+#define Sk_TURN_BYTES (4 * (size_t)Sk_READ_BYTES)
 #define Sk_ADDRESS_MAX 64
 /*
  * A peer without power sends neither data nor a reset.  Probes after two
@@ -44,6 +46,7 @@
     bool finished; /* Sk_Finish() was called */
     bool shut;     /* our direction is closed */
     bool sent;
+    bool paused;
     char *out;
     size_t out_start;
     size_t out_len;
@@ -132,12 +135,17 @@
     return true;
 }
 
+/*
+ * Reads what is there, but for a bounded number of bytes and only until the
+ * owner pauses: the sender may be as fast as this loop.
+ */
 static void
 on_readable(void *arg)
 {
     struct sk_sock *sock = arg;
     static char buffer[Sk_READ_BYTES];
-    while (!sock->dead && !sock->broken) {
+    size_t left = Sk_TURN_BYTES;
+    while (!sock->dead && !sock->broken && !sock->paused && left > 0) {
         ssize_t n = recv(sock->fd, buffer, sizeof(buffer), 0);
         if (n < 0 && errno == EINTR) {
             continue;
@@ -152,6 +160,7 @@
         if (!sock->finished) {
             sock->ops->data(sock->arg, buffer, (size_t)n);
         }
+        left -= (size_t)n < left ? (size_t)n : left;
         if ((size_t)n < sizeof(buffer)) {
             break;
         }
@@ -353,6 +362,7 @@
 void
 Sk_Pause(struct sk_sock *sock, bool pause)
 {
+    sock->paused = pause;
     if (sock->watch != NULL) {
         Lp_WatchPause(sock->watch, pause);
     }
@@ -411,6 +421,7 @@
         return;
     }
     sock->finished = true;
+    sock->paused = false;
     Lp_WatchPause(sock->watch, false);
     shut_when_empty(sock);
     sock->linger = Lp_TimerCreate(sock->loop, linger_over, sock);
