--- a/packages/edge/broken.c
+++ b/packages/edge/broken.c
@@ -54,9 +54,8 @@
         struct ro_result result = {
             .failed = true,
             .slow = oldest->slow,
-            .lost =
-                endpoint->gone ||
-                Lv_State(gate->liveness, Fl_StartHash(endpoint)) != LV_LIVES,
+            .lost = endpoint->gone ||
+                    El_State(gate->liveness, endpoint) != LV_LIVES,
         };
         Ro_RecordAnswer(gate->moves, endpoint->entry.service, oldest->route,
                         Ga_HasTargetVersion(move, endpoint), &result);
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -406,6 +406,7 @@
     Fl_Tick(gate->fleet);
     Pe_Tick(gate->peers);
     Pt_Tick(gate->paths);
+    El_Tick(gate->liveness);
     Bk_Tick(gate->breaks);
     Qn_Tick(gate->quarantine);
     Th_Tick(gate->tunnel);
@@ -541,6 +542,25 @@
     Mt_Add(gate->count.made_for_peers, 1);
 }
 
+static void
+on_endpoint_ended(void *arg, uint32_t start)
+{
+    struct ga_gate *gate = arg;
+    Qn_NoteEnded(gate->quarantine, start);
+}
+
+static void
+on_end_denied(void *arg, uint32_t start)
+{
+    struct ga_gate *gate = arg;
+    Qn_NoteDenied(gate->quarantine, start);
+}
+
+static const struct el_ops liveness_ops = {
+    .ended = on_endpoint_ended,
+    .denied = on_end_denied,
+};
+
 static const struct th_ops tunnel_ops = {
     .find = find_for_peer,
     .made = on_connected_for_peer,
@@ -600,10 +620,8 @@
     gate->paths = Pt_Create(gate);
     gate->breaks = Bk_Create(gate);
     gate->quarantine = Qn_Create(gate);
-    if (gate->quarantine == NULL ||
-        Qn_CreateLiveness(gate->quarantine) != ST_OK) {
-        return St_Fail(ST_NO_MEMORY, "no memory for the daemon");
-    }
+    gate->liveness =
+        El_Create(gate->fleet, options->clock, &liveness_ops, gate);
     gate->feed = Fe_Create(&feed);
     gate->lease = Lr_Create(&lease);
     gate->controller = Co_Create(gate);
@@ -646,14 +664,6 @@
     return ST_OK;
 }
 
-void
-Ga_NoteBytes(struct ga_gate *gate, const struct fl_endpoint *endpoint)
-{
-    if (!Lv_IsEmpty(gate->liveness)) {
-        Lv_NoteBytes(gate->liveness, Fl_StartHash(endpoint), Ga_Now(gate));
-    }
-}
-
 /*
  * Whether the shutdown may cut a request that arrives now.  A stream may last
  * longer than the time left; refused at once, it is served by another host.
@@ -697,7 +707,7 @@
     Bk_Destroy(gate->breaks);
     Qn_Destroy(gate->quarantine);
     Pt_Destroy(gate->paths);
-    Lv_Destroy(gate->liveness);
+    El_Destroy(gate->liveness);
     Fl_Destroy(gate->fleet);
     Qt_Destroy(gate->quota);
     Bu_Destroy(gate->budget);
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -12,6 +12,7 @@
 #include "edge/fleet.h"
 #include "edge/gate.h"
 #include "edge/leader.h"
+#include "edge/liveness.h"
 #include "edge/mesh.h"
 #include "edge/prefix.h"
 #include "edge/quota.h"
@@ -19,7 +20,6 @@
 #include "edge/truetime.h"
 #include "edge/usage.h"
 #include "edge/zones.h"
-#include "policy/liveness.h"
 #include "policy/overload.h"
 #include "web/serve.h"
 #include "web/through.h"
@@ -78,7 +78,7 @@
     struct pt_paths *paths;
     struct bk_breaks *breaks;
     struct qn_quarantine *quarantine;
-    struct lv_table *liveness; /* of starts of endpoints, by Fl_StartHash() */
+    struct el_liveness *liveness;
     struct ov_load overload;
     int64_t overload_logged_at;
     struct xc_list exchanges;
@@ -104,9 +104,6 @@
                  const struct ec_tenant *tenant,
                  const struct fl_endpoint *endpoint);
 
-/* The endpoint sent bytes to this host. */
-void Ga_NoteBytes(struct ga_gate *gate, const struct fl_endpoint *endpoint);
-
 /* An error answer of this host itself. */
 struct rf_refusal {
     int status;
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -229,17 +229,16 @@
              enum li_outcome peer)
 {
     struct ga_gate *gate = attempt->paths->gate;
-    uint32_t start = Fl_StartHash(attempt->endpoint);
     bool connected = direct == LI_CONNECTED || peer == LI_CONNECTED;
     bool failed = (direct == LI_FAILED || direct == LI_NOT_TRIED) &&
                   (peer == LI_FAILED || peer == LI_NOT_TRIED);
     if (failed && attempt->endpoint->link_state.cut) {
         /* The peer's link may be cut as well. */
-        Lv_NoteUnanswered(gate->liveness, start, attempt->since);
+        El_NoteUnanswered(gate->liveness, attempt->endpoint, attempt->since);
     }
     else if (connected || failed) {
-        Lv_NoteConnection(gate->liveness, start, connected, attempt->since,
-                          Ga_Now(gate));
+        El_NoteConnection(gate->liveness, attempt->endpoint, connected,
+                          attempt->since);
     }
 }
 
@@ -297,11 +296,10 @@
     struct ga_gate *gate = attempt->paths->gate;
     attempt->check = NULL;
     if (answered) {
-        Ga_NoteBytes(gate, attempt->endpoint);
+        El_NoteBytes(gate->liveness, attempt->endpoint);
     }
     else {
-        Lv_NoteUnanswered(gate->liveness, Fl_StartHash(attempt->endpoint),
-                          attempt->since);
+        El_NoteUnanswered(gate->liveness, attempt->endpoint, attempt->since);
     }
     end_attempt(attempt);
 }
@@ -412,8 +410,8 @@
         if (now - attempt->since < limit) {
             continue;
         }
-        Lv_NoteUnanswered(paths->gate->liveness,
-                          Fl_StartHash(attempt->endpoint), attempt->since);
+        El_NoteUnanswered(paths->gate->liveness, attempt->endpoint,
+                          attempt->since);
         if (attempt->check != NULL) {
             Lc_Cancel(attempt->check);
             end_attempt(attempt);
@@ -430,14 +428,6 @@
     }
 }
 
-/* Whether the endpoint is to be asked now whether it lives. */
-static bool
-is_check_due(const struct ga_gate *gate, const struct fl_endpoint *endpoint)
-{
-    return !Lv_IsEmpty(gate->liveness) &&
-           Lv_BeginCheck(gate->liveness, Fl_StartHash(endpoint), Ga_Now(gate));
-}
-
 void
 Pt_Tick(struct pt_paths *paths)
 {
@@ -451,7 +441,7 @@
         if (Li_IsProbeDue(&endpoint->link_state, now)) {
             test_link(paths, endpoint, LI_DIRECT_ONLY, false);
         }
-        else if (is_check_due(gate, endpoint)) {
+        else if (El_BeginCheck(gate->liveness, endpoint)) {
             test_link(paths, endpoint,
                       endpoint->link_state.cut ? LI_PEER_FIRST
                                                : LI_DIRECT_FIRST,
--- a/packages/edge/quarantine.c
+++ b/packages/edge/quarantine.c
@@ -296,99 +296,40 @@
 {
     const struct xc_attempt *attempt = &exchange->attempt;
     const struct fl_endpoint *endpoint = attempt->endpoint;
-    struct lv_table *liveness = quarantine->gate->liveness;
+    struct el_liveness *liveness = quarantine->gate->liveness;
     struct pz_request request = describe_whole(exchange);
-    uint32_t start = Fl_StartHash(endpoint);
-    bool relayed = Cn_Peer(attempt->channel) != 0;
-    bool accuses = (relayed || !endpoint->link_state.cut) &&
-                   Lv_NoteBreak(liveness, start, relayed, attempt->sent_at,
-                                Ga_Now(quarantine->gate));
+    bool accuses = El_NoteBreak(
+        liveness, endpoint, Cn_Peer(attempt->channel) != 0, attempt->sent_at);
     log_broken(quarantine, attempt, request.content, accuses);
     if (!accuses) {
         return;
     }
     struct pz_crash crash = {
-        .endpoint = start,
+        .endpoint = Fl_StartHash(endpoint),
         .head_received = attempt->head_at != 0,
         .sent_at = to_true_time(quarantine, attempt->sent_at),
         .ended_at = true_now(quarantine),
     };
     Pz_NoteCrash(quarantine->table, &request, &crash,
                  attempt->first_event_at != 0);
-    if (Lv_State(liveness, start) == LV_ENDED) {
-        Pz_ConfirmDead(quarantine->table, start);
+    if (El_State(liveness, endpoint) == LV_ENDED) {
+        Pz_ConfirmDead(quarantine->table, crash.endpoint);
     }
     Pz_Evaluate(quarantine->table, crash.ended_at);
 }
 
-/* NULL: the list of endpoints does not have the start. */
-static struct fl_endpoint *
-find_start(const struct ga_gate *gate, uint32_t start)
-{
-    struct fl_endpoint *endpoint;
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        if (Fl_StartHash(endpoint) == start) {
-            return endpoint;
-        }
-    }
-    return NULL;
-}
-
-static void
-on_judged(void *arg, uint32_t start, enum lv_state state,
-          enum lv_witness witness)
+void
+Qn_NoteEnded(struct qn_quarantine *quarantine, uint32_t start)
 {
-    struct qn_quarantine *quarantine = arg;
-    struct fl_endpoint *endpoint = find_start(quarantine->gate, start);
-    bool ended = state == LV_ENDED;
-    Ln_Log(LN_STATE, ended ? "crash.confirmed" : "crash.denied",
-           "\"endpoint\":\"%s\",\"by\":\"%s\"",
-           endpoint == NULL ? "" : endpoint->entry.id,
-           Lv_WitnessName(witness));
-    if (endpoint != NULL) {
-        /* Where connections are refused, a request finds out for itself. */
-        endpoint->ended = ended && witness != LV_REFUSED;
-    }
-    if (!ended) {
-        Mt_Add(quarantine->denied, 1);
-        Pz_DropUnconfirmed(quarantine->table, start);
-        return;
-    }
     Pz_ConfirmDead(quarantine->table, start);
     Pz_Evaluate(quarantine->table, true_now(quarantine));
 }
 
-static void
-on_returned(void *arg, uint32_t start)
-{
-    struct qn_quarantine *quarantine = arg;
-    struct fl_endpoint *endpoint = find_start(quarantine->gate, start);
-    if (endpoint != NULL) {
-        endpoint->ended = false;
-    }
-}
-
-static bool
-is_listed(void *arg, uint32_t start)
-{
-    struct qn_quarantine *quarantine = arg;
-    return find_start(quarantine->gate, start) != NULL;
-}
-
-static const struct lv_ops liveness_ops = {
-    .judged = on_judged,
-    .returned = on_returned,
-    .listed = is_listed,
-};
-
-enum st_status
-Qn_CreateLiveness(struct qn_quarantine *quarantine)
+void
+Qn_NoteDenied(struct qn_quarantine *quarantine, uint32_t start)
 {
-    struct lv_rule rule = Lv_DefaultRule();
-    quarantine->gate->liveness = Lv_Create(&rule, &liveness_ops, quarantine);
-    return quarantine->gate->liveness != NULL
-               ? ST_OK
-               : St_Fail(ST_NO_MEMORY, "no memory for crashed endpoints");
+    Mt_Add(quarantine->denied, 1);
+    Pz_DropUnconfirmed(quarantine->table, start);
 }
 
 bool
@@ -443,33 +384,15 @@
     }
     for (size_t i = 0; i < message->crash_count; i++) {
         Pz_ImportCrash(quarantine->table, &message->crashes[i]);
-        Lv_NoteEnded(quarantine->gate->liveness, message->crashes[i].endpoint,
+        El_NoteEnded(quarantine->gate->liveness, message->crashes[i].endpoint,
                      to_own_time(quarantine, message->crashes[i].ended_at));
     }
 }
 
-/* Connections over a link that turned out to be cut tell nothing. */
-static void
-discard_cut_links(struct qn_quarantine *quarantine)
-{
-    struct ga_gate *gate = quarantine->gate;
-    const struct fl_endpoint *endpoint;
-    if (Lv_IsEmpty(gate->liveness)) {
-        return;
-    }
-    TAILQ_FOREACH (endpoint, Fl_All(gate->fleet), link) {
-        if (endpoint->link_state.cut) {
-            Lv_NoteCut(gate->liveness, Fl_StartHash(endpoint));
-        }
-    }
-}
-
 void
 Qn_Tick(struct qn_quarantine *quarantine)
 {
     int64_t now = Ga_Now(quarantine->gate);
-    discard_cut_links(quarantine);
-    Lv_Tick(quarantine->gate->liveness, now);
     if (now - quarantine->version_check_at >= Qn_VERSION_CHECK_USEC) {
         quarantine->version_check_at = now;
         Qv_Update(quarantine->versions, quarantine->gate->fleet);
--- a/packages/edge/quarantine.h
+++ b/packages/edge/quarantine.h
@@ -20,8 +20,6 @@
 /* Returns NULL when out of memory. */
 struct qn_quarantine *Qn_Create(struct ga_gate *gate);
 void Qn_Destroy(struct qn_quarantine *quarantine);
-/* Creates the gate's table of the liveness of endpoints. */
-enum st_status Qn_CreateLiveness(struct qn_quarantine *quarantine);
 /* To be called every Ga_TICK_USEC. */
 void Qn_Tick(struct qn_quarantine *quarantine);
 
@@ -35,6 +33,10 @@
 void Qn_NoteBroken(struct qn_quarantine *quarantine,
                    struct xc_exchange *exchange);
 
+/* A start of an endpoint that may have crashed has ended, or lives. */
+void Qn_NoteEnded(struct qn_quarantine *quarantine, uint32_t start);
+void Qn_NoteDenied(struct qn_quarantine *quarantine, uint32_t start);
+
 /* Why a request must not be sent. */
 #define Qn_WHY_MAX 64
 struct qn_verdict {
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -91,7 +91,7 @@
     if (Cn_Peer(attempt->channel) == 0) {
         attempt->endpoint->last_direct_byte_at = Ga_Now(exchange->gate);
     }
-    Ga_NoteBytes(exchange->gate, attempt->endpoint);
+    El_NoteBytes(exchange->gate->liveness, attempt->endpoint);
 }
 
 static bool
