Send nothing to endpoints that accept connections and answer no check

Cause: ejected endpoints are the last resort, so they are tried where no other is left; nothing said that they answer nothing.

Mend: a start that is in doubt and answered no check, or has ended by silence, is closed for requests until it sends bytes; it is asked each 0.5 s then.

One break alone closes nothing: a living endpoint answers its check (ResettingEndpoints).

--- a/packages/edge/exchange_choose.c
+++ b/packages/edge/exchange_choose.c
@@ -85,10 +85,10 @@
         .same_zone =
             strcmp(endpoint->entry.zone, gate->options.node->zone) == 0,
         .last_resort =
-            endpoint->ended || He_IsEjected(endpoint, context->now) ||
-            warming == WA_MAYBE_COLD,
+            He_IsEjected(endpoint, context->now) || warming == WA_MAYBE_COLD,
         .tried = was_tried(exchange, endpoint->hash),
-        .full = warming == WA_CLOSED || Bt_IsClosed(gate, endpoint) ||
+        .full = endpoint->silent || warming == WA_CLOSED ||
+                Bt_IsClosed(gate, endpoint) ||
                 Rl_IsClosed(exchange->gate, endpoint) ||
                 Po_IsFull(gate, endpoint, exchange->service),
         .unused = Rl_IsUnused(gate, endpoint),
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -98,9 +98,8 @@
     int64_t last_outcome_at; /* end of the last request, successful or not */
     int64_t last_first_byte_at; /* time of the last first byte; 0: none */
     int consecutive_breaks;     /* consecutive broken connections */
-    /* Judged to have ended although its address accepts connections, see
-       policy/liveness.h. */
-    bool ended;
+    /* Accepts connections and sends nothing, see Lv_IsSilent(). */
+    bool silent;
 
     /* The link from this host to the endpoint, see paths.h. */
     bool probe_wanted;
--- a/packages/edge/liveness.c
+++ b/packages/edge/liveness.c
@@ -37,8 +37,7 @@
            endpoint == NULL ? "" : endpoint->entry.id,
            Lv_WitnessName(witness));
     if (endpoint != NULL) {
-        /* Where connections are refused, a request finds out for itself. */
-        endpoint->ended = ended && witness != LV_REFUSED;
+        endpoint->silent = Lv_IsSilent(liveness->table, start);
     }
     if (ended) {
         liveness->ops->ended(liveness->arg, start);
@@ -54,7 +53,7 @@
     struct el_liveness *liveness = arg;
     struct fl_endpoint *endpoint = find_start(liveness, start);
     if (endpoint != NULL) {
-        endpoint->ended = false;
+        endpoint->silent = false;
     }
 }
 
@@ -144,10 +143,12 @@
 }
 
 void
-El_NoteUnanswered(struct el_liveness *liveness,
-                  const struct fl_endpoint *endpoint, int64_t since)
+El_NoteUnanswered(struct el_liveness *liveness, struct fl_endpoint *endpoint,
+                  int64_t since)
 {
-    Lv_NoteUnanswered(liveness->table, Fl_StartHash(endpoint), since);
+    uint32_t start = Fl_StartHash(endpoint);
+    Lv_NoteUnanswered(liveness->table, start, since);
+    endpoint->silent = Lv_IsSilent(liveness->table, start);
 }
 
 void
--- a/packages/edge/liveness.h
+++ b/packages/edge/liveness.h
@@ -1,7 +1,7 @@
 /*
  * Whether the endpoints of this host's list live, see policy/liveness.h: keeps
- * the judgement of each start of an endpoint, and marks endpoints that ended
- * although their address accepts connections.
+ * the judgement of each start of an endpoint, and marks endpoints that are
+ * silent although their address accepts connections.
  */
 #ifndef EDGE_LIVENESS_H
 #define EDGE_LIVENESS_H
@@ -47,7 +47,7 @@
                        int64_t since);
 /* A check that was begun at "since" got no bytes. */
 void El_NoteUnanswered(struct el_liveness *liveness,
-                       const struct fl_endpoint *endpoint, int64_t since);
+                       struct fl_endpoint *endpoint, int64_t since);
 /* Another host has seen the end of a start at "ended_at". */
 void El_NoteEnded(struct el_liveness *liveness, uint32_t start,
                   int64_t ended_at);
--- a/packages/policy/liveness.c
+++ b/packages/policy/liveness.c
@@ -8,7 +8,7 @@
 #define Lv_IN_TRANSIT_USEC (50 * Ck_USEC_PER_MSEC)
 #define Lv_CHECK_INTERVAL_USEC (250 * Ck_USEC_PER_MSEC)
 /* Interval between checks of an ended start, which may return. */
-#define Lv_RETURN_INTERVAL_USEC (1 * Ck_USEC_PER_SEC)
+#define Lv_RETURN_INTERVAL_USEC (500 * Ck_USEC_PER_MSEC)
 /* A doubt that nobody could settle is dropped. */
 #define Lv_DOUBT_TTL_USEC (6 * Ck_USEC_PER_SEC)
 /* An ended start is forgotten; its entry is gone from the list by then. */
@@ -262,6 +262,17 @@
     return row == NULL ? LV_LIVES : row->state;
 }
 
+bool
+Lv_IsSilent(const struct lv_table *table, uint32_t start)
+{
+    const struct row *row = find(table, start);
+    if (row == NULL) {
+        return false;
+    }
+    return row->state == LV_ENDED ? row->witness != LV_REFUSED
+                                  : row->unanswered > 0;
+}
+
 bool
 Lv_IsEmpty(const struct lv_table *table)
 {
--- a/packages/policy/liveness.h
+++ b/packages/policy/liveness.h
@@ -90,6 +90,11 @@
 void Lv_NoteCut(struct lv_table *table, uint32_t start);
 
 enum lv_state Lv_State(const struct lv_table *table, uint32_t start);
+/*
+ * Whether nothing should be sent to the start for now: it is in doubt, or has
+ * ended, and answered no check since, though its address accepts connections.
+ */
+bool Lv_IsSilent(const struct lv_table *table, uint32_t start);
 /* Whether any start is in doubt or has ended. */
 bool Lv_IsEmpty(const struct lv_table *table);
 /* Whether the start should be asked for bytes now, and notes that it is. */
