Give back an endpoint whose end is forgotten for want of room

What callers would see: an endpoint that gets no requests for ever, after 256 others were in doubt or ended at a host: its row was taken over and nobody asked it any more, while it stayed marked silent. Found by reading; the new unit test fails before (0 returned, 1 is due) and passes now.

--- a/packages/policy/liveness.c
+++ b/packages/policy/liveness.c
@@ -103,17 +103,27 @@
     table->ops->judged(table->arg, start, state, witness);
 }
 
+/* Forgets the end of a start, which is asked no more whether it returned. */
+static void
+give_back(struct lv_table *table, struct row *row)
+{
+    uint32_t start = row->start;
+    forget(table, row);
+    table->ops->returned(table->arg, start);
+}
+
 /* Takes a free row, or that of the oldest end; NULL: all are in doubt. */
 static struct row *
 take_row(struct lv_table *table)
 {
-    struct row *row = TAILQ_FIRST(&table->free_rows);
-    if (row == NULL) {
-        TAILQ_FOREACH (row, &table->rows, link) {
-            if (row->state == LV_ENDED) {
-                forget(table, row);
-                break;
-            }
+    struct row *row;
+    if (!TAILQ_EMPTY(&table->free_rows)) {
+        return TAILQ_FIRST(&table->free_rows);
+    }
+    TAILQ_FOREACH (row, &table->rows, link) {
+        if (row->state == LV_ENDED) {
+            give_back(table, row);
+            break;
         }
     }
     return TAILQ_FIRST(&table->free_rows);
@@ -162,8 +172,7 @@
         judge(table, row, LV_LIVES, LV_BYTES);
         return;
     }
-    forget(table, row);
-    table->ops->returned(table->arg, start);
+    give_back(table, row);
 }
 
 void
@@ -185,8 +194,7 @@
     }
     else if (row->state == LV_ENDED && row->witness == LV_REFUSED) {
         /* Who refused before is not who accepts now. */
-        forget(table, row);
-        table->ops->returned(table->arg, start);
+        give_back(table, row);
     }
 }
 
@@ -248,9 +256,7 @@
             judge_silence(table, row, now);
         }
         else if (now - row->broke_at >= Lv_ENDED_TTL_USEC) {
-            uint32_t start = row->start;
-            forget(table, row);
-            table->ops->returned(table->arg, start);
+            give_back(table, row);
         }
     }
 }
--- a/packages/policy/test/liveness_test.cc
+++ b/packages/policy/test/liveness_test.cc
@@ -165,6 +165,23 @@
     EXPECT_EQ(table.judged, Judgements{LV_ENDED});
 }
 
+// Guards against an endpoint that gets no requests for ever, since its end was
+// forgotten for want of room and nobody asks it any more.
+TEST(Liveness, AnEndThatIsForgottenIsGivenBack)
+{
+    const uint32_t many = 256;
+    Table table;
+    for (uint32_t start = 1; start <= many; start++) {
+        Lv_NoteBreak(table.get(), start, false, kNow - kMs, kNow);
+    }
+    EXPECT_FALSE(Lv_NoteBreak(table.get(), many + 1, false, kNow - kMs, kNow));
+    table.Run(kNow + 2 * kSec);
+    EXPECT_TRUE(Lv_NoteBreak(table.get(), many + 1, false, kNow + kSec,
+                             kNow + 2 * kSec));
+    EXPECT_EQ(table.returned, 1);
+    EXPECT_EQ(Lv_State(table.get(), 1), LV_LIVES);
+}
+
 // Guards against requests that are sent, and lost, to an address that accepts
 // them and answers nothing.
 TEST(Liveness, AStartThatAnswersNoCheckIsSilent)
