Let a link that is cut tell nothing of the endpoint behind it

What callers would see: a host whose link is cut, and that finds no peer, judges an endpoint to have ended because its own tries over that link fail: two of them counted as checks without an answer, after a break through a peer that ended. Found by reading; no run shows it. Only checks count now, and where the link is cut only those that a peer was asked for.

--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -233,7 +233,10 @@
     bool failed = (direct == LI_FAILED || direct == LI_NOT_TRIED) &&
                   (peer == LI_FAILED || peer == LI_NOT_TRIED);
     if (failed && attempt->endpoint->link_state.cut) {
-        /* The peer's link may be cut as well. */
+        /* The peer's link may be cut as well; the own one tells nothing. */
+        if (peer == LI_NOT_TRIED) {
+            return;
+        }
         El_NoteUnanswered(gate->liveness, attempt->endpoint, attempt->since);
     }
     else if (connected || failed) {
@@ -410,8 +413,10 @@
         if (now - attempt->since < limit) {
             continue;
         }
-        El_NoteUnanswered(paths->gate->liveness, attempt->endpoint,
-                          attempt->since);
+        if (attempt->checks) {
+            El_NoteUnanswered(paths->gate->liveness, attempt->endpoint,
+                              attempt->since);
+        }
         if (attempt->check != NULL) {
             Lc_Cancel(attempt->check);
             end_attempt(attempt);
