Ask whether an endpoint lived when its connection broke, not whether it does

A break tells a second later whether its endpoint was lost. An endpoint that resets again and again is in doubt anew by then, though it sent bytes in between: its failures counted as losses, which are compared apart.

--- a/packages/edge/broken.c
+++ b/packages/edge/broken.c
@@ -54,8 +54,7 @@
         struct ro_result result = {
             .failed = true,
             .slow = oldest->slow,
-            .lost = endpoint->gone ||
-                    El_State(gate->liveness, endpoint) != LV_LIVES,
+            .lost = !El_LivedSince(gate->liveness, endpoint, oldest->at),
         };
         Ro_RecordAnswer(gate->moves, endpoint->entry.service, oldest->route,
                         Ga_HasTargetVersion(move, endpoint), &result);
--- a/packages/edge/fleet.h
+++ b/packages/edge/fleet.h
@@ -95,6 +95,7 @@
     /* start of its last unresponsive period; 0: never */
     int64_t unresponsive_since;
     int64_t answered_at;
+    int64_t byte_at; /* when it last sent bytes to this host, by any path */
     int64_t last_outcome_at; /* end of the last request, successful or not */
     int64_t last_first_byte_at; /* time of the last first byte; 0: none */
     int consecutive_breaks;     /* consecutive broken connections */
--- a/packages/edge/liveness.c
+++ b/packages/edge/liveness.c
@@ -125,11 +125,12 @@
 }
 
 void
-El_NoteBytes(struct el_liveness *liveness, const struct fl_endpoint *endpoint)
+El_NoteBytes(struct el_liveness *liveness, struct fl_endpoint *endpoint)
 {
+    endpoint->byte_at = Ck_Now(liveness->clock);
     if (!Lv_IsEmpty(liveness->table)) {
         Lv_NoteBytes(liveness->table, Fl_StartHash(endpoint),
-                     Ck_Now(liveness->clock));
+                     endpoint->byte_at);
     }
 }
 
@@ -157,6 +158,14 @@
     Lv_NoteEnded(liveness->table, start, ended_at);
 }
 
+bool
+El_LivedSince(const struct el_liveness *liveness,
+              const struct fl_endpoint *endpoint, int64_t since)
+{
+    return !endpoint->gone && (endpoint->byte_at > since ||
+                               El_State(liveness, endpoint) == LV_LIVES);
+}
+
 enum lv_state
 El_State(const struct el_liveness *liveness,
          const struct fl_endpoint *endpoint)
--- a/packages/edge/liveness.h
+++ b/packages/edge/liveness.h
@@ -39,8 +39,7 @@
                   const struct fl_endpoint *endpoint, bool relayed,
                   int64_t sent_at);
 /* The endpoint sent bytes to this host, by any path. */
-void El_NoteBytes(struct el_liveness *liveness,
-                  const struct fl_endpoint *endpoint);
+void El_NoteBytes(struct el_liveness *liveness, struct fl_endpoint *endpoint);
 /* A connect that was begun at "since" was accepted, or refused by all. */
 void El_NoteConnection(struct el_liveness *liveness,
                        const struct fl_endpoint *endpoint, bool accepted,
@@ -53,6 +52,12 @@
                   int64_t ended_at);
 enum lv_state El_State(const struct el_liveness *liveness,
                        const struct fl_endpoint *endpoint);
+/*
+ * Whether the endpoint lived at "since", when a connection to it broke.  It
+ * may be in doubt again by now: its later connections may break too.
+ */
+bool El_LivedSince(const struct el_liveness *liveness,
+                   const struct fl_endpoint *endpoint, int64_t since);
 /* Whether the endpoint is to be asked for bytes now; notes that it is. */
 bool El_BeginCheck(struct el_liveness *liveness,
                    const struct fl_endpoint *endpoint);
