--- a/packages/policy/liveness.c
+++ b/packages/policy/liveness.c
@@ -226,7 +226,7 @@
     }
 }
 
-/* Settles a doubt by silence; returns when nothing came for long enough. */
+/* Settles a doubt that has lasted long enough without bytes. */
 static void
 judge_silence(struct lv_table *table, struct row *row, int64_t now)
 {
--- a/packages/policy/test/liveness_test.cc
+++ b/packages/policy/test/liveness_test.cc
@@ -310,7 +310,7 @@
     {"lives, the peer ended", false, true, 1, 1, 0},
 };
 
-// Of ten thousand, as many: no sound endpoint that answers may be given up.
+// An end that is missed lets a request go on ending endpoints.
 const int kMissedMax = 0;
 
 // Guards against ends that one host in a few, or one of hundreds, misses, and
