--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -25,6 +25,19 @@
    without a delay before it waits. */
 #define Xc_WAIT_GAP_OFFSET 2
 
+const char *
+Xc_EndName(const struct xc_attempt *attempt)
+{
+    return attempt->channel == NULL ? ""
+                                    : Cn_EndName(Cn_End(attempt->channel));
+}
+
+bool
+Xc_IsRelayed(const struct xc_attempt *attempt)
+{
+    return attempt->channel != NULL && Cn_Peer(attempt->channel) != 0;
+}
+
 static void
 log_end(const struct xc_exchange *exchange, const char *outcome)
 {
@@ -35,13 +48,14 @@
         "\"id\":\"%s\",\"outcome\":\"%s\",\"route\":\"%s\","
         "\"config\":%lld,\"status\":%d,\"endpoint\":\"%s\","
         "\"version\":\"%s\",\"sends\":%d,"
-        "\"ran\":%d,\"last_event\":%lld,\"first_ms\":%lld,"
-        "\"aim_ms\":%lld,\"ms\":%lld,\"left_ms\":%lld",
+        "\"ran\":%d,\"last_event\":%lld,\"end\":\"%s\",\"relayed\":%d,"
+        "\"first_ms\":%lld,\"aim_ms\":%lld,\"ms\":%lld,\"left_ms\":%lld",
         exchange->info.id, outcome, exchange->route->name,
         (long long)exchange->config->version, attempt->status,
         attempt->endpoint == NULL ? "" : attempt->endpoint->entry.id,
         attempt->endpoint == NULL ? "" : attempt->endpoint->entry.version,
         exchange->sends, exchange->runs, (long long)exchange->last_event,
+        Xc_EndName(attempt), Xc_IsRelayed(attempt),
         exchange->first_byte_at == 0
             ? -1LL
             : (long long)((exchange->first_byte_at - exchange->arrived_at) /
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -196,6 +196,10 @@
 bool Xc_MayRetry(struct xc_exchange *exchange, bool ran);
 /* Returns 503 if no endpoint can have run the request, else 502. */
 int Xc_RefusalStatus(const struct xc_exchange *exchange);
+/* How the attempt's answer ended, see Cn_EndName(). */
+const char *Xc_EndName(const struct xc_attempt *attempt);
+/* Whether the attempt's connection leads through a peer. */
+bool Xc_IsRelayed(const struct xc_attempt *attempt);
 /* Ends the current attempt; its connection is kept if it can be reused. */
 void Xc_ReleaseAttempt(struct xc_exchange *exchange);
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -30,6 +30,7 @@
 #define Re_PENDING_MAX (256u << 10)
 /* Retry-after for a caller whose request was not run. */
 #define Re_RETRY_USEC (300 * Ck_USEC_PER_MSEC)
+#define Re_LABELS_MAX 64
 
 void
 Xc_CountRun(struct xc_exchange *exchange)
@@ -284,12 +285,13 @@
     Ln_Log(LN_FAILURE, "attempt.failed",
            "\"id\":\"%s\",\"endpoint\":\"%s\",\"why\":\"%s\",\"ran\":%d,"
            "\"status\":%d,\"sends\":%d,\"ms\":%lld,\"events\":%d,"
-           "\"parts\":\"%s\"",
+           "\"end\":\"%s\",\"relayed\":%d,\"parts\":\"%s\"",
            exchange->info.id, attempt->endpoint->entry.id, why, ran,
            attempt->status, exchange->sends,
            (long long)((Ga_Now(exchange->gate) - attempt->sent_at) /
                        Ck_USEC_PER_MSEC),
-           attempt->first_event_at != 0, format_parts(&exchange->info));
+           attempt->first_event_at != 0, Xc_EndName(attempt),
+           Xc_IsRelayed(attempt), format_parts(&exchange->info));
     struct qn_verdict verdict;
     struct qn_quarantine *quarantine = exchange->gate->quarantine;
     struct pz_request prompt = Qn_RequestOf(quarantine, exchange);
@@ -462,10 +464,27 @@
     }
 }
 
+/* Counts how the answer ended; without its head there was none. */
+static void
+count_end(const struct xc_exchange *exchange)
+{
+    const struct xc_attempt *attempt = &exchange->attempt;
+    if (attempt->head_at == 0) {
+        return;
+    }
+    char labels[Re_LABELS_MAX];
+    snprintf(labels, sizeof(labels), "end=\"%s\",way=\"%s\"",
+             Xc_EndName(attempt), Xc_IsRelayed(attempt) ? "peer" : "direct");
+    Mt_Add(Mt_Get(exchange->gate->registry, MT_COUNTER,
+                  "cornelgate_answer_ends_total", labels),
+           1);
+}
+
 static void
 on_done(void *arg, enum cn_outcome outcome)
 {
     struct xc_exchange *exchange = arg;
+    count_end(exchange);
     if (!Tr_HoldEnd(exchange, outcome)) {
         Xc_EndAttempt(exchange, outcome);
     }
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -35,6 +35,8 @@
     bool rejected;  /* the body cannot be an answer's */
     size_t skipped; /* bytes of answers to other requests */
     bool paused;
+    bool chunked; /* the answer of the exchange */
+    enum cn_end end;
     int64_t keep_usec;
     int64_t idle_since;
 };
@@ -91,6 +93,7 @@
         channel->spoiled = true;
     }
     note_keep_alive(channel, head);
+    channel->chunked = head->chunked;
     channel->skipping = !channel->ops->head(channel->arg, head);
     channel->spoiled |= channel->skipping;
 }
@@ -113,6 +116,7 @@
 {
     struct cn_channel *channel = arg;
     channel->finishing = true;
+    channel->end = channel->chunked ? CN_END_CHUNKS : CN_END_LENGTH;
 }
 
 static const struct h1_ops parser_ops = {
@@ -155,6 +159,7 @@
         if (channel->finishing) {
             channel->finishing = false;
             channel->skipping = false;
+            channel->end = CN_END_NONE;
             H1_Reset(channel->parser);
         }
     }
@@ -179,6 +184,7 @@
 {
     struct cn_channel *channel = arg;
     channel->gone = true;
+    channel->end = clean ? CN_END_CLOSED : CN_END_RESET;
     if (channel->ops != NULL && clean && !channel->skipping &&
         H1_Eof(channel->parser)) {
         channel->spoiled = true;
@@ -313,6 +319,7 @@
     channel->skipping = false;
     channel->rejected = false;
     channel->skipped = 0;
+    channel->end = CN_END_NONE;
     if (channel->gone) {
         Lp_TimerSet(channel->deferred, 0);
         return;
@@ -346,6 +353,20 @@
     return channel->peer;
 }
 
+enum cn_end
+Cn_End(const struct cn_channel *channel)
+{
+    return channel->end;
+}
+
+const char *
+Cn_EndName(enum cn_end end)
+{
+    static const char *const names[] = {"", "length", "chunks", "closed",
+                                        "reset"};
+    return names[end];
+}
+
 /* Whether the connection has carried an exchange before. */
 bool
 Cn_Used(const struct cn_channel *channel)
--- a/packages/web/channel.h
+++ b/packages/web/channel.h
@@ -27,6 +27,15 @@
     CN_BROKEN,   /* ended, or made no sense, after bytes had left */
 };
 
+/* How the answer, or what came of it, ended. */
+enum cn_end {
+    CN_END_NONE,   /* it has not, or this side gave it up */
+    CN_END_LENGTH, /* its length was reached, or it has no body */
+    CN_END_CHUNKS, /* by its last chunk */
+    CN_END_CLOSED, /* the connection ended in order */
+    CN_END_RESET,  /* the connection broke */
+};
+
 struct cn_ops {
     /*
      * False: the answer is another request's.  It is skipped, the next one is
@@ -64,6 +73,9 @@
 bool Cn_Sent(const struct cn_channel *channel);
 /* The daemon that it goes through; 0: none. */
 uint32_t Cn_Peer(const struct cn_channel *channel);
+enum cn_end Cn_End(const struct cn_channel *channel);
+/* "length", "chunks", "closed", "reset"; empty: CN_END_NONE. */
+const char *Cn_EndName(enum cn_end end);
 bool Cn_Used(const struct cn_channel *channel);
 bool Cn_Reusable(const struct cn_channel *channel);
 /* How long the other side keeps an idle connection; 0: not said. */
