Don't take a part that came through a killed peer for the whole answer

Cause: such an answer ends with its connection, and the kernel of a killed process ends its connections in order.

Now such an answer is whole only once its way has outlived the end: the endpoint is asked for bytes through the same peer. A killed peer cannot connect; nothing is needed of the peer's build, so it holds beside older hosts. Where the check gets no bytes, another connection of the same way that is still open after 50 ms decides. A stopping peer says that it does not connect, so it lives, and the endpoint is asked by another way.

Also: the second attempt of such requests chose the dead peer again.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/ending.h"
 #include "edge/exchange_internal.h"
 #include "edge/quarantine.h"
 #include "edge/rate_limit.h"
@@ -91,6 +92,7 @@
         return;
     }
     Tr_NoteRelease(exchange);
+    Eg_Cancel(attempt->ending);
     /*
      * A plain endpoint that got the request and has not answered is assumed to
      * have run it; at an engine it may still be queued.
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -13,6 +13,7 @@
 
 #define Xc_TRIED_MAX 8
 
+struct eg_ending;
 struct tr_move;
 
 /* The current attempt at one endpoint, and its answer so far. */
@@ -39,11 +40,13 @@
     bool overflow; /* the answer is too large, or its bytes are no events */
     bool events_missing; /* the stream skipped events */
     size_t unnumbered;   /* bytes of events without an id since the last one */
-    bool slow;     /* the first byte took several times as long as usual */
-    bool judged;   /* counted for or against the endpoint's version */
-    bool moved;    /* continues a run whose KV cache was moved */
-    bool stopped;  /* the endpoint was told to stop the run */
-    bool to_close; /* the answer is delimited by the connection's end */
+    bool slow;        /* the first byte took several times as long as usual */
+    bool judged;      /* counted for or against the endpoint's version */
+    bool moved;       /* continues a run whose KV cache was moved */
+    bool stopped;     /* the endpoint was told to stop the run */
+    bool to_close;    /* the answer is delimited by the connection's end */
+    bool end_checked; /* that end was judged, see edge/ending.h */
+    struct eg_ending *ending; /* the judgement in progress; NULL: none */
     struct es_parser parser;
 };
 
--- a/packages/edge/paths.c
+++ b/packages/edge/paths.c
@@ -7,9 +7,9 @@
 #include <string.h>
 
 #include "edge/exchange.h"
-#include "edge/lifecheck.h"
 #include "policy/link.h"
 #include "web/dial.h"
+#include "web/lifecheck.h"
 
 /* Link tests in progress at the same time. */
 #define Pt_TESTS_MAX 16
@@ -89,29 +89,54 @@
                                         Rn_Unit(&gate->random), Ga_Now(gate))];
 }
 
+bool
+Pt_FillWay(const struct pt_paths *paths, const struct fl_endpoint *endpoint,
+           struct di_way *way)
+{
+    const struct ga_gate *gate = paths->gate;
+    if (way->peer == 0) {
+        strlcpy(way->address, endpoint->entry.address, sizeof(way->address));
+        return true;
+    }
+    const struct ms_peer *peer = Ms_Find(gate->mesh, way->peer);
+    if (peer == NULL) {
+        return false;
+    }
+    snprintf(way->address, sizeof(way->address), "%.48s:%d", peer->ip,
+             gate->options.node->tunnel_port);
+    strlcpy(way->target, endpoint->entry.id, sizeof(way->target));
+    return true;
+}
+
+void
+Pt_FillOtherWay(struct pt_paths *paths, const struct fl_endpoint *endpoint,
+                struct di_way *way)
+{
+    uint32_t declined = way->peer;
+    Li_NoteFailure(&paths->failures, declined, Ga_Now(paths->gate));
+    const struct ms_peer *peer = pick_peer(paths, &endpoint->link_state);
+    bool other = peer != NULL && peer->address != declined;
+    *way = (struct di_way){.peer = other ? peer->address : 0};
+    Pt_FillWay(paths, endpoint, way);
+}
+
 static void
-add_direct_way(struct di_plan *plan, const struct fl_endpoint *endpoint)
+add_way(struct di_plan *plan, const struct attempt *attempt, uint32_t peer)
 {
     struct di_way *way = &plan->ways[plan->count++];
-    strlcpy(way->address, endpoint->entry.address, sizeof(way->address));
+    way->peer = peer;
+    Pt_FillWay(attempt->paths, attempt->endpoint, way);
 }
 
 static void
 add_peer_way(struct di_plan *plan, struct attempt *attempt)
 {
-    struct ga_gate *gate = attempt->paths->gate;
-    const struct fl_endpoint *endpoint = attempt->endpoint;
     const struct ms_peer *peer =
-        pick_peer(attempt->paths, &endpoint->link_state);
-    if (peer == NULL) {
-        return;
+        pick_peer(attempt->paths, &attempt->endpoint->link_state);
+    if (peer != NULL) {
+        attempt->peer = peer->address;
+        add_way(plan, attempt, peer->address);
     }
-    attempt->peer = peer->address;
-    struct di_way *way = &plan->ways[plan->count++];
-    snprintf(way->address, sizeof(way->address), "%.48s:%d", peer->ip,
-             gate->options.node->tunnel_port);
-    strlcpy(way->target, endpoint->entry.id, sizeof(way->target));
-    way->peer = peer->address;
 }
 
 static struct di_plan
@@ -122,7 +147,7 @@
         add_peer_way(&plan, attempt);
     }
     attempt->direct = plan.count;
-    add_direct_way(&plan, attempt->endpoint);
+    add_way(&plan, attempt, 0);
     if (attempt->order == LI_DIRECT_FIRST) {
         add_peer_way(&plan, attempt);
     }
@@ -173,6 +198,7 @@
     case DI_MADE:
         return LI_CONNECTED;
     case DI_FAILED:
+    case DI_DECLINED:
         return LI_FAILED;
     case DI_PENDING:
         return LI_OVERDUE;
@@ -463,6 +489,7 @@
 void
 Pt_NoteRelayBroke(struct pt_paths *paths, uint32_t peer)
 {
+    Li_NoteFailure(&paths->failures, peer, Ga_Now(paths->gate));
     struct fl_endpoint *endpoint;
     TAILQ_FOREACH (endpoint, Fl_All(paths->gate->fleet), link) {
         struct fl_idle *idle;
--- a/packages/edge/paths.h
+++ b/packages/edge/paths.h
@@ -22,12 +22,24 @@
 /* Connects to an endpoint; NULL when out of memory or descriptors. */
 struct cn_channel *Pt_Connect(struct pt_paths *paths,
                               struct fl_endpoint *endpoint, cn_idle_fn idle);
+/*
+ * Sets the address and target of a way to an endpoint, by the peer in
+ * way->peer or directly if that is 0; false: the peer is not known.
+ */
+bool Pt_FillWay(const struct pt_paths *paths,
+                const struct fl_endpoint *endpoint, struct di_way *way);
+/*
+ * Sets another way instead: the peer in way->peer makes no connection to the
+ * endpoint.
+ */
+void Pt_FillOtherWay(struct pt_paths *paths,
+                     const struct fl_endpoint *endpoint, struct di_way *way);
 /* Notes that a request sent directly at "sent_at" has no answer yet. */
 void Pt_NoteUnanswered(struct pt_paths *paths, struct fl_endpoint *endpoint,
                        int64_t sent_at);
 /*
  * A connection through a peer broke: the peer may have ended, and with it all
- * connections that lead through it.
+ * connections that lead through it.  Other peers come before it for a while.
  */
 void Pt_NoteRelayBroke(struct pt_paths *paths, uint32_t peer);
 /* Whether an idle connection may be reused for another request. */
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -10,6 +10,7 @@
 
 #include "edge/brittle.h"
 #include "edge/broken.h"
+#include "edge/ending.h"
 #include "edge/exchange.h"
 #include "edge/health.h"
 #include "edge/paths.h"
@@ -419,10 +420,27 @@
     Wa_NoteBroken(endpoint, exchange->service, now);
 }
 
+/* Whether it matters that the answer is whole, and its end does not show it.
+ */
+static bool
+has_doubtful_end(const struct xc_attempt *attempt, enum cn_outcome outcome)
+{
+    return outcome == CN_COMPLETE && !attempt->end_checked &&
+           Xc_IsRelayed(attempt) &&
+           Cn_End(attempt->channel) == CN_END_CLOSED &&
+           attempt->status < 500 && !attempt->answer.not_run;
+}
+
 void
 Xc_EndAttempt(struct xc_exchange *exchange, enum cn_outcome outcome)
 {
     const struct xc_attempt *attempt = &exchange->attempt;
+    if (has_doubtful_end(attempt, outcome) && !attempt->stopped) {
+        if (Eg_Begin(exchange)) {
+            return;
+        }
+        outcome = CN_BROKEN;
+    }
     exchange->delivered += outcome != CN_NOT_SENT || attempt->moved;
     if (outcome == CN_COMPLETE && attempt->stopped && attempt->to_close) {
         /* The end of the connection may be that of the stopped run. */
--- a/packages/edge/transfer_choose.c
+++ b/packages/edge/transfer_choose.c
@@ -34,10 +34,11 @@
 {
     const struct xc_attempt *attempt = &exchange->attempt;
     return exchange->service->moves_allowed && attempt->streaming &&
-           attempt->events > 0 && !attempt->events_missing &&
-           exchange->last_event >= 0 && exchange->info.has_token_counts &&
-           exchange->info.id[0] != '\0' && exchange->move == NULL &&
-           !exchange->move_barred && exchange->moves < Tr_MOVES_MAX;
+           attempt->ending == NULL && attempt->events > 0 &&
+           !attempt->events_missing && exchange->last_event >= 0 &&
+           exchange->info.has_token_counts && exchange->info.id[0] != '\0' &&
+           exchange->move == NULL && !exchange->move_barred &&
+           exchange->moves < Tr_MOVES_MAX;
 }
 
 /* Callers and endpoints give numbers of any size. */
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -353,6 +353,12 @@
     return channel->peer;
 }
 
+bool
+Cn_IsOpen(const struct cn_channel *channel)
+{
+    return channel->connected && !channel->gone;
+}
+
 enum cn_end
 Cn_End(const struct cn_channel *channel)
 {
--- a/packages/web/channel.h
+++ b/packages/web/channel.h
@@ -73,6 +73,8 @@
 bool Cn_Sent(const struct cn_channel *channel);
 /* The daemon that it goes through; 0: none. */
 uint32_t Cn_Peer(const struct cn_channel *channel);
+/* Whether the connection is made and has not ended. */
+bool Cn_IsOpen(const struct cn_channel *channel);
 enum cn_end Cn_End(const struct cn_channel *channel);
 /* "length", "chunks", "closed", "reset"; empty: CN_END_NONE. */
 const char *Cn_EndName(enum cn_end end);
--- a/packages/web/dial.c
+++ b/packages/web/dial.c
@@ -84,10 +84,10 @@
 }
 
 static void
-failed(struct attempt *attempt)
+failed(struct attempt *attempt, enum di_state state)
 {
     struct di_dial *dial = attempt->dial;
-    attempt->state = DI_FAILED;
+    attempt->state = state;
     Sk_Close(attempt->sock);
     attempt->sock = NULL;
     start_next(dial);
@@ -116,7 +116,7 @@
 {
     struct attempt *attempt = arg;
     if (attempt->head_len + len >= sizeof(attempt->head)) {
-        failed(attempt);
+        failed(attempt, DI_FAILED);
         return;
     }
     memcpy(attempt->head + attempt->head_len, data, len);
@@ -130,7 +130,7 @@
         made(attempt);
     }
     else {
-        failed(attempt);
+        failed(attempt, DI_DECLINED);
     }
 }
 
@@ -138,7 +138,7 @@
 on_closed(void *arg, bool clean)
 {
     (void)clean;
-    failed(arg);
+    failed(arg, DI_FAILED);
 }
 
 static const struct sk_ops sock_ops = {
--- a/packages/web/dial.h
+++ b/packages/web/dial.h
@@ -44,6 +44,7 @@
     DI_UNTRIED,
     DI_PENDING,
     DI_FAILED,
+    DI_DECLINED, /* the daemon at the address did not connect */
     DI_MADE,
 };
 
--- a/packages/edge/lifecheck.c
+++ b/packages/web/lifecheck.c
@@ -1,4 +1,4 @@
-#include "edge/lifecheck.h"
+#include "web/lifecheck.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/packages/edge/lifecheck.h
+++ b/packages/web/lifecheck.h
@@ -2,8 +2,8 @@
  * Asks an endpoint for bytes on a connection of its own: any byte of an answer
  * shows that it lives, whatever the answer says.
  */
-#ifndef EDGE_LIFECHECK_H
-#define EDGE_LIFECHECK_H
+#ifndef WEB_LIFECHECK_H
+#define WEB_LIFECHECK_H
 
 #include <stdbool.h>
 
