Don't take the part that a killed endpoint left for the whole answer

Callers got a part with status 200 when an endpoint's process was killed in the midst of answers without a length, directly and through a peer, no host disturbed.

Cause: its kernel ends the killed process's connections in order, and that counted as the end of the answer.

The check that answers through a peer have now holds for all ways: a killed process accepts no connection, and its others end with it.

--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -426,7 +426,6 @@
 has_doubtful_end(const struct xc_attempt *attempt, enum cn_outcome outcome)
 {
     return outcome == CN_COMPLETE && !attempt->end_checked &&
-           Xc_IsRelayed(attempt) &&
            Cn_End(attempt->channel) == CN_END_CLOSED &&
            attempt->status < 500 && !attempt->answer.not_run;
 }
