Don't drop what a slow reader has not taken behind an end in order

A host that read slowly through a peer would have got a part of an answer without a length and then an end in order: the part looked whole.

Cause: a finished connection was closed a second after Sk_Finish(), whether its buffer was empty or not. Now the second begins once all has left, and a reader that takes nothing for four seconds is reset.

--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -31,6 +31,8 @@
     (1000 * (Sk_PROBE_IDLE_SEC + Sk_PROBE_COUNT * Sk_PROBE_EVERY_SEC))
 /* How long a finished connection is read so that its end is not a reset. */
 #define Sk_LINGER_USEC (1 * Ck_USEC_PER_SEC)
+/* How long the other side of a finished connection may take no byte. */
+#define Sk_STALL_USEC (4 * Ck_USEC_PER_SEC)
 
 struct sk_sock {
     struct lp_loop *loop;
@@ -51,6 +53,7 @@
     size_t out_start;
     size_t out_len;
     size_t out_size;
+    size_t stalled_len; /* out_len when the linger timer was set */
 };
 
 /* Reads "IP:PORT".  ST_INVALID names the text. */
@@ -101,12 +104,24 @@
     sock->ops->closed(sock->arg, clean);
 }
 
+/* Waits until what is buffered has left, or bytes have stopped to leave. */
+static void
+set_linger(struct sk_sock *sock)
+{
+    sock->stalled_len = sock->out_len;
+    Lp_TimerSet(sock->linger,
+                sock->out_len == 0 ? Sk_LINGER_USEC : Sk_STALL_USEC);
+}
+
 static void
 shut_when_empty(struct sk_sock *sock)
 {
     if (sock->finished && !sock->shut && sock->out_len == 0) {
         sock->shut = true;
         shutdown(sock->fd, SHUT_WR);
+        if (sock->linger != NULL) {
+            set_linger(sock);
+        }
     }
 }
 
@@ -399,10 +414,20 @@
     Sk_Close(sock);
 }
 
+/* An end in order behind a part would make it look whole. */
 static void
 linger_over(void *arg)
 {
-    Sk_Close(arg);
+    struct sk_sock *sock = arg;
+    if (sock->stalled_len == 0) {
+        Sk_Close(sock);
+    }
+    else if (sock->out_len == sock->stalled_len) {
+        Sk_Reset(sock);
+    }
+    else {
+        set_linger(sock);
+    }
 }
 
 /*
@@ -429,5 +454,5 @@
         Sk_Close(sock);
         return;
     }
-    Lp_TimerSet(sock->linger, Sk_LINGER_USEC);
+    set_linger(sock);
 }
