cornelgated: don't keep a part as the result of a request that runs once

Callers got the part of an answer without a length that a killed plain endpoint left, with status 200, and so did all who repeated its key.

Cause: the library reports such an answer as complete when its connection ends, whoever ended it. Now it is held until a connection to the endpoint was made after the end, by the same way; otherwise the outcome is unknown, or the request is repeated where it may be.

--- a/packages/gate/reach.c
+++ b/packages/gate/reach.c
@@ -242,9 +242,10 @@
                     Rn_Unit(&gate->random), Ck_Now(gate->clock));
     const struct mb_record *member = candidates.rows[picked].member;
     strlcpy(tries->peer_id, member->id, sizeof(tries->peer_id));
-    snprintf(tries->peer_address, sizeof(tries->peer_address), "%s@%s:%u",
-             reach->credentials, member->address,
+    snprintf(tries->peer_at, sizeof(tries->peer_at), "%s:%u", member->address,
              candidates.rows[picked].port);
+    snprintf(tries->peer_address, sizeof(tries->peer_address), "%s@%s",
+             reach->credentials, tries->peer_at);
     return true;
 }
 
@@ -365,6 +366,29 @@
     return false;
 }
 
+bool
+Rh_IsThrough(const struct rh_tries *tries)
+{
+    return tries->steps[tries->step].through;
+}
+
+void
+Rh_FillWay(const struct rh_reach *reach, const struct rh_tries *tries,
+           const struct ch_info *info, bool through, struct di_way *way)
+{
+    memset(way, 0, sizeof(*way));
+    if (!through) {
+        snprintf(way->address, sizeof(way->address), "%.*s:%d", Rh_IP_MAX,
+                 info->address, info->port);
+        return;
+    }
+    strlcpy(way->address, tries->peer_at, sizeof(way->address));
+    /* As the client library has it, see find_endpoint(). */
+    snprintf(way->target, sizeof(way->target), "%.*s:%d", Ch_NAME_MAX,
+             tries->endpoint, info->port);
+    strlcpy(way->credentials, reach->credentials, sizeof(way->credentials));
+}
+
 static void
 on_probed(void *arg, const struct di_result *result)
 {
--- a/packages/gate/reach.h
+++ b/packages/gate/reach.h
@@ -11,12 +11,14 @@
 #include "policy/choose.h"
 #include "policy/link.h"
 #include "web/client.h"
+#include "web/dial.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 #define Rh_ADDRESS_MAX 160
+#define Rh_IP_MAX 45
 #define Rh_STEPS_MAX 3
 
 struct rh_reach;
@@ -36,6 +38,7 @@
     bool connected;
     char peer_address[Rh_ADDRESS_MAX]; /* "USER:SECRET@IP:PORT" */
     char peer_id[Mb_ID_MAX];
+    char peer_at[Di_ADDRESS_MAX]; /* "IP:PORT" */
     struct hc_through through;
 };
 
@@ -61,6 +64,12 @@
 bool Rh_Next(struct rh_reach *reach, struct rh_tries *tries,
              const struct hc_result *result);
 
+/* Whether the call was connected through a peer. */
+bool Rh_IsThrough(const struct rh_tries *tries);
+/* Sets the way to an endpoint, through the tries' peer or directly. */
+void Rh_FillWay(const struct rh_reach *reach, const struct rh_tries *tries,
+                const struct ch_info *info, bool through, struct di_way *way);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -17,6 +17,7 @@
 #include "gate/reach.h"
 #include "gate/request.h"
 #include "web/client.h"
+#include "web/outlive.h"
 
 #define Rl_ATTEMPT_MAX (Rq_ID_MAX + 16)
 #define Rl_TYPE_MAX 128
@@ -26,8 +27,19 @@
 /* How long to wait for an answer after the caller has gone. */
 #define Rl_LINGER_USEC (60 * Ck_USEC_PER_SEC)
 
+/* An answer that has ended. */
+struct ended {
+    bool complete;
+    enum hc_stage stage;
+    int code;
+    char *body; /* the relay's */
+    size_t len;
+};
+
 struct rl_plain {
     struct hc_call *call;
+    struct ended ended;
+    struct ol_query *query; /* whether it was the answer's end; NULL: none */
     struct ch_flight flight;
     struct ch_table *table;
     char attempt[Rl_ATTEMPT_MAX];
@@ -98,12 +110,11 @@
 }
 
 static void
-answer_caller(struct rq_request *request, struct hc_call *call, int code)
+answer_caller(struct rq_request *request)
 {
-    size_t len;
-    const char *body = Hc_Body(call, &len);
+    const struct ended *ended = &request->plain->ended;
     if (request->claimed) {
-        record_result(request, code, body, len);
+        record_result(request, ended->code, ended->body, ended->len);
     }
     if (request->http != NULL) {
         struct web_header headers[] = {
@@ -111,8 +122,8 @@
             {"cornelgate-outcome", An_OutcomeName(AN_RAN)},
         };
         Hs_SetUser(request->http, NULL);
-        Hs_Reply(request->http, code, request->plain->type, headers, 2, body,
-                 len);
+        Hs_Reply(request->http, ended->code, request->plain->type, headers, 2,
+                 ended->body, ended->len);
         request->http = NULL;
     }
     Rq_Finish(request, AN_RAN);
@@ -148,15 +159,15 @@
 
 /* Reports a connection that broke, or could not be made. */
 static void
-report_break(struct rq_request *request, const struct hc_result *result)
+report_break(struct rq_request *request)
 {
     struct rl_plain *relay = request->plain;
     struct gq_quarantine *quarantine = request->gate->quarantine;
-    if (relay->flight.endpoint == NULL || result->stage == HC_COMPLETE) {
+    if (relay->flight.endpoint == NULL || relay->ended.complete) {
         return;
     }
     const char *endpoint = Ch_Info(relay->flight.endpoint)->id;
-    if (result->stage == HC_CONNECTING) {
+    if (relay->ended.stage == HC_CONNECTING) {
         Gq_RecordDead(quarantine, endpoint);
     }
     else {
@@ -170,28 +181,23 @@
     }
 }
 
+/* Answers the caller, makes another attempt, or gives the request up. */
 static void
-call_done(void *arg, struct hc_call *call, const struct hc_result *result)
+end_attempt(struct rq_request *request)
 {
-    struct rq_request *request = arg;
     struct rl_plain *relay = request->plain;
-    relay->call = NULL;
-    if (Rh_Next(request->gate->reach, &relay->tries, result) &&
-        send_call(request) == ST_OK) {
-        return;
-    }
-    bool complete = result->stage == HC_COMPLETE;
-    if (complete && relay->id_matches && result->code < 500) {
+    const struct ended *ended = &relay->ended;
+    if (ended->complete && relay->id_matches && ended->code < 500) {
         end_flight(request, CH_GOOD);
         Rq_RecordSuccess(request);
         Gq_RecordAnswer(request->gate->quarantine, request);
-        answer_caller(request, call, result->code);
+        answer_caller(request);
         return;
     }
-    bool maybe_sent = result->stage != HC_CONNECTING;
-    report_break(request, result);
+    bool maybe_sent = ended->stage != HC_CONNECTING;
+    report_break(request);
     end_flight(request, maybe_sent ? CH_FAILED : CH_UNREACHED);
-    if (complete && !relay->id_matches) {
+    if (ended->complete && !relay->id_matches) {
         /*
          * The endpoint mixed up two answers: this one belongs to another
          * request and must not reach the caller.
@@ -208,8 +214,8 @@
         attempt(request);
         return;
     }
-    if (complete && relay->id_matches) {
-        answer_caller(request, call, result->code);
+    if (ended->complete && relay->id_matches) {
+        answer_caller(request);
         return;
     }
     if (maybe_sent && !request->idempotent) {
@@ -222,6 +228,78 @@
               request->service->name);
 }
 
+static bool ask_endpoint(struct rq_request *request, bool through);
+
+/*
+ * Without a length the end is that of the connection, which a killed endpoint
+ * or peer ends in the same way; see web/outlive.h.
+ */
+static void
+on_asked(void *arg, enum ol_result result)
+{
+    struct rq_request *request = arg;
+    struct rl_plain *relay = request->plain;
+    relay->query = NULL;
+    if (result == OL_DECLINED && ask_endpoint(request, false)) {
+        return;
+    }
+    if (result != OL_ANSWERED) {
+        Ev_Log(&GT_ANSWER_UNCONFIRMED, "request=%s service=%s check=%s",
+               request->id, request->service->name, Ol_ResultName(result));
+        Gt_Count(request->gate, "cg_answers_unconfirmed_total", NULL, NULL);
+        relay->ended.complete = false;
+        relay->ended.stage = HC_ANSWERED;
+    }
+    end_attempt(request);
+}
+
+/* Asks for no more than a connection: any request would be a run. */
+static bool
+ask_endpoint(struct rq_request *request, bool through)
+{
+    struct rl_plain *relay = request->plain;
+    if (relay->flight.endpoint == NULL) {
+        return false;
+    }
+    const struct ch_info *info = Ch_Info(relay->flight.endpoint);
+    struct di_way way;
+    Rh_FillWay(request->gate->reach, &relay->tries, info, through, &way);
+    struct ol_options options = {
+        .loop = request->gate->loop,
+        .way = &way,
+        .host = info->address,
+    };
+    relay->query = Ol_Start(&options, on_asked, request);
+    return relay->query != NULL;
+}
+
+static void
+call_done(void *arg, struct hc_call *call, const struct hc_result *result)
+{
+    struct rq_request *request = arg;
+    struct rl_plain *relay = request->plain;
+    relay->call = NULL;
+    if (Rh_Next(request->gate->reach, &relay->tries, result) &&
+        send_call(request) == ST_OK) {
+        return;
+    }
+    struct ended *ended = &relay->ended;
+    free(ended->body);
+    ended->body = Hc_TakeBody(call, &ended->len);
+    ended->complete = result->stage == HC_COMPLETE;
+    ended->stage = result->stage;
+    ended->code = result->code;
+    if (ended->complete && Hc_EndsByClosing(call)) {
+        relay->maybe_sent = true;
+        if (ask_endpoint(request, Rh_IsThrough(&relay->tries))) {
+            return;
+        }
+        ended->complete = false;
+        ended->stage = HC_ANSWERED;
+    }
+    end_attempt(request);
+}
+
 static const struct hc_ops call_ops = {
     .headers = take_headers,
     .done = call_done,
@@ -389,5 +467,7 @@
     if (relay->call != NULL) {
         Hc_Cancel(relay->call);
     }
+    Ol_Cancel(relay->query);
+    free(relay->ended.body);
     free(relay);
 }
--- a/packages/web/client.c
+++ b/packages/web/client.c
@@ -41,6 +41,8 @@
     bool failed;
     bool timed_out;
     bool has_type;
+    bool no_body; /* the answer cannot have one */
+    bool ends_by_closing;
     int64_t connect_usec;
     int64_t idle_usec;
     int64_t started;
@@ -270,6 +272,10 @@
     call->stage = HC_ANSWERED;
     call->last_byte = Ck_Now(Ck_System());
     call->code = (int)lws_http_client_http_response(wsi);
+    call->ends_by_closing =
+        !call->no_body && call->code != 204 && call->code != 304 &&
+        lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) == 0 &&
+        lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) == 0;
     timer_arm(call);
     if (call->ops->headers != NULL) {
         call->ops->headers(call->arg, call, call->code);
@@ -457,6 +463,7 @@
     call->total_usec = request->total_usec;
     call->collect_max =
         request->collect_max > 0 ? request->collect_max : Hc_COLLECT_MAX;
+    call->no_body = strcmp(request->method, "HEAD") == 0;
     call->started = Ck_Now(Ck_System());
     call->timer = Lp_TimerCreate(loop, timer_fired, call);
     call->patience = Lp_TimerCreate(loop, lift_limit, call);
@@ -534,3 +541,19 @@
     }
     return call->collected;
 }
+
+bool
+Hc_EndsByClosing(const struct hc_call *call)
+{
+    return call->ends_by_closing;
+}
+
+char *
+Hc_TakeBody(struct hc_call *call, size_t *len)
+{
+    char *body = call->collected;
+    *len = call->collected_len;
+    call->collected = NULL;
+    call->collected_len = 0;
+    return body;
+}
--- a/packages/web/client.h
+++ b/packages/web/client.h
@@ -83,6 +83,10 @@
 enum hc_stage Hc_Stage(const struct hc_call *call);
 const char *Hc_Header(const struct hc_call *call, const char *name);
 const char *Hc_Body(const struct hc_call *call, size_t *len);
+/* Whether only the end of the connection ends the answer. */
+bool Hc_EndsByClosing(const struct hc_call *call);
+/* The same as Hc_Body(), which has none from then on; to be freed. */
+char *Hc_TakeBody(struct hc_call *call, size_t *len);
 
 #ifdef __cplusplus
 }
--- a/packages/web/dial.c
+++ b/packages/web/dial.c
@@ -1,10 +1,13 @@
 #include "web/dial.h"
 
+#include <libwebsockets.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define Di_HEAD_MAX 128
+#define Di_BASIC "Proxy-authorization: basic "
+#define Di_BASIC_MAX (2 * Di_CREDENTIALS_MAX)
 
 /* One way that is being tried. */
 struct attempt {
@@ -96,6 +99,25 @@
     }
 }
 
+/* Asks the daemon at the address for a connection to the target. */
+static void
+ask(struct sk_sock *sock, const struct di_way *way)
+{
+    char text[sizeof(Di_ASK) + Di_TARGET_MAX];
+    int len = snprintf(text, sizeof(text), Di_ASK, way->target);
+    Sk_Write(sock, text, (size_t)len);
+    if (way->credentials[0] != '\0') {
+        char basic[Di_BASIC_MAX];
+        int basic_len = lws_b64_encode_string(way->credentials,
+                                              (int)strlen(way->credentials),
+                                              basic, sizeof(basic));
+        Sk_Write(sock, Di_BASIC, strlen(Di_BASIC));
+        Sk_Write(sock, basic, basic_len < 0 ? 0 : (size_t)basic_len);
+        Sk_Write(sock, "\r\n", 2);
+    }
+    Sk_Write(sock, "\r\n", 2);
+}
+
 static void
 on_connected(void *arg)
 {
@@ -105,9 +127,7 @@
         made(attempt);
         return;
     }
-    char ask[Di_TARGET_MAX + sizeof(Di_ASK)];
-    int len = snprintf(ask, sizeof(ask), Di_ASK, way->target);
-    Sk_Write(attempt->sock, ask, (size_t)len);
+    ask(attempt->sock, way);
 }
 
 /* The far end speaks only when asked: nothing may follow the head. */
--- a/packages/web/dial.h
+++ b/packages/web/dial.h
@@ -21,7 +21,8 @@
 #define Di_ADDRESS_MAX 64
 #define Di_TARGET_MAX 160
 /* What a daemon is asked, and says once the connection is there. */
-#define Di_ASK "CONNECT %s HTTP/1.1\r\n\r\n"
+#define Di_ASK "CONNECT %s HTTP/1.1\r\n"
+#define Di_CREDENTIALS_MAX 128
 #define Di_MADE "HTTP/1.1 200 \r\n\r\n"
 #define Di_NOT_MADE "HTTP/1.1 502 \r\n\r\n"
 #define Di_HEAD_END "\r\n\r\n"
@@ -31,6 +32,8 @@
     /* What the daemon at the address is to connect to; empty: the address is
        the far end itself. */
     char target[Di_TARGET_MAX];
+    /* What it is shown, "USER:SECRET"; empty: nothing. */
+    char credentials[Di_CREDENTIALS_MAX];
     uint32_t peer; /* names that daemon; 0: none */
 };
 
--- a/packages/web/outlive.c
+++ b/packages/web/outlive.c
@@ -52,6 +52,11 @@
         end(query, result->ways[0] == DI_DECLINED ? OL_DECLINED : OL_REFUSED);
         return;
     }
+    if (query->path[0] == '\0') {
+        Sk_Close(result->sock);
+        end(query, OL_ANSWERED);
+        return;
+    }
     query->check =
         Lc_Start(result->sock, query->host, query->path, on_checked, query);
     if (query->check == NULL) {
@@ -67,7 +72,9 @@
         return NULL;
     }
     strlcpy(query->host, options->host, sizeof(query->host));
-    strlcpy(query->path, options->path, sizeof(query->path));
+    if (options->path != NULL) {
+        strlcpy(query->path, options->path, sizeof(query->path));
+    }
     query->done = done;
     query->arg = arg;
     struct di_plan plan = {
--- a/packages/web/outlive.h
+++ b/packages/web/outlive.h
@@ -15,7 +15,7 @@
 #endif
 
 enum ol_result {
-    OL_ANSWERED, /* bytes came */
+    OL_ANSWERED, /* bytes came or, without a path, it was connected */
     OL_CLOSED,   /* the connection was made, and ended without bytes */
     OL_REFUSED,  /* no connection could be made */
     OL_DECLINED, /* the daemon between lives, but made no connection */
@@ -28,7 +28,7 @@
     struct lp_loop *loop;
     const struct di_way *way; /* that the answer has come by */
     const char *host;
-    const char *path; /* to ask for */
+    const char *path; /* to ask for; NULL: nothing is asked */
 };
 
 /* The end, once, never from within Ol_Start(); the query is freed after it. */
