cornelgated: don't let one odd entry hide the whole host list

With one entry that is nested very deeply, or has a number too large, a daemon stopped following the list of hosts: it was read as one JSON text. Ports out of range and huge slots counted as they came, cut to 32 bits.

Now the list and the notices are read entry by entry; entries that cannot be read, or that name no host that could be reached, are left out and reported. HostList.AnOddEntryNamesNoHost failed before on seven of nine odd entries: three hid the sound one, four counted as hosts.

--- a/packages/gate/hostwatch.c
+++ b/packages/gate/hostwatch.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "base/hash.h"
 #include "gate/events.h"
+#include "platform/jsonlist.h"
 
 /*
  * Each poll reads the whole list: 230 KB at 1160 hosts, ten times the network
@@ -21,6 +22,8 @@
 #define Hw_NOTICE_USEC (500 * Ck_USEC_PER_MSEC)
 #define Hw_TIMEOUT_USEC (2 * Ck_USEC_PER_SEC)
 #define Hw_PATH_MAX 64
+/* No platform gives a longer notice. */
+#define Hw_NOTICE_MSEC_MAX (24 * 3600 * 1000)
 
 struct hw_watch {
     struct gt_gate *gate;
@@ -36,7 +39,8 @@
     struct lp_timer *notice_timer;
     struct jc_call *notice_call;
     uint64_t next_notice;
-    bool failing; /* the last poll of the list failed; logged once */
+    size_t unreadable; /* entries of the last list that named no host */
+    bool failing;      /* the last poll of the list failed; logged once */
 };
 
 /* The order of the hosts does not change the digest. */
@@ -76,6 +80,10 @@
         return;
     }
     watch->failing = false;
+    if (watch->list->unreadable != watch->unreadable) {
+        watch->unreadable = watch->list->unreadable;
+        Ev_Log(&GT_HOST_UNREADABLE, "entries=%zu", watch->unreadable);
+    }
     watch->list_period = Hw_PollPeriod(count);
     Lp_TimerSet(watch->list_timer, watch->list_period);
     watch->ops->hosts(watch->arg, hosts, count);
@@ -124,7 +132,7 @@
 {
     const char *host = json_string_value(json_object_get(notice, "host"));
     int64_t left_ms = json_integer_value(json_object_get(notice, "left_ms"));
-    if (host == NULL) {
+    if (host == NULL || left_ms < 0 || left_ms > Hw_NOTICE_MSEC_MAX) {
         return;
     }
     Ev_Log(&GT_NOTICE, "host=%s left_ms=%lld", host, (long long)left_ms);
@@ -137,23 +145,26 @@
     struct hw_watch *watch = arg;
     watch->notice_call = NULL;
     Lp_TimerSet(watch->notice_timer, Hw_NOTICE_USEC);
-    const json_t *next = json_object_get(answer->body, "next");
     if (answer->status != ST_OK || answer->code != 200 ||
-        !json_is_integer(next)) {
+        answer->text == NULL) {
         return;
     }
-    /* A stale response must not deliver old notices again. */
+    size_t unreadable;
+    json_t *next = Jl_ReadMember(answer->text, answer->text_len, "next");
+    json_t *notices =
+        Jl_Read(answer->text, answer->text_len, "notices", &unreadable);
     uint64_t after = (uint64_t)json_integer_value(next);
-    if (after < watch->next_notice) {
-        return;
-    }
-    watch->next_notice = after;
-    size_t i;
-    const json_t *notice;
-    const json_t *notices = json_object_get(answer->body, "notices");
-    json_array_foreach (notices, i, notice) {
-        handle_notice(watch, notice);
+    /* A stale response must not deliver old notices again. */
+    if (json_is_integer(next) && after >= watch->next_notice) {
+        watch->next_notice = after;
+        size_t i;
+        const json_t *notice;
+        json_array_foreach (notices, i, notice) {
+            handle_notice(watch, notice);
+        }
     }
+    json_decref(next);
+    json_decref(notices);
 }
 
 static void
--- a/packages/platform/hostlist.c
+++ b/packages/platform/hostlist.c
@@ -6,6 +6,12 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "platform/jsonlist.h"
+
+#define Hl_PORT_MAX 65535
+/* More than any host serves at a time. */
+#define Hl_SLOTS_MAX 1000000
+#define Hl_COLD_MSEC_MAX (24 * 3600 * 1000)
 
 struct fetch;
 
@@ -18,6 +24,7 @@
 
 struct fetch {
     LIST_ENTRY(fetch) link;
+    struct http_list *http;
     struct jc_call *call;
     void (*done)(void *arg, enum st_status status, const struct hl_host *hosts,
                  size_t count);
@@ -31,10 +38,12 @@
     strlcpy(out, text != NULL ? text : "", size);
 }
 
+/* 0 where it is absent, -1 where it is negative or larger than "most". */
 static int
-read_int(const json_t *object, const char *key)
+read_int(const json_t *object, const char *key, int most)
 {
-    return (int)json_integer_value(json_object_get(object, key));
+    json_int_t value = json_integer_value(json_object_get(object, key));
+    return value < 0 || value > most ? -1 : (int)value;
 }
 
 static bool
@@ -55,18 +64,30 @@
     copy_string(item, "service", host->service, sizeof(host->service));
     copy_string(item, "version", host->version, sizeof(host->version));
     copy_string(item, "class", host->host_class, sizeof(host->host_class));
-    host->port = read_int(item, "port");
-    host->peer_port = read_int(item, "peer_port");
-    host->admin_port = read_int(item, "admin_port");
-    host->slots = read_int(item, "slots");
-    host->warmup_left_usec =
-        (int64_t)read_int(item, "cold_ms") * Ck_USEC_PER_MSEC;
+    host->port = read_int(item, "port", Hl_PORT_MAX);
+    host->peer_port = read_int(item, "peer_port", Hl_PORT_MAX);
+    host->admin_port = read_int(item, "admin_port", Hl_PORT_MAX);
+    host->slots = read_int(item, "slots", Hl_SLOTS_MAX);
+    int cold_ms = read_int(item, "cold_ms", Hl_COLD_MSEC_MAX);
+    host->warmup_left_usec = cold_ms < 0 ? 0 : cold_ms * Ck_USEC_PER_MSEC;
     host->price = json_number_value(json_object_get(item, "price"));
     host->reclaimable = json_is_true(json_object_get(item, "reclaimable"));
     host->role = string_is(item, "role", "entry") ? HL_ENTRY : HL_ENDPOINT;
     host->state = string_is(item, "state", "leaving") ? HL_LEAVING : HL_LIVE;
 }
 
+/*
+ * Whether the entry names a host that can be reached: another writer may have
+ * left anything in its place.
+ */
+static bool
+is_host(const struct hl_host *host)
+{
+    return host->id[0] != '\0' && host->address[0] != '\0' &&
+           host->port >= 0 && host->peer_port >= 0 && host->admin_port >= 0 &&
+           host->slots >= 0;
+}
+
 /*
  * Parses the hosts.  The caller frees the array; NULL is returned when memory
  * runs out.
@@ -84,10 +105,12 @@
     json_array_foreach (items, i, item) {
         struct hl_host *host = &hosts[*count];
         parse_host(item, host);
-        /* A host without an id or an address cannot be reached: drop it. */
-        if (host->id[0] != '\0' && host->address[0] != '\0') {
+        if (is_host(host)) {
             (*count)++;
         }
+        else {
+            memset(host, 0, sizeof(*host));
+        }
     }
     return hosts;
 }
@@ -96,14 +119,18 @@
 fetch_done(void *arg, const struct jc_answer *answer)
 {
     struct fetch *fetch = arg;
-    const json_t *items = json_object_get(answer->body, "hosts");
     struct hl_host *hosts = NULL;
     size_t count = 0;
+    size_t unreadable = 0;
+    json_t *items =
+        answer->text == NULL
+            ? NULL
+            : Jl_Read(answer->text, answer->text_len, "hosts", &unreadable);
     enum st_status status = answer->status;
     if (status != ST_OK) {
         St_Fail(status, "the host list did not answer; check its address");
     }
-    else if (answer->code != 200 || !json_is_array(items)) {
+    else if (answer->code != 200 || items == NULL) {
         status =
             St_Fail(ST_UNAVAILABLE, "the host list answered %d without hosts",
                     answer->code);
@@ -115,6 +142,8 @@
         }
     }
     LIST_REMOVE(fetch, link);
+    fetch->http->base.unreadable = unreadable + json_array_size(items) - count;
+    json_decref(items);
     fetch->done(fetch->arg, status, hosts, count);
     free(hosts);
     free(fetch);
@@ -131,6 +160,7 @@
     if (fetch == NULL) {
         return St_Fail(ST_NO_MEMORY, "no memory to ask for the host list");
     }
+    fetch->http = http;
     fetch->done = done;
     fetch->arg = arg;
     enum st_status status =
--- a/packages/platform/hostlist.h
+++ b/packages/platform/hostlist.h
@@ -63,6 +63,7 @@
 
 struct hl_list {
     const struct hl_ops *ops;
+    size_t unreadable; /* entries of the last list that named no host */
 };
 
 enum st_status Hl_HttpCreate(struct lp_loop *loop,
--- a/packages/platform/jsoncall.c
+++ b/packages/platform/jsoncall.c
@@ -53,6 +53,8 @@
         .may_have_run = result->stage != HC_CONNECTING,
         .code = result->code,
         .body = body,
+        .text = text,
+        .text_len = text == NULL ? 0 : len,
     };
     call->done(call->arg, &answer);
     json_decref(body);
--- a/packages/platform/jsoncall.h
+++ b/packages/platform/jsoncall.h
@@ -24,6 +24,8 @@
     bool may_have_run;     /* false: no byte of the request was sent */
     int code;
     const json_t *body; /* NULL when empty or not JSON */
+    const char *text;   /* the same as it came; NULL when empty */
+    size_t text_len;
 };
 
 struct jc_call;
--- a/packages/platform/test/hostlist_test.cc
+++ b/packages/platform/test/hostlist_test.cc
@@ -4,8 +4,12 @@
 #include <unistd.h>
 
 #include <cstdio>
+#include <string>
+#include <thread>
+#include <vector>
 
 #include "platform/hostlist.h"
+#include "test/socket.h"
 #include "web/loop.h"
 
 #include "../../member/test/loop_util.h"
@@ -77,4 +81,81 @@
     EXPECT_EQ(0, calls);
 }
 
+struct Hosts {
+    enum st_status status = ST_INTERNAL;
+    std::vector<std::string> ids;
+
+    static void
+    Take(void *arg, enum st_status status, const struct hl_host *hosts,
+         size_t count)
+    {
+        auto *self = static_cast<Hosts *>(arg);
+        self->status = status;
+        for (size_t i = 0; i < count; i++) {
+            self->ids.emplace_back(hosts[i].id);
+        }
+    }
+};
+
+// Fetches a list that is answered with these bytes.
+Hosts
+Fetch(const std::string &body)
+{
+    cg::Socket listener(SOCK_STREAM);
+    struct jc_target target = {};
+    snprintf(target.address, sizeof(target.address), "127.0.0.1");
+    target.port = listener.Bind(true);
+    std::thread server([&] {
+        cg::Socket taken = listener.Accept();
+        std::string request;
+        while (request.find("\r\n\r\n") == std::string::npos) {
+            request += taken.Receive(1);
+        }
+        taken.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    struct lp_loop *loop = nullptr;
+    EXPECT_EQ(ST_OK, Lp_Create(&loop));
+    struct hl_list *list = nullptr;
+    EXPECT_EQ(ST_OK, Hl_HttpCreate(loop, &target, &list));
+    Hosts hosts;
+    EXPECT_EQ(ST_OK, list->ops->fetch(list, 10 * Ck_USEC_PER_SEC, Hosts::Take,
+                                      &hosts));
+    {
+        Runner runner(loop);
+        runner.For(200 * Ck_USEC_PER_MSEC);
+    }
+    server.join();
+    list->ops->destroy(list);
+    Lp_Destroy(loop);
+    return hosts;
+}
+
+// One odd entry among the hosts: the daemon stops to follow the list, or sends
+// requests to a port that is none.
+TEST(HostList, AnOddEntryNamesNoHost)
+{
+    const std::string sound = "{\"id\":\"a\",\"address\":\"127.0.0.1\","
+                              "\"port\":80,\"slots\":4}";
+    const std::string odd[] = {
+        std::string(60000, '[') + std::string(60000, ']'),
+        "{\"id\":\"b\",\"address\":\"127.0.0.1\",\"port\":" +
+            std::string(400, '9') + "}",
+        "{\"id\":\"b\",\"address\":\"127.0.0.1\",\"port\":70000}",
+        "{\"id\":\"b\",\"address\":\"127.0.0.1\",\"port\":-1}",
+        "{\"id\":\"b\",\"address\":\"127.0.0.1\",\"port\":4294967376}",
+        "{\"id\":\"b\",\"address\":\"127.0.0.1\",\"port\":80,"
+        "\"slots\":9223372036854775807}",
+        "{\"id\":[],\"address\":{},\"port\":\"80\"}",
+        "7",
+        "nothing",
+    };
+    for (const std::string &entry : odd) {
+        Hosts hosts = Fetch("{\"hosts\":[" + entry + "," + sound + "]}");
+        EXPECT_EQ(hosts.status, ST_OK) << entry.substr(0, 60);
+        EXPECT_EQ(hosts.ids, std::vector<std::string>{"a"})
+            << entry.substr(0, 60);
+    }
+}
+
 } // namespace
