Don't let a stream of empty lines hold up the callers of its host

Cause: each event was sent by itself, with an allocation and a system call, 131,072 of two bytes in one turn of the loop.

--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -79,7 +79,8 @@
     int runs;           /* endpoints that ran or may have run the request */
     uint32_t tried[Xc_TRIED_MAX]; /* hashes of the endpoints sent to */
     size_t tried_count;
-    int64_t last_event; /* id of the last event passed on; -1: none */
+    int64_t last_event;      /* id of the last event passed on; -1: none */
+    struct bf_buffer events; /* of the present read, for the caller */
     /* Last event that the caller has from before; -1: none. */
     int64_t resumed_after;
     char version[Hd_VERSION_MAX];
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -237,13 +237,27 @@
     }
     begin_answer(exchange);
     note_event_version(exchange, event);
-    Sv_Write(exchange->request, event->data, event->len);
+    if (!Bf_Add(&exchange->events, event->data, event->len)) {
+        attempt->overflow = true;
+        return;
+    }
     if (event->id >= 0) {
         exchange->last_event = event->id;
     }
     Xc_NoteOutput(exchange);
 }
 
+/*
+ * What came together leaves together: a write for each event would hold up
+ * all other callers where events are as small as an empty line.
+ */
+static void
+pass_events(struct xc_exchange *exchange)
+{
+    Sv_Write(exchange->request, exchange->events.data, exchange->events.len);
+    Bf_Free(&exchange->events);
+}
+
 static bool
 on_body(void *arg, const char *data, size_t len)
 {
@@ -255,6 +269,7 @@
         return !attempt->overflow;
     }
     Es_Feed(&attempt->parser, data, len, on_event, exchange);
+    pass_events(exchange);
     attempt->overflow |= attempt->parser.failed;
     if (exchange->head_sent &&
         Sv_Pending(exchange->request) > Re_PENDING_MAX) {
