Send the rest of an answer that the kernel takes in parts

A caller that paused got 5 to 6 of 16 MB, then nothing until its connection was given up.

Cause: asked for within "writable", the next call of it was forgotten: the library stops to wait for a descriptor after it has called the handler. System calls show a refused write, and no POLLOUT after it. Now it is asked again after the turn.

--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -1,6 +1,7 @@
 #include "web/loop.h"
 
 #include <bsd/string.h>
+#include <bsd/sys/queue.h>
 #include <bsd/sys/tree.h>
 #include <libwebsockets.h>
 #include <signal.h>
@@ -32,6 +33,7 @@
 };
 
 RB_HEAD(timer_tree, lp_timer);
+LIST_HEAD(watch_list, lp_watch);
 
 /*
  * Timers are ours, behind one timer descriptor.  Those of libwebsockets wait
@@ -50,7 +52,8 @@
     size_t proxy_count;
     struct proxy proxies[Lp_PROXIES_MAX];
     STAILQ_HEAD(later_list, lp_later) later;
-    int depth; /* callbacks on the stack */
+    struct watch_list unwritten; /* asked for "writable" within it */
+    int depth;                   /* callbacks on the stack */
     bool firing;
     bool stopping;
     lp_turn_fn turn_fn; /* NULL: nobody asks */
@@ -69,10 +72,13 @@
 };
 
 struct lp_watch {
+    LIST_ENTRY(lp_watch) unwritten_link;
     struct lp_loop *loop;
     struct lws *wsi;
     const struct lp_watch_ops *ops;
     void *arg;
+    bool writing;   /* "writable" is being called */
+    bool unwritten; /* is in the loop's list of that name */
 };
 
 static void
@@ -198,6 +204,20 @@
     return ST_OK;
 }
 
+static void
+write_watch(struct lws *wsi, struct lp_watch *watch)
+{
+    if (watch->ops->writable == NULL) {
+        return;
+    }
+    watch->writing = true;
+    watch->ops->writable(watch->arg);
+    /* The handler may have destroyed its watch. */
+    if (lws_get_opaque_user_data(wsi) == watch) {
+        watch->writing = false;
+    }
+}
+
 static int
 watch_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
                void *in, size_t len)
@@ -217,9 +237,7 @@
         watch->ops->readable(watch->arg);
         break;
     case LWS_CALLBACK_RAW_WRITEABLE_FILE:
-        if (watch->ops->writable != NULL) {
-            watch->ops->writable(watch->arg);
-        }
+        write_watch(wsi, watch);
         break;
     case LWS_CALLBACK_RAW_CLOSE_FILE:
         watch->wsi = NULL;
@@ -265,6 +283,7 @@
         return St_Fail(ST_NO_MEMORY, "no memory for the loop");
     }
     STAILQ_INIT(&loop->later);
+    LIST_INIT(&loop->unwritten);
     struct lws_context_creation_info info = {0};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
@@ -317,6 +336,21 @@
     loop->turn_arg = arg;
 }
 
+/*
+ * The library forgets a request for "writable" that was made within it, and
+ * what is left of a large answer would never be sent.
+ */
+static void
+ask_again(struct lp_loop *loop)
+{
+    struct lp_watch *watch;
+    while ((watch = LIST_FIRST(&loop->unwritten)) != NULL) {
+        LIST_REMOVE(watch, unwritten_link);
+        watch->unwritten = false;
+        Lp_WatchWritable(watch);
+    }
+}
+
 static void
 end_turn(struct lp_loop *loop)
 {
@@ -335,6 +369,7 @@
         if (lws_service(loop->context, 0) < 0) {
             break;
         }
+        ask_again(loop);
         end_turn(loop);
     }
 }
@@ -467,7 +502,13 @@
 void
 Lp_WatchWritable(struct lp_watch *watch)
 {
-    if (watch->wsi != NULL) {
+    if (watch->writing) {
+        if (!watch->unwritten) {
+            watch->unwritten = true;
+            LIST_INSERT_HEAD(&watch->loop->unwritten, watch, unwritten_link);
+        }
+    }
+    else if (watch->wsi != NULL) {
         lws_callback_on_writable(watch->wsi);
     }
 }
@@ -491,6 +532,9 @@
     if (watch == NULL) {
         return;
     }
+    if (watch->unwritten) {
+        LIST_REMOVE(watch, unwritten_link);
+    }
     if (watch->wsi != NULL) {
         lws_set_opaque_user_data(watch->wsi, NULL);
         lws_set_timeout(watch->wsi, PENDING_TIMEOUT_CLOSE_SEND,
--- a/packages/web/test/sock_test.cc
+++ b/packages/web/test/sock_test.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <atomic>
 #include <thread>
 
 #include "base/clock.h"
@@ -66,6 +67,17 @@
         Lp_TimerDestroy(timer);
     }
 
+    // Stops as soon as "done" is set.
+    void
+    RunUntil(const std::atomic<bool> &done)
+    {
+        done_ = &done;
+        poll_ = Lp_TimerCreate(loop_, Poll, this);
+        Lp_TimerSet(poll_, 0);
+        Lp_Run(loop_);
+        Lp_TimerDestroy(poll_);
+    }
+
     struct lp_loop *loop_ = nullptr;
     struct sk_sock *sock_ = nullptr;
     cg::Socket far_;
@@ -79,6 +91,17 @@
         Lp_Stop(static_cast<struct lp_loop *>(arg));
     }
 
+    static void
+    Poll(void *arg)
+    {
+        auto *self = static_cast<Pair *>(arg);
+        if (*self->done_) {
+            Lp_Stop(self->loop_);
+            return;
+        }
+        Lp_TimerSet(self->poll_, Ck_USEC_PER_MSEC);
+    }
+
     static void
     Data(void *, const char *, size_t)
     {
@@ -92,6 +115,8 @@
         self->clean_ = clean;
     }
 
+    const std::atomic<bool> *done_ = nullptr;
+    struct lp_timer *poll_ = nullptr;
     static constexpr sk_ops kOps = {nullptr, Data, Closed, nullptr};
 };
 
@@ -119,11 +144,13 @@
     Sk_Finish(sock_);
     sock_ = nullptr;
     std::string got;
+    std::atomic<bool> done{false};
     std::thread reader([&] {
         std::this_thread::sleep_for(std::chrono::milliseconds(1500));
         got = far_.Receive(answer.size() + 1);
+        done = true;
     });
-    RunFor(4 * Ck_USEC_PER_SEC);
+    RunUntil(done);
     reader.join();
     EXPECT_TRUE(far_.ended());
     EXPECT_EQ(got.size(), answer.size());
