--- a/packages/edge/ending.c
+++ b/packages/edge/ending.c
@@ -15,9 +15,9 @@
     struct ol_query *query; /* NULL: it has ended, or was not begun */
     struct lp_timer *timer;
     int64_t ended_at;
-    struct di_way way; /* of the query */
-    bool others_due;   /* the other connections tell something by now */
-    bool asked_again;  /* by another way */
+    struct di_way way;   /* of the query */
+    bool others_settled; /* a killed process has ended them by now */
+    bool asked_again;    /* by another way */
     enum ol_result result;
 };
 
@@ -94,7 +94,7 @@
 static void
 decide_by_others(struct eg_ending *ending)
 {
-    if (!ending->others_due) {
+    if (!ending->others_settled) {
         return;
     }
     if (any_other_open(ending)) {
@@ -109,7 +109,7 @@
 on_timer(void *arg)
 {
     struct eg_ending *ending = arg;
-    ending->others_due = true;
+    ending->others_settled = true;
     decide_by_others(ending);
 }
 
--- a/packages/edge/ending.h
+++ b/packages/edge/ending.h
@@ -16,8 +16,8 @@
 struct eg_ending;
 
 /*
- * Starts to find out.  Xc_EndAttempt() follows, never from within; false
- * without memory.
+ * Starts to judge the end of the exchange's answer.  Xc_EndAttempt() is called
+ * with the result, once and never from within; false without memory.
  */
 bool Eg_Begin(struct xc_exchange *exchange);
 /* The attempt is released; NULL is allowed. */
--- a/packages/gate/hostwatch.c
+++ b/packages/gate/hostwatch.c
@@ -154,8 +154,12 @@
     json_t *notices =
         Jl_Read(answer->text, answer->text_len, "notices", &unreadable);
     uint64_t after = (uint64_t)json_integer_value(next);
-    /* A stale response must not deliver old notices again. */
-    if (json_is_integer(next) && after >= watch->next_notice) {
+    /*
+     * A stale response must not deliver old notices again, and one that was
+     * cut off must not make its notices count as read.
+     */
+    if (notices != NULL && json_is_integer(next) &&
+        after >= watch->next_notice) {
         watch->next_notice = after;
         size_t i;
         const json_t *notice;
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -27,19 +27,19 @@
 /* How long to wait for an answer after the caller has gone. */
 #define Rl_LINGER_USEC (60 * Ck_USEC_PER_SEC)
 
-/* An answer that has ended. */
+/* How the last attempt's call ended; the answer may yet be in doubt. */
 struct ended {
-    bool complete;
+    bool complete; /* the whole answer came */
     enum hc_stage stage;
     int code;
-    char *body; /* the relay's */
+    char *body; /* owned; NULL: none */
     size_t len;
 };
 
 struct rl_plain {
     struct hc_call *call;
     struct ended ended;
-    struct ol_query *query; /* whether it was the answer's end; NULL: none */
+    struct ol_query *query; /* whether the answer is whole; NULL: not asked */
     struct ch_flight flight;
     struct ch_table *table;
     char attempt[Rl_ATTEMPT_MAX];
--- a/packages/platform/hostlist.c
+++ b/packages/platform/hostlist.c
@@ -84,8 +84,8 @@
 is_host(const struct hl_host *host)
 {
     return host->id[0] != '\0' && host->address[0] != '\0' &&
-           host->port >= 0 && host->peer_port >= 0 && host->admin_port >= 0 &&
-           host->slots >= 0;
+           host->port >= (host->role == HL_ENDPOINT ? 1 : 0) &&
+           host->peer_port >= 0 && host->admin_port >= 0 && host->slots >= 0;
 }
 
 /*
--- a/packages/platform/jsonlist.c
+++ b/packages/platform/jsonlist.c
@@ -24,7 +24,7 @@
 take(struct text *text, char c)
 {
     skip_space(text);
-    if (text->at == text->len || text->data[text->at] != c) {
+    if (text->at >= text->len || text->data[text->at] != c) {
         return false;
     }
     text->at++;
--- a/packages/web/outlive.h
+++ b/packages/web/outlive.h
@@ -1,8 +1,9 @@
 /*
  * Whether whoever sent an answer has outlived its end.  An answer without a
  * length ends with its connection, and a killed process ends its connections
- * in the same way: its kernel closes them in order.  Only bytes that were
- * asked for after the end show that it was no kill.
+ * in the same way: its kernel closes them in order.  What shows that it was no
+ * kill happens after the end: bytes that were asked for then or, where nothing
+ * may be asked, a connection that was made then.
  */
 #ifndef WEB_OUTLIVE_H
 #define WEB_OUTLIVE_H
