Tests: clients that break the limits, at each port of both daemons

Callers saw (in a trial of the users): a process ran out of memory under many chunked bodies at once, most just short of their end and kept open.

It is checked that the process lives, that memory with what waits in its sockets, and descriptors, stay under the bound, and that a caller in order is served while the crowd stands and afterwards. No times, no shares.

--- a/standins/plain.c
+++ b/standins/plain.c
@@ -94,6 +94,23 @@
     call_free(call);
 }
 
+/* Makes the answer as long as the query asks for, if it asks. */
+static void
+pad(json_t *answer, const struct hs_request *request)
+{
+    char text[Ep_NAME_MAX];
+    if (!Hs_Query(request, "answer_bytes", text, sizeof(text))) {
+        return;
+    }
+    size_t len = strtoul(text, NULL, 10);
+    char *padding = malloc(len);
+    if (padding != NULL) {
+        memset(padding, 'x', len);
+        json_object_set_new(answer, "padding", json_stringn(padding, len));
+        free(padding);
+    }
+}
+
 static json_t *
 answer_body(const struct pn_plain *plain, const struct hs_request *request,
             const struct ep_run *run)
@@ -102,9 +119,11 @@
     size_t len;
     const char *body = Hs_Body(request, &len);
     Hash_Digest(body, len, digest);
-    return json_pack("{s:I, s:s, s:s, s:s}", "run",
-                     (json_int_t)plain->endpoint->run_count, "key", run->key,
-                     "path", run->path, "echo", digest);
+    json_t *answer = json_pack("{s:I, s:s, s:s, s:s}", "run",
+                               (json_int_t)plain->endpoint->run_count, "key",
+                               run->key, "path", run->path, "echo", digest);
+    pad(answer, request);
+    return answer;
 }
 
 /* Ends the process if the body has the text that ends it. */
--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -1,5 +1,7 @@
 #include "test/cluster.h"
 
+#include "test/rogue.h"
+
 namespace cg {
 
 namespace {
@@ -59,6 +61,11 @@
                       options.args.end());
     start.env = options.env;
     start.env["CORNELGATE_CLUSTER_KEY"] = key_;
+    if (options.rogue_target) {
+        start.data_max = options.data_max;
+        LimitRogueTarget(&start);
+        start.env["CORNELGATE_MEMORY_MB"] = std::to_string(kRogueMemoryMb);
+    }
     return std::make_unique<Process>(start);
 }
 
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -29,6 +29,8 @@
     // before a "peer_port" of a HeldPort; 0: the real one.
     int listed_peer_port = 0;
     std::vector<std::string> args; // further flags
+    size_t data_max = 0;           // bytes it may allocate; 0: any
+    bool rogue_target = false;     // with the limits of test/rogue.h
     std::map<std::string, std::string> env;
 };
 
--- a/test/process.cc
+++ b/test/process.cc
@@ -1,11 +1,13 @@
 #include "test/process.h"
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -47,6 +49,16 @@
     return out.str();
 }
 
+// Sets a limit of this process; 0 leaves it as it is.
+void
+Limit(__rlimit_resource resource, size_t most)
+{
+    struct rlimit limit = {most, most};
+    if (most > 0) {
+        setrlimit(resource, &limit);
+    }
+}
+
 // Runs in the child: never returns.
 [[noreturn]] void
 Exec(const ProcessOptions &options, int out, int error)
@@ -64,6 +76,8 @@
     for (const auto &[name, value] : options.env) {
         setenv(name.c_str(), value.c_str(), 1);
     }
+    Limit(RLIMIT_NOFILE, options.files_max);
+    Limit(RLIMIT_DATA, options.data_max);
     execv(options.program.c_str(), args.data());
     _exit(kExecFailed);
 }
@@ -339,4 +353,31 @@
     return resident * (sysconf(_SC_PAGESIZE) / 1024);
 }
 
+long
+Process::PeakKilobytes() const
+{
+    const std::string name = "VmHWM:";
+    std::string status = ReadFile("/proc/" + std::to_string(pid_) + "/status");
+    size_t at = status.find(name);
+    return at == std::string::npos
+               ? 0
+               : std::atol(status.c_str() + at + name.size());
+}
+
+size_t
+Process::OpenFiles() const
+{
+    std::string folder = "/proc/" + std::to_string(pid_) + "/fd";
+    DIR *dir = opendir(folder.c_str());
+    size_t count = 0;
+    struct dirent *entry;
+    while (dir != nullptr && (entry = readdir(dir)) != nullptr) {
+        count += entry->d_name[0] != '.';
+    }
+    if (dir != nullptr) {
+        closedir(dir);
+    }
+    return count;
+}
+
 } // namespace cg
--- a/test/process.h
+++ b/test/process.h
@@ -58,6 +58,8 @@
     std::map<std::string, std::string> env; // besides the test's own
     bool wait_ready = true;
     Millis ready_limit{20000};
+    size_t files_max = 0; // descriptors it may open; 0: as the test may
+    size_t data_max = 0;  // bytes it may allocate; 0: any
 };
 
 class Process {
@@ -94,6 +96,8 @@
     // Processor time so far, and resident memory, as the kernel says.
     double CpuSeconds() const;
     long RssKilobytes() const;
+    long PeakKilobytes() const; // the most resident memory so far
+    size_t OpenFiles() const;
 
   private:
     void Launch(const ProcessOptions &options);
