A ledger of what is held for clients, and who yields when it is full

Each connection had limits, all together none. The ledger counts by kind what a process holds for the clients of all its ports; its bound comes from the machine's memory and descriptors. Nothing uses it yet.

--- a/packages/base/buffer.h
+++ b/packages/base/buffer.h
@@ -18,6 +18,14 @@
 
 /* Appends data; if an allocation fails, returns false and changes nothing. */
 bool Bf_Add(struct bf_buffer *buffer, const void *data, size_t len);
+/*
+ * The same for a buffer that gets "most" bytes in all: no more than these are
+ * allocated.  "len" more bytes must be within "most".
+ */
+bool Bf_AddUpTo(struct bf_buffer *buffer, const void *data, size_t len,
+                size_t most);
+/* What Bf_AddUpTo() would allocate besides. */
+size_t Bf_Growth(const struct bf_buffer *buffer, size_t len, size_t most);
 void Bf_Free(struct bf_buffer *buffer);
 
 #ifdef __cplusplus
--- /dev/null
+++ b/packages/web/ledger.h
@@ -0,0 +1,111 @@
+/*
+ * What a process holds for those who connect to it, over all its ports: one
+ * bound on memory and on descriptors, and an account of who holds how much.
+ * Who yields when the bound is met is decided by policy/yield.h.
+ */
+#ifndef WEB_LEDGER_H
+#define WEB_LEDGER_H
+
+#include <bsd/sys/queue.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+#include "policy/yield.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * What the kernel holds for a connection before it is read, and after it was
+ * written, is not in the account: it is bounded for each.
+ */
+#define Lg_SOCKET_BYTES 32768
+
+enum lg_kind {
+    LG_CONNECTION, /* the connection itself */
+    LG_HEAD,
+    LG_BODY,
+    LG_BEHIND, /* bytes behind the request that is being served */
+    LG_COPY,   /* of a request, on its way to an endpoint */
+    LG_COMING, /* an answer that is passed on once it is whole */
+    LG_ANSWER, /* bytes that the caller has not taken yet */
+    LG_KINDS,
+};
+
+/* Why a connection had to yield. */
+enum lg_why {
+    LG_MEMORY,
+    LG_DESCRIPTORS,
+};
+
+struct lg_ledger;
+struct lg_holder;
+
+/* One that yielded, or was not let in (without "holder"). */
+struct lg_yield {
+    const struct lg_holder *holder;
+    enum lg_why why;
+    const char *port; /* name of the server */
+    char peer[32];    /* IP:PORT of the caller; empty: not known */
+};
+
+struct lg_options {
+    const struct ck_clock *clock;
+    struct yd_bound bound;
+    void (*yielded)(void *arg, const struct lg_yield *yield);
+    void *arg;
+};
+
+/* A connection, or another account; embedded in what it is about. */
+struct lg_holder {
+    TAILQ_ENTRY(lg_holder) link;
+    struct lg_ledger *ledger; /* NULL: nothing is accounted for */
+    struct yd_holder state;
+    size_t bytes[LG_KINDS];
+    const char *port;
+    int fd;      /* -1: no connection of a client */
+    bool asking; /* is in Lg_MakeRoom() */
+    /* Gives up what it holds; it may leave the ledger within. */
+    void (*yield)(void *arg, enum lg_why why);
+    void *arg;
+};
+
+struct lg_ledger *Lg_Create(const struct lg_options *options);
+void Lg_Destroy(struct lg_ledger *ledger);
+/* Makes room for a connection at a port; false: it cannot be taken. */
+bool Lg_TakesConnection(struct lg_ledger *ledger, const char *port, int fd);
+/* "holder" has its fd, port, yield and arg. */
+void Lg_Join(struct lg_ledger *ledger, struct lg_holder *holder);
+void Lg_Leave(struct lg_holder *holder);
+void Lg_SetPhase(struct lg_holder *holder, enum yd_phase phase);
+/* Notes that the connection's caller has had an answer. */
+void Lg_SetServed(struct lg_holder *holder);
+/* Notes bytes of a request that were received. */
+void Lg_NoteReceived(struct lg_holder *holder, size_t len);
+void Lg_Set(struct lg_holder *holder, enum lg_kind kind, size_t bytes);
+/* Sets how many bytes of an answer wait for the caller to take them. */
+void Lg_SetUnread(struct lg_holder *holder, size_t bytes);
+/*
+ * Makes room for more bytes, which others may have to yield.  False when there
+ * is none: the holder has to give up instead.  It is the caller that does so,
+ * the holder's "yield" is not called.
+ */
+bool Lg_MakeRoom(struct lg_holder *holder, size_t more);
+/* What all hold, of a kind. */
+size_t Lg_Held(const struct lg_ledger *ledger, enum lg_kind kind);
+size_t Lg_Connections(const struct lg_ledger *ledger);
+/* Sets gauges named by "prefix". */
+void Lg_Export(const struct lg_ledger *ledger, struct mt_registry *registry,
+               const char *prefix);
+const char *Lg_PhaseName(enum yd_phase phase);
+const char *Lg_WhyName(enum lg_why why);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
