Empty lines before a request count towards its head, a body is not kept with it

Callers saw: others that send empty lines without end are read for as long as they send. Cause: these counted towards no limit. What came in one piece with a head stayed in the head's buffer besides, up to 64 KiB a connection, and each further piece of a head was searched from its start.

The two new cases of web_http1_test fail on the code before (64 KiB kept where 4 may be; no end to the lines); a head's buffer ends where the head ends, and the lines before it count, so that both have the head's limit.

--- a/packages/web/http1.c
+++ b/packages/web/http1.c
@@ -10,10 +10,14 @@
 /* Far above any limit of ours, which is checked before the parser runs. */
 #define H1_LIBRARY_HEAD_MAX (1u << 24)
 #define H1_NUMBER_DIGITS_MAX 15
+#define H1_END "\r\n\r\n"
+#define H1_END_LEN 4
 /* More 1xx answers before one answer are none. */
 #define H1_INTERIM_MAX 16
 /* Bytes of chunk sizes, extensions and trailers without one of the body. */
 #define H1_FRAMING_MAX (64u << 10)
+/* Of the buffer for heads, between two messages. */
+#define H1_KEPT_BYTES 4096
 
 enum h1_phase {
     H1_HEAD,
@@ -30,6 +34,7 @@
     bool no_body;
     bool interim; /* a 1xx answer: skipped */
     int interim_count;
+    size_t skipped;     /* bytes of empty lines before the head */
     size_t framing_len; /* bytes since the last one of the body */
     bool overflow;
     size_t head_max;
@@ -175,6 +180,9 @@
     parser->interim = false;
     parser->overflow = false;
     parser->raw.len = 0;
+    if (parser->raw.capacity > H1_KEPT_BYTES) {
+        Bf_Free(&parser->raw);
+    }
     memset(&parser->head, 0, offsetof(struct h1_head, fields));
     parser->head.count = 0;
 }
@@ -184,6 +192,7 @@
 {
     parser->interim_count = 0;
     parser->framing_len = 0;
+    parser->skipped = 0;
     reset_head(parser);
 }
 
@@ -230,11 +239,11 @@
     return true;
 }
 
-/* A head whose lines end so would never be complete. */
+/* A head whose lines, from "start" on, end so would never be complete. */
 static bool
-has_bare_newline(const char *raw, size_t len)
+has_bare_newline(const char *raw, size_t start, size_t len)
 {
-    for (size_t i = 0; i < len; i++) {
+    for (size_t i = start; i < len; i++) {
         if (raw[i] == '\n' && (i == 0 || raw[i - 1] != '\r')) {
             return true;
         }
@@ -257,6 +266,29 @@
     return H1_FINE;
 }
 
+/*
+ * How many bytes of "data" are of the head: all when its end is not among
+ * them.  What follows a head is not kept with it.
+ */
+static size_t
+head_share(const struct h1_parser *parser, const char *data, size_t len)
+{
+    char seam[2 * (H1_END_LEN - 1)];
+    size_t had = parser->raw.len;
+    size_t before = had < H1_END_LEN - 1 ? had : H1_END_LEN - 1;
+    size_t after = len < H1_END_LEN - 1 ? len : H1_END_LEN - 1;
+    if (before > 0) {
+        memcpy(seam, parser->raw.data + had - before, before);
+    }
+    memcpy(seam + before, data, after);
+    const char *end = memmem(seam, before + after, H1_END, H1_END_LEN);
+    if (end != NULL) {
+        return (size_t)(end - seam) + H1_END_LEN - before;
+    }
+    end = memmem(data, len, H1_END, H1_END_LEN);
+    return end != NULL ? (size_t)(end - data) + H1_END_LEN : len;
+}
+
 /* Looks for the end of the head; *used counts bytes taken from "data". */
 static enum h1_error
 feed_head(struct h1_parser *parser, const char *data, size_t len, size_t *used)
@@ -267,29 +299,24 @@
            data[skip] == '\r' && data[skip + 1] == '\n') {
         skip += 2;
     }
-    size_t had = parser->raw.len;
-    size_t take = len - skip;
-    if (!Bf_Add(&parser->raw, data + skip, take)) {
+    parser->skipped += skip;
+    if (parser->skipped > parser->head_max) {
         return H1_TOO_LARGE;
     }
-    size_t from = had < 3 ? 0 : had - 3;
-    char *end =
-        memmem(parser->raw.data + from, parser->raw.len - from, "\r\n\r\n", 4);
-    if (end == NULL) {
-        *used = len;
-        if (parser->raw.len > parser->head_max) {
-            return H1_TOO_LARGE;
-        }
-        return has_bare_newline(parser->raw.data, parser->raw.len)
-                   ? H1_MALFORMED
-                   : H1_FINE;
-    }
-    size_t head_len = (size_t)(end - parser->raw.data) + 4;
-    *used = skip + head_len - had;
-    parser->raw.len = head_len;
-    if (head_len > parser->head_max) {
+    size_t had = parser->raw.len;
+    size_t take = head_share(parser, data + skip, len - skip);
+    if (had + take > parser->head_max ||
+        !Bf_Add(&parser->raw, data + skip, take)) {
         return H1_TOO_LARGE;
     }
+    *used = skip + take;
+    size_t head_len = parser->raw.len;
+    if (head_len < H1_END_LEN ||
+        memcmp(parser->raw.data + head_len - H1_END_LEN, H1_END, H1_END_LEN) !=
+            0) {
+        return has_bare_newline(parser->raw.data, had, head_len) ? H1_MALFORMED
+                                                                 : H1_FINE;
+    }
     if (!check_head(parser->raw.data, head_len)) {
         return H1_MALFORMED;
     }
@@ -353,6 +380,12 @@
     return run(parser, "", 0, &used) == H1_FINE && parser->phase == H1_DONE;
 }
 
+size_t
+H1_HeldBytes(const struct h1_parser *parser)
+{
+    return parser->raw.capacity;
+}
+
 bool
 H1_Complete(const struct h1_parser *parser)
 {
--- a/packages/web/http1.h
+++ b/packages/web/http1.h
@@ -69,6 +69,10 @@
 bool H1_Eof(struct h1_parser *parser);
 bool H1_Complete(const struct h1_parser *parser);
 const struct h1_head *H1_Head(const struct h1_parser *parser);
+/* About what a parser takes, without a head. */
+#define H1_BYTES (sizeof(struct h1_head) + 256)
+/* Bytes allocated for a head. */
+size_t H1_HeldBytes(const struct h1_parser *parser);
 
 bool H1_Is(struct h1_text text, const char *word);
 /* The first field of that name; NULL without one. */
--- a/packages/web/test/http1_test.cc
+++ b/packages/web/test/http1_test.cc
@@ -153,6 +153,41 @@
     EXPECT_EQ(Parse(many + "\r\n").error, H1_TOO_LARGE);
 }
 
+// Guards against connections that each keep what came in one piece with a
+// head.
+TEST(Http1, ABodyIsNotKeptWithItsHead)
+{
+    Message message;
+    struct h1_parser *parser = H1_Create(true, &ops, &message);
+    std::string text = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                       "100000\r\n\r\n" +
+                       std::string(60000, 'x');
+    size_t used = 0;
+    EXPECT_EQ(H1_FINE, H1_Feed(parser, text.data(), text.size(), &used));
+    EXPECT_EQ(text.size(), used);
+    EXPECT_EQ(60000u, message.body.size());
+    EXPECT_LE(H1_HeldBytes(parser), 4096u);
+    H1_Destroy(parser);
+}
+
+// Guards against a client that is read for ever without a request.
+TEST(Http1, EmptyLinesBeforeARequestHaveALimit)
+{
+    Message message;
+    struct h1_parser *parser = H1_Create(true, &ops, &message);
+    H1_SetHeadMax(parser, 1000);
+    std::string lines;
+    for (int i = 0; i < 250; i++) {
+        lines += "\r\n";
+    }
+    size_t used = 0;
+    EXPECT_EQ(H1_FINE, H1_Feed(parser, lines.data(), lines.size(), &used));
+    EXPECT_EQ(H1_FINE, H1_Feed(parser, lines.data(), lines.size(), &used));
+    EXPECT_EQ(H1_TOO_LARGE,
+              H1_Feed(parser, lines.data(), lines.size(), &used));
+    H1_Destroy(parser);
+}
+
 // The answer to the request before is given to the next caller: an interim
 // answer, or bytes behind an answer, are taken for the answer itself.
 TEST(Http1, AnAnswerEndsWhereItEnds)
