cornelgate: one bound on all that is held for clients of all ports

Callers saw: a process that takes several times its machine's memory and ends, or nobody served while clients that send nothing hold the descriptors.

Cause, told apart by the new counts (cornelgate_held_bytes): of 211.0 MB held for 200 clients with bodies just short of 1 MiB, 209.7 were bodies; heads, bytes behind requests and copies were small. Each connection had a limit, all together none; ports that are only asked took 4 MiB a request; the newest connection was turned away, so who stood still first stayed; the kernel's buffers grew by themselves; freed memory stayed with the process. On the port of metrics answers piled up for clients that ask on and do not read: the next request was handled although the answers before had not left.

Now all that a connection holds is in the ledger, and who stands still yields: with 503, not run, and when to come back; or by an end of its connection, never in order where an answer is cut. The kernel's buffers are bounded for each connection, a length of any number of digits is refused at once, reading waits for a client with 64 KiB of answers to take, large allocations are given back. connection.yielded and cornelgate_connections_yielded_total say who and why.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -112,7 +112,10 @@
     }
     Fl_Unref(attempt->endpoint);
     free(attempt->fields);
-    exchange->gate->buffered_bytes -= attempt->body.len;
+    if (exchange->request != NULL) {
+        Lg_Set(Sv_Holder(exchange->request), LG_COPY, 0);
+        Lg_Set(Sv_Holder(exchange->request), LG_COMING, 0);
+    }
     Bf_Free(&attempt->body);
     Es_Clear(&attempt->parser);
     memset(attempt, 0, sizeof(*attempt));
--- a/packages/edge/exchange_send.c
+++ b/packages/edge/exchange_send.c
@@ -120,8 +120,10 @@
     const char *body = Sv_Body(exchange->request, &body_len);
     size_t head_len;
     char *head = write_head(exchange, &send, body_len, &head_len);
+    struct lg_holder *holder = Sv_Holder(exchange->request);
+    bool has_room = head != NULL && Lg_MakeRoom(holder, head_len + body_len);
     struct cn_channel *channel =
-        head == NULL ? NULL : Po_Take(gate, endpoint, exchange->retryable);
+        has_room ? Po_Take(gate, endpoint, exchange->retryable) : NULL;
     if (channel == NULL) {
         free(head);
         return false;
@@ -168,6 +170,7 @@
     Cn_Send(channel, head, head_len, body, body_len,
             H1_Is(Sv_Head(exchange->request)->method, "HEAD"), &xc_channel_ops,
             exchange);
+    Lg_Set(holder, LG_COPY, Cn_HeldBytes(channel));
     free(head);
     return true;
 }
--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -120,6 +120,12 @@
         .failed = counter(gate, "cornelgate_failed_total"),
         .retries = counter(gate, "cornelgate_repeats_total"),
         .closed_unread = counter(gate, "cornelgate_connections_unread_total"),
+        .yielded_memory =
+            Mt_Get(gate->registry, MT_COUNTER,
+                   "cornelgate_connections_yielded_total", "why=\"memory\""),
+        .yielded_descriptors = Mt_Get(gate->registry, MT_COUNTER,
+                                      "cornelgate_connections_yielded_total",
+                                      "why=\"descriptors\""),
         .stream_waits = counter(gate, "cornelgate_stream_waits_total"),
         .expected_late = counter(gate, "cornelgate_expected_late_total"),
         .connections_opened =
@@ -324,6 +330,7 @@
     De_Destroy(gate->demand);
     Wk_Destroy(gate->work);
     Tt_Destroy(gate->true_time);
+    Lg_Destroy(gate->ledger);
     Mt_Destroy(gate->registry);
     free(gate);
 }
--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -44,6 +44,8 @@
     struct mt_metric *quota_refused[Rk_RANKS];
     struct mt_metric *failed;
     struct mt_metric *closed_unread; /* callers' connections, under overload */
+    struct mt_metric *yielded_memory; /* connections that had to yield */
+    struct mt_metric *yielded_descriptors;
     struct mt_metric *retries;
     struct mt_metric *stream_waits; /* waits for an endpoint */
     /* sent although they were expected to miss their latency target */
@@ -96,7 +98,9 @@
     struct ov_load overload;
     int64_t overload_logged_at;
     struct xc_list exchanges;
-    size_t buffered_bytes; /* of answers that have not ended */
+    struct lg_ledger *ledger; /* what is held for callers and other clients */
+    int64_t yield_logged_at;
+    int yields_logged; /* in the second that began then */
     struct th_through *tunnel;
     struct co_controller *controller;
     struct mt_registry *registry;
@@ -148,6 +152,10 @@
 void Co_LeaseChanged(void *arg, bool holder, int64_t fence);
 int64_t Co_UsageWindow(const struct ga_gate *gate, int64_t true_usec);
 
+/* Bounds what a server that is only asked things holds for its clients. */
+void Ga_LimitServer(const struct ga_gate *gate, struct sv_server *server,
+                    const char *name);
+
 /* State exchange with the peers. */
 struct pe_peers *Pe_Create(struct ga_gate *gate);
 void Pe_Destroy(struct pe_peers *peers);
--- a/packages/edge/gate_serve.c
+++ b/packages/edge/gate_serve.c
@@ -14,8 +14,13 @@
 
 /* Minimum time between two log lines about overload. */
 #define Ga_OVERLOAD_LOG_USEC (1 * Ck_USEC_PER_SEC)
-/* Callers' connections take at most 1/2 of the descriptors. */
-#define Ga_CALLERS_FDS_DIVISOR 2
+/* Log lines a second about connections that had to yield. */
+#define Ga_YIELDS_LOGGED_MAX 5
+/* What readiness checks, operators and peers send, with room to spare. */
+#define Ga_ASKING_HEAD_BYTES 16384
+#define Ga_ASKING_BODY_BYTES 4096
+#define Ga_ASKING_HEAD_USEC (3 * Ck_USEC_PER_SEC)
+#define Ga_ASKING_IDLE_USEC (15 * Ck_USEC_PER_SEC)
 
 static void
 on_request(void *arg, struct sv_request *request)
@@ -55,15 +60,44 @@
 may_accept(void *arg)
 {
     struct ga_gate *gate = arg;
-    size_t most = (size_t)gate->options.node->max_fds / Ga_CALLERS_FDS_DIVISOR;
-    bool accepts =
-        Ov_MayAccept(&gate->overload, Sv_Connections(gate->callers), most);
+    bool accepts = Ov_MayAccept(&gate->overload);
     if (!accepts) {
         log_overload(gate);
     }
     return accepts;
 }
 
+/* Logs who had to yield, but for a few a second only the number. */
+static void
+on_yielded(void *arg, const struct lg_yield *yield)
+{
+    struct ga_gate *gate = arg;
+    int64_t now = Ga_Now(gate);
+    Mt_Add(yield->why == LG_MEMORY ? gate->count.yielded_memory
+                                   : gate->count.yielded_descriptors,
+           1);
+    if (now - gate->yield_logged_at >= Ck_USEC_PER_SEC) {
+        gate->yield_logged_at = now;
+        gate->yields_logged = 0;
+    }
+    if (gate->yields_logged++ >= Ga_YIELDS_LOGGED_MAX) {
+        return;
+    }
+    const struct yd_holder *held =
+        yield->holder == NULL ? NULL : &yield->holder->state;
+    Ln_Log(LN_FAILURE, "connection.yielded",
+           "\"port\":\"%s\",\"peer\":\"%s\",\"why\":\"%s\","
+           "\"phase\":\"%s\",\"bytes\":%zu,\"unread\":%zu,\"ms\":%lld,"
+           "\"memory\":%lld,\"descriptors\":%lld",
+           yield->port, yield->peer, Lg_WhyName(yield->why),
+           held == NULL ? "new" : Lg_PhaseName(held->phase),
+           held == NULL ? 0 : held->bytes, held == NULL ? 0 : held->unread,
+           (long long)(held == NULL ? 0 : now - held->since) /
+               Ck_USEC_PER_MSEC,
+           (long long)Mt_Value(gate->count.yielded_memory),
+           (long long)Mt_Value(gate->count.yielded_descriptors));
+}
+
 void
 ga_on_turn(void *arg, int64_t usec)
 {
@@ -119,6 +153,7 @@
         Sv_Reply(request, 404, "", "", 0);
         return;
     }
+    Lg_Export(gate->ledger, gate->registry, "cornelgate");
     Ag_ExportCalls(gate->options.store, gate->registry);
     Vs_UpdateEndpoints(gate->registry, gate->fleet);
     Qt_ExportRanks(gate->quota, gate->registry);
@@ -149,11 +184,36 @@
     .gone = ignore_gone,
 };
 
+/* Limits a server whose requests have no bodies. */
+void
+Ga_LimitServer(const struct ga_gate *gate, struct sv_server *server,
+               const char *name)
+{
+    struct sv_limits limits = {
+        .head_bytes = Ga_ASKING_HEAD_BYTES,
+        .body_bytes = Ga_ASKING_BODY_BYTES,
+        .head_usec = Ga_ASKING_HEAD_USEC,
+        .idle_usec = Ga_ASKING_IDLE_USEC,
+    };
+    Sv_SetLimits(server, &limits);
+    Sv_SetLedger(server, gate->ledger, name);
+}
+
 enum st_status
 ga_create_servers(struct ga_gate *gate)
 {
     const struct ga_options *options = &gate->options;
     const struct nd_node *node = options->node;
+    struct lg_options ledger = {
+        .clock = options->clock,
+        .bound = Yd_Bound(node->memory_bytes, (size_t)node->max_fds),
+        .yielded = on_yielded,
+        .arg = gate,
+    };
+    gate->ledger = Lg_Create(&ledger);
+    if (gate->ledger == NULL) {
+        return St_Fail(ST_NO_MEMORY, "no memory for the ledger");
+    }
     char metrics[Nd_NAME_MAX + 8];
     snprintf(metrics, sizeof(metrics), "%s:%d", node->ip, node->metrics_port);
     enum st_status status =
@@ -167,5 +227,10 @@
         status = Sv_Create(options->loop, options->clock, metrics,
                            &metrics_ops, gate, &gate->metrics_server);
     }
+    if (status == ST_OK) {
+        Sv_SetLedger(gate->callers, gate->ledger, "callers");
+        Ga_LimitServer(gate, gate->ready, "ready");
+        Ga_LimitServer(gate, gate->metrics_server, "metrics");
+    }
     return status;
 }
--- a/packages/edge/gate_tunnel.c
+++ b/packages/edge/gate_tunnel.c
@@ -50,6 +50,7 @@
         .loop = gate->options.loop,
         .clock = gate->options.clock,
         .address = address,
+        .ledger = gate->ledger,
         .most = most < Ga_TUNNEL_MAX ? most : Ga_TUNNEL_MAX,
         .ops = &tunnel_ops,
         .arg = gate,
--- a/packages/edge/peers.c
+++ b/packages/edge/peers.c
@@ -300,6 +300,7 @@
         free(peers);
         return NULL;
     }
+    Ga_LimitServer(gate, peers->server, "state");
     return peers;
 }
 
--- a/packages/edge/relay.c
+++ b/packages/edge/relay.c
@@ -127,6 +127,7 @@
     Rl_NoteAnswer(exchange->gate, attempt->endpoint, &attempt->answer);
     int64_t now = Ga_Now(exchange->gate);
     attempt->head_at = now;
+    Lg_Set(Sv_Holder(exchange->request), LG_COPY, 0);
     attempt->status = head->status;
     attempt->fields = copy_fields(head);
     attempt->to_close =
@@ -149,29 +150,34 @@
     return true;
 }
 
-/* Whether an answer may grow by "len" bytes; a small one always may. */
+/*
+ * Whether an answer may grow by "len" bytes: within all that is held for
+ * callers, and, unless it is small, within the part of answers.
+ */
 static bool
-has_room(const struct ga_gate *gate, const struct xc_attempt *attempt,
-         size_t len)
+has_room(const struct xc_exchange *exchange, size_t len)
 {
+    const struct ga_gate *gate = exchange->gate;
+    const struct bf_buffer *body = &exchange->attempt.body;
     size_t all_max =
         (size_t)gate->options.node->memory_bytes / Re_MEMORY_DIVISOR;
-    size_t size = attempt->body.len + len;
-    return size <= Re_SMALL_MAX ||
-           (size <= Re_BUFFERED_MAX && gate->buffered_bytes + len <= all_max);
+    size_t size = body->len + len;
+    size_t more = Bf_Growth(body, len, SIZE_MAX);
+    if (size > Re_SMALL_MAX &&
+        (size > Re_BUFFERED_MAX ||
+         Lg_Held(gate->ledger, LG_COMING) + more > all_max)) {
+        return false;
+    }
+    return Lg_MakeRoom(Sv_Holder(exchange->request), more);
 }
 
 static void
 buffer_body(struct xc_exchange *exchange, const char *data, size_t len)
 {
-    struct ga_gate *gate = exchange->gate;
     struct xc_attempt *attempt = &exchange->attempt;
-    if (has_room(gate, attempt, len) && Bf_Add(&attempt->body, data, len)) {
-        gate->buffered_bytes += len;
-    }
-    else {
-        attempt->overflow = true;
-    }
+    attempt->overflow |=
+        !has_room(exchange, len) || !Bf_Add(&attempt->body, data, len);
+    Lg_Set(Sv_Holder(exchange->request), LG_COMING, attempt->body.capacity);
 }
 
 static void
@@ -337,7 +343,6 @@
     bool served = status < 500;
     attempt->fields = NULL;
     attempt->body = (struct bf_buffer){0};
-    exchange->gate->buffered_bytes -= body.len;
     Sv_SetUser(request, NULL);
     Xc_End(exchange, served ? "served" : "endpoint failed");
     Sv_Reply(request, status, fields == NULL ? "" : fields, body.data,
--- a/packages/policy/overload.c
+++ b/packages/policy/overload.c
@@ -29,8 +29,7 @@
 }
 
 bool
-Ov_MayAccept(const struct ov_load *load, size_t connections,
-             size_t connections_max)
+Ov_MayAccept(const struct ov_load *load)
 {
-    return !load->overloaded && connections < connections_max;
+    return !load->overloaded;
 }
--- a/packages/policy/overload.h
+++ b/packages/policy/overload.h
@@ -26,11 +26,10 @@
 /* Records that a turn which took "usec" has ended. */
 void Ov_RecordTurn(struct ov_load *load, int64_t usec, int64_t now);
 /*
- * Whether to accept one more beside "connections" open ones; "connections_max"
- * is the number for which descriptors are available.
+ * Whether a new connection is accepted.  How many may be open at once is
+ * decided in yield.h.
  */
-bool Ov_MayAccept(const struct ov_load *load, size_t connections,
-                  size_t connections_max);
+bool Ov_MayAccept(const struct ov_load *load);
 
 #ifdef __cplusplus
 }
--- a/packages/web/channel.c
+++ b/packages/web/channel.c
@@ -353,6 +353,13 @@
     return channel->peer;
 }
 
+size_t
+Cn_HeldBytes(const struct cn_channel *channel)
+{
+    return channel->sock == NULL ? channel->waiting.capacity
+                                 : Sk_Pending(channel->sock);
+}
+
 bool
 Cn_IsOpen(const struct cn_channel *channel)
 {
--- a/packages/web/channel.h
+++ b/packages/web/channel.h
@@ -74,6 +74,8 @@
 /* The daemon that it goes through; 0: none. */
 uint32_t Cn_Peer(const struct cn_channel *channel);
 /* Whether the connection is made and has not ended. */
+/* Bytes allocated for a request that has not left. */
+size_t Cn_HeldBytes(const struct cn_channel *channel);
 bool Cn_IsOpen(const struct cn_channel *channel);
 enum cn_end Cn_End(const struct cn_channel *channel);
 /* "length", "chunks", "closed", "reset"; empty: CN_END_NONE. */
--- a/packages/web/join.c
+++ b/packages/web/join.c
@@ -83,10 +83,23 @@
     join->done(join->arg);
 }
 
+static void
+on_yield(void *arg, enum lg_why why)
+{
+    struct side *side = arg;
+    struct jn_join *join = side->join;
+    (void)why;
+    Sk_Reset(side->sock);
+    Sk_Reset(other(side)->sock);
+    end(join);
+    join->done(join->arg);
+}
+
 static const struct sk_ops side_ops = {
     .data = on_data,
     .closed = on_closed,
     .drained = on_drained,
+    .yield = on_yield,
 };
 
 struct jn_join *
--- a/packages/web/listening.c
+++ b/packages/web/listening.c
@@ -140,6 +140,13 @@
     return status;
 }
 
+void
+Ls_SetBuffers(struct ls_listener *listener, int bytes)
+{
+    setsockopt(listener->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    setsockopt(listener->fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 /* The port listened on. */
 int
 Ls_Port(const struct ls_listener *listener)
--- a/packages/web/listening.h
+++ b/packages/web/listening.h
@@ -43,6 +43,11 @@
 
 enum st_status Ls_Open(struct lp_loop *loop, const struct sockaddr_in *at,
                        ls_accept_fn fn, void *arg, struct ls_listener **out);
+/*
+ * Bounds what the kernel holds for each connection that begins from now on,
+ * either way; it may take twice as much.
+ */
+void Ls_SetBuffers(struct ls_listener *listener, int bytes);
 int Ls_Port(const struct ls_listener *listener);
 /*
  * One step towards the end; to be called until it is true, which fills in
--- a/packages/web/serve.c
+++ b/packages/web/serve.c
@@ -1,11 +1,18 @@
 #include "web/serve_internal.h"
 
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #define Sv_AHEAD_MAX 65536 /* bytes of later requests that are kept */
+/* Of a connection in the loop and the library, besides what is in view here.
+ */
+#define Sv_LOOP_BYTES 2048
+/* By then others have been read, or had to yield. */
+#define Sv_RETRY_SEC "1"
+#define Sv_NO_ROOM "no memory for the request; try again"
 #define Sv_HEAD_BYTES 16384
 #define Sv_BODY_BYTES (4u << 20)
 #define Sv_HEAD_USEC (3 * Ck_USEC_PER_SEC)
@@ -16,6 +23,18 @@
  */
 #define Sv_IDLE_EXTRA_USEC (1 * Ck_USEC_PER_SEC)
 
+void
+sv_account(struct sv_request *request)
+{
+    if (request->dead) {
+        return;
+    }
+    struct lg_holder *holder = Sk_Holder(request->sock);
+    Lg_Set(holder, LG_HEAD, H1_HeldBytes(request->parser));
+    Lg_Set(holder, LG_BODY, request->body.capacity);
+    Lg_Set(holder, LG_BEHIND, request->ahead.capacity);
+}
+
 static void
 release(void *arg)
 {
@@ -46,16 +65,23 @@
     bool is = phase == HANDLING || phase == STREAMING;
     request->server->open += (size_t)is - (size_t)was;
     request->phase = phase;
+    if (is) {
+        Lg_SetPhase(Sk_Holder(request->sock), YD_SERVING);
+    }
 }
 
 /* Sends the rest and ends the connection; the request is freed. */
 void
 sv_finish(struct sv_request *request)
 {
+    struct sk_sock *sock = request->sock;
     sv_set_phase(request, OVER);
-    Sk_Finish(request->sock);
+    Bf_Free(&request->body);
+    Bf_Free(&request->ahead);
+    sv_account(request);
     request->sock = NULL;
     sv_bury(request);
+    Sk_Finish(sock);
 }
 
 static void
@@ -64,13 +90,15 @@
     if (request->server->ops->refused != NULL) {
         request->server->ops->refused(request->server->arg, status, why);
     }
+    const char *fields = status == 503 ? "Content-Type: application/json\r\n"
+                                         "Retry-After: " Sv_RETRY_SEC "\r\n"
+                                       : "Content-Type: application/json\r\n";
     char body[Sv_LINE_MAX];
     int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
     sv_set_phase(request, HANDLING);
     request->keep = false;
     request->have_all = false;
-    Sv_Reply(request, status, "Content-Type: application/json\r\n", body,
-             (size_t)len);
+    Sv_Reply(request, status, fields, body, (size_t)len);
 }
 
 /* Callers that wait for leave to send their body get it. */
@@ -91,10 +119,16 @@
     request->keep = head->keep_alive;
     request->no_body = H1_Is(head->method, "HEAD");
     int64_t length = H1_Number(head, "content-length");
-    if (length > (int64_t)request->server->limits.body_bytes) {
+    request->body_most = request->server->limits.body_bytes;
+    /* A number with more digits than are read is over any limit. */
+    bool unread = length < 0 && H1_Find(head, "content-length") != NULL;
+    if (unread || length > (int64_t)request->body_most) {
         request->refuse = 413;
         return;
     }
+    if (length >= 0 && !head->chunked) {
+        request->body_most = (size_t)length;
+    }
     answer_expectation(request, head);
 }
 
@@ -105,13 +139,17 @@
     if (request->refuse != 0) {
         return;
     }
-    if (request->body.len + len > request->server->limits.body_bytes) {
+    if (request->body.len + len > request->body_most) {
         request->refuse = 413;
         return;
     }
-    if (!Bf_Add(&request->body, data, len)) {
+    struct lg_holder *holder = Sk_Holder(request->sock);
+    size_t more = Bf_Growth(&request->body, len, request->body_most);
+    if (!Lg_MakeRoom(holder, more) ||
+        !Bf_AddUpTo(&request->body, data, len, request->body_most)) {
         request->refuse = 503;
     }
+    Lg_Set(holder, LG_BODY, request->body.capacity);
 }
 
 static void
@@ -127,16 +165,29 @@
     .end = on_end,
 };
 
+/*
+ * Keeps bytes behind the request that is being served.  Without room for them
+ * the connection ends with the answer: they were not read.
+ */
 static void
 keep_ahead(struct sv_request *request, const char *data, size_t len)
 {
-    if (!Bf_Add(&request->ahead, data, len)) {
+    size_t more = Bf_Growth(&request->ahead, len, SIZE_MAX);
+    if (request->keep && Lg_MakeRoom(Sk_Holder(request->sock), more) &&
+        Bf_Add(&request->ahead, data, len)) {
+        if (request->ahead.len > Sv_AHEAD_MAX) {
+            Sk_Pause(request->sock, true);
+        }
+    }
+    else if (request->phase == READING) {
         sv_bury(request);
-        return;
     }
-    if (request->ahead.len > Sv_AHEAD_MAX) {
-        Sk_Pause(request->sock, true);
+    else {
+        request->keep = false;
+        Bf_Free(&request->ahead);
+        request->ahead_used = 0;
     }
+    sv_account(request);
 }
 
 static const char *
@@ -148,37 +199,71 @@
     case 431:
         return "the header fields are over the limit";
     case 503:
-        return "no memory for the body; try again";
+        return Sv_NO_ROOM;
     default:
         return "the request is not valid HTTP/1.1";
     }
 }
 
-void
-sv_feed(struct sv_request *request, const char *data, size_t len)
+static bool
+has_room_for_head(struct sv_request *request, size_t len)
+{
+    size_t most = request->server->limits.head_bytes;
+    return Lg_MakeRoom(Sk_Holder(request->sock), len < most ? len : most);
+}
+
+/* Takes bytes of one request; returns how many. */
+static size_t
+feed(struct sv_request *request, const char *data, size_t len)
 {
-    if (request->phase != READING) {
-        keep_ahead(request, data, len);
-        return;
-    }
     if (request->head_at == 0 && len > 0) {
         request->head_at = request->moved_at;
+        Lg_SetPhase(Sk_Holder(request->sock), YD_READING);
     }
     size_t used = 0;
-    enum h1_error error = H1_Feed(request->parser, data, len, &used);
+    enum h1_error error = H1_FINE;
+    Lg_NoteReceived(Sk_Holder(request->sock), len);
+    if (!request->have_head && !has_room_for_head(request, len)) {
+        request->refuse = 503;
+    }
+    else {
+        error = H1_Feed(request->parser, data, len, &used);
+        sv_account(request);
+    }
     if (error != H1_FINE) {
         request->refuse = error == H1_TOO_LARGE ? 431 : 400;
     }
     if (request->refuse != 0) {
         refuse(request, request->refuse, reason_for(request->refuse));
-        return;
+        return len;
+    }
+    if (request->have_all) {
+        sv_set_phase(request, HANDLING);
+        request->server->ops->request(request->server->arg, request);
     }
-    if (!request->have_all) {
+    return used;
+}
+
+void
+sv_feed_ahead(struct sv_request *request)
+{
+    if (request->feeding) {
         return;
     }
-    keep_ahead(request, data + used, len - used);
-    sv_set_phase(request, HANDLING);
-    request->server->ops->request(request->server->arg, request);
+    request->feeding = true;
+    while (!request->dead && request->phase == READING &&
+           !request->held_back && request->ahead_used < request->ahead.len) {
+        const char *data = request->ahead.data + request->ahead_used;
+        size_t len = request->ahead.len - request->ahead_used;
+        request->ahead_used += feed(request, data, len);
+    }
+    request->feeding = false;
+    if (!request->dead && request->ahead_used >= request->ahead.len) {
+        request->ahead_used = 0;
+        Bf_Free(&request->ahead);
+        Sk_Pause(request->sock, request->held_back);
+        sv_account(request);
+    }
 }
 
 static void
@@ -186,7 +271,15 @@
 {
     struct sv_request *request = arg;
     request->moved_at = Ck_Now(request->server->clock);
-    sv_feed(request, data, len);
+    size_t used = 0;
+    if (request->phase == READING && request->ahead.len == 0 &&
+        !request->held_back) {
+        used = feed(request, data, len);
+    }
+    if (!request->dead && used < len) {
+        keep_ahead(request, data + used, len - used);
+        sv_feed_ahead(request);
+    }
 }
 
 static void
@@ -201,10 +294,38 @@
     sv_bury(request);
 }
 
+/*
+ * Gives up what is held for the connection.  A request that was read in part
+ * is refused: it has not run.  An answer that is not taken is broken off.
+ */
+static void
+on_yield(void *arg, enum lg_why why)
+{
+    struct sv_request *request = arg;
+    if (request->phase == HANDLING || request->phase == STREAMING) {
+        Sk_Reset(request->sock);
+        on_closed(request, false);
+    }
+    else if (request->head_at == 0) {
+        sv_bury(request);
+    }
+    else {
+        Bf_Free(&request->body);
+        refuse(request, 503,
+               why == LG_MEMORY ? Sv_NO_ROOM : "too many connections");
+    }
+}
+
 static void
 on_drained(void *arg)
 {
     struct sv_request *request = arg;
+    if (request->held_back) {
+        request->held_back = false;
+        Sk_Pause(request->sock, request->ahead.len > Sv_AHEAD_MAX);
+        sv_feed_ahead(request);
+        return;
+    }
     if (request->phase == STREAMING && request->server->ops->drained != NULL) {
         request->server->ops->drained(request->server->arg, request);
     }
@@ -214,13 +335,15 @@
     .data = on_data,
     .closed = on_closed,
     .drained = on_drained,
+    .yield = on_yield,
 };
 
 static enum ls_take
 on_accept(void *arg, int fd)
 {
     struct sv_server *server = arg;
-    if (server->ops->takes != NULL && !server->ops->takes(server->arg)) {
+    if ((server->ops->takes != NULL && !server->ops->takes(server->arg)) ||
+        !Lg_TakesConnection(server->ledger, server->name, fd)) {
         close(fd);
         return LS_CLOSED;
     }
@@ -242,6 +365,9 @@
         free(request);
         return LS_LOST;
     }
+    Sk_Account(request->sock, server->ledger, server->name);
+    Lg_Set(Sk_Holder(request->sock), LG_CONNECTION,
+           Sv_LOOP_BYTES + sizeof(*request) + H1_BYTES);
     H1_SetHeadMax(request->parser, server->limits.head_bytes);
     request->moved_at = Ck_Now(server->clock);
     TAILQ_INSERT_TAIL(&server->connections, request, link);
@@ -290,6 +416,21 @@
     server->limits = *limits;
 }
 
+void
+Sv_SetLedger(struct sv_server *server, struct lg_ledger *ledger,
+             const char *name)
+{
+    server->ledger = ledger;
+    server->name = name;
+    Ls_SetBuffers(server->listener, Lg_SOCKET_BYTES);
+}
+
+struct lg_holder *
+Sv_Holder(struct sv_request *request)
+{
+    return Sk_Holder(request->sock);
+}
+
 int
 Sv_Port(const struct sv_server *server)
 {
--- a/packages/web/serve.h
+++ b/packages/web/serve.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "web/http1.h"
+#include "web/ledger.h"
 #include "web/listening.h"
 #include "web/loop.h"
 
@@ -46,6 +47,11 @@
                          const char *address, const struct sv_ops *ops,
                          void *arg, struct sv_server **out);
 void Sv_SetLimits(struct sv_server *server, const struct sv_limits *limits);
+/* From now on connections are taken and held within the bound of a ledger. */
+void Sv_SetLedger(struct sv_server *server, struct lg_ledger *ledger,
+                  const char *name);
+/* The account of the request's connection. */
+struct lg_holder *Sv_Holder(struct sv_request *request);
 int Sv_Port(const struct sv_server *server);
 size_t Sv_Connections(const struct sv_server *server);
 size_t Sv_Open(const struct sv_server *server);
--- a/packages/web/serve_answer.c
+++ b/packages/web/serve_answer.c
@@ -5,6 +5,9 @@
 
 #include "web/serve_internal.h"
 
+/* Bytes of answers that a caller may leave before the next request is read. */
+#define Sv_UNREAD_MAX 65536
+
 static bool
 will_keep(const struct sv_request *request)
 {
@@ -62,12 +65,16 @@
     Bf_Free(&request->body);
     H1_Reset(request->parser);
     H1_SetHeadMax(request->parser, request->server->limits.head_bytes);
+    Lg_SetServed(Sk_Holder(request->sock));
+    Lg_SetPhase(Sk_Holder(request->sock), YD_IDLE);
+    sv_account(request);
+    /* A caller that asks on and reads no answer would pile them up here. */
+    if (Sk_Pending(request->sock) > Sv_UNREAD_MAX) {
+        request->held_back = true;
+        Sk_Pause(request->sock, true);
+    }
     if (request->ahead.len > 0) {
-        struct bf_buffer ahead = request->ahead;
-        request->ahead = (struct bf_buffer){0};
-        Sk_Pause(request->sock, false);
-        sv_feed(request, ahead.data, ahead.len);
-        Bf_Free(&ahead);
+        sv_feed_ahead(request);
     }
 }
 
--- a/packages/web/serve_internal.h
+++ b/packages/web/serve_internal.h
@@ -35,7 +35,11 @@
     int64_t moved_at;
     void *user;
     struct bf_buffer body;
+    size_t body_most;       /* bytes that the body may come to */
     struct bf_buffer ahead; /* bytes behind the request */
+    size_t ahead_used;      /* of these */
+    bool feeding;           /* sv_feed_ahead() is on the stack */
+    bool held_back; /* the next request waits until answers were taken */
 };
 
 struct sv_server {
@@ -44,6 +48,8 @@
     struct ls_listener *listener;
     const struct sv_ops *ops;
     void *arg;
+    struct lg_ledger *ledger; /* NULL: nothing is accounted for */
+    const char *name;         /* in the ledger */
     struct sv_limits limits;
     bool draining;
     size_t count;
@@ -56,7 +62,9 @@
 void sv_finish(struct sv_request *request);
 /* Closes the connection; the request is freed. */
 void sv_bury(struct sv_request *request);
-/* Takes bytes of a request. */
-void sv_feed(struct sv_request *request, const char *data, size_t len);
+/* Goes on with the bytes behind the last request. */
+void sv_feed_ahead(struct sv_request *request);
+/* Tells the ledger what is held for the connection. */
+void sv_account(struct sv_request *request);
 
 #endif
--- a/packages/web/sock.c
+++ b/packages/web/sock.c
@@ -17,6 +17,8 @@
 /* Read from one connection before the others have their turn. */
 #define Sk_TURN_BYTES (4 * (size_t)Sk_READ_BYTES)
 #define Sk_ADDRESS_MAX 64
+/* Of the buffer for bytes to send, while there are none. */
+#define Sk_KEPT_BYTES 4096
 /*
  * A peer without power sends neither data nor a reset.  Probes after two
  * seconds of silence, and a limit on unacknowledged data, end such a
@@ -49,11 +51,14 @@
     bool shut;     /* our direction is closed */
     bool sent;
     bool paused;
+    bool overrun; /* without room for what was written: it breaks off */
+    struct lp_later breaking;
     char *out;
     size_t out_start;
     size_t out_len;
     size_t out_size;
     size_t stalled_len; /* out_len when the linger timer was set */
+    struct lg_holder holder;
 };
 
 /* Reads "IP:PORT".  ST_INVALID names the text. */
@@ -125,6 +130,25 @@
     }
 }
 
+/* Frees what a large answer needed, once it has left. */
+static void
+trim(struct sk_sock *sock)
+{
+    sock->out_start = 0;
+    if (sock->out_size > Sk_KEPT_BYTES) {
+        free(sock->out);
+        sock->out = NULL;
+        sock->out_size = 0;
+    }
+}
+
+static void
+account(struct sk_sock *sock)
+{
+    Lg_Set(&sock->holder, LG_ANSWER, sock->out_size);
+    Lg_SetUnread(&sock->holder, sock->out_len);
+}
+
 static bool
 flush(struct sk_sock *sock)
 {
@@ -145,7 +169,8 @@
         sock->out_start += (size_t)n;
         sock->out_len -= (size_t)n;
     }
-    sock->out_start = 0;
+    trim(sock);
+    account(sock);
     shut_when_empty(sock);
     return true;
 }
@@ -303,6 +328,34 @@
     return status;
 }
 
+static void
+on_yield(void *arg, enum lg_why why)
+{
+    struct sk_sock *sock = arg;
+    if (sock->finished) {
+        Sk_Reset(sock);
+    }
+    else if (sock->ops->yield != NULL) {
+        sock->ops->yield(sock->arg, why);
+    }
+}
+
+void
+Sk_Account(struct sk_sock *sock, struct lg_ledger *ledger, const char *port)
+{
+    sock->holder.port = port;
+    sock->holder.fd = sock->fd;
+    sock->holder.yield = on_yield;
+    sock->holder.arg = sock;
+    Lg_Join(ledger, &sock->holder);
+}
+
+struct lg_holder *
+Sk_Holder(struct sk_sock *sock)
+{
+    return &sock->holder;
+}
+
 void
 Sk_SetOwner(struct sk_sock *sock, const struct sk_ops *ops, void *arg)
 {
@@ -310,6 +363,14 @@
     sock->arg = arg;
 }
 
+/* The other side shall see no end in order when the descriptor is closed. */
+static void
+set_reset(const struct sk_sock *sock)
+{
+    struct linger none = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+}
+
 static bool
 reserve(struct sk_sock *sock, size_t len)
 {
@@ -324,7 +385,9 @@
     while (size < sock->out_len + len) {
         size *= 2;
     }
-    char *grown = realloc(sock->out, size);
+    char *grown = Lg_MakeRoom(&sock->holder, size - sock->out_size)
+                      ? realloc(sock->out, size)
+                      : NULL;
     if (grown == NULL) {
         return false;
     }
@@ -333,11 +396,23 @@
     return true;
 }
 
+/* Ends a connection to which not all could be written: never in order. */
+static void
+break_off(void *arg)
+{
+    struct sk_sock *sock = arg;
+    if (!sock->dead && !sock->broken) {
+        set_reset(sock);
+        tell_closed(sock, false);
+    }
+}
+
 /* Sends what can be sent now and keeps the rest. */
 void
 Sk_Write(struct sk_sock *sock, const void *data, size_t len)
 {
-    if (sock->dead || sock->broken || sock->finished || len == 0) {
+    if (sock->dead || sock->broken || sock->finished || sock->overrun ||
+        len == 0) {
         return;
     }
     if (sock->out_len == 0 && !sock->connecting) {
@@ -355,8 +430,13 @@
     if (reserve(sock, len)) {
         memcpy(sock->out + sock->out_start + sock->out_len, data, len);
         sock->out_len += len;
+        account(sock);
         Lp_WatchWritable(sock->watch);
     }
+    else if (!sock->overrun) {
+        sock->overrun = true;
+        Lp_Later(sock->loop, &sock->breaking, break_off, sock);
+    }
 }
 
 /* Bytes written that have not left yet. */
@@ -391,6 +471,7 @@
         return;
     }
     sock->dead = true;
+    Lg_Leave(&sock->holder);
     if (sock->watch != NULL) {
         Lp_WatchDestroy(sock->watch);
         sock->watch = NULL;
@@ -408,8 +489,7 @@
         return;
     }
     if (sock->watch != NULL) {
-        struct linger none = {.l_onoff = 1, .l_linger = 0};
-        setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+        set_reset(sock);
     }
     Sk_Close(sock);
 }
@@ -445,8 +525,13 @@
         Sk_Close(sock);
         return;
     }
+    if (sock->overrun) {
+        Sk_Reset(sock);
+        return;
+    }
     sock->finished = true;
     sock->paused = false;
+    Lg_SetPhase(&sock->holder, YD_ENDING);
     Lp_WatchPause(sock->watch, false);
     shut_when_empty(sock);
     sock->linger = Lp_TimerCreate(sock->loop, linger_over, sock);
--- a/packages/web/sock.h
+++ b/packages/web/sock.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/status.h"
+#include "web/ledger.h"
 #include "web/loop.h"
 
 #ifdef __cplusplus
@@ -30,6 +31,11 @@
     void (*closed)(void *arg, bool clean);
     /* Everything written has left.  May be NULL. */
     void (*drained)(void *arg);
+    /*
+     * The ledger wants back what is held for this connection: its owner ends
+     * it.  Only after Sk_Account(); NULL: it is never asked.
+     */
+    void (*yield)(void *arg, enum lg_why why);
 };
 
 /* "address" is "IP:PORT". */
@@ -38,6 +44,11 @@
                           struct sk_sock **out);
 enum st_status Sk_Adopt(struct lp_loop *loop, int fd, const struct sk_ops *ops,
                         void *arg, struct sk_sock **out);
+/* Joins a ledger, until the descriptor is closed; "port" names the server. */
+void Sk_Account(struct sk_sock *sock, struct lg_ledger *ledger,
+                const char *port);
+/* The account of the connection, without a ledger before Sk_Account(). */
+struct lg_holder *Sk_Holder(struct sk_sock *sock);
 /* Another owner gets what comes from now on. */
 void Sk_SetOwner(struct sk_sock *sock, const struct sk_ops *ops, void *arg);
 void Sk_Write(struct sk_sock *sock, const void *data, size_t len);
--- a/packages/web/through.c
+++ b/packages/web/through.c
@@ -15,6 +15,7 @@
 #define Th_HEAD_MAX 1024
 #define Th_ID_MAX 256
 #define Th_BASIC_MAX 256
+#define Th_PORT "tunnel" /* in the ledger */
 #define Th_BASIC_FIELD "proxy-authorization: basic "
 /* From a peer's coming to its connection; a peer waits no longer. */
 #define Th_MAKE_USEC (500 * Ck_USEC_PER_MSEC)
@@ -98,6 +99,7 @@
         bury(visit);
         return;
     }
+    Lg_SetPhase(Sk_Holder(visit->near), YD_SERVING);
     visit->near = NULL;
     through->options.ops->made(through->options.arg);
 }
@@ -168,16 +170,25 @@
     bury(arg);
 }
 
+static void
+on_yield(void *arg, enum lg_why why)
+{
+    (void)why;
+    bury(arg);
+}
+
 static const struct sk_ops near_ops = {
     .data = on_data,
     .closed = on_closed,
+    .yield = on_yield,
 };
 
 static enum ls_take
 on_accept(void *arg, int fd)
 {
     struct th_through *through = arg;
-    if (through->count >= through->options.most) {
+    if (through->count >= through->options.most ||
+        !Lg_TakesConnection(through->options.ledger, Th_PORT, fd)) {
         close(fd);
         return LS_LOST;
     }
@@ -193,6 +204,9 @@
         free(visit);
         return LS_LOST;
     }
+    Sk_Account(visit->near, through->options.ledger, Th_PORT);
+    Lg_Set(Sk_Holder(visit->near), LG_CONNECTION, sizeof(*visit));
+    Lg_SetPhase(Sk_Holder(visit->near), YD_READING);
     LIST_INSERT_HEAD(&through->visits, visit, link);
     through->count++;
     return LS_TAKEN;
@@ -225,6 +239,7 @@
         free(through);
         return status;
     }
+    Ls_SetBuffers(through->listener, Lg_SOCKET_BYTES);
     *out = through;
     return ST_OK;
 }
--- a/packages/web/through.h
+++ b/packages/web/through.h
@@ -29,9 +29,10 @@
 struct th_options {
     struct lp_loop *loop;
     const struct ck_clock *clock;
-    const char *address;     /* "IP:PORT"; port 0 picks one */
-    size_t most;             /* connections at the same time */
-    const char *credentials; /* "USER:SECRET" that peers show; NULL: none */
+    const char *address;      /* "IP:PORT"; port 0 picks one */
+    size_t most;              /* connections at the same time */
+    const char *credentials;  /* "USER:SECRET" that peers show; NULL: none */
+    struct lg_ledger *ledger; /* NULL: nothing is accounted for */
     const struct th_ops *ops;
     void *arg;
 };
