cornelgated: one bound on all that is held for clients of all ports

Callers saw: 189 MB, and 374 MB for answers that are not read, where the machine has 64; all of 512 descriptors held by clients that send nothing.

Cause: as at the entry hosts, limits for each connection and none together. A body's room was reserved when it was announced; the administration port reads a body of a stranger before it asks for the key; an answer without memory ended the process (abort()).

The daemon's connections have an object of their own, in the ledger from their beginning to their end, by which the server is known as well (it was searched by the local address). Bodies grow as they come; the copy on the way to an endpoint and answers that come in are accounted for; an answer without room is cut off visibly. GT_YIELDED and cg_connections_yielded_total say who and why.

--- a/apps/cornelgated/main.c
+++ b/apps/cornelgated/main.c
@@ -5,6 +5,7 @@
 #include <err.h>
 #include <stdlib.h>
 
+#include "base/machine.h"
 #include "gate/daemon.h"
 #include "settings.h"
 
@@ -15,6 +16,7 @@
     if (Set_Read(argc, argv, &settings) != ST_OK) {
         errx(EXIT_FAILURE, "%s", St_Message());
     }
+    Mc_GiveBackLarge();
     Ev_Open("cornelgated", settings.log_level);
     struct dm_daemon *daemon = NULL;
     if (Dm_Create(&settings.options, &daemon) != ST_OK) {
--- a/apps/cornelgated/settings.c
+++ b/apps/cornelgated/settings.c
@@ -9,6 +9,7 @@
 #define Set_DRAIN_DEFAULT_SEC 120
 #define Set_DRAIN_MAX_SEC 86400
 #define Set_CLUSTER_KEY_MIN 16
+#define Set_MEMORY_MAX_MB (1 << 24)
 
 enum option_key {
     KEY_NODE_ID = 256,
@@ -27,6 +28,7 @@
     KEY_DRAIN_SECONDS,
     KEY_BOOTSTRAP_DIGEST,
     KEY_LOG_LEVEL,
+    KEY_MEMORY_MB,
 };
 
 static const struct argp_option flags[] = {
@@ -46,6 +48,8 @@
     {"drain-seconds", KEY_DRAIN_SECONDS, "N", 0, "longest planned stop", 0},
     {"bootstrap-digest", KEY_BOOTSTRAP_DIGEST, "HEX", 0,
      "digest of the first operator's key", 0},
+    {"memory-mb", KEY_MEMORY_MB, "N", 0,
+     "memory of this host; 0, if not given: as the host says", 0},
     {"log-level", KEY_LOG_LEVEL, "LEVEL", 0, "error, warn, info or debug", 0},
     {0},
 };
@@ -134,6 +138,10 @@
     case KEY_BOOTSTRAP_DIGEST:
         options->bootstrap_digest = value;
         return ST_OK;
+    case KEY_MEMORY_MB:
+        status = read_number("memory-mb", value, Set_MEMORY_MAX_MB, &number);
+        options->memory_bytes = (int64_t)number << 20;
+        return status;
     case KEY_LOG_LEVEL:
         return read_level(value, &settings->log_level);
     default:
@@ -148,7 +156,7 @@
         argp_error(state, "unexpected argument '%s'", arg);
         return EINVAL;
     }
-    if (key < KEY_NODE_ID || key > KEY_LOG_LEVEL) {
+    if (key < KEY_NODE_ID || key > KEY_MEMORY_MB) {
         return ARGP_ERR_UNKNOWN;
     }
     if (set_option(state->input, key, arg) != ST_OK) {
--- a/packages/gate/admin.h
+++ b/packages/gate/admin.h
@@ -57,7 +57,8 @@
      * empty: none.
      */
     const char *bootstrap_digest;
-    int64_t verdict_usec; /* timeout of a verdict; 0: 8 s */
+    int64_t verdict_usec;     /* timeout of a verdict; 0: 8 s */
+    struct lg_ledger *ledger; /* NULL: nothing is accounted for */
     const struct ad_ops *ops;
     void *arg;
 };
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -12,6 +12,7 @@
 #include "gate/reach.h"
 #include "gate/request.h"
 #include "gate/status.h"
+#include "web/ledger.h"
 
 #define Dm_TICK_USEC (20 * Ck_USEC_PER_MSEC)
 #define Dm_OFFSET_PERIOD_USEC (1200 * Ck_USEC_PER_SEC)
@@ -322,6 +323,8 @@
         .tls_cert_file = options->tls_cert_file,
         .tls_key_file = options->tls_key_file,
         .body_max = Dm_BODY_MAX_BYTES,
+        .ledger = daemon->gate.ledger,
+        .account = "callers",
         .headers = caller_headers,
         .ops = &caller_ops,
         .arg = daemon,
@@ -332,6 +335,7 @@
         .tls_cert_file = options->tls_cert_file,
         .tls_key_file = options->tls_key_file,
         .bootstrap_digest = options->bootstrap_digest,
+        .ledger = daemon->gate.ledger,
         .ops = &dm_admin_ops,
         .arg = daemon,
     };
@@ -436,6 +440,9 @@
     if (status == ST_OK) {
         status = Gq_Create(gate, Dm_PublishPoison, daemon, &gate->quarantine);
     }
+    if (status == ST_OK) {
+        status = Gt_CreateLedger(gate);
+    }
     if (status == ST_OK) {
         status = start_servers(daemon);
     }
@@ -540,6 +547,7 @@
     if (daemon->gate.config != NULL) {
         Cf_Destroy(daemon->gate.config);
     }
+    Lg_Destroy(daemon->gate.ledger);
     Mt_Destroy(daemon->gate.metrics);
     free(daemon);
 }
--- a/packages/gate/daemon_admin.c
+++ b/packages/gate/daemon_admin.c
@@ -109,6 +109,7 @@
 {
     struct dm_daemon *daemon = arg;
     refresh_metrics(daemon);
+    Lg_Export(daemon->gate.ledger, daemon->gate.metrics, "cg");
     return Mt_Print(daemon->gate.metrics);
 }
 
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -49,6 +49,7 @@
     struct jc_target weights;
     const char *bootstrap_digest; /* of the first operator's key; or NULL */
     int64_t drain_usec;           /* limit of a graceful stop */
+    int64_t memory_bytes;         /* of the machine; 0: as it says */
 };
 
 TAILQ_HEAD(rq_list, rq_request);
@@ -70,6 +71,9 @@
     struct rq_list requests;
     uint64_t next_request;
     bool draining;
+    struct lg_ledger *ledger;
+    int64_t yield_logged_at;
+    int yields_logged; /* in the second that began then */
 };
 
 /* How a configuration reached this daemon, to find why one was late. */
@@ -87,6 +91,7 @@
 
 void Gt_SetConfig(struct gt_gate *gate, struct cf_config *config,
                   const struct gt_origin *origin);
+enum st_status Gt_CreateLedger(struct gt_gate *gate);
 void Gt_Count(struct gt_gate *gate, const char *name, const char *label,
               const char *value);
 
--- a/packages/gate/reach.c
+++ b/packages/gate/reach.c
@@ -156,6 +156,7 @@
         .address = address,
         .most = Rh_RELAYED_MAX,
         .credentials = reach->credentials,
+        .ledger = gate->ledger,
         .ops = &through_ops,
         .arg = reach,
     };
--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -333,6 +333,7 @@
         .body = body,
         .body_len = body_len,
         .collect_max = Rl_ANSWER_MAX,
+        .ledger = request->gate->ledger,
     };
     Rh_FillCall(&relay->tries, &call);
     return Hc_Start(request->gate->loop, &call, &call_ops, request,
--- a/packages/web/client.c
+++ b/packages/web/client.c
@@ -6,8 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/buffer.h"
 #include "base/clock.h"
 #include "web/internal.h"
+#include "web/ledger.h"
 
 #define Hc_CONNECT_USEC (2 * Ck_USEC_PER_SEC)
 #define Hc_COLLECT_MAX ((size_t)4 << 20)
@@ -31,8 +33,7 @@
     unsigned char *body;
     size_t body_len;
     size_t body_sent;
-    char *collected;
-    size_t collected_len;
+    struct bf_buffer collected;
     size_t collect_max;
     char value[Hc_VALUE_MAX];
     enum hc_stage stage;
@@ -48,6 +49,7 @@
     int64_t started;
     int64_t last_byte;
     int64_t total_usec;
+    struct lg_holder holder; /* of the answer that is collected */
 };
 
 static void
@@ -55,9 +57,10 @@
 {
     Lp_TimerDestroy(call->timer);
     Lp_TimerDestroy(call->patience);
+    Lg_Leave(&call->holder);
     free(call->header_text);
     free(call->body);
-    free(call->collected);
+    Bf_Free(&call->collected);
     free(call);
 }
 
@@ -228,20 +231,20 @@
     return 0;
 }
 
+/* Keeps bytes of the answer; the NUL that follows them is not counted. */
 static int
 collect(struct hc_call *call, const void *data, size_t len)
 {
-    if (call->collected_len + len > call->collect_max) {
+    struct bf_buffer *collected = &call->collected;
+    size_t most = call->collect_max + 1;
+    if (collected->len + len > call->collect_max ||
+        !Lg_MakeRoom(&call->holder, Bf_Growth(collected, len + 1, most)) ||
+        !Bf_AddUpTo(collected, data, len, most) ||
+        !Bf_AddUpTo(collected, "", 1, most)) {
         return -1;
     }
-    char *grown = realloc(call->collected, call->collected_len + len + 1);
-    if (grown == NULL) {
-        return -1;
-    }
-    memcpy(grown + call->collected_len, data, len);
-    call->collected = grown;
-    call->collected_len += len;
-    grown[call->collected_len] = '\0';
+    collected->len--;
+    Lg_Set(&call->holder, LG_COMING, collected->capacity);
     return 0;
 }
 
@@ -468,6 +471,10 @@
     call->timer = Lp_TimerCreate(loop, timer_fired, call);
     call->patience = Lp_TimerCreate(loop, lift_limit, call);
     strlcpy(call->address, request->address, sizeof(call->address));
+    call->holder.fd = -1;
+    call->holder.port = "answers";
+    Lg_Join(request->ledger, &call->holder);
+    Lg_SetPhase(&call->holder, YD_SERVING);
     enum st_status status = copy_headers(call, request);
     if (status == ST_OK) {
         status = copy_body(call, request);
@@ -537,9 +544,9 @@
 Hc_Body(const struct hc_call *call, size_t *len)
 {
     if (len != NULL) {
-        *len = call->collected_len;
+        *len = call->collected.len;
     }
-    return call->collected;
+    return call->collected.data;
 }
 
 bool
@@ -551,9 +558,8 @@
 char *
 Hc_TakeBody(struct hc_call *call, size_t *len)
 {
-    char *body = call->collected;
-    *len = call->collected_len;
-    call->collected = NULL;
-    call->collected_len = 0;
-    return body;
+    struct bf_buffer body = call->collected;
+    call->collected = (struct bf_buffer){0};
+    *len = body.len;
+    return body.data;
 }
--- a/packages/web/client.h
+++ b/packages/web/client.h
@@ -66,10 +66,11 @@
     size_t header_count;
     const void *body;
     size_t body_len;
-    int64_t connect_usec; /* limit until the request has left; 0: 2 s */
-    int64_t idle_usec;    /* limit between bytes of the answer; 0: none */
-    int64_t total_usec;   /* limit for everything; 0: none */
-    size_t collect_max;   /* limit when the body is collected; 0: 4 MiB */
+    struct lg_ledger *ledger; /* accounts for the answer; NULL: none does */
+    int64_t connect_usec;     /* limit until the request has left; 0: 2 s */
+    int64_t idle_usec;        /* limit between bytes of the answer; 0: none */
+    int64_t total_usec;       /* limit for everything; 0: none */
+    size_t collect_max;       /* limit when the body is collected; 0: 4 MiB */
     bool tls;
     /* A daemon that connects for this one; NULL: the address is reached. */
     const struct hc_through *through;
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -3,32 +3,50 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "web/server_internal.h"
 
 #define Hs_KEEPALIVE_SECS 60
 #define Hs_RECEIVE_SECS 20
-
-/* Every server of this process; see server_of(). */
-static struct hs_servers servers = TAILQ_HEAD_INITIALIZER(servers);
+/* About what a connection takes in the library. */
+#define Hs_PLAIN_BYTES 8192
+#define Hs_TLS_BYTES 65536
 
 /* Frees a request that no connection refers to any more. */
 void
 hs_request_free(struct hs_request *request)
 {
+    struct lg_holder *holder = &request->connection->holder;
     for (size_t i = 0; i < Hs_HEADERS_MAX; i++) {
         free(request->values[i]);
     }
+    Lg_Set(holder, LG_BODY, 0);
+    Lg_Set(holder, LG_COPY, 0);
+    Lg_Set(holder, LG_ANSWER, 0);
+    Lg_SetUnread(holder, 0);
+    request->connection->request = NULL;
     request->server->open--;
-    free(request->body);
+    Bf_Free(&request->body);
     free(request->head);
     free(request->out);
     free(request);
 }
+
+void
+hs_set_phase(struct hs_request *request, enum yd_phase phase)
+{
+    Lg_SetPhase(&request->connection->holder, phase);
+}
+
+/* The caller has gone, or is given up. */
 static void
-on_closed(struct hs_request *request)
+lose_request(struct hs_connection *connection)
 {
-    lws_set_opaque_user_data(request->wsi, NULL);
+    struct hs_request *request = connection->request;
+    if (request == NULL) {
+        return;
+    }
     request->wsi = NULL;
     if (request->dispatched && !request->ended) {
         request->server->ops->gone(request->server->arg, request);
@@ -36,31 +54,30 @@
     hs_request_free(request);
 }
 
+void
+hs_kill(struct hs_connection *connection)
+{
+    connection->killed = true;
+    Lg_Leave(&connection->holder);
+    lws_set_timeout(connection->wsi, PENDING_TIMEOUT_CLOSE_SEND,
+                    LWS_TO_KILL_ASYNC);
+}
+
 /*
- * The server a connection came in by, told by its local address.  The
- * library picks a virtual host of its own by the Host header once it has
- * read it, and with two servers in one process that may be the other one: an
- * operator's request would be answered as a caller's.
+ * Gives up what is held for a connection.  A request that was read in part is
+ * refused: it has not run.  An answer that is not taken is broken off.
  */
-static struct hs_server *
-server_of(struct lws *wsi)
+static void
+on_yield(void *arg, enum lg_why why)
 {
-    struct sockaddr_in at = {0};
-    socklen_t len = sizeof(at);
-    if (getsockname(lws_get_socket_fd(wsi), (struct sockaddr *)&at, &len) !=
-        0) {
-        return NULL;
-    }
-    struct hs_server *server;
-    TAILQ_FOREACH (server, &servers, link) {
-        if (server->port == ntohs(at.sin_port) &&
-            (server->address.s_addr == at.sin_addr.s_addr ||
-             server->address.s_addr == htonl(INADDR_ANY)) &&
-            Lp_Context(server->loop) == lws_get_context(wsi)) {
-            return server;
-        }
+    struct hs_connection *connection = arg;
+    struct hs_request *request = connection->request;
+    if (why == LG_MEMORY && request != NULL && !request->dispatched) {
+        hs_refuse_for_room(request);
+        return;
     }
-    return NULL;
+    lose_request(connection);
+    hs_kill(connection);
 }
 
 /*
@@ -77,87 +94,103 @@
            reason == LWS_CALLBACK_RAW_WRITEABLE;
 }
 
-/* The server of a connection that has not sent its first request, or NULL. */
-static struct hs_server *
-fresh_server(struct lws *wsi)
+/* The first request came, or never will. */
+static void
+end_fresh(struct hs_connection *connection)
 {
-    const void *opaque = lws_get_opaque_user_data(wsi);
-    struct hs_server *server;
-    TAILQ_FOREACH (server, &servers, link) {
-        if (opaque == &server->mark) {
-            return server;
-        }
-    }
-    return NULL;
+    connection->server->fresh -= connection->fresh ? 1 : 0;
+    connection->fresh = false;
 }
 
-/* Ends the wait for a connection's first request when it came, or never will.
- */
 static void
-end_fresh(struct lws *wsi, struct hs_server *server,
-          enum lws_callback_reasons reason)
+on_destroyed(struct hs_connection *connection)
 {
-    if (reason == LWS_CALLBACK_HTTP || reason == LWS_CALLBACK_WSI_DESTROY) {
-        lws_set_opaque_user_data(wsi, NULL);
-        server->fresh--;
-    }
+    end_fresh(connection);
+    lose_request(connection);
+    Lg_Leave(&connection->holder);
+    lws_set_opaque_user_data(connection->wsi, NULL);
+    free(connection);
 }
 
 static int
-server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-                void *in, size_t len)
+take_event(struct hs_connection *connection, enum lws_callback_reasons reason,
+           void *in, size_t len)
 {
-    struct hs_request *request = NULL;
-    struct hs_server *waiting = wsi != NULL ? fresh_server(wsi) : NULL;
-    if (waiting != NULL) {
-        end_fresh(wsi, waiting, reason);
-    }
-    else if (wsi != NULL) {
-        request = lws_get_opaque_user_data(wsi);
-    }
-    if (is_raw(reason)) {
-        return -1;
-    }
+    struct hs_request *request = connection->request;
     if (reason == LWS_CALLBACK_HTTP) {
-        struct hs_server *server = server_of(wsi);
+        end_fresh(connection);
         /* A second request before the first one's answer: not supported. */
-        return request == NULL && server != NULL
-                   ? hs_read_head(server, wsi, in)
-                   : -1;
+        return request == NULL ? hs_read_head(connection, in) : -1;
     }
     if (request == NULL) {
-        if (reason == LWS_CALLBACK_HTTP_WRITEABLE) {
-            return 0;
-        }
         return reason == LWS_CALLBACK_HTTP_BODY ? -1 : 0;
     }
     switch (reason) {
     case LWS_CALLBACK_HTTP_BODY:
         return hs_read_body(request, in, len);
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-        hs_end_body(request);
-        return lws_get_opaque_user_data(wsi) == NULL ? -1 : 0;
+        return hs_end_body(request);
     case LWS_CALLBACK_HTTP_WRITEABLE:
         return hs_write(request);
     case LWS_CALLBACK_CLOSED_HTTP:
-        on_closed(request);
+        lose_request(connection);
         return 0;
     default:
         return 0;
     }
 }
 
+static int
+server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+                void *in, size_t len)
+{
+    struct hs_connection *connection =
+        wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
+    if (connection != NULL && reason == LWS_CALLBACK_WSI_DESTROY) {
+        on_destroyed(connection);
+        return 0;
+    }
+    if (is_raw(reason)) {
+        return -1;
+    }
+    if (connection == NULL) {
+        return reason == LWS_CALLBACK_HTTP ? -1 : 0;
+    }
+    if (connection->killed) {
+        return -1;
+    }
+    return take_event(connection, reason, in, len);
+}
+
 static enum ls_take
 on_accept(void *arg, int fd)
 {
     struct hs_server *server = arg;
+    if (!Lg_TakesConnection(server->ledger, server->account, fd)) {
+        close(fd);
+        return LS_CLOSED;
+    }
+    struct hs_connection *connection = calloc(1, sizeof(*connection));
+    if (connection == NULL) {
+        close(fd);
+        return LS_LOST;
+    }
+    connection->server = server;
     /* On failure the library has closed the descriptor. */
-    struct lws *wsi = lws_adopt_socket_vhost(server->vhost, fd);
-    if (wsi == NULL) {
+    connection->wsi = lws_adopt_socket_vhost(server->vhost, fd);
+    if (connection->wsi == NULL) {
+        free(connection);
         return LS_LOST;
     }
-    lws_set_opaque_user_data(wsi, &server->mark);
+    lws_set_opaque_user_data(connection->wsi, connection);
+    connection->fresh = true;
     server->fresh++;
+    connection->holder.fd = fd;
+    connection->holder.port = server->account;
+    connection->holder.yield = on_yield;
+    connection->holder.arg = connection;
+    Lg_Join(server->ledger, &connection->holder);
+    Lg_Set(&connection->holder, LG_CONNECTION, server->connection_bytes);
     return LS_TAKEN;
 }
 
@@ -180,7 +213,9 @@
         Ls_Open(server->loop, &at, on_accept, server, &server->listener);
     if (status == ST_OK) {
         server->port = Ls_Port(server->listener);
-        server->address = at.sin_addr;
+    }
+    if (status == ST_OK && server->ledger != NULL) {
+        Ls_SetBuffers(server->listener, Lg_SOCKET_BYTES);
     }
     return status;
 }
@@ -230,6 +265,10 @@
     server->arg = options->arg;
     server->headers = options->headers;
     server->body_max = options->body_max;
+    server->ledger = options->ledger;
+    server->account = options->account;
+    server->connection_bytes =
+        options->tls_cert_file == NULL ? Hs_PLAIN_BYTES : Hs_TLS_BYTES;
     server->protocols[0].name = "http";
     server->protocols[0].callback = server_callback;
     enum st_status status = start_vhost(server, options);
@@ -243,7 +282,6 @@
         free(server);
         return status;
     }
-    TAILQ_INSERT_TAIL(&servers, server, link);
     *out = server;
     return ST_OK;
 }
@@ -293,7 +331,6 @@
 Hs_Destroy(struct hs_server *server)
 {
     if (server != NULL) {
-        TAILQ_REMOVE(&servers, server, link);
         Ls_Destroy(server->listener);
         free(server);
     }
--- a/packages/web/server.h
+++ b/packages/web/server.h
@@ -11,6 +11,7 @@
 
 #include "base/status.h"
 #include "web/header.h"
+#include "web/ledger.h"
 #include "web/listening.h"
 #include "web/loop.h"
 
@@ -40,6 +41,8 @@
     const char *tls_key_file;
     size_t body_max;            /* larger bodies get 413 */
     const char *const *headers; /* names to keep, NULL-terminated */
+    struct lg_ledger *ledger;   /* NULL: nothing is accounted for */
+    const char *account;        /* name in the ledger */
     const struct hs_ops *ops;
     void *arg;
 };
--- a/packages/web/server_answer.c
+++ b/packages/web/server_answer.c
@@ -37,6 +37,7 @@
     }
     request->out_start += n;
     request->out_len -= n;
+    Lg_SetUnread(&request->connection->holder, request->out_len);
     if (request->out_len == 0) {
         request->out_start = 0;
         lws_set_timeout(request->wsi, NO_PENDING_TIMEOUT, 0);
@@ -48,20 +49,25 @@
 static int
 finish(struct hs_request *request)
 {
-    struct lws *wsi = request->wsi;
+    struct hs_connection *connection = request->connection;
     bool close_after = request->close_after;
-    lws_set_opaque_user_data(wsi, NULL);
+    hs_set_phase(request, close_after ? YD_ENDING : YD_IDLE);
+    Lg_SetServed(&connection->holder);
     hs_request_free(request);
     if (close_after) {
         return -1;
     }
-    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+    return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
 }
 
 /* Writes what is due; -1 closes the connection. */
 int
 hs_write(struct hs_request *request)
 {
+    struct hs_connection *connection = request->connection;
+    if (request->cut) {
+        return -1;
+    }
     if (request->head != NULL) {
         return write_head(request);
     }
@@ -71,12 +77,42 @@
     if (request->ended) {
         return finish(request);
     }
-    struct lws *wsi = request->wsi;
     if (request->stream && request->server->ops->drained != NULL) {
         request->server->ops->drained(request->server->arg, request);
     }
     /* The handler may have aborted the request. */
-    return lws_get_opaque_user_data(wsi) == NULL ? -1 : 0;
+    return connection->request == NULL ? -1 : 0;
+}
+
+/* Without room for all of an answer its connection breaks off. */
+static void
+cut(struct hs_request *request)
+{
+    request->cut = true;
+    lws_callback_on_writable(request->wsi);
+}
+
+/* Makes room for an answer's bytes; false when it is cut. */
+static bool
+reserve(struct hs_request *request, size_t len)
+{
+    if (request->cut || request->out_len + len <= request->out_size) {
+        return !request->cut;
+    }
+    size_t size = request->out_len + len;
+    size += size < Hs_WRITE_BYTES ? size : Hs_WRITE_BYTES;
+    struct lg_holder *holder = &request->connection->holder;
+    unsigned char *grown = Lg_MakeRoom(holder, size - request->out_size)
+                               ? realloc(request->out, size)
+                               : NULL;
+    if (grown == NULL) {
+        cut(request);
+        return false;
+    }
+    request->out = grown;
+    request->out_size = size;
+    Lg_Set(holder, LG_ANSWER, size);
+    return true;
 }
 
 static void
@@ -88,17 +124,12 @@
                 request->out_len);
         request->out_start = 0;
     }
-    if (request->out_len + len > request->out_size) {
-        size_t size = (request->out_len + len) * 2;
-        unsigned char *grown = realloc(request->out, size);
-        if (grown == NULL) {
-            abort();
-        }
-        request->out = grown;
-        request->out_size = size;
+    if (!reserve(request, len)) {
+        return;
     }
     memcpy(request->out + request->out_start + request->out_len, data, len);
     request->out_len += len;
+    Lg_SetUnread(&request->connection->holder, request->out_len);
 }
 
 static bool
@@ -120,7 +151,8 @@
 {
     request->head = malloc(LWS_PRE + Hs_HEADER_BLOCK);
     if (request->head == NULL) {
-        abort();
+        cut(request);
+        return;
     }
     unsigned char *start = request->head + LWS_PRE;
     unsigned char *at = start;
@@ -215,8 +247,7 @@
 void
 Hs_Abort(struct hs_request *request)
 {
-    lws_set_opaque_user_data(request->wsi, NULL);
-    lws_set_timeout(request->wsi, PENDING_TIMEOUT_CLOSE_SEND,
-                    LWS_TO_KILL_ASYNC);
+    struct hs_connection *connection = request->connection;
     hs_request_free(request);
+    hs_kill(connection);
 }
--- a/packages/web/server_read.c
+++ b/packages/web/server_read.c
@@ -7,6 +7,8 @@
 #include "web/server_internal.h"
 
 #define Hs_VALUE_MAX 1024
+/* By then others have been read, or had to yield. */
+#define Hs_RETRY_SEC "1"
 
 /* NULL for a method that is not served. */
 static const char *
@@ -155,22 +157,50 @@
 }
 
 static void
-refuse(struct hs_request *request, int code, const char *remedy)
+refuse(struct hs_request *request, int code, const char *type,
+       const char *remedy)
 {
     char body[256];
     int len = snprintf(body, sizeof(body),
-                       "{\"error\":{\"type\":\"invalid_request\","
+                       "{\"error\":{\"type\":\"%s\","
                        "\"message\":\"%s\"}}",
-                       remedy);
-    struct web_header header = {"cornelgate-outcome", "not-run"};
+                       type, remedy);
+    struct web_header headers[] = {
+        {"cornelgate-outcome", "not-run"},
+        {"retry-after", Hs_RETRY_SEC},
+    };
+    request->dispatched = true;
     request->close_after = true;
-    Hs_Reply(request, code, "application/json", &header, 1, body, (size_t)len);
+    hs_set_phase(request, YD_SERVING);
+    Hs_Reply(request, code, "application/json", headers, code == 503 ? 2 : 1,
+             body, (size_t)len);
 }
 
-static void
-dispatch(struct hs_request *request)
+void
+hs_refuse_for_room(struct hs_request *request)
 {
+    Bf_Free(&request->body);
+    Lg_Set(&request->connection->holder, LG_BODY, 0);
+    refuse(request, 503, "unavailable",
+           "no memory for the request; come back later");
+}
+
+/*
+ * Hands a whole request over.  Its body is copied once on its way to an
+ * endpoint, for which there has to be room as well.
+ */
+void
+hs_dispatch(struct hs_request *request)
+{
+    struct lg_holder *holder = &request->connection->holder;
+    size_t copy = request->body.capacity;
+    if (!Lg_MakeRoom(holder, copy)) {
+        hs_refuse_for_room(request);
+        return;
+    }
+    Lg_Set(holder, LG_COPY, copy);
     request->dispatched = true;
+    hs_set_phase(request, YD_SERVING);
     lws_set_timeout(request->wsi, NO_PENDING_TIMEOUT, 0);
     request->server->ops->request(request->server->arg, request);
 }
@@ -246,7 +276,7 @@
 
 /* Takes the headers of a request; -1 closes the connection. */
 int
-hs_read_head(struct hs_server *server, struct lws *wsi, const char *path)
+hs_read_head(struct hs_connection *connection, const char *path)
 {
     struct hs_request *request = calloc(1, sizeof(*request));
     if (request == NULL) {
@@ -254,25 +284,25 @@
     }
     char *uri;
     int uri_len;
-    int method = lws_http_get_uri_and_method(wsi, &uri, &uri_len);
-    request->server = server;
-    request->wsi = wsi;
+    int method = lws_http_get_uri_and_method(connection->wsi, &uri, &uri_len);
+    request->connection = connection;
+    request->server = connection->server;
+    request->wsi = connection->wsi;
     request->method = method_name(method);
-    server->open++;
-    lws_set_opaque_user_data(wsi, request);
+    request->server->open++;
+    connection->request = request;
     const char *remedy = NULL;
     int code = check_head(request, method, path, &remedy);
     if (code != 0) {
-        request->dispatched = true;
-        refuse(request, code, remedy);
+        refuse(request, code, "invalid_request", remedy);
         return 0;
     }
     if (request->body_expected == 0) {
-        dispatch(request);
-        return 0;
+        hs_dispatch(request);
+        return connection->request == NULL ? -1 : 0;
     }
-    request->body = malloc(request->body_expected + 1);
-    return request->body != NULL ? 0 : -1;
+    hs_set_phase(request, YD_READING);
+    return 0;
 }
 
 /* Takes bytes of a body; -1 closes the connection. */
@@ -282,21 +312,33 @@
     if (request->dispatched) {
         return 0;
     }
-    if (len > request->body_expected - request->body_len) {
+    if (len > request->body_expected - request->body.len) {
         return -1;
     }
-    memcpy(request->body + request->body_len, data, len);
-    request->body_len += len;
+    struct lg_holder *holder = &request->connection->holder;
+    size_t most = request->body_expected + 1;
+    Lg_NoteReceived(holder, len);
+    if (!Lg_MakeRoom(holder, Bf_Growth(&request->body, len, most)) ||
+        !Bf_AddUpTo(&request->body, data, len, most)) {
+        hs_refuse_for_room(request);
+        return 0;
+    }
+    Lg_Set(holder, LG_BODY, request->body.capacity);
     return 0;
 }
 
-/* The body is whole: hands the request over. */
-void
+/* The body is whole: hands the request over; -1 closes the connection. */
+int
 hs_end_body(struct hs_request *request)
 {
+    struct hs_connection *connection = request->connection;
     if (request->dispatched) {
-        return;
+        return 0;
+    }
+    if (!Bf_AddUpTo(&request->body, "", 1, request->body_expected + 1)) {
+        return -1;
     }
-    request->body[request->body_len] = '\0';
-    dispatch(request);
+    Lg_Set(&connection->holder, LG_BODY, request->body.capacity);
+    hs_dispatch(request);
+    return connection->request == NULL ? -1 : 0;
 }
--- a/packages/web/server_request.c
+++ b/packages/web/server_request.c
@@ -100,10 +100,11 @@
 const char *
 Hs_Body(const struct hs_request *request, size_t *len)
 {
+    size_t all = request->body.len;
     if (len != NULL) {
-        *len = request->body_len;
+        *len = all > 0 ? all - 1 : 0; /* without the NUL */
     }
-    return request->body != NULL ? request->body : "";
+    return all > 0 ? request->body.data : "";
 }
 
 /* Keeps a pointer of the handler with the request. */
