cornelgated: don't stand still for a request with a body behind another one

Callers saw: after one client has sent two requests in one go, the second with a body, the daemon answers nobody at any port any more, until it is killed.

Cause: the HTTP library takes a request that it has read already from its buffer in a loop, and tells the end of its body again and again while bytes are left; that was answered with "go on", and the loop never ended. Evidence: a core in full use without a system call; the library's own log, one line without end.

The end of a body is noted, and the request handed over once the connection can be written to, which is after the library has returned to its loop. An end that is told 64 times without that closes the connection; the request has not run.

--- a/packages/web/server_answer.c
+++ b/packages/web/server_answer.c
@@ -68,6 +68,11 @@
     if (request->cut) {
         return -1;
     }
+    request->repeats = 0;
+    if (request->body_over && !request->dispatched) {
+        hs_dispatch(request);
+        return connection->request == NULL ? -1 : 0;
+    }
     if (request->head != NULL) {
         return write_head(request);
     }
--- a/packages/web/server_internal.h
+++ b/packages/web/server_internal.h
@@ -54,6 +54,8 @@
     char *values[Hs_HEADERS_MAX];
     struct bf_buffer body; /* with a NUL behind it once it is whole */
     size_t body_expected;
+    bool body_over;  /* the library has told its end */
+    int repeats;     /* how often since the connection could be written to */
     bool dispatched; /* or refused */
     bool ended;      /* the handler has given the whole answer */
     bool stream;     /* the body is sent in chunks */
--- a/packages/web/server_read.c
+++ b/packages/web/server_read.c
@@ -7,6 +7,8 @@
 #include "web/server_internal.h"
 
 #define Hs_VALUE_MAX 1024
+/* How often the library tells the end of a body within one turn. */
+#define Hs_REPEATS_MAX 64
 /* By then others have been read, or had to yield. */
 #define Hs_RETRY_SEC "1"
 
@@ -327,18 +329,27 @@
     return 0;
 }
 
-/* The body is whole: hands the request over; -1 closes the connection. */
+/*
+ * The body is whole; -1 closes the connection.  While bytes are behind the
+ * request the library calls this again and again.  When the request itself was
+ * behind another one it does so without ever returning to its loop, and the
+ * whole daemon would stand still: such a request is given up.  It has not been
+ * handed over then, which is done once the connection can be written to.
+ */
 int
 hs_end_body(struct hs_request *request)
 {
-    struct hs_connection *connection = request->connection;
-    if (request->dispatched) {
-        return 0;
-    }
-    if (!Bf_AddUpTo(&request->body, "", 1, request->body_expected + 1)) {
-        return -1;
+    if (request->body_over) {
+        lws_callback_on_writable(request->wsi);
+        return ++request->repeats > Hs_REPEATS_MAX ? -1 : 0;
+    }
+    request->body_over = true;
+    if (!request->dispatched) {
+        if (!Bf_AddUpTo(&request->body, "", 1, request->body_expected + 1)) {
+            return -1;
+        }
+        Lg_Set(&request->connection->holder, LG_BODY, request->body.capacity);
+        lws_callback_on_writable(request->wsi);
     }
-    Lg_Set(&connection->holder, LG_BODY, request->body.capacity);
-    hs_dispatch(request);
-    return connection->request == NULL ? -1 : 0;
+    return 0;
 }
