cornelgated: bound connections of daemons that have not shown the key

Peers saw: clients without the key that connect to the port of other daemons and say nothing take all descriptors (512 of 512 where 448 may be). Cause: 2,048 such connections were let in whatever the process may open, each with room for a frame.

They are in the ledger like all others and yield before the peers' own; until its hello a connection has room for a hello.

--- a/packages/gate/peers.c
+++ b/packages/gate/peers.c
@@ -41,6 +41,7 @@
     peers->incarnation = incarnation;
     peers->started = Ck_Now(gate->clock);
     struct nd_options options = {
+        .ledger = gate->ledger,
         .id = gate->options->node_id,
         .address = gate->options->address,
         .peer_port = (uint16_t)gate->options->peer_port,
--- a/packages/member/link.c
+++ b/packages/member/link.c
@@ -33,6 +33,7 @@
     }
     links->loop = loop;
     links->clock = options->clock;
+    links->ledger = options->ledger;
     links->idle_usec =
         options->idle_usec != 0 ? options->idle_usec : Lk_IDLE_USEC;
     strlcpy(links->node, options->node, sizeof(links->node));
--- a/packages/member/link.h
+++ b/packages/member/link.h
@@ -15,6 +15,7 @@
 #include "base/status.h"
 #include "member/table.h"
 #include "member/wire.h"
+#include "web/ledger.h"
 #include "web/loop.h"
 
 #ifdef __cplusplus
@@ -34,6 +35,7 @@
     const char *cluster_key;
     const struct ck_clock *clock;
     int64_t idle_usec; /* connections idle for longer are closed; 0: 60 s */
+    struct lg_ledger *ledger; /* NULL: nothing is accounted for */
 };
 
 struct lk_result {
--- a/packages/member/link_connection.c
+++ b/packages/member/link_connection.c
@@ -15,6 +15,7 @@
 
 #define Lk_BACKLOG 512
 #define Lk_READ_BYTES 16384 /* free space for each read */
+#define Lk_PORT "peers"     /* in the ledger */
 #define Lk_ACCEPTS 64       /* connections accepted per loop iteration */
 
 static void
@@ -39,6 +40,7 @@
     }
     struct lk_links *links = connection->links;
     connection->closed = true;
+    Lg_Leave(&connection->holder);
     TAILQ_REMOVE(&links->connections, connection, link);
     TAILQ_INSERT_TAIL(&links->closed, connection, link);
     links->connection_count--;
@@ -137,6 +139,7 @@
     memcpy(connection->peer_nonce, frame->payload, Wr_NONCE_BYTES);
     strlcpy(connection->node, frame->name, sizeof(connection->node));
     connection->ready = true;
+    Lg_SetPhase(&connection->holder, YD_SERVING);
     lk_flush(connection);
 }
 
@@ -196,16 +199,20 @@
 static bool
 reserve_input(struct lk_connection *connection)
 {
-    size_t wanted = connection->in_len + Lk_READ_BYTES;
+    /* Nobody gets more than a hello's room who has not shown the key. */
+    size_t wanted =
+        connection->ready ? connection->in_len + Lk_READ_BYTES : Lk_HELLO_ROOM;
     if (wanted <= connection->in_max) {
-        return true;
+        return connection->in_len < connection->in_max;
     }
-    uint8_t *in = realloc(connection->in, 2 * wanted);
+    size_t room = connection->ready ? 2 * wanted : wanted;
+    uint8_t *in = realloc(connection->in, room);
     if (in == NULL) {
         return false;
     }
     connection->in = in;
-    connection->in_max = 2 * wanted;
+    connection->in_max = room;
+    Lg_Set(&connection->holder, LG_BODY, room);
     return true;
 }
 
@@ -216,6 +223,7 @@
         free(connection->in);
         connection->in = NULL;
         connection->in_max = 0;
+        Lg_Set(&connection->holder, LG_BODY, 0);
     }
 }
 
@@ -340,6 +348,26 @@
     return status;
 }
 
+static void
+on_yield(void *arg, enum lg_why why)
+{
+    (void)why;
+    lk_close(arg);
+}
+
+static void
+account(struct lk_connection *connection)
+{
+    struct lg_holder *holder = &connection->holder;
+    holder->fd = connection->fd;
+    holder->port = Lk_PORT;
+    holder->yield = on_yield;
+    holder->arg = connection;
+    Lg_Join(connection->links->ledger, holder);
+    Lg_SetPhase(holder, YD_READING);
+    Lg_Set(holder, LG_CONNECTION, sizeof(*connection));
+}
+
 static void
 on_acceptable(void *arg)
 {
@@ -350,8 +378,14 @@
         if (fd < 0) {
             return;
         }
-        struct lk_connection *connection;
-        if (add_connection(links, fd, false, &connection) == ST_OK) {
+        if (!Lg_TakesConnection(links->ledger, Lk_PORT, fd)) {
+            close(fd);
+            continue;
+        }
+        struct lk_connection *connection = NULL;
+        if (add_connection(links, fd, false, &connection) == ST_OK &&
+            connection != NULL) {
+            account(connection);
             lk_arm(links);
         }
     }
--- a/packages/member/link_internal.h
+++ b/packages/member/link_internal.h
@@ -8,6 +8,8 @@
 
 #define Lk_CONNECTIONS_MAX 2048
 #define Lk_HELLO_MAX 256 /* bytes; largest frame accepted before the hello */
+/* A whole hello on the wire. */
+#define Lk_HELLO_ROOM (Wr_FRAME_HEAD_BYTES + Lk_HELLO_MAX + Wr_MAC_BYTES)
 #define Lk_QUEUED_FRAMES_MAX 1024              /* frames per connection */
 #define Lk_QUEUED_BYTES_MAX (4 * Wr_FRAME_MAX) /* bytes per connection */
 
@@ -47,6 +49,7 @@
     size_t in_flight; /* calls and requests in flight */
     int64_t created_usec;
     int64_t used_usec;
+    struct lg_holder holder; /* of a connection that was accepted */
 };
 
 struct lk_call {
@@ -85,6 +88,7 @@
 struct lk_links {
     struct lp_loop *loop;
     const struct ck_clock *clock;
+    struct lg_ledger *ledger;
     char node[Mb_ID_MAX];
     char key[Wr_KEY_MAX];
     uint16_t port;
--- a/packages/member/node.c
+++ b/packages/member/node.c
@@ -218,6 +218,7 @@
         .port = options->peer_port,
         .cluster_key = options->cluster_key,
         .clock = options->clock,
+        .ledger = options->ledger,
     };
     enum st_status status = ST_CONFLICT;
     /* The UDP port of a free TCP port may be in use: then try another port. */
--- a/packages/member/node.h
+++ b/packages/member/node.h
@@ -45,6 +45,7 @@
     uint64_t seed;            /* of the random generator; 0: a random seed */
     int64_t period_usec;      /* between probes; 0: 1 s */
     int64_t sync_period_usec; /* between exchanges of full state; 0: 30 s */
+    struct lg_ledger *ledger; /* NULL: nothing is accounted for */
     const struct nd_ops *ops; /* may be NULL */
     void *arg;
 };
