Clean-up: what comes in apart from the server's life, one limit of log lines, one fixture

The ledger says which yield is to be logged, in place of a count in each daemon. The tests of both daemons share what a crowd meets; crowds and bounds are as they were.

--- a/packages/edge/gate_internal.h
+++ b/packages/edge/gate_internal.h
@@ -99,8 +99,6 @@
     int64_t overload_logged_at;
     struct xc_list exchanges;
     struct lg_ledger *ledger; /* what is held for callers and other clients */
-    int64_t yield_logged_at;
-    int yields_logged; /* in the second that began then */
     struct th_through *tunnel;
     struct co_controller *controller;
     struct mt_registry *registry;
--- a/packages/edge/gate_serve.c
+++ b/packages/edge/gate_serve.c
@@ -14,8 +14,6 @@
 
 /* Minimum time between two log lines about overload. */
 #define Ga_OVERLOAD_LOG_USEC (1 * Ck_USEC_PER_SEC)
-/* Log lines a second about connections that had to yield. */
-#define Ga_YIELDS_LOGGED_MAX 5
 /* What readiness checks, operators and peers send, with room to spare. */
 #define Ga_ASKING_HEAD_BYTES 16384
 #define Ga_ASKING_BODY_BYTES 4096
@@ -72,28 +70,19 @@
 on_yielded(void *arg, const struct lg_yield *yield)
 {
     struct ga_gate *gate = arg;
-    int64_t now = Ga_Now(gate);
     Mt_Add(yield->why == LG_MEMORY ? gate->count.yielded_memory
                                    : gate->count.yielded_descriptors,
            1);
-    if (now - gate->yield_logged_at >= Ck_USEC_PER_SEC) {
-        gate->yield_logged_at = now;
-        gate->yields_logged = 0;
-    }
-    if (gate->yields_logged++ >= Ga_YIELDS_LOGGED_MAX) {
+    if (!yield->log) {
         return;
     }
-    const struct yd_holder *held =
-        yield->holder == NULL ? NULL : &yield->holder->state;
     Ln_Log(LN_FAILURE, "connection.yielded",
            "\"port\":\"%s\",\"peer\":\"%s\",\"why\":\"%s\","
            "\"phase\":\"%s\",\"bytes\":%zu,\"unread\":%zu,\"ms\":%lld,"
            "\"memory\":%lld,\"descriptors\":%lld",
-           yield->port, yield->peer, Lg_WhyName(yield->why),
-           held == NULL ? "new" : Lg_PhaseName(held->phase),
-           held == NULL ? 0 : held->bytes, held == NULL ? 0 : held->unread,
-           (long long)(held == NULL ? 0 : now - held->since) /
-               Ck_USEC_PER_MSEC,
+           yield->port, yield->peer, Lg_WhyName(yield->why), yield->phase,
+           yield->bytes, yield->unread,
+           (long long)(yield->age / Ck_USEC_PER_MSEC),
            (long long)Mt_Value(gate->count.yielded_memory),
            (long long)Mt_Value(gate->count.yielded_descriptors));
 }
--- a/packages/gate/gate.h
+++ b/packages/gate/gate.h
@@ -72,8 +72,6 @@
     uint64_t next_request;
     bool draining;
     struct lg_ledger *ledger;
-    int64_t yield_logged_at;
-    int yields_logged; /* in the second that began then */
 };
 
 /* How a configuration reached this daemon, to find why one was late. */
--- a/packages/gate/ledger.c
+++ b/packages/gate/ledger.c
@@ -4,32 +4,19 @@
 #include "gate/events.h"
 #include "gate/gate.h"
 
-/* Log lines a second. */
-#define Gt_YIELDS_LOGGED_MAX 5
-
 static void
 on_yielded(void *arg, const struct lg_yield *yield)
 {
     struct gt_gate *gate = arg;
-    int64_t now = Ck_Now(gate->clock);
     Gt_Count(gate, "cg_connections_yielded_total", "why",
              Lg_WhyName(yield->why));
-    if (now - gate->yield_logged_at >= Ck_USEC_PER_SEC) {
-        gate->yield_logged_at = now;
-        gate->yields_logged = 0;
-    }
-    if (gate->yields_logged++ >= Gt_YIELDS_LOGGED_MAX) {
-        return;
+    if (yield->log) {
+        Ev_Log(&GT_YIELDED,
+               "port=%s peer=%s why=%s phase=%s bytes=%zu unread=%zu ms=%lld",
+               yield->port, yield->peer, Lg_WhyName(yield->why), yield->phase,
+               yield->bytes, yield->unread,
+               (long long)(yield->age / Ck_USEC_PER_MSEC));
     }
-    const struct yd_holder *held =
-        yield->holder == NULL ? NULL : &yield->holder->state;
-    Ev_Log(&GT_YIELDED,
-           "port=%s peer=%s why=%s phase=%s bytes=%zu unread=%zu ms=%lld",
-           yield->port, yield->peer, Lg_WhyName(yield->why),
-           held == NULL ? "new" : Lg_PhaseName(held->phase),
-           held == NULL ? 0 : held->bytes, held == NULL ? 0 : held->unread,
-           (long long)(held == NULL ? 0 : now - held->since) /
-               Ck_USEC_PER_MSEC);
 }
 
 /* Creates the ledger by the settings or, without them, by the machine. */
--- a/packages/web/ledger.c
+++ b/packages/web/ledger.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 
 #define Lg_NAME_MAX 96
+/* Log lines about connections that yielded. */
+#define Lg_LINES_PER_SEC 5
 
 TAILQ_HEAD(lg_holders, lg_holder);
 
@@ -17,6 +19,8 @@
     size_t all; /* bytes */
     size_t held[LG_KINDS];
     size_t most; /* highest value of "all" */
+    int64_t logged_at;
+    int logged; /* lines in the second that began then */
 };
 
 static const char *const kind_names[LG_KINDS] = {
@@ -92,15 +96,44 @@
     }
 }
 
+/* Whether one more is to be logged in this second. */
+static bool
+take_log_line(struct lg_ledger *ledger, int64_t now)
+{
+    if (now - ledger->logged_at >= Ck_USEC_PER_SEC) {
+        ledger->logged_at = now;
+        ledger->logged = 0;
+    }
+    return ledger->logged++ < Lg_LINES_PER_SEC;
+}
+
+/* "holder" is NULL for a connection that is not let in. */
 static void
-tell(const struct lg_ledger *ledger, const struct lg_holder *holder,
+tell(struct lg_ledger *ledger, const struct lg_holder *holder,
      const char *port, int fd, enum lg_why why)
 {
-    struct lg_yield yield = {.holder = holder, .why = why, .port = port};
-    if (ledger->options.yielded != NULL) {
+    static const char *const phases[] = {"idle", "reading", "serving",
+                                         "ending"};
+    int64_t now = now_of(ledger);
+    struct lg_yield yield = {
+        .why = why,
+        .port = port,
+        .phase = "new",
+        .log = take_log_line(ledger, now),
+    };
+    if (ledger->options.yielded == NULL) {
+        return;
+    }
+    if (holder != NULL) {
+        yield.phase = phases[holder->state.phase];
+        yield.bytes = holder->state.bytes;
+        yield.unread = holder->state.unread;
+        yield.age = now - holder->state.since;
+    }
+    if (yield.log) {
         read_peer(fd, yield.peer, sizeof(yield.peer));
-        ledger->options.yielded(ledger->options.arg, &yield);
     }
+    ledger->options.yielded(ledger->options.arg, &yield);
 }
 
 static void
@@ -292,14 +325,6 @@
               bound->connections);
 }
 
-const char *
-Lg_PhaseName(enum yd_phase phase)
-{
-    static const char *const names[] = {"idle", "reading", "serving",
-                                        "ending"};
-    return names[phase];
-}
-
 const char *
 Lg_WhyName(enum lg_why why)
 {
--- a/packages/web/ledger.h
+++ b/packages/web/ledger.h
@@ -43,14 +43,17 @@
 };
 
 struct lg_ledger;
-struct lg_holder;
 
-/* One that yielded, or was not let in (without "holder"). */
+/* One that yielded, or was not let in. */
 struct lg_yield {
-    const struct lg_holder *holder;
     enum lg_why why;
-    const char *port; /* name of the server */
-    char peer[32];    /* IP:PORT of the caller; empty: not known */
+    const char *port;  /* name of the server */
+    char peer[32];     /* IP:PORT of the client; empty: not known */
+    const char *phase; /* its name; "new": not let in */
+    size_t bytes;
+    size_t unread;
+    int64_t age; /* in the phase, microseconds */
+    bool log;    /* false: many were told in this second already */
 };
 
 struct lg_options {
@@ -101,7 +104,6 @@
 /* Sets gauges named by "prefix". */
 void Lg_Export(const struct lg_ledger *ledger, struct mt_registry *registry,
                const char *prefix);
-const char *Lg_PhaseName(enum yd_phase phase);
 const char *Lg_WhyName(enum lg_why why);
 
 #ifdef __cplusplus
--- a/packages/web/serve_internal.h
+++ b/packages/web/serve_internal.h
@@ -9,6 +9,8 @@
 #include "web/sock.h"
 
 #define Sv_LINE_MAX 512
+#define Sv_AHEAD_MAX 65536 /* bytes of later requests that are kept */
+#define Sv_NO_ROOM "no memory for the request; try again"
 
 enum sv_phase {
     READING,   /* a request, or nothing yet */
@@ -62,6 +64,11 @@
 void sv_finish(struct sv_request *request);
 /* Closes the connection; the request is freed. */
 void sv_bury(struct sv_request *request);
+/* Answers a request of which not all was read, and ends the connection. */
+void sv_refuse(struct sv_request *request, int status, const char *why);
+extern const struct h1_ops sv_parser_ops;
+/* Takes bytes of a connection. */
+void sv_on_data(void *arg, const char *data, size_t len);
 /* Goes on with the bytes behind the last request. */
 void sv_feed_ahead(struct sv_request *request);
 /* Tells the ledger what is held for the connection. */
--- a/test/rogue.cc
+++ b/test/rogue.cc
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <dirent.h>
 #include <fcntl.h>
-#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/resource.h>
@@ -12,6 +11,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <memory>
 #include <random>
 #include <set>
 #include <sstream>
@@ -28,6 +28,7 @@
 const size_t kDataMax = size_t(2) << 30;
 const unsigned kSeed = 68;
 const Millis kDribbleInterval(100);
+const int kDribbles = 20;
 const int kReceiveBytes = 4096;
 const Millis kWatchInterval(2);
 const uint32_t kFirstAddress = 0x7f7f0001; // 127.127.0.1
@@ -422,6 +423,103 @@
     EXPECT_LE(most_files_, kRogueFiles - kRogueOwnFiles);
 }
 
+void
+RogueFixture::Meet(int port, const std::vector<RoguePlan> &plans,
+                   bool awaits_answers)
+{
+    ASSERT_NE(0, port);
+    RogueBounds bounds(Target());
+    RogueCrowd crowd(Address(), port);
+    for (const RoguePlan &plan : plans) {
+        crowd.Add(plan, RogueCrowdOf(plan) / plans.size());
+    }
+    crowd.Send();
+    if (awaits_answers) {
+        crowd.AwaitAnswers();
+    }
+    bounds.Check();
+    EXPECT_TRUE(CallerIsServed());
+    EXPECT_TRUE(AnswersReady());
+    bounds.Check();
+    crowd.Leave();
+    EXPECT_TRUE(CallerIsServed());
+    bounds.Check();
+}
+
+void
+RogueFixture::MeetAll(const std::vector<RoguePort> &ports)
+{
+    RogueBounds bounds(Target());
+    std::vector<std::unique_ptr<RogueCrowd>> crowds;
+    for (const RoguePort &at : ports) {
+        crowds.push_back(std::make_unique<RogueCrowd>(Address(), at.port));
+        std::vector<RoguePlan> plans = RoguePlans(at.start);
+        for (const RoguePlan &plan : plans) {
+            crowds.back()->Add(plan, RogueCrowdOf(plan) / plans.size());
+        }
+        crowds.back()->Send();
+    }
+    bounds.Check();
+    EXPECT_TRUE(CallerIsServed());
+    EXPECT_TRUE(AnswersReady());
+    for (auto &crowd : crowds) {
+        crowd->Leave();
+    }
+    EXPECT_TRUE(CallerIsServed());
+    bounds.Check();
+}
+
+void
+RogueFixture::MeetInTurn(const RoguePort &at, int times)
+{
+    const size_t of_each = 8;
+    RogueBounds bounds(Target());
+    for (int i = 0; i < times; i++) {
+        RogueCrowd crowd(Address(), at.port);
+        for (const RoguePlan &plan : RoguePlans(at.start)) {
+            crowd.Add(plan, of_each);
+        }
+        crowd.Send();
+    }
+    EXPECT_TRUE(CallerIsServed());
+    bounds.Check();
+}
+
+void
+RogueFixture::MeetDribble(int port, const RoguePlan &plan)
+{
+    RogueBounds bounds(Target());
+    RogueCrowd crowd(Address(), port);
+    crowd.Add(plan, RogueCrowdOf(plan));
+    crowd.Send();
+    crowd.Dribble("x", kDribbles);
+    EXPECT_TRUE(CallerIsServed());
+    bounds.Check();
+}
+
+void
+RogueFixture::MeetManyAddresses(int port, const std::vector<RoguePlan> &plans)
+{
+    RogueBounds bounds(Target());
+    RogueCrowd crowd(Address(), port, true);
+    for (const RoguePlan &plan : plans) {
+        crowd.Add(plan, RogueCrowdOf(plan));
+    }
+    crowd.Send();
+    EXPECT_TRUE(CallerIsServed());
+    bounds.Check();
+}
+
+std::vector<std::string>
+RogueNames()
+{
+    std::vector<std::string> names;
+    for (const RoguePlan &plan : RoguePlans("")) {
+        names.push_back(plan.name);
+    }
+    return names;
+}
+
 void
 LimitRogueTarget(ProcessOptions *options)
 {
--- a/test/rogue.h
+++ b/test/rogue.h
@@ -8,6 +8,8 @@
 #include <thread>
 #include <vector>
 
+#include <gtest/gtest.h>
+
 #include "test/process.h"
 
 namespace cg {
@@ -104,6 +106,38 @@
     std::thread watcher_;
 };
 
+// A port, and how a request at it begins.
+struct RoguePort {
+    int port;
+    std::string start;
+};
+
+// A daemon that meets crowds.
+class RogueFixture : public testing::Test {
+  protected:
+    virtual Process &Target() = 0;
+    virtual std::string Address() = 0;
+    // A caller in order, and the readiness check: asked again and again, until
+    // there is an answer or the daemon has ended.
+    virtual bool CallerIsServed() = 0;
+    virtual bool AnswersReady() = 0;
+
+    // A crowd of the plans at one port, and callers before and after it left.
+    void Meet(int port, const std::vector<RoguePlan> &plans,
+              bool awaits_answers = false);
+    // Clients of all kinds at each of the ports at once.
+    void MeetAll(const std::vector<RoguePort> &ports);
+    // Several crowds, one after the other.
+    void MeetInTurn(const RoguePort &at, int times);
+    // Clients of which each goes on by a byte now and then.
+    void MeetDribble(int port, const RoguePlan &plan);
+    // Clients that each have an address of their own.
+    void MeetManyAddresses(int port, const std::vector<RoguePlan> &plans);
+};
+
+// The names of all kinds.
+std::vector<std::string> RogueNames();
+
 // Limits of a daemon's process in these tests.
 void LimitRogueTarget(ProcessOptions *options);
 
--- a/test/rogue_test.cc
+++ b/test/rogue_test.cc
@@ -13,17 +13,7 @@
                            "Host: a\r\n";
 const char kTunnelStart[] = "CONNECT seats-0 HTTP/1.1\r\n";
 
-std::vector<std::string>
-Names()
-{
-    std::vector<std::string> names;
-    for (const cg::RoguePlan &plan : cg::RoguePlans("")) {
-        names.push_back(plan.name);
-    }
-    return names;
-}
-
-class RogueClients : public testing::Test {
+class RogueClients : public cg::RogueFixture {
   protected:
     void
     SetUp() override
@@ -44,8 +34,20 @@
         return scene_.cluster.process(0);
     }
 
+    cg::Process &
+    Target() override
+    {
+        return Daemon();
+    }
+
+    std::string
+    Address() override
+    {
+        return "127.0.0.1";
+    }
+
     bool
-    CallerIsServed()
+    CallerIsServed() override
     {
         return cg::Eventually([&] {
             return cg::Http(scene_.Call(0, "GET", "/seats/free")).code ==
@@ -55,7 +57,7 @@
     }
 
     bool
-    AnswersReady()
+    AnswersReady() override
     {
         return cg::Eventually(
             [&] { return scene_.cluster.IsReady(0) || !Daemon().Running(); });
@@ -76,83 +78,40 @@
         return 0;
     }
 
-    // A crowd of the plans at one port, and callers before and after it left.
-    void
-    Meet(int port, const std::vector<cg::RoguePlan> &plans)
-    {
-        ASSERT_NE(0, port);
-        cg::RogueBounds bounds(Daemon());
-        cg::RogueCrowd crowd("127.0.0.1", port);
-        for (const cg::RoguePlan &plan : plans) {
-            crowd.Add(plan, cg::RogueCrowdOf(plan) / plans.size());
-        }
-        crowd.Send();
-        if (awaits_answers_) {
-            crowd.AwaitAnswers();
-        }
-        bounds.Check();
-        EXPECT_TRUE(CallerIsServed());
-        EXPECT_TRUE(AnswersReady());
-        bounds.Check();
-        crowd.Leave();
-        EXPECT_TRUE(CallerIsServed());
-        bounds.Check();
-    }
-
     cg::Scene scene_;
-    bool awaits_answers_ = false;
 };
 
 // Guards against answers that pile up for callers who don't read them.
 TEST_F(RogueClients, UnreadAnswersWaitWithinTheBound)
 {
-    awaits_answers_ = true;
     cg::RoguePlan plan;
     plan.head =
         "GET /seats/x?answer_bytes=" + std::to_string(cg::kRogueBodyMax) +
         " HTTP/1.1\r\nHost: a\r\n"
         "Authorization: Bearer key-of-the-customer\r\n\r\n";
-    Meet(Daemon().Ready("port"), {plan});
+    Meet(Daemon().Ready("port"), {plan}, true);
 }
 
 // Guards against a body that is kept for ever by a byte now and then.
 TEST_F(RogueClients, BytesNowAndThenKeepNobodyOut)
 {
-    cg::RogueBounds bounds(Daemon());
-    cg::RogueCrowd crowd("127.0.0.1", Daemon().Ready("port"));
-    crowd.Add(cg::RoguePlanOf("LengthShort", kCallStart), cg::kRogueCrowd);
-    crowd.Send();
-    crowd.Dribble("x", 20);
-    EXPECT_TRUE(CallerIsServed());
-    bounds.Check();
+    MeetDribble(Daemon().Ready("port"),
+                cg::RoguePlanOf("LengthShort", kCallStart));
 }
 
 // Guards against a crowd that is known by its address only.
 TEST_F(RogueClients, ACrowdOfManyAddressesIsOne)
 {
-    cg::RogueBounds bounds(Daemon());
-    cg::RogueCrowd crowd("127.0.0.1", Daemon().Ready("port"), true);
-    crowd.Add(cg::RoguePlanOf("LengthShort", kCallStart), cg::kRogueCrowd);
-    crowd.Add(cg::RoguePlanOf("Silent", kCallStart), cg::kRogueMany);
-    crowd.Send();
-    EXPECT_TRUE(CallerIsServed());
-    bounds.Check();
+    MeetManyAddresses(Daemon().Ready("port"),
+                      {cg::RoguePlanOf("LengthShort", kCallStart),
+                       cg::RoguePlanOf("Silent", kCallStart)});
 }
 
 // Guards against memory or descriptors that stay with the process, so that
 // crowds add up.
 TEST_F(RogueClients, TenCrowdsInTurnDoNotAddUp)
 {
-    cg::RogueBounds bounds(Daemon());
-    for (int i = 0; i < 10; i++) {
-        cg::RogueCrowd crowd("127.0.0.1", Daemon().Ready("port"));
-        for (const cg::RoguePlan &plan : cg::RoguePlans(kCallStart)) {
-            crowd.Add(plan, 8);
-        }
-        crowd.Send();
-    }
-    EXPECT_TRUE(CallerIsServed());
-    bounds.Check();
+    MeetInTurn({Daemon().Ready("port"), kCallStart}, 10);
 }
 
 // Guards against an allocation that fails and ends the process, where the
@@ -259,7 +218,7 @@
     MeetOne(TunnelPort(), kTunnelStart);
 }
 
-INSTANTIATE_TEST_SUITE_P(Clients, Rogue, testing::ValuesIn(Names()),
+INSTANTIATE_TEST_SUITE_P(Clients, Rogue, testing::ValuesIn(cg::RogueNames()),
                          [](const testing::TestParamInfo<std::string> &test) {
                              return test.param;
                          });
@@ -275,30 +234,12 @@
 // The same with all ports at once.
 TEST_P(RogueMixture, AtAllPorts)
 {
-    const std::vector<std::pair<int, std::string>> ports = {
+    MeetAll({
         {Daemon().Ready("port"), kCallStart},
         {Daemon().Ready("admin_port"), kAdminStart},
         {Daemon().Ready("peer_port"), std::string(3, '\0')},
         {TunnelPort(), kTunnelStart},
-    };
-    cg::RogueBounds bounds(Daemon());
-    std::vector<std::unique_ptr<cg::RogueCrowd>> crowds;
-    for (const auto &[port, start] : ports) {
-        crowds.push_back(std::make_unique<cg::RogueCrowd>("127.0.0.1", port));
-        std::vector<cg::RoguePlan> plans = cg::RoguePlans(start);
-        for (const cg::RoguePlan &plan : plans) {
-            crowds.back()->Add(plan, cg::RogueCrowdOf(plan) / plans.size());
-        }
-        crowds.back()->Send();
-    }
-    bounds.Check();
-    EXPECT_TRUE(CallerIsServed());
-    EXPECT_TRUE(AnswersReady());
-    for (auto &crowd : crowds) {
-        crowd->Leave();
-    }
-    EXPECT_TRUE(CallerIsServed());
-    bounds.Check();
+    });
 }
 
 INSTANTIATE_TEST_SUITE_P(Clients, RogueMixture, testing::Values("All"),
