Bound connections by what the loop can watch as well

Callers saw: on a machine that allows 20,000 descriptors 8,300 clients that send nothing shut all others out of cornelgated: 0 of 10 requests served. Cause: the bound was half of the machine's descriptors, and the loop watches 8,192; it reads 4,096 heads at once, of clients and of endpoints together.

The bound is half of the lower of both, and there is room for a head on each connection. LedgerBound.IsWithinWhatTheLoopCanWatch fails without it.

--- a/packages/edge/gate_serve.c
+++ b/packages/edge/gate_serve.c
@@ -195,7 +195,7 @@
     const struct nd_node *node = options->node;
     struct lg_options ledger = {
         .clock = options->clock,
-        .bound = Yd_Bound(node->memory_bytes, (size_t)node->max_fds),
+        .bound = Lg_Bound(node->memory_bytes, (size_t)node->max_fds),
         .yielded = on_yielded,
         .arg = gate,
     };
--- a/packages/gate/ledger.c
+++ b/packages/gate/ledger.c
@@ -26,7 +26,7 @@
     int64_t memory = gate->options->memory_bytes;
     struct lg_options options = {
         .clock = gate->clock,
-        .bound = Yd_Bound(memory > 0 ? memory : Mc_MemoryBytes(), Mc_Files()),
+        .bound = Lg_Bound(memory > 0 ? memory : Mc_MemoryBytes(), Mc_Files()),
         .yielded = on_yielded,
         .arg = gate,
     };
--- a/packages/web/ledger.c
+++ b/packages/web/ledger.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "web/loop.h"
+
 #define Lg_NAME_MAX 96
 /* Log lines about connections that yielded. */
 #define Lg_LINES_PER_SEC 5
@@ -27,6 +29,13 @@
     "connection", "head", "body", "behind", "copy", "coming", "answer",
 };
 
+struct yd_bound
+Lg_Bound(int64_t memory_bytes, size_t files)
+{
+    size_t most = Lp_DescriptorsMax();
+    return Yd_Bound(memory_bytes, files < most ? files : most);
+}
+
 /* NULL without memory. */
 struct lg_ledger *
 Lg_Create(const struct lg_options *options)
--- a/packages/web/ledger.h
+++ b/packages/web/ledger.h
@@ -77,6 +77,11 @@
     void *arg;
 };
 
+/*
+ * The bound of a process with that memory that may open so many descriptors,
+ * of which its loop may watch less.
+ */
+struct yd_bound Lg_Bound(int64_t memory_bytes, size_t files);
 struct lg_ledger *Lg_Create(const struct lg_options *options);
 void Lg_Destroy(struct lg_ledger *ledger);
 /* Makes room for a connection at a port; false: it cannot be taken. */
--- a/packages/web/loop.c
+++ b/packages/web/loop.c
@@ -16,7 +16,8 @@
 #include "web/internal.h"
 
 #define Lp_MAX_DESCRIPTORS 8192
-#define Lp_MAX_HEADER_BLOCKS 4096
+/* One for each connection that reads a head, of clients and to endpoints. */
+#define Lp_MAX_HEADER_BLOCKS Lp_MAX_DESCRIPTORS
 #define Lp_HEADER_BLOCK_BYTES 8192
 #define Lp_SERVICE_BUFFER_BYTES 16384
 #define Lp_NEVER_SECS 3600
@@ -269,6 +270,12 @@
     return lws_create_vhost(loop->context, &vhost);
 }
 
+size_t
+Lp_DescriptorsMax(void)
+{
+    return Lp_MAX_DESCRIPTORS;
+}
+
 /*
  * Creates the loop with its client side.  SIGPIPE is ignored for the whole
  * process: a peer that goes away shows as a failed write.
--- a/packages/web/loop.h
+++ b/packages/web/loop.h
@@ -7,6 +7,7 @@
 
 #include <bsd/sys/queue.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/status.h"
@@ -28,6 +29,8 @@
     lp_ready_fn closed; /* the descriptor is gone; do not use the watch */
 };
 
+/* How many descriptors a loop can watch. */
+size_t Lp_DescriptorsMax(void);
 enum st_status Lp_Create(struct lp_loop **out);
 void Lp_Destroy(struct lp_loop *loop);
 void Lp_Run(struct lp_loop *loop);
--- a/packages/web/test/ledger_test.cc
+++ b/packages/web/test/ledger_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "web/loop.h"
 
 namespace {
 
@@ -171,6 +172,16 @@
     Lg_Leave(&account);
 }
 
+// Guards against a machine that allows more descriptors than the loop can
+// watch: clients that hold all of these shut the others out.
+TEST(LedgerBound, IsWithinWhatTheLoopCanWatch)
+{
+    const int64_t memory = 1 << 30;
+    size_t most = Lp_DescriptorsMax();
+    EXPECT_EQ(2050u, Lg_Bound(memory, 4100).connections);
+    EXPECT_EQ(most / 2, Lg_Bound(memory, 16 * most).connections);
+}
+
 // Where nothing is accounted for, as in stand-ins, all is let in.
 TEST_F(Ledger, WithoutALedgerThereIsNoBound)
 {
