cornelgated: close a request behind another one at its head

Callers saw: the process ends (SIGSEGV) under a crowd that sends many requests with bodies in one go; 3 of some 50 runs of AtTheAdminPort/BehindARequest, first in a round of all tests, none of 12 with sanitizers.

Such a request is told by what was read: nothing came from the socket between the end of the last answer and its head.

--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -1,7 +1,10 @@
 /* Listening, connections, and their end. */
 #include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,6 +36,20 @@
     free(request);
 }
 
+uint64_t
+hs_read_bytes(const struct hs_connection *connection)
+{
+    int fd = lws_get_socket_fd(connection->wsi);
+    struct tcp_info info = {0};
+    socklen_t len = sizeof(info);
+    int unread = 0;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0 ||
+        ioctl(fd, SIOCINQ, &unread) != 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_received - (uint64_t)unread;
+}
+
 void
 hs_set_phase(struct hs_request *request, enum yd_phase phase)
 {
--- a/packages/web/server_answer.c
+++ b/packages/web/server_answer.c
@@ -57,6 +57,7 @@
     if (close_after) {
         return -1;
     }
+    connection->read_bytes = hs_read_bytes(connection);
     return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
 }
 
--- a/packages/web/server_internal.h
+++ b/packages/web/server_internal.h
@@ -39,6 +39,7 @@
     struct lws *wsi;
     struct hs_request *request; /* NULL between requests */
     bool fresh;                 /* without a request yet */
+    uint64_t read_bytes;        /* when its last answer was complete */
     bool killed;                /* to be closed, and nothing else */
     struct lg_holder holder;
 };
@@ -81,6 +82,8 @@
 
 /* Has the library close the connection; nothing more is done for it. */
 void hs_kill(struct hs_connection *connection);
+/* Bytes that have been read of the connection so far. */
+uint64_t hs_read_bytes(const struct hs_connection *connection);
 void hs_set_phase(struct hs_request *request, enum yd_phase phase);
 
 /* What goes out: the loop calls this whenever the caller can take bytes. */
--- a/packages/web/server_read.c
+++ b/packages/web/server_read.c
@@ -276,6 +276,18 @@
     return 0;
 }
 
+/*
+ * Whether a request was read together with the one before it.  The library
+ * goes round for ever on the body of such a one, or uses its connection after
+ * it has freed it.
+ */
+static bool
+was_behind(const struct hs_connection *connection)
+{
+    return connection->read_bytes > 0 &&
+           hs_read_bytes(connection) == connection->read_bytes;
+}
+
 /* Takes the headers of a request; -1 closes the connection. */
 int
 hs_read_head(struct hs_connection *connection, const char *path)
@@ -303,6 +315,9 @@
         hs_dispatch(request);
         return connection->request == NULL ? -1 : 0;
     }
+    if (was_behind(connection)) {
+        return -1;
+    }
     hs_set_phase(request, YD_READING);
     return 0;
 }
