cornelgated: close a refused request behind another one as well

Callers saw, and could still see: the second of two requests in one go is refused at its head (a field of 2,000 bytes) and has a body; the library goes round its body as before, and the connection was only given up there, which is where the process ended. Found by reading the change.

Whether a request was read with the one before it is asked before it is refused.

--- a/packages/web/server_read.c
+++ b/packages/web/server_read.c
@@ -307,6 +307,10 @@
     connection->request = request;
     const char *remedy = NULL;
     int code = check_head(request, method, path, &remedy);
+    bool may_have_body = code != 0 || request->body_expected > 0;
+    if (may_have_body && was_behind(connection)) {
+        return -1;
+    }
     if (code != 0) {
         refuse(request, code, "invalid_request", remedy);
         return 0;
@@ -315,9 +319,6 @@
         hs_dispatch(request);
         return connection->request == NULL ? -1 : 0;
     }
-    if (was_behind(connection)) {
-        return -1;
-    }
     hs_set_phase(request, YD_READING);
     return 0;
 }
--- a/test/rogue_test.cc
+++ b/test/rogue_test.cc
@@ -156,6 +156,21 @@
     EXPECT_TRUE(AnswersReady());
 }
 
+// The same with one that is refused at its head.
+TEST_F(RogueClients, ARefusedRequestBehindAnotherDoesNotStopTheDaemon)
+{
+    cg::RogueCrowd crowd("127.0.0.1", Daemon().Ready("port"));
+    cg::RoguePlan plan;
+    plan.head = std::string(kCallStart) + "Content-Length: 1\r\n\r\nx" +
+                kCallStart + "Idempotency-Key: " + std::string(2000, 'k') +
+                "\r\nContent-Length: 1\r\n\r\nx";
+    crowd.Add(plan, 1);
+    crowd.Send();
+    EXPECT_EQ(crowd.AnswerOfFirst().substr(0, 12), "HTTP/1.1 200");
+    EXPECT_TRUE(CallerIsServed());
+    EXPECT_TRUE(AnswersReady());
+}
+
 // What callers in order send is served in calm, as large as it may be.
 TEST_F(RogueClients, LargeRequestsAreServedInCalm)
 {
