An answer left unread on an idle connection yields its memory

Callers could see: clients that take no byte of whole answers hold the memory for requests until they are idle for too long, and large requests are refused meanwhile. Cause, found by reading the change: between requests a connection never yielded for memory, whatever it held of the answer before. The bound itself was kept.

YieldBytes.AnAnswerLeftOnAnIdleConnectionYields fails without it.

--- a/packages/policy/test/yield_test.cc
+++ b/packages/policy/test/yield_test.cc
@@ -86,6 +86,17 @@
     EXPECT_GE(Yd_RankBytes(&moving, kNow), 0);
 }
 
+// Guards against whole answers that nobody reads and that leave no room for
+// requests: no request is under way on their connections.
+TEST(YieldBytes, AnAnswerLeftOnAnIdleConnectionYields)
+{
+    yd_holder left = Holder(YD_IDLE, kMb, kSecond);
+    EXPECT_LT(Yd_RankBytes(&left, kNow), 0);
+    left.unread = kMb;
+    left.unread_at = kNow - kSecond;
+    EXPECT_GE(Yd_RankBytes(&left, kNow), 0);
+}
+
 // Guards against clients in order that lose the connections which they keep,
 // while others that never asked stay.
 TEST(YieldConnection, WhoNeverCompletedARequestGoesBeforeKeptConnections)
--- a/packages/policy/yield.c
+++ b/packages/policy/yield.c
@@ -96,13 +96,11 @@
     case YD_ENDING:
         return weight(holder->bytes, holder->since, now);
     case YD_SERVING:
-        return holder->unread > 0
-                   ? weight(holder->unread, holder->unread_at, now)
-                   : -1;
     case YD_IDLE:
         break;
     }
-    return -1;
+    return holder->unread > 0 ? weight(holder->unread, holder->unread_at, now)
+                              : -1;
 }
 
 /*
