cornelgated: hand a whole answer to its caller instead of copying it

Callers could see: with answers that nobody reads the daemon takes up to a tenth more than its bound, with sanitizers. Cause: from the end of the endpoint's call until the caller's connection had its copy, an answer was in no account, and then there were two; its buffer kept twice the room that it grew in.

The answer changes hands as it is (Hs_ReplyOwned()), fitted to its length, and is accounted for in between.

--- a/packages/gate/relay_plain.c
+++ b/packages/gate/relay_plain.c
@@ -112,7 +112,7 @@
 static void
 answer_caller(struct rq_request *request)
 {
-    const struct ended *ended = &request->plain->ended;
+    struct ended *ended = &request->plain->ended;
     if (request->claimed) {
         record_result(request, ended->code, ended->body, ended->len);
     }
@@ -122,8 +122,9 @@
             {"cornelgate-outcome", An_OutcomeName(AN_RAN)},
         };
         Hs_SetUser(request->http, NULL);
-        Hs_Reply(request->http, ended->code, request->plain->type, headers, 2,
-                 ended->body, ended->len);
+        Hs_ReplyOwned(request->http, ended->code, request->plain->type,
+                      headers, 2, ended->body, ended->len);
+        ended->body = NULL;
         request->http = NULL;
     }
     Rq_Finish(request, AN_RAN);
@@ -286,6 +287,9 @@
     struct ended *ended = &relay->ended;
     free(ended->body);
     ended->body = Hc_TakeBody(call, &ended->len);
+    if (request->http != NULL) {
+        Hs_HoldAnswer(request->http, ended->len);
+    }
     ended->complete = result->stage == HC_COMPLETE;
     ended->stage = result->stage;
     ended->code = result->code;
--- a/packages/web/client.c
+++ b/packages/web/client.c
@@ -561,5 +561,6 @@
     struct bf_buffer body = call->collected;
     call->collected = (struct bf_buffer){0};
     *len = body.len;
-    return body.data;
+    char *fitted = body.len > 0 ? realloc(body.data, body.len + 1) : NULL;
+    return fitted != NULL ? fitted : body.data;
 }
--- a/packages/web/server.c
+++ b/packages/web/server.c
@@ -26,6 +26,7 @@
     }
     Lg_Set(holder, LG_BODY, 0);
     Lg_Set(holder, LG_COPY, 0);
+    Lg_Set(holder, LG_COMING, 0);
     Lg_Set(holder, LG_ANSWER, 0);
     Lg_SetUnread(holder, 0);
     request->connection->request = NULL;
--- a/packages/web/server.h
+++ b/packages/web/server.h
@@ -71,6 +71,14 @@
 void Hs_Reply(struct hs_request *request, int code, const char *type,
               const struct web_header *headers, size_t header_count,
               const void *body, size_t len);
+/*
+ * The same; "body", which is the request's own from then on, is not copied.
+ */
+void Hs_ReplyOwned(struct hs_request *request, int code, const char *type,
+                   const struct web_header *headers, size_t header_count,
+                   char *body, size_t len);
+/* Accounts for an answer that is held until Hs_ReplyOwned(). */
+void Hs_HoldAnswer(struct hs_request *request, size_t len);
 void Hs_StreamBegin(struct hs_request *request, int code, const char *type,
                     const struct web_header *headers, size_t header_count);
 void Hs_StreamWrite(struct hs_request *request, const void *data, size_t len);
--- a/packages/web/server_answer.c
+++ b/packages/web/server_answer.c
@@ -189,19 +189,48 @@
     lws_callback_on_writable(request->wsi);
 }
 
+/* Begins an answer of that length, which is whole as soon as it is given. */
+static void
+begin_whole(struct hs_request *request, int code, const char *type,
+            const struct web_header *headers, size_t header_count, size_t len)
+{
+    char length[32];
+    snprintf(length, sizeof(length), "%zu", len);
+    build_head(request, code, type, headers, header_count, length);
+    request->ended = true;
+}
+
 /* Answers whole.  The request must not be used afterwards. */
 void
 Hs_Reply(struct hs_request *request, int code, const char *type,
          const struct web_header *headers, size_t header_count,
          const void *body, size_t len)
 {
-    char length[32];
-    snprintf(length, sizeof(length), "%zu", len);
-    build_head(request, code, type, headers, header_count, length);
+    begin_whole(request, code, type, headers, header_count, len);
     if (len > 0) {
         append(request, body, len);
     }
-    request->ended = true;
+}
+
+void
+Hs_HoldAnswer(struct hs_request *request, size_t len)
+{
+    Lg_Set(&request->connection->holder, LG_COMING, len);
+}
+
+void
+Hs_ReplyOwned(struct hs_request *request, int code, const char *type,
+              const struct web_header *headers, size_t header_count,
+              char *body, size_t len)
+{
+    struct lg_holder *holder = &request->connection->holder;
+    begin_whole(request, code, type, headers, header_count, len);
+    Hs_HoldAnswer(request, 0);
+    request->out = (unsigned char *)body;
+    request->out_size = len;
+    request->out_len = len;
+    Lg_Set(holder, LG_ANSWER, len);
+    Lg_SetUnread(holder, len);
 }
 
 /* Begins an answer of unknown length. */
