Count what the kernel holds for connections in the bound

Callers could see: thousands of clients whose bytes wait in the queues of their connections, which the machine's memory pays for and the bound did not know; it was bounded for each connection only.

Once a second, while a quarter of the connections are open or half of the memory is held, the queues are counted, and connections yield where the bound is passed with them (Yd_CountsQueues(), Lg_CountQueues()); a calm host makes no such calls. Ledger.WhatTheKernelHoldsCountsWhereManyAreOpen and ConnectionsYieldForWhatTheKernelHolds are new with it.

--- a/packages/edge/gate.c
+++ b/packages/edge/gate.c
@@ -83,6 +83,7 @@
         Sv_Tick(gate->callers);
         Sv_Tick(gate->ready);
         Sv_Tick(gate->metrics_server);
+        Lg_CountQueues(gate->ledger);
         Po_Sweep(gate);
     }
     note_readiness(gate);
--- a/packages/gate/daemon.c
+++ b/packages/gate/daemon.c
@@ -306,6 +306,7 @@
     update_warmup_hosts(daemon, now);
     Rh_Tick(daemon->gate.reach);
     Gq_Tick(daemon->gate.quarantine);
+    Lg_CountQueues(daemon->gate.ledger);
     if (!daemon->was_ready && Dm_NotReady(daemon) == NULL) {
         daemon->was_ready = true;
         Ev_Log(&GT_READY, "node=%s", daemon->gate.options->node_id);
--- a/packages/policy/yield.c
+++ b/packages/policy/yield.c
@@ -21,6 +21,9 @@
 /* A caller that has just connected sends its request within this time. */
 #define Yd_GRACE_USEC (250 * Ck_USEC_PER_MSEC)
 
+/* From these parts of the bound on the kernel's queues are counted. */
+#define Yd_CROWDED_BYTES_DIVISOR 2
+#define Yd_CROWDED_DIVISOR 4
 /* A request gets on by this part of its size, and by so many bytes. */
 #define Yd_PART_DIVISOR 64
 #define Yd_PART_BYTES 1024
@@ -60,6 +63,13 @@
     return (double)(now > since ? now - since : 0) / Ck_USEC_PER_SEC;
 }
 
+bool
+Yd_CountsQueues(const struct yd_bound *bound, size_t all, size_t connections)
+{
+    return all > bound->bytes / Yd_CROWDED_BYTES_DIVISOR ||
+           connections > bound->connections / Yd_CROWDED_DIVISOR;
+}
+
 void
 Yd_NoteReceived(struct yd_holder *holder, size_t len, int64_t now)
 {
@@ -99,7 +109,10 @@
     case YD_IDLE:
         break;
     }
-    return holder->unread > 0 ? weight(holder->unread, holder->unread_at, now)
+    if (holder->unread > 0) {
+        return weight(holder->unread + holder->queued, holder->unread_at, now);
+    }
+    return holder->queued > 0 ? weight(holder->queued, holder->queued_at, now)
                               : -1;
 }
 
--- a/packages/policy/yield.h
+++ b/packages/policy/yield.h
@@ -36,6 +36,8 @@
     size_t bytes;      /* all that is held for it */
     size_t unread;     /* of an answer, that the caller has not taken */
     int64_t unread_at; /* since when there are such bytes */
+    size_t queued;     /* the same, taken by the kernel */
+    int64_t queued_at;
 };
 
 /* The bound of a host with that memory and that many descriptors. */
@@ -53,6 +55,13 @@
  */
 void Yd_NoteReceived(struct yd_holder *holder, size_t len, int64_t now);
 
+/*
+ * Whether so much is held that what the kernel holds as well is to be counted,
+ * which costs system calls for each connection.
+ */
+bool Yd_CountsQueues(const struct yd_bound *bound, size_t all,
+                     size_t connections);
+
 /*
  * Ranks the connections by what they have to give up: the one with the highest
  * value yields first, and none below 0 does.
--- a/packages/web/ledger.c
+++ b/packages/web/ledger.c
@@ -1,9 +1,12 @@
 #include "web/ledger.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "web/loop.h"
@@ -11,6 +14,7 @@
 #define Lg_NAME_MAX 96
 /* Log lines about connections that yielded. */
 #define Lg_LINES_PER_SEC 5
+#define Lg_QUEUES_USEC (1 * Ck_USEC_PER_SEC)
 
 TAILQ_HEAD(lg_holders, lg_holder);
 
@@ -21,12 +25,15 @@
     size_t all; /* bytes */
     size_t held[LG_KINDS];
     size_t most; /* highest value of "all" */
+    int64_t queues_counted_at;
+    bool counts_queues;
     int64_t logged_at;
     int logged; /* lines in the second that began then */
 };
 
 static const char *const kind_names[LG_KINDS] = {
-    "connection", "head", "body", "behind", "copy", "coming", "answer",
+    "connection", "head",   "body",   "behind",
+    "copy",       "coming", "answer", "kernel",
 };
 
 struct yd_bound
@@ -296,6 +303,76 @@
     return made;
 }
 
+static size_t
+queue_bytes(int fd, unsigned long request)
+{
+    int bytes = 0;
+    return ioctl(fd, request, &bytes) == 0 && bytes > 0 ? (size_t)bytes : 0;
+}
+
+static void
+count_queues_of(struct lg_holder *holder, int64_t now)
+{
+    struct yd_holder *state = &holder->state;
+    size_t out = queue_bytes(holder->fd, SIOCOUTQ);
+    size_t in = queue_bytes(holder->fd, SIOCINQ);
+    if (state->queued == 0) {
+        state->queued_at = now;
+    }
+    state->queued = out;
+    Lg_Set(holder, LG_KERNEL, in + out);
+}
+
+static void
+forget_queues(struct lg_ledger *ledger)
+{
+    struct lg_holder *holder;
+    TAILQ_FOREACH (holder, &ledger->holders, link) {
+        holder->state.queued = 0;
+        Lg_Set(holder, LG_KERNEL, 0);
+    }
+}
+
+/* What came on top may pass the bound: connections yield until it does not. */
+static void
+keep_bound(struct lg_ledger *ledger)
+{
+    size_t all = SIZE_MAX;
+    while (ledger->all > ledger->options.bound.bytes && ledger->all < all) {
+        all = ledger->all;
+        struct lg_holder *first = first_to_yield(ledger, Yd_RankBytes, NULL);
+        if (first != NULL) {
+            make_yield(first, LG_MEMORY);
+        }
+    }
+}
+
+void
+Lg_CountQueues(struct lg_ledger *ledger)
+{
+    int64_t now = now_of(ledger);
+    if (now - ledger->queues_counted_at < Lg_QUEUES_USEC) {
+        return;
+    }
+    ledger->queues_counted_at = now;
+    bool counted = ledger->counts_queues;
+    ledger->counts_queues = Yd_CountsQueues(&ledger->options.bound,
+                                            ledger->all, ledger->connections);
+    if (!ledger->counts_queues) {
+        if (counted) {
+            forget_queues(ledger);
+        }
+        return;
+    }
+    struct lg_holder *holder;
+    TAILQ_FOREACH (holder, &ledger->holders, link) {
+        if (holder->fd >= 0) {
+            count_queues_of(holder, now);
+        }
+    }
+    keep_bound(ledger);
+}
+
 size_t
 Lg_Held(const struct lg_ledger *ledger, enum lg_kind kind)
 {
--- a/packages/web/ledger.h
+++ b/packages/web/ledger.h
@@ -20,8 +20,8 @@
 #endif
 
 /*
- * What the kernel holds for a connection before it is read, and after it was
- * written, is not in the account: it is bounded for each.
+ * What the kernel may hold for a connection before it is read, and after it
+ * was written; it may take twice as much.
  */
 #define Lg_SOCKET_BYTES 32768
 
@@ -33,6 +33,7 @@
     LG_COPY,   /* of a request, on its way to an endpoint */
     LG_COMING, /* an answer that is passed on once it is whole */
     LG_ANSWER, /* bytes that the caller has not taken yet */
+    LG_KERNEL, /* in the queues of the connection, see Lg_CountQueues() */
     LG_KINDS,
 };
 
@@ -103,6 +104,12 @@
  * the holder's "yield" is not called.
  */
 bool Lg_MakeRoom(struct lg_holder *holder, size_t more);
+/*
+ * Counts once a second what the kernel holds for the connections, while many
+ * are open or much is held; to be called at least twice as often.  Where the
+ * bound is passed with it, connections yield.
+ */
+void Lg_CountQueues(struct lg_ledger *ledger);
 /* What all hold, of a kind. */
 size_t Lg_Held(const struct lg_ledger *ledger, enum lg_kind kind);
 size_t Lg_Connections(const struct lg_ledger *ledger);
--- a/packages/web/serve_read.c
+++ b/packages/web/serve_read.c
@@ -45,8 +45,8 @@
     int64_t length = H1_Number(head, "content-length");
     request->body_most = request->server->limits.body_bytes;
     /* A number with more digits than are read is over any limit. */
-    bool unread = length < 0 && H1_Find(head, "content-length") != NULL;
-    if (unread || length > (int64_t)request->body_most) {
+    bool too_long = length < 0 && H1_Find(head, "content-length") != NULL;
+    if (too_long || length > (int64_t)request->body_most) {
         request->refuse = 413;
         return;
     }
--- a/packages/web/test/ledger_test.cc
+++ b/packages/web/test/ledger_test.cc
@@ -1,6 +1,8 @@
 #include "web/ledger.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <memory>
 #include <string>
@@ -13,6 +15,18 @@
 
 const size_t kKb = 1024;
 
+int64_t fake_now;
+
+void
+FakeTime(const struct ck_clock *, struct timespec *now)
+{
+    now->tv_sec = fake_now / Ck_USEC_PER_SEC;
+    now->tv_nsec = fake_now % Ck_USEC_PER_SEC * 1000;
+}
+
+const struct ck_ops kClockOps = {FakeTime, FakeTime};
+const struct ck_clock kClock = {&kClockOps, nullptr};
+
 class Ledger : public ::testing::Test {
   protected:
     struct Client {
@@ -26,7 +40,8 @@
     Create(size_t bytes, size_t connections)
     {
         struct lg_options options = {};
-        options.clock = Ck_System();
+        fake_now = 1000 * Ck_USEC_PER_SEC;
+        options.clock = &kClock;
         options.bound = {bytes, connections};
         options.yielded = [](void *arg, const struct lg_yield *yield) {
             auto *self = static_cast<Ledger *>(arg);
@@ -172,6 +187,66 @@
     Lg_Leave(&account);
 }
 
+// Two connected sockets, of which one has sent bytes that nobody has read.
+class Queue {
+  public:
+    explicit Queue(size_t bytes)
+    {
+        EXPECT_EQ(0, socketpair(AF_UNIX, SOCK_STREAM, 0, ends_));
+        std::string text(bytes, 'x');
+        EXPECT_EQ((ssize_t)bytes, send(ends_[0], text.data(), bytes, 0));
+    }
+    ~Queue()
+    {
+        close(ends_[0]);
+        close(ends_[1]);
+    }
+    int
+    reader() const
+    {
+        return ends_[1];
+    }
+
+  private:
+    int ends_[2];
+};
+
+// Guards against bytes that wait in the queues of connections and are in no
+// account, though they are the machine's memory.
+TEST_F(Ledger, WhatTheKernelHoldsCountsWhereManyAreOpen)
+{
+    const size_t queued = 40 * kKb;
+    Create(100 * kKb, 7);
+    Queue first(queued);
+    Queue second(queued);
+    Client &one = Join("a", YD_READING, kKb);
+    one.holder.fd = first.reader();
+    Lg_CountQueues(ledger_);
+    EXPECT_EQ(0u, Lg_Held(ledger_, LG_KERNEL));
+    Client &two = Join("a", YD_READING, kKb);
+    two.holder.fd = second.reader();
+    fake_now += Ck_USEC_PER_SEC;
+    Lg_CountQueues(ledger_);
+    EXPECT_EQ(2 * queued, Lg_Held(ledger_, LG_KERNEL));
+    EXPECT_EQ(0, one.yields + two.yields);
+}
+
+// The same, where the bound is passed with them.
+TEST_F(Ledger, ConnectionsYieldForWhatTheKernelHolds)
+{
+    const size_t queued = 40 * kKb;
+    Create(70 * kKb, 4);
+    Queue first(queued);
+    Queue second(queued);
+    Client &one = Join("a", YD_READING, kKb);
+    one.holder.fd = first.reader();
+    Client &two = Join("a", YD_READING, kKb);
+    two.holder.fd = second.reader();
+    Lg_CountQueues(ledger_);
+    EXPECT_EQ(1, one.yields + two.yields);
+    EXPECT_EQ(queued, Lg_Held(ledger_, LG_KERNEL));
+}
+
 // Guards against a machine that allows more descriptors than the loop can
 // watch: clients that hold all of these shut the others out.
 TEST(LedgerBound, IsWithinWhatTheLoopCanWatch)
