A request with a trailer field is sent on as its caller sent it

The library reports trailer fields like those of the head. on_field() added them to the head that is kept for further attempts, with texts that lie in the buffer of the read; by the second attempt that buffer had been overwritten.

Fields behind a body are dropped. The kept head is what the sender's head was, whatever follows, so each way of sending it once more holds: refused, directly and through a peer, behind another request, resumed.

RawAnswer finds a header whatever its case, and a test socket connects to any address, which two tests had each by themselves.

--- a/packages/edge/exchange_send.c
+++ b/packages/edge/exchange_send.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "edge/brittle.h"
 #include "edge/exchange_internal.h"
 #include "edge/rate_limit.h"
@@ -19,10 +20,13 @@
     return at + text.len;
 }
 
-/* Builds the request's head for the endpoint; the caller frees it. */
+/*
+ * Builds the request's head for the endpoint; the caller frees it.  Sets
+ * *digest to a hash of what is the client's, the same for each attempt.
+ */
 static char *
 write_head(const struct xc_exchange *exchange, const struct hd_send *send,
-           size_t body_len, size_t *len)
+           size_t body_len, size_t *len, uint64_t *digest)
 {
     const struct h1_head *head = Sv_Head(exchange->request);
     size_t size = head->method.len + head->target.len + 2048;
@@ -50,6 +54,7 @@
         at = put(out, at, field->value);
         at += (size_t)sprintf(out + at, "\r\n");
     }
+    *digest = Hash_Bytes(out, at, 0);
     if (body_len > 0 || head->chunked ||
         H1_Find(head, "content-length") != NULL) {
         at += (size_t)sprintf(out + at, "Content-Length: %zu\r\n", body_len);
@@ -68,9 +73,13 @@
                : exchange->route->priority;
 }
 
-/* Logs the data by which the endpoint was chosen, and their age. */
+/*
+ * Logs the data by which the endpoint was chosen, their age, and what of the
+ * client's request was sent.
+ */
 static void
-log_sent(const struct xc_exchange *exchange, const struct xc_target *target)
+log_sent(const struct xc_exchange *exchange, const struct xc_target *target,
+         uint64_t head_digest, size_t body_len)
 {
     const struct xc_attempt *attempt = &exchange->attempt;
     const struct fl_endpoint *endpoint = attempt->endpoint;
@@ -84,7 +93,8 @@
         "\"others\":%d,\"reading\":%lld,\"missing\":%lld,\"output\":%lld,"
         "\"expected\":%lld,\"speed\":%.2f,\"kept_conn\":%d,"
         "\"entry_age_ms\":%lld,\"config\":%lld,\"rate_limit\":%.2f,"
-        "\"expected_ms\":%lld,\"slack_ms\":%lld",
+        "\"expected_ms\":%lld,\"slack_ms\":%lld,"
+        "\"head_digest\":\"%016llx\",\"body_bytes\":%zu",
         exchange->info.id, endpoint->entry.id,
         exchange->tenant == NULL ? "" : exchange->tenant->name,
         endpoint->running, endpoint->peers_running, prefill_tokens,
@@ -95,7 +105,8 @@
                     Ck_USEC_PER_MSEC),
         (long long)exchange->config->version, endpoint->rate_limit.per_sec,
         (long long)(target->expected_usec / Ck_USEC_PER_MSEC),
-        (long long)(target->slack_usec / Ck_USEC_PER_MSEC));
+        (long long)(target->slack_usec / Ck_USEC_PER_MSEC),
+        (unsigned long long)head_digest, body_len);
 }
 
 bool
@@ -119,7 +130,9 @@
     size_t body_len;
     const char *body = Sv_Body(exchange->request, &body_len);
     size_t head_len;
-    char *head = write_head(exchange, &send, body_len, &head_len);
+    uint64_t head_digest = 0;
+    char *head =
+        write_head(exchange, &send, body_len, &head_len, &head_digest);
     struct lg_holder *holder = Sv_Holder(exchange->request);
     bool has_room = head != NULL && Lg_MakeRoom(holder, head_len + body_len);
     struct cn_channel *channel =
@@ -163,7 +176,7 @@
     exchange->link_tested = false;
     Mt_Add(gate->count.expected_late,
            target->slack_usec < 0 && !exchange->head_sent);
-    log_sent(exchange, target);
+    log_sent(exchange, target, head_digest, body_len);
     if (!attempt->moved) {
         Xc_NoteVersionSent(exchange, target);
     }
--- a/packages/web/http1.c
+++ b/packages/web/http1.c
@@ -55,9 +55,17 @@
     return 0;
 }
 
+/*
+ * Trailer fields come here too, behind the body.  They are dropped, as RFC
+ * 9110 allows (6.5.1): the head is the sender's as it stood, and their bytes
+ * are the reader's, not the parser's.
+ */
 static int
 on_field(http_parser *parser, const char *at, size_t len)
 {
+    if (self(parser)->phase != H1_HEAD) {
+        return 0;
+    }
     struct h1_head *head = &self(parser)->head;
     if (head->count == H1_FIELDS_MAX) {
         self(parser)->overflow = true;
@@ -72,6 +80,9 @@
 static int
 on_value(http_parser *parser, const char *at, size_t len)
 {
+    if (self(parser)->phase != H1_HEAD) {
+        return 0;
+    }
     struct h1_head *head = &self(parser)->head;
     while (len > 0 && (at[len - 1] == ' ' || at[len - 1] == '\t')) {
         len--;
--- a/packages/web/test/http1_test.cc
+++ b/packages/web/test/http1_test.cc
@@ -230,6 +230,30 @@
     EXPECT_FALSE(ReadToClose("HTTP/1.1 200 OK\r\nX: ").whole);
 }
 
+// A field behind the body becomes one of the head, with bytes of a buffer that
+// the next read overwrites.
+TEST(Http1, FieldsBehindABodyAreNoneOfTheHead)
+{
+    Message message;
+    struct h1_parser *parser = H1_Create(true, &ops, &message);
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string rest = "1\r\nb\r\n0\r\nHost: other\r\nX-Sum: 1\r\n"
+                             "Empty:\r\n\r\n";
+    size_t used;
+    ASSERT_EQ(H1_Feed(parser, head.data(), head.size(), &used), H1_FINE);
+    for (char c : rest) {
+        ASSERT_EQ(H1_Feed(parser, &c, 1, &used), H1_FINE);
+    }
+    EXPECT_TRUE(message.ended);
+    EXPECT_EQ(message.body, "b");
+    const struct h1_head *kept = H1_Head(parser);
+    ASSERT_EQ(kept->count, 2u);
+    EXPECT_EQ(Text(kept->fields[0].value), "a");
+    EXPECT_EQ(Text(kept->fields[1].value), "chunked");
+    H1_Destroy(parser);
+}
+
 // Fields that concern one connection are passed on and change how the next
 // one is read.
 TEST(Http1, HopByHopFieldsAreKnown)
--- a/test/raw.h
+++ b/test/raw.h
@@ -3,6 +3,7 @@
 #define TEST_RAW_H
 
 #include <cstdlib>
+#include <cstring>
 #include <string>
 
 #include "test/socket.h"
@@ -19,11 +20,12 @@
     std::string
     Header(const std::string &name) const
     {
-        size_t at = head.find("\r\n" + name + ": ");
-        if (at == std::string::npos) {
+        const std::string line = "\r\n" + name + ": ";
+        const char *found = strcasestr(head.c_str(), line.c_str());
+        if (found == nullptr) {
             return "";
         }
-        at += name.size() + 4;
+        size_t at = (size_t)(found - head.c_str()) + line.size();
         return head.substr(at, head.find("\r\n", at) - at);
     }
 };
--- a/test/socket.h
+++ b/test/socket.h
@@ -54,8 +54,15 @@
 
     bool
     Connect(int port)
+    {
+        return Connect("127.0.0.1", port);
+    }
+
+    bool
+    Connect(const std::string &ip, int port)
     {
         struct sockaddr_in address = Loopback(port);
+        inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
         return connect(fd_, reinterpret_cast<struct sockaddr *>(&address),
                        sizeof(address)) == 0;
     }
